--- /dev/null
+++ b/tests/test_rem.py
@@ -0,0 +1,90 @@
+"""Random Early Migration as the design words it: the chance, its gate, who moves, and the pick."""
+
+from __future__ import annotations
+
+from conftest import Driver, S, binds, listed, settings
+
+from wingbarrow import interface as api
+from wingbarrow import logic
+
+
+def moves_at(load: float, refuge: float = 0.0, trials: int = 200) -> float:
+    """Share of binds that move a task, at a load (of what the machine can serve) on the machine bound to."""
+    moved = 0
+    for seed in range(trials):
+        driver = Driver(settings(booking_cores=9.0, booking_memory=9.0), seed)
+        driver.list(listed(1), listed(2))
+        driver.found(1, 1)
+        driver.found(2, 1, service="t")
+        driver.give(api.TimerDue("sweep"), after=9 * S)
+        for ident, share in ((1, load), (2, refuge)):
+            driver.give(api.Probed(ident, api.Outcome.DONE, api.Report(20 * (1 - share), 40.0, None)))
+        machine = driver.scheduler._machines[1]
+        moves: list[api.Action] = []
+        driver.scheduler._actions = moves
+        driver.scheduler._migrate(machine)
+        moved += sum(isinstance(action, api.Move) for action in moves)
+        assert all(action.request in (1, 2) for action in moves if isinstance(action, api.Move))
+    return moved / trials
+
+
+def test_the_chance_is_nothing_below_linear_between_and_certain_above() -> None:
+    assert moves_at(logic.R_MIN - 0.02) == 0.0
+    middle = moves_at((logic.R_MIN + logic.R_MAX) / 2)
+    assert abs(middle - logic.P_MAX / 2) < 0.12
+    assert moves_at(logic.R_MAX + 0.02) == 1.0
+
+
+def test_no_move_without_a_fitting_machine_below_its_minimum() -> None:
+    assert moves_at(1.2, refuge=logic.R_MIN + 0.05) == 0.0
+
+
+def test_the_pick_is_among_the_least_loaded_candidates() -> None:
+    chosen = set()
+    for seed in range(60):
+        driver = Driver(settings(), seed)
+        driver.list(*(listed(i, free=20.0 - i) for i in range(8)))
+        for i in range(8):
+            driver.found(100 + i, i)  # the service is warm everywhere
+        (bind,) = binds(driver.arrive(1))
+        chosen.add(bind.machine)
+    assert chosen == {0, 1, 2}
+
+
+def test_a_machine_not_heard_from_counts_as_average() -> None:
+    driver = Driver(settings())
+    driver.list(listed(1, free=20.0), listed(2, free=0.0), listed(3, free=float("nan")))
+    load = {i: driver.scheduler._load(machine) for i, machine in driver.scheduler._machines.items()}
+    assert load[1] < load[3] < load[2]
+
+
+def test_own_binds_count_once_until_the_view_holds_them() -> None:
+    driver = Driver(settings())
+    driver.list(listed(1))
+    driver.arrive(1, cores=4.0)
+    machine = driver.scheduler._machines[1]
+    assert driver.scheduler._asked(machine)[0] == 4.0
+    driver.list(listed(1), form=api.ListForm.CHANGES)  # tells of an earlier time
+    assert driver.scheduler._asked(machine)[0] == 4.0
+    driver.now += 10 * S
+    driver.list(listed(1, free=16.0), form=api.ListForm.CHANGES)
+    assert driver.scheduler._asked(machine)[0] == 4.0
+
+
+def test_a_refused_bind_is_taken_back_and_its_reason_believed() -> None:
+    driver = Driver(settings(booking_cores=1.0))
+    driver.list(listed(1), listed(2, free=10.0))
+    driver.found(5, 1)  # warm on the emptier one
+    (bind,) = binds(driver.arrive(1, cores=4.0))
+    assert bind.machine == 1
+    (again,) = binds(driver.end(1, 1, api.Outcome.REFUSED, reason=api.Reason.NO_CORES))
+    assert again.machine == 2
+    driver.list(listed(1), form=api.ListForm.CHANGES)  # the stale view repeats itself
+    assert all(bind.machine == 2 for bind in binds(driver.arrive(2, cores=4.0)))
+
+
+def test_same_events_same_actions() -> None:
+    def run() -> list[list[api.Action]]:
+        driver = Driver(settings(), 7)
+        return [driver.list(*(listed(i) for i in range(6)))] + [driver.arrive(i) for i in range(30)]
+    assert run() == run()
