--- a/wingbarrow/interface.py
+++ b/wingbarrow/interface.py
@@ -133,8 +133,6 @@
     fleet: float
     moves: float
     probe: float
-    refusal: float
-    cross_zone: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,14 +140,12 @@
     """What the scheduler is told at its start; figures out of range raise ValueError with the key's name."""
 
     placers: int
-    zone: str
     classes: tuple[TaskClass, ...]
     kinds: tuple[MachineKind, ...]
     booking_cores: float
     booking_memory: float
     usual_cores: float
     usual_memory: float
-    pushes_out: bool
     attempts_most: int
     discovery: Discovery
     may_cancel: bool
@@ -158,22 +154,19 @@
     reports_use: bool
     room_in_list: bool
     tick_us: int
-    drain_grace_us: int
     ask_every_us: int
     cold_us: int
-    cold_from: float
     fall_us: int
-    fall_multiple: float
     fresh_offers: float
     prices: Prices
 
     def __post_init__(self) -> None:
         """Reject figures that no deployment can mean."""
         above_zero = ("placers", "booking_cores", "booking_memory", "usual_cores", "usual_memory",
-                      "attempts_most", "tick_us", "fall_us", "fall_multiple")
-        for key in (*above_zero, "drain_grace_us", "ask_every_us", "cold_us", "cold_from", "fresh_offers"):
+                      "attempts_most", "tick_us", "fall_us")
+        for key in (*above_zero, "ask_every_us", "cold_us", "fresh_offers"):
             _check_range(key, getattr(self, key), key in above_zero)
-        for price in ("fleet", "moves", "probe", "refusal", "cross_zone"):
+        for price in ("fleet", "moves", "probe"):
             _check_range(price, getattr(self.prices, price), False)
         for kind in self.kinds:
             _check_range("kinds.cores", kind.cores, True)
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -2,7 +2,7 @@
 
 Random Early Migration (REM, Zhao and Kuo) decides the ordinary path: a task goes to a random one of the three
 least loaded machines that fit, and each bind may move one own task off its machine, with a chance that grows
-with the load between two thresholds. Everything else here keeps the rules, or keeps REM's view of load honest.
+with the load between two thresholds. All else keeps the rules, or REM's view of load honest.
 """
 
 from __future__ import annotations
@@ -10,26 +10,58 @@
 import random
 import zlib
 from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import isfinite
+from typing import Any
 
 from wingbarrow.interface import (
-    Abandon, Action, AttemptEnded, Bind, Discovery, Effect, Event, Fail, ListedMachine, ListForm, MachineList, Move,
-    NoteKind, Outcome, Phase, Place, Probe, Probed, Reason, Refuse, Report, Reports, SetTimer, Settings, TaskArrived,
-    TaskClass, TaskFound, TaskNote, TaskPlaced, TaskWithdrawn, TimerDue, WatchList,
+    Abandon,
+    Action,
+    AttemptEnded,
+    Bind,
+    Discovery,
+    Effect,
+    Event,
+    Fail,
+    ListedMachine,
+    ListForm,
+    MachineList,
+    Move,
+    NoteKind,
+    Outcome,
+    Phase,
+    Place,
+    Probe,
+    Probed,
+    Reason,
+    Refuse,
+    Report,
+    Reports,
+    SetTimer,
+    Settings,
+    TaskArrived,
+    TaskClass,
+    TaskFound,
+    TaskNote,
+    TaskPlaced,
+    TaskWithdrawn,
+    TimerDue,
+    WatchList,
 )
 
 SECOND = 1_000_000
-R_MIN, R_MAX, P_MAX = 0.8, 1.0, 0.8  # REM's thresholds as shares of what a machine can serve, and its top chance
+R_MIN, R_MAX, P_MAX = 0.75, 0.95, 0.8  # REM's thresholds as shares of L, what a machine can serve; top chance
 LEAST_LOADED = 3  # the design's pick among the three least loaded
-FULL_CORES, FULL_MEMORY = 0.85, 0.88  # use that a bind may lead to; above, service fades or tasks are evicted
-TIGHT_CORES, TIGHT_MEMORY = 1.0, 0.95  # the same once nothing else fits
+FULL_CORES, FULL_MEMORY = 0.72, 0.86  # use that a bind may lead to; above, service fades or tasks are evicted
+TIGHT_CORES, TIGHT_MEMORY = 0.95, 0.93  # the same once nothing else fits
 HOMES = 2  # machines that all placers prefer for a service, so that its program is found warm there
 KEPT_PROGRAMS = 5  # programs trusted to stay warm on a machine after their last own task
-FLEET_FILL = 0.75  # use that the candidate set is planned for where machines in use are priced
+FLEET_FILL = 0.66  # use that the candidate set is planned for where machines in use are priced
 VIEW_LAG_US, REPORT_LAG_US = 2_500_000, 500_000  # list and reports are taken to tell of this long ago
 USE_FRESH_US = 3 * SECOND  # a measured use counts this long; then asks times the usual ratio stand in
-USE_PRIOR, USE_PRIOR_WEIGHT = 0.8, 4.0  # share of the asked taken to be used before notes come, and its weight
+USE_PRIOR, USE_PRIOR_WEIGHT = 0.8, 4.0  # share of the asked taken as used before notes come, and its weight
+GROW_US = 8 * SECOND  # memory of a younger task still grows: it is not taken to use less than its class does
 SHUN_US, SHUN_DOUBLINGS = 500_000, 4  # pause after a silent or broken machine, doubled so often at most
 STARTS_MOST = 4  # own starts out on one machine at a time: more would only wait in its line
 PROBE_POINTS = 0.003  # what probes may cost in all, as a share of the result
@@ -81,6 +113,7 @@
     offers: deque[int] = field(default_factory=deque)  # sends while cold
     strikes: int = 0
     shun_until_us: int = 0
+    bias: tuple[float, float] = (0.0, 0.0)  # what own tasks here use beyond the usual share of what they ask
 
     def since(self, as_of_us: int) -> tuple[float, float]:
         """Own binds less own ends that a figure of that time cannot hold yet: each counts until then, once."""
@@ -108,13 +141,18 @@
         self._spread: Counter[tuple[str, object]] = Counter()
         self._held: dict[int, None] = {}
         self._no_room: set[tuple[str, float, float]] = set()  # shapes that found no room since the last sweep
-        self._ratio = (USE_PRIOR, USE_PRIOR)  # share of the asked that tasks use
+        self._ratio = (USE_PRIOR, USE_PRIOR)  # share of the asked cores and memory that tasks use
+        self._class_ratio = {name: self._ratio for name in self._classes}
         self._average = (0.5, 0.5)  # asked, of the machine's size
         self._probes_due = 1.0
         self._watching = settings.discovery is Discovery.PUSH
         self._ask_at_us = self._ask_fails = self._now = 0
         self._sweeping = False
         self._actions: list[Action] = []
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            MachineList: self._on_list, TaskArrived: self._on_arrival, TaskFound: self._on_found,
+            TaskWithdrawn: lambda event: self._close(event.request), TaskPlaced: self._on_placed,
+            AttemptEnded: self._on_ended, Probed: self._on_probed, TaskNote: self._on_note, TimerDue: self._on_timer}
 
     def handle(self, now_us: int, event: Event) -> list[Action]:
         """Decide on one event."""
@@ -122,31 +160,9 @@
         if not self._sweeping:
             self._sweeping = True
             self._actions.append(SetTimer(now_us + SWEEP_US, "sweep"))
-        match event:
-            case MachineList():
-                self._on_list(event)
-            case TaskArrived():
-                self._on_arrival(event)
-            case TaskFound():
-                self._on_found(event)
-            case TaskWithdrawn(request):
-                self._close(request)
-            case TaskPlaced():
-                self._on_placed(event)
-            case AttemptEnded():
-                self._on_ended(event)
-            case Probed(ident, _, report):
-                if ident in self._machines:
-                    self._report(self._machines[ident], report)
-            case TaskNote():
-                self._on_note(event)
-            case TimerDue("sweep"):
-                self._sweep()
-            case TimerDue(name):
-                task = self._tasks.get(int(name)) if name.isdecimal() else None
-                # Danger (rule 1): nothing may stay unanswered past its own deadline, whatever was hoped for it.
-                if task is not None and not task.placed and now_us >= self._due_us(task):
-                    self._end(task)
+        handler = self._handlers.get(type(event))
+        if handler is not None:
+            handler(event)
         return self._actions
 
     # --- placement
@@ -183,8 +199,8 @@
         if machine.used is not None and self._now - machine.used_us < USE_FRESH_US:
             base, more, share = machine.used, machine.since(machine.used_us), self._ratio
             return base[0] + more[0] * share[0], base[1] + more[1] * share[1]
-        asked = self._asked(machine)
-        return asked[0] * self._ratio[0], asked[1] * self._ratio[1]
+        asked, bias = self._asked(machine), machine.bias
+        return asked[0] * self._ratio[0] + bias[0], asked[1] * self._ratio[1] + bias[1]
 
     def _asked(self, machine: _Machine) -> tuple[float, float]:
         """What accepted tasks ask; a machine not yet heard from counts as average."""
@@ -199,12 +215,12 @@
         return self._use(machine)[0] / machine.size[0]
 
     def _fits(self, task: _Task, machine: _Machine, most_cores: float, most_memory: float) -> bool:
-        ask, size, ratio = (task.arrival.cores, task.arrival.memory), machine.size, self._ratio
+        ask, size, adds = (task.arrival.cores, task.arrival.memory), machine.size, self._task_use(task)
         asked, use = self._asked(machine), self._use(machine)
         return (asked[0] + ask[0] <= self._settings.booking_cores * size[0] + 1e-6
                 and asked[1] + ask[1] <= self._settings.booking_memory * size[1] + 1e-6
-                and use[0] + ask[0] * ratio[0] <= most_cores * size[0]
-                and use[1] + ask[1] * ratio[1] <= most_memory * size[1])
+                and use[0] + adds[0] <= most_cores * size[0]
+                and use[1] + adds[1] <= most_memory * size[1])
 
     def _migrate(self, machine: _Machine) -> None:
         """REM: with the gated linear chance, move one own task off the machine that was just bound to."""
@@ -215,17 +231,18 @@
         movable = [task for task in machine.own.values() if task.placed and not task.moving
                    and min(task.left_us(self._now), self._now - task.since_us) >= MOVE_REST_US]
         for task in sorted(movable, key=self._relief, reverse=True):
-            if any(m is not machine and not m.gone and self._load(m) < R_MIN and task.cls.kind in (None, m.listed.kind)
-                   and self._fits(task, m, FULL_CORES, FULL_MEMORY) for m in self._machines.values()):
+            if any(m is not machine and not m.gone and task.cls.kind in (None, m.listed.kind)
+                   and self._load(m) < R_MIN and self._fits(task, m, FULL_CORES, FULL_MEMORY)
+                   for m in self._machines.values()):
                 task.moving = True
                 self._actions.append(Move(task.arrival.request))
                 return
 
     def _relief(self, task: _Task) -> float:
         """Which own task moves: many cores for long, against the worth that its restart loses."""
-        usual = self._settings.usual_cores, self._settings.usual_memory
-        size = (task.arrival.cores / usual[0] + task.arrival.memory / usual[1]) / 2
-        return task.arrival.cores * min(task.left_us(self._now), LEFT_UNTOLD_US) / (task.cls.worth * size + 1)
+        settings, ask = self._settings, task.arrival
+        size = (ask.cores / settings.usual_cores + ask.memory / settings.usual_memory) / 2
+        return ask.cores * min(task.left_us(self._now), LEFT_UNTOLD_US) / (task.cls.worth * size + 1)
 
     # --- guards: every send passes _bind, and so _may_bind
 
@@ -239,11 +256,9 @@
         machine.changes.append((self._now, arrival.request, arrival.cores, arrival.memory))
         if self._is_cold(machine):
             machine.offers.append(self._now)
-        give_up = arrival.deadline_us
-        if task.cls.effect is Effect.SAFE and task.attempts < self._settings.attempts_most:
-            give_up = min(give_up, self._now + max(2 * task.cls.aim_us, (arrival.deadline_us - self._now) // 2))
         self._held.pop(arrival.request, None)
-        self._actions.append(Bind(arrival.request, machine.listed.machine, give_up))
+        # Never abandoned early: a start that is slow but comes is worth more than a second one in the same line.
+        self._actions.append(Bind(arrival.request, machine.listed.machine, arrival.deadline_us))
 
     def _enter(self, task: _Task, machine: _Machine, attempt: int) -> None:
         self._out[(task.arrival.request, attempt)] = (machine, task)
@@ -256,9 +271,8 @@
         if machine.gone or cls.kind not in (None, listed.kind):
             return False
         # Rule 1. Danger: a send after the end. Rule 2. Danger: a second attempt while one is out.
-        if task.out is not None or task.placed or task.attempts >= settings.attempts_most:
-            return False
-        if self._now >= self._due_us(task):
+        if (task.out is not None or task.placed or task.attempts >= settings.attempts_most
+                or self._now >= task.arrival.deadline_us - settings.tick_us):
             return False
         # Rule 2. Danger: a second start of what may already run.
         if task.maybe is not None and cls.effect is not Effect.SAFE:
@@ -282,12 +296,8 @@
 
     @staticmethod
     def _spread_key(task: _Task, machine: _Machine) -> tuple[str, object]:
-        listed = machine.listed
-        wide: dict[Place, object] = {Place.CELL: listed.cell, Place.ZONE: listed.zone}
-        return task.arrival.service, wide.get(task.cls.spread, listed.machine)
-
-    def _due_us(self, task: _Task) -> int:
-        return task.arrival.deadline_us - self._settings.tick_us
+        wide: dict[Place, object] = {Place.CELL: machine.listed.cell, Place.ZONE: machine.listed.zone}
+        return task.arrival.service, wide.get(task.cls.spread, machine.listed.machine)
 
     # --- requests
 
@@ -297,7 +307,7 @@
             return
         task = self._tasks[event.request] = _Task(event, cls, self._now)
         self._probes_due = min(10.0, self._probes_due + PROBE_POINTS / max(self._settings.prices.probe, 1e-4))
-        self._actions.append(SetTimer(self._due_us(task), str(event.request)))
+        self._actions.append(SetTimer(task.arrival.deadline_us - self._settings.tick_us, str(event.request)))
         self._place(task)
 
     def _on_found(self, event: TaskFound) -> None:
@@ -334,12 +344,12 @@
         arrival, placed = task.arrival, task.placed and task.out == event.attempt
         machine.own.pop(event.request, None)
         self._spread[self._spread_key(task, machine)] -= 1
-        if event.outcome in PROVEN_UNRUN:  # the machine never held it: the bind is taken back, not ended
-            machine.changes = deque(change for change in machine.changes if change[1] != event.request)
-        else:
+        # What the machine never held is taken back, not ended.
+        unrun = event.request if event.outcome in PROVEN_UNRUN else None
+        machine.changes = deque(each for each in machine.changes
+                                if each[1] != unrun and each[0] > self._now - CHANGES_KEPT_US)
+        if unrun is None:
             machine.changes.append((self._now, event.request, -arrival.cores, -arrival.memory))
-        while machine.changes[0][0] < self._now - CHANGES_KEPT_US if machine.changes else False:
-            machine.changes.popleft()
         self._report(machine, event.report)
         if placed:
             self._warm(machine, arrival.service)
@@ -363,12 +373,10 @@
         """Learn from an attempt that did not end in a placed task."""
         if event.outcome is Outcome.REFUSED and event.reason in (Reason.NO_CORES, Reason.NO_MEMORY):
             # Danger: a stale view says there is room. The machine's own word outranks it until a newer view.
-            cores, memory = self._asked(machine)
-            if event.reason is Reason.NO_CORES:
-                cores = max(cores, self._settings.booking_cores * machine.size[0] - task.arrival.cores + 0.01)
-            else:
-                memory = max(memory, self._settings.booking_memory * machine.size[1] - task.arrival.memory + 0.01)
-            machine.asked, machine.asked_us = (cores, memory), self._now
+            asked, which = list(self._asked(machine)), int(event.reason is Reason.NO_MEMORY)
+            most = (self._settings.booking_cores, self._settings.booking_memory)[which] * machine.size[which]
+            asked[which] = max(asked[which], most - (task.arrival.cores, task.arrival.memory)[which] + 0.01)
+            machine.asked, machine.asked_us = (asked[0], asked[1]), self._now
         elif event.outcome is Outcome.REFUSED:
             machine.shun_until_us = max(machine.shun_until_us, self._now + SHUN_US)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.DONE):
@@ -379,8 +387,8 @@
     def _end(self, task: _Task) -> None:
         """The final answer. Danger (rule 2): a refusal says 'try again without harm', so only if that is true."""
         cls, request = task.cls, task.arrival.request
-        harmless = (cls.effect is Effect.SAFE or (task.out is None and task.maybe is None)
-                    or (cls.effect is Effect.KEYED and cls.group is Place.ALL))
+        harmless = (cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Place.ALL)
+                    or (task.out is None and task.maybe is None))
         self._actions.append(Refuse(request) if harmless else Fail(request))
         if task.out is not None and self._settings.may_cancel:
             self._actions.append(Abandon(request, task.out))
@@ -406,7 +414,8 @@
             for ident, machine in self._machines.items():
                 machine.gone = machine.gone or ident not in listed
         for entry in event.machines:
-            machine = self._machines.setdefault(entry.machine, _Machine(entry, self._sizes.get(entry.kind, (1.0, 1.0))))
+            size = self._sizes.get(entry.kind, (1.0, 1.0))
+            machine = self._machines.setdefault(entry.machine, _Machine(entry, size))
             if entry.launched_us > machine.listed.launched_us:  # a new process: what was known of the old is void
                 machine.strikes = machine.shun_until_us = 0
                 machine.asked = machine.used = None
@@ -433,13 +442,26 @@
             machine.used = (machine.size[0] - free[0], machine.size[1] - free[1])
             machine.used_us = as_of_us
 
+    def _on_probed(self, event: Probed) -> None:
+        if event.machine in self._machines:
+            self._report(self._machines[event.machine], event.report)
+
+    def _on_timer(self, event: TimerDue) -> None:
+        task = self._tasks.get(int(event.name)) if event.name.isdecimal() else None
+        if event.name == "sweep":
+            self._sweep()
+        # Danger (rule 1): nothing may stay unanswered past its own deadline, whatever was hoped for it.
+        elif task is not None and not task.placed and self._now >= task.arrival.deadline_us - self._settings.tick_us:
+            self._end(task)
+
     def _on_note(self, event: TaskNote) -> None:
         machine, task = self._out.get((event.request, event.attempt), (None, None))
         if machine is None or task is None or not isfinite(event.level) or event.level < 0:
             return
         cores, memory = self._use(machine)
         if event.kind in (NoteKind.CORES_USED, NoteKind.MEMORY_USED):
-            task.used[event.kind] = event.level
+            if event.level <= 10 * (task.arrival.cores + task.arrival.memory):
+                task.used[event.kind] = event.level
         elif event.kind is NoteKind.SERVED and event.level < 1:
             crowded = (task.cls.calm + (1 - event.level) * task.cls.fade) * machine.size[0]
             machine.used, machine.used_us = (max(cores, crowded), memory), self._now
@@ -447,15 +469,13 @@
             machine.used, machine.used_us = (cores, event.level * machine.size[1]), self._now
 
     def _plan(self) -> None:
-        """Where machines in use are priced, narrow the candidates to as many as the load needs, large ones first."""
+        """Where machines in use are priced, narrow the candidates to those the load needs, large ones first."""
         running = [m for m in self._machines.values() if not m.gone]
-        heard = [m for m in running if m.asked is not None]
-        sizes = [sum(m.size[i] for m in heard) for i in (0, 1)]
-        asked = [sum(self._asked(m)[i] for m in heard) for i in (0, 1)]
+        heard = [(m.asked, m.size) for m in running if m.asked is not None]
         if heard:
-            self._average = asked[0] / sizes[0], asked[1] / sizes[1]
-        uses = [self._use(m) for m in running]
-        need = [sum(use[i] for use in uses) / FLEET_FILL for i in (0, 1)]
+            self._average = (sum(asked[0] for asked, _ in heard) / sum(size[0] for _, size in heard),
+                             sum(asked[1] for asked, _ in heard) / sum(size[1] for _, size in heard))
+        need = [sum(self._use(m)[i] for m in running) / FLEET_FILL for i in (0, 1)]
         chosen = 0
         for machine in sorted(running, key=lambda m: (-m.size[0], _mix(str(m.listed.machine)))):
             machine.active = self._settings.prices.fleet == 0 or chosen < LEAST_LOADED or max(need) > 0
@@ -470,7 +490,7 @@
         if not self._watching and now >= self._ask_at_us:
             self._ask_at_us = now + settings.ask_every_us // 2
             self._actions.append(WatchList())
-        self._ratio = self._used_share(NoteKind.CORES_USED), self._used_share(NoteKind.MEMORY_USED)
+        self._learn_use()
         stale = [m for m in self._machines.values()
                  if not m.gone and now - max(m.used_us, m.asked_us, m.probed_us) > PROBE_EVERY_US]
         if stale and settings.may_probe and settings.reports is not Reports.NONE and self._probes_due >= 1:
@@ -482,11 +502,27 @@
         for request in list(self._held):
             self._place(self._tasks[request])
 
-    def _used_share(self, kind: NoteKind) -> float:
-        """The share of the asked that own tasks use, over those that have told."""
-        asked, used = USE_PRIOR_WEIGHT, USE_PRIOR * USE_PRIOR_WEIGHT
+    def _task_use(self, task: _Task) -> tuple[float, float]:
+        """Cores and memory that a task uses: as it told, else as its class does."""
+        ask, ratio = task.arrival, self._class_ratio[task.cls.name]
+        usual = ask.cores * ratio[0], ask.memory * ratio[1]
+        memory = task.used.get(NoteKind.MEMORY_USED, usual[1])
+        if self._now - task.since_us < GROW_US:
+            memory = max(memory, usual[1])
+        return task.used.get(NoteKind.CORES_USED, usual[0]), memory
+
+    def _learn_use(self) -> None:
+        """What tasks use of what they ask: by class, over all, and what own tasks use beyond it on a machine."""
+        rows = {name: [USE_PRIOR_WEIGHT] * 2 + [USE_PRIOR * USE_PRIOR_WEIGHT] * 2 for name in self._classes}
         for task in self._tasks.values():
-            if kind in task.used:
-                asked += task.arrival.cores if kind is NoteKind.CORES_USED else task.arrival.memory
-                used += task.used[kind]
-        return min(max(used / asked, 0.2), 1.5)
+            if len(task.used) == 2:
+                row, use = rows[task.cls.name], self._task_use(task)
+                for i, figure in enumerate((task.arrival.cores, task.arrival.memory, *use)):
+                    row[i] += figure
+        self._class_ratio = {name: (row[2] / row[0], row[3] / row[1]) for name, row in rows.items()}
+        total = [sum(row[i] for row in rows.values()) for i in range(4)]
+        self._ratio = total[2] / total[0], total[3] / total[1]
+        for machine in self._machines.values():
+            own = [(task.arrival, self._task_use(task)) for task in machine.own.values() if task.placed]
+            machine.bias = (sum(use[0] - ask.cores * self._ratio[0] for ask, use in own),
+                            sum(use[1] - ask.memory * self._ratio[1] for ask, use in own))
--- a/wingbarrow/simhost.py
+++ b/wingbarrow/simhost.py
@@ -116,24 +116,21 @@
             kind=kinds[needs].name if needs >= 0 else None, calm=_number(row, "easy_until"),
             fade=_number(row, "lost_after")))
     return api.Settings(
-        placers=_whole(setup, "balancers"), zone=str(_need(setup, "zone")), classes=tuple(classes), kinds=kinds,
+        placers=_whole(setup, "balancers"), classes=tuple(classes), kinds=kinds,
         booking_cores=_number(setup, "family_info.cpu_booking"),
         booking_memory=_number(setup, "family_info.admit_memory"),
         usual_cores=_number(setup, "family_info.usual_cores"),
         usual_memory=_number(setup, "family_info.unit_memory"),
-        pushes_out=_flag(setup, "family_info.pushes_out"), attempts_most=_whole(setup, "bounds.send_cap"),
-        discovery=_choice(DISCOVERY, setup, "discovery"), may_cancel=_flag(setup, "bounds.cancel"),
-        may_probe=_flag(setup, "bounds.probes"), reports=_choice(REPORTS, setup, "report.how"),
+        attempts_most=_whole(setup, "bounds.send_cap"), discovery=_choice(DISCOVERY, setup, "discovery"),
+        may_cancel=_flag(setup, "bounds.cancel"), may_probe=_flag(setup, "bounds.probes"),
+        reports=_choice(REPORTS, setup, "report.how"),
         reports_use=_need(setup, "family_info.report_counts") == "used",
         room_in_list=_flag(setup, "family_info.free_in_list"), tick_us=_whole(setup, "quantum_us"),
-        drain_grace_us=_whole(setup, "rules.drain_grace_us"), ask_every_us=_whole(setup, "rules.ask_every_us"),
-        cold_us=_whole(setup, "rules.cold_us"), cold_from=_number(setup, "rules.cold_from"),
-        fall_us=_whole(setup, "rules.fall_us"), fall_multiple=_number(setup, "rules.overload_factor"),
+        ask_every_us=_whole(setup, "rules.ask_every_us"), cold_us=_whole(setup, "rules.cold_us"),
+        fall_us=_whole(setup, "rules.fall_us"),
         fresh_offers=_number(setup, "family_info.fresh_offers"),
         prices=api.Prices(fleet=float(setup.get("costs", {}).get("fleet", 0.0)),
-                          moves=_number(setup, "costs.moves"), probe=_number(setup, "costs.probe"),
-                          refusal=_number(setup, "family_info.refusal_fee"),
-                          cross_zone=_number(setup, "costs.cross_zone")))
+                          moves=_number(setup, "costs.moves"), probe=_number(setup, "costs.probe")))
 
 
 def _absent_as_zero(text: str) -> int:
