--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -51,13 +51,13 @@
 )
 
 SECOND = 1_000_000
-R_MIN, R_MAX, P_MAX = 0.75, 0.95, 0.8  # REM's thresholds as shares of L, what a machine can serve; top chance
+R_MIN, R_MAX, P_MAX = 0.85, 1.05, 0.8  # REM's thresholds as shares of L, what a machine can serve; top chance
 LEAST_LOADED = 3  # the design's pick among the three least loaded
-FULL_CORES, FULL_MEMORY = 0.72, 0.86  # use that a bind may lead to; above, service fades or tasks are evicted
-TIGHT_CORES, TIGHT_MEMORY = 0.95, 0.93  # the same once nothing else fits
+FULL_CORES, FULL_MEMORY = 0.9, 0.86  # use that a bind may lead to; above, service fades or tasks are evicted
+TIGHT_CORES, TIGHT_MEMORY = 1.1, 0.93  # the same once nothing else fits
 HOMES = 2  # machines that all placers prefer for a service, so that its program is found warm there
 KEPT_PROGRAMS = 5  # programs trusted to stay warm on a machine after their last own task
-FLEET_FILL = 0.66  # use that the candidate set is planned for where machines in use are priced
+FLEET_FILL = 0.75  # use that the candidate set is planned for where machines in use are priced
 VIEW_LAG_US, REPORT_LAG_US = 2_500_000, 500_000  # list and reports are taken to tell of this long ago
 USE_FRESH_US = 3 * SECOND  # a measured use counts this long; then asks times the usual ratio stand in
 USE_PRIOR, USE_PRIOR_WEIGHT = 0.8, 4.0  # share of the asked taken as used before notes come, and its weight
