--- /dev/null
+++ b/tests/test_project.py
@@ -0,0 +1,35 @@
+"""Limits on the module's size, and what it may not know."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+SOURCES = sorted((ROOT / "wingbarrow").glob("*.py"))
+
+
+def test_the_module_stays_readable() -> None:
+    lines = (ROOT / "wingbarrow" / "logic.py").read_text().splitlines()
+    assert sum(bool(line.strip()) for line in lines) <= 400
+    assert "interface.py" in lines[0]
+
+
+def test_no_line_is_too_long() -> None:
+    for source in SOURCES:
+        assert all(len(line) <= 110 for line in source.read_text().splitlines()), source
+
+
+def test_decisions_act_on_no_name_and_do_no_io() -> None:
+    text = (ROOT / "wingbarrow" / "logic.py").read_text()
+    assert set(re.findall(r"^(?:import|from) (\w+)", text, re.M)) == {
+        "random", "zlib", "collections", "dataclasses", "math", "typing", "wingbarrow"}
+    assert not re.search(r"\bprint\(|\bopen\(|\bhash\(|\bglobal\b", text)
+    assert not re.search(r"(name|zone|service|kind)\s*==\s*[\"']", text.replace('event.name == "sweep"', ""))
+
+
+def test_the_readme_example_runs() -> None:
+    blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
+    assert blocks
+    for block in blocks:
+        exec(compile(block, "README.md", "exec"), {})
--- a/wingbarrow/interface.py
+++ b/wingbarrow/interface.py
@@ -108,17 +108,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskClass:
-    """A class of tasks; `kind` names the machine kind it must have, `calm` and `fade` its service when busy."""
+    """A class of tasks; `kind`: the machine kind it needs; `calm`, `fade`: its service when busy."""
 
     name: str
     effect: Effect
     group: Place
     window_us: int
-    aim_us: int
     worth: float
-    start_worth_s: float
-    late_worth: float
-    priority: int
     spread: Place
     spread_most: int
     kind: str | None
@@ -131,7 +127,6 @@
     """Points of the result for each unit of what costs."""
 
     fleet: float
-    moves: float
     probe: float
 
 
@@ -144,11 +139,8 @@
     kinds: tuple[MachineKind, ...]
     booking_cores: float
     booking_memory: float
-    usual_cores: float
-    usual_memory: float
     attempts_most: int
     discovery: Discovery
-    may_cancel: bool
     may_probe: bool
     reports: Reports
     reports_use: bool
@@ -162,11 +154,10 @@
 
     def __post_init__(self) -> None:
         """Reject figures that no deployment can mean."""
-        above_zero = ("placers", "booking_cores", "booking_memory", "usual_cores", "usual_memory",
-                      "attempts_most", "tick_us", "fall_us")
+        above_zero = ("placers", "booking_cores", "booking_memory", "attempts_most", "tick_us", "fall_us")
         for key in (*above_zero, "ask_every_us", "cold_us", "fresh_offers"):
             _check_range(key, getattr(self, key), key in above_zero)
-        for price in ("fleet", "moves", "probe"):
+        for price in ("fleet", "probe"):
             _check_range(price, getattr(self.prices, price), False)
         for kind in self.kinds:
             _check_range("kinds.cores", kind.cores, True)
@@ -174,9 +165,8 @@
         if not self.classes:
             raise ValueError("classes: at least one is needed")
         for each in self.classes:
-            for key in ("window_us", "worth", "start_worth_s", "late_worth", "priority", "calm", "fade"):
+            for key in ("window_us", "worth", "calm", "fade"):
                 _check_range(f"classes.{key}", getattr(each, key), False)
-            _check_range("classes.aim_us", each.aim_us, True)
             if each.spread is not Place.NONE:
                 _check_range("classes.spread_most", each.spread_most, True)
 
@@ -188,11 +178,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """A machine's own figures: cores and memory that are free (not asked for, or not used), offers waiting."""
+    """A machine's own figures: cores and memory that are free (not asked for, or not used)."""
 
     free_cores: float | None
     free_memory: float | None
-    waiting: float | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -320,14 +309,6 @@
     request: int
 
 
-@dataclass(frozen=True, slots=True)
-class Abandon:
-    """Stop waiting for an attempt."""
-
-    request: int
-    attempt: int
-
-
 @dataclass(frozen=True, slots=True)
 class Move:
     """Stop a placed task; its owner asks for it again."""
@@ -364,4 +345,4 @@
 
 Event: TypeAlias = (MachineList | TaskArrived | TaskFound | TaskWithdrawn | TimerDue | TaskPlaced
                     | AttemptEnded | Probed | TaskNote)
-Action: TypeAlias = Bind | Refuse | Fail | Abandon | Move | SetTimer | Probe | WatchList | Log
+Action: TypeAlias = Bind | Refuse | Fail | Move | SetTimer | Probe | WatchList | Log
--- a/wingbarrow/simhost.py
+++ b/wingbarrow/simhost.py
@@ -11,20 +11,20 @@
 from wingbarrow.logic import Scheduler
 
 EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-PLACES = {"off": api.Place.NONE, "machine": api.Place.MACHINE, "cell": api.Place.CELL, "zone": api.Place.ZONE,
-          "all": api.Place.ALL}
+PLACES = {"off": api.Place.NONE, "machine": api.Place.MACHINE, "cell": api.Place.CELL,
+          "zone": api.Place.ZONE, "all": api.Place.ALL}
 DISCOVERY = {"push": api.Discovery.PUSH, "ask": api.Discovery.ASK}
 REPORTS = {"inline": api.Reports.IN_ANSWERS, "on_probe": api.Reports.ON_PROBES, "off": api.Reports.NONE}
 PHASES = {"Running": api.Phase.RUNNING, "Stopping": api.Phase.DRAINING, "Deleted": api.Phase.GONE}
 FORMS = {"INCREMENTAL": api.ListForm.CHANGES, "FULL": api.ListForm.FULL, "SAVED": api.ListForm.SAVED,
          "FAILED": api.ListForm.FAILED}
-OUTCOMES = {100: api.Outcome.DONE, 301: api.Outcome.ERROR, 302: api.Outcome.REFUSED, 303: api.Outcome.TIMED_OUT,
-            304: api.Outcome.UNREACHABLE, 305: api.Outcome.BROKEN, 306: api.Outcome.CANCELLED,
+OUTCOMES = {100: api.Outcome.DONE, 301: api.Outcome.ERROR, 302: api.Outcome.REFUSED,
+            303: api.Outcome.TIMED_OUT, 304: api.Outcome.UNREACHABLE, 305: api.Outcome.BROKEN, 306: api.Outcome.CANCELLED,
             307: api.Outcome.NOT_SENT}
 REASONS = {1: api.Reason.NO_CORES, 2: api.Reason.NO_MEMORY, 3: api.Reason.OFFERS_WAIT, 4: api.Reason.NOT_HERE,
            5: api.Reason.EVICTED, 6: api.Reason.PUSHED_OUT, 7: api.Reason.SENT_AWAY}
-NOTES = {1: api.NoteKind.RUNS, 2: api.NoteKind.CORES_USED, 3: api.NoteKind.MEMORY_USED, 4: api.NoteKind.SERVED,
-         5: api.NoteKind.MACHINE_MEMORY}
+NOTES = {1: api.NoteKind.RUNS, 2: api.NoteKind.CORES_USED, 3: api.NoteKind.MEMORY_USED,
+         4: api.NoteKind.SERVED, 5: api.NoteKind.MACHINE_MEMORY}
 
 T = TypeVar("T")
 
@@ -96,8 +96,7 @@
                                   _number(memory[i], "memory_by_kind")) for i, name in enumerate(names))
     lanes = _list(setup, "lanes")
     columns = {key: _per_item(setup, f"family_info.{key}", len(lanes))
-               for key in ("class_kind", "class_most", "easy_until", "lost_after", "priority_by_class",
-                           "prompt_start_s", "spread_by")}
+               for key in ("class_kind", "class_most", "easy_until", "lost_after", "spread_by")}
     classes = []
     for i, lane in enumerate(lanes):
         row = {key: column[i][key] for key, column in columns.items()}
@@ -109,9 +108,8 @@
         classes.append(api.TaskClass(
             name=str(_need(lane, "name")), effect=effect,
             group=_choice(PLACES, lane, "dedup_scope") if keyed else api.Place.ALL,
-            window_us=_whole(lane, "dedup_window_us") if keyed else 0, aim_us=_whole(lane, "aim_us"),
-            worth=_number(lane, "importance"), start_worth_s=_number(row, "prompt_start_s"),
-            late_worth=_number(lane, "late_worth"), priority=_whole(row, "priority_by_class"),
+            window_us=_whole(lane, "dedup_window_us") if keyed else 0,
+            worth=_number(lane, "importance"),
             spread=_choice(PLACES, row, "spread_by"), spread_most=_whole(row, "class_most"),
             kind=kinds[needs].name if needs >= 0 else None, calm=_number(row, "easy_until"),
             fade=_number(row, "lost_after")))
@@ -119,10 +117,8 @@
         placers=_whole(setup, "balancers"), classes=tuple(classes), kinds=kinds,
         booking_cores=_number(setup, "family_info.cpu_booking"),
         booking_memory=_number(setup, "family_info.admit_memory"),
-        usual_cores=_number(setup, "family_info.usual_cores"),
-        usual_memory=_number(setup, "family_info.unit_memory"),
         attempts_most=_whole(setup, "bounds.send_cap"), discovery=_choice(DISCOVERY, setup, "discovery"),
-        may_cancel=_flag(setup, "bounds.cancel"), may_probe=_flag(setup, "bounds.probes"),
+        may_probe=_flag(setup, "bounds.probes"),
         reports=_choice(REPORTS, setup, "report.how"),
         reports_use=_need(setup, "family_info.report_counts") == "used",
         room_in_list=_flag(setup, "family_info.free_in_list"), tick_us=_whole(setup, "quantum_us"),
@@ -130,7 +126,7 @@
         fall_us=_whole(setup, "rules.fall_us"),
         fresh_offers=_number(setup, "family_info.fresh_offers"),
         prices=api.Prices(fleet=float(setup.get("costs", {}).get("fleet", 0.0)),
-                          moves=_number(setup, "costs.moves"), probe=_number(setup, "costs.probe")))
+                          probe=_number(setup, "costs.probe")))
 
 
 def _absent_as_zero(text: str) -> int:
@@ -148,15 +144,15 @@
             values[name] = float(value)
         except ValueError:
             continue
-    return api.Report(values.get("x0"), values.get("x1"), values.get("waiting"))
+    return api.Report(values.get("x0"), values.get("x1"))
 
 
 def _entry(line: str) -> api.ListedMachine:
     word, memory, cell, condition, kind, launched, cores, machine, _weight, zone = line.split(" ")
     if word != "ITEM":
         raise FrameError(f"a list entry was due, not {word}")
-    return api.ListedMachine(int(machine), kind, int(cell), zone, PHASES[condition], _absent_as_zero(launched),
-                             float(cores), float(memory))
+    return api.ListedMachine(int(machine), kind, int(cell), zone, PHASES[condition],
+                             _absent_as_zero(launched), float(cores), float(memory))
 
 
 def _arrived(v: list[str]) -> api.Event:
@@ -213,8 +209,6 @@
             return f"DECLINE {who} {request} 0"
         case api.Fail(request):
             return f"END_FAILED {who} {request}"
-        case api.Abandon(request, attempt):
-            return f"ABORT_ATTEMPT {who} {request} {attempt}"
         case api.Move(request):
             return f"REASSIGN {who} {request}"
         case api.SetTimer(at, name):
