--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,11 +20,24 @@
 
 def settings(*classes: api.TaskClass, **more: Any) -> api.Settings:
     base = api.Settings(
-        placers=2, classes=classes or (task_class("web"),), kinds=(api.MachineKind("std", 20.0, 40.0),),
-        booking_cores=1.5, booking_memory=1.5, attempts_most=4,
-        discovery=api.Discovery.PUSH, may_probe=True, reports=api.Reports.ON_PROBES,
-        reports_use=True, room_in_list=True, tick_us=2000, ask_every_us=10 * S, cold_us=18 * S, fall_us=2 * S,
-        fresh_offers=20.0, prices=api.Prices(0.0, 0.003))
+        placers=2,
+        classes=classes or (task_class("web"),),
+        kinds=(api.MachineKind("std", 20.0, 40.0),),
+        booking_cores=1.5,
+        booking_memory=1.5,
+        attempts_most=4,
+        discovery=api.Discovery.PUSH,
+        may_probe=True,
+        reports=api.Reports.ON_PROBES,
+        reports_use=True,
+        room_in_list=True,
+        tick_us=2000,
+        ask_every_us=10 * S,
+        cold_us=18 * S,
+        fall_us=2 * S,
+        fresh_offers=20.0,
+        prices=api.Prices(0.0, 0.003),
+    )
     return replace(base, **more)
 
 
@@ -44,24 +57,50 @@
         self.now += after
         return self.scheduler.handle(self.now, event)
 
-    def listing(self, *machines: api.ListedMachine,
-                form: api.ListForm = api.ListForm.FULL) -> list[api.Action]:
+    def listing(
+        self, *machines: api.ListedMachine, form: api.ListForm = api.ListForm.FULL
+    ) -> list[api.Action]:
         return self.give(api.MachineList(form, machines))
 
-    def arrive(self, request: int, name: str = "web", service: str = "s", cores: float = 1.0,
-               memory: float = 1.0, wait: int = 5 * S, remaining: int | None = 60 * S) -> list[api.Action]:
-        return self.give(api.TaskArrived(request, name, service, f"task-{request}", cores, memory,
-                                         self.now + wait, remaining))
-
-    def end(self, request: int, machine: int, outcome: api.Outcome, attempt: int = 0,
-            reason: api.Reason = api.Reason.UNTOLD, closed: bool = False) -> list[api.Action]:
+    def arrive(
+        self,
+        request: int,
+        name: str = "web",
+        service: str = "s",
+        cores: float = 1.0,
+        memory: float = 1.0,
+        wait: int = 5 * S,
+        remaining: int | None = 60 * S,
+    ) -> list[api.Action]:
+        return self.give(
+            api.TaskArrived(
+                request, name, service, f"task-{request}", cores, memory, self.now + wait, remaining
+            )
+        )
+
+    def end(
+        self,
+        request: int,
+        machine: int,
+        outcome: api.Outcome,
+        attempt: int = 0,
+        reason: api.Reason = api.Reason.UNTOLD,
+        closed: bool = False,
+    ) -> list[api.Action]:
         return self.give(api.AttemptEnded(request, attempt, machine, outcome, reason, closed, 1000, None))
 
     def placed(self, request: int, machine: int, attempt: int = 0) -> list[api.Action]:
         return self.give(api.TaskPlaced(request, attempt, machine, 1000))
 
-    def found(self, request: int, machine: int, name: str = "web", service: str = "s", cores: float = 1.0,
-              memory: float = 1.0) -> list[api.Action]:
+    def found(
+        self,
+        request: int,
+        machine: int,
+        name: str = "web",
+        service: str = "s",
+        cores: float = 1.0,
+        memory: float = 1.0,
+    ) -> list[api.Action]:
         arrival = api.TaskArrived(request, name, service, f"task-{request}", cores, memory, self.now, 60 * S)
         return self.give(api.TaskFound(arrival, machine))
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -23,7 +23,14 @@
 def test_decisions_act_on_no_name_and_do_no_io() -> None:
     text = (ROOT / "wingbarrow" / "logic.py").read_text()
     assert set(re.findall(r"^(?:import|from) (\w+)", text, re.M)) == {
-        "random", "zlib", "collections", "dataclasses", "math", "typing", "wingbarrow"}
+        "random",
+        "zlib",
+        "collections",
+        "dataclasses",
+        "math",
+        "typing",
+        "wingbarrow",
+    }
     assert not re.search(r"\bprint\(|\bopen\(|\bhash\(|\bglobal\b", text)
     assert not re.search(r"(name|zone|service|kind)\s*==\s*[\"']", text.replace('event.name == "sweep"', ""))
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -11,9 +11,11 @@
 
 from wingbarrow import interface as api
 
-CLASSES = (task_class("web", spread=api.Place.CELL, spread_most=2),
-           task_class("key", api.Effect.KEYED, group=api.Place.CELL, window_us=3 * S),
-           task_class("once", api.Effect.UNSAFE, spread=api.Place.MACHINE, spread_most=1))
+CLASSES = (
+    task_class("web", spread=api.Place.CELL, spread_most=2),
+    task_class("key", api.Effect.KEYED, group=api.Place.CELL, window_us=3 * S),
+    task_class("once", api.Effect.UNSAFE, spread=api.Place.MACHINE, spread_most=1),
+)
 PROVEN = (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT)
 STEP = st.tuples(st.integers(0, 7), st.integers(0, 10**6), st.integers(0, 900_000))
 
@@ -76,9 +78,12 @@
         self.out[key], self.sent_at[key] = machine, now
         if arrival.task_class in ("web", "once"):
             cell = arrival.task_class == "web"
-            held = sum(1 for (other, _), at in self.out.items()
-                       if self.arrivals[other].service == arrival.service
-                       and (at.cell == machine.cell if cell else at.machine == machine.machine))
+            held = sum(
+                1
+                for (other, _), at in self.out.items()
+                if self.arrivals[other].service == arrival.service
+                and (at.cell == machine.cell if cell else at.machine == machine.machine)
+            )
             assert held <= (2 if cell else 1)
 
     def due(self) -> None:
@@ -96,8 +101,16 @@
         if what <= 2:
             name = ("web", "key", "once")[what]
             self.next += 1
-            arrival = api.TaskArrived(self.next, name, f"{name}{pick % 3}", f"t{self.next}", 1.0 + pick % 4, 1.0,
-                                      self.driver.now + S + pick % (4 * S), None)
+            arrival = api.TaskArrived(
+                self.next,
+                name,
+                f"{name}{pick % 3}",
+                f"t{self.next}",
+                1.0 + pick % 4,
+                1.0,
+                self.driver.now + S + pick % (4 * S),
+                None,
+            )
             self.arrivals[self.next] = arrival
             self.open.add(self.next)
             self.feed(arrival)
@@ -121,7 +134,9 @@
                 self.open.discard(key[0])
             elif outcome not in PROVEN:
                 self.maybe.setdefault(key[0], (self.sent_at[key], machine))
-            self.feed(api.AttemptEnded(*key, machine.machine, outcome, list(api.Reason)[pick % 8], ended, 5, None))
+            self.feed(
+                api.AttemptEnded(*key, machine.machine, outcome, list(api.Reason)[pick % 8], ended, 5, None)
+            )
 
     def advance(self, until: int) -> None:
         stops = sorted({at for at, _ in self.timers if self.driver.now < at <= until} | {until})
--- a/tests/test_rem.py
+++ b/tests/test_rem.py
@@ -88,4 +88,5 @@
     def run() -> list[list[api.Action]]:
         driver = Driver(settings(), 7)
         return [driver.listing(*(listed(i) for i in range(6)))] + [driver.arrive(i) for i in range(30)]
+
     assert run() == run()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -161,10 +161,17 @@
     (bind,) = binds(driver.arrive(1))
     assert driver.arrive(1) == []
     driver.end(1, bind.machine, api.Outcome.TIMED_OUT, closed=True)
-    for event in (api.TaskPlaced(1, 0, 1, 5), api.TaskPlaced(9, 0, 77, 5), api.TaskWithdrawn(9),
-                  api.TimerDue("1"), api.TimerDue("999"), api.TimerDue("what"),
-                  api.AttemptEnded(1, 0, 1, api.Outcome.DONE, api.Reason.UNTOLD, True, 1, None),
-                  api.Probed(77, api.Outcome.DONE, None), api.TaskNote(9, 0, 1, api.NoteKind.RUNS, 1.0)):
+    for event in (
+        api.TaskPlaced(1, 0, 1, 5),
+        api.TaskPlaced(9, 0, 77, 5),
+        api.TaskWithdrawn(9),
+        api.TimerDue("1"),
+        api.TimerDue("999"),
+        api.TimerDue("what"),
+        api.AttemptEnded(1, 0, 1, api.Outcome.DONE, api.Reason.UNTOLD, True, 1, None),
+        api.Probed(77, api.Outcome.DONE, None),
+        api.TaskNote(9, 0, 1, api.NoteKind.RUNS, 1.0),
+    ):
         assert driver.give(event, after=10 * S) == []
 
 
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -18,13 +18,13 @@
 SECOND = 1_000_000
 R_MIN, R_MAX, P_MAX = 0.85, 1.05, 0.8  # REM's thresholds as shares of L, what a machine can serve; top chance
 LEAST_LOADED = 3  # the design's pick among the three least loaded
-FULL_CORES, FULL_MEMORY = 0.97, 0.86  # use a bind may lead to, of the class's calm share and of memory
-TIGHT_CORES, TIGHT_MEMORY = 1.2, 0.93  # the same once nothing else fits
+FULL_CORES, FULL_MEMORY = 0.9, 0.86  # use a bind may lead to: above, service fades or tasks are evicted
+TIGHT_CORES, TIGHT_FADE, TIGHT_MEMORY = 1.1, 0.4, 0.93  # once nothing else fits; part of a fade that is borne
 HOMES = 2  # machines that all placers prefer for a service, so that its program is found warm there
 WARM_US, FOREVER_US = 10 * SECOND, 1 << 62  # a program is trusted to stay this long after an own task's end
-FLEET_FILL = 0.75  # use that the candidate set is planned for where machines in use are priced
+FLEET_FILL = 0.68  # use that the candidate set is planned for where machines in use are priced
 VIEW_LAG_US, REPORT_LAG_US = 2_500_000, 500_000  # list and reports are taken to tell of this long ago
-USE_FRESH_US = 3 * SECOND  # a measured use counts so long, then asks times the usual share; probed at half of it
+USE_FRESH_US = 3 * SECOND  # a measured use counts so long, then the usual share; probed at half of it
 USE_PRIOR, USE_RATE = 0.8, 0.02  # share of the asked taken as used before notes come; weight of one note
 ABSURD_SHARE = 20.0  # a note of more than this share of the asked is not believed
 GROW_US = 8 * SECOND  # memory of a younger task still grows: it is not taken to use less than its class does
@@ -79,7 +79,7 @@
     bias: tuple[float, float] = (0.0, 0.0)  # what own tasks here use beyond the usual share of what they ask
 
     def since(self, as_of_us: int) -> tuple[float, float]:
-        """Own binds less own ends that a figure of that time cannot hold yet: none is counted twice."""
+        # Own binds less own ends that a figure of that time cannot hold yet: none is counted twice.
         new = [change for change in self.changes if change[0] > as_of_us]
         return sum(change[2] for change in new), sum(change[3] for change in new)
 
@@ -106,11 +106,11 @@
         self._spread: Counter[tuple[str, object]] = Counter()
         self._held: dict[int, None] = {}
         self._no_room: set[tuple[str, float, float]] = set()  # shapes that found no room since the last sweep
-        self._ratio, self._average = (USE_PRIOR, USE_PRIOR), (0.5, 0.5)  # used of the asked; asked of the size
+        self._ratio, self._average = (USE_PRIOR, USE_PRIOR), (0.5, 0.5)  # of asked; of size
         self._class_ratio = {name: [USE_PRIOR, USE_PRIOR] for name in self._classes}
-        self._probes_due = 1.0
+        self._may_probe = settings.may_probe and settings.reports is not api.Reports.NONE
         self._watching = settings.discovery is api.Discovery.PUSH
-        self._ask_at_us, self._ask_fails, self._now = 0, 0, -1
+        self._ask_at_us, self._ask_fails, self._probes_due, self._now = 0, 0, 1.0, -1
         self._actions: list[api.Action] = []
         self._handlers: dict[type, Callable[[Any], None]] = {
             api.MachineList: self._on_list, api.TaskArrived: self._on_arrival, api.TaskFound: self._on_found,
@@ -127,12 +127,11 @@
     def _settle(self, task: _Task) -> None:
         """REM's ordinary path: a random pick of the three least loaded candidates, then perhaps a move."""
         candidates = self._candidates(task)
+        self._held[task.arrival.request] = None
         if candidates:
             machine = self._random.choice(sorted(candidates, key=self._load)[:LEAST_LOADED])
             self._bind(task, machine)
             self._migrate(machine)
-        else:
-            self._held[task.arrival.request] = None
 
     def _candidates(self, task: _Task) -> list[_Machine]:
         """The machines among which REM picks: allowed and fitting, narrowed to where the program is warm."""
@@ -142,9 +141,10 @@
         # A suspected machine gets one task at a time until it proves itself; none gets more than it starts.
         ready = [m for m in self._machines.values() if self._now >= m.shun_until_us
                  and m.starts < (1 if m.strikes else STARTS_MOST) and self._may_bind(task, m)]
+        tight = max(TIGHT_CORES, task.cls.calm + TIGHT_FADE * task.cls.fade)
         fitting = ([m for m in ready if m.active and self._fits(task, m, FULL_CORES, FULL_MEMORY)]
                    or [m for m in ready if self._fits(task, m, FULL_CORES, FULL_MEMORY)]
-                   or [m for m in ready if self._fits(task, m, TIGHT_CORES, TIGHT_MEMORY)])
+                   or [m for m in ready if self._fits(task, m, tight, TIGHT_MEMORY)])
         if ready and not fitting:
             self._no_room.add(shape)
         warm = [m for m in fitting if m.warm.get(service, 0) > self._now]
@@ -172,8 +172,7 @@
         asked, use = self._asked(machine), self._use(machine)
         return (asked[0] + ask[0] <= self._settings.booking_cores * size[0] + 1e-6
                 and asked[1] + ask[1] <= self._settings.booking_memory * size[1] + 1e-6
-                and use[0] + adds[0] <= most_cores * task.cls.calm * size[0]
-                and use[1] + adds[1] <= most_memory * size[1])
+                and use[0] + adds[0] <= most_cores * size[0] and use[1] + adds[1] <= most_memory * size[1])
 
     def _migrate(self, machine: _Machine) -> None:
         """REM: with the gated linear chance, move one own task off the machine that was just bound to."""
@@ -184,7 +183,7 @@
         movable = [task for task in machine.own.values() if task.placed
                    and min(task.left_us(self._now), self._now - task.since_us) >= MOVE_REST_US]
         # Which one: most relief (cores, and for how long) for the least worth that its restart loses.
-        movable.sort(key=lambda t: -t.arrival.cores * min(t.left_us(self._now), LEFT_UNTOLD_US) / (t.cls.worth + 0.1))
+        movable.sort(key=lambda t: -t.arrival.cores * t.left_us(self._now) / (t.cls.worth + 0.1))
         for task in movable:
             if any(m is not machine and not m.gone and task.cls.kind in (None, m.listed.kind)
                    and self._load(m) < R_MIN and self._fits(task, m, FULL_CORES, FULL_MEMORY)
@@ -320,10 +319,10 @@
 
     def _end(self, task: _Task) -> None:
         # Danger (rule 2): a refusal says that trying again does no harm: given only where that is true.
-        cls, request = task.cls, task.arrival.request
+        cls = task.cls
         harmless = (task.out is None and task.maybe is None or cls.effect is api.Effect.SAFE
                     or cls.effect is api.Effect.KEYED and cls.group is api.Place.ALL)
-        self._actions.append(api.Refuse(request) if harmless else api.Fail(request))
+        self._actions.append((api.Refuse if harmless else api.Fail)(task.arrival.request))
         self._close(task.arrival)
 
     def _close(self, ended: api.TaskWithdrawn | api.AttemptEnded | api.TaskArrived) -> None:
@@ -389,9 +388,9 @@
             share = event.level / max((task.arrival.cores, task.arrival.memory)[which], 1e-6)
             if share <= ABSURD_SHARE:
                 task.used[event.kind] = event.level
-                if self._now - task.since_us >= GROW_US:
-                    ratio = self._class_ratio[task.cls.name]
-                    ratio[which] += USE_RATE * (share - ratio[which])
+                weight = USE_RATE if self._now - task.since_us >= GROW_US else 0.0
+                ratio = self._class_ratio[task.cls.name]
+                ratio[which] += weight * (share - ratio[which])
         elif event.kind is api.NoteKind.SERVED and event.level < 1:
             # Danger: served poorly means crowded or slow, whatever the list says: take it as used up.
             crowded = (task.cls.calm + (1 - event.level) * task.cls.fade) * machine.size[0]
@@ -413,17 +412,16 @@
             need = [need[0] - machine.size[0], need[1] - machine.size[1]]
 
     def _sweep(self) -> None:
-        settings, now = self._settings, self._now
+        now = self._now
         self._actions.append(api.SetTimer(now + SWEEP_US, "sweep"))
         # Danger (rule 3): one not subscribed that asks too seldom is deemed told of drains it never heard of.
         if not self._watching and now >= self._ask_at_us:
-            self._ask_at_us = now + settings.ask_every_us // 2
+            self._ask_at_us = now + self._settings.ask_every_us // 2
             self._actions.append(api.WatchList())
         self._learn_use()
         stale = [m for m in self._machines.values()
                  if not m.gone and now - max(m.used_us, m.asked_us, m.probed_us) > USE_FRESH_US // 2]
-        useful = settings.may_probe and settings.reports is not api.Reports.NONE
-        if stale and useful and self._probes_due >= 1:
+        if stale and self._may_probe and self._probes_due >= 1:
             machine = min(stale, key=lambda m: max(m.used_us, m.probed_us))
             machine.probed_us = now
             self._probes_due -= 1
@@ -435,16 +433,17 @@
     def _task_use(self, task: _Task) -> tuple[float, float]:
         ask, ratio = task.arrival, self._class_ratio[task.cls.name]
         usual = ask.cores * ratio[0], ask.memory * ratio[1]
-        memory = task.used.get(api.NoteKind.MEMORY_USED, usual[1])
-        if self._now - task.since_us < GROW_US:
-            memory = max(memory, usual[1])
+        young = self._now - task.since_us < GROW_US
+        memory = max(task.used.get(api.NoteKind.MEMORY_USED, usual[1]), usual[1] if young else 0.0)
         return task.used.get(api.NoteKind.CORES_USED, usual[0]), memory
 
     def _learn_use(self) -> None:
         """What own tasks use of what they ask, in all and beyond that on each machine."""
         uses = [(task.arrival, self._task_use(task)) for task in self._tasks.values() if task.placed]
-        self._ratio = ((USE_PRIOR + sum(use[0] for _, use in uses)) / (1 + sum(ask.cores for ask, _ in uses)),
-                       (USE_PRIOR + sum(use[1] for _, use in uses)) / (1 + sum(ask.memory for ask, _ in uses)))
+        if not uses:
+            return
+        self._ratio = (sum(use[0] for _, use in uses) / max(sum(ask.cores for ask, _ in uses), 1e-6),
+                       sum(use[1] for _, use in uses) / max(sum(ask.memory for ask, _ in uses), 1e-6))
         for machine in self._machines.values():
             own = [(task.arrival, self._task_use(task)) for task in machine.own.values() if task.placed]
             machine.bias = (sum(use[0] - ask.cores * self._ratio[0] for ask, use in own),
--- a/wingbarrow/simhost.py
+++ b/wingbarrow/simhost.py
@@ -11,20 +11,48 @@
 from wingbarrow.logic import Scheduler
 
 EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-PLACES = {"off": api.Place.NONE, "machine": api.Place.MACHINE, "cell": api.Place.CELL,
-          "zone": api.Place.ZONE, "all": api.Place.ALL}
+PLACES = {
+    "off": api.Place.NONE,
+    "machine": api.Place.MACHINE,
+    "cell": api.Place.CELL,
+    "zone": api.Place.ZONE,
+    "all": api.Place.ALL,
+}
 DISCOVERY = {"push": api.Discovery.PUSH, "ask": api.Discovery.ASK}
 REPORTS = {"inline": api.Reports.IN_ANSWERS, "on_probe": api.Reports.ON_PROBES, "off": api.Reports.NONE}
 PHASES = {"Running": api.Phase.RUNNING, "Stopping": api.Phase.DRAINING, "Deleted": api.Phase.GONE}
-FORMS = {"INCREMENTAL": api.ListForm.CHANGES, "FULL": api.ListForm.FULL, "SAVED": api.ListForm.SAVED,
-         "FAILED": api.ListForm.FAILED}
-OUTCOMES = {100: api.Outcome.DONE, 301: api.Outcome.ERROR, 302: api.Outcome.REFUSED,
-            303: api.Outcome.TIMED_OUT, 304: api.Outcome.UNREACHABLE, 305: api.Outcome.BROKEN, 306: api.Outcome.CANCELLED,
-            307: api.Outcome.NOT_SENT}
-REASONS = {1: api.Reason.NO_CORES, 2: api.Reason.NO_MEMORY, 3: api.Reason.OFFERS_WAIT, 4: api.Reason.NOT_HERE,
-           5: api.Reason.EVICTED, 6: api.Reason.PUSHED_OUT, 7: api.Reason.SENT_AWAY}
-NOTES = {1: api.NoteKind.RUNS, 2: api.NoteKind.CORES_USED, 3: api.NoteKind.MEMORY_USED,
-         4: api.NoteKind.SERVED, 5: api.NoteKind.MACHINE_MEMORY}
+FORMS = {
+    "INCREMENTAL": api.ListForm.CHANGES,
+    "FULL": api.ListForm.FULL,
+    "SAVED": api.ListForm.SAVED,
+    "FAILED": api.ListForm.FAILED,
+}
+OUTCOMES = {
+    100: api.Outcome.DONE,
+    301: api.Outcome.ERROR,
+    302: api.Outcome.REFUSED,
+    303: api.Outcome.TIMED_OUT,
+    304: api.Outcome.UNREACHABLE,
+    305: api.Outcome.BROKEN,
+    306: api.Outcome.CANCELLED,
+    307: api.Outcome.NOT_SENT,
+}
+REASONS = {
+    1: api.Reason.NO_CORES,
+    2: api.Reason.NO_MEMORY,
+    3: api.Reason.OFFERS_WAIT,
+    4: api.Reason.NOT_HERE,
+    5: api.Reason.EVICTED,
+    6: api.Reason.PUSHED_OUT,
+    7: api.Reason.SENT_AWAY,
+}
+NOTES = {
+    1: api.NoteKind.RUNS,
+    2: api.NoteKind.CORES_USED,
+    3: api.NoteKind.MEMORY_USED,
+    4: api.NoteKind.SERVED,
+    5: api.NoteKind.MACHINE_MEMORY,
+}
 
 T = TypeVar("T")
 
@@ -90,13 +118,18 @@
     """Settings from the simulator's JSON; ValueError names what is missing or out of range."""
     setup = json.loads(text)
     names = _list(setup, "kinds")
-    cores, memory = (_per_item(setup, f"family_info.{key}", len(names)) for key in ("cores_by_kind",
-                                                                                  "memory_by_kind"))
-    kinds = tuple(api.MachineKind(str(name), _number(cores[i], "cores_by_kind"),
-                                  _number(memory[i], "memory_by_kind")) for i, name in enumerate(names))
+    cores, memory = (
+        _per_item(setup, f"family_info.{key}", len(names)) for key in ("cores_by_kind", "memory_by_kind")
+    )
+    kinds = tuple(
+        api.MachineKind(str(name), _number(cores[i], "cores_by_kind"), _number(memory[i], "memory_by_kind"))
+        for i, name in enumerate(names)
+    )
     lanes = _list(setup, "lanes")
-    columns = {key: _per_item(setup, f"family_info.{key}", len(lanes))
-               for key in ("class_kind", "class_most", "easy_until", "lost_after", "spread_by")}
+    columns = {
+        key: _per_item(setup, f"family_info.{key}", len(lanes))
+        for key in ("class_kind", "class_most", "easy_until", "lost_after", "spread_by")
+    }
     classes = []
     for i, lane in enumerate(lanes):
         row = {key: column[i][key] for key, column in columns.items()}
@@ -105,28 +138,41 @@
             raise ValueError(f"class_kind: no such kind: {needs}")
         effect = _choice(EFFECTS, lane, "effect")
         keyed = effect is api.Effect.KEYED
-        classes.append(api.TaskClass(
-            name=str(_need(lane, "name")), effect=effect,
-            group=_choice(PLACES, lane, "dedup_scope") if keyed else api.Place.ALL,
-            window_us=_whole(lane, "dedup_window_us") if keyed else 0,
-            worth=_number(lane, "importance"),
-            spread=_choice(PLACES, row, "spread_by"), spread_most=_whole(row, "class_most"),
-            kind=kinds[needs].name if needs >= 0 else None, calm=_number(row, "easy_until"),
-            fade=_number(row, "lost_after")))
+        classes.append(
+            api.TaskClass(
+                name=str(_need(lane, "name")),
+                effect=effect,
+                group=_choice(PLACES, lane, "dedup_scope") if keyed else api.Place.ALL,
+                window_us=_whole(lane, "dedup_window_us") if keyed else 0,
+                worth=_number(lane, "importance"),
+                spread=_choice(PLACES, row, "spread_by"),
+                spread_most=_whole(row, "class_most"),
+                kind=kinds[needs].name if needs >= 0 else None,
+                calm=_number(row, "easy_until"),
+                fade=_number(row, "lost_after"),
+            )
+        )
     return api.Settings(
-        placers=_whole(setup, "balancers"), classes=tuple(classes), kinds=kinds,
+        placers=_whole(setup, "balancers"),
+        classes=tuple(classes),
+        kinds=kinds,
         booking_cores=_number(setup, "family_info.cpu_booking"),
         booking_memory=_number(setup, "family_info.admit_memory"),
-        attempts_most=_whole(setup, "bounds.send_cap"), discovery=_choice(DISCOVERY, setup, "discovery"),
+        attempts_most=_whole(setup, "bounds.send_cap"),
+        discovery=_choice(DISCOVERY, setup, "discovery"),
         may_probe=_flag(setup, "bounds.probes"),
         reports=_choice(REPORTS, setup, "report.how"),
         reports_use=_need(setup, "family_info.report_counts") == "used",
-        room_in_list=_flag(setup, "family_info.free_in_list"), tick_us=_whole(setup, "quantum_us"),
-        ask_every_us=_whole(setup, "rules.ask_every_us"), cold_us=_whole(setup, "rules.cold_us"),
+        room_in_list=_flag(setup, "family_info.free_in_list"),
+        tick_us=_whole(setup, "quantum_us"),
+        ask_every_us=_whole(setup, "rules.ask_every_us"),
+        cold_us=_whole(setup, "rules.cold_us"),
         fall_us=_whole(setup, "rules.fall_us"),
         fresh_offers=_number(setup, "family_info.fresh_offers"),
-        prices=api.Prices(fleet=float(setup.get("costs", {}).get("fleet", 0.0)),
-                          probe=_number(setup, "costs.probe")))
+        prices=api.Prices(
+            fleet=float(setup.get("costs", {}).get("fleet", 0.0)), probe=_number(setup, "costs.probe")
+        ),
+    )
 
 
 def _absent_as_zero(text: str) -> int:
@@ -151,28 +197,61 @@
     word, memory, cell, condition, kind, launched, cores, machine, _weight, zone = line.split(" ")
     if word != "ITEM":
         raise FrameError(f"a list entry was due, not {word}")
-    return api.ListedMachine(int(machine), kind, int(cell), zone, PHASES[condition],
-                             _absent_as_zero(launched), float(cores), float(memory))
+    return api.ListedMachine(
+        int(machine),
+        kind,
+        int(cell),
+        zone,
+        PHASES[condition],
+        _absent_as_zero(launched),
+        float(cores),
+        float(memory),
+    )
 
 
 def _arrived(v: list[str]) -> api.Event:
     request, service, _flags, lasts, _tenant, memory, deadline, task, kind, cores = v
-    return api.TaskArrived(int(request), kind, service, task, float(cores), float(memory), int(deadline),
-                           None if lasts == "-" else int(lasts))
+    return api.TaskArrived(
+        int(request),
+        kind,
+        service,
+        task,
+        float(cores),
+        float(memory),
+        int(deadline),
+        None if lasts == "-" else int(lasts),
+    )
 
 
 def _found(v: list[str]) -> api.Event:
     request, kind, _tenant, task, deadline, lasts, service, cores, memory, _flags, machine = v
-    return api.TaskFound(api.TaskArrived(int(request), kind, service, task, float(cores), float(memory),
-                                         _absent_as_zero(deadline), None if lasts == "-" else int(lasts)),
-                         int(machine))
+    return api.TaskFound(
+        api.TaskArrived(
+            int(request),
+            kind,
+            service,
+            task,
+            float(cores),
+            float(memory),
+            _absent_as_zero(deadline),
+            None if lasts == "-" else int(lasts),
+        ),
+        int(machine),
+    )
 
 
 def _ended(v: list[str]) -> api.Event:
     request, verdict, closed, leg, remark, machine, waited, gauge = v
-    return api.AttemptEnded(int(request), int(leg), int(machine), OUTCOMES[int(verdict)],
-                            REASONS.get(_absent_as_zero(remark), api.Reason.UNTOLD), closed == "1",
-                            _absent_as_zero(waited), _report(gauge))
+    return api.AttemptEnded(
+        int(request),
+        int(leg),
+        int(machine),
+        OUTCOMES[int(verdict)],
+        REASONS.get(_absent_as_zero(remark), api.Reason.UNTOLD),
+        closed == "1",
+        _absent_as_zero(waited),
+        _report(gauge),
+    )
 
 
 def _placed(v: list[str]) -> api.Event:
@@ -196,8 +275,14 @@
 
 
 READERS: dict[str, Callable[[list[str]], api.Event]] = {
-    "ASK": _arrived, "FOUND": _found, "ATTEMPT_END": _ended, "LANDED": _placed, "CHECKED": _probed,
-    "NOTICE": _note, "VANISHED": _withdrawn}
+    "ASK": _arrived,
+    "FOUND": _found,
+    "ATTEMPT_END": _ended,
+    "LANDED": _placed,
+    "CHECKED": _probed,
+    "NOTICE": _note,
+    "VANISHED": _withdrawn,
+}
 
 
 def write_action(who: str, action: api.Action) -> str:
@@ -247,7 +332,7 @@
             bank, count = (int(part) for part in rest.split(" "))
         except ValueError:
             raise FrameError(f"POOL is unreadable: {rest}") from None
-        entries = lines[at:at + count]
+        entries = lines[at : at + count]
         if len(entries) < count or not all(line.startswith("ITEM ") for line in entries):
             raise FrameError(f"POOL {bank} does not hold its {count} entries")
         try:
