--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -10,7 +10,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from math import isfinite
+from math import isfinite, log
 from typing import Any
 
 from wingbarrow import interface as api
@@ -20,7 +20,7 @@
 LEAST_LOADED = 3  # the design's pick among the three least loaded
 FULL_CORES, FULL_MEMORY = 0.9, 0.86  # use a bind may lead to: above, service fades or tasks are evicted
 TIGHT_CORES, TIGHT_FADE, TIGHT_MEMORY = 1.1, 0.4, 0.93  # once nothing else fits; part of a fade that is borne
-HOMES = 2  # machines that all placers prefer for a service, so that its program is found warm there
+HOMES = 1  # machines that all placers prefer for a service, so that its program is found warm there
 WARM_US, FOREVER_US = 10 * SECOND, 1 << 62  # a program is trusted to stay this long after an own task's end
 FLEET_FILL = 0.68  # use that the candidate set is planned for where machines in use are priced
 VIEW_LAG_US, REPORT_LAG_US = 2_500_000, 500_000  # list and reports are taken to tell of this long ago
@@ -78,14 +78,15 @@
     shun_until_us: int = 0
     bias: tuple[float, float] = (0.0, 0.0)  # what own tasks here use beyond the usual share of what they ask
 
-    def since(self, as_of_us: int) -> tuple[float, float]:
-        # Own binds less own ends that a figure of that time cannot hold yet: none is counted twice.
+    def since(self, as_of_us: int) -> tuple[float, float]:  # own changes not yet in a figure of that time
         new = [change for change in self.changes if change[0] > as_of_us]
         return sum(change[2] for change in new), sum(change[3] for change in new)
 
 
-def _mix(text: str) -> int:  # the same at every placer
-    return zlib.crc32(text.encode()) * 2654435761 % 4294967296
+def _rank(name: str, machine: _Machine) -> float:
+    """A random order by name, the same at every placer, in which larger machines come first more often."""
+    mixed = zlib.crc32(f"{name} {machine.listed.machine}".encode()) * 2654435761 % 4294967296
+    return -log((mixed + 1) / 4294967297) / machine.size[0]
 
 
 def _place(at: api.ListedMachine, scope: api.Place) -> object:
@@ -148,7 +149,7 @@
         if ready and not fitting:
             self._no_room.add(shape)
         warm = [m for m in fitting if m.warm.get(service, 0) > self._now]
-        return warm or sorted(fitting, key=lambda m: _mix(f"{service} {m.listed.machine}"))[:HOMES]
+        return warm or sorted(fitting, key=lambda m: _rank(service, m))[:HOMES]
 
     def _use(self, machine: _Machine) -> tuple[float, float]:
         if machine.used is not None and self._now - machine.used_us < USE_FRESH_US:
@@ -406,7 +407,7 @@
             self._average = (sum(asked[0] for asked, _ in heard) / sum(size[0] for _, size in heard),
                              sum(asked[1] for asked, _ in heard) / sum(size[1] for _, size in heard))
         need = [sum(self._use(m)[i] for m in running) / FLEET_FILL for i in (0, 1)]
-        running.sort(key=lambda m: (-m.size[0], _mix(str(m.listed.machine))))
+        running.sort(key=lambda m: (-m.size[0], _rank("", m)))
         for rank, machine in enumerate(running):
             machine.active = self._settings.prices.fleet == 0 or rank < LEAST_LOADED or max(need) > 0
             need = [need[0] - machine.size[0], need[1] - machine.size[1]]
@@ -440,9 +441,7 @@
     def _learn_use(self) -> None:
         """What own tasks use of what they ask, in all and beyond that on each machine."""
         uses = [(task.arrival, self._task_use(task)) for task in self._tasks.values() if task.placed]
-        if not uses:
-            return
-        self._ratio = (sum(use[0] for _, use in uses) / max(sum(ask.cores for ask, _ in uses), 1e-6),
+        self._ratio = self._ratio if not uses else (sum(use[0] for _, use in uses) / max(sum(ask.cores for ask, _ in uses), 1e-6),
                        sum(use[1] for _, use in uses) / max(sum(ask.memory for ask, _ in uses), 1e-6))
         for machine in self._machines.values():
             own = [(task.arrival, self._task_use(task)) for task in machine.own.values() if task.placed]
