--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -441,8 +441,9 @@
     def _learn_use(self) -> None:
         """What own tasks use of what they ask, in all and beyond that on each machine."""
         uses = [(task.arrival, self._task_use(task)) for task in self._tasks.values() if task.placed]
-        self._ratio = self._ratio if not uses else (sum(use[0] for _, use in uses) / max(sum(ask.cores for ask, _ in uses), 1e-6),
-                       sum(use[1] for _, use in uses) / max(sum(ask.memory for ask, _ in uses), 1e-6))
+        if uses:
+            self._ratio = (sum(use[0] for _, use in uses) / max(sum(ask.cores for ask, _ in uses), 1e-6),
+                           sum(use[1] for _, use in uses) / max(sum(ask.memory for ask, _ in uses), 1e-6))
         for machine in self._machines.values():
             own = [(task.arrival, self._task_use(task)) for task in machine.own.values() if task.placed]
             machine.bias = (sum(use[0] - ask.cores * self._ratio[0] for ask, use in own),
