--- a/tests/test_rem.py
+++ b/tests/test_rem.py
@@ -90,3 +90,61 @@
         return [driver.listing(*(listed(i) for i in range(6)))] + [driver.arrive(i) for i in range(30)]
 
     assert run() == run()
+
+
+def test_an_attempt_is_not_abandoned_before_the_deadline() -> None:
+    driver = Driver(settings())
+    driver.listing(listed(1))
+    (bind,) = binds(driver.arrive(1, wait=5 * S))
+    assert bind.give_up_us == driver.now + 5 * S
+
+
+def test_placers_that_cannot_talk_start_a_service_on_the_same_machine() -> None:
+    chosen = set()
+    for seed in range(20):
+        driver = Driver(settings(), seed)
+        driver.listing(*(listed(i) for i in range(8)))
+        (bind,) = binds(driver.arrive(1, service="shop"))
+        chosen.add(bind.machine)
+    assert len(chosen) == 1
+
+
+def test_the_program_is_sought_where_it_is_warm() -> None:
+    for warm in range(4):
+        driver = Driver(settings())
+        driver.listing(*(listed(i) for i in range(4)))
+        driver.found(50, warm, service="shop")
+        (bind,) = binds(driver.arrive(1, service="shop"))
+        assert bind.machine == warm
+
+
+def test_an_eviction_stops_binds_until_memory_is_known_better() -> None:
+    driver = Driver(settings())
+    driver.listing(listed(1))
+    (bind,) = binds(driver.arrive(1))
+    driver.placed(1, bind.machine)
+    driver.end(1, 1, api.Outcome.BROKEN, reason=api.Reason.EVICTED, closed=True)
+    assert not binds(driver.arrive(2))
+    assert binds(driver.give(api.TimerDue("sweep"), after=4 * S))
+
+
+def test_a_silent_machine_rests_then_gets_one_task_at_a_time() -> None:
+    driver = Driver(settings())
+    driver.listing(listed(1))
+    (bind,) = binds(driver.arrive(1))
+    assert not binds(driver.end(1, bind.machine, api.Outcome.UNREACHABLE))
+    driver.arrive(2)
+    assert len(binds(driver.give(api.TimerDue("sweep"), after=S))) == 1
+
+
+def test_where_machines_in_use_are_priced_the_candidates_are_few() -> None:
+    wide, narrow = (Driver(settings(prices=api.Prices(fleet, 0.003))) for fleet in (0.0, 0.2))
+    used: list[set[int]] = []
+    for driver in (wide, narrow):
+        driver.listing(*(listed(i) for i in range(12)))
+        used.append(set())
+        for i in range(60):
+            (bind,) = binds(driver.arrive(i, service=f"s{i}", cores=0.1))
+            driver.placed(i, bind.machine)
+            used[-1].add(bind.machine)
+    assert len(used[1]) == logic.LEAST_LOADED < len(used[0])
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -46,6 +46,7 @@
     arrival: api.TaskArrived
     cls: api.TaskClass
     since_us: int  # of its arrival, then of its latest bind or start
+    due_us: int = 0  # the last time at which its final answer is in time
     attempts: int = 0
     out: int | None = None  # the attempt without an outcome
     placed: bool = False
@@ -221,7 +222,7 @@
             return False
         # Rule 1. Danger: a send after the end. Rule 2. Danger: a second attempt while one is out.
         if (task.out is not None or task.placed or task.attempts >= settings.attempts_most
-                or self._now >= self._due_us(task)):
+                or self._now >= task.due_us):
             return False
         # Rule 2. Danger: a second start of what may already run.
         if task.maybe is not None and cls.effect is not api.Effect.SAFE:
@@ -245,16 +246,14 @@
     def _spread_key(self, task: _Task, machine: _Machine) -> tuple[str, object]:
         return task.arrival.service, _place(machine.listed, task.cls.spread)
 
-    def _due_us(self, task: _Task) -> int:
-        return task.arrival.deadline_us - self._settings.tick_us
-
     def _on_arrival(self, event: api.TaskArrived) -> None:
         cls = self._classes.get(event.task_class)
         if cls is None or event.request in self._tasks:
             return
-        task = self._tasks[event.request] = _Task(event, cls, self._now)
+        due_us = event.deadline_us - self._settings.tick_us
+        task = self._tasks[event.request] = _Task(event, cls, self._now, due_us)
         self._probes_due = min(10.0, self._probes_due + PROBE_POINTS / max(self._settings.prices.probe, 1e-4))
-        self._actions.append(api.SetTimer(self._due_us(task), str(event.request)))
+        self._actions.append(api.SetTimer(due_us, str(event.request)))
         self._settle(task)
 
     def _on_found(self, event: api.TaskFound) -> None:
@@ -287,6 +286,9 @@
         if unrun is None:
             machine.changes.append((self._now, event.request, -arrival.cores, -arrival.memory))
         self._on_report(event)
+        if event.reason is api.Reason.EVICTED:
+            # Danger: memory grows after a start: figures say there is room where tasks are thrown out.
+            machine.used, machine.used_us = (self._use(machine)[0], machine.size[1]), self._now
         if placed:
             machine.warm[arrival.service] = self._now + WARM_US
         else:
@@ -320,10 +322,9 @@
 
     def _end(self, task: _Task) -> None:
         # Danger (rule 2): a refusal says that trying again does no harm: given only where that is true.
-        cls = task.cls
-        harmless = (task.out is None and task.maybe is None or cls.effect is api.Effect.SAFE
-                    or cls.effect is api.Effect.KEYED and cls.group is api.Place.ALL)
-        self._actions.append((api.Refuse if harmless else api.Fail)(task.arrival.request))
+        anywhere = task.cls.effect is api.Effect.KEYED and task.cls.group is api.Place.ALL
+        unrun, safe = task.out is None and task.maybe is None, task.cls.effect is api.Effect.SAFE
+        self._actions.append((api.Refuse if unrun or safe or anywhere else api.Fail)(task.arrival.request))
         self._close(task.arrival)
 
     def _close(self, ended: api.TaskWithdrawn | api.AttemptEnded | api.TaskArrived) -> None:
@@ -376,7 +377,7 @@
         if event.name == "sweep":
             self._sweep()
         # Danger (rule 1): nothing may stay unanswered past its own deadline, whatever was hoped for it.
-        elif task is not None and not task.placed and self._now >= self._due_us(task):
+        elif task is not None and not task.placed and self._now >= task.due_us:
             self._end(task)
 
     def _on_note(self, event: api.TaskNote) -> None:
@@ -413,18 +414,17 @@
             need = [need[0] - machine.size[0], need[1] - machine.size[1]]
 
     def _sweep(self) -> None:
-        now = self._now
-        self._actions.append(api.SetTimer(now + SWEEP_US, "sweep"))
+        self._actions.append(api.SetTimer(self._now + SWEEP_US, "sweep"))
         # Danger (rule 3): one not subscribed that asks too seldom is deemed told of drains it never heard of.
-        if not self._watching and now >= self._ask_at_us:
-            self._ask_at_us = now + self._settings.ask_every_us // 2
+        if not self._watching and self._now >= self._ask_at_us:
+            self._ask_at_us = self._now + self._settings.ask_every_us // 2
             self._actions.append(api.WatchList())
         self._learn_use()
         stale = [m for m in self._machines.values()
-                 if not m.gone and now - max(m.used_us, m.asked_us, m.probed_us) > USE_FRESH_US // 2]
+                 if not m.gone and self._now - max(m.used_us, m.asked_us, m.probed_us) > USE_FRESH_US // 2]
         if stale and self._may_probe and self._probes_due >= 1:
             machine = min(stale, key=lambda m: max(m.used_us, m.probed_us))
-            machine.probed_us = now
+            machine.probed_us = self._now
             self._probes_due -= 1
             self._actions.append(api.Probe(machine.listed.machine))
         self._no_room.clear()
@@ -439,7 +439,6 @@
         return task.used.get(api.NoteKind.CORES_USED, usual[0]), memory
 
     def _learn_use(self) -> None:
-        """What own tasks use of what they ask, in all and beyond that on each machine."""
         uses = [(task.arrival, self._task_use(task)) for task in self._tasks.values() if task.placed]
         if uses:
             self._ratio = (sum(use[0] for _, use in uses) / max(sum(ask.cores for ask, _ in uses), 1e-6),
