--- a/tests/test_rem.py
+++ b/tests/test_rem.py
@@ -148,3 +148,10 @@
             driver.placed(i, bind.machine)
             used[-1].add(bind.machine)
     assert len(used[1]) == logic.LEAST_LOADED < len(used[0])
+
+
+def test_a_placer_alone_starts_more_at_a_time_on_a_machine() -> None:
+    for placers, most in ((1, logic.STARTS_SHARED), (4, logic.STARTS_MOST)):
+        driver = Driver(settings(placers=placers))
+        driver.listing(listed(1))
+        assert sum(len(binds(driver.arrive(i, cores=0.1))) for i in range(20)) == most
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -29,7 +29,7 @@
 ABSURD_SHARE = 20.0  # a note of more than this share of the asked is not believed
 GROW_US = 8 * SECOND  # memory of a younger task still grows: it is not taken to use less than its class does
 SHUN_US, SHUN_DOUBLINGS = 500_000, 4  # pause after a silent or broken machine, doubled so often at most
-STARTS_MOST = 8  # own starts out on one machine at a time: more would only wait in its line
+STARTS_MOST, STARTS_SHARED = 4, 8  # own starts out on one machine; more when few share its line of starts
 PROBE_POINTS = 0.003  # what probes may cost in all, as a share of the result
 SWEEP_US = 40_000  # held tasks are tried again this often
 MOVE_REST_US = 4 * SECOND  # a task that began more lately, or has less to run, is not worth a restart
@@ -140,9 +140,10 @@
         service, shape = task.arrival.service, (task.cls.name, task.arrival.cores, task.arrival.memory)
         if shape in self._no_room:
             return []
+        starts = max(STARTS_MOST, STARTS_SHARED // self._settings.placers)
         # A suspected machine gets one task at a time until it proves itself; none gets more than it starts.
         ready = [m for m in self._machines.values() if self._now >= m.shun_until_us
-                 and m.starts < (1 if m.strikes else STARTS_MOST) and self._may_bind(task, m)]
+                 and m.starts < (1 if m.strikes else starts) and self._may_bind(task, m)]
         tight = max(TIGHT_CORES, task.cls.calm + TIGHT_FADE * task.cls.fade)
         fitting = ([m for m in ready if m.active and self._fits(task, m, FULL_CORES, FULL_MEMORY)]
                    or [m for m in ready if self._fits(task, m, FULL_CORES, FULL_MEMORY)]
@@ -166,7 +167,7 @@
         return base[0] + more[0], base[1] + more[1]
 
     def _load(self, machine: _Machine) -> float:
-        """REM's l over L: L, what the machine can serve, is its cores over the used share of the asked."""
+        # REM's l over L: L, what the machine can serve, is its cores over the used share of the asked.
         return self._use(machine)[0] / machine.size[0]
 
     def _fits(self, task: _Task, machine: _Machine, most_cores: float, most_memory: float) -> bool:
@@ -279,8 +280,7 @@
         arrival, placed = task.arrival, task.placed
         machine.own.pop(event.request, None)
         self._spread[self._spread_key(task, machine)] -= 1
-        # What the machine never held is taken back, not ended.
-        unrun = event.request if event.outcome in PROVEN_UNRUN else None
+        unrun = event.request if event.outcome in PROVEN_UNRUN else None  # such a bind is taken back, not ended
         machine.changes = [each for each in machine.changes
                            if each[1] != unrun and each[0] > self._now - CHANGES_KEPT_US]
         if unrun is None:
@@ -390,9 +390,9 @@
             share = event.level / max((task.arrival.cores, task.arrival.memory)[which], 1e-6)
             if share <= ABSURD_SHARE:
                 task.used[event.kind] = event.level
-                weight = USE_RATE if self._now - task.since_us >= GROW_US else 0.0
-                ratio = self._class_ratio[task.cls.name]
-                ratio[which] += weight * (share - ratio[which])
+                if self._now - task.since_us >= GROW_US:
+                    self._class_ratio[task.cls.name][which] *= 1 - USE_RATE
+                    self._class_ratio[task.cls.name][which] += USE_RATE * share
         elif event.kind is api.NoteKind.SERVED and event.level < 1:
             # Danger: served poorly means crowded or slow, whatever the list says: take it as used up.
             crowded = (task.cls.calm + (1 - event.level) * task.cls.fade) * machine.size[0]
