--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -280,7 +280,7 @@
         arrival, placed = task.arrival, task.placed
         machine.own.pop(event.request, None)
         self._spread[self._spread_key(task, machine)] -= 1
-        unrun = event.request if event.outcome in PROVEN_UNRUN else None  # such a bind is taken back, not ended
+        unrun = event.request if event.outcome in PROVEN_UNRUN else None  # taken back, not ended
         machine.changes = [each for each in machine.changes
                            if each[1] != unrun and each[0] > self._now - CHANGES_KEPT_US]
         if unrun is None:
