--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -21,12 +21,12 @@
 TIGHT_CORES, TIGHT_FADE, TIGHT_MEMORY = 1.1, 0.4, 0.93  # once nothing else fits; part of a fade that is borne
 HOMES = 1  # machines that all placers prefer for a service, so that its program is found warm there
 WARM_US, FOREVER_US = 10 * SECOND, 1 << 62  # a program is trusted to stay this long after an own task's end
-FLEET_FILL = 0.68  # use that the candidate set is planned for where machines in use are priced
+FLEET_FILL = 0.6  # use that the candidate set is planned for where machines in use are priced
 VIEW_LAG_US, REPORT_LAG_US = 2_500_000, 500_000  # list and reports are taken to tell of this long ago
 USE_FRESH_US = 3 * SECOND  # a measured use counts so long, then the usual share; probed at half of it
 USE_PRIOR, PRIOR_NOTES, USE_RATE = 0.8, 10, 0.01  # share of the asked taken as used at first; so many notes
 # of own tasks weigh as much (few, as most placers hold little); least weight of a note, so that old ones fade
-GROW_US = 8 * SECOND  # memory of a younger task still grows and tells nothing; one handed over has grown
+GROW_US, FOUND_US = 8 * SECOND, 5 * SECOND  # memory of a younger task grows; of one handed over, so long
 REST_US, REST_DOUBLINGS = 500_000, 4  # rest after a broken answer, doubled so often at most
 SILENT_US, WHOLE = 3 * SECOND, ""  # rest after silence to a class; key of what regards all classes
 STARTS_MOST, STARTS_SHARED = 4, 8  # own starts out on one machine; more when few share its line of starts
@@ -402,7 +402,7 @@
         if event.kind in (api.NoteKind.CORES_USED, api.NoteKind.MEMORY_USED):
             which = int(event.kind is api.NoteKind.MEMORY_USED)
             ask = (task.arrival.cores, task.arrival.memory)[which]
-            tells = which == 0 or not task.due_us or self._now - task.since_us >= GROW_US
+            tells = which == 0 or self._now - task.since_us >= (GROW_US if task.due_us else FOUND_US)
             if tells and task.placed and ask > 0 and event.level <= machine.size[which]:
                 self._notes[which] += 1
                 rate = max(USE_RATE, 1 / self._notes[which])
