--- /dev/null
+++ b/wingbarrow/http/server.py
@@ -0,0 +1,219 @@
+"""An HTTP/1.1 server: one task a connection, answers in order, every wait bounded."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wingbarrow.http.wire import (
+    LAST_CHUNK,
+    BadMessage,
+    Data,
+    Limits,
+    Parser,
+    Request,
+    write_chunk,
+    write_response,
+)
+from wingbarrow.transport import Hub, Listener, PeerGone, Signal, Stream, listen
+
+SECOND = 1_000_000
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a handler gives back: a whole body, or a `stream` that is called with a chunk writer."""
+
+    status: int
+    body: bytes = b""
+    fields: list[tuple[str, str]] = field(default_factory=list)
+    content_type: str = "application/json"
+    stream: Callable[[ChunkWriter], None] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds of a server; times in microseconds."""
+
+    connections: int = 4096
+    message: Limits = Limits()
+    head_us: int = 10 * SECOND  # from the first byte of a request to the end of its body
+    idle_us: int = 60 * SECOND
+    write_us: int = 10 * SECOND  # a reader that takes nothing for so long is dropped
+
+
+class ChunkWriter:
+    """Writes the chunks of one streamed answer."""
+
+    def __init__(self, connection: _Connection) -> None:
+        self._connection = connection
+
+    def write(self, data: bytes) -> None:
+        """One chunk; raises PeerGone when the reader is gone or takes nothing for too long."""
+        self._connection.send(write_chunk(data))
+
+    @property
+    def gone(self) -> bool:
+        """Whether the reader has closed."""
+        return self._connection.reader_gone()
+
+
+class _Connection:
+    def __init__(self, server: Server, stream: Stream) -> None:
+        self.server = server
+        self.stream = stream
+        self.parser = Parser(True, server.limits.message)
+
+    def send(self, data: bytes) -> None:
+        with self.server.hub.limit(self.server.limits.write_us) as scope:
+            self.stream.send(data)
+        if scope.caught:
+            self.server.slow_readers += 1
+            self.stream.abort()
+            raise PeerGone("the reader takes nothing")
+
+    def reader_gone(self) -> bool:
+        return not self.stream.open or (not self.parser.buffered and not self.stream.is_quiet())
+
+    def read(self) -> Request | None:
+        """The next whole request; None when the connection is over."""
+        limits, hub = self.server.limits, self.server.hub
+        if self.parser.idle:
+            with hub.limit(limits.idle_us) as scope:
+                if not self._more():
+                    return None
+            if scope.caught:
+                return None
+        with hub.limit(limits.head_us) as scope:
+            return self._whole()
+        raise BadMessage(408, "the request took too long")
+
+    def _more(self) -> bool:
+        data = self.stream.receive()
+        if data:
+            self.parser.feed(data)
+        else:
+            self.parser.feed_end()
+        return bool(data)
+
+    def _whole(self) -> Request | None:
+        request: Request | None = None
+        parts: list[bytes] = []
+        while True:
+            event = self.parser.next()
+            if event is None:
+                if request is not None and request.expects_continue and not parts and not self.parser.buffered:
+                    self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    request.expects_continue = False
+                if not self._more() and self.parser.idle:
+                    return None
+            elif isinstance(event, Request):
+                request = event
+            elif isinstance(event, Data):
+                parts.append(event.data)
+            elif request is not None:
+                request.body = b"".join(parts)
+                return request
+
+    def run(self) -> None:
+        while True:
+            try:
+                request = self.read()
+            except BadMessage as error:
+                self.server.bad_messages += 1
+                answer = self.server.refuse(error.status, str(error))
+                self.send(write_response(answer.status, _fields(answer), answer.body, False))
+                self._linger()
+                return
+            if request is None or not self.answer(request):
+                return
+
+    def _linger(self) -> None:
+        """Let the peer read the answer before its unread bytes would reset the connection."""
+        self.stream.end_writing()
+        with self.server.hub.limit(SECOND):
+            for _ in range(64):
+                if not self.stream.receive():
+                    return
+
+    def answer(self, request: Request) -> bool:
+        answer = self.server.handle(request)
+        self.server.requests += 1
+        head_only, keep = request.method == "HEAD", request.keep_alive and self.server.listening
+        if answer.stream is None:
+            self.send(write_response(answer.status, _fields(answer), answer.body, keep, head_only))
+            return keep
+        chunked = request.minor >= 1
+        keep = keep and chunked
+        self.send(write_response(answer.status, _fields(answer), None if chunked else b"", keep, True))
+        if not head_only:
+            if not chunked:
+                return False
+            answer.stream(ChunkWriter(self))
+            self.send(LAST_CHUNK)
+        return keep
+
+
+def _fields(answer: Answer) -> list[tuple[str, str]]:
+    return [("Content-Type", answer.content_type), *answer.fields]
+
+
+class Server:
+    """Serves one listener with `handler`; a failing handler answers 500 and is told to `say`."""
+
+    def __init__(self, hub: Hub, host: str, port: int, handler: Callable[[Request], Answer],
+                 say: Callable[[str], None], limits: ServerLimits = ServerLimits(),  # noqa: B008 - frozen
+                 refuse: Callable[[int, str], Answer] | None = None) -> None:
+        self.hub = hub
+        self.limits = limits
+        self._handler = handler
+        self._say = say
+        self.refuse = refuse or _plain
+        self.listener: Listener = listen(hub, host, port, say)
+        self.port: int = self.listener.port
+        self.listening = True
+        self.connections = 0
+        self.requests = self.bad_messages = self.slow_readers = self.turned_away = 0
+        self._told: deque[str] = deque(maxlen=32)
+        self._left = Signal(hub)
+
+    def handle(self, request: Request) -> Answer:
+        """The handler's answer, whatever it does."""
+        try:
+            return self._handler(request)
+        except PeerGone:
+            raise
+        except Exception as error:
+            text = f"{request.method} {request.target.partition('?')[0]}: {type(error).__name__}: {error}"
+            if text not in self._told:
+                self._told.append(text)
+                self._say(f"a handler failed: {text}")
+            return self.refuse(500, "internal error")
+
+    def serve(self) -> None:
+        """Accept until cancelled or closed."""
+        self.listener.serve(self._connection)
+
+    def _connection(self, stream: Stream) -> None:
+        if self.connections >= self.limits.connections:
+            self.turned_away += 1
+            answer = self.refuse(503, "too many connections")
+            fields = [*_fields(answer), ("Retry-After", "1")]
+            with self.hub.limit(SECOND):
+                stream.send(write_response(503, fields, answer.body, False))
+            return
+        self.connections += 1
+        try:
+            _Connection(self, stream).run()
+        finally:
+            self.connections -= 1
+
+    def close(self) -> None:
+        """Stop accepting; open connections end with their present answer."""
+        self.listening = False
+        self.listener.close()
+
+
+def _plain(status: int, why: str) -> Answer:
+    return Answer(status, why.encode(), content_type="text/plain")
--- /dev/null
+++ b/wingbarrow/http/wire.py
@@ -0,0 +1,388 @@
+"""HTTP/1.1 messages without I/O: bytes in, events out; the same bytes cut anywhere give the same events.
+
+RFC 9112 is cited by section. Lines end in CRLF; a bare CR or LF in a head is refused (2.2).
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import TypeAlias
+
+_FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
+_REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/(\d)\.(\d)\r\n")
+_STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r\n")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?")
+_DIGITS = re.compile(rb"[0-9]{1,15}")
+_LINE_MOST = 1024  # of a chunk size with its extensions
+
+PHRASES = {
+    100: "Continue", 200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 400: "Bad Request",
+    403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable", 408: "Request Timeout",
+    409: "Conflict", 410: "Gone", 411: "Length Required", 413: "Content Too Large", 414: "URI Too Long",
+    415: "Unsupported Media Type", 417: "Expectation Failed", 422: "Unprocessable Content",
+    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    501: "Not Implemented", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}
+
+
+class BadMessage(Exception):
+    """The peer broke the protocol; `status` is what a server answers before it closes."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on one message, in bytes and fields."""
+
+    line: int = 8192
+    head: int = 32768
+    fields: int = 100
+    body: int = 1 << 20
+
+
+@dataclass(slots=True)
+class Request:
+    """The head of a request; field names are lower case, in order of arrival."""
+
+    method: str
+    target: str
+    fields: list[tuple[str, str]]
+    minor: int = 1
+    keep_alive: bool = True
+    expects_continue: bool = False
+    body: bytes = b""
+
+    def get(self, name: str) -> str | None:
+        """The first value of a field, by lower-case name."""
+        return next((value for key, value in self.fields if key == name), None)
+
+
+@dataclass(slots=True)
+class Response:
+    """The head of a response."""
+
+    status: int
+    fields: list[tuple[str, str]] = field(default_factory=list)
+    minor: int = 1
+    keep_alive: bool = True
+    body: bytes = b""
+
+    def get(self, name: str) -> str | None:
+        """The first value of a field, by lower-case name."""
+        return next((value for key, value in self.fields if key == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class Data:
+    """Some bytes of the body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The message is complete."""
+
+
+END = End()
+Event: TypeAlias = Request | Response | Data | End
+
+
+class _State(Enum):
+    HEAD = auto()
+    LENGTH = auto()  # a body of known length
+    CHUNK_SIZE = auto()
+    CHUNK_DATA = auto()
+    CHUNK_END = auto()  # the CRLF behind a chunk
+    TRAILERS = auto()
+    UNTIL_CLOSE = auto()
+    MESSAGE_END = auto()
+    BROKEN = auto()
+
+
+class Parser:
+    """One direction of a connection; `requests` chooses which heads it reads.
+
+    `feed` takes bytes, `next` gives the next event or None when more bytes are needed, `feed_end` tells of the
+    end of stream. BadMessage leaves the parser broken: every later call raises it again.
+    """
+
+    def __init__(self, requests: bool, limits: Limits = Limits()) -> None:  # noqa: B008 - frozen
+        self._requests = requests
+        self._limits = limits
+        self._buffer = bytearray()
+        self._state = _State.HEAD
+        self._left = 0
+        self._taken = 0  # bytes of this message's body so far
+        self._ended = False
+        self._searched = 0
+        self._error: BadMessage | None = None
+        self.no_body = False  # the next response answers HEAD (RFC 9112, 6.3)
+
+    @property
+    def idle(self) -> bool:
+        """Between messages, with nothing received of the next."""
+        return self._state is _State.HEAD and not self._buffer
+
+    @property
+    def buffered(self) -> int:
+        """Bytes fed and not yet given out."""
+        return len(self._buffer)
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes; the caller stops reading while `next` has events to give."""
+        self._buffer += data
+
+    def feed_end(self) -> None:
+        """The peer has ended its stream."""
+        self._ended = True
+
+    def next(self) -> Event | None:
+        """The next event, or None until more is fed."""
+        if self._error is not None:
+            raise self._error
+        try:
+            event = self._next()
+            if event is None and self._ended and not self.idle:
+                raise BadMessage(400, "the stream ended inside a message")
+            return event
+        except BadMessage as error:
+            self._error = error
+            self._state = _State.BROKEN
+            raise
+
+    def _next(self) -> Event | None:
+        buffer = self._buffer
+        while True:
+            state = self._state
+            if state is _State.HEAD:
+                return self._head()
+            if state is _State.LENGTH or state is _State.CHUNK_DATA:
+                if not buffer:
+                    return None
+                part = bytes(buffer[:self._left])
+                del buffer[:self._left]
+                self._left -= len(part)
+                if not self._left:
+                    self._state = _State.MESSAGE_END if state is _State.LENGTH else _State.CHUNK_END
+                return Data(part)
+            if state is _State.MESSAGE_END:
+                self._state = _State.HEAD
+                self._taken = self._searched = 0
+                return END
+            if state is _State.UNTIL_CLOSE:
+                if buffer:
+                    part = bytes(buffer)
+                    buffer.clear()
+                    self._count(len(part))
+                    return Data(part)
+                if not self._ended:
+                    return None
+                self._state = _State.MESSAGE_END
+            elif state is _State.CHUNK_END:
+                if len(buffer) < 2:
+                    if buffer and buffer[0] != 13:
+                        raise BadMessage(400, "no CRLF behind a chunk")
+                    return None
+                if buffer[:2] != b"\r\n":
+                    raise BadMessage(400, "no CRLF behind a chunk")
+                del buffer[:2]
+                self._state = _State.CHUNK_SIZE
+            elif state is _State.CHUNK_SIZE:
+                line = self._line()
+                if line is None:
+                    return None
+                match = _CHUNK_SIZE.fullmatch(line)
+                if match is None:
+                    raise BadMessage(400, "a bad chunk size")
+                self._left = int(match[1], 16)
+                self._count(self._left)
+                self._state = _State.CHUNK_DATA if self._left else _State.TRAILERS
+            else:  # TRAILERS: read and dropped (RFC 9110, 6.5)
+                line = self._line()
+                if line is None:
+                    return None
+                self._taken += len(line)
+                if not line:
+                    self._state = _State.MESSAGE_END
+                elif not _FIELD.fullmatch(line + b"\r\n"):
+                    raise BadMessage(400, "a bad trailer field")
+                elif self._taken > self._limits.body + self._limits.head:
+                    raise BadMessage(431, "too many trailers")
+
+    def _line(self) -> bytes | None:
+        end = self._buffer.find(b"\n", 0, _LINE_MOST)
+        if end < 0:
+            if len(self._buffer) >= _LINE_MOST:
+                raise BadMessage(400, "a line of the chunked coding is too long")
+            return None
+        if end == 0 or self._buffer[end - 1] != 13:
+            raise BadMessage(400, "a bare LF")
+        line = bytes(self._buffer[:end - 1])
+        del self._buffer[:end + 1]
+        return line
+
+    def _count(self, more: int) -> None:
+        self._taken += more
+        if self._taken > self._limits.body:
+            raise BadMessage(413, f"a body of more than {self._limits.body} bytes")
+
+    def _head(self) -> Event | None:
+        buffer, limits = self._buffer, self._limits
+        while buffer.startswith(b"\r\n"):  # empty lines before a message (RFC 9112, 2.2)
+            del buffer[:2]
+            self._searched = 0
+        end = buffer.find(b"\r\n\r\n", max(0, self._searched - 3), limits.head)
+        if end < 0:
+            self._searched = len(buffer)
+            if len(buffer) > limits.line and buffer.find(b"\r\n", 0, limits.line + 2) < 0:
+                raise BadMessage(414 if self._requests else 400, "the first line is too long")
+            if len(buffer) >= limits.head:
+                raise BadMessage(431, f"a head of more than {limits.head} bytes")
+            return None
+        head = bytes(buffer[:end + 2])
+        del buffer[:end + 4]
+        self._searched = 0
+        match = (_REQUEST_LINE if self._requests else _STATUS_LINE).match(head)
+        first = head.find(b"\r\n")
+        if first > limits.line:
+            raise BadMessage(414 if self._requests else 400, "the first line is too long")
+        if match is None:
+            raise BadMessage(400, "the first line is unreadable")
+        fields: list[tuple[str, str]] = []
+        at, most = match.end(), limits.fields
+        for found in _FIELD.finditer(head, at):
+            if found.start() != at:
+                break
+            at = found.end()
+            fields.append((found[1].decode("ascii").lower(), found[2].decode("latin-1")))
+            if len(fields) > most:
+                raise BadMessage(431, f"more than {most} fields")
+        if at != len(head):
+            line = head[at:head.find(b"\r\n", at)]
+            raise BadMessage(400, _why_bad(line))
+        if self._requests:
+            return self._request(match, fields)
+        return self._response(match, fields)
+
+    def _framing(self, fields: list[tuple[str, str]]) -> tuple[int | None, bool, bool, str]:
+        """Content-Length, whether chunked, whether any coding is named, and the Connection options."""
+        length: int | None = None
+        chunked = coded = False
+        connection = ""
+        for name, value in fields:
+            if name == "content-length":
+                for part in value.split(","):
+                    digits = part.strip().encode("latin-1")
+                    if not _DIGITS.fullmatch(digits):
+                        raise BadMessage(400, "a bad Content-Length")
+                    if length is not None and length != int(digits):
+                        raise BadMessage(400, "differing Content-Lengths")
+                    length = int(digits)
+            elif name == "transfer-encoding":
+                if chunked:
+                    raise BadMessage(400, "a coding behind chunked")
+                codings = [part.strip().lower() for part in value.split(",")]
+                coded = True
+                if codings[-1] == "chunked" and len(codings) == 1:
+                    chunked = True
+                else:
+                    raise BadMessage(501, "a transfer coding other than chunked")
+            elif name == "connection":
+                connection += "," + value.lower()
+        if coded and length is not None:
+            raise BadMessage(400, "both Content-Length and Transfer-Encoding")
+        return length, chunked, coded, connection
+
+    def _request(self, match: re.Match[bytes], fields: list[tuple[str, str]]) -> Request:
+        if match[3] != b"1":
+            raise BadMessage(505, "not HTTP/1.x")
+        minor = int(match[4])
+        hosts = sum(name == "host" for name, _ in fields)
+        if hosts > 1 or (not hosts and minor >= 1):
+            raise BadMessage(400, "exactly one Host field is needed")
+        length, chunked, coded, connection = self._framing(fields)
+        if coded and minor == 0:
+            raise BadMessage(400, "Transfer-Encoding in HTTP/1.0")
+        options = [part.strip() for part in connection.split(",")]
+        keep = "close" not in options and (minor >= 1 or "keep-alive" in options)
+        expects = False
+        for name, value in fields:
+            if name == "expect" and minor >= 1:
+                if value.lower() != "100-continue":
+                    raise BadMessage(417, "an unknown expectation")
+                expects = True
+        self._body(length, chunked)
+        return Request(match[1].decode("ascii"), match[2].decode("ascii"), fields, minor, keep,
+                       expects and (chunked or bool(length)))
+
+    def _response(self, match: re.Match[bytes], fields: list[tuple[str, str]]) -> Response:
+        if match[1] != b"1":
+            raise BadMessage(505, "not HTTP/1.x")
+        status, minor = int(match[3]), int(match[2])
+        length, chunked, _, connection = self._framing(fields)
+        options = [part.strip() for part in connection.split(",")]
+        keep = "close" not in options and (minor >= 1 or "keep-alive" in options)
+        if status < 200 or status in (204, 304) or self.no_body:
+            self._state = _State.MESSAGE_END
+        elif length is None and not chunked:
+            self._state, keep = _State.UNTIL_CLOSE, False
+        else:
+            self._body(length, chunked)
+        return Response(status, fields, minor, keep)
+
+    def _body(self, length: int | None, chunked: bool) -> None:
+        if chunked:
+            self._state = _State.CHUNK_SIZE
+        elif length:
+            self._left = length
+            self._count(length)
+            self._state = _State.LENGTH
+        else:
+            self._state = _State.MESSAGE_END
+
+
+def _why_bad(line: bytes) -> str:
+    if line[:1] in (b" ", b"\t"):
+        return "obsolete line folding"
+    if b"\r" in line or b"\n" in line:
+        return "a bare CR or LF"
+    name = line.partition(b":")[0]
+    if name != name.rstrip():
+        return "white space before the colon"
+    return "an unreadable field"
+
+
+def write_request(method: str, target: str, host: str, fields: list[tuple[str, str]], body: bytes | None) -> bytes:
+    """A whole request."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in fields)]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (body or b"")
+
+
+def write_response(status: int, fields: list[tuple[str, str]], body: bytes | None, keep_alive: bool,
+                   head_only: bool = False) -> bytes:
+    """A whole response, or with body None the head of a chunked one."""
+    lines = [f"HTTP/1.1 {status} {PHRASES.get(status, '')}", *(f"{name}: {value}" for name, value in fields)]
+    if body is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif status >= 200 and status != 204:
+        lines.append(f"Content-Length: {len(body)}")
+    if not keep_alive:
+        lines.append("Connection: close")
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    return head if head_only or not body else head + body
+
+
+def write_chunk(data: bytes) -> bytes:
+    """One chunk (RFC 9112, 7.1); empty data would end the body, so it gives nothing."""
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/wingbarrow/transport/__init__.py
@@ -0,0 +1,11 @@
+"""Greenlets over `select.poll`: one hub with timers, cancel scopes, sockets and channels; no threads."""
+
+from wingbarrow.transport.channel import Channel, Closed, Full, Signal
+from wingbarrow.transport.clock import Clock, RealClock, VirtualClock
+from wingbarrow.transport.hub import Cancelled, CancelScope, Domain, Hub, Nursery, Task, Timer
+from wingbarrow.transport.net import Listener, PeerGone, Stream, connect, listen
+
+__all__ = [
+    "CancelScope", "Cancelled", "Channel", "Clock", "Closed", "Domain", "Full", "Hub", "Listener", "Nursery",
+    "PeerGone", "RealClock", "Signal", "Stream", "Task", "Timer", "VirtualClock", "connect", "listen",
+]
--- /dev/null
+++ b/wingbarrow/transport/channel.py
@@ -0,0 +1,81 @@
+"""Bounded channels between tasks, and a signal that wakes all who wait."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Generic, TypeVar
+
+from wingbarrow.transport.hub import Hub, Task
+
+T = TypeVar("T")
+
+
+class Closed(Exception):
+    """The channel was closed and is empty."""
+
+
+class Full(Exception):
+    """The channel holds as much as it may."""
+
+
+class Signal:
+    """Wakes every task that waits for it; it keeps no state."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._tasks: dict[Task, None] = {}
+
+    def notify(self) -> None:
+        """Wake all who wait now."""
+        tasks, self._tasks = self._tasks, {}
+        for task in tasks:
+            self._hub.wake(task)
+
+    def wait(self) -> None:
+        """Block until the next `notify`."""
+        task = self._hub.current()
+        self._tasks[task] = None
+        self._hub.block(lambda: self._tasks.pop(task, None) and None)
+
+
+class Channel(Generic[T]):
+    """A queue of at most `most` items; `put` blocks when full, `offer` raises `Full`."""
+
+    def __init__(self, hub: Hub, most: int) -> None:
+        self._most = most
+        self._items: deque[T] = deque()
+        self._changed = Signal(hub)
+        self.closed = False
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def offer(self, item: T) -> None:
+        """Add without waiting; raises Full or Closed."""
+        if self.closed:
+            raise Closed
+        if len(self._items) >= self._most:
+            raise Full
+        self._items.append(item)
+        self._changed.notify()
+
+    def put(self, item: T) -> None:
+        """Add, waiting for room; raises Closed."""
+        while len(self._items) >= self._most and not self.closed:
+            self._changed.wait()
+        self.offer(item)
+
+    def get(self) -> T:
+        """Take the oldest, waiting for one; raises Closed once closed and empty."""
+        while not self._items:
+            if self.closed:
+                raise Closed
+            self._changed.wait()
+        item = self._items.popleft()
+        self._changed.notify()
+        return item
+
+    def close(self) -> None:
+        """No more items; those in it can still be taken."""
+        self.closed = True
+        self._changed.notify()
--- /dev/null
+++ b/wingbarrow/transport/hub.py
@@ -0,0 +1,511 @@
+"""The greenlet hub: a run queue, a heap of timers with cheap cancel, `select.poll`, cancel scopes, nurseries.
+
+Cancellation is level-triggered as in trio: once a scope is cancelled, every blocking call inside it raises
+`Cancelled` until the scope is left. A task that fails cancels its nursery, which raises the failure on exit.
+"""
+
+from __future__ import annotations
+
+import errno
+import heapq
+import os
+import select
+from collections import deque
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+from greenlet import getcurrent, greenlet
+
+from wingbarrow.transport.clock import Clock, RealClock
+
+READ, WRITE = select.POLLIN, select.POLLOUT
+_BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+_COMPACT_AT = 512  # cancelled timers that may lie in the heap before it is rebuilt
+
+
+class Cancelled(BaseException):  # noqa: N818 - a signal, not an error; `except Exception` must not swallow it
+    """Thrown into a task whose scope was cancelled; only that scope's exit may swallow it."""
+
+    def __init__(self, scope: CancelScope) -> None:
+        super().__init__(scope)
+        self.scope = scope
+
+
+class Timer:
+    """A call at a time; `cancel` costs a flag, the heap forgets it later."""
+
+    __slots__ = ("at_us", "call", "hub")
+
+    def __init__(self, hub: Hub, at_us: int, call: Callable[[], None]) -> None:
+        self.hub = hub
+        self.at_us = at_us
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        """Forget the call; harmless once it has run."""
+        if self.call is not None:
+            self.call = None
+            self.hub._dead_timers += 1
+
+
+class Domain:
+    """Tasks that share one fate, as an operating system process would give it: held still, or killed.
+
+    `hold_until` keeps every task of the domain from running, as a stopped process; what was ready runs when
+    the time has come. `kill` ends all tasks and resets their sockets.
+    """
+
+    def __init__(self, hub: Hub, name: str) -> None:
+        self.hub = hub
+        self.name = name
+        self.held_until_us = 0
+        self.dead = False
+        self.backlog: deque[tuple[Task, BaseException | None]] = deque()
+        self.calls: deque[Callable[[], None]] = deque()
+        self.tasks: set[Task] = set()
+        self.closers: set[Any] = set()
+
+    def hold(self, for_us: int) -> None:
+        """Stop the domain for that long from now on."""
+        self.held_until_us = max(self.held_until_us, self.hub.now_us() + for_us)
+        self.hub._at(self.held_until_us, self._thaw, None)
+
+    def _thaw(self) -> None:
+        if self.hub.now_us() >= self.held_until_us:
+            while self.calls and not self.dead:
+                self.calls.popleft()()
+            self.hub._ready.extend(self.backlog)
+            self.backlog.clear()
+
+    def kill(self) -> None:
+        """End every task at once and reset the domain's sockets; nothing is said to anybody."""
+        self.dead, self.held_until_us = True, 0
+        self.hub._ready.extend(self.backlog)  # they meet their cancelled scope at the next blocking call
+        self.backlog.clear()
+        self.calls.clear()
+        for closer in list(self.closers):
+            closer.abort()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class CancelScope:
+    """A `with` block that can be cancelled, by hand or by its deadline (microseconds on the hub's clock)."""
+
+    __slots__ = ("hub", "deadline_us", "cancelled", "caught", "_timer", "_tasks")
+
+    def __init__(self, hub: Hub, deadline_us: int | None = None) -> None:
+        self.hub = hub
+        self.deadline_us = deadline_us
+        self.cancelled = False
+        self.caught = False  # whether the scope was left by its own cancellation
+        self._timer: Timer | None = None
+        self._tasks: set[Task] = set()
+
+    def cancel(self) -> None:
+        """Have every blocking call inside raise `Cancelled`."""
+        if not self.cancelled:
+            self.cancelled = True
+            for task in list(self._tasks):
+                task._interrupt()
+
+    def __enter__(self) -> CancelScope:
+        task = self.hub.current()
+        task.scopes.append(self)
+        self._tasks.add(task)
+        if self.deadline_us is not None:
+            self._timer = self.hub.call_at(self.deadline_us, self.cancel)
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                 trace: TracebackType | None) -> bool:
+        task = self.hub.current()
+        task.scopes.remove(self)
+        self._tasks.discard(task)
+        if self._timer is not None:
+            self._timer.cancel()
+        if isinstance(error, Cancelled) and error.scope is self:
+            self.caught = True
+            return True
+        return False
+
+
+class Task:
+    """A greenlet with its scopes; `done` and `error` tell how it ended."""
+
+    __slots__ = ("hub", "glet", "scopes", "domain", "done", "error", "blocked", "on_end", "own", "name")
+
+    def __init__(self, hub: Hub, call: Callable[[], None] | None, domain: Domain | None, name: str) -> None:
+        self.hub = hub
+        self.name = name
+        self.glet: greenlet = greenlet(call, hub._loop) if call else getcurrent()
+        self.scopes: list[CancelScope] = []
+        self.own = CancelScope(hub)
+        self.domain = domain
+        self.done = False
+        self.error: BaseException | None = None
+        self.blocked: Callable[[], None] | None = None  # how to take back what it waits for
+        self.on_end: list[Callable[[Task], None]] = []
+
+    def cancel(self) -> None:
+        """Cancel the whole task."""
+        self.own.cancel()
+
+    def _interrupt(self) -> None:
+        scope = next((each for each in self.scopes if each.cancelled), None)
+        if scope is not None and self.blocked is not None:
+            undo, self.blocked = self.blocked, None
+            undo()
+            self.hub._wake(self, Cancelled(scope))
+
+
+class Hub:
+    """The scheduler of tasks; one for a thread, made where the program starts."""
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or RealClock()
+        self._ready: deque[tuple[Task, BaseException | None]] = deque()
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._sequence = 0
+        self._dead_timers = 0
+        self._poll = select.poll()
+        self._waiting: dict[int, dict[int, Task]] = {}  # by descriptor, by READ or WRITE
+        self._loop = greenlet(self._run)
+        self._tasks: dict[greenlet, Task] = {}
+        self._calling: Domain | None = None  # whose timer runs in the hub now
+        self.switches = 0
+        self.polls = 0
+        self._stopped = False
+        self.complain: Callable[[str, BaseException], None] = _raise_later
+
+    def now_us(self) -> int:
+        """The clock's monotonic microseconds."""
+        return self.clock.now_us()
+
+    def current(self) -> Task:
+        """The running task."""
+        return self._tasks[getcurrent()]
+
+    # -- tasks
+
+    def run(self, call: Callable[[], Any]) -> Any:
+        """Run `call` as the main task until it returns; its result, or its exception."""
+        result: list[Any] = []
+        task = self.spawn(lambda: result.append(call()), name="main")
+        main = getcurrent()
+        task.on_end.append(lambda _: self._finish(main))
+        self._stopped = False
+        self._loop.parent = main
+        self._loop.switch()
+        if task.error is not None:
+            raise task.error
+        return result[0] if result else None
+
+    def _finish(self, main: greenlet) -> None:
+        self._stopped = True
+
+    def spawn(self, call: Callable[[], Any], name: str = "", domain: Domain | None = None,
+              scopes: list[CancelScope] | None = None) -> Task:
+        """Start a task that nobody waits for; its failure goes to `complain`, unless a nursery takes it."""
+        parent = self._tasks.get(getcurrent())
+        if domain is None:
+            domain = parent.domain if parent is not None else self._calling
+        task = Task(self, None, domain, name)
+
+        def body() -> None:
+            try:
+                call()
+            except Cancelled:
+                pass
+            except Exception as error:
+                task.error = error
+            finally:
+                task.done = True
+                self._tasks.pop(task.glet, None)
+                if domain is not None:
+                    domain.tasks.discard(task)
+                for scope in task.scopes:
+                    scope._tasks.discard(task)
+                for each in task.on_end:
+                    each(task)
+                if task.error is not None and not task.on_end:
+                    self.complain(task.name, task.error)
+
+        task.glet = greenlet(body, self._loop)
+        task.scopes = [*(scopes or []), task.own]
+        for scope in task.scopes:
+            scope._tasks.add(task)
+        self._tasks[task.glet] = task
+        if domain is not None:
+            domain.tasks.add(task)
+        self._wake(task, None)
+        return task
+
+    def _wake(self, task: Task, error: BaseException | None) -> None:
+        domain = task.domain
+        if domain is not None and domain.held_until_us > self.clock.now_us():
+            domain.backlog.append((task, error))
+        else:
+            self._ready.append((task, error))
+
+    def block(self, undo: Callable[[], None]) -> None:
+        """Sleep until `wake`; `undo` takes back what was waited for when a scope is cancelled."""
+        task = self.current()
+        for scope in task.scopes:
+            if scope.cancelled:
+                undo()
+                raise Cancelled(scope)
+        task.blocked = undo
+        self._loop.switch()
+
+    def wake(self, task: Task) -> None:
+        """Let a task that is in `block` go on; a second wake is ignored."""
+        if task.blocked is not None:
+            task.blocked = None
+            self._wake(task, None)
+
+    def checkpoint(self) -> None:
+        """Let others run; raises when cancelled."""
+        task = self.current()
+        entry: tuple[Task, BaseException | None] = (task, None)
+        task.blocked = _nothing
+        self._ready.append(entry)
+        for scope in task.scopes:
+            if scope.cancelled:
+                self._ready.pop()
+                task.blocked = None
+                raise Cancelled(scope)
+        task.blocked = None
+        self._loop.switch()
+
+    # -- time
+
+    def _at(self, at_us: int, call: Callable[[], None], domain: Domain | None) -> Timer:
+        def guarded() -> None:
+            if domain is not None and (domain.dead or domain.held_until_us > self.clock.now_us()):
+                if not domain.dead:
+                    domain.calls.append(call)
+                return
+            self._calling = domain
+            try:
+                call()
+            finally:
+                self._calling = None
+        timer = Timer(self, at_us, guarded if domain is not None else call)
+        self._sequence += 1
+        heapq.heappush(self._timers, (at_us, self._sequence, timer))
+        return timer
+
+    def call_at(self, at_us: int, call: Callable[[], None]) -> Timer:
+        """Run a short call in the hub at a time; it must not block."""
+        parent = self._tasks.get(getcurrent())
+        return self._at(at_us, call, parent.domain if parent else self._calling)
+
+    def sleep(self, for_us: int) -> None:
+        """Block for so many microseconds."""
+        task = self.current()
+        timer = self.call_at(self.now_us() + for_us, lambda: self.wake(task))
+        self.block(timer.cancel)
+
+    def sleep_until(self, at_us: int) -> None:
+        """Block until a time of the hub's clock."""
+        self.sleep(max(0, at_us - self.now_us()))
+
+    def limit(self, for_us: int) -> CancelScope:
+        """A scope that ends so many microseconds from now."""
+        return CancelScope(self, self.now_us() + for_us)
+
+    # -- descriptors
+
+    def wait(self, fd: int, what: int) -> None:
+        """Block until the descriptor can be read (READ) or written (WRITE), or is broken."""
+        task = self.current()
+        waiters = self._waiting.setdefault(fd, {})
+        if what in waiters:
+            raise RuntimeError(f"two tasks wait for one descriptor: {waiters[what].name}, {task.name}")
+        waiters[what] = task
+        self._register(fd)
+
+        def undo() -> None:
+            if waiters.get(what) is task:
+                del waiters[what]
+                self._register(fd)
+        self.block(undo)
+
+    def _register(self, fd: int) -> None:
+        waiters = self._waiting.get(fd)
+        if waiters:
+            self._poll.register(fd, sum(waiters))
+        elif waiters is not None:
+            del self._waiting[fd]
+            self._poll.unregister(fd)
+
+    def forget(self, fd: int) -> None:
+        """A descriptor is about to be closed: wake whoever waits for it."""
+        for task in list(self._waiting.get(fd, {}).values()):
+            self.wake(task)
+        if fd in self._waiting:
+            self._waiting[fd].clear()
+            self._register(fd)
+
+    # -- the loop
+
+    def _run(self) -> None:
+        while not self._stopped:
+            self._turn()
+        self._loop = greenlet(self._run)
+
+    def _turn(self) -> None:
+        for _ in range(len(self._ready)):
+            task, error = self._ready.popleft()
+            if task.glet.dead:
+                continue
+            self.switches += 1
+            task.glet.parent = self._loop
+            if error is None:
+                task.glet.switch()
+            else:
+                task.glet.throw(error)
+            if self._stopped:
+                return
+        timeout = self._due()
+        if self._stopped:
+            return
+        self._look(0 if self._ready else timeout)
+
+    def _due(self) -> int | None:
+        """Run what is due; microseconds until the next timer, None without one."""
+        timers = self._timers
+        if self._dead_timers > _COMPACT_AT and self._dead_timers * 2 > len(timers):
+            self._timers = timers = [each for each in timers if each[2].call is not None]
+            heapq.heapify(timers)
+            self._dead_timers = 0
+        now = self.clock.now_us()
+        while timers:
+            at_us, _, timer = timers[0]
+            if timer.call is None:
+                heapq.heappop(timers)
+                self._dead_timers = max(0, self._dead_timers - 1)
+            elif at_us <= now:
+                heapq.heappop(timers)
+                call, timer.call = timer.call, None
+                call()
+                timers = self._timers
+            else:
+                return at_us - now
+        return None
+
+    def _look(self, timeout_us: int | None) -> None:
+        if self.clock.virtual and timeout_us:
+            # Loopback bytes are in the peer's buffer when send returns; a second look covers a late softirq.
+            if self._polled(0) or self._polled(0):
+                return
+            self.clock.jump(self.clock.now_us() + timeout_us)
+            return
+        self._polled(timeout_us)
+
+    def _polled(self, timeout_us: int | None) -> bool:
+        self.polls += 1
+        # Rounded up to milliseconds: waking before a timer is due would spin.
+        wait = None if timeout_us is None else -(-timeout_us // 1000)
+        try:
+            events = self._poll.poll(wait)
+        except OSError as error:
+            if error.errno != errno.EINTR:
+                raise
+            return True
+        for fd, mask in events:
+            waiters = self._waiting.get(fd)
+            if waiters is None:
+                continue
+            for what in list(waiters):
+                if mask & (what | _BROKEN):
+                    task = waiters.pop(what)
+                    self.wake(task)
+            self._register(fd)
+        return bool(events)
+
+    def wake_pipe(self) -> tuple[int, int]:
+        """A non-blocking pipe for signal handlers (`signal.set_wakeup_fd`)."""
+        reading, writing = os.pipe()
+        os.set_blocking(reading, False)
+        os.set_blocking(writing, False)
+        return reading, writing
+
+
+class Nursery:
+    """Tasks that end together: leaving the block waits for all; the first failure cancels the rest."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.hub = hub
+        self.scope = CancelScope(hub)
+        self._children: set[Task] = set()
+        self._waiter: Task | None = None
+        self._error: BaseException | None = None
+        self._outer: list[CancelScope] = []
+
+    def __enter__(self) -> Nursery:
+        self.scope.__enter__()
+        self._outer = list(self.hub.current().scopes)
+        return self
+
+    def spawn(self, call: Callable[[], Any], name: str = "", domain: Domain | None = None) -> Task:
+        """Start a child task."""
+        task = self.hub.spawn(call, name, domain, self._outer)
+        self._children.add(task)
+        task.on_end.append(self._ended)
+        return task
+
+    def _ended(self, task: Task) -> None:
+        self._children.discard(task)
+        if task.error is not None and self._error is None:
+            self._error = task.error
+            self.scope.cancel()
+        if self._waiter is not None and not self._children:
+            self.hub.wake(self._waiter)
+
+    def cancel(self) -> None:
+        """Cancel all children and the block."""
+        self.scope.cancel()
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                 trace: TracebackType | None) -> bool:
+        if error is not None:
+            self.scope.cancel()
+        cancelled: Cancelled | None = None
+        while self._children:
+            self._waiter = self.hub.current()
+            try:
+                if cancelled is not None or error is not None:
+                    self._join_quietly()
+                else:
+                    self.hub.block(_nothing)
+            except Cancelled as signal:
+                cancelled = signal
+                self.scope.cancel()
+            finally:
+                self._waiter = None
+        swallowed = self.scope.__exit__(kind, error, trace)
+        if self._error is not None and (error is None or isinstance(error, Cancelled)):
+            raise self._error
+        if cancelled is not None and cancelled.scope is not self.scope and error is None:
+            raise cancelled
+        return swallowed
+
+    def _join_quietly(self) -> None:
+        """Wait for children that are being cancelled, without hearing of the cancellation again."""
+        task = self.hub.current()
+        kept, task.scopes = task.scopes, []
+        try:
+            self.hub.block(_nothing)
+        finally:
+            task.scopes = kept
+
+
+def _nothing() -> None:
+    """There is nothing to take back."""
+
+
+def _raise_later(name: str, error: BaseException) -> None:
+    raise error
--- /dev/null
+++ b/wingbarrow/transport/net.py
@@ -0,0 +1,219 @@
+"""Non-blocking TCP on the hub: streams, a listener that survives bursts and a full descriptor table."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+import struct
+from collections.abc import Callable
+
+from wingbarrow.transport.hub import READ, WRITE, Cancelled, Hub
+
+_AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+_FULL_TABLE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_ACCEPT_BURST = 64  # accepted before others get a turn
+_FULL_PAUSE_US = 100_000
+
+
+class PeerGone(Exception):
+    """The connection is broken; `sent` tells how many bytes of the failing write had gone out."""
+
+    def __init__(self, why: str, sent: int = 0) -> None:
+        super().__init__(why)
+        self.sent = sent
+
+
+class Stream:
+    """A connected TCP socket."""
+
+    __slots__ = ("hub", "_socket", "_fd", "open", "_domain", "bytes_in", "bytes_out")
+
+    def __init__(self, hub: Hub, sock: socket.socket) -> None:
+        self.hub = hub
+        self._socket = sock
+        self._fd = sock.fileno()
+        self.open = True
+        self.bytes_in = self.bytes_out = 0
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._domain = hub.current().domain
+        if self._domain is not None:
+            self._domain.closers.add(self)
+
+    def receive(self, most: int = 65536) -> bytes:
+        """Some bytes, b"" at the peer's end of stream; raises PeerGone when reset."""
+        while self.open:
+            try:
+                data = self._socket.recv(most)
+            except OSError as error:
+                if error.errno not in _AGAIN:
+                    raise PeerGone(errno.errorcode.get(error.errno or 0, "?")) from None
+                self.hub.wait(self._fd, READ)
+            else:
+                self.bytes_in += len(data)
+                return data
+        raise PeerGone("closed here")
+
+    def send(self, data: bytes) -> None:
+        """Write all; raises PeerGone with the count that had gone out."""
+        view, sent = memoryview(data), 0
+        while sent < len(view):
+            if not self.open:
+                raise PeerGone("closed here", sent)
+            try:
+                count = self._socket.send(view[sent:])
+            except OSError as error:
+                if error.errno not in _AGAIN:
+                    raise PeerGone(errno.errorcode.get(error.errno or 0, "?"), sent) from None
+                self.hub.wait(self._fd, WRITE)
+            else:
+                sent += count
+                self.bytes_out += count
+
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is still whole: no byte and no end of stream has come."""
+        if not self.open:
+            return False
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return error.errno in _AGAIN
+        return False
+
+    def end_writing(self) -> None:
+        """Half-close: the peer reads an end of stream."""
+        if self.open:
+            try:
+                self._socket.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.abort()
+
+    def close(self) -> None:
+        """Close; whoever waits on it hears PeerGone."""
+        if self.open:
+            self.open = False
+            self.hub.forget(self._fd)
+            self._socket.close()
+            if self._domain is not None:
+                self._domain.closers.discard(self)
+
+    def abort(self) -> None:
+        """Reset the connection: what was not sent is dropped."""
+        if self.open:
+            try:
+                self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            except OSError:
+                pass
+            self.close()
+
+
+class Listener:
+    """A listening socket; `serve` hands each connection to a task of its own."""
+
+    def __init__(self, hub: Hub, sock: socket.socket, say: Callable[[str], None]) -> None:
+        self.hub = hub
+        self._socket = sock
+        self._fd = sock.fileno()
+        self._say = say
+        self._told_full = False
+        self.open = True
+        self.host, self.port = sock.getsockname()[:2]
+        self.times_full = 0
+        self._domain = hub.current().domain
+        if self._domain is not None:
+            self._domain.closers.add(self)
+
+    def accept(self) -> Stream:
+        """The next connection; a full descriptor table is waited out and told once."""
+        while self.open:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError as error:
+                if error.errno in _FULL_TABLE:
+                    self.times_full += 1
+                    if not self._told_full:
+                        self._told_full = True
+                        self._say(f"cannot accept: {os.strerror(error.errno or 0)}; serving those connected")
+                    self.hub.sleep(_FULL_PAUSE_US)
+                elif error.errno in _AGAIN:
+                    self.hub.wait(self._fd, READ)
+                elif error.errno not in (errno.ECONNABORTED, errno.EPROTO):
+                    raise
+            else:
+                if self._told_full:
+                    self._told_full = False
+                    self._say("accepting again")
+                return Stream(self.hub, sock)
+        raise PeerGone("closed here")
+
+    def serve(self, handle: Callable[[Stream], None]) -> None:
+        """Accept until cancelled or closed; a connection's own failure never reaches the others."""
+        burst = 0
+        while self.open:
+            try:
+                stream = self.accept()
+            except PeerGone:
+                return
+            self.hub.spawn(lambda stream=stream: self._one(handle, stream), name="connection")  # type: ignore[misc]
+            burst += 1
+            if burst % _ACCEPT_BURST == 0:
+                self.hub.checkpoint()
+
+    def _one(self, handle: Callable[[Stream], None], stream: Stream) -> None:
+        try:
+            handle(stream)
+        except PeerGone:
+            pass
+        except Cancelled:
+            raise
+        except Exception as error:
+            self._say(f"a connection failed: {type(error).__name__}: {error}")
+        finally:
+            stream.close()
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.open:
+            self.open = False
+            self.hub.forget(self._fd)
+            self._socket.close()
+            if self._domain is not None:
+                self._domain.closers.discard(self)
+
+    abort = close
+
+
+def listen(hub: Hub, host: str, port: int, say: Callable[[str], None], backlog: int = 1024) -> Listener:
+    """A listener; port 0 lets the system choose."""
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    try:
+        sock.bind((host, port))
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return Listener(hub, sock, say)
+
+
+def connect(hub: Hub, host: str, port: int) -> Stream:
+    """Connect to an address (no names are looked up); raises PeerGone when refused."""
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise PeerGone(errno.errorcode.get(error.errno or 0, "?")) from None
+    sock.setblocking(False)
+    try:
+        code = sock.connect_ex((host, port))
+        if code == errno.EINPROGRESS:
+            hub.wait(sock.fileno(), WRITE)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except BaseException:
+        sock.close()
+        raise
+    if code:
+        sock.close()
+        raise PeerGone(errno.errorcode.get(code, "?"))
+    return Stream(hub, sock)
