--- /dev/null
+++ b/wingbarrow/config/settings.py
@@ -0,0 +1,77 @@
+"""A placer's settings as typed values. Times are microseconds, memory is GiB, cores are cores."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from wingbarrow import interface as api
+
+_DURATION = re.compile(r"(?:(\d+(?:\.\d+)?)(us|ms|s|m|h))")
+_UNITS_US = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
+_SIZE = re.compile(r"(\d+(?:\.\d+)?)(|Ki|Mi|Gi|Ti|k|M|G|T|m)")
+_SIZES = {"": 1, "m": 1e-3, "Ki": 2**10, "Mi": 2**20, "Gi": 2**30, "Ti": 2**40, "k": 1e3, "M": 1e6, "G": 1e9,
+          "T": 1e12}
+
+
+def parse_duration(text: str) -> int:
+    """Microseconds from "700ms", "5s", "1m30s"; ValueError says what is wrong."""
+    parts = _DURATION.findall(text)
+    if not parts or "".join(number + unit for number, unit in parts) != text:
+        raise ValueError(f"not a duration such as 700ms or 1m30s: {text[:40]!r}")
+    total = sum(float(number) * _UNITS_US[unit] for number, unit in parts)
+    if total > 10 * 365 * 86_400 * 1_000_000:
+        raise ValueError(f"a duration of more than ten years: {text[:40]!r}")
+    return int(total)
+
+
+def parse_size(text: str) -> float:
+    """A quantity (Kubernetes' resource.Quantity, without exponents): "500m", "2Gi"; ValueError otherwise."""
+    match = _SIZE.fullmatch(text)
+    if match is None:
+        raise ValueError(f"not a quantity such as 500m or 2Gi: {text[:40]!r}")
+    return float(match[1]) * _SIZES[match[2]]
+
+
+@dataclass(frozen=True, slots=True)
+class ClassSettings:
+    """A class of tasks: what the module is told, the owner's usual patience, and the priority on machines."""
+
+    task_class: api.TaskClass
+    patience_us: int
+    priority: int
+    restarts: int  # how often a task that was lost or sent away is asked for again
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of one placer."""
+
+    tasks_open: int = 20_000
+    tasks_per_namespace: int = 20_000
+    tasks_per_job: int = 1_000
+    jobs_kept: int = 20_000
+    window: int = 8_192
+    watchers: int = 2_048
+    connections: int = 4_096
+    body: int = 1 << 20
+    machines: int = 10_000
+    per_machine: int = 24
+    patience_us: int = 3_600_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class PlacerSettings:
+    """Everything that `serve` needs; `scheduler` is what the decision module is told."""
+
+    name: str
+    seed: int
+    host: str
+    port: int
+    source_host: str
+    source_port: int
+    state: str | None
+    scheduler: api.Settings
+    classes: dict[str, ClassSettings]
+    drain_grace_us: int
+    limits: Limits
--- /dev/null
+++ b/wingbarrow/core/link.py
@@ -0,0 +1,121 @@
+"""One machine as the placer reaches it: its connections, offers, stops, probes, and the news of its tasks."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+from urllib.parse import quote
+
+from wingbarrow.core.pods import Ended, read_failure, read_offer
+from wingbarrow.decide.backoff import Backoff
+from wingbarrow.http.client import CallFailed, MaybeDone, NotSent, Pool, PoolLimits
+from wingbarrow.http.watching import call, list_all, watch
+from wingbarrow.interface import Phase, Report
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+from wingbarrow.transport import Hub
+
+SECOND = 1_000_000
+PROBE_US = 2 * SECOND
+CALL_US = 3 * SECOND
+WATCH_S = 600
+SILENCE_US = 30 * SECOND
+STOP_TRIES = 40  # over minutes; a machine that never answers is given up when the list says it is gone
+
+
+class MachineLink:
+    """Connections to one machine; `phase` and `launched_us` follow the list."""
+
+    def __init__(self, hub: Hub, name: str, host: str, port: int, placer: str, connections: int,
+                 seed: random.Random) -> None:
+        self.hub = hub
+        self.name = name
+        self.ident = names.ident(name)
+        self.host, self.port = host, port
+        self.phase = Phase.RUNNING
+        self.launched_us = 0
+        self.retired = False  # it left the list and no task of ours is left on it
+        self._placer = placer
+        limits = PoolLimits(connections=connections, waiting=1024, first_byte_us=3600 * SECOND)
+        self._pool = Pool(hub, host, port, limits, f"wingbarrow/{placer}")
+        self._pause = Backoff(seed, 200_000, 5 * SECOND)
+        self._seed = seed
+        self.reachable = False  # the watch on its tasks runs
+
+    def offer(self, namespace: str, body: Callable[[], bytes], until_us: int,
+              may_send: Callable[[], bool]) -> Ended | None:
+        """Offer a task; None where it runs. Every way to fail says whether the task can have started."""
+        try:
+            response = self._pool.request(
+                "POST", f"/api/v1/namespaces/{quote(namespace)}/pods", body,
+                [("Content-Type", "application/json"), ("Accept", "application/json")], until_us, may_send)
+        except (NotSent, MaybeDone) as error:
+            return read_failure(error)
+        return read_offer(response)
+
+    def stop(self, namespace: str, pod: str, wanted: Callable[[], bool]) -> bool:
+        """Have a task stopped; True once the machine says that it is not there (any longer)."""
+        pause = Backoff(self._seed, 100_000, 5 * SECOND)
+        for _ in range(STOP_TRIES):
+            if not wanted():
+                return False
+            try:
+                call(self._pool, "DELETE", f"/api/v1/namespaces/{quote(namespace)}/pods/{quote(pod)}",
+                     until_us=self.hub.now_us() + CALL_US)
+                return True
+            except ApiError as error:
+                if error.code == 404:
+                    return True
+            except CallFailed:
+                if self.phase is Phase.GONE:
+                    return False
+            self.hub.sleep(pause.next_us())
+        return False
+
+    def probe(self, size: tuple[float, float]) -> Report | None:
+        """The machine's own figures (kubelet's /stats/summary); None without a readable answer."""
+        try:
+            value = call(self._pool, "GET", "/stats/summary", until_us=self.hub.now_us() + PROBE_US)
+            node = value["node"]
+            return Report(size[0] - float(node["cpu"]["usageNanoCores"]) / 1e9,
+                          float(node["memory"]["availableBytes"]) / 2**30)
+        except (CallFailed, ApiError, KeyError, TypeError, ValueError):
+            return None
+
+    def follow(self, listed: Callable[[list[dict[str, Any]], int], None],
+               event: Callable[[str, dict[str, Any]], None], log: Callable[..., None]) -> None:
+        """List this placer's tasks on the machine, then watch them; again and again until retired.
+
+        `listed` gets the pods and the time at which the list was asked for.
+        """
+        selector = quote(f"{names.PLACER}={self._placer}")
+        version = ""
+        while not self.retired:
+            try:
+                if not version:
+                    asked_us = self.hub.now_us()
+                    pods, version = list_all(self._pool, "/api/v1/pods", f"labelSelector={selector}", 500,
+                                             asked_us + CALL_US)
+                    listed(pods, asked_us)
+                for kind, value in self._events(selector, version):
+                    version = str(value.get("metadata", {}).get("resourceVersion") or version)
+                    self.reachable = True
+                    self._pause.clear()
+                    if kind != "BOOKMARK":
+                        event(kind, value)
+            except (CallFailed, ApiError, ValueError) as error:
+                self.reachable = False
+                # Whatever broke it, a list of what runs is cheap and misses nothing.
+                version = ""
+                log("machine-watch-broke", machine=self.name, why=str(error)[:200])
+                self.hub.sleep(self._pause.next_us())
+
+    def _events(self, selector: str, version: str) -> Iterator[tuple[str, dict[str, Any]]]:
+        target = (f"/api/v1/pods?watch=true&labelSelector={selector}&resourceVersion={version}"
+                  f"&allowWatchBookmarks=true&timeoutSeconds={WATCH_S}")
+        return watch(self._pool, target, self.hub.now_us() + CALL_US, SILENCE_US)
+
+    def close(self) -> None:
+        """Let go of the idle connections."""
+        self._pool.close()
--- /dev/null
+++ b/wingbarrow/core/reflector.py
@@ -0,0 +1,143 @@
+"""The list reflector: list, then watch, the Nodes of the list source, and resume, relist or wait as it breaks.
+
+Kubernetes API concepts, "Efficient detection of changes". What counts of the news is decided in
+`decide.listing`; how long to wait, in `decide.backoff`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from wingbarrow.core.nodes import NodeEntry, read_node
+from wingbarrow.decide.backoff import Backoff
+from wingbarrow.decide.listing import ListJudge, Take
+from wingbarrow.http.client import CallFailed, Pool, PoolLimits
+from wingbarrow.http.watching import list_all, watch
+from wingbarrow.http.wire import Limits
+from wingbarrow.interface import ListForm
+from wingbarrow.kube.status import ApiError
+from wingbarrow.transport import Hub
+
+SECOND = 1_000_000
+LIST_US = 10 * SECOND
+SILENCE_US = 30 * SECOND  # the source sends a bookmark at least this often while anything changes
+WATCH_S = 300
+PAGE = 500
+
+
+class Reflector:
+    """Tells `deliver(form, entries, gone names)` what the source says; `run` goes on until cancelled."""
+
+    def __init__(self, hub: Hub, host: str, port: int, agent: str, seed: random.Random, machines_most: int,
+                 deliver: Callable[[ListForm, list[NodeEntry], list[str]], None],
+                 log: Callable[..., None]) -> None:
+        self._hub = hub
+        self._pool = Pool(hub, host, port, PoolLimits(connections=4, message=Limits(body=256 << 20)), agent)
+        self._deliver = deliver
+        self._log = log
+        self._judge = ListJudge()
+        self._pause = Backoff(seed, 100_000, 5 * SECOND)
+        self._most = machines_most
+        self._version = ""
+        self._told_failed = False
+        self.bad_entries = self.relists = self.watches = self.failures = 0
+        self.held: dict[str, NodeEntry] = {}
+
+    def run(self) -> None:
+        """List and watch for ever."""
+        while True:
+            try:
+                if not self._version:
+                    self._list()
+                self._watch()
+            except (CallFailed, ApiError, ValueError) as error:
+                if isinstance(error, ApiError) and error.code == 410:
+                    self._version = ""
+                self._failed(error)
+                self._hub.sleep(self._pause.next_us())
+
+    def _failed(self, error: Exception) -> None:
+        self.failures += 1
+        self._log("list-source-failed", level="warning", why=str(error)[:200], failures=self._pause.failures)
+        if not self._told_failed:
+            self._told_failed = True
+            self._deliver(ListForm.FAILED, [], [])
+
+    def _list(self) -> None:
+        items, version = list_all(self._pool, "/api/v1/nodes", "", PAGE, self._hub.now_us() + LIST_US)
+        self.relists += 1
+        if not version.isascii() or not version.isdigit():
+            raise ValueError(f"a list without a resourceVersion: {version[:40]!r}")
+        take = self._judge.judge_list(int(version), self._hub.now_us())
+        if take is Take.TOO_OLD:
+            raise ValueError(f"the list goes back to version {version}; the newer one held is kept")
+        if take is Take.NEW_SOURCE:
+            self._log("list-source-began-anew", level="warning", version=version)
+        entries: dict[str, NodeEntry] = {}
+        for value in items[:self._most]:
+            entry = self._read(value)
+            if entry is None:
+                name = str(value.get("metadata", {}).get("name", ""))
+                if name in self.held:
+                    entries[name] = self.held[name]
+            else:
+                # An entry of an older version than the one held: the newer news stands.
+                newer = self._judge.judge_entry(entry.name, entry.version)
+                entries[entry.name] = entry if newer else self.held.get(entry.name, entry)
+        if len(items) > self._most:
+            self._log("list-too-long", level="error", machines=len(items), most=self._most)
+        gone = [name for name in self.held if name not in entries]
+        self.held = entries
+        self._judge.forget(set(entries))
+        self._went_well()
+        self._deliver(ListForm.FULL, list(entries.values()), gone)
+        self._version = version
+
+    def _went_well(self) -> None:
+        self._pause.clear()
+        self._told_failed = False
+
+    def _read(self, value: dict[str, Any]) -> NodeEntry | None:
+        clock = self._hub.clock
+        try:
+            return read_node(value, clock.now_us() - clock.wall_us())
+        except ValueError as error:
+            self.bad_entries += 1
+            self._log("bad-list-entry", level="warning", field=str(error),
+                      machine=str(value.get("metadata", {}).get("name", ""))[:100]
+                      if isinstance(value.get("metadata"), dict) else "")
+            return None
+
+    def _watch(self) -> None:
+        self.watches += 1
+        target = (f"/api/v1/nodes?watch=true&resourceVersion={self._version}&allowWatchBookmarks=true"
+                  f"&timeoutSeconds={WATCH_S}")
+        until = self._hub.now_us() + LIST_US
+        events = watch(self._pool, target, until, SILENCE_US)
+        try:
+            for kind, value in events:
+                version = value.get("metadata", {}).get("resourceVersion")
+                if not isinstance(version, str) or not version.isdigit():
+                    raise ValueError("a watch event without a resourceVersion")
+                if kind != "BOOKMARK":
+                    self._event(kind, value)
+                if int(version) > int(self._version):
+                    self._version = version
+                self._went_well()
+        finally:
+            events.close()  # type: ignore[attr-defined]
+
+    def _event(self, kind: str, value: dict[str, Any]) -> None:
+        entry = self._read(value)
+        if entry is None or not self._judge.judge_entry(entry.name, entry.version):
+            return
+        if kind == "DELETED":
+            self.held.pop(entry.name, None)
+            self._deliver(ListForm.CHANGES, [], [entry.name])
+        elif entry.name in self.held or len(self.held) < self._most:
+            self.held[entry.name] = entry
+            self._deliver(ListForm.CHANGES, [entry], [])
+        else:
+            self._log("list-too-long", level="error", machines=len(self.held) + 1, most=self._most)
--- /dev/null
+++ b/wingbarrow/core/saved.py
@@ -0,0 +1,52 @@
+"""The last good list of machines on disk, for a restart: written whole beside the old one, then renamed."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import xxhash
+
+_MOST = 256 << 20
+
+
+class _File(msgspec.Struct):
+    form: int
+    digest: str
+    nodes: msgspec.Raw
+
+
+def save(folder: Path, nodes: list[dict[str, Any]]) -> None:
+    """Write the Node objects; OSError where the disk does not take them."""
+    folder.mkdir(parents=True, exist_ok=True)
+    raw = msgspec.json.encode(nodes)
+    data = msgspec.json.encode(_File(1, xxhash.xxh64_hexdigest(raw), msgspec.Raw(raw)))
+    path = folder / "machines.json"
+    temporary = folder / f"machines.json.{os.getpid()}"
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+
+
+def load(folder: Path) -> list[dict[str, Any]]:
+    """The Node objects last saved; an empty list without a file; ValueError for one that cannot be used."""
+    path = folder / "machines.json"
+    try:
+        if path.stat().st_size > _MOST:
+            raise ValueError(f"{path}: more than {_MOST} bytes")
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return []
+    except OSError as error:
+        raise ValueError(f"{path}: {error.strerror}") from None
+    try:
+        file = msgspec.json.decode(data, type=_File)
+        if file.form != 1 or xxhash.xxh64_hexdigest(bytes(file.nodes)) != file.digest:
+            raise ValueError("its digest or form is wrong")
+        return msgspec.json.decode(file.nodes, type=list[dict[str, Any]])
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise ValueError(f"{path}: {error}") from None
--- /dev/null
+++ b/wingbarrow/decide/__init__.py
@@ -0,0 +1,1 @@
+"""What the program decides beside REM: values in, verdicts out; no sockets, no clock, randomness by seed only."""
--- /dev/null
+++ b/wingbarrow/decide/admission.py
@@ -0,0 +1,45 @@
+"""Whether a Job is accepted: bounds on open tasks, in all and by namespace. Nothing accepted is ever dropped."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class TooMany:
+    """A bound that a Job would pass, and after how many seconds to try again."""
+
+    what: str
+    most: int
+    retry_after_s: int
+
+
+class Admission:
+    """Counts open tasks: those that owe an answer, run, or wait to be asked for again."""
+
+    def __init__(self, tasks_open: int, per_namespace: int) -> None:
+        self._most = tasks_open
+        self._per_namespace = per_namespace
+        self.open = 0
+        self._namespaces: Counter[str] = Counter()
+
+    def check(self, namespace: str, count: int) -> TooMany | None:
+        """What stands against `count` more tasks, None where nothing does."""
+        if self.open + count > self._most:
+            return TooMany("open tasks", self._most, 1)
+        if self._namespaces[namespace] + count > self._per_namespace:
+            return TooMany(f"open tasks in namespace {namespace}", self._per_namespace, 1)
+        return None
+
+    def add(self, namespace: str, count: int) -> None:
+        """So many tasks were accepted."""
+        self.open += count
+        self._namespaces[namespace] += count
+
+    def remove(self, namespace: str, count: int = 1) -> None:
+        """So many tasks have ended for good."""
+        self.open -= count
+        self._namespaces[namespace] -= count
+        if self._namespaces[namespace] <= 0:
+            del self._namespaces[namespace]
--- /dev/null
+++ b/wingbarrow/decide/gate.py
@@ -0,0 +1,60 @@
+"""The gate that every offer passes right before its first byte goes out.
+
+The module decides on a send; between that and the first byte an offer may wait for a connection. Time passes
+there, so what the rules forbid is asked once more. The gate narrows; it never picks a machine.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Held(Enum):
+    """Why an offer does not go out."""
+
+    ENDED = "the request has ended"
+    LATE = "the owner's patience has ended"
+    NOT_OUT = "another attempt is out"
+    DRAINING = "the machine drains or is gone"
+    STALE_COLD = "the offer to a cold machine waited too long"
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """What the gate looks at; times in microseconds of one clock."""
+
+    decided_us: int  # when the module chose the machine
+    deadline_us: int
+    request_open: bool  # still owed its final answer
+    attempt_out: bool  # this attempt, and no other, is the one out
+    machine_runs: bool  # by all that the list has told so far
+    launched_us: int  # the machine's last start, 0 for long ago
+
+
+class SendGate:
+    """Built from the rules' figures: `cold_us` and `fall_us` as in the module's settings."""
+
+    def __init__(self, cold_us: int, fall_us: int) -> None:
+        self._cold_us = cold_us
+        # The module counts offers over a span a quarter longer than the fall's; half of that slack may pass here.
+        self._cold_wait_us = fall_us // 8
+
+    def check(self, now_us: int, offer: Offer) -> Held | None:
+        """None lets the offer out."""
+        # Rule 1. Danger: a send after the final answer, or one whose answer could only come too late.
+        if not offer.request_open:
+            return Held.ENDED
+        if now_us >= offer.deadline_us:
+            return Held.LATE
+        # Rule 2. Danger: two attempts out, when this one was given up while it waited for its connection.
+        if not offer.attempt_out:
+            return Held.NOT_OUT
+        # Rule 3. Danger: the drain was heard while the offer waited; stopped at once, not after the grace.
+        if not offer.machine_runs:
+            return Held.DRAINING
+        # Rule 4. Danger: offers that waited go out in one burst, more in a span than the module counted.
+        cold = offer.launched_us > 0 and now_us < offer.launched_us + self._cold_us
+        if cold and now_us - offer.decided_us > self._cold_wait_us:
+            return Held.STALE_COLD
+        return None
--- /dev/null
+++ b/wingbarrow/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts translate between a client protocol and the core; they decide nothing."""
--- /dev/null
+++ b/wingbarrow/fronts/rest.py
@@ -0,0 +1,180 @@
+"""The REST front: Jobs (batch/v1), Nodes and Events (v1) by the Kubernetes API's conventions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import unquote
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from wingbarrow.core.placer import Placer
+from wingbarrow.fronts.discovery import DOCUMENTS
+from wingbarrow.http.listwatch import ListWatch, Query, error_answer
+from wingbarrow.http.server import Answer, Server, ServerLimits
+from wingbarrow.http.wire import Limits, Request
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+from wingbarrow.transport import Hub
+
+_COLLECTIONS = {("batch/v1", "jobs"), ("v1", "nodes"), ("v1", "events")}
+
+
+class RestFront:
+    """Routes requests to the core and the store's list and watch."""
+
+    def __init__(self, hub: Hub, placer: Placer, log: Callable[..., None]) -> None:
+        self._placer = placer
+        self._log = log
+        limits, store, seed = placer.settings.limits, placer.store, placer.settings.seed
+        self.resources = {
+            "jobs": ListWatch(hub, store, placer.jobs, "Job", "batch/v1", limits.watchers, seed),
+            "nodes": ListWatch(hub, store, placer.nodes, "Node", "v1", limits.watchers, seed + 1),
+            "events": ListWatch(hub, store, store.collection("events"), "Event", "v1", limits.watchers, seed + 2),
+        }
+        self.server = Server(
+            hub, placer.settings.host, placer.settings.port, self.handle, self._say,
+            ServerLimits(connections=limits.connections, message=Limits(body=limits.body)), self._refuse)
+        self.port = self.server.port
+        self._registry = CollectorRegistry()
+        self._registry.register(self)  # type: ignore[arg-type]
+        self.statuses: dict[int, int] = {}
+
+    def _say(self, text: str) -> None:
+        self._log("front", level="warning", text=text)
+
+    def _refuse(self, status: int, why: str) -> Answer:
+        return error_answer(ApiError(status, why, retry_after_s=1 if status in (429, 503) else None))
+
+    def handle(self, request: Request) -> Answer:
+        """Answer one request; ApiErrors become Status objects."""
+        try:
+            answer = self._route(request)
+        except ApiError as error:
+            answer = error_answer(error)
+        self.statuses[answer.status] = self.statuses.get(answer.status, 0) + 1
+        return answer
+
+    def _route(self, request: Request) -> Answer:
+        raw, _, query_text = request.target.partition("?")
+        path = raw.rstrip("/") or "/"
+        if path in DOCUMENTS:
+            self._allow(request, "GET", "HEAD")
+            return Answer(200, names.encode(DOCUMENTS[path]))
+        if path in ("/healthz", "/livez"):
+            return Answer(200, b"ok", content_type="text/plain")
+        if path == "/readyz":
+            ready = self._placer.ready
+            return Answer(200 if ready else 503, b"ok" if ready else b"no list of machines yet",
+                          content_type="text/plain")
+        if path == "/metrics":
+            return Answer(200, generate_latest(self._registry), content_type="text/plain; version=0.0.4")
+        parts = [unquote(part) for part in path.split("/")[1:]]
+        if parts[:2] == ["api", "v1"]:
+            return self._resource(request, "v1", parts[2:], Query(query_text))
+        if parts[:3] == ["apis", "batch", "v1"]:
+            return self._resource(request, "batch/v1", parts[3:], Query(query_text))
+        raise ApiError(404, "the server could not find the requested resource", "NotFound")
+
+    def _resource(self, request: Request, version: str, parts: list[str], query: Query) -> Answer:
+        namespace = ""
+        if parts[:1] == ["namespaces"]:
+            if len(parts) <= 2 and version == "v1":
+                return self._namespaces(parts[1:])
+            if len(parts) >= 3:
+                namespace, parts = parts[1], parts[2:]
+        name = parts[0] if parts else ""
+        if (version, name) not in _COLLECTIONS or len(parts) > 2 or (namespace and name == "nodes"):
+            raise ApiError(404, "the server could not find the requested resource", "NotFound")
+        resource = self.resources[name]
+        prefix = f"{namespace}/" if namespace else ""
+        if len(parts) == 2:
+            if name != "nodes" and not namespace:
+                raise ApiError(404, "the server could not find the requested resource", "NotFound")
+            self._allow(request, "GET", "HEAD", *(("DELETE",) if name == "jobs" else ()))
+            if request.method == "DELETE":
+                return self._delete(request, prefix + parts[1], query)
+            return resource.get(prefix + parts[1])
+        if request.method == "POST" and name == "jobs" and namespace:
+            return self._create(request, namespace, query)
+        self._allow(request, "GET", "HEAD", *(("POST",) if name == "jobs" and namespace else ()))
+        return resource.list_or_watch(query, prefix, request.get("user-agent") or "")
+
+    def _namespaces(self, parts: list[str]) -> Answer:
+        """Namespaces exist by being named; those of present Jobs are listed, and `default`."""
+        if parts:
+            return Answer(200, names.encode(_namespace(parts[0])))
+        found = sorted({"default", *(job.asked.namespace for job in self._placer.book.jobs.values())})
+        return Answer(200, names.encode({
+            "kind": "NamespaceList", "apiVersion": "v1",
+            "metadata": {"resourceVersion": str(self._placer.store.version)},
+            "items": [_namespace(each) for each in found]}))
+
+    def _allow(self, request: Request, *methods: str) -> None:
+        if request.method not in methods:
+            raise ApiError(405, f"{request.method} is not supported here; {', '.join(methods)} are")
+
+    def _body(self, request: Request) -> dict[str, object]:
+        kind = (request.get("content-type") or "application/json").partition(";")[0].strip().lower()
+        if kind != "application/json":
+            raise ApiError(415, f"the body's type is {kind[:80]}; application/json is wanted")
+        try:
+            return names.decode(request.body)
+        except ValueError as error:
+            raise ApiError(400, f"the body is no JSON object: {error}", "BadRequest") from None
+
+    def _dry_run(self, told: object) -> bool:
+        values = [told] if isinstance(told, str) else told
+        if values in (None, [], [""]):
+            return False
+        if values != ["All"]:
+            raise ApiError(422, f'dryRun: only "All" is known, not {str(told)[:80]}', "Invalid")
+        return True
+
+    def _create(self, request: Request, namespace: str, query: Query) -> Answer:
+        value = self._body(request)
+        made = self._placer.submit(value, namespace, self._dry_run(query.get("dryRun")))
+        return Answer(201, names.encode(made))
+
+    def _delete(self, request: Request, key: str, query: Query) -> Answer:
+        options = self._body(request) if request.body else {}
+        told = options.get("dryRun")
+        job = self._placer.book.jobs.get(key)
+        wanted = options.get("preconditions")
+        if job is not None and isinstance(wanted, dict) and wanted.get("uid") not in (None, job.uid):
+            raise ApiError(409, f"the UID in the precondition is not that of {key}", "Conflict")
+        if self._dry_run(query.get("dryRun")) or self._dry_run(told):
+            return self.resources["jobs"].get(key)
+        value = self._placer.delete_job(key)
+        return Answer(200, names.encode({
+            "kind": "Status", "apiVersion": "v1", "metadata": {}, "status": "Success",
+            "details": {"name": value["metadata"]["name"], "group": "batch", "kind": "jobs",
+                        "uid": value["metadata"]["uid"]}}))
+
+    def collect(self):  # type: ignore[no-untyped-def]
+        """Figures for Prometheus, read when asked for."""
+        placer = self._placer
+        events = CounterMetricFamily("wingbarrow_happenings", "What the placer did and met", labels=["what"])
+        for what, count in placer.counts.items():
+            events.add_metric([what], count)
+        for what, count in [*placer.book.odd.items(), *placer.attempts.odd.items()]:
+            events.add_metric(["odd: " + what], count)
+        yield events
+        answers = CounterMetricFamily("wingbarrow_answers", "First final answers", labels=["answer"])
+        for state, count in placer.book.answers.items():
+            answers.add_metric([state.value], count)
+        yield answers
+        requests = CounterMetricFamily("wingbarrow_http_responses", "Responses by status", labels=["status"])
+        for status, count in self.statuses.items():
+            requests.add_metric([str(status)], count)
+        yield requests
+        for name, help_text, value in (
+                ("wingbarrow_open_tasks", "Tasks that are not over", placer.book.admission.open),
+                ("wingbarrow_machines", "Machines on the list", len(placer.reflector.held)),
+                ("wingbarrow_connections", "Client connections", self.server.connections),
+                ("wingbarrow_watchers", "Open watches", sum(each.watchers for each in self.resources.values()))):
+            yield GaugeMetricFamily(name, help_text, value)
+
+
+def _namespace(name: str) -> dict[str, object]:
+    return {"kind": "Namespace", "apiVersion": "v1", "metadata": {"name": name}, "status": {"phase": "Active"}}
--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -81,12 +81,13 @@
         self._waiting = 0
         self._freed = Signal(hub)
 
-    def request(self, method: str, target: str, body: bytes | None = None,
+    def request(self, method: str, target: str, body: bytes | Callable[[], bytes] | None = None,
                 fields: list[tuple[str, str]] | None = None, until_us: int | None = None,
                 may_send: Callable[[], bool] | None = None) -> Response:
         """Exchange a request for its whole answer by `until_us`.
 
-        `may_send` is asked once more when a connection is at hand, right before the first byte goes out.
+        `may_send` is asked once more when a connection is at hand, right before the first byte goes out; a
+        body that is a call is made then.
         """
         line = self._take(until_us, may_send)
         kept = False
@@ -204,10 +205,10 @@
                 self._open -= 1
                 self._freed.notify()
 
-    def _exchange(self, line: _Line, method: str, target: str, body: bytes | None,
+    def _exchange(self, line: _Line, method: str, target: str, body: bytes | Callable[[], bytes] | None,
                   fields: list[tuple[str, str]] | None, until_us: int | None) -> Response:
         data = write_request(method, target, f"{self.host}:{self.port}",
-                             [("User-Agent", self._agent), *(fields or [])], body)
+                             [("User-Agent", self._agent), *(fields or [])], body() if callable(body) else body)
         answer: Response | None = None
         got_any = False
         limit = self.hub.now_us() + self.limits.first_byte_us
--- /dev/null
+++ b/wingbarrow/http/listwatch.py
@@ -0,0 +1,199 @@
+"""Get, list and watch of a store's collections over HTTP (Kubernetes API concepts); used by fronts and stand-ins."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from wingbarrow.http.server import Answer, ChunkWriter
+from wingbarrow.kube import selectors
+from wingbarrow.kube.names import encode
+from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
+from wingbarrow.kube.store import Collection, Page, Store, Stored, event_line, matcher, parse_version, watch_lines
+from wingbarrow.transport import Hub, PeerGone, Signal
+
+SECOND = 1_000_000
+_BATCH = 256  # changes written at once
+_LOOK_US = 5 * SECOND  # an idle watcher looks this often whether its reader is still there
+_TRUE = ("1", "true", "True", "")
+
+
+class Query:
+    """The query of a request; ApiError 400 for values that cannot be read."""
+
+    def __init__(self, text: str) -> None:
+        try:
+            self._values = parse_qs(text, keep_blank_values=True, max_num_fields=50)
+        except ValueError as error:
+            raise ApiError(400, f"the query cannot be read: {error}") from None
+
+    def get(self, name: str) -> str | None:
+        """The last value of a parameter."""
+        values = self._values.get(name)
+        return values[-1] if values else None
+
+    def flag(self, name: str) -> bool:
+        """Whether a parameter is given and true."""
+        value = self.get(name)
+        return value is not None and value in _TRUE
+
+    def whole(self, name: str, most: int) -> int | None:
+        """A number of 0 to `most`; larger ones count as `most`."""
+        value = self.get(name)
+        if value is None or value == "":
+            return None
+        if not value.isascii() or not value.isdigit() or len(value) > 18:
+            raise ApiError(400, f"{name}: not a whole number: {value[:40]!r}")
+        return min(int(value), most)
+
+
+class ListWatch:
+    """Serves one collection as a resource; `kind` is the object's kind, `version` its apiVersion."""
+
+    def __init__(self, hub: Hub, store: Store, collection: Collection, kind: str, api_version: str,
+                 watchers_most: int, seed: int = 0) -> None:
+        self._hub = hub
+        self._store = store
+        self._collection = collection
+        self._kind, self._api_version = kind, api_version
+        self._changed = Signal(hub)
+        collection.changed.append(self._changed.notify)
+        self._most = watchers_most
+        self._random = random.Random(seed)
+        self.watchers = 0
+        self.fell_behind = 0
+        self.on_line: Callable[[str, bytes], None] | None = None  # a stand-in records what it tells, to whom
+        self.before_write: Callable[[str], None] | None = None  # a stand-in's faults: delay, or PeerGone
+
+    def get(self, key: str) -> Answer:
+        """One object; 404 where it is not there."""
+        stored = self._collection.objects.get(key)
+        if stored is None:
+            raise not_found(self._kind, key.rpartition("/")[2])
+        return Answer(200, stored.raw)
+
+    def list_or_watch(self, query: Query, prefix: str, agent: str = "") -> Answer:
+        """The list, or with `watch` the stream of changes; `prefix` is `namespace/` or empty."""
+        match = matcher(selectors.labels(query.get("labelSelector") or ""),
+                        selectors.fields(query.get("fieldSelector") or "", self._fields()))
+        if query.get("watch") is not None and query.flag("watch"):
+            return self._watch(query, prefix, match, agent)
+        limit, token = query.whole("limit", 1 << 31) or 0, query.get("continue")
+        exact = parse_version(query.get("resourceVersion"))
+        how = query.get("resourceVersionMatch")
+        if how not in (None, "", "Exact", "NotOlderThan"):
+            raise ApiError(400, f"resourceVersionMatch: unknown: {how[:40]!r}" if how else "")
+        if how and not exact and how == "Exact":
+            raise ApiError(400, "resourceVersionMatch Exact needs a resourceVersion above 0")
+        if exact is not None and exact > self._store.version:
+            raise _too_large(exact, self._store.version)
+        page = self._collection.page(prefix, match, limit, token, exact if how == "Exact" else None)
+        return Answer(200, self._list(page))
+
+    def _fields(self) -> frozenset[str]:
+        return frozenset(("metadata.name", "metadata.namespace", "spec.unschedulable", "status.successful",
+                          "involvedObject.name", "involvedObject.kind", "reason", "type"))
+
+    def _list(self, page: Page) -> bytes:
+        meta: dict[str, Any] = {"resourceVersion": str(page.version)}
+        if page.more:
+            meta |= {"continue": page.more, "remainingItemCount": page.remaining}
+        head = b'{"kind":"%bList","apiVersion":"%b","metadata":%b,"items":[' % (
+            self._kind.encode(), self._api_version.encode(), encode(meta))
+        return head + b",".join(stored.raw for stored in page.items) + b"]}"
+
+    def _watch(self, query: Query, prefix: str, match: Callable[[Stored], bool], agent: str) -> Answer:
+        if self.watchers >= self._most:
+            raise ApiError(429, f"more than {self._most} watches", retry_after_s=1)
+        version = parse_version(query.get("resourceVersion"))
+        asked = query.get("sendInitialEvents")
+        marks = query.flag("allowWatchBookmarks")
+        how = query.get("resourceVersionMatch")
+        if asked is not None and how != "NotOlderThan":
+            raise invalid("ListOptions", "", [Cause("resourceVersionMatch", "FieldValueForbidden",
+                                                    "sendInitialEvents needs NotOlderThan")])
+        if asked is None and how:
+            raise invalid("ListOptions", "", [Cause("resourceVersionMatch", "FieldValueForbidden",
+                                                    "forbidden for watch without sendInitialEvents")])
+        if asked is not None and query.flag("sendInitialEvents") and not marks:
+            raise invalid("ListOptions", "", [Cause("allowWatchBookmarks", "FieldValueInvalid",
+                                                    "sendInitialEvents needs bookmarks")])
+        if version is not None and version > self._store.version:
+            raise _too_large(version, self._store.version)
+        initial = query.flag("sendInitialEvents") if asked is not None else not version
+        seconds = query.whole("timeoutSeconds", 86_400) or self._random.randint(1800, 3600)
+        position = self._collection.end if initial or not version else self._collection.position(version)
+        first: list[bytes] = []
+        if initial:
+            page = self._collection.page(prefix, match, 0, None, None)
+            first = [event_line(b"ADDED", stored.raw) for stored in page.items]
+            if asked is not None:
+                first.append(self._bookmark(self._store.version, True))
+        until_us = self._hub.now_us() + seconds * SECOND
+
+        def stream(writer: ChunkWriter) -> None:
+            self.watchers += 1
+            try:
+                if first:
+                    self._write(writer, b"".join(first), agent)
+                first.clear()
+                self._follow(writer, prefix, match, position, until_us, marks, agent)
+            except ApiError as error:
+                self.fell_behind += 1
+                self._write(writer, event_line(b"ERROR", encode(error.status())), agent)
+            finally:
+                self.watchers -= 1
+        return Answer(200, stream=stream)
+
+    def _follow(self, writer: ChunkWriter, prefix: str, match: Callable[[Stored], bool], position: int,
+                until_us: int, marks: bool, agent: str) -> None:
+        marked, mark_us = self._store.version, self._hub.now_us() + 2 * _LOOK_US
+        while True:
+            changes = self._collection.changes(position, _BATCH)
+            if changes:
+                position += len(changes)
+                data = b"".join(watch_lines(changes, prefix, match))
+                if data:
+                    self._write(writer, data, agent)
+                continue
+            now = self._hub.now_us()
+            if now >= until_us or writer.gone:
+                return
+            if marks and now >= mark_us:
+                mark_us = now + 2 * _LOOK_US
+                if self._store.version != marked:
+                    marked = self._store.version
+                    self._write(writer, self._bookmark(marked, False), agent)
+                    continue
+            with self._hub.limit(min(_LOOK_US, until_us - now)):
+                self._changed.wait()
+
+    def _write(self, writer: ChunkWriter, data: bytes, agent: str) -> None:
+        if self.before_write is not None:
+            self.before_write(agent)
+        writer.write(data)
+        if self.on_line is not None:
+            self.on_line(agent, data)
+
+    def _bookmark(self, version: int, initial_end: bool) -> bytes:
+        meta: dict[str, Any] = {"resourceVersion": str(version), "creationTimestamp": None}
+        if initial_end:
+            meta["annotations"] = {"k8s.io/initial-events-end": "true"}
+        return event_line(b"BOOKMARK", encode({"kind": self._kind, "apiVersion": self._api_version,
+                                               "metadata": meta}))
+
+
+def _too_large(version: int, current: int) -> ApiError:
+    return ApiError(504, f"Too large resource version: {version}, current: {current}", "Timeout",
+                    [Cause("", "ResourceVersionTooLarge", "Too large resource version")], retry_after_s=1)
+
+
+def error_answer(error: ApiError) -> Answer:
+    """The Status of an ApiError as an answer."""
+    fields = [] if error.retry_after_s is None else [("Retry-After", str(error.retry_after_s))]
+    return Answer(error.code, encode(error.status()), fields)
+
+
+__all__ = ["ListWatch", "PeerGone", "Query", "error_answer"]
--- /dev/null
+++ b/wingbarrow/http/watching.py
@@ -0,0 +1,96 @@
+"""The client's side of list and watch: whole lists in pages, and watch events line by line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from wingbarrow.http.client import MaybeDone, Pool, Why
+from wingbarrow.http.wire import Response
+from wingbarrow.kube.names import decode
+from wingbarrow.kube.status import ApiError
+
+_LINE_MOST = 8 << 20
+_PAGES_MOST = 1000
+
+
+def read_answer(response: Response) -> dict[str, Any]:
+    """The object of a good answer; ApiError for a Status or anything that is no object."""
+    try:
+        value = decode(response.body)
+    except ValueError as error:
+        raise ApiError(response.status if response.status >= 400 else 502,
+                       f"the answer is no JSON object: {error}") from None
+    if response.status >= 400:
+        raise as_error(value, response.status)
+    return value
+
+
+def as_error(status: dict[str, Any], code: int = 500) -> ApiError:
+    """An ApiError from a Status object."""
+    told = status.get("code")
+    return ApiError(told if isinstance(told, int) else code, str(status.get("message", ""))[:500],
+                    str(status.get("reason", ""))[:100])
+
+
+def call(pool: Pool, method: str, target: str, body: bytes | None = None, until_us: int | None = None) -> dict[str, Any]:
+    """One exchange of JSON objects; CallFailed or ApiError."""
+    fields = [("Accept", "application/json")]
+    if body is not None:
+        fields.append(("Content-Type", "application/json"))
+    return read_answer(pool.request(method, target, body, fields, until_us))
+
+
+def list_all(pool: Pool, path: str, query: str, limit: int, until_us: int) -> tuple[list[dict[str, Any]], str]:
+    """All items, page by page, and the list's resourceVersion; ApiError, CallFailed or ValueError."""
+    items: list[dict[str, Any]] = []
+    token = ""
+    for _ in range(_PAGES_MOST):
+        parts = [part for part in (query, f"limit={limit}", f"continue={token}" if token else "") if part]
+        value = call(pool, "GET", f"{path}?{'&'.join(parts)}", until_us=until_us)
+        meta, page = value.get("metadata"), value.get("items")
+        if not isinstance(meta, dict) or not isinstance(page, list):
+            raise ValueError("a list without metadata or items")
+        items += [item for item in page if isinstance(item, dict)]
+        token = str(meta.get("continue") or "")
+        if not token:
+            return items, str(meta.get("resourceVersion") or "")
+    raise ValueError(f"a list of more than {_PAGES_MOST} pages")
+
+
+def watch(pool: Pool, target: str, until_us: int | None = None,
+          silence_us: int | None = None) -> Iterator[tuple[str, dict[str, Any]]]:
+    """The events of one watch as (type, object).
+
+    ApiError for an ERROR event or a refused watch, MaybeDone when the stream breaks, ValueError for garbage.
+    `until_us` bounds the wait for the head of the answer.
+    """
+    response, parts = pool.stream("GET", target, [("Accept", "application/json")], until_us, silence_us)
+    if response.status != 200:
+        body = b""
+        for part in parts:
+            body += part
+            if len(body) > _LINE_MOST:
+                break
+        response.body = body
+        read_answer(response)
+        raise ApiError(response.status, "an unexpected answer to a watch")
+    rest = b""
+    try:
+        for part in parts:
+            lines = (rest + part).split(b"\n")
+            rest = lines.pop()
+            if len(rest) > _LINE_MOST:
+                raise ValueError("a watch event of more than 8 MiB")
+            for line in lines:
+                value = decode(line)
+                kind, item = value.get("type"), value.get("object")
+                if not isinstance(kind, str) or not isinstance(item, dict):
+                    raise ValueError("a watch event without type or object")
+                if kind == "ERROR":
+                    raise as_error(item)
+                yield kind, item
+    finally:
+        parts.close()  # type: ignore[attr-defined]
+    if rest:
+        raise MaybeDone(Why.RESET_AFTER, "the watch ended inside an event")
