--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -75,7 +75,8 @@
         self._sizes = {kind.name: (kind.cores, kind.memory) for kind in rules.kinds}
         self._nursery: Nursery | None = None
         self._probes_out = 0
-        self._life = f"{self.born_us:x}"
+        # Part of every pod name: two placers, and two lives of one, must never share a name.
+        self._life = format(names.ident(f"{settings.name}/{self.born_us}"), "013x")
         self._saved_us = 0
         self.reflector = Reflector(hub, settings.source_host, settings.source_port, f"wingbarrow/{settings.name}",
                                    random.Random(self._random.random()), settings.limits.machines, self._on_list,
--- a/wingbarrow/http/listwatch.py
+++ b/wingbarrow/http/listwatch.py
@@ -65,7 +65,8 @@
         self.watchers = 0
         self.fell_behind = 0
         self.on_line: Callable[[str, bytes], None] | None = None  # a stand-in records what it tells, to whom
-        self.before_write: Callable[[str], None] | None = None  # a stand-in's faults: delay, or PeerGone
+        # A stand-in's faults: it may write a part itself, wait, or raise PeerGone.
+        self.before_write: Callable[[str, ChunkWriter, bytes], None] | None = None
 
     def get(self, key: str) -> Answer:
         """One object; 404 where it is not there."""
@@ -172,7 +173,7 @@
 
     def _write(self, writer: ChunkWriter, data: bytes, agent: str) -> None:
         if self.before_write is not None:
-            self.before_write(agent)
+            self.before_write(agent, writer, data)
         writer.write(data)
         if self.on_line is not None:
             self.on_line(agent, data)
--- a/wingbarrow/http/server.py
+++ b/wingbarrow/http/server.py
@@ -60,12 +60,15 @@
 
 
 class _Connection:
+    """One client's connection."""
+
     def __init__(self, server: Server, stream: Stream) -> None:
         self.server = server
         self.stream = stream
         self.parser = Parser(True, server.limits.message)
 
     def send(self, data: bytes) -> None:
+        """Write, or drop the connection of a reader that takes nothing for too long."""
         with self.server.hub.limit(self.server.limits.write_us) as scope:
             self.stream.send(data)
         if scope.caught:
@@ -74,6 +77,7 @@
             raise PeerGone("the reader takes nothing")
 
     def reader_gone(self) -> bool:
+        """Whether the client has closed, as far as its bytes tell."""
         return not self.stream.open or (not self.parser.buffered and not self.stream.is_quiet())
 
     def read(self) -> Request | None:
@@ -138,6 +142,7 @@
                     return
 
     def answer(self, request: Request) -> bool:
+        request.connection = self
         answer = self.server.handle(request)
         self.server.requests += 1
         head_only, keep = request.method == "HEAD", request.keep_alive and self.server.listening
--- a/wingbarrow/http/wire.py
+++ b/wingbarrow/http/wire.py
@@ -8,7 +8,7 @@
 import re
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
 _FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
 _REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/(\d)\.(\d)\r\n")
@@ -56,6 +56,7 @@
     keep_alive: bool = True
     expects_continue: bool = False
     body: bytes = b""
+    connection: Any = None  # the server's connection that it came on
 
     def get(self, name: str) -> str | None:
         """The first value of a field, by lower-case name."""
--- /dev/null
+++ b/wingbarrow/lab/cluster.py
@@ -0,0 +1,214 @@
+"""A whole cluster on loopback in one process: list source, machines, placers; each in a domain of its own."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from wingbarrow.config import PlacerSettings, load_text
+from wingbarrow.fronts.serve import Service
+from wingbarrow.lab.load import PlacerAddress
+from wingbarrow.lab.machine import Build, Machine, node_value
+from wingbarrow.lab.record import Recorder
+from wingbarrow.lab.source import ListSource
+from wingbarrow.transport import Domain, Hub, Signal
+
+SECOND = 1_000_000
+
+SETTINGS = """\
+placer "placer-{index}" index={index} of={of} seed={seed}
+listen "127.0.0.1" port={port}
+list-source "127.0.0.1" port={source}
+{state}
+class "web" effect="safe" patience="5s" worth=1.0 priority=0 {{
+    spread by="cell" most=3
+    served calm=0.8 fade=0.2
+}}
+class "settlement" effect="unsafe" patience="10s" worth=3.0 priority=1 {{
+    served calm=0.8 fade=0.15
+}}
+kind "small" cores=24 memory="48Gi"
+kind "large" cores=48 memory="96Gi"
+booking cores=1.5 memory=1.0
+attempts most=4
+cold lasts="18s" offers=20 window="2s"
+drain grace="250ms"
+tick "20ms"
+"""
+
+SMALL, LARGE = Build(), Build(kind="large", cores=48.0, memory=96.0, slots=6)
+
+
+def settings_text(index: int, of: int, seed: int, source: int, port: int = 0, state: str = "") -> str:
+    """The default settings of the laboratory's placers."""
+    return SETTINGS.format(index=index, of=of, seed=seed, source=source, port=port,
+                           state=f'state "{state}"' if state else "")
+
+
+def place(index: int, count: int) -> tuple[str, str]:
+    """Hall and rack of a machine: two halls, racks of three."""
+    hall = "hall-a" if index < (count + 1) // 2 else "hall-b"
+    return hall, f"rack-{index // 3}"
+
+
+class PlacerSlot:
+    """One placer's place: it can be started, held, killed and started again on the same port."""
+
+    def __init__(self, cluster: Cluster, index: int, of: int, seed: int, state: str) -> None:
+        self.cluster, self.index, self.of, self.seed, self.state = cluster, index, of, seed, state
+        self.name = f"placer-{index}"
+        self.port = 0
+        self.domain = Domain(cluster.hub, self.name)
+        self.service: Service | None = None
+        self.settings: PlacerSettings = self._settings()
+
+    def _settings(self) -> PlacerSettings:
+        text = settings_text(self.index, self.of, self.seed, self.cluster.source.port or 1, self.port, self.state)
+        return replace(load_text(text), seed=self.seed)
+
+    def start(self) -> None:
+        """Start the placer; returns when its front listens."""
+        hub = self.cluster.hub
+        self.settings = self._settings()
+        ready = Signal(hub)
+
+        def begin() -> None:
+            service = Service(hub, self.settings, self.cluster.log)
+            self.service, self.port = service, service.rest.port
+            ready.notify()
+            service.run()
+        self.domain = Domain(hub, self.name)
+        hub.spawn(begin, self.name, self.domain)
+        ready.wait()
+
+    def kill(self) -> None:
+        """End the placer at once, as a killed process."""
+        self.cluster.record(self.name, "killed")
+        self.domain.kill()
+        self.service = None
+
+    def hold(self, for_us: int) -> None:
+        """Stop the placer for a while, as a process that gets no processor."""
+        self.cluster.record(self.name, "hold", for_us=for_us)
+        self.domain.hold(for_us)
+
+
+class Cluster:
+    """Machines, list source and placers of one day."""
+
+    def __init__(self, hub: Hub, machines: int, placers: int, seed: int, log: Callable[..., None],
+                 builds: Callable[[int], Build] | None = None) -> None:
+        self.hub, self.log, self.seed = hub, log, seed
+        self.random = random.Random(seed)
+        self.record = Recorder(hub.now_us)
+        self.source = ListSource(hub, seed + 1, self.record, self._say)
+        self.machines: list[Machine] = []
+        self._folder = tempfile.TemporaryDirectory(prefix="wingbarrow-lab-")
+        self._dirty: dict[str, Machine] = {}
+        self._gone: set[str] = set()
+        self._made = 0
+        for index in range(machines):
+            hall, rack = place(index, machines)
+            build = builds(index) if builds else (LARGE if index % 4 == 3 else SMALL)
+            self._add(replace(build, zone=hall, cell=rack))
+        self.placers = [PlacerSlot(self, index, placers, seed + index, str(Path(self._folder.name) / f"p{index}"))
+                        for index in range(placers)]
+
+    def _say(self, text: str) -> None:
+        self.log("stand-in", text=text)
+
+    def _add(self, build: Build) -> Machine:
+        machine = Machine(self.hub, f"node-{self._made}", build, self.seed * 1000 + self._made, self.record, self._say)
+        machine.changed = self._changed
+        self._made += 1
+        self.machines.append(machine)
+        return machine
+
+    def _changed(self, machine: Machine) -> None:
+        self._dirty[machine.name] = machine
+
+    def start(self) -> None:
+        """Bring everything up."""
+        for machine in self.machines:
+            machine.launch(cold=False)
+        self.source.start()
+        for machine in self.machines:
+            self.source.show(machine.name, node_value(machine))
+        self.hub.spawn(self._tell_room, "tells room")
+        for slot in self.placers:
+            slot.start()
+
+    def _tell_room(self) -> None:
+        while True:
+            self.hub.sleep(SECOND)
+            dirty, self._dirty = self._dirty, {}
+            for machine in dirty.values():
+                if machine.up and machine.name not in self._gone:
+                    self.source.show(machine.name, node_value(machine))
+
+    def addresses(self) -> list[PlacerAddress]:
+        """Where the placers listen."""
+        return [PlacerAddress(slot.name, slot.port) for slot in self.placers]
+
+    # -- troubles
+
+    def at(self, seconds: float, call: Callable[[], Any]) -> None:
+        """Do something at a time from now, in a task of its own."""
+        at_us = self.hub.now_us() + int(seconds * SECOND)
+
+        def due() -> None:
+            self.hub.spawn(call, "trouble")
+        self.hub._at(at_us, due, None)
+
+    def drain(self, machine: Machine, then_gone_s: float | None = 6.0) -> None:
+        """The list says that a machine drains, it sends its tasks away, and goes."""
+        machine.begin_drain()
+        self.source.show(machine.name, node_value(machine))
+        if then_gone_s is not None:
+            self.hub.sleep(int(then_gone_s * SECOND))
+            machine.die()
+            self._gone.add(machine.name)
+            self.source.show(machine.name, None)
+
+    def crash(self, machine: Machine, back_s: float | None) -> None:
+        """A machine dies at once; it comes back cold after a while, or never."""
+        machine.die()
+        if back_s is None:
+            self._gone.add(machine.name)
+            self.hub.sleep(4 * SECOND)
+            self.source.show(machine.name, None)
+            return
+        self.hub.sleep(int(back_s * SECOND))
+        if not machine.fallen:
+            machine.launch(cold=True)
+            self.source.show(machine.name, node_value(machine))
+
+    def replace(self, machine: Machine) -> None:
+        """A deploy's step: a cold successor comes up, the old one drains and goes."""
+        fresh = self._add(machine.build)
+        fresh.launch(cold=True)
+        self.source.show(fresh.name, node_value(fresh))
+        self.drain(machine, 4.0)
+
+    def hold_machine(self, machine: Machine, for_s: float) -> None:
+        """A machine stands still and goes on."""
+        self.record(machine.name, "hold", for_us=int(for_s * SECOND))
+        machine.domain.hold(int(for_s * SECOND))
+
+    def restart_placer(self, slot: PlacerSlot, after_s: float) -> None:
+        """Kill a placer; it is back after a while with nothing but its saved list."""
+        slot.kill()
+        self.hub.sleep(int(after_s * SECOND))
+        slot.start()
+
+    def live(self) -> list[Machine]:
+        """Machines that are up and do not drain."""
+        return [machine for machine in self.machines if machine.up and not machine.draining]
+
+    def close(self) -> None:
+        """Let go of the temporary folder."""
+        self._folder.cleanup()
--- /dev/null
+++ b/wingbarrow/lab/days.py
@@ -0,0 +1,271 @@
+"""Scripted days: troubles on the whole path, on a compressed clock, audited at the sockets.
+
+Every kind of trouble that the bench knows has a day here, and `bad-day` puts many into one.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from wingbarrow.core.logs import silent
+from wingbarrow.lab.audit import Audit, audit
+from wingbarrow.lab.cluster import SECOND, Cluster
+from wingbarrow.lab.faults import Fault, FaultRule
+from wingbarrow.lab.load import Mix, Owners, Want, draw
+from wingbarrow.transport import Hub, VirtualClock
+
+Script = Callable[[Cluster, Owners], None]
+
+
+@dataclass(frozen=True)
+class Day:
+    """A day: what it is, its size and load, and the script that sets its troubles."""
+
+    about: str
+    script: Script
+    machines: int = 10
+    placers: int = 3
+    seconds: float = 40.0
+    mix: Mix = Mix()
+    wants: Callable[[list[Want], int], list[Want]] | None = None
+
+
+@dataclass
+class Outcome:
+    """What came of a day."""
+
+    audit: Audit
+    cluster: Cluster
+    owners: Owners
+    real_s: float
+    virtual_s: float
+
+
+def run_day(name: str, seed: int = 1, log: Callable[..., None] = silent, report: Path | None = None,
+            scale: float = 1.0) -> Outcome:
+    """Play a day on a virtual clock; `scale` stretches its size."""
+    day = DAYS[name]
+    hub = Hub(VirtualClock())
+    hub.complain = lambda task, error: log("task-failed", level="error", task=task,
+                                           why=f"{type(error).__name__}: {error}")
+    cluster = Cluster(hub, max(4, round(day.machines * scale)), day.placers, seed, log)
+    begun = time.perf_counter()
+
+    def main() -> Owners:
+        start_us = hub.now_us()
+        cluster.start()
+        owners = Owners(hub, cluster.addresses(), seed + 77, cluster.record)
+        hub.sleep(2 * SECOND)
+        day.script(cluster, owners)
+        wants = draw(replace(day.mix, rate=day.mix.rate * scale), day.seconds, seed + 5)
+        if day.wants is not None:
+            wants = day.wants(wants, seed)
+        owners.run(wants, start_us + int((day.seconds + 60) * SECOND))
+        hub.sleep(2 * SECOND)
+        return owners
+
+    owners = hub.run(main)
+    settings = cluster.placers[0].settings
+    result = audit(cluster.record.records, settings)
+    outcome = Outcome(result, cluster, owners, time.perf_counter() - begun, (hub.now_us() - 1_000_000_000) / 1e6)
+    if report is not None:
+        report.mkdir(parents=True, exist_ok=True)
+        cluster.record.write(report / f"{name}-{seed}.jsonl")
+    cluster.close()
+    return outcome
+
+
+# -- scripts
+
+
+def _quiet(cluster: Cluster, owners: Owners) -> None:
+    pass
+
+
+def _crash(cluster: Cluster, owners: Owners) -> None:
+    for machine in cluster.random.sample(cluster.live(), max(1, len(cluster.machines) // 4)):
+        cluster.at(12, lambda m=machine: cluster.crash(m, 6 + cluster.random.random() * 4))  # type: ignore[misc]
+
+
+def _shrink(cluster: Cluster, owners: Owners) -> None:
+    for machine in cluster.random.sample(cluster.live(), max(1, len(cluster.machines) // 5)):
+        cluster.at(12, lambda m=machine: cluster.crash(m, None))  # type: ignore[misc]
+
+
+def _deploy(cluster: Cluster, owners: Owners) -> None:
+    for turn, machine in enumerate(list(cluster.machines)):
+        cluster.at(8 + turn * 2.2, lambda m=machine: cluster.replace(m))  # type: ignore[misc]
+
+
+def _drain_some(cluster: Cluster, owners: Owners) -> None:
+    for turn, machine in enumerate(cluster.random.sample(cluster.live(), 3)):
+        cluster.at(9 + turn * 5, lambda m=machine: cluster.drain(m))  # type: ignore[misc]
+
+
+def _pauses(cluster: Cluster, owners: Owners) -> None:
+    for turn in range(6):
+        machine = cluster.random.choice(cluster.live())
+        cluster.at(6 + turn * 4, lambda m=machine: m.up and cluster.hold_machine(m, 3.0))  # type: ignore[misc]
+
+
+def _throttle(cluster: Cluster, owners: Owners) -> None:
+    def slow(factor: float) -> None:
+        for machine in cluster.machines[::3]:
+            machine.slowness = factor
+    cluster.at(8, lambda: slow(6.0))
+    cluster.at(26, lambda: slow(1.0))
+
+
+def _class_fail(cluster: Cluster, owners: Owners) -> None:
+    now = cluster.hub.now_us()
+    for index, machine in enumerate(cluster.machines[::3]):
+        fault = (Fault.SILENT_BEFORE, Fault.REFUSE)[index % 2]
+        machine.faults.rules.append(FaultRule(fault, 1.0, now + 8 * SECOND, now + 28 * SECOND, ("web",)))
+
+
+def _list_down(cluster: Cluster, owners: Owners) -> None:
+    cluster.at(8, lambda: cluster.source.set_down(True))
+    _crash(cluster, owners)
+    cluster.at(24, lambda: cluster.source.set_down(False))
+
+
+def _list_late(cluster: Cluster, owners: Owners) -> None:
+    def lag(seconds: float) -> None:
+        cluster.source.lag_us = int(seconds * SECOND)
+    cluster.at(7, lambda: lag(8.0))
+    _drain_some(cluster, owners)
+    _crash(cluster, owners)
+    cluster.at(27, lambda: lag(0.5))
+
+
+def _list_back(cluster: Cluster, owners: Owners) -> None:
+    """The list goes backwards: after drains were told, an older picture is served for a while."""
+    pictures: list[Callable[[bool], None]] = []
+    cluster.at(8, lambda: pictures.append(cluster.source.keep_old()))
+    for turn, machine in enumerate(cluster.random.sample(cluster.live(), 3)):
+        cluster.at(10 + turn, lambda m=machine: cluster.drain(m, 20.0))  # type: ignore[misc]
+    cluster.at(15, lambda: pictures[0](True))
+    cluster.at(25, lambda: pictures[0](False))
+
+
+def _placer_crash(cluster: Cluster, owners: Owners) -> None:
+    slot = cluster.placers[0]
+    cluster.at(12, lambda: cluster.restart_placer(slot, 4.0))
+
+
+def _placer_roll(cluster: Cluster, owners: Owners) -> None:
+    for turn, slot in enumerate(cluster.placers):
+        cluster.at(8 + turn * 7, lambda s=slot: cluster.restart_placer(s, 3.0))  # type: ignore[misc]
+
+
+def _placer_stall(cluster: Cluster, owners: Owners) -> None:
+    for turn in range(8):
+        slot = cluster.placers[turn % len(cluster.placers)]
+        cluster.at(5 + turn * 4, lambda s=slot: s.hold(1_000_000))  # type: ignore[misc]
+
+
+def _tail(cluster: Cluster, owners: Owners) -> None:
+    def heavier(factors: dict[str, float]) -> None:
+        for machine in cluster.machines:
+            machine.use_factor = factors
+    cluster.at(10, lambda: heavier({f"web-{i}": 2.4 for i in range(0, 40, 6)}))
+    cluster.at(30, lambda: heavier({}))
+
+
+def _hot(cluster: Cluster, owners: Owners) -> None:
+    def heavier(factors: dict[str, float]) -> None:
+        for machine in cluster.machines:
+            machine.use_factor = factors
+    cluster.at(10, lambda: heavier({"web-0": 2.5, "web-1": 2.5, "web-2": 2.5}))
+    cluster.at(28, lambda: heavier({}))
+
+
+def _again_at_once(wants: list[Want], seed: int) -> list[Want]:
+    """Owners stop a share of their services and ask for all their tasks again within two seconds."""
+    now = 15 * SECOND
+    lost = [want for want in wants if want.at_us < now < want.at_us + want.runs_us and want.task_class == "web"
+            and int(want.service.partition("-")[2]) % 2 == 0]
+    more = [replace(want, ident=f"r{i}", at_us=now + (i * 2 * SECOND) // max(1, len(lost)))
+            for i, want in enumerate(lost)]
+    return sorted([*wants, *more], key=lambda want: want.at_us)
+
+
+def _lost_answers(cluster: Cluster, owners: Owners) -> None:
+    now = cluster.hub.now_us()
+    for index, machine in enumerate(cluster.machines):
+        faults = (Fault.RESET_BEFORE, Fault.RESET_AFTER, Fault.SILENT_AFTER, Fault.HALF, Fault.GARBAGE,
+                  Fault.SILENT_BEFORE, Fault.DELAY)
+        for turn in range(2):
+            machine.faults.rules.append(FaultRule(faults[(index + turn) % len(faults)], 0.12, now,
+                                                  now + 36 * SECOND))
+
+
+def _cuts(cluster: Cluster, owners: Owners) -> None:
+    cluster.source.cut_share = 0.2
+    owners.cut_watch_at_us = [cluster.hub.now_us() + s * SECOND for s in range(4, 36, 2)]
+
+
+def _bad(cluster: Cluster, owners: Owners) -> None:
+    """Lost answers all day; drains, a crash and its cold return, a late list, stalls, a placer killed, cut watches."""
+    _lost_answers(cluster, owners)
+    cluster.source.cut_share = 0.05
+    owners.cut_watch_at_us = [cluster.hub.now_us() + s * SECOND for s in range(5, 50, 5)]
+    victims = cluster.random.sample(cluster.live(), 6)
+    cluster.at(6, lambda: cluster.drain(victims[0]))
+    cluster.at(11, lambda: cluster.crash(victims[1], 7.0))
+    cluster.at(11, lambda: cluster.crash(victims[2], 9.0))
+    cluster.at(16, lambda: setattr(cluster.source, "lag_us", 5 * SECOND))
+    cluster.at(18, lambda: cluster.drain(victims[3]))
+    cluster.at(20, lambda: cluster.hold_machine(victims[4], 4.0))
+    cluster.at(23, lambda: cluster.placers[1].hold(1_000_000))
+    cluster.at(26, lambda: cluster.restart_placer(cluster.placers[0], 3.0))
+    cluster.at(30, lambda: cluster.source.set_down(True))
+    cluster.at(33, lambda: victims[5].up and cluster.crash(victims[5], 5.0))
+    cluster.at(38, lambda: cluster.source.set_down(False))
+    cluster.at(40, lambda: setattr(cluster.source, "lag_us", SECOND // 2))
+
+
+_BURST = Mix(burst=((10.0, 16.0, 2.4),))
+DAYS: dict[str, Day] = {
+    "bad-day": Day("many troubles in one day", _bad, seconds=50.0),
+    "quiet": Day("nothing goes wrong", _quiet),
+    "burst": Day("demand jumps to 2.4 times the usual for six seconds", _quiet, mix=_BURST),
+    "hot_key": Day("all tasks of some services use all they may", _hot),
+    "heavy_tail": Day("a share of one class uses far more than it asked", _tail),
+    "reconnect": Day("owners ask again for whole services within two seconds", _quiet, wants=_again_at_once),
+    "crash": Day("a quarter of the machines die at once and come back cold", _crash),
+    "shrink": Day("a fifth of the machines are gone for good", _shrink),
+    "deploy": Day("every machine is replaced in turn by a cold one", _deploy),
+    "drains": Day("machines drain, send their tasks away and go", _drain_some),
+    "pauses": Day("machines stand still for three seconds", _pauses),
+    "throttle": Day("a third of the machines work six times slower", _throttle),
+    "class_fail": Day("some machines leave one class unanswered, or turn it away in spite of room", _class_fail),
+    "discovery_down": Day("the list is out of reach while machines crash", _list_down),
+    "discovery_stale": Day("the list runs eight seconds late while machines drain and crash", _list_late),
+    "discovery_back": Day("the list goes back to an older picture after drains", _list_back),
+    "balancer_crash": Day("a placer is killed and comes back with its saved list", _placer_crash),
+    "balancer_roll": Day("all placers are restarted in turn", _placer_roll),
+    "balancer_stall": Day("placers stand still for a second, again and again", _placer_stall),
+    "lost_answers": Day("answers to offers are lost, cut, garbled or late, before or after the effect", _lost_answers),
+    "cut_watches": Day("watches of the list and of owners are cut in the middle of a line", _cuts),
+}
+
+
+def summary(outcome: Outcome) -> dict[str, Any]:
+    """Figures of a day beside the audit, for people."""
+    records = outcome.cluster.record.records
+    first = {r.data["uid"]: r.at_us for r in records if r.what == "accepted"}
+    waits: list[int] = []
+    for record in records:
+        if record.where == "owner" and record.what == "answer" and record.data["answer"] == "placed":
+            begun = first.pop(record.data["uid"], None)
+            if begun is not None:
+                waits.append(record.at_us - begun)
+    waits.sort()
+    return {"kind": "day", "virtual_s": round(outcome.virtual_s, 1), "real_s": round(outcome.real_s, 1),
+            "records": len(records), "placed_ms_p50": waits[len(waits) // 2] / 1000 if waits else None,
+            "placed_ms_p99": waits[len(waits) * 99 // 100] / 1000 if waits else None}
--- /dev/null
+++ b/wingbarrow/lab/load.py
@@ -0,0 +1,246 @@
+"""Owners: they submit Jobs to placers over REST, watch for answers, and ask again as real owners do."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from wingbarrow.http.client import CallFailed, Pool, PoolLimits
+from wingbarrow.http.watching import call, list_all, watch
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+from wingbarrow.lab.record import Recorder
+from wingbarrow.transport import Domain, Hub, Nursery
+
+SECOND = 1_000_000
+PATIENCE_US = {"web": 5 * SECOND, "settlement": 10 * SECOND}
+AGAIN_US = 1_500_000
+TRIES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """A task that somebody wants, from a time on for so long; memory in GiB."""
+
+    at_us: int
+    ident: str
+    task_class: str
+    service: str
+    cores: float
+    memory: float
+    runs_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """What load is made of."""
+
+    rate: float = 10.0  # tasks a second
+    services: int = 40
+    settlement: float = 0.02  # share of it
+    life_s: tuple[float, float] = (4.0, 16.0)
+    burst: tuple[tuple[float, float, float], ...] = ()  # from, until (seconds), times the usual rate
+
+
+def draw(mix: Mix, seconds: float, seed: int, prefix: str = "w") -> list[Want]:
+    """Arrivals of a day, a function of the seed alone."""
+    rng, at, out = random.Random(seed), 0.0, []
+    while True:
+        factor = max((times for begin, end, times in mix.burst if begin <= at < end), default=1.0)
+        at += rng.expovariate(mix.rate * factor)
+        if at >= seconds:
+            return out
+        if rng.random() < mix.settlement:
+            task_class, cores, memory = "settlement", *rng.choice(((4.0, 8.0), (6.0, 12.0)))
+            runs = rng.uniform(8, 20)
+        else:
+            task_class, cores, memory = "web", *rng.choice(((0.5, 1.0), (1.0, 2.0), (2.0, 3.0)))
+            runs = rng.uniform(*mix.life_s)
+        service = f"{task_class}-{min(rng.randrange(mix.services), rng.randrange(mix.services))}"
+        out.append(Want(int(at * SECOND), f"{prefix}{len(out)}", task_class, service, cores, memory,
+                        int(runs * SECOND)))
+
+
+def job_value(want: Want, name: str, patience_us: int) -> dict[str, Any]:
+    """The Job that an owner submits."""
+    return {
+        "apiVersion": "batch/v1", "kind": "Job",
+        "metadata": {"name": name, "labels": {names.CLASS: want.task_class, names.SERVICE: want.service},
+                     "annotations": {names.PATIENCE: f"{patience_us // 1000}ms",
+                                     names.EXPECTED: f"{want.runs_us // 1000}ms",
+                                     names.RUNS_FOR: f"{want.runs_us // 1000}ms"}},
+        "spec": {"template": {
+            "metadata": {"annotations": {"lab/task": want.ident}},
+            "spec": {"restartPolicy": "Never", "containers": [{
+                "name": "task", "image": "stand-in", "resources": {"requests": {
+                    "cpu": f"{want.cores * 1000:.0f}m", "memory": f"{want.memory * 1024:.0f}Mi"}}}]}}}}
+
+
+@dataclass(slots=True)
+class _Asked:
+    want: Want
+    name: str
+    tries: int
+    answered: bool = False
+    until_us: int = 0
+
+
+@dataclass(slots=True)
+class PlacerAddress:
+    """Where a placer's front listens."""
+
+    name: str
+    port: int
+
+
+class Owners:
+    """All owners of a day; each placer is watched by one of them."""
+
+    def __init__(self, hub: Hub, placers: list[PlacerAddress], seed: int, record: Recorder) -> None:
+        self.hub = hub
+        self._placers = placers
+        self._random = random.Random(seed)
+        self._record = record
+        self._pools = [Pool(hub, "127.0.0.1", each.port, PoolLimits(connections=64, waiting=4096,
+                                                                   first_byte_us=5 * SECOND), "owner")
+                       for each in placers]
+        self._asked: list[dict[str, _Asked]] = [{} for _ in placers]
+        self.waiting: deque[Want] = deque()
+        self.submitted = self.open = 0
+        self.domain = Domain(hub, "owners")
+        self._nursery: Nursery | None = None
+        self.watch_cuts = 0
+        self.relists = 0
+        self.cut_watch_at_us: list[int] = []
+        self.on_answer: Callable[[str, str], None] = lambda _job, _answer: None
+
+    def run(self, wants: list[Want], until_us: int) -> None:
+        """Submit every want in its time; return when all is answered, or at the time given."""
+        begin = self.hub.now_us()
+        with Nursery(self.hub) as nursery:
+            self._nursery = nursery
+            for index in range(len(self._placers)):
+                nursery.spawn(lambda index=index: self._watch(index), "owner watches")  # type: ignore[misc]
+            for want in wants:
+                self.hub.sleep_until(begin + want.at_us)
+                nursery.spawn(lambda want=want: self._ask(want, 0), "owner asks")  # type: ignore[misc]
+            while self.open and self.hub.now_us() < until_us:
+                self.hub.sleep(SECOND // 4)
+            nursery.cancel()
+
+    def _ask(self, want: Want, tries: int) -> None:
+        self.open += 1
+        try:
+            index = self._random.randrange(len(self._placers))
+            for turn in range(3):
+                if self._submit((index + turn) % len(self._placers), want, tries):
+                    return
+                self.hub.sleep(200_000 + self._random.randrange(200_000))
+        finally:
+            self.open -= 1
+
+    def _submit(self, index: int, want: Want, tries: int) -> bool:
+        """True where no other placer may be asked: it was accepted, or may have been."""
+        placer, patience = self._placers[index], PATIENCE_US[want.task_class]
+        self.submitted += 1
+        name = f"{want.ident}-{tries}-{self.submitted}"
+        asked = _Asked(want, name, tries)
+        self._asked[index][name] = asked
+        body = names.encode(job_value(want, name, patience))
+        sent_us = self.hub.now_us()
+        try:
+            value = call(self._pools[index], "POST", "/apis/batch/v1/namespaces/default/jobs", body,
+                         sent_us + 2 * SECOND)
+        except ApiError as error:
+            del self._asked[index][name]
+            self._record("owner", "turned-away", placer=placer.name, job=name, code=error.code)
+            return error.code == 422
+        except CallFailed as error:
+            self._record("owner", "submit-failed", placer=placer.name, job=name, why=error.why.name)
+            # In doubt: what must not start twice is not handed to another placer.
+            unsent = type(error).__name__ == "NotSent"
+            del self._asked[index][name]
+            return not unsent and want.task_class == "settlement"
+        asked.until_us = sent_us + patience
+        self.open += 1
+        self._record("owner", "accepted", placer=placer.name, job=name, uid=value["metadata"]["uid"],
+                     task=want.ident, task_class=want.task_class, patience_us=patience, sent_us=sent_us)
+        self._see(index, value)
+        self._spawn(lambda: self._give_up(index, asked))
+        return True
+
+    def _spawn(self, what: Callable[[], None]) -> None:
+        if self._nursery is not None and not self._nursery.scope.cancelled:
+            self._nursery.spawn(what, "owner")
+
+    def _give_up(self, index: int, asked: _Asked) -> None:
+        """The owner's patience, and a little: who hears nothing by then stops waiting."""
+        self.hub.sleep_until(asked.until_us + SECOND)
+        if not asked.answered:
+            asked.answered = True
+            self.open -= 1
+            self._record("owner", "gave-up", placer=self._placers[index].name, job=asked.name)
+            self._asked[index].pop(asked.name, None)
+            if asked.want.task_class != "settlement":
+                self._again(asked)
+
+    def _watch(self, index: int) -> None:
+        pool, version = self._pools[index], ""
+        path = "/apis/batch/v1/jobs"
+        while True:
+            try:
+                if not version:
+                    self.relists += 1
+                    items, version = list_all(pool, path, "", 500, self.hub.now_us() + 5 * SECOND)
+                    for item in items:
+                        self._see(index, item)
+                target = f"{path}?watch=true&resourceVersion={version}&allowWatchBookmarks=true"
+                for kind, value in watch(pool, target, self.hub.now_us() + 5 * SECOND):
+                    version = value["metadata"]["resourceVersion"]
+                    if kind in ("ADDED", "MODIFIED"):
+                        self._see(index, value)
+                    if self.cut_watch_at_us and self.hub.now_us() >= self.cut_watch_at_us[0]:
+                        self.cut_watch_at_us.pop(0)
+                        self.watch_cuts += 1
+                        break
+            except (CallFailed, ValueError):
+                self.hub.sleep(200_000)
+            except ApiError as error:
+                if error.code == 410:
+                    version = ""
+                self.hub.sleep(200_000)
+
+    def _see(self, index: int, value: dict[str, Any]) -> None:
+        """What one watch event, or answer, says of a Job."""
+        name = value["metadata"]["name"]
+        status = value.get("status", {})
+        conditions = {each["type"]: each for each in status.get("conditions", [])}
+        failed = conditions.get("Failed", {}).get("reason", "")
+        answer = ("placed" if "Placed" in conditions else
+                  {"Refused": "refused", "Failed": "failed"}.get(failed, ""))
+        if not answer:
+            return
+        self._record("owner", "answer", placer=self._placers[index].name, job=name, uid=value["metadata"]["uid"],
+                     answer=answer, failed=failed)
+        asked = self._asked[index].get(name)
+        if asked is None:
+            return
+        over = "Complete" in conditions or failed
+        if not asked.answered:
+            asked.answered = True
+            self.open -= 1
+            self.on_answer(name, answer)
+            if answer == "refused" or (answer == "failed" and asked.want.task_class != "settlement"):
+                self._again(asked)
+        if over:
+            del self._asked[index][name]
+
+    def _again(self, asked: _Asked) -> None:
+        if asked.tries + 1 < TRIES:
+            def later() -> None:
+                self.hub.sleep(AGAIN_US + self._random.randrange(SECOND))
+                self._ask(asked.want, asked.tries + 1)
+            self._spawn(later)
--- /dev/null
+++ b/wingbarrow/lab/machine.py
@@ -0,0 +1,450 @@
+"""A stand-in machine in the kubelet's terms: it admits, queues, starts, runs, evicts, pushes out, drains, dies."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from wingbarrow.config import parse_duration, parse_size
+from wingbarrow.http.listwatch import ListWatch, Query, error_answer
+from wingbarrow.http.server import Answer, Server, ServerLimits
+from wingbarrow.http.wire import Request, write_response
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+from wingbarrow.kube.store import Store
+from wingbarrow.lab.faults import Fault, FaultPlan
+from wingbarrow.lab.record import Recorder
+from wingbarrow.transport import Channel, Closed, Domain, Full, Hub, PeerGone, Signal
+
+SECOND = 1_000_000
+LOOK_US = 200_000  # a waiting answer looks this often whether its client is still there
+KEEP_ENDED_US = 20 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class Build:
+    """How a machine is made and behaves; times in microseconds, memory in GiB."""
+
+    kind: str = "small"
+    cores: float = 24.0
+    memory: float = 48.0
+    zone: str = "hall-a"
+    cell: str = "rack-0"
+    booking_cores: float = 1.5
+    booking_memory: float = 1.0
+    admit_us: int = 8_000
+    line: int = 24  # offers that may wait
+    slots: int = 4  # starts at a time
+    start_us: int = 60_000  # of a program that the machine holds; `setup` times that otherwise
+    setup: float = 6.0
+    kept: int = 8  # programs kept after their last task
+    cold_from: float = 0.25
+    cold_us: int = 18 * SECOND
+    fall_us: int = 2 * SECOND
+    fresh_offers: int = 20
+    fall_multiple: float = 2.0
+    pushes_out: bool = True
+    drain: str = "paced"  # none, paced, at-once
+    tick_us: int = 3 * SECOND
+
+
+class Pod:
+    """A task on a machine."""
+
+    __slots__ = ("name", "namespace", "value", "task_class", "service", "cores", "memory", "priority", "phase",
+                 "started_us", "runs_us", "verdict", "use_cores", "use_memory", "ended_us", "task")
+
+    def __init__(self, value: dict[str, Any], use: tuple[float, float]) -> None:
+        meta, notes = value["metadata"], value["metadata"].get("annotations", {})
+        self.name, self.namespace, self.value = meta["name"], meta["namespace"], value
+        self.task_class = meta.get("labels", {}).get(names.CLASS, "")
+        self.service = notes.get(names.SERVICE, "")
+        self.task = notes.get("lab/task", notes.get(names.TASK, ""))
+        requests = [each["resources"]["requests"] for each in value["spec"]["containers"]]
+        self.cores = sum(parse_size(str(each["cpu"])) for each in requests)
+        self.memory = sum(parse_size(str(each["memory"])) for each in requests) / 2**30
+        self.priority = int(value["spec"].get("priority", 0))
+        self.runs_us = parse_duration(notes.get(names.RUNS_FOR, "10s"))
+        self.phase = "Pending"
+        self.started_us = self.ended_us = 0
+        self.verdict: ApiError | None = None
+        self.use_cores, self.use_memory = use[0] * self.cores, use[1] * self.memory
+
+
+class Machine:
+    """One machine; its sockets and tasks live in a domain that can be held still or killed."""
+
+    def __init__(self, hub: Hub, name: str, build: Build, seed: int, record: Recorder,
+                 say: Callable[[str], None]) -> None:
+        self.hub, self.name, self.build, self._record, self._say = hub, name, build, record, say
+        self._random = random.Random(seed)
+        self.faults = FaultPlan(seed + 1)
+        self.port = 0
+        self.launched_us = 0
+        self.up = self.fallen = self.draining = False
+        self.slowness = 1.0
+        self.use_factor: dict[str, float] = {}  # by class or service: tasks use so much more
+        self.domain = Domain(hub, name)
+        self.pods: dict[str, Pod] = {}
+        self.changed: Callable[[Machine], None] = lambda _: None
+        self.offers_seen = 0
+
+    # -- life
+
+    def launch(self, cold: bool) -> None:
+        """Come up, on the same port as before; a cold one starts at a part of its pace."""
+        now = self.hub.now_us()
+        self.domain = Domain(self.hub, self.name)
+        self.pods, self._programs = {}, deque[str](maxlen=self.build.kept)
+        self._cold_offers = deque[int]()
+        self._store = Store(self.hub.clock.wall_us(), 4096)
+        self._collection = self._store.collection("pods")
+        self._pods_view = ListWatch(self.hub, self._store, self._collection, "Pod", "v1", 256)
+        self._changed = Signal(self.hub)
+        self.launched_us = now if cold else 0
+        self.up, self.draining = True, False
+        self._starting = 0
+        self._waiting: deque[Pod] = deque()
+        self._line: Channel[tuple[Pod | None, Signal]] = Channel(self.hub, self.build.line)
+        self._record(self.name, "launch", cold=cold, zone=self.build.zone, cell=self.build.cell)
+        ready = Signal(self.hub)
+
+        def begin() -> None:
+            self._server = Server(self.hub, "127.0.0.1", self.port, self._handle, self._say,
+                                  ServerLimits(connections=512))
+            self.port = self._server.port
+            self.hub.spawn(self._server.serve, f"{self.name} serves")
+            self.hub.spawn(self._admit, f"{self.name} admits")
+            self.hub.spawn(self._live, f"{self.name} lives")
+            ready.notify()
+        self.hub.spawn(begin, f"{self.name} begins", self.domain)
+        ready.wait()
+
+    def die(self) -> None:
+        """Vanish at once: connections reset, tasks lost."""
+        if not self.up:
+            return
+        self.up = False
+        self._record(self.name, "die")
+        for pod in list(self.pods.values()):
+            if pod.phase == "Running":
+                self._record(self.name, "end", pod=pod.name, why="died")
+        self.pods = {}
+        self.domain.kill()
+
+    def begin_drain(self) -> None:
+        """Accept nothing more; send tasks away as the build says."""
+        if self.draining or not self.up:
+            return
+        self.draining = True
+        if self.build.drain != "none":
+            self.hub.spawn(self._send_away, f"{self.name} drains", self.domain)
+
+    def _send_away(self) -> None:
+        for pod in list(self.pods.values()):
+            if pod.phase in ("Running", "Pending"):
+                self._end(pod, "Failed", "NodeShutdown")
+                if self.build.drain == "paced":
+                    self.hub.sleep(400_000)
+
+    @property
+    def asked(self) -> tuple[float, float]:
+        """Cores and memory asked by accepted tasks."""
+        live = [pod for pod in self.pods.values() if pod.phase in ("Pending", "Running")]
+        return sum(pod.cores for pod in live), sum(pod.memory for pod in live)
+
+    def used(self) -> tuple[float, float]:
+        """Cores and memory in use now."""
+        now, cores, memory = self.hub.now_us(), 0.0, 0.0
+        for pod in self.pods.values():
+            if pod.phase == "Running":
+                use = self._use(pod, now)
+                cores, memory = cores + use[0], memory + use[1]
+        return cores, memory
+
+    def _use(self, pod: Pod, now: int) -> tuple[float, float]:
+        factor = self.use_factor.get(pod.service, self.use_factor.get(pod.task_class, 1.0))
+        grown = min(1.0, 0.5 + (now - pod.started_us) / (10 * SECOND))
+        return pod.use_cores * factor, pod.use_memory * min(factor, 1.6) * grown
+
+    # -- what is asked over the socket
+
+    def _handle(self, request: Request) -> Answer:
+        path, _, query = request.target.partition("?")
+        parts = path.strip("/").split("/")
+        try:
+            if path == "/stats/summary":
+                return self._stats(request)
+            if path == "/api/v1/pods" and request.method == "GET":
+                return self._pods_view.list_or_watch(Query(query), "", request.get("user-agent") or "")
+            if parts[:3] == ["api", "v1", "namespaces"] and len(parts) == 5 and request.method == "POST":
+                return self._offer(request)
+            if parts[:3] == ["api", "v1", "namespaces"] and len(parts) == 6 and request.method == "DELETE":
+                return self._delete(parts[5])
+            raise ApiError(404, "the server could not find the requested resource")
+        except ApiError as error:
+            return error_answer(error)
+
+    def _delete(self, name: str) -> Answer:
+        pod = self.pods.pop(name, None)
+        if pod is None:
+            raise ApiError(404, f'pods "{name}" not found')
+        if pod.phase in ("Pending", "Running"):
+            self._end(pod, "Failed", "Terminated", told=False)
+        self._collection.delete(f"{pod.namespace}/{pod.name}")
+        return Answer(200, names.encode({"kind": "Status", "apiVersion": "v1", "status": "Success"}))
+
+    def _stats(self, request: Request) -> Answer:
+        done = Signal(self.hub)
+        try:
+            self._line.offer((None, done))
+        except Full:
+            raise ApiError(429, "the line is full") from None
+        done.wait()
+        cores, memory = self.used()
+        return Answer(200, names.encode({"node": {
+            "nodeName": self.name, "cpu": {"usageNanoCores": int(cores * 1e9)},
+            "memory": {"availableBytes": int((self.build.memory - memory) * 2**30),
+                       "workingSetBytes": int(memory * 2**30)}}, "pods": []}))
+
+    def _offer(self, request: Request) -> Answer:
+        """Admission as the kubelet does it; the answer comes when the task runs, or is refused."""
+        value = names.decode(request.body)
+        use = (self._random.uniform(0.4, 0.9), self._random.uniform(0.6, 0.95))
+        pod = Pod(value, use)
+        placer = (request.get("user-agent") or "").rpartition("/")[2]
+        gone = request.connection.reader_gone()
+        self._record(self.name, "offer", placer=placer, pod=pod.name, task=pod.task, task_class=pod.task_class,
+                     service=pod.service, late=gone, uid=value["metadata"]["annotations"].get(names.PREFIX + "job-uid", ""))
+        self.offers_seen += 1
+        self._count_cold()
+        rule = self.faults.draw(self.hub.now_us(), pod.task_class)
+        fault = rule.fault if rule else None
+        if fault is Fault.RESET_BEFORE:
+            self._close(request, pod, "reset")
+        if fault is Fault.SILENT_BEFORE:
+            self._wait_gone(request, pod)
+        if fault is Fault.REFUSE:
+            return self._answer(pod, ApiError(403, "not here", "Forbidden"))
+        verdict = self._decide(pod, request, value)
+        if rule is not None and fault is Fault.DELAY:
+            self.hub.sleep(rule.delay_us)
+        if verdict is None and fault is Fault.RESET_AFTER:
+            self._close(request, pod, "reset")
+        if verdict is None and fault is Fault.SILENT_AFTER:
+            self._wait_gone(request, pod)
+        if verdict is None and fault in (Fault.HALF, Fault.GARBAGE):
+            data = write_response(201, [("Content-Type", "application/json")], names.encode(pod.value), True)
+            request.connection.send(data[:len(data) // 2] if fault is Fault.HALF else b"\x00\x01 no answer\r\n\r\n")
+            self._close(request, pod, "broken answer")
+        return self._answer(pod, verdict)
+
+    def _answer(self, pod: Pod, verdict: ApiError | None) -> Answer:
+        if verdict is not None:
+            self._record(self.name, "answer", pod=pod.name, status=verdict.code, reason=verdict.reason)
+            return error_answer(verdict)
+        self._record(self.name, "answer", pod=pod.name, status=201, reason="")
+        return Answer(201, names.encode(pod.value))
+
+    def _close(self, request: Request, pod: Pod, why: str) -> None:
+        self._record(self.name, "closed", pod=pod.name, why=why)
+        request.connection.stream.abort()
+        raise PeerGone(why)
+
+    def _wait_gone(self, request: Request, pod: Pod) -> None:
+        while not request.connection.reader_gone():
+            self.hub.sleep(LOOK_US)
+        self._close(request, pod, "nobody waits")
+
+    def _count_cold(self) -> None:
+        """Fall over under more offers than a cold machine bears (rule 4's own terms)."""
+        build, now = self.build, self.hub.now_us()
+        if not self.launched_us or now >= self.launched_us + build.cold_us:
+            return
+        offers = self._cold_offers
+        offers.append(now)
+        while offers[0] <= now - build.fall_us:
+            offers.popleft()
+        rate = build.slots * SECOND / build.start_us / build.setup * self._pace(now)
+        if len(offers) > max(build.fresh_offers, build.fall_multiple * rate * build.fall_us / SECOND):
+            self.fallen = True
+            self._record(self.name, "fell", offers=len(offers))
+            self.hub.call_at(now, self.die)
+
+    def _pace(self, now: int) -> float:
+        if not self.launched_us:
+            return 1.0
+        grown = min(1.0, (now - self.launched_us) / self.build.cold_us)
+        return self.build.cold_from + (1 - self.build.cold_from) * grown
+
+    def _decide(self, pod: Pod, request: Request, value: dict[str, Any]) -> ApiError | None:
+        notes = value["metadata"].get("annotations", {})
+        until = self.hub.now_us() + parse_duration(notes.get(names.START_WITHIN, "1h"))
+        if pod.name in self.pods:
+            return ApiError(409, f'pods "{pod.name}" already exists', "AlreadyExists")
+        done = Signal(self.hub)
+        try:
+            self._line.offer((pod, done))
+        except Full:
+            return ApiError(429, "too many offers wait", "TooManyRequests")
+        done.wait()
+        if pod.verdict is None and self.hub.now_us() >= until:
+            pod.verdict = ApiError(409, "nobody waits for this start any longer", "DeadlineExceeded")
+        if pod.verdict is None:
+            self._accept(pod)
+        while pod.verdict is None and pod.phase == "Pending":
+            with self.hub.limit(LOOK_US) as scope:
+                self._changed.wait()
+            if scope.caught and request.connection.reader_gone():
+                self._record(self.name, "closed", pod=pod.name, why="nobody waits")
+                raise PeerGone("nobody waits")
+        return pod.verdict
+
+    # -- inside
+
+    def _admit(self) -> None:
+        """The line: one offer or probe at a time."""
+        while True:
+            try:
+                pod, done = self._line.get()
+            except Closed:
+                return
+            self.hub.sleep(int(self.build.admit_us * self.slowness * self._random.uniform(0.7, 1.3)))
+            if pod is not None:
+                pod.verdict = self._refusal(pod)
+            done.notify()
+
+    def _refusal(self, pod: Pod) -> ApiError | None:
+        build = self.build
+        if self.draining:
+            return ApiError(409, "the machine is shutting down", "NodeShutdown")
+        for which, reason in ((0, "OutOfcpu"), (1, "OutOfmemory")):
+            room = ((build.booking_cores * build.cores, build.booking_memory * build.memory)[which]
+                    - self.asked[which])
+            ask = (pod.cores, pod.memory)[which]
+            if ask > room + 1e-9 and not self._push_out(pod, which, ask - room):
+                return ApiError(409, f"asked {ask:g}, free {room:g}", reason)
+        return None
+
+    def _push_out(self, pod: Pod, which: int, missing: float) -> bool:
+        if not self.build.pushes_out:
+            return False
+        victims = sorted((each for each in self.pods.values()
+                          if each.phase == "Running" and each.priority < pod.priority), key=lambda p: p.priority)
+        chosen: list[Pod] = []
+        for each in victims:
+            if missing <= 1e-9:
+                break
+            chosen.append(each)
+            missing -= (each.cores, each.memory)[which]
+        if missing > 1e-9:
+            return False
+        for each in chosen:
+            self._end(each, "Failed", "Preempting")
+        return True
+
+    def _accept(self, pod: Pod) -> None:
+        self.pods[pod.name] = pod
+        self._show(pod)
+        self._waiting.append(pod)
+        self._next_start()
+
+    def _next_start(self) -> None:
+        while self._waiting and self._starting < self.build.slots:
+            pod = self._waiting.popleft()
+            if pod.phase == "Pending" and pod.name in self.pods:
+                self._starting += 1
+                self.hub.spawn(lambda pod=pod: self._start(pod), f"{self.name} starts", self.domain)  # type: ignore[misc]
+
+    def _start(self, pod: Pod) -> None:
+        try:
+            held = pod.service in self._programs or any(
+                each.service == pod.service and each.phase == "Running" for each in self.pods.values())
+            work = self.build.start_us * (1.0 if held else self.build.setup) * self.slowness
+            self.hub.sleep(int(work / self._pace(self.hub.now_us()) * self._random.uniform(0.8, 1.2)))
+        finally:
+            self._starting -= 1
+        if pod.phase == "Pending" and pod.name in self.pods:
+            pod.phase, pod.started_us = "Running", self.hub.now_us()
+            self._record(self.name, "start", pod=pod.name, task=pod.task, task_class=pod.task_class)
+            self._show(pod)
+            self._changed.notify()
+            self.hub._at(pod.started_us + pod.runs_us, lambda: self._over(pod), self.domain)
+        self._next_start()
+
+    def _over(self, pod: Pod) -> None:
+        if pod.phase == "Running":
+            self._end(pod, "Succeeded", "")
+
+    def _end(self, pod: Pod, phase: str, reason: str, told: bool = True) -> None:
+        running = pod.phase == "Running"
+        pod.phase, pod.ended_us = phase, self.hub.now_us()
+        if running:
+            self._record(self.name, "end", pod=pod.name, why=reason or "done")
+            self._programs.append(pod.service)
+        else:
+            pod.verdict = ApiError(409, "given up before its start", reason or "Terminated")
+        pod.value["status"] = {"phase": phase, "reason": reason}
+        if told:
+            self._show(pod)
+        self._changed.notify()
+
+    def _show(self, pod: Pod) -> None:
+        status = {"phase": pod.phase, "hostIP": "127.0.0.1"}
+        reason = (pod.value.get("status") or {}).get("reason")
+        if reason:
+            status["reason"] = reason
+        pod.value["status"] = status
+        self._collection.put(f"{pod.namespace}/{pod.name}", pod.value)
+        self.changed(self)
+
+    def _live(self) -> None:
+        """Tell of use, evict when memory runs out, forget what ended."""
+        while True:
+            self.hub.sleep(int(self.build.tick_us * self._random.uniform(0.8, 1.2)))
+            now, build = self.hub.now_us(), self.build
+            cores, memory = self.used()
+            while memory > build.memory:
+                victim = min((pod for pod in self.pods.values() if pod.phase == "Running"),
+                             key=lambda pod: (pod.priority, -pod.use_memory), default=None)
+                if victim is None:
+                    break
+                memory -= self._use(victim, now)[1]
+                self._end(victim, "Failed", "Evicted")
+            served = min(1.0, build.cores / cores) if cores else 1.0
+            for pod in list(self.pods.values()):
+                if pod.phase == "Running":
+                    use = self._use(pod, now)
+                    pod.value["metadata"]["annotations"][names.USE] = (
+                        f"cores={use[0]:.2f};memory={use[1]:.2f};served={served:.2f};"
+                        f"machine={memory / build.memory:.2f}")
+                    self._show(pod)
+                elif pod.ended_us and now - pod.ended_us > KEEP_ENDED_US:
+                    del self.pods[pod.name]
+                    self._collection.delete(f"{pod.namespace}/{pod.name}")
+
+
+def node_value(machine: Machine) -> dict[str, Any]:
+    """The Node object by which the list source tells of a machine."""
+    build = machine.build
+    asked = machine.asked
+    notes = {names.FREE_CORES: f"{build.cores - asked[0]:.2f}",
+             names.FREE_MEMORY: f"{build.memory - asked[1]:.2f}"}
+    if machine.launched_us:
+        clock = machine.hub.clock
+        notes[names.LAUNCHED] = names.time_text(machine.launched_us + clock.wall_us() - clock.now_us())
+    return {
+        "kind": "Node", "apiVersion": "v1",
+        "metadata": {"name": machine.name, "uid": names.uid("node", machine.name), "annotations": notes,
+                     "labels": {names.ZONE: build.zone, names.CELL: build.cell, names.KIND: build.kind}},
+        "spec": {"unschedulable": True, "taints": [{"key": "node.kubernetes.io/unschedulable",
+                                                    "effect": "NoSchedule"}]} if machine.draining else {},
+        "status": {
+            "capacity": {"cpu": f"{build.cores:g}", "memory": f"{build.memory:g}Gi"},
+            "allocatable": {"cpu": f"{build.cores:g}", "memory": f"{build.memory:g}Gi"},
+            "addresses": [{"type": "InternalIP", "address": "127.0.0.1"}],
+            "daemonEndpoints": {"kubeletEndpoint": {"Port": machine.port}},
+            "conditions": [{"type": "Ready", "status": "True"}]}}
