--- /dev/null
+++ b/wingbarrow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: click sub-commands, nothing else."""
--- /dev/null
+++ b/wingbarrow/cli/client.py
@@ -0,0 +1,122 @@
+"""What a person at a terminal asks of a placer."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from typing import Any
+from urllib.parse import quote
+
+from wingbarrow.http.client import CallFailed, Pool
+from wingbarrow.http.watching import call, list_all, watch
+from wingbarrow.kube.status import ApiError
+from wingbarrow.transport import Hub
+
+SECOND = 1_000_000
+_PATHS = {"jobs": "/apis/batch/v1", "nodes": "/api/v1", "events": "/api/v1"}
+
+
+class CommandFailed(Exception):
+    """One line for the person."""
+
+
+class Client:
+    """Calls on one placer."""
+
+    def __init__(self, hub: Hub, host: str, port: int) -> None:
+        self._hub = hub
+        self._pool = Pool(hub, host, port, agent="wingbarrow-cli")
+
+    def _until(self) -> int:
+        return self._hub.now_us() + 10 * SECOND
+
+    def _path(self, kind: str, namespace: str) -> str:
+        scope = f"/namespaces/{quote(namespace)}" if namespace and kind != "nodes" else ""
+        return f"{_PATHS[kind]}{scope}/{kind}"
+
+    def submit(self, raw: bytes, namespace: str, dry_run: bool) -> dict[str, Any]:
+        """Post a Job as it was read."""
+        target = self._path("jobs", namespace) + ("?dryRun=All" if dry_run else "")
+        try:
+            return call(self._pool, "POST", target, raw, self._until())
+        except (ApiError, CallFailed) as error:
+            raise CommandFailed(str(error)) from None
+
+    def wait_for_answer(self, job: dict[str, Any]) -> tuple[str, str]:
+        """Watch one Job until its answer is there."""
+        meta = job["metadata"]
+        selector = quote(f"metadata.name={meta['name']}")
+        version = ""
+        while True:
+            target = (f"{self._path('jobs', meta['namespace'])}?watch=true&fieldSelector={selector}"
+                      + (f"&resourceVersion={version}" if version else ""))
+            try:
+                for kind, value in watch(self._pool, target, self._until()):
+                    version = value["metadata"]["resourceVersion"]
+                    if kind == "DELETED":
+                        return "deleted", ""
+                    for each in value.get("status", {}).get("conditions", []):
+                        if each["type"] in ("Placed", "Failed"):
+                            answer = "placed" if each["type"] == "Placed" else each["reason"].lower()
+                            return answer, each.get("message", "")
+            except ApiError as error:
+                if error.code != 410:
+                    raise CommandFailed(str(error)) from None
+                version = ""
+            except (CallFailed, ValueError) as error:
+                raise CommandFailed(str(error)) from None
+
+    def get(self, kind: str, name: str | None, namespace: str, selector: str, as_json: bool) -> Iterator[str]:
+        """Lines about objects."""
+        try:
+            if name:
+                found = [call(self._pool, "GET", f"{self._path(kind, namespace or 'default')}/{quote(name)}",
+                              until_us=self._until())]
+            else:
+                query = f"labelSelector={quote(selector)}" if selector else ""
+                found, _ = list_all(self._pool, self._path(kind, namespace), query, 500, self._until())
+        except (ApiError, CallFailed, ValueError) as error:
+            raise CommandFailed(str(error)) from None
+        for value in found:
+            yield json.dumps(value) if as_json else describe(kind, value)
+
+    def watch(self, kind: str, namespace: str, selector: str, seconds: int | None, as_json: bool,
+              show: Callable[[str], Any]) -> None:
+        """Show events until the time is over; resume where a connection breaks, list again after 410."""
+        end = None if seconds is None else self._hub.now_us() + seconds * SECOND
+        version = ""
+        while end is None or self._hub.now_us() < end:
+            left = 600 if end is None else max(1, (end - self._hub.now_us()) // SECOND)
+            query = f"watch=true&allowWatchBookmarks=true&timeoutSeconds={left}"
+            query += f"&labelSelector={quote(selector)}" if selector else ""
+            query += f"&resourceVersion={version}" if version else ""
+            try:
+                for event, value in watch(self._pool, f"{self._path(kind, namespace)}?{query}", self._until()):
+                    version = value["metadata"]["resourceVersion"]
+                    if event != "BOOKMARK":
+                        show(json.dumps({"type": event, "object": value}) if as_json
+                             else f"{event:<9}{describe(kind, value)}")
+            except ApiError as error:
+                if error.code != 410:
+                    raise CommandFailed(str(error)) from None
+                version = ""
+            except (CallFailed, ValueError) as error:
+                show(f"broken: {error}; going on")
+                self._hub.sleep(SECOND)
+
+
+def describe(kind: str, value: dict[str, Any]) -> str:
+    """One line about an object."""
+    meta = value.get("metadata", {})
+    name = f"{meta['namespace']}/{meta['name']}" if meta.get("namespace") else str(meta.get("name"))
+    if kind == "jobs":
+        status = value.get("status", {})
+        words = ",".join(f"{each['type']}({each['reason']})" for each in status.get("conditions", []))
+        figures = " ".join(f"{key}={status.get(key, 0)}" for key in ("active", "ready", "succeeded", "failed"))
+        return f"{name}  {figures}  {words or 'asked'}"
+    if kind == "nodes":
+        state = "draining" if value.get("spec", {}).get("unschedulable") else "running"
+        labels = meta.get("labels", {})
+        return f"{name}  {state}  {labels.get('topology.kubernetes.io/zone', '')}"
+    about = value.get("involvedObject", {})
+    return f"{value.get('lastTimestamp')}  {value.get('reason')}  {about.get('name')}  {value.get('message')}"
--- /dev/null
+++ b/wingbarrow/cli/lab.py
@@ -0,0 +1,84 @@
+"""`wingbarrow lab`: a cluster of stand-ins to try things on, and scripted days."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+from pathlib import Path
+
+import click
+
+from wingbarrow.core.logs import Log, silent
+from wingbarrow.fronts.serve import on_signals
+from wingbarrow.lab.cluster import Cluster
+from wingbarrow.lab.days import DAYS, run_day, summary
+from wingbarrow.transport import Hub, Nursery
+
+
+@click.group()
+def lab() -> None:
+    """Stand-ins for machines and list source on loopback."""
+
+
+@lab.command()
+@click.option("--nodes", type=click.IntRange(1, 5000), default=6, show_default=True)
+@click.option("--placers", type=click.IntRange(1, 64), default=1, show_default=True)
+@click.option("--seed", type=click.IntRange(0, 1 << 31), default=1, show_default=True)
+def up(nodes: int, placers: int, seed: int) -> None:
+    """List source, machines and placers in one go, until SIGINT or SIGTERM."""
+    hub = Hub()
+    log = Log(hub.now_us)
+    hub.complain = lambda task, error: log("task-failed", level="error", task=task,
+                                           why=f"{type(error).__name__}: {error}")
+
+    def say(kind: str, **fields: object) -> None:
+        click.echo(json.dumps({"kind": kind, **fields}))
+        sys.stdout.flush()
+
+    def run() -> None:
+        cluster = Cluster(hub, nodes, placers, seed, log)
+        cluster.record.limit(0)
+        try:
+            with Nursery(hub) as nursery:
+                nursery.spawn(on_signals(hub, {signal.SIGINT: nursery.cancel, signal.SIGTERM: nursery.cancel}),
+                              "signals")
+                cluster.start()
+                say("list-source", url=f"http://127.0.0.1:{cluster.source.port}")
+                for machine in cluster.machines:
+                    say("node", name=machine.name, url=f"http://127.0.0.1:{machine.port}")
+                for slot in cluster.placers:
+                    say("placer", name=slot.name, url=f"http://127.0.0.1:{slot.port}")
+                while not all(slot.service and slot.service.placer.ready for slot in cluster.placers):
+                    hub.sleep(20_000)
+                say("ready")
+                while True:
+                    hub.sleep(3_600_000_000)
+        finally:
+            cluster.close()
+    hub.run(run)
+
+
+@lab.command()
+@click.argument("name", required=False)
+@click.option("--list", "show", is_flag=True, help="Name the days.")
+@click.option("--seed", type=click.IntRange(0, 1 << 31), default=1, show_default=True)
+@click.option("--scale", type=click.FloatRange(0.4, 200.0), default=1.0, show_default=True,
+              help="Machines and load, as a multiple.")
+@click.option("--report", type=click.Path(path_type=Path), help="Write the recording into this folder.")
+@click.option("--logs", is_flag=True, help="The placers' logs on standard error.")
+def day(name: str | None, show: bool, seed: int, scale: float, report: Path | None, logs: bool) -> None:
+    """Play a scripted day on a compressed clock; the last line is the audit of what crossed the sockets."""
+    if show or name is None:
+        for each, what in DAYS.items():
+            click.echo(f"{each:<18}{what.about}")
+        return
+    if name not in DAYS:
+        raise click.BadParameter(f"no such day: {name}; `wingbarrow lab day --list` names them")
+    clock = Hub()
+    outcome = run_day(name, seed, Log(clock.now_us) if logs else silent, report, scale)
+    for note in outcome.audit.notes:
+        click.echo(note, err=True)
+    click.echo(json.dumps({**summary(outcome), "day": name, "seed": seed}))
+    click.echo(json.dumps(outcome.audit.line()))
+    sys.exit(0 if outcome.audit.clean else 1)
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -124,6 +124,11 @@
         self.odd: Counter[str] = Counter()  # steps that the table lacks
         self.answers: Counter[State] = Counter()
 
+    def take_limits(self, jobs_kept: int, tasks_open: int, per_namespace: int) -> None:
+        """New bounds for what comes; nothing accepted is dropped."""
+        self._jobs_kept = jobs_kept
+        self.admission.take_limits(tasks_open, per_namespace)
+
     def add(self, key: str, uid: str, asked: JobRequest, value: dict[str, Any], adopted: bool = False) -> JobRecord:
         """Take a Job in; the caller has asked `admission`."""
         job = JobRecord(key, uid, asked, value, adopted=adopted)
@@ -190,7 +195,7 @@
 
     def surplus(self) -> list[JobRecord]:
         """Ended Jobs beyond what is kept, oldest first."""
-        out = []
+        out: list[JobRecord] = []
         for key in self._ended:
             if len(self.jobs) - len(out) <= self._jobs_kept:
                 break
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -192,6 +192,12 @@
             self.jobs.delete(job.key)
             self.counts["jobs_forgotten"] += 1
 
+    def take_settings(self, fresh: PlacerSettings) -> None:
+        """Use a file's settings that was read again: patience, priorities, restarts and limits of what comes."""
+        self.settings = fresh
+        self.book.take_limits(fresh.limits.jobs_kept, fresh.limits.tasks_open, fresh.limits.tasks_per_namespace)
+        self.store.window_most = fresh.limits.window
+
     # -- what clients ask
 
     def submit(self, value: dict[str, Any], namespace: str, dry_run: bool) -> dict[str, Any]:
--- a/wingbarrow/core/saved.py
+++ b/wingbarrow/core/saved.py
@@ -44,9 +44,10 @@
     except OSError as error:
         raise ValueError(f"{path}: {error.strerror}") from None
     try:
-        file = msgspec.json.decode(data, type=_File)
+        file: _File = msgspec.json.decode(data, type=_File)
         if file.form != 1 or xxhash.xxh64_hexdigest(bytes(file.nodes)) != file.digest:
             raise ValueError("its digest or form is wrong")
-        return msgspec.json.decode(file.nodes, type=list[dict[str, Any]])
+        nodes: list[dict[str, Any]] = msgspec.json.decode(file.nodes, type=list[dict[str, Any]])
+        return nodes
     except (msgspec.MsgspecError, ValueError) as error:
         raise ValueError(f"{path}: {error}") from None
--- a/wingbarrow/decide/admission.py
+++ b/wingbarrow/decide/admission.py
@@ -24,6 +24,10 @@
         self.open = 0
         self._namespaces: Counter[str] = Counter()
 
+    def take_limits(self, tasks_open: int, per_namespace: int) -> None:
+        """New bounds; what is open stays."""
+        self._most, self._per_namespace = tasks_open, per_namespace
+
     def check(self, namespace: str, count: int) -> TooMany | None:
         """What stands against `count` more tasks, None where nothing does."""
         if self.open + count > self._most:
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -37,7 +37,7 @@
             ServerLimits(connections=limits.connections, message=Limits(body=limits.body)), self._refuse)
         self.port = self.server.port
         self._registry = CollectorRegistry()
-        self._registry.register(self)  # type: ignore[arg-type]
+        self._registry.register(self)
         self.statuses: dict[int, int] = {}
 
     def _say(self, text: str) -> None:
--- a/wingbarrow/http/watching.py
+++ b/wingbarrow/http/watching.py
@@ -33,7 +33,8 @@
                     str(status.get("reason", ""))[:100])
 
 
-def call(pool: Pool, method: str, target: str, body: bytes | None = None, until_us: int | None = None) -> dict[str, Any]:
+def call(pool: Pool, method: str, target: str, body: bytes | None = None,
+         until_us: int | None = None) -> dict[str, Any]:
     """One exchange of JSON objects; CallFailed or ApiError."""
     fields = [("Accept", "application/json")]
     if body is not None:
--- a/wingbarrow/kube/names.py
+++ b/wingbarrow/kube/names.py
@@ -61,5 +61,5 @@
         raise ValueError(str(error)) from None
 
 
-_DECODER = msgspec.json.Decoder(dict[str, Any])
+_DECODER: msgspec.json.Decoder[dict[str, Any]] = msgspec.json.Decoder(dict[str, Any])
 encode = msgspec.json.Encoder().encode
--- a/wingbarrow/kube/store.py
+++ b/wingbarrow/kube/store.py
@@ -19,7 +19,7 @@
 from wingbarrow.kube.status import ApiError, expired
 
 _encode = msgspec.json.Encoder().encode
-_CONTINUE = msgspec.json.Decoder(tuple[int, str])
+_CONTINUE: msgspec.json.Decoder[tuple[int, str]] = msgspec.json.Decoder(tuple[int, str])
 
 
 @dataclass(frozen=True, slots=True, eq=False)
--- a/wingbarrow/lab/audit.py
+++ b/wingbarrow/lab/audit.py
@@ -37,6 +37,7 @@
     double_answers: int = 0
     sends_after_end: int = 0
     left_to_owners: int = 0  # open when their placer was killed: theirs to ask again
+    late_by_stall: int = 0  # answers whose deadline fell into a stall of their placer
     offers: int = 0
     starts: int = 0
     notes: list[str] = field(default_factory=list)
@@ -126,7 +127,13 @@
         if not job.answers:
             job.answers.append((record.at_us, answer))
             if record.at_us > job.deadline_us + ANSWER_SLACK_US:
-                self.audit.breach("late_answers", record.at_us, f"{record.data['job']} {answer}")
+                # A placer that the lab holds over the deadline cannot answer in time: it owes it at once after.
+                held = next((end for begin, end in self._held.get(job.placer, ())
+                             if begin <= job.deadline_us <= end), 0)
+                if record.at_us <= held + ANSWER_SLACK_US:
+                    self.audit.late_by_stall += 1
+                else:
+                    self.audit.breach("late_answers", record.at_us, f"{record.data['job']} {answer}")
             if answer != "placed":
                 self._ended_jobs[record.data["uid"]] = record.at_us
         elif job.answers[-1][1] != answer:
--- a/wingbarrow/lab/record.py
+++ b/wingbarrow/lab/record.py
@@ -35,8 +35,13 @@
             return
         self.records.append(Record(self._now_us(), where, what, data))
 
+    def limit(self, most: int) -> None:
+        """Keep at most so many from now on."""
+        self._most = most
+
     def write(self, path: Path) -> None:
         """One JSON object a line."""
         with open(path, "w", encoding="utf-8") as file:
             for each in self.records:
-                file.write(json.dumps({"at_us": each.at_us, "where": each.where, "what": each.what, **each.data}) + "\n")
+                line = {"at_us": each.at_us, "where": each.where, "what": each.what, **each.data}
+                file.write(json.dumps(line) + "\n")
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -196,7 +196,9 @@
         chance = 0.0 if load < R_MIN else 1.0 if load >= R_MAX else P_MAX * (load - R_MIN) / (R_MAX - R_MIN)
         if self._random.random() >= chance:
             return
-        movable = [task for task in machine.own.values() if task.placed
+        # Danger: a move starts its task a second time; what must never start twice stays where it is.
+        movable = [task for task in machine.own.values()
+                   if task.placed and task.cls.effect is not api.Effect.UNSAFE
                    and min(task.left_us(self._now), self._now - task.since_us) >= MOVE_REST_US]
         # Which one: most relief (cores, and for how long) for the least worth that its restart loses.
         movable.sort(key=lambda t: -t.arrival.cores * t.left_us(self._now) / (t.cls.worth + 0.1))
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -24,8 +24,11 @@
 _COMPACT_AT = 512  # cancelled timers that may lie in the heap before it is rebuilt
 
 
-class Cancelled(BaseException):  # noqa: N818 - a signal, not an error; `except Exception` must not swallow it
-    """Thrown into a task whose scope was cancelled; only that scope's exit may swallow it."""
+class Cancelled(BaseException):
+    """Thrown into a task whose scope was cancelled; only that scope's exit may swallow it.
+
+    A signal, not an error: `except Exception` must not swallow it.
+    """
 
     def __init__(self, scope: CancelScope) -> None:
         super().__init__(scope)
