--- a/tests/core/test_hard_cases.py
+++ b/tests/core/test_hard_cases.py
@@ -197,7 +197,7 @@
     stage = Stage(machines=1, build=build)
 
     def script() -> dict[str, str]:
-        stage.cluster.machines[0]._random.uniform = lambda low, high: 1.0  # type: ignore[method-assign]
+        stage.cluster.machines[0]._random.uniform = lambda a, b: 1.0  # type: ignore[method-assign]
         stage.submit("edge", task_class, runs_s=30, patience_s=3)
         stage.settled("edge")
         stage.hub.sleep(5 * S)
--- /dev/null
+++ b/tests/http/test_exchange.py
@@ -0,0 +1,261 @@
+"""Server and client pool together: order, limits, slow peers, and what each way to fail means."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from wingbarrow.http.client import MaybeDone, NotSent, Pool, PoolLimits, Why
+from wingbarrow.http.server import Answer, ChunkWriter, Server, ServerLimits
+from wingbarrow.http.wire import Limits, Request
+from wingbarrow.transport import Hub, Nursery, PeerGone, Stream, VirtualClock, connect, listen
+
+S = 1_000_000
+
+
+def play(script: Callable[[Hub], Any]) -> Any:
+    hub = Hub(VirtualClock())
+    return hub.run(lambda: script(hub))
+
+
+def echo(request: Request) -> Answer:
+    return Answer(200, request.method.encode() + b" " + request.target.encode() + b" " + request.body)
+
+
+def started(hub: Hub, handler: Callable[[Request], Answer] = echo, **limits: Any) -> Server:
+    server = Server(hub, "127.0.0.1", 0, handler, lambda _: None, ServerLimits(**limits))
+    hub.spawn(server.serve)
+    return server
+
+
+def read_all(stream: Stream) -> bytes:
+    data = b""
+    while part := stream.receive():
+        data += part
+    return data
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    def script(hub: Hub) -> bytes:
+        stream = connect(hub, "127.0.0.1", started(hub).port)
+        stream.send(b"".join(b"GET /%d HTTP/1.1\r\nHost: a\r\n%b\r\n" % (i, b"Connection: close\r\n" * (i == 9))
+                             for i in range(10)))
+        return read_all(stream)
+    answers = play(script)
+    assert [answers.index(b"GET /%d " % i) for i in range(10)] == sorted(answers.index(b"GET /%d " % i)
+                                                                       for i in range(10))
+
+
+def test_continue_is_said_only_to_who_waits_for_it() -> None:
+    def script(hub: Hub) -> bytes:
+        stream = connect(hub, "127.0.0.1", started(hub).port)
+        stream.send(b"PUT /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        first = stream.receive()
+        assert first == b"HTTP/1.1 100 Continue\r\n\r\n"
+        stream.send(b"ok")
+        assert stream.receive().endswith(b"PUT /a ok")
+        stream.send(b"PUT /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"
+                    b"Connection: close\r\n\r\nok")
+        return read_all(stream)
+    assert b"100 Continue" not in play(script)
+
+
+def test_head_has_the_length_and_no_body() -> None:
+    def script(hub: Hub) -> None:
+        pool = Pool(hub, "127.0.0.1", started(hub).port)
+        for _ in range(3):
+            response = pool.request("HEAD", "/abc")
+            assert response.body == b"" and response.get("content-length") == "10"
+        assert pool.request("GET", "/abc").body == b"GET /abc "
+    play(script)
+
+
+def test_a_bad_request_gets_its_status_and_the_end() -> None:
+    def script(hub: Hub) -> bytes:
+        stream = connect(hub, "127.0.0.1", started(hub).port)
+        stream.send(b"GET / HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        return read_all(stream)
+    answer = play(script)
+    assert answer.startswith(b"HTTP/1.1 400 ") and answer.count(b"HTTP/1.1") == 1
+
+
+def test_a_client_of_a_byte_a_second_is_ended_and_others_are_served() -> None:
+    def script(hub: Hub) -> None:
+        server = started(hub)
+
+        def slow() -> None:
+            stream = connect(hub, "127.0.0.1", server.port)
+            try:
+                for byte in b"GET / HTTP/1.1\r\nHost: a\r\n\r\n":
+                    stream.send(bytes([byte]))
+                    hub.sleep(S)
+                answers.append(stream.receive())
+            except PeerGone:
+                answers.append(b"gone")
+        answers: list[bytes] = []
+        pool = Pool(hub, "127.0.0.1", server.port)
+        with Nursery(hub) as nursery:
+            nursery.spawn(slow)
+            for _ in range(20):
+                assert pool.request("GET", "/").status == 200
+                hub.sleep(S)
+        assert answers[0].startswith(b"HTTP/1.1 408 ") or answers[0] == b"gone"
+    play(script)
+
+
+def test_a_reader_that_takes_nothing_is_dropped_after_its_time() -> None:
+    def script(hub: Hub) -> None:
+        def flood(writer: ChunkWriter) -> None:
+            while True:
+                writer.write(b"x" * 65536)
+        server = started(hub, lambda _: Answer(200, stream=flood), write_us=2 * S)
+        stream = connect(hub, "127.0.0.1", server.port)
+        stream.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        hub.sleep(5 * S)
+        assert server.slow_readers == 1 and server.connections == 0
+        stream.close()
+    play(script)
+
+
+def test_too_many_connections_are_turned_away_with_a_time_to_come_back() -> None:
+    def script(hub: Hub) -> None:
+        server = started(hub, connections=2)
+        held = [connect(hub, "127.0.0.1", server.port) for _ in range(2)]
+        hub.sleep(1)
+        third = connect(hub, "127.0.0.1", server.port)
+        answer = read_all(third)
+        assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1" in answer
+        held[0].send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert held[0].receive().startswith(b"HTTP/1.1 200 ")
+    play(script)
+
+
+def test_a_failing_handler_answers_500_and_is_told_once() -> None:
+    told: list[str] = []
+
+    def broken(request: Request) -> Answer:
+        raise RuntimeError("within")
+
+    def script(hub: Hub) -> None:
+        server = Server(hub, "127.0.0.1", 0, broken, told.append)
+        hub.spawn(server.serve)
+        pool = Pool(hub, "127.0.0.1", server.port)
+        assert [pool.request("GET", "/").status for _ in range(3)] == [500] * 3
+    play(script)
+    assert len(told) == 1 and "RuntimeError" in told[0]
+
+
+def failing(behave: Callable[[Hub, Stream], None], limits: PoolLimits = PoolLimits()) -> tuple[type, Why]:  # noqa: B008
+    def script(hub: Hub) -> tuple[type, Why]:
+        listener = listen(hub, "127.0.0.1", 0, print)
+        hub.spawn(lambda: listener.serve(lambda stream: behave(hub, stream)))
+        with pytest.raises((NotSent, MaybeDone)) as caught:
+            Pool(hub, "127.0.0.1", listener.port, limits).request("POST", "/", b"x", until_us=hub.now_us() + 5 * S)
+        return caught.type, caught.value.why
+    found: tuple[type, Why] = play(script)
+    return found
+
+
+def reset_at_once(hub: Hub, stream: Stream) -> None:
+    stream.receive()
+    stream.abort()
+
+
+def end_at_once(hub: Hub, stream: Stream) -> None:
+    stream.receive()
+
+
+def half(hub: Hub, stream: Stream) -> None:
+    stream.receive()
+    stream.send(b"HTTP/1.1 201 Created\r\nContent-Le")
+    stream.abort()
+
+
+def half_body(hub: Hub, stream: Stream) -> None:
+    stream.receive()
+    stream.send(b"HTTP/1.1 201 Created\r\nContent-Length: 50\r\n\r\nabc")
+
+
+def silent(hub: Hub, stream: Stream) -> None:
+    hub.sleep(100 * S)
+
+
+def silent_body(hub: Hub, stream: Stream) -> None:
+    stream.receive()
+    stream.send(b"HTTP/1.1 201 Created\r\nContent-Length: 50\r\n\r\nabc")
+    hub.sleep(100 * S)
+
+
+def garbage(hub: Hub, stream: Stream) -> None:
+    stream.receive()
+    stream.send(b"\x00\x01 nonsense\r\n\r\n")
+
+
+@pytest.mark.parametrize(("behave", "why"), [
+    (reset_at_once, Why.RESET_BEFORE), (end_at_once, Why.RESET_BEFORE), (half, Why.RESET_AFTER),
+    (half_body, Why.RESET_AFTER), (silent, Why.SILENT), (silent_body, Why.SILENT), (garbage, Why.GARBAGE)])
+def test_what_may_have_run_is_never_called_unsent(behave: Callable[[Hub, Stream], None], why: Why) -> None:
+    assert failing(behave) == (MaybeDone, why)
+
+
+def test_what_never_left_is_called_unsent() -> None:
+    def script(hub: Hub) -> None:
+        listener = listen(hub, "127.0.0.1", 0, print)
+        port = listener.port
+        listener.close()
+        with pytest.raises(NotSent) as caught:
+            Pool(hub, "127.0.0.1", port).request("POST", "/", b"x")
+        assert caught.value.why is Why.REFUSED
+        served: list[bytes] = []
+        server = started(hub, lambda request: served.append(request.body) or Answer(200))
+        pool = Pool(hub, "127.0.0.1", server.port)
+        with pytest.raises(NotSent) as caught:
+            pool.request("POST", "/", b"x", may_send=lambda: False)
+        assert caught.value.why is Why.WITHDRAWN
+        hub.sleep(S)
+        assert not served
+    play(script)
+
+
+def test_the_pool_is_bounded_and_who_waits_too_long_was_never_sent() -> None:
+    def script(hub: Hub) -> None:
+        seen: list[str] = []
+
+        def slow(request: Request) -> Answer:
+            seen.append(request.target)
+            hub.sleep(2 * S)
+            return Answer(200)
+        pool = Pool(hub, "127.0.0.1", started(hub, slow).port, PoolLimits(connections=2, waiting=1))
+        failed: list[Why] = []
+
+        def ask(target: str) -> None:
+            try:
+                pool.request("GET", target, until_us=hub.now_us() + S * 3 // 2)
+            except (NotSent, MaybeDone) as error:
+                failed.append(error.why)
+        with Nursery(hub) as nursery:
+            for name in "abcd":
+                nursery.spawn(lambda name=name: ask("/" + name))
+        assert len(seen) == 2 and sorted(why.name for why in failed) == ["NO_TURN", "NO_TURN", "SILENT", "SILENT"]
+    play(script)
+
+
+def test_a_connection_that_closed_while_idle_is_not_used_again() -> None:
+    def script(hub: Hub) -> None:
+        server = started(hub, idle_us=S)
+        pool = Pool(hub, "127.0.0.1", server.port)
+        for _ in range(3):
+            assert pool.request("POST", "/", b"x").status == 200
+            hub.sleep(3 * S)
+    play(script)
+
+
+def test_bodies_over_the_limit_are_refused_before_they_are_read() -> None:
+    def script(hub: Hub) -> None:
+        server = started(hub, message=Limits(body=1000))
+        pool = Pool(hub, "127.0.0.1", server.port)
+        assert pool.request("POST", "/", b"x" * 1000).status == 200
+        assert pool.request("POST", "/", b"x" * 1001).status == 413
+    play(script)
--- a/tests/http/test_wire.py
+++ b/tests/http/test_wire.py
@@ -27,7 +27,8 @@
 
 def events(parts: list[bytes], requests: bool = True, limits: Limits = Limits()) -> list[object]:  # noqa: B008
     """All events of some parts, neighbouring data joined; a refusal as (status, words)."""
-    parser, out = Parser(requests, limits), []
+    parser = Parser(requests, limits)
+    out: list[object] = []
     try:
         for part in [*parts, None]:
             if part is None:
--- /dev/null
+++ b/tests/lab/test_audit.py
@@ -0,0 +1,177 @@
+"""The auditor finds each kind of breach when one is planted, and nothing in a clean recording."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from wingbarrow.config import load_text
+from wingbarrow.lab.audit import BREACHES, Audit, audit
+from wingbarrow.lab.cluster import settings_text
+from wingbarrow.lab.record import Record
+
+S = 1_000_000
+SETTINGS = load_text(settings_text(0, 2, 1, 1))
+
+
+class Tape:
+    """Writes a recording by hand."""
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        for name, rack in (("n0", "r0"), ("n1", "r0"), ("n2", "r1")):
+            self.add(0, name, "launch", cold=False, zone="a", cell=rack)
+
+    def add(self, at: float, where: str, what: str, **data: Any) -> None:
+        self.records.append(Record(int(at * S), where, what, data))
+
+    def accept(self, at: float, uid: str, task_class: str = "web", placer: str = "p0", patience: float = 5) -> None:
+        self.add(at, "owner", "accepted", uid=uid, job=uid, placer=placer, task=uid, task_class=task_class,
+                 patience_us=int(patience * S), sent_us=int(at * S))
+
+    def answer(self, at: float, uid: str, answer: str) -> None:
+        self.add(at, "owner", "answer", uid=uid, job=uid, answer=answer, failed="")
+
+    def offer(self, at: float, pod: str, machine: str = "n0", uid: str = "u", task_class: str = "web",
+              service: str = "s", placer: str = "p0", late: bool = False) -> None:
+        self.add(at, machine, "offer", placer=placer, pod=pod, uid=uid, task=uid, task_class=task_class,
+                 service=service, late=late)
+
+    def runs(self, at: float, pod: str, machine: str = "n0", uid: str = "u", task_class: str = "web") -> None:
+        self.add(at, machine, "start", pod=pod, task=uid, task_class=task_class)
+        self.add(at, machine, "answer", pod=pod, status=201, reason="")
+
+    def told(self, at: float, machine: str, phase: str, placer: str = "p0", launched: str = "") -> None:
+        self.add(at, "list-source", "told", placer=placer, machine=machine, phase=phase, launched=launched)
+
+    def audit(self) -> Audit:
+        return audit(sorted(self.records, key=lambda record: record.at_us), SETTINGS)
+
+
+def clean() -> Tape:
+    tape = Tape()
+    tape.accept(1, "u")
+    tape.offer(1.1, "x-1-0")
+    tape.add(1.2, "n0", "answer", pod="x-1-0", status=409, reason="OutOfcpu")
+    tape.offer(1.3, "x-1-1", "n1")
+    tape.runs(1.5, "x-1-1", "n1")
+    tape.answer(1.6, "u", "placed")
+    tape.add(9, "n1", "end", pod="x-1-1", why="done")
+    return tape
+
+
+def test_a_clean_recording_is_clean() -> None:
+    found = clean().audit()
+    assert found.clean and (found.accepted, found.placed, found.offers, found.starts) == (1, 1, 2, 1)
+
+
+def unanswered(tape: Tape) -> None:
+    tape.accept(2, "v")
+
+
+def late_answer(tape: Tape) -> None:
+    tape.accept(2, "v")
+    tape.answer(7.1, "v", "refused")
+
+
+def two_answers(tape: Tape) -> None:
+    tape.answer(3, "u", "refused")
+
+
+def second_start(tape: Tape) -> None:
+    for turn, machine in enumerate(("n0", "n1")):
+        tape.offer(2 + turn, f"x-{turn + 5}-0", machine, "pay", "settlement", service="t")
+        tape.runs(2.5 + turn, f"x-{turn + 5}-0", machine, "pay", "settlement")
+
+
+def two_out(tape: Tape) -> None:
+    tape.offer(2, "x-7-0", "n0", "w", service="t")
+    tape.offer(2.1, "x-7-1", "n2", "w", service="t")
+
+
+def draining(tape: Tape) -> None:
+    tape.told(2, "n2", "draining")
+    tape.offer(2.26, "x-8-0", "n2", "w", service="t")
+
+
+def gone(tape: Tape) -> None:
+    tape.told(2, "n2", "gone")
+    tape.offer(3, "x-8-0", "n2", "w", service="t")
+
+
+def cold(tape: Tape) -> None:
+    tape.add(2, "n2", "launch", cold=True, zone="a", cell="r1")
+    for placer in ("p0", "p1"):
+        tape.told(2.1, "n2", "running", placer, "now")
+    for turn in range(21):
+        placer = f"p{turn % 2}"
+        tape.offer(3 + turn * 0.09, f"{placer}-{turn}-0", "n2", f"w{turn}", service=f"t{turn}", placer=placer)
+        tape.runs(3.01 + turn * 0.09, f"{placer}-{turn}-0", "n2", f"w{turn}")
+
+
+def crowd(tape: Tape) -> None:
+    for turn in range(4):
+        tape.offer(2 + turn, f"x-{20 + turn}-0", f"n{turn % 2}", f"w{turn}", service="t")
+        tape.runs(2.1 + turn, f"x-{20 + turn}-0", f"n{turn % 2}", f"w{turn}")
+
+
+def after_end(tape: Tape) -> None:
+    tape.accept(2, "v")
+    tape.answer(3, "v", "refused")
+    tape.offer(3.1, "x-30-0", "n2", "v", service="t")
+
+
+def past_patience(tape: Tape) -> None:
+    tape.accept(2, "v", placer="p1")
+    tape.add(8, "p1", "killed")
+    tape.offer(7.5, "x-31-0", "n2", "v", service="t", placer="p1")
+
+
+@pytest.mark.parametrize(("plant", "breach"), [
+    (unanswered, "unanswered"), (late_answer, "late_answers"), (two_answers, "double_answers"),
+    (second_start, "double_effects"), (two_out, "double_effects"), (draining, "sends_to_draining"),
+    (gone, "sends_to_draining"), (cold, "cold_overruns"), (crowd, "spread_overruns"),
+    (after_end, "sends_after_end"), (past_patience, "sends_after_end")])
+def test_each_planted_breach_is_found_and_no_other(plant: Any, breach: str) -> None:
+    tape = clean()
+    plant(tape)
+    found = tape.audit()
+    assert not found.clean and getattr(found, breach) == 1
+    assert [name for name in BREACHES if getattr(found, name)] == [breach]
+
+
+def test_what_keeps_a_rule_just_so_is_no_breach() -> None:
+    tape = clean()
+    tape.told(2, "n2", "draining")
+    tape.offer(2.25, "x-8-0", "n2", "w", service="t")
+    tape.add(2.26, "n2", "answer", pod="x-8-0", status=409, reason="NodeShutdown")
+    tape.accept(2, "v")
+    tape.answer(7.008, "v", "refused")
+    for turn in range(3):
+        tape.offer(3 + turn, f"x-{20 + turn}-0", "n0", f"w{turn}", service="z")
+        tape.runs(3.1 + turn, f"x-{20 + turn}-0", "n0", f"w{turn}")
+    tape.add(6, "n0", "end", pod="x-20-0", why="done")
+    tape.offer(6.1, "x-40-0", "n1", "w9", service="z")
+    tape.add(6.2, "n1", "closed", pod="x-40-0", why="reset")
+    tape.offer(6.3, "x-40-1", "n1", "w9", service="z")
+    assert tape.audit().clean
+
+
+def test_a_stall_over_the_deadline_is_told_apart_from_a_late_answer() -> None:
+    tape = clean()
+    tape.add(4, "p0", "hold", for_us=S)
+    tape.accept(1, "v", patience=3.5)
+    tape.answer(5, "v", "failed")
+    found = tape.audit()
+    assert found.clean and found.late_by_stall == 1
+    tape.records = [record for record in tape.records if record.what != "hold"]
+    assert tape.audit().late_answers == 1
+
+
+def test_what_a_killed_placer_owed_is_its_owners() -> None:
+    tape = clean()
+    tape.accept(2, "v")
+    tape.add(3, "p0", "killed")
+    found = tape.audit()
+    assert found.clean and found.left_to_owners == 1
--- /dev/null
+++ b/tests/lab/test_days.py
@@ -0,0 +1,45 @@
+"""Scripted days on the whole path: each kind of trouble, audited at the sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingbarrow.config import load_text
+from wingbarrow.lab.cluster import settings_text
+from wingbarrow.lab.days import DAYS, Day, run_day
+from wingbarrow.lab.load import Mix, draw
+from wingbarrow.logic import Scheduler
+from tests.lab.direct import place_directly
+
+SEED = 11
+
+
+@pytest.mark.parametrize("name", sorted(DAYS))
+def test_a_day_keeps_the_rules(name: str) -> None:
+    print("seed", SEED)
+    outcome = run_day(name, SEED)
+    found = outcome.audit
+    assert found.clean, found.notes
+    ended = found.placed + found.refused + found.failed + found.left_to_owners
+    assert found.accepted >= 300 and found.accepted == ended
+    assert found.placed >= 0.9 * found.accepted
+    odd = [slot.service.placer.book.odd + slot.service.placer.attempts.odd for slot in outcome.cluster.placers
+           if slot.service]
+    assert not any(odd), "steps that the tables lack"
+
+
+def test_a_quiet_day_answers_as_the_module_alone_does() -> None:
+    """The same arrivals given straight to the module: the program refuses and places as many, within noise."""
+    day = Day("", lambda cluster, owners: None, placers=1, seconds=30.0, mix=Mix(rate=24.0))
+    DAYS["alone"] = day
+    try:
+        outcome = run_day("alone", SEED)
+    finally:
+        del DAYS["alone"]
+    wants = draw(day.mix, day.seconds, SEED + 5)
+    settings = load_text(settings_text(0, 1, SEED, 1)).scheduler
+    placed, refused = place_directly(Scheduler(settings, 1), outcome.cluster.machines, wants)
+    audited = outcome.audit
+    assert audited.clean and placed + refused == len(wants)
+    assert abs(audited.placed - placed) <= 0.03 * len(wants)
+    assert abs(audited.refused - refused) <= 0.03 * len(wants)
--- /dev/null
+++ b/tests/test_crowd.py
@@ -0,0 +1,71 @@
+"""Many clients at once on one placer: most of them behave, some read nothing, some send a byte a second."""
+
+from __future__ import annotations
+
+import resource
+
+from tests.stage import JOBS, S, Stage
+from wingbarrow.http.watching import watch
+from wingbarrow.transport import Nursery, PeerGone, connect
+
+
+def test_two_thousand_clients_and_five_hundred_watchers_are_served() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 16_384), hard))
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        hub, front = stage.hub, stage.cluster.placers[0].service.rest  # type: ignore[union-attr]
+        port, served, seen, ended = front.port, [], [0] * 500, []
+
+        def ask(number: int) -> None:
+            stream = connect(hub, "127.0.0.1", port)
+            stream.send(b"GET /api/v1/nodes HTTP/1.1\r\nHost: a\r\n\r\n")
+            served.append(stream.receive()[:12])
+            stream.close()
+
+        def read_nothing(number: int) -> None:
+            stream = connect(hub, "127.0.0.1", port)
+            for _ in range(4):
+                stream.send(b"GET /api/v1/nodes HTTP/1.1\r\nHost: a\r\n\r\n" * 10)
+                hub.sleep(4 * S)
+            stream.close()
+            ended.append(number)
+
+        def follow(number: int) -> None:
+            pool = stage.pool()
+            with hub.limit(20 * S):
+                for kind, value in watch(pool, f"{JOBS}?watch=true"):
+                    assert kind in ("ADDED", "MODIFIED") and value["kind"] == "Job"
+                    seen[number] += 1
+
+        def dribble() -> None:
+            stream = connect(hub, "127.0.0.1", port)
+            try:
+                for byte in b"GET /api/v1/nodes HTTP/1.1\r\n":
+                    stream.send(bytes([byte]))
+                    hub.sleep(S)
+            except PeerGone:
+                pass
+            stream.close()
+        with Nursery(hub) as nursery:
+            for number in range(500):
+                nursery.spawn(lambda number=number: follow(number))
+            for number in range(200):
+                nursery.spawn(lambda number=number: read_nothing(number))
+            for number in range(1800):
+                nursery.spawn(lambda number=number: ask(number))
+            nursery.spawn(dribble)
+            hub.sleep(S)
+            for turn in range(4):
+                stage.submit(f"t{turn}", runs_s=30)
+                assert "Placed" in stage.settled(f"t{turn}", 3)
+        assert served == [b"HTTP/1.1 200"] * 1800 and len(ended) == 200
+        assert min(seen) == max(seen) >= 8, "each watcher saw every change"
+        hub.sleep(12 * S)
+        assert front.server.connections < 40
+    try:
+        stage.play(script)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    assert stage.audit().clean
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from conftest import Driver, S, listed, settings, task_class
+from tests.conftest import Driver, S, listed, settings, task_class
 from hypothesis import given
 from hypothesis import settings as profile
 from hypothesis import strategies as st
--- a/tests/test_rem.py
+++ b/tests/test_rem.py
@@ -4,7 +4,7 @@
 
 import random
 
-from conftest import Driver, S, binds, listed, settings, task_class
+from tests.conftest import Driver, S, binds, listed, settings, task_class
 
 from wingbarrow import interface as api
 from wingbarrow import logic
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,7 @@
 import math
 
 import pytest
-from conftest import Driver, S, binds, finals, listed, settings, task_class
+from tests.conftest import Driver, S, binds, finals, listed, settings, task_class
 
 from wingbarrow import interface as api
 
--- a/tests/transport/test_hub.py
+++ b/tests/transport/test_hub.py
@@ -35,7 +35,7 @@
     def main() -> None:
         with Nursery(hub) as nursery:
             for at in times:
-                nursery.spawn(lambda at=at: (hub.sleep(at), woken.append(at)))  # type: ignore[misc]
+                nursery.spawn(lambda at=at: (hub.sleep(at), woken.append(at)))
     hub.run(main)
     assert woken == sorted(times) and hub.now_us() == max(times)
 
--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 from wingbarrow.http.wire import BadMessage, Data, End, Limits, Parser, Response, write_request
-from wingbarrow.transport import Cancelled, Hub, PeerGone, Signal, Stream, connect
+from wingbarrow.transport import Cancelled, CancelScope, Hub, PeerGone, Signal, Stream, connect
 
 SECOND = 1_000_000
 
@@ -144,8 +144,8 @@
         while self._idle:
             self._drop(self._idle.popleft())
 
-    def _until(self, until_us: int | None):  # type: ignore[no-untyped-def]
-        return self.hub.limit((1 << 60) if until_us is None else max(0, until_us - self.hub.now_us()))
+    def _until(self, until_us: int | None) -> CancelScope:
+        return CancelScope(self.hub, until_us)
 
     def _drop(self, line: _Line) -> None:
         line.stream.close()
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -21,6 +21,7 @@
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 _BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
+_LONGEST_MS = 3_600_000  # of one poll; a later timer is found again by the next turn
 _COMPACT_AT = 512  # cancelled timers that may lie in the heap before it is rebuilt
 
 
@@ -411,7 +412,7 @@
     def _polled(self, timeout_us: int | None) -> bool:
         self.polls += 1
         # Rounded up to milliseconds: waking before a timer is due would spin.
-        wait = None if timeout_us is None else -(-timeout_us // 1000)
+        wait = None if timeout_us is None else min(_LONGEST_MS, -(-timeout_us // 1000))
         try:
             events = self._poll.poll(wait)
         except OSError as error:
