--- /dev/null
+++ b/benchmarks/placements.py
@@ -0,0 +1,208 @@
+"""Placements a second, time from submit to placed, and where the placer's processor time goes.
+
+    python -m benchmarks.placements [MACHINES ...] [--seconds S]
+
+Three processes on loopback and real time: stand-in machines with their list source, one placer, and owners that
+keep some Jobs outstanding. Figures are from simulated machines that start a task in a few milliseconds. Where the
+time goes is sampled by processor time (ITIMER_PROF) and booked to the innermost frame of the project.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import multiprocessing
+import os
+import platform
+import random
+import signal
+import sys
+import time
+from collections import Counter
+from multiprocessing.connection import Connection
+from types import FrameType
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from wingbarrow.config import load_text
+from wingbarrow.core.logs import silent
+from wingbarrow.fronts.serve import Service
+from wingbarrow.http.client import Pool, PoolLimits
+from wingbarrow.http.watching import call, watch
+from wingbarrow.kube import names
+from wingbarrow.lab.cluster import place, settings_text
+from wingbarrow.lab.load import Want, job_value
+from wingbarrow.lab.machine import Build, Machine, node_value
+from wingbarrow.lab.record import Recorder
+from wingbarrow.lab.source import ListSource
+from wingbarrow.transport import Hub, Nursery
+
+SECOND = 1_000_000
+JOBS = "/apis/batch/v1/namespaces/default/jobs"
+
+
+def machines(pipe: Connection, count: int) -> None:
+    hub = Hub()
+
+    def main() -> None:
+        record = Recorder(hub.now_us, 0)
+        source = ListSource(hub, 1, record, print)
+        source.lag_us = 0
+        every = []
+        for index in range(count):
+            hall, rack = place(index, count)
+            build = Build(zone=hall, cell=rack, admit_us=200, start_us=1_000, setup=2.0, slots=8, line=256,
+                          tick_us=30 * SECOND)
+            every.append(Machine(hub, f"node-{index}", build, index, record, print))
+            every[-1].launch(cold=False)
+        source.start()
+        for machine in every:
+            source.show(machine.name, node_value(machine))
+        dirty: dict[str, Machine] = {}
+        for machine in every:
+            machine.changed = lambda m: dirty.__setitem__(m.name, m)
+        pipe.send(source.port)
+        while True:
+            hub.sleep(SECOND)
+            for machine in dirty.values():
+                source.show(machine.name, node_value(machine))
+            dirty.clear()
+    hub.run(main)
+
+
+def booked(frame: FrameType | None) -> str:
+    """Which part of the project a stack stands in."""
+    while frame is not None:
+        name = frame.f_code.co_filename.rpartition("/wingbarrow/")[2]
+        if name.startswith("logic"):
+            return "module"
+        part = name.partition("/")[0]
+        if part in ("transport", "http"):
+            return {"transport": "hub", "http": "http"}[part]
+        if part in ("core", "decide", "kube", "fronts", "config"):
+            return "core"
+        frame = frame.f_back
+    return "other"
+
+
+def placer(pipe: Connection, source: int) -> None:
+    hub, samples = Hub(), Counter[str]()
+    settings = load_text(settings_text(0, 1, 1, source).replace("drain grace", "limits { window 65536; }\ndrain grace"))
+    signal.signal(signal.SIGPROF, lambda _, frame: samples.update([booked(frame)]))
+
+    def main() -> None:
+        service = Service(hub, settings, silent)
+        pipe.send(service.rest.port)
+
+        def report() -> None:
+            while True:
+                hub.wait(pipe.fileno(), 1)
+                pipe.recv()
+                usage = time.process_time()
+                pipe.send({"samples": dict(samples), "cpu_s": usage, "ready": service.placer.ready,
+                           "counts": dict(service.placer.counts), "module_s": service.placer.module_ns / 1e9})
+                samples.clear()
+        hub.spawn(report)
+        signal.setitimer(signal.ITIMER_PROF, 0.002, 0.002)
+        service.run()
+    hub.run(main)
+
+
+def load(port: int, seconds: float, outstanding: int, prefix: str) -> dict[str, Any]:
+    hub, histogram = Hub(), HdrHistogram(1, 60 * SECOND, 3)
+    begun: dict[str, int] = {}
+    rng = random.Random(outstanding)
+    figures = Counter[str]()
+
+    def main() -> None:
+        pool = Pool(hub, "127.0.0.1", port, PoolLimits(connections=outstanding + 4))
+        end = hub.now_us() + int(seconds * SECOND)
+        waiting: dict[str, Any] = {}
+
+        def follow() -> None:
+            for kind, value in watch(pool, f"{JOBS}?watch=true&resourceVersion={version}"):
+                name = value["metadata"]["name"]
+                if kind != "MODIFIED" or name not in begun:
+                    continue
+                if value["status"].get("conditions"):
+                    answer = value["status"]["conditions"][0]
+                    histogram.record_value(max(1, hub.now_us() - begun.pop(name)))
+                    figures[answer["type"]] += 1
+                    if name in waiting:  # else its answer was faster than that to the POST
+                        hub.wake(waiting.pop(name))
+
+        def ask(turn: int) -> None:
+            number = 0
+            while hub.now_us() < end:
+                number += 1
+                name = f"{prefix}-{turn}-{number}"
+                want = Want(0, name, "web", f"s{rng.randrange(400)}", 0.1, 0.1, int(1.5 * SECOND))
+                begun[name] = hub.now_us()
+                call(pool, "POST", JOBS, names.encode(job_value(want, name, 10 * SECOND)))
+                if name in begun:
+                    waiting[name] = hub.current()
+                    hub.block(lambda: None)
+        version = call(pool, "GET", f"{JOBS}?limit=1")["metadata"]["resourceVersion"]
+        with Nursery(hub) as nursery:
+            watching = nursery.spawn(follow)
+            with Nursery(hub) as askers:
+                for turn in range(outstanding):
+                    askers.spawn(lambda turn=turn: ask(turn))
+            watching.cancel()
+    start = time.perf_counter()
+    hub.run(main)
+    took = time.perf_counter() - start
+    return {"outstanding": outstanding, "placed_per_s": round(figures["Placed"] / took),
+            "not_placed": figures.total() - figures["Placed"],
+            "p50_ms": histogram.get_value_at_percentile(50) / 1000,
+            "p99_ms": histogram.get_value_at_percentile(99) / 1000}
+
+
+def started(target: Any, *args: Any) -> tuple[Any, Connection, Any]:
+    here, there = multiprocessing.Pipe()
+    process = multiprocessing.get_context("fork").Process(target=target, args=(there, *args), daemon=True)
+    process.start()
+    return process, here, here.recv()
+
+
+def measure(count: int, seconds: float) -> dict[str, Any]:
+    stand_ins, _, source = started(machines, count)
+    served, pipe, port = started(placer, source)
+    while True:
+        pipe.send("?")
+        if pipe.recv()["ready"]:
+            break
+        time.sleep(0.1)
+    time.sleep(1.0 + count / 200)
+    load(port, 1.0, 8, "warm")
+    runs = []
+    for outstanding in (1, 32):
+        pipe.send("?")
+        before = pipe.recv()
+        run = load(port, seconds, outstanding, f"r{outstanding}")
+        pipe.send("?")
+        after = pipe.recv()
+        total = sum(after["samples"].values()) or 1
+        run["placer_cpu_share"] = round((after["cpu_s"] - before["cpu_s"]) / seconds, 2)
+        run["share"] = {name: round(after["samples"].get(name, 0) / total, 2)
+                        for name in ("module", "core", "http", "hub", "other")}
+        runs.append(run)
+    served.kill()
+    stand_ins.kill()
+    return {"machines": count, "runs": runs}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("machines", nargs="*", type=int, default=[20, 100, 500])
+    parser.add_argument("--seconds", type=float, default=8.0)
+    wanted = parser.parse_args()
+    out = {"machine": f"{os.cpu_count()} cores, {platform.machine()}, Python {platform.python_version()}",
+           "sizes": [measure(count, wanted.seconds) for count in wanted.machines]}
+    json.dump(out, sys.stdout, indent=1)
+    print()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -5,6 +5,8 @@
 import re
 from pathlib import Path
 
+from wingbarrow.config import load_text
+
 ROOT = Path(__file__).parent.parent
 SOURCES = sorted((ROOT / "wingbarrow").glob("*.py"))
 
@@ -35,6 +37,24 @@
     assert not re.search(r"(name|zone|service|kind)\s*==\s*[\"']", text.replace('event.name == "sweep"', ""))
 
 
+def test_the_settings_in_the_docs_load() -> None:
+    blocks = re.findall(r"```kdl\n(.*?)```", (ROOT / "docs" / "operating.md").read_text(), re.S)
+    assert blocks
+    for block in blocks:
+        assert load_text(block).name
+
+
+def test_imports_run_downwards() -> None:
+    order = ["cli", "lab", "fronts", "core", "decide", "config", "http", "kube", "transport"]
+    for source in (ROOT / "wingbarrow").rglob("*.py"):
+        parts = source.relative_to(ROOT / "wingbarrow").parts
+        if len(parts) < 2:
+            continue
+        for found in re.findall(r"^(?:from|import) wingbarrow\.(\w+)", source.read_text(), re.M):
+            if found in order:
+                assert order.index(found) >= order.index(parts[0]), f"{source} imports {found}"
+
+
 def test_the_readme_example_runs() -> None:
     blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert blocks
--- a/wingbarrow/core/reflector.py
+++ b/wingbarrow/core/reflector.py
@@ -14,7 +14,7 @@
 from wingbarrow.decide.backoff import Backoff
 from wingbarrow.decide.listing import ListJudge, Take
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
-from wingbarrow.http.watching import list_all, watch
+from wingbarrow.http.watching import list_all, watch_batches
 from wingbarrow.http.wire import Limits
 from wingbarrow.interface import ListForm
 from wingbarrow.kube.status import ApiError
@@ -115,29 +115,40 @@
         target = (f"/api/v1/nodes?watch=true&resourceVersion={self._version}&allowWatchBookmarks=true"
                   f"&timeoutSeconds={WATCH_S}")
         until = self._hub.now_us() + LIST_US
-        events = watch(self._pool, target, until, SILENCE_US)
+        batches = watch_batches(self._pool, target, until, SILENCE_US)
         try:
-            for kind, value in events:
-                version = value.get("metadata", {}).get("resourceVersion")
-                if not isinstance(version, str) or not version.isdigit():
-                    raise ValueError("a watch event without a resourceVersion")
-                if kind != "BOOKMARK":
-                    self._event(kind, value)
-                if int(version) > int(self._version):
-                    self._version = version
+            for batch in batches:
+                self._batch(batch)
                 self._went_well()
         finally:
-            events.close()  # type: ignore[attr-defined]
+            batches.close()  # type: ignore[attr-defined]
 
-    def _event(self, kind: str, value: dict[str, Any]) -> None:
+    def _batch(self, batch: list[tuple[str, dict[str, Any]]]) -> None:
+        """Take in what came in one piece at once: the module plans anew after each delivery, not each line."""
+        changed: dict[str, NodeEntry] = {}
+        gone: dict[str, None] = {}
+        for kind, value in batch:
+            version = value.get("metadata", {}).get("resourceVersion")
+            if not isinstance(version, str) or not version.isdigit():
+                raise ValueError("a watch event without a resourceVersion")
+            if kind != "BOOKMARK":
+                self._event(kind, value, changed, gone)
+            if int(version) > int(self._version):
+                self._version = version
+        if changed or gone:
+            self._deliver(ListForm.CHANGES, list(changed.values()), list(gone))
+
+    def _event(self, kind: str, value: dict[str, Any], changed: dict[str, NodeEntry],
+               gone: dict[str, None]) -> None:
         entry = self._read(value)
         if entry is None or not self._judge.judge_entry(entry.name, entry.version):
             return
         if kind == "DELETED":
             self.held.pop(entry.name, None)
-            self._deliver(ListForm.CHANGES, [], [entry.name])
+            changed.pop(entry.name, None)
+            gone[entry.name] = None
         elif entry.name in self.held or len(self.held) < self._most:
-            self.held[entry.name] = entry
-            self._deliver(ListForm.CHANGES, [entry], [])
+            self.held[entry.name] = changed[entry.name] = entry
+            gone.pop(entry.name, None)
         else:
             self._log("list-too-long", level="error", machines=len(self.held) + 1, most=self._most)
--- a/wingbarrow/http/watching.py
+++ b/wingbarrow/http/watching.py
@@ -61,7 +61,18 @@
 
 def watch(pool: Pool, target: str, until_us: int | None = None,
           silence_us: int | None = None) -> Iterator[tuple[str, dict[str, Any]]]:
-    """The events of one watch as (type, object).
+    """The events of one watch as (type, object), one by one; see `watch_batches`."""
+    batches = watch_batches(pool, target, until_us, silence_us)
+    try:
+        for batch in batches:
+            yield from batch
+    finally:
+        batches.close()  # type: ignore[attr-defined]
+
+
+def watch_batches(pool: Pool, target: str, until_us: int | None = None,
+                  silence_us: int | None = None) -> Iterator[list[tuple[str, dict[str, Any]]]]:
+    """The events of one watch as lists of (type, object), each list what came in one piece.
 
     ApiError for an ERROR event or a refused watch, MaybeDone when the stream breaks, ValueError for garbage.
     `until_us` bounds the wait for the head of the answer.
@@ -83,14 +94,19 @@
             rest = lines.pop()
             if len(rest) > _LINE_MOST:
                 raise ValueError("a watch event of more than 8 MiB")
+            batch: list[tuple[str, dict[str, Any]]] = []
             for line in lines:
                 value = decode(line)
                 kind, item = value.get("type"), value.get("object")
                 if not isinstance(kind, str) or not isinstance(item, dict):
                     raise ValueError("a watch event without type or object")
                 if kind == "ERROR":
+                    if batch:
+                        yield batch
                     raise as_error(item)
-                yield kind, item
+                batch.append((kind, item))
+            if batch:
+                yield batch
     finally:
         parts.close()  # type: ignore[attr-defined]
     if rest:
--- a/wingbarrow/http/wire.py
+++ b/wingbarrow/http/wire.py
@@ -15,6 +15,9 @@
 _STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r\n")
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?")
 _DIGITS = re.compile(rb"[0-9]{1,15}")
+_SPECIAL = frozenset(("host", "content-length", "transfer-encoding", "connection", "expect"))
+_NAMES: dict[bytes, str] = {}
+_NAMES_MOST = 512
 _LINE_MOST = 1024  # of a chunk size with its extensions
 
 PHRASES = {
@@ -256,20 +259,27 @@
         if match is None:
             raise BadMessage(400, "the first line is unreadable")
         fields: list[tuple[str, str]] = []
-        at, most = match.end(), limits.fields
+        special: list[tuple[str, str]] = []  # those that decide on framing and connection
+        at, names = match.end(), _NAMES
         for found in _FIELD.finditer(head, at):
-            if found.start() != at:
+            begin, end = found.span()
+            if begin != at:
                 break
-            at = found.end()
-            fields.append((found[1].decode("ascii").lower(), found[2].decode("latin-1")))
-            if len(fields) > most:
-                raise BadMessage(431, f"more than {most} fields")
+            at = end
+            raw, value = found.groups()
+            name = names.get(raw) or _name(raw)
+            entry = name, value.decode("latin-1")
+            fields.append(entry)
+            if name in _SPECIAL:
+                special.append(entry)
+        if len(fields) > limits.fields:
+            raise BadMessage(431, f"more than {limits.fields} fields")
         if at != len(head):
             line = head[at:head.find(b"\r\n", at)]
             raise BadMessage(400, _why_bad(line))
         if self._requests:
-            return self._request(match, fields)
-        return self._response(match, fields)
+            return self._request(match, fields, special)
+        return self._response(match, fields, special)
 
     def _framing(self, fields: list[tuple[str, str]]) -> tuple[int | None, bool, bool, str]:
         """Content-Length, whether chunked, whether any coding is named, and the Connection options."""
@@ -300,20 +310,20 @@
             raise BadMessage(400, "both Content-Length and Transfer-Encoding")
         return length, chunked, coded, connection
 
-    def _request(self, match: re.Match[bytes], fields: list[tuple[str, str]]) -> Request:
+    def _request(self, match: re.Match[bytes], fields: list[tuple[str, str]],
+                 special: list[tuple[str, str]]) -> Request:
         if match[3] != b"1":
             raise BadMessage(505, "not HTTP/1.x")
         minor = int(match[4])
-        hosts = sum(name == "host" for name, _ in fields)
+        hosts = sum([name == "host" for name, _ in special])
         if hosts > 1 or (not hosts and minor >= 1):
             raise BadMessage(400, "exactly one Host field is needed")
-        length, chunked, coded, connection = self._framing(fields)
+        length, chunked, coded, connection = self._framing(special)
         if coded and minor == 0:
             raise BadMessage(400, "Transfer-Encoding in HTTP/1.0")
-        options = [part.strip() for part in connection.split(",")]
-        keep = "close" not in options and (minor >= 1 or "keep-alive" in options)
+        keep = _keeps(connection, minor)
         expects = False
-        for name, value in fields:
+        for name, value in special:
             if name == "expect" and minor >= 1:
                 if value.lower() != "100-continue":
                     raise BadMessage(417, "an unknown expectation")
@@ -322,13 +332,13 @@
         return Request(match[1].decode("ascii"), match[2].decode("ascii"), fields, minor, keep,
                        expects and (chunked or bool(length)))
 
-    def _response(self, match: re.Match[bytes], fields: list[tuple[str, str]]) -> Response:
+    def _response(self, match: re.Match[bytes], fields: list[tuple[str, str]],
+                  special: list[tuple[str, str]]) -> Response:
         if match[1] != b"1":
             raise BadMessage(505, "not HTTP/1.x")
         status, minor = int(match[3]), int(match[2])
-        length, chunked, _, connection = self._framing(fields)
-        options = [part.strip() for part in connection.split(",")]
-        keep = "close" not in options and (minor >= 1 or "keep-alive" in options)
+        length, chunked, _, connection = self._framing(special)
+        keep = _keeps(connection, minor)
         if status < 200 or status in (204, 304) or self.no_body:
             self._state = _State.MESSAGE_END
         elif length is None and not chunked:
@@ -348,6 +358,21 @@
             self._state = _State.MESSAGE_END
 
 
+def _keeps(connection: str, minor: int) -> bool:
+    if not connection:
+        return minor >= 1
+    options = [part.strip() for part in connection.split(",")]
+    return "close" not in options and (minor >= 1 or "keep-alive" in options)
+
+
+def _name(raw: bytes) -> str:
+    """A field's name in lower case; those met before are kept, up to a bound."""
+    name = raw.decode("ascii").lower()
+    if len(_NAMES) < _NAMES_MOST and len(raw) <= 64:
+        _NAMES[raw] = name
+    return name
+
+
 def _why_bad(line: bytes) -> str:
     if line[:1] in (b" ", b"\t"):
         return "obsolete line folding"
