--- /dev/null
+++ b/tests/core/test_learning_path.py
@@ -0,0 +1,390 @@
+"""Learning over sockets: peers that stall, err, lie, belong elsewhere; two new ones; ten at once; drains."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.stage import S, Stage
+from wingbarrow.core.handover import PAGE, Snapshots, read_page, write_instance
+from wingbarrow.core.handover import Shares as HandedShares
+from wingbarrow.decide.learning import Announcement, Sight
+from wingbarrow.http.server import Answer, Server
+from wingbarrow.http.wire import Request
+from wingbarrow.interface import Phase
+from wingbarrow.kube import names
+from wingbarrow.lab.machine import node_value
+from wingbarrow.lab.proxy import Proxy
+from wingbarrow.transport import Nursery
+
+ALLOW = '\nallow-peer "127.0.0.0/8"\n'
+
+
+def peer_line(port: int) -> str:
+    return f'peer "127.0.0.1" port={port}\n'
+
+
+def sight(name: str, **more: Any) -> Sight:
+    fields: dict[str, Any] = {
+        "machine": name, "version": 5000, "phase": Phase.RUNNING, "launched_age_us": None, "asked": (1.0, 2.0),
+        "asked_age_us": 0, "beyond": (0.0, 0.0), "measured_age_us": 0, "warm_us": {"default/heard": 9 * S},
+        "rests_us": {}}
+    return Sight(**{**fields, **more})
+
+
+class FakePeer:
+    """A scripted instance: it announces itself and answers for its knowledge as told."""
+
+    def __init__(self, stage: Stage, sights: list[Sight], ident: str = "fake",
+                 spoil: Callable[[int, bytes], bytes | None] = lambda _, page: page, **announce: Any) -> None:
+        self.stage, self.sights, self.spoil = stage, sights, spoil
+        self.ident, self.announce = ident, announce
+        self.pages = 0
+        self.clock_us = 0
+        self.snapshots = Snapshots(1)
+        self.server = Server(stage.hub, "127.0.0.1", 0, self.answer, print)
+        stage.hub.spawn(self.server.serve)
+
+    def answer(self, request: Request) -> Answer:
+        if request.target.endswith("/instance"):
+            fields: dict[str, Any] = {"region": "", "cluster": "main", "uptime_us": 60 * S, "list_age_us": 0,
+                                      "machines": 50, **self.announce}
+            return Answer(200, write_instance(Announcement("", self.ident, 1, rtt_us=0, **fields), ""))
+        if "knowledge" not in request.target or "watch" in request.target:
+            return Answer(404)
+        token = request.target.partition("continue=")[2]
+        now = self.stage.hub.now_us() + self.clock_us
+        page = self.snapshots.page(token, now, lambda: (self.sights, HandedShares((0.6, 0.7), (50, 50), 0)),
+                                   lambda: None)
+        self.pages += 1
+        spoiled = self.spoil(self.pages, page)
+        if spoiled is None:
+            self.stage.hub.sleep(600 * S)
+        return Answer(200, spoiled or b"")
+
+
+def restarted(stage: Stage, *peers: int) -> Any:
+    """The stage's placer started anew, with peers; its core."""
+    slot = stage.cluster.placers[0]
+    slot.kill()
+    slot.state = ""
+    slot.extra = ALLOW + "".join(peer_line(port) for port in peers)
+    slot.start()
+    assert slot.service is not None
+    return slot.service.placer
+
+
+def known_warm(placer: Any) -> set[str]:
+    return {service for each in placer._scheduler.knowledge(placer.hub.now_us()).machines for service in each.warm_us}
+
+
+def test_a_new_instance_learns_from_a_running_one_without_holding_up_a_task() -> None:
+    stage = Stage(machines=6, placers=2)
+
+    def script() -> None:
+        teacher = stage.cluster.placers[1]
+        teacher.kill()
+        teacher.extra = ALLOW
+        teacher.start()
+        stage.hub.sleep(S)
+        pool = stage.pool(teacher.port)
+        for number in range(12):
+            value = {"metadata": {"name": f"t{number}", "labels": {names.SERVICE: f"taught-{number}"},
+                                  "annotations": {names.RUNS_FOR: "60s"}},
+                     "spec": {"template": {"spec": {"containers": [{"name": "c", "resources": {"requests": {
+                         "cpu": "1", "memory": "1Gi"}}}]}}}}
+            assert pool.request("POST", "/apis/batch/v1/namespaces/default/jobs", names.encode(value)).status == 201
+        stage.hub.sleep(5 * S)
+        placer = restarted(stage, teacher.port)
+        stage.submit("at-once")
+        stage.settled("at-once", 2)
+        stage.hub.sleep(S)
+        assert placer.learner.state == "followed" and placer.learner.source == "placer-1"
+        assert {f"default/taught-{number}" for number in range(12)} <= known_warm(placer)
+        assert not [task for task in placer.book.by_request.values() if "taught" in task.job.key]
+        stage.hub.sleep(70 * S)
+        assert placer.learner.state == "learned" and placer.learner.counts["followed"] >= 50
+        assert teacher.service is not None and teacher.service.rest.instances.handovers == 0
+        member = placer.heartbeats.members.members["placer-1"]
+        assert member.standing.value == "alive"
+    stage.play(script)
+    assert stage.audit().clean
+
+
+def spoil_digest(number: int, page: bytes) -> bytes:
+    return page.replace(b"node-1", b"node-9") if number == 1 else page
+
+
+def garbage(number: int, page: bytes) -> bytes:
+    return b"\xff\x00 not a page"
+
+
+def another_form(number: int, page: bytes) -> bytes:
+    return page.replace(b'"form":1', b'"form":2')
+
+
+def too_many(number: int, page: bytes) -> bytes:
+    return page.replace(b'"total":', b'"total":1000000')
+
+
+@pytest.mark.parametrize("spoil", [spoil_digest, garbage, another_form, too_many])
+def test_an_unusable_page_counts_for_nothing_and_the_next_peer_is_asked(spoil: Callable[[int, bytes], bytes]) -> None:
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        sights = [sight(f"node-{i}") for i in range(4)]
+        bad = FakePeer(stage, [sight(f"node-{i}", warm_us={"default/bad": 9 * S}) for i in range(4)], "a-bad", spoil)
+        good = FakePeer(stage, sights, "b-good")
+        placer = restarted(stage, bad.server.port, good.server.port)
+        stage.hub.sleep(3 * S)
+        assert known_warm(placer) == {"default/heard"} and placer.learner.source == "b-good"
+        assert placer.learner.counts["bad_pages"] == 1
+    stage.play(script)
+
+
+@pytest.mark.parametrize("stall_at", [1, 2, 3])
+def test_a_peer_that_stalls_at_any_page_leaves_what_came_and_costs_a_bounded_time(stall_at: int) -> None:
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        sights = [sight(f"node-{i}") for i in range(4)] + [sight(f"other-{i}") for i in range(2 * PAGE)]
+        stuck = FakePeer(stage, sights, spoil=lambda number, page: None if number == stall_at else page)
+        # Machines the list lacks make it a stranger: here they are few on the first page only.
+        stuck.sights = list(itertools.chain(*([sight(f"node-{i % 4}")] * 1 for i in range(2 * PAGE + 8))))
+        begun = stage.hub.now_us()
+        placer = restarted(stage, stuck.server.port)
+        stage.submit("at-once")
+        assert "Placed" in stage.settled("at-once", 2)
+        while placer.learner.state == "asking":
+            stage.hub.sleep(S // 10)
+        assert stage.hub.now_us() - begun <= 4 * S
+        assert placer.learner.state == ("cold" if stall_at == 1 else "learned")
+        assert known_warm(placer) >= (set() if stall_at == 1 else {"default/heard"})
+    stage.play(script)
+
+
+@pytest.mark.parametrize("cut", [10, 200, 500])
+def test_a_hand_over_cut_inside_a_page_takes_nothing_of_it(cut: int) -> None:
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        peer = FakePeer(stage, [sight(f"node-{i}") for i in range(4)])
+        proxy = Proxy(stage.hub, peer.server.port)
+        original = peer.answer
+
+        def answer(request: Request) -> Answer:
+            if "knowledge" in request.target:
+                proxy.cut_after = cut
+            return original(request)
+        peer.server._handler = answer
+        placer = restarted(stage, proxy.port)
+        stage.hub.sleep(8 * S)
+        assert not known_warm(placer) and placer.learner.state == "cold"
+    stage.play(script)
+
+
+def test_pages_twice_or_out_of_order_end_the_hand_over() -> None:
+    for again in (1, 3):
+        stage = Stage(machines=4)
+
+        def script(again: int = again, stage: Stage = stage) -> None:
+            kept: dict[int, bytes] = {}
+
+            def spoil(number: int, page: bytes) -> bytes:
+                kept[number] = page
+                return kept[again] if number == 2 and again in kept else (
+                    page.replace(b'"first":200', b'"first":400') if number == 2 else page)
+            peer = FakePeer(stage, [sight(f"node-{i % 4}") for i in range(3 * PAGE)], spoil=spoil)
+            placer = restarted(stage, peer.server.port)
+            stage.hub.sleep(3 * S)
+            assert placer.learner.counts["bad_pages"] == 1 and peer.pages == 2
+        stage.play(script)
+
+
+def test_another_clusters_machines_are_refused_whole() -> None:
+    stage = Stage(machines=6)
+
+    def script() -> None:
+        peer = FakePeer(stage, [sight(f"node-{i}") for i in range(2)] + [sight(f"far-{i}") for i in range(30)])
+        slot = stage.cluster.placers[0]
+        placer = restarted(stage)
+        stage.hub.sleep(S)
+        assert slot.service is not None
+        assert placer.take_sights(peer.sights, 0, True) is False and not known_warm(placer)
+        other = FakePeer(stage, [sight("node-0")], "elsewhere", cluster="other")
+        placer = restarted(stage, other.server.port)
+        stage.hub.sleep(2 * S)
+        assert other.pages == 0 and placer.learner.state == "cold"
+    stage.play(script)
+
+
+def test_a_clock_an_hour_off_does_no_harm_and_one_that_jumps_is_not_believed() -> None:
+    for jump, believed in ((0, True), (1800 * S, False)):
+        stage = Stage(machines=4)
+
+        def script(jump: int = jump, believed: bool = believed, stage: Stage = stage) -> None:
+            def spoil(number: int, page: bytes) -> bytes:
+                peer.clock_us += jump if number == 1 else 0
+                return page
+            first = [sight(f"node-{i % 4}", warm_us={}) for i in range(PAGE)]
+            peer = FakePeer(stage, [*first, *(sight(f"node-{i}") for i in range(4))], spoil=spoil)
+            peer.clock_us = 3600 * S
+            placer = restarted(stage, peer.server.port)
+            stage.hub.sleep(3 * S)
+            assert (known_warm(placer) == {"default/heard"}) is believed
+        stage.play(script)
+
+
+def test_stale_knowledge_that_calls_itself_fresh_loses_to_a_newer_list() -> None:
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        liar = FakePeer(stage, [sight(f"node-{i}", version=1, asked=(23.9, 47.9), asked_age_us=0, warm_us={})
+                                for i in range(4)])
+        placer = restarted(stage, liar.server.port)
+        stage.hub.sleep(2 * S)
+        assert all(each.asked[0] < 10 for each in placer._scheduler.knowledge(stage.hub.now_us()).machines)
+        stage.submit("fits", cores=20, memory=40)
+        assert "Placed" in stage.settled("fits")
+    stage.play(script)
+
+
+@pytest.mark.parametrize("seen_after_list", [False, True])
+def test_a_machine_the_peer_saw_draining_gets_nothing_until_a_newer_list_says_it_runs(seen_after_list: bool) -> None:
+    stage = Stage(machines=2)
+
+    def script() -> None:
+        machine = stage.cluster.machines[0]
+        version = int(stage.cluster.source._nodes.objects["node-0"].version)
+        peer = FakePeer(stage, [sight("node-0", version=version + (5 if seen_after_list else -1),
+                                      phase=Phase.DRAINING), sight("node-1", version=1)])
+        placer = restarted(stage, peer.server.port)
+        stage.hub.sleep(2 * S)
+        for number in range(8):
+            stage.submit(f"t{number}", service=f"s{number}", runs_s=60)
+            stage.settled(f"t{number}")
+        began = {record.where for record in stage.seen("offer", placer="placer-0")}
+        assert began == ({"node-1"} if seen_after_list else {"node-0", "node-1"})
+        if seen_after_list:
+            assert placer.links["node-0"].phase is Phase.DRAINING
+            stage.cluster.source._store.version += 10
+            machine.build = machine.build.__class__(**{**_fields(machine.build), "kept": 9})
+            value = node_value(machine)
+            value["metadata"]["labels"]["fresh"] = "yes"
+            stage.cluster.source.show("node-0", value)
+            stage.hub.sleep(S)
+            assert placer.links["node-0"].phase.value == "running"
+            for number in range(8, 20):
+                stage.submit(f"t{number}", service=f"s{number}", runs_s=60)
+                stage.settled(f"t{number}")
+            assert {record.where for record in stage.seen("offer", placer="placer-0")} == {"node-0", "node-1"}
+    stage.play(script)
+
+
+def _fields(build: Any) -> dict[str, Any]:
+    return {name: getattr(build, name) for name in build.__slots__}
+
+
+def test_two_new_instances_that_ask_each_other_learn_no_echo() -> None:
+    stage = Stage(machines=3, placers=2)
+
+    def script() -> None:
+        first, second = stage.cluster.placers
+        for slot, other in ((first, second), (second, first)):
+            slot.kill()
+            slot.extra = ALLOW + peer_line(other.port)
+        first.start()
+        second.start()
+        stage.hub.sleep(4 * S)
+        for slot in (first, second):
+            assert slot.service is not None
+            learner = slot.service.placer.learner
+            assert learner.state == "cold" and not learner.counts["pages"]
+            assert len(slot.service.placer.heartbeats.members.members) == 1
+        stage.submit("works")
+        assert "Placed" in stage.settled("works")
+    stage.play(script)
+
+
+def test_ten_that_ask_at_once_are_served_within_bounds_and_placing_goes_on() -> None:
+    stage = Stage(machines=6)
+
+    def script() -> None:
+        teacher = stage.cluster.placers[0]
+        teacher.kill()
+        teacher.extra = ALLOW
+        teacher.start()
+        stage.hub.sleep(S)
+        front = teacher.service.rest.instances  # type: ignore[union-attr]
+        answers: list[int] = []
+
+        def ask() -> None:
+            pool = stage.pool()
+            response, parts = pool.stream("GET", "/apis/wingbarrow.io/v1/knowledge?watch=true")
+            answers.append(response.status)
+            with stage.hub.limit(5 * S):
+                for _ in parts:
+                    pass
+            parts.close()  # type: ignore[attr-defined]
+        with Nursery(stage.hub) as nursery:
+            for _ in range(10):
+                nursery.spawn(ask)
+            stage.hub.sleep(S)
+            stage.submit("meanwhile")
+            assert "Placed" in stage.settled("meanwhile", 2)
+            assert front.handovers == 4
+        assert sorted(answers) == [200] * 4 + [429] * 6
+        stage.hub.sleep(2 * S)
+        assert front.handovers == 0
+    stage.play(script)
+
+
+def test_who_may_not_ask_is_refused_and_told_once() -> None:
+    told: list[str] = []
+    stage = Stage(machines=1)
+    stage.cluster.log = lambda event, level="info", **fields: told.append(event)
+
+    def script() -> None:
+        pool = stage.pool()
+        for path in ("instance", "knowledge", "members"):
+            assert pool.request("GET", f"/apis/wingbarrow.io/v1/{path}").status == 403
+        assert pool.request("POST", "/apis/wingbarrow.io/v1/heartbeats", b"{}").status == 403
+    stage.play(script)
+    assert told.count("peer-refused") == 1
+
+
+def test_a_snapshot_is_resumed_within_its_time_and_gone_after_it() -> None:
+    snapshots = Snapshots(7)
+    sights = [sight(f"m{i}") for i in range(450)]
+    first = read_page(snapshots.page("", 0, lambda: (sights, HandedShares((1, 1), (1, 1), 0)), lambda: None), 1000)
+    assert (first.first, first.total, len(first.sights)) == (0, 450, PAGE)
+    second = read_page(snapshots.page(first.next, 5 * S, lambda: ([], first.shares), lambda: None), 1000)
+    assert (second.first, second.snapshot_age_us) == (200, 5 * S)
+    with pytest.raises(KeyError):
+        snapshots.page(first.next, 40 * S, lambda: ([], first.shares), lambda: None)
+    for bad in ("nonsense", "7-1.x", "7-1.99", "7-1.-1"):
+        with pytest.raises(KeyError):
+            snapshots.page(bad, 5 * S, lambda: ([], first.shares), lambda: None)
+
+
+def test_a_mass_restart_with_nobody_to_learn_from_starts_cold_and_keeps_the_rules() -> None:
+    stage = Stage(machines=4, placers=3)
+
+    def script() -> None:
+        slots = stage.cluster.placers
+        ports = [slot.port for slot in slots]
+        for slot in slots:
+            slot.kill()
+            slot.state = ""
+            slot.extra = ALLOW + "".join(peer_line(port) for port in ports)
+        for slot in slots:
+            slot.start()
+        stage.submit("first")
+        assert "Placed" in stage.settled("first")
+        stage.hub.sleep(8 * S)
+        assert all(slot.service and slot.service.placer.learner.state == "cold" for slot in slots)
+    stage.play(script)
+    assert stage.audit().clean
--- a/wingbarrow/config/__init__.py
+++ b/wingbarrow/config/__init__.py
@@ -1,9 +1,16 @@
 """Settings of a placer in KDL: read whole, every error at once with its line, near misses suggested."""
 
 from wingbarrow.config.load import SettingsError, load_file, load_text
-from wingbarrow.config.settings import ClassSettings, Limits, PlacerSettings, parse_duration, parse_size
+from wingbarrow.config.settings import (
+    ClassSettings,
+    Limits,
+    PeerAddress,
+    PlacerSettings,
+    parse_duration,
+    parse_size,
+)
 
 __all__ = [
-    "ClassSettings", "Limits", "PlacerSettings", "SettingsError", "load_file", "load_text", "parse_duration",
-    "parse_size",
+    "ClassSettings", "Limits", "PeerAddress", "PlacerSettings", "SettingsError", "load_file", "load_text",
+    "parse_duration", "parse_size",
 ]
--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -9,12 +9,21 @@
 from typing import Any
 
 import ckdl
+from netaddr import AddrFormatError, IPAddress, IPNetwork, IPSet
 
 from wingbarrow import interface as api
 from wingbarrow.config.lines import NodeLines
-from wingbarrow.config.settings import ClassSettings, Limits, PlacerSettings, parse_duration, parse_size
+from wingbarrow.config.settings import (
+    ClassSettings,
+    Limits,
+    PeerAddress,
+    PlacerSettings,
+    parse_duration,
+    parse_size,
+)
 
 _FILE_MOST = 1 << 20
+_PEERS_MOST = 64
 
 
 class SettingsError(Exception):
@@ -60,6 +69,20 @@
     raise ValueError(f"a size such as \"48Gi\" is wanted, not {value!r}")
 
 
+def _address(value: Any) -> str:
+    try:
+        return str(IPAddress(value if isinstance(value, str) else ""))
+    except (AddrFormatError, ValueError):
+        raise ValueError(f"an IP address is wanted, not {value!r}") from None
+
+
+def _network(value: Any) -> IPNetwork:
+    try:
+        return IPNetwork(value if isinstance(value, str) else "")
+    except (AddrFormatError, ValueError):
+        raise ValueError(f"a network such as \"10.0.0.0/8\" is wanted, not {value!r}") from None
+
+
 def _word(*words: str) -> Callable[[Any], str]:
     def read(value: Any) -> str:
         if value not in words:
@@ -86,7 +109,10 @@
 _LIMITS = {each.name.replace("_", "-").removesuffix("-us"): each for each in fields(Limits)}
 _SCHEMA = _Shape(children={
     "placer": _Shape((_text,), {"index": (_number(0, 10_000, True), 0), "of": (_number(1, 10_000, True), 1),
-                                "seed": (_number(0, 1 << 62, True), 1)}),
+                                "seed": (_number(0, 1 << 62, True), 1), "region": (_text, ""),
+                                "cluster": (_text, "main")}),
+    "peer": _Shape((_address,), {"port": (_number(1, 65535, True), _NEEDED)}, many=True),
+    "allow-peer": _Shape((_network,), many=True),
     "listen": _Shape((_text,), {"port": (_number(0, 65535, True), 0)}),
     "list-source": _Shape((_text,), {"port": (_number(1, 65535, True), _NEEDED)}),
     "state": _Shape((_text,)),
@@ -245,6 +271,8 @@
     classes = {node.args[0]: _class(node, kinds, problems) for node in top.children["class"]}
     limits = Limits(**{_LIMITS[key].name: nodes[0].args[0]
                        for node in top.children.get("limits", []) for key, nodes in node.children.items()})
+    if len(top.children.get("peer", [])) > _PEERS_MOST:
+        problems.append((top.children["peer"][_PEERS_MOST].line, f"peer: more than {_PEERS_MOST} peers"))
     for node in top.children["class"]:
         if node.props["patience"] > limits.patience_us:
             problems.append((node.line, "class: patience is above the limit for patience"))
@@ -273,7 +301,10 @@
         name=placer.args[0], seed=placer.props["seed"], host=listen.args[0] if listen else "127.0.0.1",
         port=listen.props["port"] if listen else 0, source_host=source.args[0], source_port=source.props["port"],
         state=state.args[0] if state else None, scheduler=scheduler, classes=classes,
-        drain_grace_us=top.get("drain", "grace", 250_000), limits=limits)
+        drain_grace_us=top.get("drain", "grace", 250_000), limits=limits, region=placer.props["region"],
+        cluster=placer.props["cluster"],
+        peers=tuple(PeerAddress(node.args[0], node.props["port"]) for node in top.children.get("peer", [])),
+        peers_allowed=IPSet(node.args[0] for node in top.children.get("allow-peer", [])))
 
 
 def _twice(nodes: list[_Node], what: str, problems: list[tuple[int, str]]) -> None:
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from netaddr import IPSet
 
 from wingbarrow import interface as api
 
@@ -60,6 +62,17 @@
     patience_us: int = 3_600_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Another instance's front."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
 @dataclass(frozen=True, slots=True)
 class PlacerSettings:
     """Everything that `serve` needs; `scheduler` is what the decision module is told."""
@@ -75,3 +88,7 @@
     classes: dict[str, ClassSettings]
     drain_grace_us: int
     limits: Limits
+    region: str = ""
+    cluster: str = "main"
+    peers: tuple[PeerAddress, ...] = ()
+    peers_allowed: IPSet = field(default_factory=IPSet)  # who may ask for this instance's knowledge
--- /dev/null
+++ b/wingbarrow/core/learner.py
@@ -0,0 +1,193 @@
+"""Learning from running instances at a start: ask all peers what they know, take from the best, then follow it.
+
+Placing begins at once and never waits for this. What a peer's word is worth is decided in `decide.learning`.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Protocol
+from urllib.parse import quote
+
+from wingbarrow.config.settings import PeerAddress, PlacerSettings
+from wingbarrow.core.handover import PAGE, BadPage, Page, read_instance, read_page
+from wingbarrow.decide import learning
+from wingbarrow.decide.learning import Announcement, ClockCheck, Sight
+from wingbarrow.http.client import CallFailed, Pool, PoolLimits
+from wingbarrow.http.wire import Limits
+from wingbarrow.transport import Hub, Nursery
+
+SECOND = 1_000_000
+ANNOUNCE_US = 600_000  # for the announcements of all peers together
+PEER_US = 2 * SECOND  # for one peer's pages
+BUDGET_US = 5 * SECOND  # for all peers
+FOLLOW_US = 60 * SECOND
+SILENCE_US = 5 * SECOND  # a followed peer says something every second
+PAGE_BYTES = 4 << 20
+BASE = "/apis/wingbarrow.io/v1"
+
+
+class Taker(Protocol):
+    """The placer, as far as learning goes."""
+
+    def take_sights(self, sights: list[Sight], more_age_us: int, clock_good: bool) -> bool:
+        """Take in a page's sights; False where they are of another cluster."""
+
+    def take_shares(self, page: Page, more_age_us: int, clock_good: bool) -> None:
+        """Take in a page's learned shares."""
+
+
+class Learner:
+    """One start's learning; `state` tells how it went: asking, followed, learned, cold."""
+
+    def __init__(self, hub: Hub, settings: PlacerSettings, taker: Taker, incarnation: int,
+                 log: Callable[..., None]) -> None:
+        self._hub = hub
+        self._settings = settings
+        self._taker = taker
+        self._incarnation = incarnation
+        self._log = log
+        self._pools: dict[PeerAddress, Pool] = {}
+        self.state = "asking" if settings.peers else "cold"
+        self.source = ""  # the peer that was learned from
+        self.counts: Counter[str] = Counter()
+
+    def _pool(self, peer: PeerAddress) -> Pool:
+        if peer not in self._pools:
+            self._pools[peer] = Pool(self._hub, peer.host, peer.port, PoolLimits(
+                connections=4, connect_us=ANNOUNCE_US, message=Limits(body=PAGE_BYTES)),
+                f"wingbarrow/{self._settings.name}")
+        return self._pools[peer]
+
+    def run(self) -> None:
+        """Learn once; returns when there is nothing more to learn."""
+        if not self._settings.peers:
+            return
+        end = self._hub.now_us() + BUDGET_US
+        announced = self._announcements()
+        order = learning.order_peers(announced, self._settings.region, self._settings.cluster, self._settings.name)
+        by_name = {str(peer): peer for peer in self._settings.peers}
+        for announcement in order:
+            peer = by_name[announcement.peer]
+            if self._hub.now_us() >= end:
+                break
+            if self._take_all(peer, announcement, min(end, self._hub.now_us() + PEER_US)):
+                self.state, self.source = "followed", announcement.ident
+                self._log("learned", peer=announcement.ident, machines=announcement.machines)
+                self._follow(peer, announcement)
+                self.state = "learned"
+                return
+            self.counts["fell_back"] += 1
+        if self.state == "asking":
+            self.state = "learned" if self.counts["pages"] else "cold"
+            self._log("cold-start", peers=len(self._settings.peers), announced=len(announced),
+                      pages=self.counts["pages"])
+
+    # -- whom to ask
+
+    def _announcements(self) -> list[Announcement]:
+        out: list[Announcement] = []
+
+        def ask(peer: PeerAddress) -> None:
+            begun = self._hub.now_us()
+            try:
+                response = self._pool(peer).request("GET", f"{BASE}/instance", until_us=begun + ANNOUNCE_US)
+                if response.status != 200:
+                    raise BadPage(f"status {response.status}")
+                announced, _ = read_instance(response.body, str(peer), self._hub.now_us() - begun)
+            except (CallFailed, BadPage) as error:
+                self.counts["no_announcement"] += 1
+                self._log("peer-silent", peer=str(peer), why=str(error)[:200])
+                return
+            out.append(announced)
+        with self._hub.limit(ANNOUNCE_US), Nursery(self._hub) as nursery:
+            for peer in self._settings.peers:
+                nursery.spawn(lambda peer=peer: ask(peer), "asks a peer")  # type: ignore[misc]
+        return out
+
+    # -- pages
+
+    def _take_all(self, peer: PeerAddress, announcement: Announcement, end_us: int) -> bool:
+        """All pages of one peer, each taken in as it comes; False where it stalls, errs or is not believed."""
+        token, expected, snapshot = "", 0, ""
+        clock = ClockCheck()
+        most = self._settings.limits.machines
+        while True:
+            begun = self._hub.now_us()
+            if begun >= end_us:
+                self.counts["stalled"] += 1
+                return False
+            query = f"?limit={PAGE}" + (f"&continue={quote(token)}" if token else "")
+            try:
+                response = self._pool(peer).request("GET", f"{BASE}/knowledge{query}", until_us=end_us)
+                if response.status != 200:
+                    raise BadPage(f"status {response.status}")
+                page = read_page(response.body, most)
+                if page.first != expected or (snapshot and page.snapshot != snapshot):
+                    raise BadPage(f"page at {page.first} of {page.snapshot}, not at {expected} of {snapshot}")
+            except (CallFailed, BadPage) as error:
+                self.counts["bad_pages" if isinstance(error, BadPage) else "stalled"] += 1
+                self._log("peer-page-unusable", level="warning", peer=str(peer), why=str(error)[:200])
+                return False
+            if not self._take(page, clock, begun):
+                return False
+            snapshot, expected = page.snapshot, page.first + len(page.sights)
+            if not page.next:
+                if expected != page.total:
+                    self.counts["bad_pages"] += 1
+                    return False
+                return True
+            if not page.sights or page.next == token:
+                self.counts["bad_pages"] += 1
+                return False
+            token = page.next
+
+    def _take(self, page: Page, clock: ClockCheck, asked_us: int) -> bool:
+        now = self._hub.now_us()
+        good = clock.page(now, page.clock_us)
+        if not good:
+            self.counts["clock_jumps"] += 1
+        # The answer was written at some time after the question left: the whole exchange counts as age.
+        more = page.snapshot_age_us + (now - asked_us)
+        self.counts["pages"] += 1
+        if not self._taker.take_sights(page.sights, more, good):
+            self.counts["strangers"] += 1
+            self._log("peer-of-another-cluster", level="warning")
+            return False
+        self._taker.take_shares(page, more, good)
+        return True
+
+    # -- following
+
+    def _follow(self, peer: PeerAddress, announcement: Announcement) -> None:
+        """Changes of the first minute; however it ends, what was learned stays."""
+        end = self._hub.now_us() + FOLLOW_US
+        clock = ClockCheck()
+        try:
+            response, parts = self._pool(peer).stream("GET", f"{BASE}/knowledge?watch=true",
+                                                      until_us=self._hub.now_us() + PEER_US, silence_us=SILENCE_US)
+            try:
+                if response.status != 200:
+                    raise BadPage(f"status {response.status}")
+                for line in _lines(parts):
+                    if self._hub.now_us() >= end:
+                        return
+                    if not self._take(read_page(line, self._settings.limits.machines), clock, self._hub.now_us()):
+                        return
+                    self.counts["followed"] += 1
+            finally:
+                parts.close()  # type: ignore[attr-defined]
+        except (CallFailed, BadPage) as error:
+            self.counts["follow_broke"] += 1
+            self._log("peer-watch-broke", peer=str(peer), why=str(error)[:200])
+
+
+def _lines(parts: Iterable[bytes]) -> Iterable[bytes]:
+    rest = b""
+    for part in parts:
+        lines = (rest + part).split(b"\n")
+        rest = lines.pop()
+        if len(rest) > PAGE_BYTES:
+            raise BadPage(f"a line of more than {PAGE_BYTES} bytes")
+        yield from lines
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -19,15 +21,19 @@
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.book import OPEN, Book, JobRecord, State, Step, TaskRecord
 from wingbarrow.core.events import Events, event_fields
+from wingbarrow.core.handover import Page, Shares
+from wingbarrow.core.heartbeats import Heartbeats
 from wingbarrow.core.intake import JobRequest, read_job
 from wingbarrow.core.jobstatus import write_status
+from wingbarrow.core.learner import Learner
 from wingbarrow.core.link import MachineLink
 from wingbarrow.core.nodes import NodeEntry, read_node
 from wingbarrow.core.pods import Ended, Phase, PodSight, expected_left_us, pod_resources, pod_text, read_pod
 from wingbarrow.core.reflector import Reflector
-from wingbarrow.decide import again, strays
+from wingbarrow.decide import again, learning, strays
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.gate import Held, Offer, SendGate
+from wingbarrow.decide.learning import Sight
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, not_found
 from wingbarrow.kube.store import Store
@@ -36,6 +42,7 @@
 
 SAVE_EVERY_US = 5_000_000
 PROBES_OUT = 32
+GONE_KEPT = 1024
 _USES = {"cores": api.NoteKind.CORES_USED, "memory": api.NoteKind.MEMORY_USED, "served": api.NoteKind.SERVED,
          "machine": api.NoteKind.MACHINE_MEMORY}
 
@@ -57,6 +64,9 @@
                          settings.limits.jobs_kept)
         self.attempts = Attempts()
         self.counts: Counter[str] = Counter()
+        self._begun_us = hub.now_us()
+        self._shares_taken = False
+        self._fleet = (0.5, 0.5)  # asked over size, as peers last told it
         self.ready = False  # a list of machines has come
         self.module_ns = 0  # processor time spent in the module
         self.failed: Exception | None = None
@@ -77,10 +87,16 @@
         self._probes_out = 0
         # Part of every pod name: two placers, and two lives of one, must never share a name.
         self._life = format(names.ident(f"{settings.name}/{self.born_us}"), "013x")
-        self._saved_us = 0
+        self._distrust = learning.Distrust(settings.limits.machines)
+        self._gone_versions: dict[str, int] = {}  # machines that left the list, for peers to hear of
+        self._hearsay: dict[str, tuple[Sight, int, bool]] = {}  # not applied yet: sight, when it was true, clock good
+        self._shares_us: int | None = None  # when a task last told of its use
+        self.heartbeats = Heartbeats(hub, settings, self.born_us, self.announce, log)
+        self.learner = Learner(hub, settings, self, self.born_us, log)
         self.reflector = Reflector(hub, settings.source_host, settings.source_port, f"wingbarrow/{settings.name}",
                                    random.Random(self._random.random()), settings.limits.machines, self._on_list,
                                    log)
+        self.reflector.on_new_source = self._distrust.new_source
 
     # -- life
 
@@ -90,6 +106,8 @@
             self._nursery = nursery
             self._load_saved()
             nursery.spawn(self.reflector.run, "reflector")
+            nursery.spawn(self.learner.run, "learner")
+            nursery.spawn(self.heartbeats.run, "heartbeats")
             for link in list(self.links.values()):
                 self._follow(link)
             if self.settings.state:
@@ -107,7 +125,10 @@
             try:
                 clock = self.hub.clock
                 for value in saved.load(Path(self.settings.state)):
-                    entries.append(read_node(value, clock.now_us() - clock.wall_us()))
+                    entry = read_node(value, clock.now_us() - clock.wall_us())
+                    # Its figures of room are of an unknown age: they count as not told.
+                    entries.append(replace(entry, listed=replace(entry.listed, free_cores=math.nan,
+                                                                 free_memory=math.nan)))
             except ValueError as error:
                 entries = []
                 self.log("saved-list-unusable", level="error", why=str(error))
@@ -534,6 +555,7 @@
                 for kind, level in zip(_USES.values(), use, strict=True):
                     if level >= 0:
                         self.feed(api.TaskNote(attempt.request, attempt.number, link.ident, kind, level))
+                self._shares_us = self.hub.now_us()
 
     def _unaccounted(self, link: MachineLink, sight: PodSight) -> None:
         if sight.phase is not Phase.RUNNING:
@@ -635,6 +657,92 @@
             self.feed(api.Probed(machine, outcome, report))
         self._spawn(probe, "probe")
 
+    # -- what other instances know
+
+    def announce(self) -> learning.Announcement:
+        """What this instance says of itself to others."""
+        heard, now = self.reflector.heard_us, self.hub.now_us()
+        return learning.Announcement(
+            "", self.settings.name, self.born_us, self.settings.region, self.settings.cluster,
+            now - self._begun_us, None if heard is None else now - heard, len(self.reflector.held), 0)
+
+    def know(self) -> tuple[list[Sight], Shares]:
+        """What this instance knows of machines, for a hand-over; never requests, never tasks."""
+        now, known = self.hub.now_us(), self._scheduler.knowledge(self.hub.now_us())
+        by_ident = {each.machine: each for each in known.machines}
+        sights: list[Sight] = []
+        for name, entry in self.reflector.held.items():
+            link, each = self.links.get(name), by_ident.get(entry.listed.machine)
+            if link is None or each is None:
+                continue
+            launched = now - link.launched_us if link.launched_us > 0 else None
+            sights.append(Sight(name, max(entry.version, self._distrust.version(name)), link.phase, launched,
+                                each.asked, each.asked_age_us, each.beyond, each.measured_age_us, each.warm_us,
+                                each.rests_us))
+        for name, version in self._gone_versions.items():
+            sights.append(Sight(name, version, api.Phase.GONE, None, None, None, None, None, {}, {}))
+        age = None if self._shares_us is None else now - self._shares_us
+        return sights, Shares(known.ratio, known.notes, age)
+
+    def _note_gone(self, name: str) -> None:
+        self._gone_versions[name] = self.reflector.version
+        if len(self._gone_versions) > GONE_KEPT:
+            del self._gone_versions[next(iter(self._gone_versions))]
+
+    def take_sights(self, sights: list[Sight], more_age_us: int, clock_good: bool) -> bool:
+        """Take in a page of a peer's sights; False, and none is kept, where they are of another cluster."""
+        idents = {name: entry.listed.machine for name, entry in self.reflector.held.items()}
+        if learning.strangers(sights, idents):
+            return False
+        now, changed = self.hub.now_us(), []
+        for sight in sights:
+            entry = self.reflector.held.get(sight.machine)
+            # A sight of a drain counts whatever the peer's clock does: versions order it, not ages.
+            if self._distrust.saw(sight, entry.version if entry else None, now) and entry is not None:
+                changed.append(entry)
+            if len(self._hearsay) < self.settings.limits.machines or sight.machine in self._hearsay:
+                self._hearsay[sight.machine] = sight, now - more_age_us, clock_good
+        if changed:
+            self._on_list(api.ListForm.CHANGES, changed, [])
+        else:
+            self._apply_hearsay()
+        return True
+
+    def take_shares(self, page: Page, more_age_us: int, clock_good: bool) -> None:
+        """Take in a peer's learned shares of use, once: later pages of the same peer repeat them."""
+        if self._shares_taken:
+            return
+        shares = page.shares
+        age = None if shares.age_us is None else shares.age_us + more_age_us
+        weighed = [learning.weigh_ratio(ratio, notes, age, clock_good)
+                   for ratio, notes in zip(shares.ratio, shares.notes, strict=True)]
+        if any(notes > 0 for _, notes in weighed):
+            self._shares_taken = True
+            self.feed(api.Learned((), (weighed[0][0], weighed[1][0]), (weighed[0][1], weighed[1][1])))
+
+    def _apply_hearsay(self) -> None:
+        """Give the module what was heard of machines that our list has by now."""
+        if not self._hearsay:
+            return
+        now = self.hub.now_us()
+        held = self.reflector.held
+        ready = [name for name in self._hearsay if name in held and name in self.links]
+        groups: dict[tuple[int, bool], list[Sight]] = {}
+        for name in ready:
+            sight, at_us, good = self._hearsay.pop(name)
+            groups.setdefault((at_us, good), []).append(sight)
+        for (at_us, good), sights in groups.items():
+            names_here = [sight.machine for sight in sights]
+            sizes = {name: self._sizes.get(held[name].listed.kind, (1.0, 1.0)) for name in names_here}
+            self._fleet = learning.fleet_average(sights, sizes, self._fleet)
+            weighed = learning.weigh(sights, now - at_us, sizes, {name: held[name].version for name in names_here},
+                                     {name: held[name].listed.machine for name in names_here}, good, self._fleet)
+            self.counts["machines_learned"] += len(weighed)
+            if weighed:
+                self.feed(api.Learned(tuple(weighed), (0.0, 0.0), (0.0, 0.0)))
+        for name in [name for name, (_, at_us, _) in self._hearsay.items() if now - at_us > learning.USELESS_US]:
+            del self._hearsay[name]
+
     # -- the list
 
     def _on_list(self, form: api.ListForm, entries: list[NodeEntry], gone: list[str]) -> None:
@@ -643,11 +751,14 @@
             return
         if form is not api.ListForm.SAVED:
             self.ready = True
-        listed = [entry.listed for entry in entries]
+        # Every entry passes here, and so the guard against machines that a peer saw draining (rule 3).
+        narrowed = {entry.name: self._distrust.narrow(entry.name, entry.version, entry.listed) for entry in entries}
+        listed = list(narrowed.values())
         for name in gone:
             link = self.links.get(name)
             stored = self.nodes.delete(name)
             self._shown.pop(name, None)
+            self._note_gone(name)
             if link is None:
                 continue
             link.phase = api.Phase.GONE
@@ -657,7 +768,8 @@
         fresh: list[MachineLink] = []
         for entry in entries:
             link = self._link(entry, fresh)
-            link.phase, link.launched_us = entry.listed.phase, entry.listed.launched_us
+            link.phase, link.launched_us = narrowed[entry.name].phase, narrowed[entry.name].launched_us
+            self._gone_versions.pop(entry.name, None)
             if self._shown.get(entry.name) != entry.version:
                 self._shown[entry.name] = entry.version
                 self._show_node(entry)
@@ -666,6 +778,7 @@
             self._follow(link)
         for name in gone:
             self._retire(name)
+        self._apply_hearsay()
 
     def _gone(self, value: dict[str, Any], link: MachineLink) -> api.ListedMachine:
         clock = self.hub.clock
--- a/wingbarrow/core/reflector.py
+++ b/wingbarrow/core/reflector.py
@@ -44,6 +44,9 @@
         self._told_failed = False
         self.bad_entries = self.relists = self.watches = self.failures = 0
         self.held: dict[str, NodeEntry] = {}
+        self.heard_us: int | None = None  # when the source last said anything
+        self.version = 0  # of the list as held
+        self.on_new_source: Callable[[], None] = lambda: None
 
     def run(self) -> None:
         """List and watch for ever."""
@@ -75,6 +78,7 @@
             raise ValueError(f"the list goes back to version {version}; the newer one held is kept")
         if take is Take.NEW_SOURCE:
             self._log("list-source-began-anew", level="warning", version=version)
+            self.on_new_source()
         entries: dict[str, NodeEntry] = {}
         for value in items[:self._most]:
             entry = self._read(value)
@@ -91,11 +95,12 @@
         gone = [name for name in self.held if name not in entries]
         self.held = entries
         self._judge.forget(set(entries))
+        self._version = version
         self._went_well()
         self._deliver(ListForm.FULL, list(entries.values()), gone)
-        self._version = version
 
     def _went_well(self) -> None:
+        self.heard_us, self.version = self._hub.now_us(), int(self._version or 0)
         self._pause.clear()
         self._told_failed = False
 
--- /dev/null
+++ b/wingbarrow/fronts/instances.py
@@ -0,0 +1,117 @@
+"""What instances ask of each other: announcement, knowledge in pages and as a watch, heartbeats, members.
+
+Only addresses that the settings allow are answered; what is handed over is read-only.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from wingbarrow.core.handover import BadPage, Snapshots, changes_line
+from wingbarrow.core.placer import Placer
+from wingbarrow.decide.learning import Sight
+from wingbarrow.http.listwatch import Query
+from wingbarrow.http.server import Answer, ChunkWriter
+from wingbarrow.http.wire import Request
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+from wingbarrow.transport import Hub
+
+SECOND = 1_000_000
+HANDOVERS_MOST = 4  # pages and watches served at once; others hear 429 and ask elsewhere
+FOLLOW_US = 60 * SECOND
+REFUSED_MOST = 256  # addresses remembered as refused, for telling each once
+
+
+class InstancesFront:
+    """Routes below /apis/wingbarrow.io/v1."""
+
+    def __init__(self, hub: Hub, placer: Placer, log: Callable[..., None]) -> None:
+        self._hub = hub
+        self._placer = placer
+        self._log = log
+        self._snapshots = Snapshots(placer.born_us)
+        self._refused: OrderedDict[str, None] = OrderedDict()
+        self.handovers = 0
+        self.turned_away = 0
+
+    def handle(self, request: Request, parts: list[str], query: Query) -> Answer:
+        """Answer one request; ApiError for what is refused."""
+        self._check_sender(request)
+        what = (request.method, *parts)
+        if what == ("GET", "instance"):
+            return Answer(200, self._placer.heartbeats.message())
+        if what == ("POST", "heartbeats"):
+            try:
+                self._placer.heartbeats.hear(request.body, request.connection.stream.peer)
+            except BadPage as error:
+                raise ApiError(422, str(error)) from None
+            return Answer(200, self._placer.heartbeats.message())
+        if what == ("GET", "members"):
+            return Answer(200, self._members())
+        if what == ("GET", "knowledge"):
+            return self._knowledge(query)
+        raise ApiError(404, "the server could not find the requested resource", "NotFound")
+
+    def _check_sender(self, request: Request) -> None:
+        peer = request.connection.stream.peer
+        if peer and peer in self._placer.settings.peers_allowed:
+            return
+        if peer not in self._refused:
+            self._refused[peer] = None
+            if len(self._refused) > REFUSED_MOST:
+                self._refused.popitem(last=False)
+            self._log("peer-refused", level="warning", address=peer)
+        raise ApiError(403, f"{peer} may not ask this instance; `allow-peer` in its settings says who may")
+
+    def _members(self) -> bytes:
+        now = self._hub.now_us()
+        return names.encode({
+            "kind": "MemberList", "apiVersion": "wingbarrow.io/v1", "items": [
+                {"ident": each.ident, "incarnation": each.incarnation, "region": each.region,
+                 "address": each.address, "silentUs": now - each.heard_us, "standing": each.standing.value,
+                 "restarts": each.restarts}
+                for each in self._placer.heartbeats.members.members.values()]})
+
+    def _knowledge(self, query: Query) -> Answer:
+        if self.handovers >= HANDOVERS_MOST:
+            self.turned_away += 1
+            raise ApiError(429, f"{HANDOVERS_MOST} hand-overs at once are the most", retry_after_s=1)
+        if query.get("watch") is not None and query.flag("watch"):
+            return Answer(200, stream=self._follow)
+        self.handovers += 1
+        try:
+            page = self._snapshots.page(query.get("continue") or "", self._hub.now_us(), self._placer.know,
+                                        self._hub.checkpoint)
+        except KeyError:
+            raise ApiError(410, "that snapshot is past its time; begin again", "Expired") from None
+        finally:
+            self.handovers -= 1
+        return Answer(200, page)
+
+    def _follow(self, writer: ChunkWriter) -> None:
+        """What changed, once a second, for a minute."""
+        self.handovers += 1
+        try:
+            end = self._hub.now_us() + FOLLOW_US
+            told: dict[str, object] = {}
+            first = True
+            while self._hub.now_us() < end and not writer.gone:
+                sights, shares = self._placer.know()
+                now = self._hub.now_us()
+                marks = {each.machine: _mark(each, now) for each in sights}
+                changed = [each for each in sights if first or marks[each.machine] != told.get(each.machine)]
+                # The pages were read just before: the first line only sets what later ones are compared with.
+                writer.write(changes_line([] if first else changed, shares, now))
+                told, first = marks, False
+                self._hub.sleep(SECOND)
+        finally:
+            self.handovers -= 1
+
+
+def _mark(sight: Sight, now: int) -> object:
+    """What of a sight counts as a change: figures by when they were heard, programs and rests by name."""
+    return (sight.version, sight.phase, sight.asked,
+            None if sight.measured_age_us is None else now - sight.measured_age_us,
+            frozenset(sight.warm_us), frozenset(sight.rests_us))
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -10,6 +10,7 @@
 
 from wingbarrow.core.placer import Placer
 from wingbarrow.fronts.discovery import DOCUMENTS
+from wingbarrow.fronts.instances import InstancesFront
 from wingbarrow.http.listwatch import ListWatch, Query, error_answer
 from wingbarrow.http.server import Answer, Server, ServerLimits
 from wingbarrow.http.wire import Limits, Request
@@ -36,6 +37,8 @@
             hub, placer.settings.host, placer.settings.port, self.handle, self._say,
             ServerLimits(connections=limits.connections, message=Limits(body=limits.body)), self._refuse)
         self.port = self.server.port
+        self.instances = InstancesFront(hub, placer, log)
+        placer.heartbeats.address = f"{placer.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
         self._registry.register(self)
         self.statuses: dict[int, int] = {}
@@ -72,6 +75,8 @@
         parts = [unquote(part) for part in path.split("/")[1:]]
         if parts[:2] == ["api", "v1"]:
             return self._resource(request, "v1", parts[2:], Query(query_text))
+        if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
+            return self.instances.handle(request, parts[3:], Query(query_text))
         if parts[:3] == ["apis", "batch", "v1"]:
             return self._resource(request, "batch/v1", parts[3:], Query(query_text))
         raise ApiError(404, "the server could not find the requested resource", "NotFound")
--- a/wingbarrow/interface.py
+++ b/wingbarrow/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from math import isfinite
@@ -289,6 +290,56 @@
     level: float
 
 
+@dataclass(frozen=True, slots=True)
+class LearnedMachine:
+    """A machine as another instance knows it, weighed by its age; figures are (cores, memory).
+
+    `warm_us`: programs and for how long they are trusted to stay; `rests_us`: strikes and time left,
+    by class.
+    """
+
+    machine: int
+    asked: tuple[float, float] | None
+    asked_age_us: int
+    beyond: tuple[float, float] | None
+    measured_age_us: int
+    warm_us: Mapping[str, int]
+    rests_us: Mapping[str, tuple[int, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """Another instance's knowledge of machines; shares of use and the own notes that each weighs."""
+
+    machines: tuple[LearnedMachine, ...]
+    ratio: tuple[float, float]
+    notes: tuple[float, float]
+
+
+@dataclass(frozen=True, slots=True)
+class MachineKnowledge:
+    """What the scheduler knows of a machine; None where it knows nothing of the kind."""
+
+    machine: int
+    gone: bool
+    launched_us: int
+    asked: tuple[float, float] | None
+    asked_age_us: int | None
+    beyond: tuple[float, float] | None
+    measured_age_us: int | None
+    warm_us: Mapping[str, int]
+    rests_us: Mapping[str, tuple[int, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """All that is known of machines, and never of requests; times are ages."""
+
+    machines: tuple[MachineKnowledge, ...]
+    ratio: tuple[float, float]
+    notes: tuple[float, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Bind:
     """Offer the task to a machine; the attempt is abandoned at `give_up_us`."""
@@ -347,5 +398,5 @@
 
 
 Event: TypeAlias = (MachineList | TaskArrived | TaskFound | TaskWithdrawn | TimerDue | TaskPlaced
-                    | AttemptEnded | Probed | TaskNote)
+                    | AttemptEnded | Probed | TaskNote | Learned)
 Action: TypeAlias = Bind | Refuse | Fail | Move | SetTimer | Probe | WatchList | Log
--- a/wingbarrow/lab/cluster.py
+++ b/wingbarrow/lab/cluster.py
@@ -62,13 +62,15 @@
         self.cluster, self.index, self.of, self.seed, self.state = cluster, index, of, seed, state
         self.name = f"placer-{index}"
         self.port = 0
+        self.source_port = 0  # another way to the list source, where set
+        self.extra = ""  # more settings, in KDL
         self.domain = Domain(cluster.hub, self.name)
         self.service: Service | None = None
         self.settings: PlacerSettings = self._settings()
 
     def _settings(self) -> PlacerSettings:
-        text = settings_text(self.index, self.of, self.seed, self.cluster.source.port or 1, self.port, self.state)
-        return replace(load_text(text), seed=self.seed)
+        source = self.source_port or self.cluster.source.port or 1
+        return load_text(settings_text(self.index, self.of, self.seed, source, self.port, self.state) + self.extra)
 
     def start(self) -> None:
         """Start the placer; returns when its front listens."""
--- a/wingbarrow/lab/load.py
+++ b/wingbarrow/lab/load.py
@@ -116,6 +116,7 @@
         self.watch_cuts = 0
         self.relists = 0
         self.cut_watch_at_us: list[int] = []
+        self.skip: set[int] = set()  # placers that nobody asks for now
         self.on_answer: Callable[[str, str], None] = lambda _job, _answer: None
 
     def run(self, wants: list[Want], until_us: int) -> None:
@@ -135,9 +136,9 @@
     def _ask(self, want: Want, tries: int) -> None:
         self.open += 1
         try:
-            index = self._random.randrange(len(self._placers))
-            for turn in range(3):
-                if self._submit((index + turn) % len(self._placers), want, tries):
+            for _ in range(3):
+                index = self._random.choice([i for i in range(len(self._placers)) if i not in self.skip])
+                if self._submit(index, want, tries):
                     return
                 self.hub.sleep(200_000 + self._random.randrange(200_000))
         finally:
--- a/wingbarrow/lab/machine.py
+++ b/wingbarrow/lab/machine.py
@@ -199,6 +199,7 @@
 
     def _stats(self, request: Request) -> Answer:
         done = Signal(self.hub)
+        self._record(self.name, "probe", placer=(request.get("user-agent") or "").rpartition("/")[2])
         try:
             self._line.offer((None, done))
         except Full:
@@ -370,7 +371,7 @@
             self._starting -= 1
         if pod.phase == "Pending" and pod.name in self.pods:
             pod.phase, pod.started_us = "Running", self.hub.now_us()
-            self._record(self.name, "start", pod=pod.name, task=pod.task, task_class=pod.task_class)
+            self._record(self.name, "start", pod=pod.name, task=pod.task, task_class=pod.task_class, warm=held)
             self._show(pod)
             self._changed.notify()
             self.hub._at(pod.started_us + pod.runs_us, lambda: self._over(pod), self.domain)
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -30,6 +30,7 @@
 REST_US, REST_DOUBLINGS = 500_000, 4  # rest after a broken answer, doubled so often at most
 SILENT_US, WHOLE = 3 * SECOND, ""  # rest after silence to a class; key of what regards all classes
 STARTS_MOST, STARTS_SHARED = 4, 8  # own starts out on one machine; more when few share its line of starts
+PROBES_MOST = 10.0  # probes saved up, or owed for figures that came unasked, at most
 PROBE_POINTS = 0.003  # what probes may cost in all, as a share of the result
 SWEEP_US = 40_000  # held tasks are tried again this often
 MOVE_REST_US = 4 * SECOND  # a task that began more lately, or has less to run, is not worth a restart
@@ -114,7 +115,7 @@
         self._held: dict[int, None] = {}
         self._no_room: dict[tuple[str, float, float], int] = {}  # when a shape last found no room
         self._ratio, self._average = [USE_PRIOR, USE_PRIOR], [0.5, 0.5]  # of asked; of size
-        self._notes = [PRIOR_NOTES, PRIOR_NOTES]
+        self._notes: list[float] = [PRIOR_NOTES, PRIOR_NOTES]
         self._watching = settings.discovery is api.Discovery.PUSH
         self._ask_at_us, self._probes_due, self._now = 0, 1.0, -1
         self._born_us, self._wake_us = -1, FOREVER_US
@@ -122,7 +123,8 @@
         self._handlers: dict[type, Callable[[Any], None]] = {
             api.MachineList: self._on_list, api.TaskArrived: self._on_arrival, api.TaskFound: self._on_found,
             api.TaskWithdrawn: self._close, api.TaskPlaced: self._on_placed, api.AttemptEnded: self._on_ended,
-            api.Probed: self._on_report, api.TaskNote: self._on_note, api.TimerDue: self._on_timer}
+            api.Probed: self._on_report, api.TaskNote: self._on_note, api.TimerDue: self._on_timer,
+            api.Learned: self._on_learned}
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         """Decide on one event."""
@@ -131,6 +133,20 @@
         self._handlers[type(event)](event)
         return self._actions
 
+    def knowledge(self, now_us: int) -> api.Knowledge:
+        """What is known of machines, as a value for another instance; it changes nothing."""
+        known = []
+        for ident, m in self._machines.items():
+            warm = {name: min(until - now_us, WARM_US) for name, until in m.warm.items() if until > now_us}
+            rests = {key: (strikes, until - now_us)
+                     for key, (strikes, until) in m.rests.items() if until > now_us}
+            heard, measured = m.heard_us >= 0, m.measured_us >= 0
+            known.append(api.MachineKnowledge(
+                ident, m.gone, m.listed.launched_us, (m.asked[0], m.asked[1]) if heard else None,
+                now_us - m.heard_us if heard else None, m.beyond if measured else None,
+                now_us - m.measured_us if measured else None, warm, rests))
+        return api.Knowledge(tuple(known), (self._ratio[0], self._ratio[1]), (self._notes[0], self._notes[1]))
+
     def _wake(self, at_us: int) -> None:
         """Have the sweep run then or before; it runs only while something waits for it."""
         if at_us < self._wake_us:
@@ -269,7 +285,8 @@
             return
         due_us = event.deadline_us - self._settings.tick_us
         task = self._tasks[event.request] = _Task(event, cls, self._now, due_us)
-        self._probes_due = min(10.0, self._probes_due + PROBE_POINTS / max(self._settings.prices.probe, 1e-4))
+        earned = PROBE_POINTS / max(self._settings.prices.probe, 1e-4)
+        self._probes_due = min(PROBES_MOST, self._probes_due + earned)
         self._actions.append(api.SetTimer(due_us, str(event.request)))
         self._settle(task)
         if self._settings.may_probe and self._settings.reports is not api.Reports.NONE:
@@ -389,6 +406,27 @@
             as_of_us = None if self._settings.reports_use else self._now - REPORT_LAG_US
             self._hear(machine, report.free_cores, report.free_memory, as_of_us)
 
+    def _on_learned(self, event: api.Learned) -> None:
+        """Hearsay, weighed by its age before. Own experience outranks it: only what is newer counts."""
+        for each in event.machines:
+            machine = self._machines.get(each.machine)
+            if machine is None or machine.gone:
+                continue
+            if each.asked is not None and self._now - each.asked_age_us > machine.heard_us:
+                machine.hear(*each.asked, self._now - each.asked_age_us)  # own binds since then stay on top
+            if each.beyond is not None and self._now - each.measured_age_us > machine.measured_us:
+                machine.beyond, machine.measured_us = each.beyond, self._now - each.measured_age_us
+                self._probes_due = max(-PROBES_MOST, self._probes_due - 1)  # it spares a probe of one's own
+            for service, left in each.warm_us.items():
+                machine.warm[service] = max(machine.warm.get(service, 0), self._now + min(left, WARM_US))
+            # Danger: a peer's quarrel with a machine that serves this placer well would keep it from it.
+            for key, (strikes, left) in () if machine.own else each.rests_us.items():
+                machine.rests.setdefault(key, (min(strikes, REST_DOUBLINGS), self._now + left))
+        for i, weight in enumerate(event.notes):
+            if weight > 0:
+                self._notes[i] += weight
+                self._ratio[i] += (event.ratio[i] - self._ratio[i]) * weight / self._notes[i]
+
     def _on_timer(self, event: api.TimerDue) -> None:
         task = self._tasks.get(int(event.name)) if event.name.isdecimal() else None
         if event.name == "sweep":
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -71,6 +71,14 @@
                 sent += count
                 self.bytes_out += count
 
+    @property
+    def peer(self) -> str:
+        """The peer's address, empty once it is gone."""
+        try:
+            return str(self._socket.getpeername()[0])
+        except OSError:
+            return ""
+
     def is_quiet(self) -> bool:
         """Whether an idle connection is still whole: no byte and no end of stream has come."""
         if not self.open:
