--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -70,6 +70,13 @@
     tape.accept(2, "v")
 
 
+def test_what_is_not_due_when_the_recording_ends_is_no_breach() -> None:
+    tape = clean()
+    tape.accept(5, "v")
+    found = tape.audit()
+    assert found.clean and found.open_at_end == 1
+
+
 def late_answer(tape: Tape) -> None:
     tape.accept(2, "v")
     tape.answer(7.1, "v", "refused")
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -12,7 +12,9 @@
 from wingbarrow.core.logs import Log, silent
 from wingbarrow.fronts.serve import on_signals
 from wingbarrow.lab.cluster import Cluster
-from wingbarrow.lab.days import DAYS, run_day, summary
+from wingbarrow.lab.days import DAYS, run_day
+from wingbarrow.lab.days import summary as day_summary
+from wingbarrow.lab.learn import experiment, summary, write
 from wingbarrow.transport import Hub, Nursery
 
 
@@ -59,6 +61,20 @@
     hub.run(run)
 
 
+@lab.command()
+@click.option("--machines", type=click.IntRange(4, 5000), default=10, show_default=True)
+@click.option("--seeds", type=click.IntRange(1, 100), default=10, show_default=True)
+@click.option("--processes", type=click.IntRange(1, 64), default=7, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Rows, summary and plot go here.")
+def learn(machines: int, seeds: int, processes: int, out: Path) -> None:
+    """A new placer's first minute: cold, with a running peer's knowledge, and with a stale one's."""
+    rows = experiment(machines, seeds, processes)
+    write(rows, out)
+    for line in summary(rows):
+        click.echo(json.dumps(line))
+    sys.exit(0 if all(row.clean for row in rows) else 1)
+
+
 @lab.command()
 @click.argument("name", required=False)
 @click.option("--list", "show", is_flag=True, help="Name the days.")
@@ -79,6 +95,6 @@
     outcome = run_day(name, seed, Log(clock.now_us) if logs else silent, report, scale)
     for note in outcome.audit.notes:
         click.echo(note, err=True)
-    click.echo(json.dumps({**summary(outcome), "day": name, "seed": seed}))
+    click.echo(json.dumps({**day_summary(outcome), "day": name, "seed": seed}))
     click.echo(json.dumps(outcome.audit.line()))
     sys.exit(0 if outcome.audit.clean else 1)
--- a/wingbarrow/lab/audit.py
+++ b/wingbarrow/lab/audit.py
@@ -37,6 +37,7 @@
     double_answers: int = 0
     sends_after_end: int = 0
     left_to_owners: int = 0  # open when their placer was killed: theirs to ask again
+    open_at_end: int = 0
     late_by_stall: int = 0  # answers whose deadline fell into a stall of their placer
     offers: int = 0
     starts: int = 0
@@ -146,6 +147,8 @@
             setattr(self.audit, name, getattr(self.audit, name) + 1)
         elif job.killed:
             self.audit.left_to_owners += 1
+        elif last_us <= job.deadline_us + ANSWER_SLACK_US:
+            self.audit.open_at_end += 1  # the recording ends before its answer was due
         else:
             self.audit.breach("unanswered", last_us, uid)
 
