--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -88,7 +88,8 @@
 
 def placer(pipe: Connection, source: int) -> None:
     hub, samples = Hub(), Counter[str]()
-    settings = load_text(settings_text(0, 1, 1, source).replace("drain grace", "limits { window 65536; }\ndrain grace"))
+    settings = load_text(settings_text(0, 1, 1, source).replace("drain grace", "limits { window 65536; }\ndrain grace")
+                         + '\nallow-peer "127.0.0.0/8"\n')
     signal.signal(signal.SIGPROF, lambda _, frame: samples.update([booked(frame)]))
 
     def main() -> None:
@@ -159,6 +160,46 @@
             "p99_ms": histogram.get_value_at_percentile(99) / 1000}
 
 
+def learners(pipe: Connection, port: int, count: int) -> None:
+    """New instances by the dozen: each takes all pages, follows for some seconds, and begins again."""
+    hub, figures = Hub(), Counter[str]()
+
+    def learn() -> None:
+        pool = Pool(hub, "127.0.0.1", port)
+        while True:
+            token = ""
+            while True:
+                page = pool.request("GET", "/apis/wingbarrow.io/v1/knowledge" + (f"?continue={token}" if token else ""))
+                if page.status != 200:
+                    figures["turned away"] += 1
+                    hub.sleep(SECOND)
+                    break
+                figures["pages"] += 1
+                figures["bytes"] += len(page.body)
+                token = names.decode(page.body)["next"]
+                if not token:
+                    break
+            response, parts = pool.stream("GET", "/apis/wingbarrow.io/v1/knowledge?watch=true")
+            with hub.limit(5 * SECOND):
+                for part in parts:
+                    figures["followed bytes"] += len(part)
+            parts.close()  # type: ignore[attr-defined]
+            if response.status != 200:
+                figures["turned away"] += 1
+                hub.sleep(SECOND)
+
+    def main() -> None:
+        for _ in range(count):
+            hub.spawn(learn)
+        pipe.send("ready")
+        while True:
+            hub.wait(pipe.fileno(), 1)
+            pipe.recv()
+            pipe.send(dict(figures))
+            figures.clear()
+    hub.run(main)
+
+
 def started(target: Any, *args: Any) -> tuple[Any, Connection, Any]:
     here, there = multiprocessing.Pipe()
     process = multiprocessing.get_context("fork").Process(target=target, args=(there, *args), daemon=True)
@@ -166,7 +207,7 @@
     return process, here, here.recv()
 
 
-def measure(count: int, seconds: float) -> dict[str, Any]:
+def measure(count: int, seconds: float, askers: int) -> dict[str, Any]:
     stand_ins, _, source = started(machines, count)
     served, pipe, port = started(placer, source)
     while True:
@@ -188,6 +229,14 @@
         run["share"] = {name: round(after["samples"].get(name, 0) / total, 2)
                         for name in ("module", "core", "http", "hub", "other")}
         runs.append(run)
+        if askers and outstanding == 32:
+            asking, asking_pipe, _ = started(learners, port, askers)
+            taught = load(port, seconds, outstanding, "taught")
+            asking_pipe.send("?")
+            taught["learners"] = {"count": askers, **asking_pipe.recv()}
+            asking.kill()
+            again = load(port, seconds, outstanding, "after")
+            runs += [taught, {**again, "after": True}]
     served.kill()
     stand_ins.kill()
     return {"machines": count, "runs": runs}
@@ -197,9 +246,10 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("machines", nargs="*", type=int, default=[20, 100, 500])
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--learners", type=int, default=0, help="New instances that ask the placer under load.")
     wanted = parser.parse_args()
     out = {"machine": f"{os.cpu_count()} cores, {platform.machine()}, Python {platform.python_version()}",
-           "sizes": [measure(count, wanted.seconds) for count in wanted.machines]}
+           "sizes": [measure(count, wanted.seconds, wanted.learners) for count in wanted.machines]}
     json.dump(out, sys.stdout, indent=1)
     print()
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -38,7 +38,8 @@
 
 
 def test_the_settings_in_the_docs_load() -> None:
-    blocks = re.findall(r"```kdl\n(.*?)```", (ROOT / "docs" / "operating.md").read_text(), re.S)
+    blocks = [block for page in sorted((ROOT / "docs").glob("*.md"))
+              for block in re.findall(r"```kdl\n(.*?)```", page.read_text(), re.S)]
     assert blocks
     for block in blocks:
         assert load_text(block).name
