--- /dev/null
+++ b/tests/core/test_drains_path.py
@@ -0,0 +1,223 @@
+"""Calendar drains on the whole path, with a compressed clock, judged at the sockets."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.stage import JOBS, S, Stage
+from wingbarrow.kube import names
+from wingbarrow.lab.machine import Build
+
+DRAINS = "/apis/wingbarrow.io/v1/drains"
+
+
+def calendar(stage: Stage, folder: Path, starts_s: float, lasts: str = "20s", machines: str = 'name="node-0"',
+             more: str = "", unsafe: str = "wait") -> str:
+    """A calendar file with one window that starts so many seconds after the virtual clock's present; its node."""
+    start = datetime.fromtimestamp(stage.hub.clock.wall_us() / S, UTC) + timedelta(seconds=starts_s)
+    path = folder / "windows.kdl"
+    path.write_text(f'window "patch" start="{start.isoformat()}" lasts="{lasts}" unsafe="{unsafe}" {{ '
+                    f'machines {machines}; }}\nlead "4s"\npace moves=4 every="1s"\n{more}\n')
+    return f'\ncalendar "{path}"\n'
+
+
+def restarted(stage: Stage, extra: str, index: int = 0) -> Any:
+    slot = stage.cluster.placers[index]
+    slot.kill()
+    slot.extra = extra
+    slot.start()
+    stage.hub.sleep(S)
+    assert slot.service is not None
+    return slot.service.placer
+
+
+def offers_after(stage: Stage, machine: str, at_us: int) -> int:
+    return sum(record.where == machine and record.at_us > at_us for record in stage.seen("offer"))
+
+
+def test_long_work_stops_early_short_work_later_and_nothing_comes_once_it_is_closed(tmp_path: Path) -> None:
+    stage = Stage(machines=3)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 30))
+        begun = stage.hub.now_us()
+        window = begun + 29 * S
+        for turn in range(100):
+            runs = (40, 3)[turn % 2]
+            stage.submit(f"t{turn}", runs_s=runs, service=f"s{turn % 7}-{runs}", cores=0.2, memory=0.2)
+            stage.hub.sleep(S * 35 // 100)
+        sent = [record for record in stage.seen("offer") if record.where == "node-0"]
+        longs = [record for record in sent if record.data["service"].endswith("-40")]
+        shorts = [record for record in sent if record.data["service"].endswith("-3")]
+        assert not longs and shorts, "a task that would outlive the window is kept off, others are not"
+        closed = window - 4 * S
+        assert max(record.at_us for record in shorts) <= closed + S // 2 + 250_000
+        assert max(record.at_us for record in shorts) > closed - 3 * S
+        assert placer.nodes.objects["node-0"].value["spec"]["unschedulable"] is True
+        stage.hub.sleep(20 * S)
+        assert "unschedulable" not in placer.nodes.objects["node-0"].value["spec"]
+        last = stage.hub.now_us() - 1
+        for turn in range(20):
+            stage.submit(f"again{turn}", service=f"n{turn}", runs_s=1)
+        stage.hub.sleep(3 * S)
+        assert offers_after(stage, "node-0", last), "it is used again"
+    stage.play(script)
+
+
+def test_running_tasks_find_a_home_in_time_and_what_must_not_start_twice_is_left(tmp_path: Path) -> None:
+    stage = Stage(machines=3, build=Build(cores=48.0, memory=96.0))
+
+    def script() -> None:
+        stage.cluster.machines[1].begin_drain()
+        stage.cluster.machines[2].begin_drain()
+        for turn in range(10):
+            stage.submit(f"t{turn}", runs_s=300, service=f"s{turn}")
+            stage.settled(f"t{turn}")
+        stage.submit("pay", "settlement", runs_s=40, patience_s=10)
+        stage.settled("pay")
+        assert {record.where for record in stage.seen("start")} == {"node-0"}
+        for machine in stage.cluster.machines[1:]:
+            machine.draining = False
+        stage.cluster.placers[0].service.placer.counts.clear()  # type: ignore[union-attr]
+        placer = restarted(stage, calendar(stage, tmp_path, 10))
+        stage.hub.sleep(30 * S)
+        moved = [record for record in stage.seen("end", why="Terminated")]
+        assert len(moved) == 10 and len(stage.seen("start", task_class="settlement")) == 1
+        assert placer.drainer.describe()[0]["phase"] == "closed" and placer.drainer.describe()[0]["late"]
+        stage.hub.sleep(15 * S)
+        assert placer.drainer.describe()[0]["phase"] == "out", "the window waited for the batch run"
+        assert stage.conditions("pay")["Complete"]
+        running = {machine.name: sum(pod.phase == "Running" for pod in machine.pods.values())
+                   for machine in stage.cluster.machines}
+        assert running["node-0"] == 0 and sum(running.values()) == 10
+    stage.play(script)
+    assert stage.audit().double_effects == 0
+
+
+@pytest.mark.parametrize("back_s", [0, 3600])
+def test_a_restart_in_the_middle_goes_on_even_with_the_clock_set_back(tmp_path: Path, back_s: int) -> None:
+    stage = Stage(machines=2)
+
+    def script() -> None:
+        extra = calendar(stage, tmp_path, 10, lasts="60s")
+        restarted(stage, extra)
+        stage.hub.sleep(8 * S)
+        stage.hub.clock._wall -= back_s * S  # type: ignore[attr-defined]
+        placer = restarted(stage, extra)
+        begun = stage.hub.now_us()
+        assert placer.drainer.describe()[0]["phase"] in ("closed", "out")
+        for turn in range(12):
+            stage.submit(f"t{turn}", service=f"s{turn}", runs_s=2)
+        stage.hub.sleep(3 * S)
+        assert offers_after(stage, "node-0", begun) == 0 and len(stage.seen("start")) == 12
+    stage.play(script)
+
+
+def test_a_failed_hall_holds_back_drains_in_the_other(tmp_path: Path) -> None:
+    stage = Stage(machines=6)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 20, machines='zone="hall-a"', lasts="30s",
+                                           more='budget by="cell" max-unavailable=1'))
+        stage.hub.sleep(3 * S)
+        for machine in stage.cluster.machines[3:]:
+            stage.hub.spawn(lambda machine=machine: stage.cluster.crash(machine, None))
+        stage.hub.sleep(20 * S)
+        assert all(each["phase"] in ("planned", "refused") for each in placer.drainer.describe())
+        assert "has failed" in placer.drainer.describe()[0]["reason"]
+        for turn in range(6):
+            stage.submit(f"t{turn}", service=f"s{turn}", runs_s=2)
+            assert "Placed" in stage.settled(f"t{turn}")
+    stage.play(script)
+
+
+def test_two_placers_do_the_same_drain_at_one_pace_without_talking(tmp_path: Path) -> None:
+    stage = Stage(machines=3, placers=2, build=Build(cores=48.0, memory=96.0))
+
+    def script() -> None:
+        for machine in stage.cluster.machines[1:]:
+            machine.begin_drain()
+        for index in range(2):
+            pool = stage.pool(stage.cluster.placers[index].port)
+            for turn in range(8):
+                value = {"metadata": {"name": f"p{index}-{turn}", "annotations": {names.RUNS_FOR: "300s"}},
+                         "spec": {"template": {"spec": {"containers": [{"name": "c", "resources": {"requests": {
+                             "cpu": "1", "memory": "1Gi"}}}]}}}}
+                assert pool.request("POST", JOBS, names.encode(value)).status == 201
+        stage.hub.sleep(4 * S)
+        assert {record.where for record in stage.seen("start")} == {"node-0"}
+        for machine in stage.cluster.machines[1:]:
+            machine.draining = False
+        extra = calendar(stage, tmp_path, 12)
+        for index in range(2):
+            restarted(stage, extra, index)
+        stage.hub.sleep(20 * S)
+        ends = sorted(record.at_us for record in stage.seen("end", why="Terminated"))
+        assert len(ends) == 16
+        for begin in ends:
+            assert sum(begin <= at < begin + S for at in ends) <= 4 + 2, "four a second, both together"
+    stage.play(script)
+
+
+def test_operators_see_cancel_and_ask(tmp_path: Path) -> None:
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 10, lasts="60s"))
+        pool = stage.pool()
+
+        def items() -> list[dict[str, Any]]:
+            found: list[dict[str, Any]] = json.loads(pool.request("GET", DRAINS).body)["items"]
+            return found
+        assert [(each["machine"], each["phase"]) for each in items()] == [("node-0", "planned")]
+        stage.hub.sleep(8 * S)
+        assert items()[0]["phase"] == "out"
+        assert pool.request("DELETE", f"{DRAINS}/{items()[0]['key']}").status == 200
+        assert items()[0]["phase"] == "given up" and placer.links["node-0"].phase.value == "running"
+        assert pool.request("DELETE", f"{DRAINS}/none").status == 404
+        made = pool.request("POST", DRAINS, b'{"machine": "node-3", "lasts": "30s"}')
+        assert made.status == 201
+        stage.hub.sleep(S)
+        assert placer.links["node-3"].phase.value == "draining"
+        assert pool.request("POST", DRAINS, b'{"machine": "none", "lasts": "30s"}').status == 409
+        for bad in (b"{}", b'{"machine": "node-1"}', b'{"machine": "node-1", "lasts": "x"}', b"[]", b"{"):
+            assert pool.request("POST", DRAINS, bad).status in (400, 422)
+    stage.play(script)
+
+
+def test_one_task_is_moved_by_the_eviction_api_and_a_settlement_never(tmp_path: Path) -> None:
+    stage = Stage(machines=3)
+
+    def script() -> None:
+        stage.submit("web", runs_s=60)
+        stage.settled("web")
+        stage.submit("pay", "settlement", runs_s=60, patience_s=10)
+        stage.settled("pay")
+        pods = {record.data["task_class"]: record.data["pod"] for record in stage.seen("start")}
+        path = "/api/v1/namespaces/default/pods"
+        assert stage.pool().request("POST", f"{path}/{pods['web']}/eviction", b"{}").status == 201
+        refused = stage.pool().request("POST", f"{path}/{pods['settlement']}/eviction", b"{}")
+        assert refused.status == 429 and refused.get("retry-after")
+        assert stage.pool().request("POST", f"{path}/none/eviction", b"{}").status == 404
+        stage.hub.sleep(3 * S)
+        assert stage.job("web")["status"]["ready"] == 1
+    stage.play(script)
+    assert len(stage.seen("start", task_class="web")) == 2
+    assert len(stage.seen("start", task_class="settlement")) == 1
+
+
+def test_a_calendar_that_changes_for_the_worse_is_not_taken(tmp_path: Path) -> None:
+    stage = Stage(machines=2)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 600))
+        (tmp_path / "windows.kdl").write_text('window "patch" start="never" lasts="1h"\n')
+        assert placer.drainer.reload() is False
+        stage.hub.sleep(2 * S)
+        assert [each["machine"] for each in placer.drainer.describe()] == ["node-0"]
+    stage.play(script)
--- /dev/null
+++ b/tests/decide/test_drains.py
@@ -0,0 +1,279 @@
+"""Plans of drains and their doing: budgets, room, halls that fail, clocks set back."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from datetime import datetime
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wingbarrow.decide.draining import OVER, Drains, Held, Phase, Policy, Running, Turn, failed_zones
+from wingbarrow.decide.drains import Budget, Drain, Fate, MachineState, Rules, Scope, plan
+from wingbarrow.decide.windows import SECOND, Blackout, Occurrence, Selector, Series, UnsafePolicy, zone
+
+S, H = SECOND, 3600 * SECOND
+START = 100 * H
+
+
+def machine(number: int, **more: object) -> MachineState:
+    base = MachineState(f"n{number:03}", f"r{number // 3}", "a" if number < 6 else "b", "small", {}, (10.0, 10.0),
+                        (4.0, 4.0))
+    return replace(base, **more)  # type: ignore[arg-type]
+
+
+FLEET = [machine(number) for number in range(12)]
+ONE_PER_RACK = Rules((Budget(Scope.CELL, 1),))
+
+
+def window(title: str, start: int = START, lasts: int = 2 * H, each: int = 0, precedence: int = 0,
+           **selector: str) -> Occurrence:
+    series = Series(title, datetime(2026, 1, 1, tzinfo=zone("UTC")), lasts, each or lasts,
+                    selectors=(Selector(**(selector or {"name": "*"})),), precedence=precedence)  # type: ignore[arg-type]
+    return Occurrence(series, start, start + lasts)
+
+
+def planned(drains: list[Drain]) -> list[Drain]:
+    return [drain for drain in drains if drain.fate is Fate.PLANNED]
+
+
+def test_a_rack_is_taken_one_after_another() -> None:
+    found = plan([window("w", each=H // 2, cell="r0")], FLEET, ONE_PER_RACK)
+    assert [(drain.machine, drain.start_us - START) for drain in found] == [
+        ("n000", 0), ("n001", H // 2), ("n002", H)]
+
+
+def test_two_windows_that_would_empty_a_rack_are_told_apart_by_precedence() -> None:
+    rules = Rules((Budget(Scope.CELL, 2),))
+    first, second = window("low", cell="r0"), window("high", precedence=5, name="n000")
+    found = plan(sorted([first, second], key=lambda o: -o.series.precedence), FLEET, rules)
+    fates = {(drain.window, drain.machine): drain for drain in found}
+    assert fates["high", "n000"].fate is Fate.PLANNED
+    assert "high" in fates["low", "n000"].reason
+    assert fates["low", "n001"].fate is Fate.PLANNED
+    assert fates["low", "n002"].fate is Fate.REFUSED and "2 machine(s)" in fates["low", "n002"].reason
+
+
+def test_three_that_each_look_harmless_are_not_together() -> None:
+    found = plan([window("a", name="n000"), window("b", name="n001"), window("c", name="n002")], FLEET,
+                 Rules((Budget(Scope.CELL, None, 1),)))
+    assert [drain.fate for drain in found] == [Fate.PLANNED, Fate.PLANNED, Fate.REFUSED]
+
+
+def test_a_window_for_all_machines_never_leaves_less_room_than_is_asked() -> None:
+    found = plan([window("all")], FLEET, Rules((), fill=0.9))
+    out = len(planned(found))
+    assert out == 6 and 0.9 * (12 - out) * 10.0 + 1e-9 >= 4.0 * 12
+    assert any("would not fit" in drain.reason for drain in found)
+    full = [replace(each, asked=(9.5, 9.5)) for each in FLEET]
+    assert not planned(plan([window("all")], full, Rules(())))
+
+
+def test_the_last_machine_of_a_kind_that_a_class_needs_stays() -> None:
+    fleet = [replace(each, asked=(0.1, 0.1)) for each in [*FLEET[:4], machine(4, kind="large"),
+                                                          machine(5, kind="large")]]
+    found = plan([window("all")], fleet, Rules((), kinds_needed=("large",), fill=1.0))
+    large = [drain for drain in found if drain.machine in ("n004", "n005")]
+    assert sorted(drain.fate.value for drain in large) == ["planned", "refused"]
+
+
+def test_nothing_starts_in_a_blackout() -> None:
+    rules = Rules((), blackouts=(Blackout("christmas", START - H, START + H),))
+    found = plan([window("w", name="n001"), window("later", start=START + H, name="n002")], FLEET, rules)
+    assert "christmas" in found[0].reason and found[1].fate is Fate.PLANNED
+
+
+def test_shares_round_as_a_disruption_budget_does() -> None:
+    assert Budget(Scope.CELL, 0.5, None, True).most_out(3) == 2
+    assert Budget(Scope.CELL, None, 0.5, True).most_out(3) == 1
+    assert Budget(Scope.ALL, None, 5).most_out(3) == 0
+
+
+OCCURRENCES = st.lists(st.tuples(
+    st.integers(0, 40), st.integers(1, 8), st.integers(1, 8), st.sampled_from([
+        {"name": "*"}, {"cell": "r0"}, {"cell": "r2"}, {"zone": "a"}, {"zone": "b"}, {"name": "n001"}])), max_size=8)
+
+
+@settings(max_examples=150, deadline=None)
+@given(OCCURRENCES, st.integers(0, 3), st.integers(0, 5), st.sampled_from([0.5, 2.0, 5.0, 8.0]),
+       st.sets(st.integers(0, 11), max_size=4))
+def test_no_plan_passes_its_budgets_and_the_same_input_gives_the_same_plan(
+        spec: list[tuple[int, int, int, dict[str, str]]], cell: int, whole: int, asked: float,
+        lost: set[int]) -> None:
+    fleet = [replace(each, asked=(asked, asked), running=number not in lost) for number, each in enumerate(FLEET)]
+    rules = Rules((Budget(Scope.CELL, cell), Budget(Scope.ALL, whole)))
+    occurrences = sorted((window(f"w{i}", START + at * H // 4, lasts * H // 4, min(each, lasts) * H // 4, 0, **where)
+                          for i, (at, lasts, each, where) in enumerate(spec)),
+                         key=lambda each: (each.start_us, each.series.name))
+    found = plan(occurrences, fleet, rules)
+    assert found == plan(occurrences, list(reversed(fleet)), rules)
+    going = planned(found)
+    running = {each.name: each for each in fleet if each.running}
+    for moment in {drain.start_us for drain in going}:
+        out = [drain.machine for drain in going if drain.start_us <= moment < drain.end_us]
+        assert len(out) == len(set(out)) <= whole
+        assert all(count <= cell for count in Counter(running[name].cell for name in out).values())
+        left = sum(each.size[0] for each in running.values()) - 10.0 * len(out)
+        assert not out or sum(each.asked[0] for each in running.values()) <= 0.9 * left + 1e-6
+    for drain in going:
+        assert drain.machine in running
+        occurrence = next(each for each in occurrences if each.ident == drain.occurrence
+                          and each.series.name == drain.window)
+        assert occurrence.start_us <= drain.start_us < drain.end_us <= occurrence.end_us
+    assert all(drain.reason for drain in found if drain.fate is Fate.REFUSED)
+
+
+# -- doing
+
+
+DRAIN = Drain("w", "w@1", "n001", Fate.PLANNED, START, START + H)
+ZONES = {"n001": "a", "n002": "b"}
+NONE: frozenset[str] = frozenset()
+
+
+def drains(unsafe: UnsafePolicy = UnsafePolicy.WAIT, placers: int = 1, **policy: object) -> Drains:
+    held = Drains(replace(Policy(), **policy), placers)  # type: ignore[arg-type]
+    held.take_plan([(DRAIN, unsafe)], START - 10 * H)
+    return held
+
+
+def phase(held: Drains) -> Phase:
+    return held.held[DRAIN.key].phase
+
+
+def step(held: Drains, now: int, tasks: list[Running] | None = None, failed: frozenset[str] = NONE,
+         room: bool = True) -> Turn:
+    return held.step(now, {"n001": tasks or []}, ZONES, failed, {"n001": room})
+
+
+def test_a_drain_closes_for_long_tasks_first_then_for_all_then_is_out_and_open_again() -> None:
+    held = drains()
+    far = step(held, START - 2 * H)
+    assert far.closing == {"n001": START} and not far.closed
+    assert step(held, START - 61 * S).closing == {"n001": START}
+    near = step(held, START - 60 * S)
+    assert near.closed == {"n001"} and not near.closing
+    assert step(held, START - 59 * S).changed[0].phase is Phase.OUT
+    assert step(held, START + H - 1).closed == {"n001"}
+    over = step(held, START + H)
+    assert not over.closed and over.changed[0].phase is Phase.DONE
+
+
+def test_only_movable_tasks_that_would_outlive_the_start_are_moved_at_the_pace() -> None:
+    held = drains(moves=2, every_us=S)
+    tasks = [Running(1, True, START + H), Running(2, False, None), Running(3, True, START - 30 * S),
+             Running(4, True, None), Running(5, True, START + 2 * H)]
+    step(held, START - 61 * S, tasks)
+    moved: list[int] = []
+    for second in range(-60, -50):
+        left = [task for task in tasks if task.request not in moved]
+        turn = step(held, START + second * S, left)
+        assert len(turn.moves) <= 2
+        moved += turn.moves
+    assert sorted(moved) == [1, 4, 5] and moved[0] == 4
+
+
+def test_placers_share_the_pace_without_doubling_it() -> None:
+    moved = 0
+    for _ in range(4):
+        held = drains(placers=4, moves=4)
+        tasks = [Running(number, True, None) for number in range(100)]
+        for tick in range(21):
+            turn = step(held, START - 60 * S + tick * S // 2, tasks)
+            moved += len(turn.moves)
+            tasks = [task for task in tasks if task.request not in turn.moves]
+    assert moved <= 4 * 10 + 4
+
+
+@pytest.mark.parametrize(("policy", "outcome"), [
+    (UnsafePolicy.GIVE_UP, Phase.GIVEN_UP), (UnsafePolicy.SHORTEN, Phase.OUT), (UnsafePolicy.WAIT, Phase.OUT)])
+def test_what_must_not_start_twice_runs_out_and_the_window_does_as_its_file_says(
+        policy: UnsafePolicy, outcome: Phase) -> None:
+    held = drains(policy)
+    batch = [Running(9, False, START + H // 2)]
+    for second in range(-60, 600, 10):
+        assert not step(held, START + second * S, batch).moves
+    step(held, START + H // 2, [])
+    assert phase(held) is outcome
+    if outcome is Phase.OUT:
+        end = held.held[DRAIN.key].drain.end_us
+        assert end == START + H if policy is UnsafePolicy.SHORTEN else end > START + H + 9 * 60 * S
+
+
+def test_a_failed_hall_stops_drains_elsewhere_and_takes_back_those_begun() -> None:
+    held = drains()
+    assert not step(held, START - 60 * S, failed=frozenset("b")).closed
+    assert "b has failed" in held.held[DRAIN.key].reason
+    assert step(held, START - 50 * S).closed
+    back = drains(take_back=True)
+    task = [Running(1, True, None)]
+    step(back, START - 60 * S, task)
+    assert not step(back, START - 50 * S, task, frozenset("b")).closed and phase(back) is Phase.GIVEN_UP
+    kept = drains(take_back=False)
+    step(kept, START - 60 * S, task)
+    assert step(kept, START - 50 * S, task, frozenset("b")).closed
+    own = drains()
+    step(own, START - 60 * S, task)
+    assert step(own, START - 50 * S, task, frozenset("a")).closed, "its own hall's failure takes nothing back"
+
+
+def test_without_room_a_drain_waits_and_moves_nothing() -> None:
+    held = drains()
+    assert not step(held, START - 60 * S, [Running(1, True, None)], room=False).closed
+    turn = step(held, START, [Running(1, True, None)], room=False)
+    assert turn.closed and not turn.moves
+    step(held, START + H, [Running(1, True, None)], room=False)
+    assert phase(held) is Phase.GIVEN_UP and "still run" in held.held[DRAIN.key].reason
+
+
+def test_a_clock_set_back_undoes_nothing_and_a_restart_goes_on() -> None:
+    held = drains()
+    task = [Running(1, False, None)]
+    step(held, START - 60 * S, task)
+    again = Drains(Policy(), 1)
+    again.restore(held.held.values())
+    again.take_plan([(DRAIN, UnsafePolicy.WAIT)], START - 2 * H)
+    assert step(again, START - 2 * H, task).closed and phase(again) is Phase.CLOSED
+    step(again, START - 2 * H, [])
+    assert phase(again) is Phase.OUT
+
+
+def test_cancelled_is_cancelled_and_a_new_plan_does_not_bring_it_back() -> None:
+    held = drains()
+    step(held, START - 60 * S, [Running(1, True, None)])
+    assert held.cancel(DRAIN.key, START) and not held.cancel(DRAIN.key, START) and not held.cancel("none", START)
+    held.take_plan([(DRAIN, UnsafePolicy.WAIT)], START)
+    assert phase(held) is Phase.GIVEN_UP and not step(held, START).closed
+
+
+def test_a_window_in_the_past_never_begins() -> None:
+    held = Drains(Policy(), 1)
+    held.take_plan([(DRAIN, UnsafePolicy.WAIT)], START + 2 * H)
+    assert not held.held
+    late = drains()
+    step(late, START + 2 * H)
+    assert phase(late) is Phase.GIVEN_UP
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.tuples(st.integers(-200, 4000), st.integers(0, 2), st.booleans(), st.booleans()), max_size=30))
+def test_phases_only_go_forward_whatever_the_clock_does(moments: list[tuple[int, int, bool, bool]]) -> None:
+    held = drains()
+    order = [Phase.PLANNED, Phase.CLOSED, Phase.OUT, Phase.DONE]
+    last = Phase.PLANNED
+    for second, tasks, failed, room in moments:
+        turn = step(held, START + second * S, [Running(n, n == 0, None) for n in range(tasks)],
+                    frozenset("b") if failed else NONE, room)
+        assert all(request == 0 for request in turn.moves), "only what may start twice is moved"
+        now = phase(held)
+        assert last not in OVER or now is last
+        assert now is Phase.GIVEN_UP or order.index(now) >= order.index(last)
+        last = now
+
+
+def test_a_hall_has_failed_when_a_share_of_it_is_gone_undrained() -> None:
+    here = [("a", True, False)] * 3 + [("a", False, True)] * 3 + [("b", True, False)] * 2 + [("b", False, False)] * 2
+    assert failed_zones(here, 0.5) == {"b"} and failed_zones(here, 0.6) == NONE
+    assert isinstance(Held(DRAIN, Phase.PLANNED, UnsafePolicy.WAIT, 0), Held)
--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import json
+import sys
 from collections.abc import Callable, Iterator
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlsplit
+
+import click
 
 from wingbarrow.http.client import CallFailed, Pool
 from wingbarrow.http.watching import call, list_all, watch
@@ -16,6 +19,10 @@
 _PATHS = {"jobs": "/apis/batch/v1", "nodes": "/api/v1", "events": "/api/v1"}
 
 
+URL = click.option("--url", default="http://127.0.0.1:8080", envvar="WINGBARROW_URL", show_default=True,
+                   help="A placer's address.")
+
+
 class CommandFailed(Exception):
     """One line for the person."""
 
@@ -42,6 +49,14 @@
         except (ApiError, CallFailed) as error:
             raise CommandFailed(str(error)) from None
 
+    def exchange(self, method: str, path: str, value: dict[str, Any] | None = None) -> dict[str, Any]:
+        """One call on the project's own resources."""
+        body = None if value is None else json.dumps(value).encode()
+        try:
+            return call(self._pool, method, f"/apis/wingbarrow.io/v1/{path}", body, self._until())
+        except (ApiError, CallFailed) as error:
+            raise CommandFailed(str(error)) from None
+
     def wait_for_answer(self, job: dict[str, Any]) -> tuple[str, str]:
         """Watch one Job until its answer is there."""
         meta = job["metadata"]
@@ -105,6 +120,21 @@
                 self._hub.sleep(SECOND)
 
 
+def with_client(url: str, call: Callable[[Client], Any]) -> Any:
+    """Run `call` with a client of a placer; exit 1 with one line where it fails."""
+    parts = urlsplit(url)
+    if parts.scheme != "http" or not parts.hostname:
+        raise click.BadParameter(f"not an http:// address: {url}")
+    hub = Hub()
+    try:
+        return hub.run(lambda: call(Client(hub, parts.hostname or "", parts.port or 80)))
+    except CommandFailed as error:
+        click.echo(str(error), err=True)
+        sys.exit(1)
+    except KeyboardInterrupt:
+        sys.exit(130)
+
+
 def describe(kind: str, value: dict[str, Any]) -> str:
     """One line about an object."""
     meta = value.get("metadata", {})
--- /dev/null
+++ b/wingbarrow/cli/drains.py
@@ -0,0 +1,124 @@
+"""`wingbarrow drains`: what the calendar will do, does, and is to do now."""
+
+from __future__ import annotations
+
+import json
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import click
+
+from wingbarrow.cli.client import URL, Client, with_client
+from wingbarrow.config import SettingsError
+from wingbarrow.config.calendar import load_calendar
+from wingbarrow.core.nodes import read_node
+from wingbarrow.decide.drains import Drain, MachineState, plan
+from wingbarrow.decide.windows import expand_all
+from wingbarrow.kube import names
+
+SECOND = 1_000_000
+
+
+@click.group()
+def drains() -> None:
+    """Planned drains."""
+
+
+def _when(wall_us: int) -> str:
+    return datetime.fromtimestamp(wall_us / SECOND, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+def _states(nodes: list[dict[str, Any]]) -> list[MachineState]:
+    out = []
+    for value in nodes:
+        entry = read_node(value, 0)
+        labels = value["metadata"].get("labels") or {}
+        capacity = value.get("status", {}).get("allocatable", {})
+        size = float(str(capacity.get("cpu", "1")).rstrip("m") or 1), float(
+            str(capacity.get("memory", "1Gi")).removesuffix("Gi") or 1)
+        free = entry.listed.free_cores, entry.listed.free_memory
+        asked = tuple(max(0.0, size[i] - free[i]) if free[i] == free[i] else 0.0 for i in (0, 1))
+        out.append(MachineState(entry.name, str(labels.get(names.CELL, entry.name)), entry.listed.zone,
+                                entry.listed.kind, labels, size, (asked[0], asked[1]),
+                                entry.listed.phase.value == "running"))
+    return out
+
+
+@drains.command("plan")
+@click.argument("calendars", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--days", type=click.IntRange(1, 400), default=14, show_default=True)
+@click.option("--plot", type=click.Path(path_type=Path), help="Write a timeline here (PNG).")
+@click.option("--from", "begin", help="Plan from this time (RFC 3339) on, not from now.")
+@URL
+def plan_command(calendars: tuple[Path, ...], days: int, plot: Path | None, begin: str | None, url: str) -> None:
+    """Show what would happen, before it does: calendars on the machines that a placer sees now."""
+    try:
+        calendar = load_calendar(calendars)
+        start = names.read_time(begin) if begin else int(datetime.now(UTC).timestamp() * SECOND)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    except ValueError:
+        raise click.BadParameter(f"not a time: {begin}") from None
+    nodes = with_client(url, lambda client: [json.loads(line) for line in client.get("nodes", None, "", "", True)])
+    found = plan(expand_all(calendar.series, start, start + days * 86_400 * SECOND), _states(nodes), calendar.rules)
+    for drain in found:
+        click.echo(f"{drain.machine:<20}{drain.fate.value:<9}{_when(drain.start_us)} to {_when(drain.end_us)}  "
+                   f"{drain.window}{'  ' + drain.reason if drain.reason else ''}")
+    if plot is not None:
+        timeline(found, plot)
+
+
+def timeline(found: list[Drain], path: Path) -> None:
+    """A bar for each machine and drain; refused ones hollow."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import dates, pyplot
+    machines = sorted({drain.machine for drain in found}, reverse=True)
+    figure, axes = pyplot.subplots(figsize=(10, 1.5 + 0.22 * len(machines)))
+    for drain in found:
+        begin = datetime.fromtimestamp(drain.start_us / SECOND, UTC)
+        end = datetime.fromtimestamp(drain.end_us / SECOND, UTC)
+        axes.barh(machines.index(drain.machine), dates.date2num(end) - dates.date2num(begin),
+                  left=dates.date2num(begin), color="C0" if drain.fate.value == "planned" else "none",
+                  edgecolor="C0" if drain.fate.value == "planned" else "C3")
+    axes.set_yticks(range(len(machines)), machines, fontsize=7)
+    axes.xaxis_date()
+    axes.set_title("planned drains (hollow: refused)")
+    figure.autofmt_xdate()
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
+
+
+@drains.command()
+@URL
+def status(url: str) -> None:
+    """Drains that a placer knows, with their phase."""
+    def call(client: Client) -> None:
+        for each in client.exchange("GET", "drains")["items"]:
+            click.echo(f"{each['key']:<44}{each['phase']:<10}{_when(each['startUs'])} to {_when(each['endUs'])}  "
+                       f"moved {each['moved']}{'  late' if each['late'] else ''}  {each['reason']}")
+    with_client(url, call)
+
+
+@drains.command()
+@click.argument("key")
+@URL
+def cancel(key: str, url: str) -> None:
+    """Take a drain back; the machine is opened again."""
+    with_client(url, lambda client: client.exchange("DELETE", f"drains/{quote(key)}"))
+    click.echo(f"{key} cancelled")
+
+
+@drains.command()
+@click.argument("machine")
+@click.option("--lasts", default="30m", show_default=True)
+@URL
+def now(machine: str, lasts: str, url: str) -> None:
+    """Drain a machine from now on, under the same budgets."""
+    made = with_client(url, lambda client: client.exchange("POST", "drains", {"machine": machine, "lasts": lasts}))
+    click.echo(made["key"])
--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -5,24 +5,20 @@
 import json
 import signal
 import sys
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
-from urllib.parse import urlsplit
 
 import click
 
-from wingbarrow.cli.client import Client, CommandFailed
+from wingbarrow.cli.client import URL, Client, with_client
 from wingbarrow.cli.lab import lab
+from wingbarrow.cli.drains import drains
 from wingbarrow.config import SettingsError, load_file
+from wingbarrow.config.calendar import load_calendar
 from wingbarrow.core.logs import Log
 from wingbarrow.fronts.serve import Service, on_signals, reload_file
 from wingbarrow.transport import Hub, Nursery
 
-URL = click.option("--url", default="http://127.0.0.1:8080", envvar="WINGBARROW_URL", show_default=True,
-                   help="A placer's address.")
-
-
 @click.group()
 @click.version_option(package_name="wingbarrow")
 def main() -> None:
@@ -30,12 +26,15 @@
 
 
 main.add_command(lab)
+main.add_command(drains)
 
 
 def settings_or_exit(path: Path):  # type: ignore[no-untyped-def]
     """Settings of a file; exit 2 with FILE:LINE: what is wrong."""
     try:
-        return load_file(path)
+        settings = load_file(path)
+        load_calendar(settings.calendars)
+        return settings
     except SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
@@ -79,21 +78,6 @@
         sys.exit(1)
 
 
-def with_client(url: str, call: Callable[[Client], Any]) -> Any:
-    """Run `call` with a client of a placer; exit 1 with one line where it fails."""
-    parts = urlsplit(url)
-    if parts.scheme != "http" or not parts.hostname:
-        raise click.BadParameter(f"not an http:// address: {url}")
-    hub = Hub()
-    try:
-        return hub.run(lambda: call(Client(hub, parts.hostname or "", parts.port or 80)))
-    except CommandFailed as error:
-        click.echo(str(error), err=True)
-        sys.exit(1)
-    except KeyboardInterrupt:
-        sys.exit(130)
-
-
 @main.command()
 @click.argument("file", type=click.File("rb"))
 @click.option("--namespace", "-n", default="default", show_default=True)
--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -35,13 +35,15 @@
         super().__init__("\n".join(f"{name}:{line}: {text}" for line, text in self.problems))
 
 
-def _text(value: Any) -> str:
+def text(value: Any) -> str:
+    """A name."""
     if not isinstance(value, str) or not value or len(value) > 253:
         raise ValueError(f"a name of 1 to 253 characters is wanted, not {value!r}")
     return value
 
 
-def _number(low: float, high: float, whole: bool = False) -> Callable[[Any], Any]:
+def number(low: float, high: float, whole: bool = False) -> Callable[[Any], Any]:
+    """A number within bounds."""
     def read(value: Any) -> Any:
         if isinstance(value, bool) or not isinstance(value, int if whole else (int, float)):
             raise ValueError(f"a {'whole ' if whole else ''}number is wanted, not {value!r}")
@@ -51,13 +53,15 @@
     return read
 
 
-def _flag(value: Any) -> bool:
+def flag(value: Any) -> bool:
+    """True or false."""
     if not isinstance(value, bool):
         raise ValueError(f"true or false is wanted, not {value!r}")
     return value
 
 
-def _duration(value: Any) -> int:
+def read_duration(value: Any) -> int:
+    """Microseconds from a duration in words."""
     if not isinstance(value, str):
         raise ValueError(f"a duration such as \"5s\" is wanted, not {value!r}")
     return parse_duration(value)
@@ -83,7 +87,8 @@
         raise ValueError(f"a network such as \"10.0.0.0/8\" is wanted, not {value!r}") from None
 
 
-def _word(*words: str) -> Callable[[Any], str]:
+def word(*words: str) -> Callable[[Any], str]:
+    """One of some words."""
     def read(value: Any) -> str:
         if value not in words:
             near = difflib.get_close_matches(str(value), words, 1)
@@ -94,75 +99,83 @@
 
 
 @dataclass(frozen=True)
-class _Shape:
+class Shape:
     """What a node may hold: positional arguments, properties (name to reader and default), children."""
 
     args: tuple[Callable[[Any], Any], ...] = ()
     props: dict[str, tuple[Callable[[Any], Any], Any]] | None = None
-    children: dict[str, _Shape] | None = None
+    children: dict[str, Shape] | None = None
     many: bool = False
 
 
-_NEEDED = object()
+NEEDED = object()
 _PLACES = ("none", "machine", "cell", "zone")
-_WHOLE = _number(1, 10_000_000, True)
+_WHOLE = number(1, 10_000_000, True)
 _LIMITS = {each.name.replace("_", "-").removesuffix("-us"): each for each in fields(Limits)}
-_SCHEMA = _Shape(children={
-    "placer": _Shape((_text,), {"index": (_number(0, 10_000, True), 0), "of": (_number(1, 10_000, True), 1),
-                                "seed": (_number(0, 1 << 62, True), 1), "region": (_text, ""),
-                                "cluster": (_text, "main")}),
-    "peer": _Shape((_address,), {"port": (_number(1, 65535, True), _NEEDED)}, many=True),
-    "allow-peer": _Shape((_network,), many=True),
-    "listen": _Shape((_text,), {"port": (_number(0, 65535, True), 0)}),
-    "list-source": _Shape((_text,), {"port": (_number(1, 65535, True), _NEEDED)}),
-    "state": _Shape((_text,)),
-    "class": _Shape((_text,), {
-        "effect": (_word("safe", "keyed", "unsafe"), _NEEDED),
-        "group": (_word("machine", "cell", "zone", "all"), "all"), "window": (_duration, 0),
-        "patience": (_duration, _NEEDED), "worth": (_number(0, 1e6), 1.0),
-        "priority": (_number(0, 3, True), 0), "restarts": (_number(0, 1000, True), 6), "kind": (_text, None),
+_SCHEMA = Shape(children={
+    "placer": Shape((text,), {"index": (number(0, 10_000, True), 0), "of": (number(1, 10_000, True), 1),
+                                "seed": (number(0, 1 << 62, True), 1), "region": (text, ""),
+                                "cluster": (text, "main")}),
+    "peer": Shape((_address,), {"port": (number(1, 65535, True), NEEDED)}, many=True),
+    "allow-peer": Shape((_network,), many=True),
+    "calendar": Shape((text,), many=True),
+    "listen": Shape((text,), {"port": (number(0, 65535, True), 0)}),
+    "list-source": Shape((text,), {"port": (number(1, 65535, True), NEEDED)}),
+    "state": Shape((text,)),
+    "class": Shape((text,), {
+        "effect": (word("safe", "keyed", "unsafe"), NEEDED),
+        "group": (word("machine", "cell", "zone", "all"), "all"), "window": (read_duration, 0),
+        "patience": (read_duration, NEEDED), "worth": (number(0, 1e6), 1.0),
+        "priority": (number(0, 3, True), 0), "restarts": (number(0, 1000, True), 6), "kind": (text, None),
     }, {
-        "spread": _Shape((), {"by": (_word(*_PLACES), _NEEDED), "most": (_WHOLE, _NEEDED)}),
-        "served": _Shape((), {"calm": (_number(0, 10), 0.8), "fade": (_number(0, 10), 0.2)}),
+        "spread": Shape((), {"by": (word(*_PLACES), NEEDED), "most": (_WHOLE, NEEDED)}),
+        "served": Shape((), {"calm": (number(0, 10), 0.8), "fade": (number(0, 10), 0.2)}),
     }, many=True),
-    "kind": _Shape((_text,), {"cores": (_number(0.01, 1e6), _NEEDED), "memory": (_size, _NEEDED)}, many=True),
-    "booking": _Shape((), {"cores": (_number(0.01, 100), 1.0), "memory": (_number(0.01, 100), 1.0)}),
-    "attempts": _Shape((), {"most": (_number(1, 100, True), 4)}),
-    "cold": _Shape((), {"lasts": (_duration, 18_000_000), "offers": (_number(0, 1e6), 20.0),
-                        "window": (_duration, 2_000_000)}),
-    "drain": _Shape((), {"grace": (_duration, 250_000)}),
-    "tick": _Shape((_duration,)),
-    "reports": _Shape((_word("on-probes", "none"),), {"room-in-list": (_flag, True)}),
-    "prices": _Shape((), {"fleet": (_number(0, 100), 0.0), "probe": (_number(0, 100), 0.003)}),
-    "limits": _Shape((), {}, {name: _Shape((_duration if each.name.endswith("_us") else _WHOLE,))
+    "kind": Shape((text,), {"cores": (number(0.01, 1e6), NEEDED), "memory": (_size, NEEDED)}, many=True),
+    "booking": Shape((), {"cores": (number(0.01, 100), 1.0), "memory": (number(0.01, 100), 1.0)}),
+    "attempts": Shape((), {"most": (number(1, 100, True), 4)}),
+    "cold": Shape((), {"lasts": (read_duration, 18_000_000), "offers": (number(0, 1e6), 20.0),
+                        "window": (read_duration, 2_000_000)}),
+    "drain": Shape((), {"grace": (read_duration, 250_000)}),
+    "tick": Shape((read_duration,)),
+    "reports": Shape((word("on-probes", "none"),), {"room-in-list": (flag, True)}),
+    "prices": Shape((), {"fleet": (number(0, 100), 0.0), "probe": (number(0, 100), 0.003)}),
+    "limits": Shape((), {}, {name: Shape((read_duration if each.name.endswith("_us") else _WHOLE,))
                               for name, each in _LIMITS.items()}),
 })
 
 
 @dataclass
-class _Node:
+class Node:
+    """A node as read: its line, values and children by name."""
+
     line: int
     args: list[Any]
     props: dict[str, Any]
-    children: dict[str, list[_Node]]
+    children: dict[str, list[Node]]
 
-    def one(self, name: str) -> _Node | None:
+    def one(self, name: str) -> Node | None:
+        """The first child of that name."""
         found = self.children.get(name)
         return found[0] if found else None
 
     def get(self, name: str, prop: str, default: Any) -> Any:
+        """A property of the first child of that name."""
         node = self.one(name)
         return default if node is None else node.props.get(prop, default)
 
 
-class _Reader:
+class Reader:
+    """Walks a parsed document by a shape, collecting every problem with its line."""
+
     def __init__(self, lines: list[int]) -> None:
         self._lines = iter(lines)
         self.problems: list[tuple[int, str]] = []
 
-    def children(self, nodes: list[Any], shape: _Shape, where: str) -> dict[str, list[_Node]]:
+    def children(self, nodes: list[Any], shape: Shape, where: str) -> dict[str, list[Node]]:
+        """Read the nodes that a shape allows; what it does not goes to `problems`."""
         known = shape.children or {}
-        found: dict[str, list[_Node]] = {}
+        found: dict[str, list[Node]] = {}
         for node in nodes:
             line = next(self._lines, 1)
             if node.name not in known:
@@ -181,7 +194,7 @@
             next(self._lines, 1)
             self._pass_over(child)
 
-    def _node(self, node: Any, shape: _Shape, line: int) -> _Node:
+    def _node(self, node: Any, shape: Shape, line: int) -> Node:
         def bad(text: str) -> None:
             self.problems.append((line, f"{node.name}: {text}"))
         args: list[Any] = []
@@ -193,9 +206,9 @@
             except ValueError as error:
                 bad(str(error))
         known = shape.props or {}
-        props = {name: default for name, (_, default) in known.items() if default is not _NEEDED}
+        props = {name: default for name, (_, default) in known.items() if default is not NEEDED}
         for name, (_, default) in known.items():
-            if default is _NEEDED and name not in node.properties:
+            if default is NEEDED and name not in node.properties:
                 bad(f"{name}= is missing")
         for name, value in node.properties.items():
             if name not in known:
@@ -205,7 +218,7 @@
                 props[name] = known[name][0](value)
             except ValueError as error:
                 bad(f"{name}: {error}")
-        return _Node(line, args, props, self.children(node.children, shape, f" in {node.name!r}"))
+        return Node(line, args, props, self.children(node.children, shape, f" in {node.name!r}"))
 
 
 def _near(name: str, known: Any) -> str:
@@ -236,8 +249,8 @@
         document = ckdl.parse(text)
     except (ckdl.ParseError, ValueError) as error:
         raise SettingsError(name, [(_broken_line(text, lines), f"not KDL: {error}")]) from None
-    reader = _Reader(lines.lines)
-    top = _Node(1, [], {}, reader.children(document.nodes, _SCHEMA, ""))
+    reader = Reader(lines.lines)
+    top = Node(1, [], {}, reader.children(document.nodes, _SCHEMA, ""))
     problems = reader.problems
     for needed in ("placer", "list-source", "class", "kind"):
         if needed not in top.children and not any(f"{needed!r}" in text for _, text in problems):
@@ -260,7 +273,7 @@
     return max(1, text.rstrip().count("\n") + 1)
 
 
-def _build(top: _Node, problems: list[tuple[int, str]]) -> PlacerSettings | None:
+def _build(top: Node, problems: list[tuple[int, str]]) -> PlacerSettings | None:
     placer = top.children["placer"][0]
     listen, source = top.one("listen"), top.children["list-source"][0]
     kinds = {node.args[0]: node for node in top.children["kind"]}
@@ -304,10 +317,11 @@
         drain_grace_us=top.get("drain", "grace", 250_000), limits=limits, region=placer.props["region"],
         cluster=placer.props["cluster"],
         peers=tuple(PeerAddress(node.args[0], node.props["port"]) for node in top.children.get("peer", [])),
+        calendars=tuple(node.args[0] for node in top.children.get("calendar", [])),
         peers_allowed=IPSet(node.args[0] for node in top.children.get("allow-peer", [])))
 
 
-def _twice(nodes: list[_Node], what: str, problems: list[tuple[int, str]]) -> None:
+def _twice(nodes: list[Node], what: str, problems: list[tuple[int, str]]) -> None:
     seen: dict[str, int] = {}
     for node in nodes:
         name = node.args[0]
@@ -316,7 +330,7 @@
         seen.setdefault(name, node.line)
 
 
-def _class(node: _Node, kinds: dict[str, _Node], problems: list[tuple[int, str]]) -> ClassSettings:
+def _class(node: Node, kinds: dict[str, Node], problems: list[tuple[int, str]]) -> ClassSettings:
     props, spread, served = node.props, node.one("spread"), node.one("served")
     effect = api.Effect(props["effect"])
     if effect is api.Effect.KEYED and props["window"] <= 0:
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -91,4 +91,5 @@
     region: str = ""
     cluster: str = "main"
     peers: tuple[PeerAddress, ...] = ()
+    calendars: tuple[str, ...] = ()  # files of maintenance windows
     peers_allowed: IPSet = field(default_factory=IPSet)  # who may ask for this instance's knowledge
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -62,6 +62,7 @@
     (State.FOUND, Step.DONE): State.DONE,
     (State.FOUND, Step.LOSE): State.LOST,
     (State.FOUND, Step.STOP): State.STOPPED,
+    (State.FOUND, Step.WAIT): State.AGAIN,
 }
 OPEN = (State.ASKED, State.PLACED, State.AGAIN, State.FOUND)
 RUNNING = (State.PLACED, State.FOUND)
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -20,6 +20,7 @@
 from wingbarrow.core import saved
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.book import OPEN, Book, JobRecord, State, Step, TaskRecord
+from wingbarrow.core.drainer import Drainer
 from wingbarrow.core.events import Events, event_fields
 from wingbarrow.core.handover import Page, Shares
 from wingbarrow.core.heartbeats import Heartbeats
@@ -32,6 +33,9 @@
 from wingbarrow.core.reflector import Reflector
 from wingbarrow.decide import again, learning, strays
 from wingbarrow.decide.admission import Admission
+from wingbarrow.decide.draining import Held as HeldDrain
+from wingbarrow.decide.draining import Running
+from wingbarrow.decide.drains import MachineState
 from wingbarrow.decide.gate import Held, Offer, SendGate
 from wingbarrow.decide.learning import Sight
 from wingbarrow.kube import names
@@ -97,6 +101,10 @@
                                    random.Random(self._random.random()), settings.limits.machines, self._on_list,
                                    log)
         self.reflector.on_new_source = self._distrust.new_source
+        needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
+        self.drainer = Drainer(hub, settings.calendars, needed, rules.placers, settings.state, self, log)
+        self._closing: dict[str, int] = {}  # machines that close for long tasks: when, on the module's clock
+        self._drained: frozenset[str] = frozenset()  # machines closed by the calendar
 
     # -- life
 
@@ -107,6 +115,8 @@
             self._load_saved()
             nursery.spawn(self.reflector.run, "reflector")
             nursery.spawn(self.learner.run, "learner")
+            if self.settings.calendars:
+                nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.heartbeats.run, "heartbeats")
             for link in list(self.links.values()):
                 self._follow(link)
@@ -216,6 +226,7 @@
     def take_settings(self, fresh: PlacerSettings) -> None:
         """Use a file's settings that was read again: patience, priorities, restarts and limits of what comes."""
         self.settings = fresh
+        self.drainer.reload()
         self.book.take_limits(fresh.limits.jobs_kept, fresh.limits.tasks_open, fresh.limits.tasks_per_namespace)
         self.store.window_most = fresh.limits.window
 
@@ -447,7 +458,10 @@
         verdict = again.judge(end, effect, task.restarts_left, task.losses, self._random)
         wall = self.hub.clock.wall_us()
         self.counts["run:" + end.value] += 1
-        if verdict.after_us is None or task.state is State.FOUND:
+        # A task found running in this life had its answer from its owner's point of view: failed, or refused. One of a
+        # former life was placed, and its Job still wants it.
+        answered_otherwise = task.state is State.FOUND and not task.job.adopted
+        if verdict.after_us is None or answered_otherwise:
             self.book.step(task, Step.LOSE)
             self.events.tell(task.job, "Warning", "Lost", f"task {task.index}: {words}; not asked for again", wall)
             return
@@ -657,6 +671,75 @@
             self.feed(api.Probed(machine, outcome, report))
         self._spawn(probe, "probe")
 
+    # -- drains by the calendar
+
+    def machine_states(self) -> list[MachineState]:
+        """The machines of the list as planning sees them; those that the list itself drains do not run."""
+        asked = {each.machine: each.asked for each in self._scheduler.knowledge(self.hub.now_us()).machines}
+        out = []
+        for name, entry in self.reflector.held.items():
+            labels = entry.value["metadata"].get("labels") or {}
+            size = self._sizes.get(entry.listed.kind, (1.0, 1.0))
+            out.append(MachineState(name, str(labels.get(names.CELL, name)), entry.listed.zone, entry.listed.kind,
+                                    labels, size, asked.get(entry.listed.machine) or (0.0, 0.0),
+                                    entry.listed.phase is api.Phase.RUNNING))
+        return out
+
+    def own_running(self) -> dict[str, list[Running]]:
+        """Own placed tasks by machine, with when they end by their owner's hint."""
+        out: dict[str, list[Running]] = {}
+        wall = self.hub.clock.wall_us() - self.hub.now_us()
+        for attempt in self.attempts.by_pod.values():
+            if attempt.stage is Stage.PLACED and attempt.stopping is None:
+                asked = attempt.task.job.asked
+                ends = None if asked.expected_us is None else wall + attempt.placed_us + asked.expected_us
+                movable = asked.task_class.task_class.effect is not api.Effect.UNSAFE
+                out.setdefault(attempt.link.name, []).append(Running(attempt.request, movable, ends))
+        return out
+
+    def take_planned(self, closing: dict[str, int], closed: frozenset[str]) -> None:
+        """Narrow the module: long tasks off machines that close, everything off those that are closed."""
+        shift = self.hub.now_us() - self.hub.clock.wall_us()
+        fresh = {name: at + shift for name, at in closing.items()}
+        changes: dict[int, int | None] = {names.ident(name): at for name, at in fresh.items()
+                                          if abs(self._closing.get(name, 0) - at) > 1_000}
+        changes |= {names.ident(name): None for name in self._closing if name not in fresh}
+        self._closing = fresh
+        if changes:
+            self.feed(api.Planned(changes))
+        if closed != self._drained:
+            touched = closed ^ self._drained
+            self._drained = closed
+            entries = [self.reflector.held[name] for name in sorted(touched) if name in self.reflector.held]
+            for entry in entries:
+                self._show_node(entry)
+            self._on_list(api.ListForm.CHANGES, entries, [])
+
+    def move_task(self, request: int, why: str) -> None:
+        """Stop a placed task and ask for it again; never one that must not start twice."""
+        attempt = self.attempts.of(request)
+        if attempt is None or attempt.task.job.asked.task_class.task_class.effect is api.Effect.UNSAFE:
+            self.counts["moves_dropped"] += 1
+            return
+        self.counts["drain_moves"] += 1
+        attempt.task.last = why
+        self._move(request)
+
+    def evict(self, pod: str) -> None:
+        """Move one task by its pod's name (the Eviction API); ApiError where it cannot be."""
+        attempt = self.attempts.by_pod.get(pod)
+        if attempt is None or attempt.stage is not Stage.PLACED:
+            raise not_found("pods", pod)
+        if attempt.task.job.asked.task_class.task_class.effect is api.Effect.UNSAFE:
+            raise ApiError(429, f"{pod} is of a class that must not start twice; it is never moved", retry_after_s=60)
+        self.move_task(attempt.request, "evicted through the API")
+
+    def tell_drain(self, held: HeldDrain) -> None:
+        """A drain's phase for people: a line in the log."""
+        self.counts["drains:" + held.phase.value] += 1
+        self.log("drain", window=held.drain.window, machine=held.drain.machine, phase=held.phase.value,
+                 why=held.reason, moved=held.moved)
+
     # -- what other instances know
 
     def announce(self) -> learning.Announcement:
@@ -752,7 +835,7 @@
         if form is not api.ListForm.SAVED:
             self.ready = True
         # Every entry passes here, and so the guard against machines that a peer saw draining (rule 3).
-        narrowed = {entry.name: self._distrust.narrow(entry.name, entry.version, entry.listed) for entry in entries}
+        narrowed = {entry.name: self._narrow(entry) for entry in entries}
         listed = list(narrowed.values())
         for name in gone:
             link = self.links.get(name)
@@ -780,6 +863,13 @@
             self._retire(name)
         self._apply_hearsay()
 
+    def _narrow(self, entry: NodeEntry) -> api.ListedMachine:
+        """A list's entry as the module may have it: peers and the calendar can only take from it."""
+        listed = self._distrust.narrow(entry.name, entry.version, entry.listed)
+        if entry.name in self._drained and listed.phase is api.Phase.RUNNING:
+            listed = replace(listed, phase=api.Phase.DRAINING)
+        return listed
+
     def _gone(self, value: dict[str, Any], link: MachineLink) -> api.ListedMachine:
         clock = self.hub.clock
         entry = read_node(value, clock.now_us() - clock.wall_us()).listed
@@ -788,6 +878,10 @@
 
     def _show_node(self, entry: NodeEntry) -> None:
         value = {"kind": "Node", "apiVersion": "v1", **entry.value, "metadata": dict(entry.value["metadata"])}
+        if entry.name in self._drained:
+            value["spec"] = {**(value.get("spec") or {}), "unschedulable": True}
+            value["metadata"]["annotations"] = {**(value["metadata"].get("annotations") or {}),
+                                                names.PREFIX + "drained-by": "calendar"}
         self.nodes.put(entry.name, value)
 
     def _link(self, entry: NodeEntry, fresh: list[MachineLink]) -> MachineLink:
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from wingbarrow.config import parse_duration
 from wingbarrow.core.placer import Placer
 from wingbarrow.fronts.discovery import DOCUMENTS
 from wingbarrow.fronts.instances import InstancesFront
@@ -15,7 +16,7 @@
 from wingbarrow.http.server import Answer, Server, ServerLimits
 from wingbarrow.http.wire import Limits, Request
 from wingbarrow.kube import names
-from wingbarrow.kube.status import ApiError
+from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
 from wingbarrow.transport import Hub
 
 _COLLECTIONS = {("batch/v1", "jobs"), ("v1", "nodes"), ("v1", "events")}
@@ -75,6 +76,8 @@
         parts = [unquote(part) for part in path.split("/")[1:]]
         if parts[:2] == ["api", "v1"]:
             return self._resource(request, "v1", parts[2:], Query(query_text))
+        if parts[:4] == ["apis", "wingbarrow.io", "v1", "drains"]:
+            return self._drains(request, parts[4:])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
             return self.instances.handle(request, parts[3:], Query(query_text))
         if parts[:3] == ["apis", "batch", "v1"]:
@@ -89,6 +92,11 @@
             if len(parts) >= 3:
                 namespace, parts = parts[1], parts[2:]
         name = parts[0] if parts else ""
+        if name == "pods" and len(parts) == 3 and parts[2] == "eviction" and namespace:
+            self._allow(request, "POST")
+            self._placer.evict(parts[1])
+            return Answer(201, names.encode({"kind": "Status", "apiVersion": "v1", "metadata": {},
+                                             "status": "Success"}))
         if (version, name) not in _COLLECTIONS or len(parts) > 2 or (namespace and name == "nodes"):
             raise ApiError(404, "the server could not find the requested resource", "NotFound")
         resource = self.resources[name]
@@ -141,6 +149,32 @@
         made = self._placer.submit(value, namespace, self._dry_run(query.get("dryRun")))
         return Answer(201, names.encode(made))
 
+    def _drains(self, request: Request, parts: list[str]) -> Answer:
+        """Drains by the calendar: list; POST {"machine", "lasts"} drains now; DELETE takes one back."""
+        drainer = self._placer.drainer
+        if not parts:
+            self._allow(request, "GET", "POST")
+            if request.method == "GET":
+                return Answer(200, names.encode({"kind": "DrainList", "apiVersion": "wingbarrow.io/v1",
+                                                 "items": drainer.describe()}))
+            value = self._body(request)
+            machine, lasts = value.get("machine"), value.get("lasts")
+            try:
+                if not isinstance(machine, str) or not isinstance(lasts, str):
+                    raise ValueError("machine and lasts are wanted")
+                drain = drainer.ask_now(machine, parse_duration(lasts))
+            except ValueError as error:
+                raise invalid("Drain", "", [Cause("lasts" if isinstance(machine, str) else "machine",
+                                                  "FieldValueInvalid", str(error))]) from None
+            if drain.reason:
+                raise ApiError(409, f"{machine}: {drain.reason}", "Conflict")
+            return Answer(201, names.encode({"kind": "Drain", "apiVersion": "wingbarrow.io/v1", "key": drain.key}))
+        self._allow(request, "DELETE")
+        if not drainer.cancel("/".join(parts)):
+            raise not_found("drains", "/".join(parts))
+        return Answer(200, names.encode({"kind": "Status", "apiVersion": "v1", "metadata": {},
+                                         "status": "Success"}))
+
     def _delete(self, request: Request, key: str, query: Query) -> Answer:
         options = self._body(request) if request.body else {}
         told = options.get("dryRun")
--- a/wingbarrow/interface.py
+++ b/wingbarrow/interface.py
@@ -316,6 +316,13 @@
     notes: tuple[float, float]
 
 
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """Machines whose work is planned to end: by when, on the caller's clock; None takes the plan back."""
+
+    closes_us: Mapping[int, int | None]
+
+
 @dataclass(frozen=True, slots=True)
 class MachineKnowledge:
     """What the scheduler knows of a machine; None where it knows nothing of the kind."""
@@ -398,5 +405,5 @@
 
 
 Event: TypeAlias = (MachineList | TaskArrived | TaskFound | TaskWithdrawn | TimerDue | TaskPlaced
-                    | AttemptEnded | Probed | TaskNote | Learned)
+                    | AttemptEnded | Probed | TaskNote | Learned | Planned)
 Action: TypeAlias = Bind | Refuse | Fail | Move | SetTimer | Probe | WatchList | Log
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -111,6 +111,7 @@
         self._machines: dict[int, _Machine] = {}
         self._tasks: dict[int, _Task] = {}
         self._out: dict[tuple[int, int], tuple[_Machine, _Task]] = {}
+        self._closes: dict[int, int] = {}  # machines planned to close, and when
         self._spread: Counter[tuple[str, object]] = Counter()
         self._held: dict[int, None] = {}
         self._no_room: dict[tuple[str, float, float], int] = {}  # when a shape last found no room
@@ -124,7 +125,7 @@
             api.MachineList: self._on_list, api.TaskArrived: self._on_arrival, api.TaskFound: self._on_found,
             api.TaskWithdrawn: self._close, api.TaskPlaced: self._on_placed, api.AttemptEnded: self._on_ended,
             api.Probed: self._on_report, api.TaskNote: self._on_note, api.TimerDue: self._on_timer,
-            api.Learned: self._on_learned}
+            api.Learned: self._on_learned, api.Planned: self._on_planned}
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         """Decide on one event."""
@@ -250,6 +251,10 @@
         # Rule 3. Danger: work sent to a machine that drains or is gone; stopped at once, not after the grace.
         if machine.gone or cls.kind not in (None, listed.kind):
             return False
+        # Danger: a long task would be cut off by a planned window; short ones still end before it.
+        left_us = task.arrival.remaining_us or LEFT_UNTOLD_US
+        if self._closes and self._now + left_us > self._closes.get(listed.machine, FOREVER_US):
+            return False
         # Rule 1. Danger: a send after the end. Rule 2. Danger: a second attempt while one is out.
         if (task.out is not None or task.placed or task.attempts >= settings.attempts_most
                 or self._now >= task.due_us):
@@ -427,6 +432,14 @@
                 self._notes[i] += weight
                 self._ratio[i] += (event.ratio[i] - self._ratio[i]) * weight / self._notes[i]
 
+    def _on_planned(self, event: api.Planned) -> None:
+        for machine, at_us in event.closes_us.items():
+            if at_us is None:
+                self._closes.pop(machine, None)
+            else:
+                self._closes[machine] = at_us
+        self._no_room.clear()
+
     def _on_timer(self, event: api.TimerDue) -> None:
         task = self._tasks.get(int(event.name)) if event.name.isdecimal() else None
         if event.name == "sweep":
