--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -15,6 +15,9 @@
 from wingbarrow.lab.days import DAYS, run_day
 from wingbarrow.lab.days import summary as day_summary
 from wingbarrow.lab.learn import experiment, summary, write
+from wingbarrow.lab.patching import experiment as patch_experiment
+from wingbarrow.lab.patching import summary as patch_summary
+from wingbarrow.lab.patching import write as write_patching
 from wingbarrow.transport import Hub, Nursery
 
 
@@ -75,6 +78,19 @@
     sys.exit(0 if all(row.clean for row in rows) else 1)
 
 
+@lab.command()
+@click.option("--seeds", type=click.IntRange(1, 100), default=10, show_default=True)
+@click.option("--processes", type=click.IntRange(1, 64), default=7, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Rows and summary go here.")
+def patching(seeds: int, processes: int, out: Path) -> None:
+    """A day on which every machine is patched: by the calendar, by draining at once, and without windows."""
+    rows = patch_experiment(seeds, processes)
+    write_patching(rows, out)
+    for line in patch_summary(rows):
+        click.echo(json.dumps(line))
+    sys.exit(0 if all(row.clean for row in rows) else 1)
+
+
 @lab.command()
 @click.argument("name", required=False)
 @click.option("--list", "show", is_flag=True, help="Name the days.")
--- a/wingbarrow/decide/drains.py
+++ b/wingbarrow/decide/drains.py
@@ -119,29 +119,27 @@
             for slot in range(low, high + 1):
                 self._count(span.machine, slot)
 
-    def _count(self, machine: MachineState, slot: int) -> None:
-        for key in _keys(machine):
+    def _count(self, machine: MachineState, slot: int, keys: tuple[object, ...] | None = None) -> None:
+        for key in keys or _keys(machine):
             self._out.setdefault(key, [0] * self.slots)[slot] += 1
         self._size[slot][0] += machine.size[0]
         self._size[slot][1] += machine.size[1]
 
-    def full(self, machine: MachineState, slot: int, limits: Mapping[object, int]) -> object | None:
-        """The first place whose budget has no room in the slot."""
-        for key in _keys(machine):
-            limit = limits.get(key)
-            if limit is not None:
-                out = self._out.get(key)
-                if (out[slot] if out else 0) >= limit:
-                    return key
+    def full(self, slot: int, limited: Sequence[tuple[object, int]]) -> tuple[object, int] | None:
+        """The first place whose budget has no room in the slot, and that budget."""
+        for pair in limited:
+            out = self._out.get(pair[0])
+            if (out[slot] if out else 0) >= pair[1]:
+                return pair
         return None
 
     def out(self, slot: int) -> list[float]:
         """Cores and memory of the machines out in the slot."""
         return self._size[slot]
 
-    def take(self, machine: MachineState, slot: int, window: str) -> _Span:
+    def take(self, machine: MachineState, slot: int, window: str, keys: tuple[object, ...]) -> _Span:
         """Put a machine into a slot."""
-        self._count(machine, slot)
+        self._count(machine, slot, keys)
         begin = self.start + slot * self.each
         span = _Span(begin, begin + self.each, machine, window)
         self.mine.append(span)
@@ -159,6 +157,9 @@
     asked = [sum(machine.asked[i] for machine in fleet) for i in (0, 1)]
     # What may be out in all, by size, before what is asked for no longer fits on the rest.
     spare = (size[0] - asked[0] / rules.fill, size[1] - asked[1] / rules.fill)
+    keyed = [(machine, keys, [(key, limits[key]) for key in keys if key in limits])
+             for machine, keys in ((machine, _keys(machine)) for machine in fleet)]
+    meant: dict[int, list[tuple[MachineState, tuple[object, ...], list[tuple[object, int]]]]] = {}
     active: list[_Span] = []
     drains: list[Drain] = []
     for occurrence in occurrences:
@@ -166,10 +167,15 @@
         banned = _blackout(occurrence, rules.blackouts)
         grid = _Grid(occurrence, active)
         busy = {span.machine.name: span for span in active if span.start < occurrence.end_us}
-        for machine in fleet:
-            if any(selector.matches(machine.name, machine.cell, machine.zone, machine.labels)
-                   for selector in occurrence.series.selectors):
-                drains.append(_one(occurrence, machine, banned, limits, grid, spare, busy.get(machine.name)))
+        series = occurrence.series
+        if id(series) not in meant:
+            meant[id(series)] = [each for each in keyed if any(
+                selector.matches(each[0].name, each[0].cell, each[0].zone, each[0].labels)
+                for selector in series.selectors)]
+        ident = occurrence.ident
+        for machine, keys, limited in meant[id(series)]:
+            drains.append(_one(occurrence, ident, machine, banned, keys, limited, grid, spare,
+                               busy.get(machine.name)))
         active += grid.mine
     return drains
 
@@ -197,12 +203,12 @@
     return next((each for each in blackouts if each.start_us <= occurrence.start_us < each.end_us), None)
 
 
-def _one(occurrence: Occurrence, machine: MachineState, banned: Blackout | None, limits: Mapping[object, int],
-         grid: _Grid, spare: tuple[float, float], busy: _Span | None) -> Drain:
+def _one(occurrence: Occurrence, ident: str, machine: MachineState, banned: Blackout | None, keys: tuple[object, ...],
+         limited: Sequence[tuple[object, int]], grid: _Grid, spare: tuple[float, float], busy: _Span | None) -> Drain:
     series = occurrence.series
 
     def refused(reason: str) -> Drain:
-        return Drain(series.name, occurrence.ident, machine.name, Fate.REFUSED, occurrence.start_us,
+        return Drain(series.name, ident, machine.name, Fate.REFUSED, occurrence.start_us,
                      occurrence.end_us, reason)
     if banned is not None:
         return refused(f"it would start within the blackout {banned.name!r}")
@@ -210,16 +216,16 @@
         return refused(f"window {busy.window!r} has the machine out at that time")
     why = "the window is shorter than one machine's turn"
     for slot in range(grid.slots):
-        key = grid.full(machine, slot, limits)
-        if key is not None:
-            why = _words(key, limits[key])
+        full = grid.full(slot, limited)
+        if full is not None:
+            why = _words(*full) if slot == grid.slots - 1 else why
             continue
         out = grid.out(slot)
-        if any(out[i] + machine.size[i] > spare[i] + 1e-9 for i in (0, 1)):
+        if out[0] + machine.size[0] > spare[0] + 1e-9 or out[1] + machine.size[1] > spare[1] + 1e-9:
             why = "what is asked for would not fit on the machines that stay"
             continue
-        span = grid.take(machine, slot, series.name)
-        return Drain(series.name, occurrence.ident, machine.name, Fate.PLANNED, span.start, span.end)
+        span = grid.take(machine, slot, series.name, keys)
+        return Drain(series.name, ident, machine.name, Fate.PLANNED, span.start, span.end)
     return refused(f"no slot left in the window: {why}")
 
 
--- a/wingbarrow/lab/cluster.py
+++ b/wingbarrow/lab/cluster.py
@@ -13,6 +13,7 @@
 from wingbarrow.fronts.serve import Service
 from wingbarrow.lab.load import PlacerAddress
 from wingbarrow.lab.machine import Build, Machine, node_value
+from wingbarrow.lab.ports import PortHold
 from wingbarrow.lab.record import Recorder
 from wingbarrow.lab.source import ListSource
 from wingbarrow.transport import Domain, Hub, Signal
@@ -61,7 +62,8 @@
     def __init__(self, cluster: Cluster, index: int, of: int, seed: int, state: str) -> None:
         self.cluster, self.index, self.of, self.seed, self.state = cluster, index, of, seed, state
         self.name = f"placer-{index}"
-        self.port = 0
+        self.hold_port = PortHold()
+        self.port = self.hold_port.port
         self.source_port = 0  # another way to the list source, where set
         self.extra = ""  # more settings, in KDL
         self.domain = Domain(cluster.hub, self.name)
@@ -216,5 +218,10 @@
         return [machine for machine in self.machines if machine.up and not machine.draining]
 
     def close(self) -> None:
-        """Let go of the temporary folder."""
+        """Let go of the temporary folder and the ports."""
         self._folder.cleanup()
+        self.source.hold.close()
+        for machine in self.machines:
+            machine.hold.close()
+        for slot in self.placers:
+            slot.hold_port.close()
--- a/wingbarrow/lab/machine.py
+++ b/wingbarrow/lab/machine.py
@@ -16,6 +16,7 @@
 from wingbarrow.kube.status import ApiError
 from wingbarrow.kube.store import Store
 from wingbarrow.lab.faults import Fault, FaultPlan
+from wingbarrow.lab.ports import PortHold
 from wingbarrow.lab.record import Recorder
 from wingbarrow.transport import Channel, Closed, Domain, Full, Hub, PeerGone, Signal
 
@@ -82,7 +83,8 @@
         self.hub, self.name, self.build, self._record, self._say = hub, name, build, record, say
         self._random = random.Random(seed)
         self.faults = FaultPlan(seed + 1)
-        self.port = 0
+        self.hold = PortHold()
+        self.port = self.hold.port
         self.launched_us = 0
         self.up = self.fallen = self.draining = False
         self.slowness = 1.0
--- a/wingbarrow/lab/source.py
+++ b/wingbarrow/lab/source.py
@@ -12,6 +12,7 @@
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.kube.store import Store
+from wingbarrow.lab.ports import PortHold
 from wingbarrow.lab.record import Recorder
 from wingbarrow.transport import Domain, Hub, PeerGone, Signal
 
@@ -34,7 +35,8 @@
         self._nodes = self._store.collection("nodes")
         self._view = self._make_view(self._store)
         self._old: ListWatch | None = None
-        self.port = 0
+        self.hold = PortHold()
+        self.port = self.hold.port
         self.cuts = 0
 
     def _make_view(self, store: Store) -> ListWatch:
