Drains show as conditions and Events of their Nodes

Need: operators watch Nodes and Events, not logs; cordon, progress and end of a drain were only in the log and the drains resource. Change: each phase of a drain writes an Event about its Node and the condition wingbarrow.io/Drain.

--- a/tests/core/test_drains_path.py
+++ b/tests/core/test_drains_path.py
@@ -60,7 +60,12 @@
         assert max(record.at_us for record in shorts) > closed - 3 * S
         assert placer.nodes.objects["node-0"].value["spec"]["unschedulable"] is True
         stage.hub.sleep(20 * S)
-        assert "unschedulable" not in placer.nodes.objects["node-0"].value["spec"]
+        node = placer.nodes.objects["node-0"].value
+        assert "unschedulable" not in node["spec"]
+        drain = next(each for each in node["status"]["conditions"] if each["type"] == "wingbarrow.io/Drain")
+        assert (drain["status"], drain["reason"]) == ("False", "DrainDone")
+        events = json.loads(stage.pool().request("GET", "/api/v1/events?fieldSelector=involvedObject.kind%3DNode").body)
+        assert [each["reason"] for each in events["items"]] == ["DrainClosed", "DrainOut", "DrainDone"]
         last = stage.hub.now_us() - 1
         for turn in range(20):
             stage.submit(f"again{turn}", service=f"n{turn}", runs_s=1)
--- a/wingbarrow/core/events.py
+++ b/wingbarrow/core/events.py
@@ -22,16 +22,25 @@
 
     def tell(self, job: JobRecord, kind: str, reason: str, message: str, wall_us: int) -> None:
         """One Event about a Job; `kind` is Normal or Warning."""
+        self._tell({"kind": "Job", "apiVersion": "batch/v1", "namespace": job.asked.namespace,
+                    "name": job.asked.name, "uid": job.uid}, job.asked.namespace, kind, reason, message, wall_us)
+
+    def tell_node(self, node: str, kind: str, reason: str, message: str, wall_us: int) -> None:
+        """One Event about a Node, in the namespace `default` as is usual for them."""
+        self._tell({"kind": "Node", "apiVersion": "v1", "name": node, "uid": names.uid("node", node)}, "default", kind,
+                   reason, message, wall_us)
+
+    def _tell(self, about: dict[str, str], namespace: str, kind: str, reason: str, message: str,
+              wall_us: int) -> None:
         self._count += 1
-        namespace, name = job.asked.namespace, f"{job.asked.name}.{wall_us:x}{self._count:x}"
+        name = f"{about['name']}.{wall_us:x}{self._count:x}"
         stamp = names.short_time(wall_us)
         key = f"{namespace}/{name}"
         self._collection.put(key, {
             "kind": "Event", "apiVersion": "v1",
             "metadata": {"name": name, "namespace": namespace, "uid": names.uid(self._source, name),
                          "creationTimestamp": stamp},
-            "involvedObject": {"kind": "Job", "apiVersion": "batch/v1", "namespace": namespace,
-                               "name": job.asked.name, "uid": job.uid},
+            "involvedObject": about,
             "reason": reason, "message": message[:1024], "type": kind, "count": 1,
             "source": {"component": "wingbarrow", "host": self._source},
             "firstTimestamp": stamp, "lastTimestamp": stamp, "eventTime": None,
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -103,6 +103,7 @@
         self.reflector.on_new_source = self._distrust.new_source
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
         self.drainer = Drainer(hub, settings.calendars, needed, rules.placers, settings.state, self, log)
+        self._drain_conditions: dict[str, dict[str, str]] = {}
         self._closing: dict[str, int] = {}  # machines that close for long tasks: when, on the module's clock
         self._drained: frozenset[str] = frozenset()  # machines closed by the calendar
 
@@ -735,8 +736,19 @@
         self.move_task(attempt.request, "evicted through the API")
 
     def tell_drain(self, held: HeldDrain) -> None:
-        """A drain's phase for people: a line in the log."""
+        """A drain's phase for people: a line in the log, an Event and a condition of its Node."""
         self.counts["drains:" + held.phase.value] += 1
+        name, wall = held.drain.machine, self.hub.clock.wall_us()
+        reason = "Drain" + held.phase.value.title().replace(" ", "")
+        self.events.tell_node(name, "Warning" if held.reason else "Normal", reason,
+                              f"window {held.drain.window}: {held.reason or held.phase.value}, "
+                              f"{held.moved} task(s) moved", wall)
+        self._drain_conditions[name] = {
+            "type": "wingbarrow.io/Drain", "status": str(held.phase.value in ("closed", "out")), "reason": reason,
+            "message": held.reason or f"window {held.drain.window}", "lastTransitionTime": names.short_time(wall),
+            "lastHeartbeatTime": names.short_time(wall)}
+        if name in self.reflector.held:
+            self._show_node(self.reflector.held[name])
         self.log("drain", window=held.drain.window, machine=held.drain.machine, phase=held.phase.value,
                  why=held.reason, moved=held.moved)
 
@@ -841,6 +853,7 @@
             link = self.links.get(name)
             stored = self.nodes.delete(name)
             self._shown.pop(name, None)
+            self._drain_conditions.pop(name, None)
             self._note_gone(name)
             if link is None:
                 continue
@@ -878,6 +891,11 @@
 
     def _show_node(self, entry: NodeEntry) -> None:
         value = {"kind": "Node", "apiVersion": "v1", **entry.value, "metadata": dict(entry.value["metadata"])}
+        condition = self._drain_conditions.get(entry.name)
+        if condition is not None:
+            status = value["status"]
+            others = [each for each in status.get("conditions") or [] if each.get("type") != condition["type"]]
+            value["status"] = {**status, "conditions": [*others, condition]}
         if entry.name in self._drained:
             value["spec"] = {**(value.get("spec") or {}), "unschedulable": True}
             value["metadata"]["annotations"] = {**(value["metadata"].get("annotations") or {}),
