A hall fails by machines that vanish, not by those that left; patching figures

Cause: a machine replaced by a deploy counted as lost for ever, so after a deploy its hall would have counted as failed and every drain elsewhere would have waited; a list entry passed through the guards again brought its old figures of room as news. Change: a machine that the list drained has left by intent, one that vanished speaks for a failure for ten minutes; entries narrowed anew tell no room; lab learn takes single arms.

--- a/tests/core/test_drains_path.py
+++ b/tests/core/test_drains_path.py
@@ -141,6 +141,18 @@
     stage.play(script)
 
 
+def test_machines_replaced_by_a_deploy_do_not_make_a_failed_hall(tmp_path: Path) -> None:
+    stage = Stage(machines=4)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 40, machines='name="node-0"'))
+        for machine in stage.cluster.machines[2:4]:
+            stage.hub.spawn(lambda machine=machine: stage.cluster.replace(machine))
+        stage.hub.sleep(42 * S)
+        assert placer.drainer.describe()[0]["phase"] == "out"
+    stage.play(script)
+
+
 def test_two_placers_do_the_same_drain_at_one_pace_without_talking(tmp_path: Path) -> None:
     stage = Stage(machines=3, placers=2, build=Build(cores=48.0, memory=96.0))
 
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -14,7 +14,7 @@
 from wingbarrow.lab.cluster import Cluster
 from wingbarrow.lab.days import DAYS, run_day
 from wingbarrow.lab.days import summary as day_summary
-from wingbarrow.lab.learn import experiment, summary, write
+from wingbarrow.lab.learn import ARMS, experiment, summary, write
 from wingbarrow.lab.patching import experiment as patch_experiment
 from wingbarrow.lab.patching import summary as patch_summary
 from wingbarrow.lab.patching import write as write_patching
@@ -68,10 +68,11 @@
 @click.option("--machines", type=click.IntRange(4, 5000), default=10, show_default=True)
 @click.option("--seeds", type=click.IntRange(1, 100), default=10, show_default=True)
 @click.option("--processes", type=click.IntRange(1, 64), default=7, show_default=True)
+@click.option("--arm", "arms", multiple=True, type=click.Choice(ARMS), default=ARMS, help="All without it.")
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="Rows, summary and plot go here.")
-def learn(machines: int, seeds: int, processes: int, out: Path) -> None:
+def learn(machines: int, seeds: int, processes: int, arms: tuple[str, ...], out: Path) -> None:
     """A new placer's first minute: cold, with a running peer's knowledge, and with a stale one's."""
-    rows = experiment(machines, seeds, processes)
+    rows = experiment(machines, seeds, processes, arms)
     write(rows, out)
     for line in summary(rows):
         click.echo(json.dumps(line))
--- a/wingbarrow/core/drainer.py
+++ b/wingbarrow/core/drainer.py
@@ -29,6 +29,7 @@
 EARLIER_US = 86_400 * SECOND
 FORM = 1
 ASKED_MOST = 64
+LOST_KEPT_US = 600 * SECOND  # a machine that vanished without a drain speaks for its hall's failure so long
 
 
 class _Kept(msgspec.Struct):
@@ -88,7 +89,8 @@
         self._asked: list[Series] = []  # drains that an operator asked for now
         self._planned_us: int | None = None
         self._planned_for: frozenset[str] = frozenset()
-        self._known_zones: dict[str, str] = {}  # machines that were seen running, so that a lost hall is noticed
+        # Machines that were seen running, their hall and when last: so a lost hall is noticed.
+        self._seen: dict[str, tuple[str, int]] = {}
 
     def reload(self) -> bool:
         """Read the calendar again, whole or not at all; False, and told, where it cannot be used."""
@@ -114,17 +116,16 @@
         """Plan where it is time to, then do what is due."""
         now = self._hub.clock.wall_us()
         machines = self._host.machine_states()
-        for machine in machines:
-            if machine.running:
-                self._known_zones[machine.name] = machine.zone
+        self._look(now, machines)
         self._plan(now, machines)
         running = self._host.own_running()
         held = [each for each in self.drains.held.values() if each.phase in (Phase.CLOSED, Phase.OUT)]
         drained = {each.drain.machine for each in held}
         here = {machine.name for machine in machines if machine.running}
-        failed = failed_zones(((zone, name in here, name in drained) for name, zone in self._known_zones.items()),
+        failed = failed_zones(((zone, name in here, name in drained) for name, (zone, _) in self._seen.items()),
                               self.calendar.policy.failed_share)
-        turn = self.drains.step(now, running, self._known_zones, failed, self._room(machines, drained))
+        zones = {name: zone for name, (zone, _) in self._seen.items()}
+        turn = self.drains.step(now, running, zones, failed, self._room(machines, drained))
         self._host.take_planned(turn.closing, turn.closed)
         for each in turn.changed:
             self._host.tell_drain(each)
@@ -133,6 +134,16 @@
         if turn.changed:
             self._save()
 
+    def _look(self, now: int, machines: list[MachineState]) -> None:
+        """A machine that the list drained has left by intent; one that vanished counts as lost for a while."""
+        for machine in machines:
+            if machine.running:
+                self._seen[machine.name] = machine.zone, now
+            else:
+                self._seen.pop(machine.name, None)
+        for name in [name for name, (_, at) in self._seen.items() if not 0 <= now - at <= LOST_KEPT_US]:
+            del self._seen[name]
+
     def _plan(self, now: int, machines: list[MachineState]) -> None:
         names = frozenset(machine.name for machine in machines if machine.running)
         due = self._planned_us is None or not 0 <= now - self._planned_us < PLAN_EVERY_US
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -714,7 +714,7 @@
             entries = [self.reflector.held[name] for name in sorted(touched) if name in self.reflector.held]
             for entry in entries:
                 self._show_node(entry)
-            self._on_list(api.ListForm.CHANGES, entries, [])
+            self._narrow_again(entries)
 
     def move_task(self, request: int, why: str) -> None:
         """Stop a placed task and ask for it again; never one that must not start twice."""
@@ -798,7 +798,7 @@
             if len(self._hearsay) < self.settings.limits.machines or sight.machine in self._hearsay:
                 self._hearsay[sight.machine] = sight, now - more_age_us, clock_good
         if changed:
-            self._on_list(api.ListForm.CHANGES, changed, [])
+            self._narrow_again(changed)
         else:
             self._apply_hearsay()
         return True
@@ -876,6 +876,12 @@
             self._retire(name)
         self._apply_hearsay()
 
+    def _narrow_again(self, entries: list[NodeEntry]) -> None:
+        """Have entries pass the guards anew; their figures of room are no news and count as not told."""
+        self._on_list(api.ListForm.CHANGES, [
+            replace(entry, listed=replace(entry.listed, free_cores=math.nan, free_memory=math.nan))
+            for entry in entries], [])
+
     def _narrow(self, entry: NodeEntry) -> api.ListedMachine:
         """A list's entry as the module may have it: peers and the calendar can only take from it."""
         listed = self._distrust.narrow(entry.name, entry.version, entry.listed)
--- a/wingbarrow/decide/draining.py
+++ b/wingbarrow/decide/draining.py
@@ -125,6 +125,7 @@
         ended = [key for key, held in self.held.items() if held.phase in OVER]
         for key in ended[:max(0, len(ended) - KEPT)]:
             del self.held[key]
+        self._calls &= frozenset(self.held)
 
     def restore(self, held: Iterable[Held]) -> None:
         """What a former life knew."""
--- a/wingbarrow/lab/learn.py
+++ b/wingbarrow/lab/learn.py
@@ -155,9 +155,9 @@
     return first_minute(*job)
 
 
-def experiment(machines: int, seeds: int, processes: int) -> list[FirstMinute]:
-    """All arms over all seeds."""
-    jobs = [(arm, machines, seed) for seed in range(1, seeds + 1) for arm in ARMS]
+def experiment(machines: int, seeds: int, processes: int, arms: tuple[str, ...] = ARMS) -> list[FirstMinute]:
+    """Some arms over all seeds."""
+    jobs = [(arm, machines, seed) for seed in range(1, seeds + 1) for arm in arms]
     if processes <= 1:
         return [_one(job) for job in jobs]
     with Pool(processes) as pool:
@@ -167,7 +167,7 @@
 def summary(rows: list[FirstMinute]) -> list[dict[str, Any]]:
     """By arm: the mean over seeds, and the least and most, of what a first minute is judged by."""
     out = []
-    for arm in ARMS:
+    for arm in [arm for arm in ARMS if any(row.arm == arm for row in rows)]:
         mine = [row for row in rows if row.arm == arm]
         figures: dict[str, Any] = {"arm": arm, "seeds": len(mine), "clean": all(row.clean for row in mine),
                                    "to_draining": sum(row.to_draining for row in mine)}
@@ -203,11 +203,12 @@
         axes.fill_between(times, [min(c) for c in zip(*shares, strict=True)],
                           [max(c) for c in zip(*shares, strict=True)], alpha=0.12)
     for arm, style in zip(ARMS, ("C3-o", "C0-s", "C5:o", "C1:^"), strict=True):
-        line([row.by_window for row in rows if row.arm == arm], f"new instance, {arm}", style)
-    line([row.steady_by_window for row in rows if row.arm == "cold"], "running instance", "k--")
+        if any(row.arm == arm for row in rows):
+            line([row.by_window for row in rows if row.arm == arm], f"new instance, {arm}", style)
+    line([row.steady_by_window for row in rows if row.arm == rows[0].arm], "running instance", "k--")
     axes.set(xlabel="seconds since the new instance started", ylim=(0, 1.02),
              ylabel=f"tasks started within {AIM_US // 1000} ms",
-             title=f"First minute at {rows[0].machines} machines, {len(rows) // len(ARMS)} seeds (simulated servers)")
+             title=f"First minute at {rows[0].machines} machines, {len({row.seed for row in rows})} seeds (simulated servers)")
     axes.legend(loc="lower right")
     figure.tight_layout()
     figure.savefig(folder / "first-minute.png", dpi=110)
