--- a/wingbarrow/lab/learn.py
+++ b/wingbarrow/lab/learn.py
@@ -208,7 +208,8 @@
     line([row.steady_by_window for row in rows if row.arm == rows[0].arm], "running instance", "k--")
     axes.set(xlabel="seconds since the new instance started", ylim=(0, 1.02),
              ylabel=f"tasks started within {AIM_US // 1000} ms",
-             title=f"First minute at {rows[0].machines} machines, {len({row.seed for row in rows})} seeds (simulated servers)")
+             title=f"First minute at {rows[0].machines} machines, {len({row.seed for row in rows})} seeds "
+                   "(simulated servers)")
     axes.legend(loc="lower right")
     figure.tight_layout()
     figure.savefig(folder / "first-minute.png", dpi=110)
