--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -163,6 +163,23 @@
     assert run("get", "jobs", "--url", "http://127.0.0.1:1").exit_code == 1
 
 
+def test_drains_are_planned_asked_for_seen_and_cancelled(lab: Lab, tmp_path: Path) -> None:
+    url, file = ["--url", lab.url], tmp_path / "windows.kdl"
+    file.write_text('window "w" start="2026-12-06T02:00" lasts="2h" each="30m" { machines zone="hall-a"; }\n')
+    plan = run("drains", "plan", str(file), "--from", "2026-12-05T00:00:00Z", "--plot", str(tmp_path / "p.png"), *url)
+    assert plan.exit_code == 0 and plan.output.count("planned") == 2 and (tmp_path / "p.png").stat().st_size > 1000
+    file.write_text('window "w" start="soon" lasts="2h" { machines zone="hall-a"; }\n')
+    bad = run("drains", "plan", str(file), *url)
+    assert bad.exit_code == 2 and f"{file}:1:" in bad.stderr
+    asked = run("drains", "now", "node-3", "--lasts", "60s", *url)
+    key = asked.output.strip()
+    assert asked.exit_code == 0 and key in run("drains", "status", *url).output
+    assert run("drains", "cancel", key, *url).exit_code == 0
+    assert "given up" in run("drains", "status", *url).output
+    assert run("drains", "cancel", key, *url).exit_code == 1
+    assert run("drains", "now", "none", *url).exit_code == 1
+
+
 def test_check_names_file_and_line(tmp_path: Path) -> None:
     good, bad = tmp_path / "good.kdl", tmp_path / "bad.kdl"
     good.write_text(settings_text(0, 1, 1, 8001))
--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib.util
 import json
 import sys
 from collections.abc import Callable, Iterator
@@ -23,6 +24,12 @@
                    help="A placer's address.")
 
 
+def need_plots() -> None:
+    """Stop with a word where matplotlib is not installed, before any work is done."""
+    if importlib.util.find_spec("matplotlib") is None:
+        raise click.ClickException("plots need matplotlib: pip install 'wingbarrow[plots]'")
+
+
 class CommandFailed(Exception):
     """One line for the person."""
 
--- a/wingbarrow/cli/drains.py
+++ b/wingbarrow/cli/drains.py
@@ -11,7 +11,7 @@
 
 import click
 
-from wingbarrow.cli.client import URL, Client, with_client
+from wingbarrow.cli.client import URL, Client, need_plots, with_client
 from wingbarrow.config import SettingsError
 from wingbarrow.config.calendar import load_calendar
 from wingbarrow.core.nodes import read_node
@@ -55,6 +55,8 @@
 @URL
 def plan_command(calendars: tuple[Path, ...], days: int, plot: Path | None, begin: str | None, url: str) -> None:
     """Show what would happen, before it does: calendars on the machines that a placer sees now."""
+    if plot is not None:
+        need_plots()
     try:
         calendar = load_calendar(calendars)
         start = names.read_time(begin) if begin else int(datetime.now(UTC).timestamp() * SECOND)
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -9,6 +9,7 @@
 
 import click
 
+from wingbarrow.cli.client import need_plots
 from wingbarrow.core.logs import Log, silent
 from wingbarrow.fronts.serve import on_signals
 from wingbarrow.lab.cluster import Cluster
@@ -72,6 +73,7 @@
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="Rows, summary and plot go here.")
 def learn(machines: int, seeds: int, processes: int, arms: tuple[str, ...], out: Path) -> None:
     """A new placer's first minute: cold, with a running peer's knowledge, and with a stale one's."""
+    need_plots()
     rows = experiment(machines, seeds, processes, arms)
     write(rows, out)
     for line in summary(rows):
