Property tests draw the same examples in every run

Change: a fixed profile (derandomized) is loaded for all tests; HYPOTHESIS_PROFILE=search looks further.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import replace
 from typing import Any
 
+import hypothesis
 import pytest
 
 from wingbarrow import Scheduler
 from wingbarrow import interface as api
 
 S = 1_000_000
+# The same examples in every run: a verdict must not hang on chance. HYPOTHESIS_PROFILE=search looks further.
+hypothesis.settings.register_profile("fixed", derandomize=True, deadline=None)
+hypothesis.settings.register_profile("search", deadline=None)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
 
 
 def task_class(name: str, effect: api.Effect = api.Effect.SAFE, **more: Any) -> api.TaskClass:
