A machine with an offer out does not count as empty; more drains on the path

Cause: a path test (an answer that comes after closing) found a task left on a machine that counted as out: the drain had seen no placed task while its offer was still on its way. Change: offers that are out count as tasks of the machine, and tasks that turn up on one that is out are moved; path tests of a machine that goes early and returns cold, one that never goes, answers after closing, the other hall's return with a rush on it.

--- a/tests/core/test_drains_path.py
+++ b/tests/core/test_drains_path.py
@@ -11,7 +11,7 @@
 
 from tests.stage import JOBS, S, Stage
 from wingbarrow.kube import names
-from wingbarrow.lab.machine import Build
+from wingbarrow.lab.machine import Build, node_value
 
 DRAINS = "/apis/wingbarrow.io/v1/drains"
 
@@ -238,3 +238,94 @@
         stage.hub.sleep(2 * S)
         assert [each["machine"] for each in placer.drainer.describe()] == ["node-0"]
     stage.play(script)
+
+
+def test_a_machine_that_goes_early_loses_its_tasks_to_others_and_stays_closed_when_it_returns(tmp_path: Path) -> None:
+    stage = Stage(machines=3)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 12, lasts="30s"))
+        for turn in range(12):
+            stage.submit(f"t{turn}", service=f"s{turn}", runs_s=5)
+        stage.hub.sleep(3 * S)
+        machine = stage.cluster.machines[0]
+        held = [pod.task for pod in machine.pods.values() if pod.phase == "Running"]
+        stage.hub.spawn(lambda: stage.cluster.crash(machine, 8.0))
+        stage.hub.sleep(10 * S)
+        for task in held:
+            assert "Placed" in stage.settled(task)
+        returned = stage.hub.now_us()
+        for turn in range(12):
+            stage.submit(f"u{turn}", service=f"s{turn}", runs_s=2)
+        stage.hub.sleep(4 * S)
+        assert placer.drainer.describe()[0]["phase"] == "out" and offers_after(stage, "node-0", returned) == 0
+    stage.play(script)
+    found = stage.audit()
+    assert not (found.sends_to_draining or found.double_effects or found.cold_overruns)
+
+
+def test_a_machine_that_never_goes_is_closed_to_the_end_and_used_again(tmp_path: Path) -> None:
+    stage = Stage(machines=2)
+
+    def script() -> None:
+        restarted(stage, calendar(stage, tmp_path, 6, lasts="10s"))
+        stage.hub.sleep(4 * S)
+        within = stage.hub.now_us()
+        for turn in range(8):
+            stage.submit(f"t{turn}", service=f"s{turn}", runs_s=1)
+            stage.hub.sleep(S)
+        assert offers_after(stage, "node-0", within) == 0
+        stage.hub.sleep(5 * S)
+        after = stage.hub.now_us() - 1
+        for turn in range(20):
+            stage.submit(f"u{turn}", service=f"v{turn}", runs_s=1)
+        stage.hub.sleep(2 * S)
+        assert offers_after(stage, "node-0", after) > 0
+    stage.play(script)
+
+
+@pytest.mark.parametrize("runs_s", [1, 60])
+def test_a_task_whose_answer_comes_after_closing_ends_by_itself_or_is_moved(tmp_path: Path, runs_s: int) -> None:
+    stage = Stage(machines=2, build=Build(start_us=3_000_000, setup=1.0))
+
+    def script() -> None:
+        stage.cluster.machines[1].begin_drain()
+        placer = restarted(stage, calendar(stage, tmp_path, 100))
+        begun = stage.hub.now_us()
+        stage.submit("edge", service="edge", runs_s=runs_s, patience_s=9)
+        stage.hub.sleep(S)
+        assert stage.seen("offer")[-1].where == "node-0"
+        calendar(stage, tmp_path, 4.2)  # the window is put forward: the machine closes at once, the offer is out
+        assert placer.drainer.reload()
+        stage.hub.sleep(S * 3 // 2)
+        assert placer.links["node-0"].phase.value == "draining" and not stage.seen("start")
+        stage.cluster.machines[1].draining = False
+        assert "Placed" in stage.settled("edge")
+        stage.hub.sleep(12 * S)
+        where = [record.where for record in stage.seen("start")]
+        assert where == (["node-0"] if runs_s == 1 else ["node-0", "node-1"])
+        assert offers_after(stage, "node-0", begun + 2 * S) == 0
+    stage.play(script)
+    assert stage.audit().clean
+
+
+def test_drains_go_on_when_the_other_hall_is_back(tmp_path: Path) -> None:
+    stage = Stage(machines=6)
+
+    def script() -> None:
+        placer = restarted(stage, calendar(stage, tmp_path, 12, machines='name="node-0"', lasts="40s"))
+        for machine in stage.cluster.machines[3:]:
+            stage.hub.spawn(lambda machine=machine: stage.cluster.crash(machine, None))
+        stage.hub.sleep(14 * S)
+        assert placer.drainer.describe()[0]["phase"] == "planned"
+        for machine in stage.cluster.machines[3:]:
+            stage.cluster._gone.discard(machine.name)
+            machine.launch(cold=True)
+            stage.cluster.source.show(machine.name, node_value(machine))
+        stage.hub.sleep(3 * S)
+        assert placer.drainer.describe()[0]["phase"] == "out"
+        for turn in range(40):  # a rush while that hall is cold
+            stage.submit(f"t{turn}", service=f"s{turn}", runs_s=2)
+        stage.hub.sleep(8 * S)
+    stage.play(script)
+    assert stage.audit().cold_overruns == 0 and not stage.seen("fell")
--- a/tests/decide/test_drains.py
+++ b/tests/decide/test_drains.py
@@ -248,6 +248,15 @@
     assert phase(held) is Phase.GIVEN_UP and not step(held, START).closed
 
 
+def test_an_offer_that_is_out_keeps_a_machine_from_counting_as_empty() -> None:
+    held = drains()
+    step(held, START - 60 * S, [Running(1, True, None, True)])
+    assert not step(held, START - 50 * S, [Running(1, True, None, True)]).moves and phase(held) is Phase.CLOSED
+    step(held, START - 40 * S, [])
+    assert phase(held) is Phase.OUT
+    assert step(held, START - 30 * S, [Running(1, True, None)]).moves == (1,), "a late answer's task is moved too"
+
+
 def test_a_window_in_the_past_never_begins() -> None:
     held = Drains(Policy(), 1)
     held.take_plan([(DRAIN, UnsafePolicy.WAIT)], START + 2 * H)
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -687,15 +687,18 @@
         return out
 
     def own_running(self) -> dict[str, list[Running]]:
-        """Own placed tasks by machine, with when they end by their owner's hint."""
+        """Own tasks by machine, placed or offered, with when they end by their owner's hint."""
         out: dict[str, list[Running]] = {}
         wall = self.hub.clock.wall_us() - self.hub.now_us()
         for attempt in self.attempts.by_pod.values():
-            if attempt.stage is Stage.PLACED and attempt.stopping is None:
+            if attempt.stage is not Stage.ENDED and attempt.stopping is None:
                 asked = attempt.task.job.asked
-                ends = None if asked.expected_us is None else wall + attempt.placed_us + asked.expected_us
+                offered = attempt.stage is not Stage.PLACED
+                began = attempt.decided_us if offered else attempt.placed_us
+                ends = None if asked.expected_us is None else wall + began + asked.expected_us
                 movable = asked.task_class.task_class.effect is not api.Effect.UNSAFE
-                out.setdefault(attempt.link.name, []).append(Running(attempt.request, movable, ends))
+                out.setdefault(attempt.link.name, []).append(
+                    Running(attempt.request, movable, ends, offered))
         return out
 
     def take_planned(self, closing: dict[str, int], closed: frozenset[str]) -> None:
--- a/wingbarrow/decide/draining.py
+++ b/wingbarrow/decide/draining.py
@@ -56,6 +56,7 @@
     request: int
     movable: bool  # a second start does no harm
     ends_us: int | None
+    offered: bool = False  # its offer is out: it may yet run there
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +156,8 @@
             machine = held.drain.machine
             after = self._judge(held, now_us, running.get(machine, []), zones.get(machine, ""), failed,
                                 room.get(machine, True))
-            if after.phase is Phase.CLOSED:
+            if after.phase in (Phase.CLOSED, Phase.OUT):
+                # Danger: an answer that was on its way brings a task to a machine that counts as empty.
                 mine = self._moves(after, now_us, running.get(machine, []), room.get(machine, True))
                 moves += mine
                 after = replace(after, moved=after.moved + len(mine))
@@ -204,7 +206,7 @@
             return to(Phase.DONE) if now_us >= drain.end_us else held
         if not tasks:
             return to(Phase.OUT) if now_us < drain.end_us else to(Phase.DONE)
-        stuck = [task for task in tasks if not task.movable]
+        stuck = [task for task in tasks if not task.movable and not task.offered]
         if now_us >= drain.start_us and stuck:
             if held.unsafe is UnsafePolicy.GIVE_UP:
                 return to(Phase.GIVEN_UP, f"{len(stuck)} task(s) that must not start twice still run")
@@ -222,7 +224,7 @@
         if not room:
             return []
         # What ends by itself before the window begins need not be moved.
-        candidates = [task for task in tasks if task.movable
+        candidates = [task for task in tasks if task.movable and not task.offered
                       and (task.ends_us is None or task.ends_us > held.drain.start_us)]
         candidates.sort(key=lambda task: (-(task.ends_us or 1 << 62), task.request))
         chosen: list[int] = []
