drains plan reads quantities by the project's parser; one way to replace a file whole

Cause: reading the change once more found that drains plan took a Node's 500m cores for 500 and ended in a traceback on a size it could not read, and that saved list and saved drains wrote files by two copies of one routine.

--- a/wingbarrow/cli/drains.py
+++ b/wingbarrow/cli/drains.py
@@ -12,7 +12,7 @@
 import click
 
 from wingbarrow.cli.client import URL, Client, need_plots, with_client
-from wingbarrow.config import SettingsError
+from wingbarrow.config import SettingsError, parse_size
 from wingbarrow.config.calendar import load_calendar
 from wingbarrow.core.nodes import read_node
 from wingbarrow.decide.drains import Drain, MachineState, plan
@@ -37,8 +37,7 @@
         entry = read_node(value, 0)
         labels = value["metadata"].get("labels") or {}
         capacity = value.get("status", {}).get("allocatable", {})
-        size = float(str(capacity.get("cpu", "1")).rstrip("m") or 1), float(
-            str(capacity.get("memory", "1Gi")).removesuffix("Gi") or 1)
+        size = parse_size(str(capacity.get("cpu", "1"))), parse_size(str(capacity.get("memory", "1Gi"))) / 2**30
         free = entry.listed.free_cores, entry.listed.free_memory
         asked = tuple(max(0.0, size[i] - free[i]) if free[i] == free[i] else 0.0 for i in (0, 1))
         out.append(MachineState(entry.name, str(labels.get(names.CELL, entry.name)), entry.listed.zone,
@@ -66,7 +65,11 @@
     except ValueError:
         raise click.BadParameter(f"not a time: {begin}") from None
     nodes = with_client(url, lambda client: [json.loads(line) for line in client.get("nodes", None, "", "", True)])
-    found = plan(expand_all(calendar.series, start, start + days * 86_400 * SECOND), _states(nodes), calendar.rules)
+    try:
+        states = _states(nodes)
+    except ValueError as error:
+        raise click.ClickException(f"a Node of {url} cannot be read: {error}") from None
+    found = plan(expand_all(calendar.series, start, start + days * 86_400 * SECOND), states, calendar.rules)
     for drain in found:
         click.echo(f"{drain.machine:<20}{drain.fate.value:<9}{_when(drain.start_us)} to {_when(drain.end_us)}  "
                    f"{drain.window}{'  ' + drain.reason if drain.reason else ''}")
--- a/wingbarrow/core/drainer.py
+++ b/wingbarrow/core/drainer.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from datetime import UTC, datetime
 from pathlib import Path
@@ -17,6 +16,7 @@
 
 from wingbarrow.config.calendar import load_calendar
 from wingbarrow.config.load import SettingsError
+from wingbarrow.core.saved import write_whole
 from wingbarrow.decide.draining import Drains, Held, Phase, Running, failed_zones
 from wingbarrow.decide.drains import Drain, Fate, MachineState, plan
 from wingbarrow.decide.windows import Selector, Series, UnsafePolicy, expand_all, to_us
@@ -179,14 +179,8 @@
                   each.reason)
             for each in self.drains.held.values() if each.phase is not Phase.PLANNED])
         data = msgspec.json.encode(_File(FORM, xxhash.xxh64_hexdigest(raw), msgspec.Raw(raw)))
-        temporary = self._file.with_suffix(f".{os.getpid()}")
         try:
-            self._file.parent.mkdir(parents=True, exist_ok=True)
-            with open(temporary, "wb") as file:
-                file.write(data)
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(temporary, self._file)
+            write_whole(self._file, data)
         except OSError as error:
             self._log("drains-not-saved", level="error", why=str(error))
 
--- a/wingbarrow/core/saved.py
+++ b/wingbarrow/core/saved.py
@@ -20,11 +20,15 @@
 
 def save(folder: Path, nodes: list[dict[str, Any]]) -> None:
     """Write the Node objects; OSError where the disk does not take them."""
-    folder.mkdir(parents=True, exist_ok=True)
     raw = msgspec.json.encode(nodes)
-    data = msgspec.json.encode(_File(1, xxhash.xxh64_hexdigest(raw), msgspec.Raw(raw)))
-    path = folder / "machines.json"
-    temporary = folder / f"machines.json.{os.getpid()}"
+    write_whole(folder / "machines.json", msgspec.json.encode(
+        _File(1, xxhash.xxh64_hexdigest(raw), msgspec.Raw(raw))))
+
+
+def write_whole(path: Path, data: bytes) -> None:
+    """Replace a file so that a crash leaves the old one or the new one whole; OSError where it cannot be."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    temporary = path.with_name(f"{path.name}.{os.getpid()}")
     with open(temporary, "wb") as file:
         file.write(data)
         file.flush()
