--- /dev/null
+++ b/tests/decide/test_door.py
@@ -0,0 +1,88 @@
+"""The door: patience runs from before a Job was read; a queue that stands is cut, one that a stall left is not."""
+
+from __future__ import annotations
+
+from wingbarrow.decide.again import was_answered
+from wingbarrow.decide.door import INTERVAL_US, TARGET_US, Door, TurnedAway, Why
+from wingbarrow.decide.rebirth import WAIT_US, Rebirth
+from wingbarrow.interface import ListedMachine, Phase, Place
+from wingbarrow.transport.lag import Lag
+from tests.conftest import task_class
+
+S = 1_000_000
+
+
+def test_patience_runs_from_when_a_job_had_not_come() -> None:
+    door = Door(20_000)
+    assert door.due_us(10 * S, 9 * S, 5 * S, 0) == 14 * S
+    away = door.due_us(10 * S, 5 * S, 5 * S, 0)
+    assert isinstance(away, TurnedAway) and away.why is Why.OUT_OF_PATIENCE
+    assert isinstance(door.due_us(10 * S, 10 * S - 100_000, 130_000, 0), TurnedAway), "too little is left"
+
+
+def test_a_placer_that_runs_late_keeps_back_so_much_but_never_more_than_an_eighth() -> None:
+    door = Door(20_000)
+    assert door.due_us(S, S, 8 * S, 300_000) == S + 8 * S - 300_000
+    assert door.due_us(S, S, 8 * S, 3 * S) == S + 7 * S
+
+
+def test_a_stall_is_worked_off_a_standing_queue_is_cut() -> None:
+    door, now = Door(20_000), 100 * S
+    for turn in range(40):  # what a stall of a second left: read one after the other, newer ones waited less
+        assert door.on_wait(now + turn * 10_000, now - S + turn * 25_000) is None
+    for turn in range(100):  # waits that stay long
+        came = now + 2 * S + turn * 10_000
+        away = door.on_wait(came + TARGET_US + 50_000, came)
+        assert (away is not None) == (turn * 10_000 >= INTERVAL_US)
+        assert away is None or (away.why is Why.OVERLOADED and away.retry_after_s >= 1)
+    assert door.on_wait(now + 9 * S, now + 9 * S - 1000) is None
+    assert door.on_wait(now + 9 * S + 300_000, now + 9 * S) is None, "one short wait ends it"
+
+
+def test_the_lag_is_a_peak_that_fades() -> None:
+    lag = Lag()
+    lag.note(0, 999)
+    assert lag.recent_us(0) == 0
+    lag.note(S, 400_000)
+    lag.note(S, 10_000)
+    assert lag.recent_us(S) == 400_000 and lag.recent_us(2 * S) == 200_000 and lag.recent_us(3 * S) == 100_000
+    lag.note(4 * S, 60_000)
+    assert lag.recent_us(4 * S) == 60_000
+    assert lag.recent_us(100 * S) == 0 and lag.worst_us == 400_000 and lag.times == 2
+
+
+def test_only_a_start_well_before_the_last_sign_of_life_was_surely_answered() -> None:
+    assert was_answered(10 * S, 13 * S, 20 * S)
+    assert not was_answered(10 * S, 12 * S, 20 * S)
+    assert not was_answered(None, 13 * S, 20 * S) and not was_answered(10 * S, None, 20 * S)
+    assert not was_answered(10 * S, 21 * S, 20 * S), "the clock went back: the stamp proves nothing"
+
+
+def machine(number: int, cell: int, zone: str = "a") -> ListedMachine:
+    return ListedMachine(number, "std", cell, zone, Phase.RUNNING, 0, 1.0, 1.0)
+
+
+def test_a_rack_is_closed_until_each_of_its_machines_has_told_or_had_its_time() -> None:
+    waits = Rebirth((task_class("web", spread=Place.CELL, spread_most=2), task_class("free")))
+    a, b, c = machine(1, 1), machine(2, 1), machine(3, 2)
+    for name, each in (("a", a), ("b", b), ("c", c)):
+        waits.saw(name, each, 0)
+    waits.listed = True
+    assert waits.closed(a) and waits.closed(c) and not waits.over
+    assert waits.told("c") and not waits.closed(c) and waits.closed(a)
+    assert not waits.told("a") and waits.closed(a) and not waits.told("a"), "b has not told"
+    assert not waits.give_up(WAIT_US - 1) and waits.closed(b)
+    assert waits.give_up(WAIT_US) and not waits.closed(b) and waits.over
+    waits.saw("d", machine(4, 1), S)
+    assert not waits.closed(a), "what comes later holds nothing of a former life"
+
+
+def test_the_widest_spread_decides_what_counts_together() -> None:
+    zone = Rebirth((task_class("x", spread=Place.MACHINE, spread_most=1),
+                    task_class("y", spread=Place.ZONE, spread_most=2)))
+    zone.saw("a", machine(1, 1), 0)
+    zone.saw("b", machine(2, 2), 0)
+    assert not zone.told("a") and zone.closed(machine(1, 1))
+    none = Rebirth((task_class("free"),))
+    none.saw("a", machine(1, 1), 0)
+    assert none.over and not none.closed(machine(1, 1))
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -9,6 +9,7 @@
 from wingbarrow.http.client import Pool, PoolLimits
 from wingbarrow.http.watching import call
 from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
 from wingbarrow.lab.audit import Audit, audit
 from wingbarrow.lab.cluster import Cluster
 from wingbarrow.lab.load import Want, job_value
@@ -58,6 +59,31 @@
     def job(self, name: str) -> dict[str, Any]:
         return call(self.pool(), "GET", f"{JOBS}/{name}")
 
+    def post(self, port: int, name: str) -> None:
+        """Submit to a placer by its port, whatever it answers; nothing is recorded."""
+        want = Want(0, name, "web", name, 0.25, 0.25, 5 * S)
+        try:
+            call(self.pool(port), "POST", JOBS, names.encode(job_value(want, name, 5 * S)))
+        except ApiError:
+            pass
+
+    def jobs(self) -> list[dict[str, Any]]:
+        items: list[dict[str, Any]] = call(self.pool(), "GET", JOBS)["items"]
+        return items
+
+    def delete(self, name: str) -> None:
+        uid = self.job(name)["metadata"]["uid"]
+        call(self.pool(), "DELETE", f"{JOBS}/{name}")
+        self.cluster.record("owner", "deleted", placer="placer-0", job=name, uid=uid)
+
+    def refused(self, name: str) -> tuple[int, str]:
+        """The status and words by which a Job is turned away."""
+        try:
+            self.submit(name)
+        except ApiError as error:
+            return error.code, error.message
+        raise AssertionError("it was accepted")
+
     def conditions(self, name: str) -> dict[str, str]:
         return {each["type"]: each["reason"] for each in self.job(name)["status"].get("conditions", [])}
 
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import sys
+import time
 from pathlib import Path
 
 import click
@@ -15,6 +16,10 @@
 from wingbarrow.lab.cluster import Cluster
 from wingbarrow.lab.days import DAYS, Play, play
 from wingbarrow.lab.days import summary as day_summary
+from wingbarrow.lab.hunt import Found, plays, shrink
+from wingbarrow.lab.hunt import hunt as run_hunt
+from wingbarrow.lab.hunt import table as hunt_table
+from wingbarrow.lab.hunt import write as write_hunt
 from wingbarrow.lab.learn import ARMS, experiment, summary, write
 from wingbarrow.lab.limits import raise_descriptors
 from wingbarrow.lab.patching import experiment as patch_experiment
@@ -100,6 +105,53 @@
     sys.exit(0 if all(row.clean for row in rows) else 1)
 
 
+@lab.command()
+@click.option("--days", default="generated", show_default=True, help="Names with commas between, or `all`.")
+@click.option("--seeds", type=click.IntRange(1, 100_000), default=20, show_default=True)
+@click.option("--first-seed", type=click.IntRange(0, 1 << 30), default=1, show_default=True)
+@click.option("--scales", default="1", show_default=True, help="With commas between.")
+@click.option("--placers", default="0", show_default=True, help="With commas between; 0 for the day's own.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=4, show_default=True, help="Processes.")
+@click.option("--shrink/--no-shrink", "smaller", default=True, show_default=True,
+              help="Look for the shortest reproduction of each breach.")
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Rows, table and plot go here.")
+def hunt(days: str, seeds: int, first_seed: int, scales: str, placers: str, jobs: int, smaller: bool,
+         out: Path) -> None:
+    """Play many days at many sizes and tell each breach by its shortest reproduction; exit 1 where one is found."""
+    need_plots()
+    names = sorted(DAYS) if days == "all" else days.split(",")
+    for name in names:
+        if name not in DAYS:
+            raise click.BadParameter(f"no such day: {name}; `wingbarrow lab day --list` names them")
+    try:
+        sizes, counts = [float(part) for part in scales.split(",")], [int(part) for part in placers.split(",")]
+    except ValueError as error:
+        raise click.BadParameter(f"--scales, --placers: {error}") from None
+    if any(not 0.4 <= size <= 200 for size in sizes) or any(not 0 <= count <= 64 for count in counts):
+        raise click.BadParameter("--scales lie between 0.4 and 200, --placers between 0 and 64")
+    wanted = plays(names, range(first_seed, first_seed + seeds), sizes, counts)
+    begun, broke = time.monotonic(), 0
+
+    def progress(done: int, found: Found) -> None:
+        nonlocal broke
+        broke += not found.clean
+        if not found.clean:
+            click.echo(f"{found.what.command}: {found.breaches or found.error}", err=True)
+        if done % 20 == 0 or done == len(wanted):
+            left = (time.monotonic() - begun) / done * (len(wanted) - done)
+            click.echo(f"{done} of {len(wanted)} plays, {broke} not clean, some {left:.0f} s left", err=True)
+    rows = list(run_hunt(wanted, jobs, progress))
+    smallest = [shrink(row) if smaller and row.breaches else row for row in rows if not row.clean]
+    command = (f"wingbarrow lab hunt --days {days} --seeds {seeds} --first-seed {first_seed} --scales {scales} "
+               f"--placers {placers}")
+    write_hunt(rows, smallest, out, command)
+    for line in hunt_table(rows):
+        click.echo(json.dumps(line))
+    for each in smallest:
+        click.echo(json.dumps({"reproduction": each.what.command, "breaches": each.breaches, "error": each.error}))
+    sys.exit(1 if smallest else 0)
+
+
 @lab.command()
 @click.argument("name", required=False)
 @click.option("--list", "show", is_flag=True, help="Name the days.")
--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -305,6 +305,7 @@
             tick_us=tick.args[0] if tick else 20_000, ask_every_us=10_000_000,
             cold_us=top.get("cold", "lasts", 18_000_000), fall_us=top.get("cold", "window", 2_000_000),
             fresh_offers=float(top.get("cold", "offers", 20.0)),
+            arrivals_told=True,
             prices=api.Prices(top.get("prices", "fleet", 0.0), top.get("prices", "probe", 0.003)))
     except ValueError as error:
         if not problems:
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -251,6 +251,10 @@
         return len(self.reflector.held) >= machines and self._rebirth.waiting == 0 and all(
             link.reachable for link in self.links.values())
 
+    def oddities(self) -> dict[str, int]:
+        """Steps that the state tables lack, and how often each was met; empty unless something is wrong."""
+        return dict(self.book.odd + self.attempts.odd)
+
     def take_settings(self, fresh: PlacerSettings) -> None:
         """Use a file's settings that was read again: patience, priorities, restarts and limits of what comes."""
         self.settings = fresh
@@ -606,6 +610,8 @@
         if attempt is None:
             self._unaccounted(link, sight)
             return
+        if sight.phase is Phase.PENDING and attempt.stage is Stage.SENT:
+            self.feed(api.TaskNote(attempt.request, attempt.number, link.ident, api.NoteKind.ARRIVED, 0.0))
         if sight.phase in (Phase.RUNNING, Phase.SUCCEEDED) and attempt.stage is Stage.SENT:
             self.counts["placed_by_news"] += 1
             self._runs(attempt)
--- a/wingbarrow/decide/door.py
+++ b/wingbarrow/decide/door.py
@@ -36,15 +36,20 @@
     def __init__(self, tick_us: int) -> None:
         self._tick_us = tick_us
         self._long_since_us: int | None = None  # since when every wait was longer than the target
+        self._asked_us = 0
 
     def on_wait(self, now_us: int, came_us: int) -> TurnedAway | None:
         """Asked of each Job before its body is read; `came_us`: it had not come at that time.
 
         As CoDel does for packets (RFC 8289): a queue that a stall left is worked off, one that stands is cut.
         """
+        quiet = now_us - self._asked_us > INTERVAL_US  # nothing came for a while: no queue can have stood
+        self._asked_us = now_us
         if now_us - came_us <= TARGET_US:
             self._long_since_us = None
             return None
+        if quiet:
+            self._long_since_us = None
         if self._long_since_us is None:
             self._long_since_us = now_us
             return None
--- a/wingbarrow/interface.py
+++ b/wingbarrow/interface.py
@@ -96,6 +96,7 @@
     MEMORY_USED = "memory used"
     SERVED = "served"
     MACHINE_MEMORY = "machine memory"
+    ARRIVED = "arrived"
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +154,7 @@
     fall_us: int
     fresh_offers: float
     prices: Prices
+    arrivals_told: bool = False  # a note says when an offer has reached its machine
 
     def __post_init__(self) -> None:
         """Reject figures that no deployment can mean."""
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -74,7 +74,8 @@
     own: dict[int, _Task] = field(default_factory=dict)
     starts: int = 0
     warm: dict[str, int] = field(default_factory=dict)  # programs it holds, and until when
-    offers: deque[int] = field(default_factory=deque)  # sends while cold
+    offers: deque[int] = field(default_factory=deque)  # offers while cold, by when they came
+    unsure: dict[tuple[int, int], bool] = field(default_factory=dict)  # not known to have come; given up
     rests: dict[str, tuple[int, int]] = field(default_factory=dict)  # per class or WHOLE: strikes, until when
 
     def change(self, at_us: int, cores: float, memory: float) -> None:
@@ -230,13 +231,16 @@
     def _bind(self, task: _Task, machine: _Machine) -> None:  # every send passes here, and so _may_bind
         if not self._may_bind(task, machine):
             return
-        arrival, attempt = task.arrival, task.attempts
+        arrival, attempt, settings = task.arrival, task.attempts, self._settings
         task.attempts, task.out, task.since_us = attempt + 1, attempt, self._now
         self._enter(task, machine, attempt)
         machine.starts += 1
         machine.change(self._now, arrival.cores, arrival.memory)
         if self._is_cold(machine):
-            machine.offers.append(self._now)
+            if settings.arrivals_told:
+                machine.unsure[(arrival.request, attempt)] = False
+            else:
+                machine.offers.append(self._now)
         self._held.pop(arrival.request, None)
         # Never abandoned early: a slow start that comes is worth more than a second one in line.
         self._actions.append(api.Bind(arrival.request, machine.listed.machine, arrival.deadline_us))
@@ -272,11 +276,26 @@
                 machine.offers.popleft()
             each, over = divmod(int(settings.fresh_offers), settings.placers)
             turn = (settings.index + listed.machine) % settings.placers
-            if len(machine.offers) >= each + (turn < over) or self._now < self._born_us + span:
+            # Danger: offers that wait unread at a machine that stands still come all at once when it goes on.
+            spent = len(machine.offers) + len(machine.unsure)
+            if spent >= each + (turn < over) or self._now < self._born_us + span:
                 return False
         # Rule 5. Danger: too many of one service where a single failure takes them all.
         return cls.spread is api.Place.NONE or self._spread[self._spread_key(task, machine)] < cls.spread_most
 
+    def _came(self, machine: _Machine, key: tuple[int, int] | None, outcome: api.Outcome | None) -> None:
+        """A word of the machine, or the end of an offer: what came, or may yet come, of those while cold."""
+        if not machine.unsure:
+            return
+        if outcome in (api.Outcome.NOT_SENT, api.Outcome.UNREACHABLE):
+            machine.unsure = {each: known for each, known in machine.unsure.items() if each != key}
+        elif key in machine.unsure and outcome in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED):
+            machine.unsure[key] = True  # nobody waits for it, but it may come: until the machine speaks
+        else:
+            for each in [each for each, given_up in machine.unsure.items() if given_up or each == key]:
+                del machine.unsure[each]
+                machine.offers.append(self._now)
+
     def _is_cold(self, machine: _Machine) -> bool:
         launched = machine.listed.launched_us
         return launched > 0 and self._now < launched + self._settings.cold_us
@@ -308,6 +327,7 @@
         machine, task = self._out.get((event.request, event.attempt), (None, None))
         if machine is None or task is None or task.placed or task.out != event.attempt:
             return
+        self._came(machine, (event.request, event.attempt), None)
         machine.starts -= 1
         machine.rests.pop(WHOLE, None)
         machine.rests.pop(task.cls.name, None)
@@ -319,6 +339,7 @@
         if machine is None or task is None:
             return
         arrival = task.arrival
+        self._came(machine, (event.request, event.attempt), event.outcome)
         machine.own.pop(event.request, None)
         self._spread[self._spread_key(task, machine)] -= 1
         at_us = task.since_us if event.outcome in PROVEN_UNRUN else self._now  # what never ran is taken back
@@ -408,6 +429,7 @@
     def _on_report(self, event: api.Probed | api.AttemptEnded) -> None:
         machine, report = self._machines.get(event.machine), event.report
         if machine and report and report.free_cores is not None and report.free_memory is not None:
+            self._came(machine, None, None)
             as_of_us = None if self._settings.reports_use else self._now - REPORT_LAG_US
             self._hear(machine, report.free_cores, report.free_memory, as_of_us)
 
@@ -452,6 +474,7 @@
         machine, task = self._out.get((event.request, event.attempt), (None, None))
         if machine is None or task is None or not isfinite(event.level) or event.level < 0:
             return
+        self._came(machine, (event.request, event.attempt), None)
         if event.kind in (api.NoteKind.CORES_USED, api.NoteKind.MEMORY_USED):
             which = int(event.kind is api.NoteKind.MEMORY_USED)
             ask = (task.arrival.cores, task.arrival.memory)[which]
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -362,6 +362,9 @@
         found it began.
         """
         task = self.current()
+        for scope in task.scopes:
+            if scope.cancelled:
+                raise Cancelled(scope)
         waiters = self._waiting.setdefault(fd, {})
         if what in waiters:
             raise RuntimeError(f"two tasks wait for one descriptor: {waiters[what].name}, {task.name}")
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -85,6 +85,11 @@
         except OSError:
             return ""
 
+    def wait_input(self) -> None:
+        """Block until there is something to read: bytes, an end of stream or a reset. Nothing is taken."""
+        if self.open:
+            self.hub.wait(self._fd, READ)
+
     def is_quiet(self) -> bool:
         """Whether an idle connection is still whole: no byte and no end of stream has come."""
         if not self.open:
