The core in rooms: a file a concept, one owner of its fields, Placer puts them together

Need: core/placer.py had grown to 1,062 lines, 70 methods and 45 fields; state, limits, regions, the second front and quotas all have to change it next. Guards of the list are a chain in fleet, fronts talk to desk and board, every change of the book passes Book. Tests use the rooms' public ways.

--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -102,7 +102,7 @@
                 pipe.recv()
                 usage = time.process_time()
                 pipe.send({"samples": dict(samples), "cpu_s": usage, "ready": service.placer.ready,
-                           "counts": dict(service.placer.counts), "module_s": service.placer.module_ns / 1e9})
+                           "counts": dict(service.placer.base.counts), "module_s": service.placer.host.module_ns / 1e9})
                 samples.clear()
         hub.spawn(report)
         signal.setitimer(signal.ITIMER_PROF, 0.002, 0.002)
--- a/tests/core/test_drains_path.py
+++ b/tests/core/test_drains_path.py
@@ -58,9 +58,9 @@
         closed = window - 4 * S
         assert max(record.at_us for record in shorts) <= closed + S // 2 + 250_000
         assert max(record.at_us for record in shorts) > closed - 3 * S
-        assert placer.nodes.objects["node-0"].value["spec"]["unschedulable"] is True
+        assert placer.board.nodes.objects["node-0"].value["spec"]["unschedulable"] is True
         stage.hub.sleep(20 * S)
-        node = placer.nodes.objects["node-0"].value
+        node = placer.board.nodes.objects["node-0"].value
         assert "unschedulable" not in node["spec"]
         drain = next(each for each in node["status"]["conditions"] if each["type"] == "wingbarrow.io/Drain")
         assert (drain["status"], drain["reason"]) == ("False", "DrainDone")
@@ -89,7 +89,7 @@
         assert {record.where for record in stage.seen("start")} == {"node-0"}
         for machine in stage.cluster.machines[1:]:
             machine.draining = False
-        stage.cluster.placers[0].service.placer.counts.clear()  # type: ignore[union-attr]
+        stage.cluster.placers[0].service.placer.base.counts.clear()  # type: ignore[union-attr]
         placer = restarted(stage, calendar(stage, tmp_path, 10))
         stage.hub.sleep(30 * S)
         moved = [record for record in stage.seen("end", why="Terminated")]
@@ -196,12 +196,12 @@
         stage.hub.sleep(8 * S)
         assert items()[0]["phase"] == "out"
         assert pool.request("DELETE", f"{DRAINS}/{items()[0]['key']}").status == 200
-        assert items()[0]["phase"] == "given up" and placer.links["node-0"].phase.value == "running"
+        assert items()[0]["phase"] == "given up" and placer.machines.links["node-0"].phase.value == "running"
         assert pool.request("DELETE", f"{DRAINS}/none").status == 404
         made = pool.request("POST", DRAINS, b'{"machine": "node-3", "lasts": "30s"}')
         assert made.status == 201
         stage.hub.sleep(S)
-        assert placer.links["node-3"].phase.value == "draining"
+        assert placer.machines.links["node-3"].phase.value == "draining"
         assert pool.request("POST", DRAINS, b'{"machine": "none", "lasts": "30s"}').status == 409
         for bad in (b"{}", b'{"machine": "node-1"}', b'{"machine": "node-1", "lasts": "x"}', b"[]", b"{"):
             assert pool.request("POST", DRAINS, bad).status in (400, 422)
@@ -299,7 +299,7 @@
         calendar(stage, tmp_path, 4.2)  # the window is put forward: the machine closes at once, the offer is out
         assert placer.drainer.reload()
         stage.hub.sleep(S * 3 // 2)
-        assert placer.links["node-0"].phase.value == "draining" and not stage.seen("start")
+        assert placer.machines.links["node-0"].phase.value == "draining" and not stage.seen("start")
         stage.cluster.machines[1].draining = False
         assert "Placed" in stage.settled("edge")
         stage.hub.sleep(12 * S)
--- a/tests/core/test_hard_cases.py
+++ b/tests/core/test_hard_cases.py
@@ -62,7 +62,7 @@
         versions = [version for _, _, version in seen]
         assert proxy.cuts >= 3 and relists == 1
         assert versions == sorted(set(versions)), "an event came twice or out of order"
-        window = stage.cluster.placers[0].service.placer.jobs.window  # type: ignore[union-attr]
+        window = stage.cluster.placers[0].service.placer.board.jobs.window  # type: ignore[union-attr]
         assert [change.version for change in window] == versions, "an event was missed"
     stage.play(script)
     assert len(stage.seen("start", task_class="settlement")) == 1
@@ -73,7 +73,7 @@
 
     def script() -> None:
         placer = stage.cluster.placers[0].service.placer  # type: ignore[union-attr]
-        placer.store.window_most = 8
+        placer.board.store.window_most = 8
         proxy = Proxy(stage.hub, stage.cluster.placers[0].port)
         stage.submit("pay", "settlement", runs_s=30, patience_s=10)
         results: list[Any] = []
@@ -88,7 +88,7 @@
         seen, relists = results[0]
         assert relists == 2
         last = {name: version for _, name, version in seen}
-        assert last == {key.partition("/")[2]: stored.version for key, stored in placer.jobs.objects.items()}
+        assert last == {key.partition("/")[2]: stored.version for key, stored in placer.board.jobs.objects.items()}
     stage.play(script)
 
 
@@ -172,8 +172,8 @@
 
     def script() -> None:
         slot = stage.cluster.placers[0]
-        slot.service.placer.links["node-0"]._pool.limits = (  # type: ignore[union-attr]
-            type(slot.service.placer.links["node-0"]._pool.limits)(connections=2))  # type: ignore[union-attr]
+        slot.service.placer.machines.links["node-0"]._pool.limits = (  # type: ignore[union-attr]
+            type(slot.service.placer.machines.links["node-0"]._pool.limits)(connections=2))  # type: ignore[union-attr]
         stage.submit("first", runs_s=20)
         stage.hub.sleep(S // 10)
         stage.submit("second", runs_s=20)
@@ -183,7 +183,7 @@
         machine.draining = True  # it says so, and goes on with what it has
         stage.cluster.source.show(machine.name, node_value(machine))
         assert "Placed" in stage.settled("first") and "Failed" in stage.settled("second")
-        counts = slot.service.placer.counts  # type: ignore[union-attr]
+        counts = slot.service.placer.base.counts  # type: ignore[union-attr]
         assert counts["held:draining"] == 1
     stage.play(script)
     assert len(stage.seen("offer")) == 1 and stage.audit().clean
--- a/tests/core/test_learning_path.py
+++ b/tests/core/test_learning_path.py
@@ -78,7 +78,7 @@
 
 
 def known_warm(placer: Any) -> set[str]:
-    return {service for each in placer._scheduler.knowledge(placer.hub.now_us()).machines for service in each.warm_us}
+    return {service for each in placer.host.knowledge().machines for service in each.warm_us}
 
 
 def test_a_new_instance_learns_from_a_running_one_without_holding_up_a_task() -> None:
@@ -213,7 +213,7 @@
         placer = restarted(stage)
         stage.hub.sleep(S)
         assert slot.service is not None
-        assert placer.take_sights(peer.sights, 0, True) is False and not known_warm(placer)
+        assert placer.hearsay.take_sights(peer.sights, 0, True) is False and not known_warm(placer)
         other = FakePeer(stage, [sight("node-0")], "elsewhere", cluster="other")
         placer = restarted(stage, other.server.port)
         stage.hub.sleep(2 * S)
@@ -246,7 +246,7 @@
                                 for i in range(4)])
         placer = restarted(stage, liar.server.port)
         stage.hub.sleep(2 * S)
-        assert all(each.asked[0] < 10 for each in placer._scheduler.knowledge(stage.hub.now_us()).machines)
+        assert all(each.asked[0] < 10 for each in placer.host.knowledge().machines)
         stage.submit("fits", cores=20, memory=40)
         assert "Placed" in stage.settled("fits")
     stage.play(script)
@@ -269,14 +269,14 @@
         began = {record.where for record in stage.seen("offer", placer="placer-0")}
         assert began == ({"node-1"} if seen_after_list else {"node-0", "node-1"})
         if seen_after_list:
-            assert placer.links["node-0"].phase is Phase.DRAINING
+            assert placer.machines.links["node-0"].phase is Phase.DRAINING
             stage.cluster.source._store.version += 10
             machine.build = machine.build.__class__(**{**_fields(machine.build), "kept": 9})
             value = node_value(machine)
             value["metadata"]["labels"]["fresh"] = "yes"
             stage.cluster.source.show("node-0", value)
             stage.hub.sleep(S)
-            assert placer.links["node-0"].phase.value == "running"
+            assert placer.machines.links["node-0"].phase.value == "running"
             for number in range(8, 20):
                 stage.submit(f"t{number}", service=f"s{number}", runs_s=60)
                 stage.settled(f"t{number}")
--- a/tests/core/test_promptness.py
+++ b/tests/core/test_promptness.py
@@ -118,7 +118,7 @@
         status, value = answer(stream, kept)
         assert status == 201
         stage.hub.sleep(2 * S)
-        assert placer.counts["turned_away:out_of_patience"] == 1
+        assert placer.base.counts["turned_away:out_of_patience"] == 1
         assert [each["metadata"]["name"] for each in stage.jobs()] == ["long"]
     stage.play(script)
     assert len(stage.seen("offer")) == 1
@@ -249,7 +249,7 @@
             stage.submit(f"j{turn}")
             stage.delete(f"j{turn}")
         stage.hub.sleep(S)
-        assert placer.counts["stops_owed"] == 0 and placer.stops.owed == 0
+        assert placer.base.counts["stops_owed"] == 0 and placer.stops.owed == 0
     stage.play(script)
     assert not stage.seen("offer")
 
@@ -265,7 +265,7 @@
             stage.delete(f"j{turn}")
         stage.hub.sleep(10 * S)
         assert not stage.jobs() and placer.stops.owed == 0
-        assert placer.counts["stops_sent"] <= 40 and placer.counts["jobs_adopted"] == 0
+        assert placer.base.counts["stops_sent"] <= 40 and placer.base.counts["jobs_adopted"] == 0
         assert not any(pod.phase == "Running" for machine in stage.cluster.machines for pod in machine.pods.values())
         stage.submit("next")
         assert "Placed" in stage.settled("next"), "no machine is rested for what owners withdrew"
--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -63,7 +63,7 @@
         sys.stdout.flush()
         with Nursery(hub) as nursery:
             def reload() -> None:
-                fresh = reload_file(file, service.placer.settings, log)
+                fresh = reload_file(file, service.placer.base.settings, log)
                 if fresh is not None:
                     service.placer.take_settings(fresh)
                     log("settings-taken", file=str(file))
--- /dev/null
+++ b/wingbarrow/core/board.py
@@ -0,0 +1,97 @@
+"""What clients see: Jobs and their statuses, Nodes, Events, in one store with one sequence of resourceVersions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wingbarrow.core.base import Base
+from wingbarrow.core.book import Book, JobRecord
+from wingbarrow.core.events import Events, event_fields
+from wingbarrow.core.jobstatus import write_status
+from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.kube import names
+from wingbarrow.kube.store import Store, Stored
+
+
+class Board:
+    """Jobs are shown once for all that one event brought about; Nodes as the list and the calendar have them."""
+
+    def __init__(self, base: Base, book: Book) -> None:
+        self._base = base
+        self._book = book
+        # The wall clock lies above every version of an earlier life, at less than a change a microsecond.
+        self.store = Store(base.born_us, base.settings.limits.window)
+        self.jobs = self.store.collection("jobs")
+        self.nodes = self.store.collection("nodes", _node_fields)
+        self._events = Events(self.store.collection("events", event_fields), base.settings.name)
+        self._dirty: dict[str, JobRecord] = {}
+        self._shown: dict[str, int] = {}  # the source's version of each Node that clients see
+        self._conditions: dict[str, dict[str, str]] = {}  # by Node: its drain, in words for people
+
+    # -- Jobs
+
+    def show_new(self, job: JobRecord) -> None:
+        """A Job was accepted."""
+        write_status(job, self._base.hub.clock.wall_us())
+        self.jobs.put(job.key, job.value)
+
+    def mark(self, job: JobRecord) -> None:
+        """Something of a Job changed; it is shown with the next flush."""
+        self._dirty[job.key] = job
+
+    def flush(self) -> None:
+        """Show what changed of Jobs, and forget those that ended beyond what is kept."""
+        dirty, self._dirty = self._dirty, {}
+        for job in dirty.values():
+            if not job.deleted:
+                write_status(job, self._base.hub.clock.wall_us())
+                self.jobs.put(job.key, job.value)
+        for job in self._book.surplus():
+            self._book.delete(job)
+            self.jobs.delete(job.key)
+            self._base.counts["jobs_forgotten"] += 1
+
+    def tell(self, job: JobRecord, kind: str, reason: str, message: str) -> None:
+        """An Event on a Job."""
+        self._events.tell(job, kind, reason, message, self._base.hub.clock.wall_us())
+
+    def tell_node(self, name: str, kind: str, reason: str, message: str) -> None:
+        """An Event on a Node."""
+        self._events.tell_node(name, kind, reason, message, self._base.hub.clock.wall_us())
+
+    # -- Nodes
+
+    def show_node(self, entry: NodeEntry, drained: bool) -> None:
+        """A Node as the list has it, closed where the calendar closed it."""
+        value = {"kind": "Node", "apiVersion": "v1", **entry.value, "metadata": dict(entry.value["metadata"])}
+        condition = self._conditions.get(entry.name)
+        if condition is not None:
+            status = value["status"]
+            others = [each for each in status.get("conditions") or [] if each.get("type") != condition["type"]]
+            value["status"] = {**status, "conditions": [*others, condition]}
+        if drained:
+            value["spec"] = {**(value.get("spec") or {}), "unschedulable": True}
+            value["metadata"]["annotations"] = {**(value["metadata"].get("annotations") or {}),
+                                                names.PREFIX + "drained-by": "calendar"}
+        self.nodes.put(entry.name, value)
+
+    def show_news(self, entry: NodeEntry, drained: bool) -> None:
+        """A Node of the list, where its version is not the one that is shown."""
+        if self._shown.get(entry.name) != entry.version:
+            self._shown[entry.name] = entry.version
+            self.show_node(entry, drained)
+
+    def drop_node(self, name: str) -> Stored | None:
+        """A machine left the list; the Node as it last was."""
+        self._shown.pop(name, None)
+        self._conditions.pop(name, None)
+        return self.nodes.delete(name)
+
+    def set_condition(self, name: str, condition: dict[str, str]) -> None:
+        """What of a drain is shown among a Node's conditions from its next showing on."""
+        self._conditions[name] = condition
+
+
+def _node_fields(value: dict[str, Any]) -> dict[str, str]:
+    return {"metadata.name": value["metadata"]["name"],
+            "spec.unschedulable": "true" if value.get("spec", {}).get("unschedulable") else "false"}
--- /dev/null
+++ b/wingbarrow/core/desk.py
@@ -0,0 +1,129 @@
+"""The desk: what fronts ask of the core, by whatever protocol they speak."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wingbarrow import interface as api
+from wingbarrow.core.attempts import Attempts, Stage
+from wingbarrow.core.base import Base
+from wingbarrow.core.board import Board
+from wingbarrow.core.book import OPEN, Book, State, Step, TaskRecord
+from wingbarrow.core.closing import Closing
+from wingbarrow.core.intake import job_value, read_job
+from wingbarrow.core.requests import Requests
+from wingbarrow.core.runs import Runs
+from wingbarrow.core.stops import Stops
+from wingbarrow.decide import again
+from wingbarrow.decide.door import Door, TurnedAway
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError, not_found
+
+
+class Desk:
+    """Owns the door; every limit on what comes in is asked here."""
+
+    def __init__(self, base: Base, book: Book, attempts: Attempts, board: Board, requests: Requests, runs: Runs,
+                 stops: Stops, closing: Closing) -> None:
+        self._base, self._book, self._attempts, self._board = base, book, attempts, board
+        self._requests, self._runs, self._stops, self._closing = requests, runs, stops, closing
+        self._door = Door(base.settings.scheduler.tick_us)
+
+    def look_at_door(self, came_us: int) -> None:
+        """Asked of each Job before its body is read: ApiError 429 where the placer is behind."""
+        away = self._door.on_wait(self._base.hub.now_us(), came_us)
+        if away is not None:
+            raise self._turned_away(away)
+
+    def _turned_away(self, away: TurnedAway) -> ApiError:
+        what = "turned_away:" + away.why.name.lower()
+        self._base.counts[what] += 1
+        if self._base.counts[what] % 1000 == 1:
+            self._base.log("job-turned-away", level="warning", why=away.why.value, so_far=self._base.counts[what])
+        return ApiError(429, away.why.value, retry_after_s=away.retry_after_s)
+
+    def submit(self, value: dict[str, Any], namespace: str, dry_run: bool,
+               came_us: int | None = None) -> dict[str, Any]:
+        """Accept a Job; ApiError says why not, and then nothing of it is kept.
+
+        Its owner's patience runs from `came_us`, when it had not come yet; without that from now.
+        """
+        base = self._base
+        fresh = f"{base.random.randrange(36 ** 5):05x}"[-5:]
+        asked = read_job(value, namespace, base.settings.classes, base.settings.limits, fresh)
+        key = f"{namespace}/{asked.name}"
+        if key in self._book.jobs:
+            raise ApiError(409, f'jobs.batch "{asked.name}" already exists', "AlreadyExists", name=asked.name,
+                           kind="jobs")
+        now = base.hub.now_us()
+        due = self._door.due_us(now, now if came_us is None else came_us, asked.patience_us, base.hub.lag_us())
+        if isinstance(due, TurnedAway):
+            raise self._turned_away(due)
+        too_many = self._book.admission.check(namespace, asked.count, self._stops.owed)
+        if too_many is not None:
+            base.counts["turned_away"] += 1
+            base.log("job-turned-away", level="warning", what=too_many.what, most=too_many.most)
+            raise ApiError(429, f"more than {too_many.most} {too_many.what}", retry_after_s=too_many.retry_after_s)
+        uid = names.uid(base.settings.name, base.life, key, self._board.store.version, base.random.random())
+        shown = job_value(value, asked, uid, base.hub.clock.wall_us())
+        if dry_run:
+            return shown
+        job = self._book.add(key, uid, asked, shown)
+        self._board.show_new(job)
+        for task in job.tasks:
+            self._requests.ask(task, due)
+        return shown
+
+    def delete_job(self, key: str) -> dict[str, Any]:
+        """Delete a Job and stop what of it runs or is on its way; the Job as it last was."""
+        job = self._book.jobs.get(key)
+        if job is None:
+            raise not_found("jobs.batch", key.rpartition("/")[2])
+        self._book.delete(job)
+        for task in job.tasks:
+            self._withdraw(task)
+        last = self._board.jobs.delete(key)
+        self._base.counts["jobs_deleted"] += 1
+        return last.value if last else job.value
+
+    def _withdraw(self, task: TaskRecord) -> None:
+        state = task.state
+        if state not in OPEN:
+            return
+        attempt = self._attempts.of(task.request)
+        self._book.step(task, Step.STOP)
+        if state is State.AGAIN:
+            self._runs.cancel_again(task)
+        elif state is State.ASKED:
+            self._requests.withdraw(task)
+            if attempt is None:
+                return
+            attempt.abandoned = True
+            if attempt.stage is Stage.SENT:
+                # Danger: the offer is on its way; what it starts must not run on without an owner. One stop ends it
+                # on the machine, and the offer is answered by that.
+                attempt.stopping = again.End.STOPPED
+                self._stops.owe(attempt.link, task.job.asked.namespace, attempt.pod,
+                                settled=lambda: attempt.stage is Stage.ENDED)
+            elif attempt.scope is not None:
+                attempt.scope.cancel()  # nothing went out: no call is owed
+        elif attempt is not None:
+            self._runs.stop(attempt, again.End.STOPPED)
+
+    def evict(self, pod: str) -> None:
+        """Move one task by its pod's name (the Eviction API); ApiError where it cannot be."""
+        attempt = self._attempts.by_pod.get(pod)
+        if attempt is None or attempt.stage is not Stage.PLACED:
+            raise not_found("pods", pod)
+        if attempt.task.job.asked.task_class.task_class.effect is api.Effect.UNSAFE:
+            raise ApiError(429, f"{pod} is of a class that must not start twice; it is never moved", retry_after_s=60)
+        self._closing.move_task(attempt.request, "evicted through the API")
+
+    def namespaces(self) -> list[str]:
+        """Those of present Jobs, and `default`."""
+        return sorted({"default", *(job.asked.namespace for job in self._book.jobs.values())})
+
+    def uid_of(self, key: str) -> str | None:
+        """A Job's uid, None where there is none of that key."""
+        job = self._book.jobs.get(key)
+        return job.uid if job is not None else None
--- /dev/null
+++ b/wingbarrow/core/hearsay.py
@@ -0,0 +1,130 @@
+"""What other instances know of machines: told to them, and taken in from them; never requests, never tasks."""
+
+from __future__ import annotations
+
+from wingbarrow import interface as api
+from wingbarrow.core.base import Base
+from wingbarrow.core.fleet import Fleet
+from wingbarrow.core.handover import Page, Shares
+from wingbarrow.core.host import Host
+from wingbarrow.core.machines import Machines
+from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.core.sightings import Sightings
+from wingbarrow.decide import learning
+from wingbarrow.decide.learning import Sight
+
+GONE_KEPT = 1024
+
+
+class Hearsay:
+    """Owns what was heard and is not applied yet, and which machines are distrusted for it."""
+
+    def __init__(self, base: Base, host: Host, fleet: Fleet, machines: Machines, sightings: Sightings) -> None:
+        self._base, self._host, self._fleet, self._machines = base, host, fleet, machines
+        self._sightings = sightings
+        self._begun_us = base.hub.now_us()
+        self._distrust = learning.Distrust(base.settings.limits.machines)
+        self._gone_versions: dict[str, int] = {}  # machines that left the list, for peers to hear of
+        self._heard: dict[str, tuple[Sight, int, bool]] = {}  # not applied yet: sight, when it was true, clock good
+        self._average = (0.5, 0.5)  # asked over size, as peers last told it
+        self._shares_taken = False
+        fleet.guards.append(self._guard)
+        fleet.gone, fleet.listed, fleet.taken_in = self._note_gone, self._note_listed, self._apply
+        fleet.reflector.on_new_source = self._distrust.new_source
+
+    # -- told to others
+
+    def announce(self) -> learning.Announcement:
+        """What this instance says of itself to others."""
+        reflector, now = self._fleet.reflector, self._base.hub.now_us()
+        heard, settings = reflector.heard_us, self._base.settings
+        return learning.Announcement(
+            "", settings.name, self._base.born_us, settings.region, settings.cluster,
+            now - self._begun_us, None if heard is None else now - heard, len(reflector.held), 0)
+
+    def know(self) -> tuple[list[Sight], Shares]:
+        """What this instance knows of machines, for a hand-over."""
+        now, known = self._base.hub.now_us(), self._host.knowledge()
+        by_ident = {each.machine: each for each in known.machines}
+        sights: list[Sight] = []
+        for name, entry in self._fleet.held.items():
+            link, each = self._machines.links.get(name), by_ident.get(entry.listed.machine)
+            if link is None or each is None:
+                continue
+            launched = now - link.launched_us if link.launched_us > 0 else None
+            # What is closed by this placer's own start is no drain that others should hear of.
+            phase = entry.listed.phase if self._fleet.closed_by_start(entry) else link.phase
+            sights.append(Sight(name, max(entry.version, self._distrust.version(name)), phase, launched,
+                                each.asked, each.asked_age_us, each.beyond, each.measured_age_us, each.warm_us,
+                                each.rests_us))
+        for name, version in self._gone_versions.items():
+            sights.append(Sight(name, version, api.Phase.GONE, None, None, None, None, None, {}, {}))
+        use_us = self._sightings.use_us
+        return sights, Shares(known.ratio, known.notes, None if use_us is None else now - use_us)
+
+    def _note_gone(self, name: str) -> None:
+        self._gone_versions[name] = self._fleet.reflector.version
+        if len(self._gone_versions) > GONE_KEPT:
+            del self._gone_versions[next(iter(self._gone_versions))]
+
+    def _note_listed(self, name: str) -> None:
+        self._gone_versions.pop(name, None)
+
+    # -- taken in
+
+    def take_sights(self, sights: list[Sight], more_age_us: int, clock_good: bool) -> bool:
+        """Take in a page of a peer's sights; False, and none is kept, where they are of another cluster."""
+        held = self._fleet.held
+        if learning.strangers(sights, {name: entry.listed.machine for name, entry in held.items()}):
+            return False
+        now, changed = self._base.hub.now_us(), []
+        for sight in sights:
+            entry = held.get(sight.machine)
+            # A sight of a drain counts whatever the peer's clock does: versions order it, not ages.
+            if self._distrust.saw(sight, entry.version if entry else None, now) and entry is not None:
+                changed.append(entry)
+            if len(self._heard) < self._base.settings.limits.machines or sight.machine in self._heard:
+                self._heard[sight.machine] = sight, now - more_age_us, clock_good
+        if changed:
+            self._fleet.take_again(changed)
+        else:
+            self._apply()
+        return True
+
+    def take_shares(self, page: Page, more_age_us: int, clock_good: bool) -> None:
+        """Take in a peer's learned shares of use, once: later pages of the same peer repeat them."""
+        if self._shares_taken:
+            return
+        shares = page.shares
+        age = None if shares.age_us is None else shares.age_us + more_age_us
+        weighed = [learning.weigh_ratio(ratio, notes, age, clock_good)
+                   for ratio, notes in zip(shares.ratio, shares.notes, strict=True)]
+        if any(notes > 0 for _, notes in weighed):
+            self._shares_taken = True
+            self._host.feed(api.Learned((), (weighed[0][0], weighed[1][0]), (weighed[0][1], weighed[1][1])))
+
+    def _guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
+        """A machine that a peer saw draining is not trusted before a newer list says that it runs (rule 3)."""
+        return self._distrust.narrow(entry.name, entry.version, listed)
+
+    def _apply(self) -> None:
+        """Give the module what was heard of machines that our list has by now, and that it may send to."""
+        if not self._heard or self._fleet.reopening:
+            return
+        now, held = self._base.hub.now_us(), self._fleet.held
+        groups: dict[tuple[int, bool], list[Sight]] = {}
+        for name in [name for name in self._heard if name in held and name in self._machines.links
+                     and not self._fleet.closed_by_start(held[name])]:
+            sight, at_us, good = self._heard.pop(name)
+            groups.setdefault((at_us, good), []).append(sight)
+        for (at_us, good), sights in groups.items():
+            here = [sight.machine for sight in sights]
+            sizes = {name: self._fleet.size_of(held[name]) for name in here}
+            self._average = learning.fleet_average(sights, sizes, self._average)
+            weighed = learning.weigh(sights, now - at_us, sizes, {name: held[name].version for name in here},
+                                     {name: held[name].listed.machine for name in here}, good, self._average)
+            self._base.counts["machines_learned"] += len(weighed)
+            if weighed:
+                self._host.feed(api.Learned(tuple(weighed), (0.0, 0.0), (0.0, 0.0)))
+        for name in [name for name, (_, at_us, _) in self._heard.items() if now - at_us > learning.USELESS_US]:
+            del self._heard[name]
--- /dev/null
+++ b/wingbarrow/core/host.py
@@ -0,0 +1,114 @@
+"""The host of the decision module: events in, in order; actions out, each to the room that carries it out.
+
+It is the only caller of `Scheduler.handle`. A room that has something to tell feeds an event; what the module then
+decides is carried out before the next event is taken, and what that brings about waits in the queue.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from typing import Protocol
+
+from wingbarrow import interface as api
+from wingbarrow.core.base import Base
+from wingbarrow.core.book import Step
+from wingbarrow.logic import Scheduler
+from wingbarrow.transport import Timer
+
+
+class Hands(Protocol):
+    """Who carries out what the module decides."""
+
+    def bind(self, bind: api.Bind) -> None:
+        """Offer a task to a machine."""
+
+    def answer(self, request: int, step: Step) -> None:
+        """Give the final answer: refused or failed."""
+
+    def move(self, request: int) -> None:
+        """Stop a placed task and ask for it again."""
+
+    def probe(self, machine: int) -> None:
+        """Ask a machine for its report."""
+
+    def flush(self) -> None:
+        """All that one event brought about is done: show it."""
+
+
+class Host:
+    """The module with its queue and its timers."""
+
+    def __init__(self, base: Base) -> None:
+        self._base = base
+        self._scheduler = Scheduler(base.settings.scheduler, base.random.randrange(1 << 48))
+        self._queue: deque[api.Event] = deque()
+        self._timers: dict[str, Timer] = {}
+        self._pumping = False
+        self.hands: Hands | None = None
+        self.module_ns = 0  # processor time spent in the module
+        self.failed: Exception | None = None
+
+    def feed(self, event: api.Event) -> None:
+        """Tell the module of an event, in order, and carry out what it answers."""
+        self._queue.append(event)
+        if self._pumping:
+            return
+        hands = self.hands
+        assert hands is not None, "the placer puts the rooms together before anything happens"
+        self._pumping = True
+        try:
+            while self._queue:
+                happened = self._queue.popleft()
+                begun = time.perf_counter_ns()
+                actions = self._scheduler.handle(self._base.hub.now_us(), happened)
+                self.module_ns += time.perf_counter_ns() - begun
+                for action in actions:
+                    self._carry_out(action, hands)
+        except Exception as error:
+            # A core that failed halfway through an event must not go on placing: the whole placer ends.
+            self.failed = error
+            self._base.log("core-failed", level="error", why=f"{type(error).__name__}: {error}")
+            self._base.end()
+            raise
+        finally:
+            self._pumping = False
+        hands.flush()
+
+    def _carry_out(self, action: api.Action, hands: Hands) -> None:
+        match action:
+            case api.Bind():
+                hands.bind(action)
+            case api.Refuse(request):
+                hands.answer(request, Step.REFUSE)
+            case api.Fail(request):
+                hands.answer(request, Step.FAIL)
+            case api.Move(request):
+                hands.move(request)
+            case api.SetTimer(at_us, name):
+                self._set_timer(at_us, name)
+            case api.Probe(machine):
+                hands.probe(machine)
+            case api.WatchList():
+                self._base.counts["watch_list"] += 1  # the reflector watches for as long as the placer lives
+            case api.Log(text):
+                self._base.log("module", text=text)
+
+    def _set_timer(self, at_us: int, name: str) -> None:
+        def due() -> None:
+            self._timers.pop(name, None)
+            self.feed(api.TimerDue(name))
+        # A request's own timer gives the final answer that is owed: it runs before all else that is due.
+        timer = self._base.hub.call_at(at_us, due, owed=name.isdecimal())
+        if name.isdecimal():
+            self._timers[name] = timer
+
+    def cancel_timer(self, request: int) -> None:
+        """A request's own timer is not needed any more."""
+        timer = self._timers.pop(str(request), None)
+        if timer is not None:
+            timer.cancel()
+
+    def knowledge(self) -> api.Knowledge:
+        """What the module knows of machines."""
+        return self._scheduler.knowledge(self._base.hub.now_us())
--- a/wingbarrow/core/intake.py
+++ b/wingbarrow/core/intake.py
@@ -146,6 +146,19 @@
                       patience or settings.patience_us, expected, restarts)
 
 
+def job_value(value: dict[str, Any], asked: JobRequest, uid: str, wall_us: int) -> dict[str, Any]:
+    """The Job as it is shown: what was submitted, with what a server fills in."""
+    meta = {key: part for key, part in value["metadata"].items()
+            if key in ("labels", "annotations", "generateName")}
+    stamp = names.short_time(wall_us)
+    spec = {"parallelism": asked.count, "completions": asked.count, "backoffLimit": asked.restarts,
+            "completionMode": "NonIndexed", "suspend": False, **value["spec"]}
+    return {"kind": "Job", "apiVersion": "batch/v1",
+            "metadata": {"name": asked.name, "namespace": asked.namespace, "uid": uid, "generation": 1,
+                         "creationTimestamp": stamp, **meta},
+            "spec": spec, "status": {"startTime": stamp}}
+
+
 class _Faults:
     def __init__(self) -> None:
         self.causes: list[Cause] = []
--- /dev/null
+++ b/wingbarrow/core/offers.py
@@ -0,0 +1,102 @@
+"""Offers: from the module's Bind through the gate to the machine's answer."""
+
+from __future__ import annotations
+
+from wingbarrow import interface as api
+from wingbarrow.core.attempts import Attempt, Attempts, Stage
+from wingbarrow.core.base import Base
+from wingbarrow.core.book import Book, State
+from wingbarrow.core.host import Host
+from wingbarrow.core.machines import Machines
+from wingbarrow.core.pods import Ended, pod_text
+from wingbarrow.core.requests import Requests
+from wingbarrow.core.strays import Strays
+from wingbarrow.decide import again
+from wingbarrow.decide.gate import Held, Offer, SendGate
+from wingbarrow.transport import CancelScope
+
+
+class Offers:
+    """Owns the gate that every offer passes right before its first byte."""
+
+    def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, machines: Machines, requests: Requests,
+                 strays: Strays) -> None:
+        self._base, self._host, self._book, self._attempts, self._machines = base, host, book, attempts, machines
+        self._requests, self._strays = requests, strays
+        rules = base.settings.scheduler
+        self._gate = SendGate(rules.cold_us, rules.fall_us)
+
+    def bind(self, bind: api.Bind) -> None:
+        """The module chose a machine: an attempt begins."""
+        task, link = self._book.by_request.get(bind.request), self._machines.of(bind.machine)
+        if task is None or link is None:
+            # The module binds open requests to listed machines alone; should it not, the offer counts as unsent.
+            self._base.counts["binds_dropped"] += 1
+            self._host.feed(api.AttemptEnded(bind.request, task.binds if task else 0, bind.machine,
+                                             api.Outcome.NOT_SENT, api.Reason.UNTOLD, task is None, 0, None))
+            if task is not None:
+                task.binds += 1
+            return
+        number, task.binds = task.binds, task.binds + 1
+        pod = f"t{self._base.life}-{bind.request}-{number}"
+        attempt = Attempt(bind.request, number, task, link, pod, self._base.hub.now_us(), bind.give_up_us)
+        self._attempts.add(attempt)
+        self._base.counts["binds"] += 1
+        self._base.spawn(lambda: self._offer(attempt), "offer")
+
+    def _may_send(self, attempt: Attempt) -> bool:
+        """Every offer passes here right before its first byte; see decide.gate."""
+        task, link, now = attempt.task, attempt.link, self._base.hub.now_us()
+        held: Held | None = self._gate.check(now, Offer(
+            attempt.decided_us, attempt.deadline_us, task.state is State.ASKED and task.request == attempt.request,
+            attempt.stage is Stage.WAITING and not attempt.abandoned and self._attempts.of(attempt.request) is attempt,
+            link.phase is api.Phase.RUNNING, link.launched_us))
+        if held is not None:
+            self._base.counts["held:" + held.name.lower()] += 1
+            return False
+        self._attempts.advance(attempt, Stage.SENT)
+        return True
+
+    def _offer(self, attempt: Attempt) -> None:
+        task, link = attempt.task, attempt.link
+
+        def body() -> bytes:
+            return pod_text(task, attempt.pod, self._base.settings.name, link.name,
+                            attempt.deadline_us - self._base.hub.now_us())
+        ended: Ended | None = Ended(api.Outcome.CANCELLED, api.Reason.UNTOLD, "withdrawn by its owner")
+        with CancelScope(self._base.hub) as scope:
+            attempt.scope = scope
+            ended = link.offer(task.job.asked.namespace, body, attempt.deadline_us, lambda: self._may_send(attempt))
+        attempt.scope = None
+        if attempt.stage is Stage.PLACED or attempt.stage is Stage.ENDED:
+            return  # the machine's news was faster than its answer
+        if ended is not None and attempt.stage is Stage.WAITING and ended.outcome is api.Outcome.CANCELLED:
+            ended = Ended(api.Outcome.NOT_SENT, ended.reason, ended.words)
+        elif ended is not None and attempt.stopping is again.End.STOPPED:
+            # Danger: the machine's answer to a stopped offer is not its judgement; it would be rested for that.
+            ended = Ended(api.Outcome.CANCELLED, ended.reason, "withdrawn by its owner")
+        if ended is None:
+            self.runs(attempt)
+        else:
+            self._failed(attempt, ended)
+
+    def runs(self, attempt: Attempt) -> None:
+        """The machine says that the task runs."""
+        task, now = attempt.task, self._base.hub.now_us()
+        if task.request != attempt.request or task.state is not State.ASKED:
+            # The request was answered otherwise while the offer was out: what runs now is a stray.
+            self._requests.attempt_over(attempt, api.Outcome.TIMED_OUT, api.Reason.UNTOLD, now - attempt.decided_us)
+            self._base.counts["answers_late"] += 1
+            self._strays.judge(attempt.link, attempt.pod, task.job.asked.namespace, task, None)
+            return
+        if self._attempts.advance(attempt, Stage.PLACED):
+            attempt.placed_us = now
+            self._requests.placed(attempt)
+
+    def _failed(self, attempt: Attempt, ended: Ended) -> None:
+        attempt.task.last = f"{attempt.link.name}: {ended.words}"[:300]
+        self._base.counts[f"offer:{ended.outcome.value}"] += 1
+        self._base.log("offer-ended", level="debug", request=attempt.request, attempt=attempt.number,
+                       machine=attempt.link.name, outcome=ended.outcome.value, why=ended.words)
+        self._requests.attempt_over(attempt, ended.outcome, ended.reason,
+                                    self._base.hub.now_us() - attempt.decided_us)
--- /dev/null
+++ b/wingbarrow/core/requests.py
@@ -0,0 +1,83 @@
+"""Requests: a task asked of the module until its one final answer, and the ends of its attempts."""
+
+from __future__ import annotations
+
+from wingbarrow import interface as api
+from wingbarrow.core.attempts import Attempt, Attempts, Stage
+from wingbarrow.core.base import Base
+from wingbarrow.core.board import Board
+from wingbarrow.core.book import Book, State, Step, TaskRecord
+from wingbarrow.core.host import Host
+
+
+class Requests:
+    """The way from a task to the module, and of the module's answers back."""
+
+    def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, board: Board) -> None:
+        self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
+
+    def ask(self, task: TaskRecord, due_us: int | None = None) -> None:
+        """Ask for a task; its final answer is due then, without a time after its Job's patience."""
+        asked = task.job.asked
+        if due_us is None:
+            due_us = self._base.hub.now_us() + asked.patience_us
+        request = self._book.open_request(task, due_us)
+        self._host.feed(self.arrival(task, request, asked.expected_us))
+
+    def arrival(self, task: TaskRecord, request: int, left_us: int | None) -> api.TaskArrived:
+        """A task as the module hears of it."""
+        asked = task.job.asked
+        return api.TaskArrived(request, asked.task_class.task_class.name, asked.service, task.name, asked.cores,
+                               asked.memory, task.deadline_us, left_us)
+
+    def close(self, task: TaskRecord) -> None:
+        """Its request has ended."""
+        self._host.cancel_timer(task.request)
+        self._book.close_request(task)
+
+    def withdraw(self, task: TaskRecord) -> None:
+        """Nobody wants the answer any longer."""
+        request = task.request
+        self.close(task)
+        self._host.feed(api.TaskWithdrawn(request))
+
+    def answer(self, request: int, step: Step) -> None:
+        """The final answer to a request that is not placed."""
+        task = self._book.by_request.get(request)
+        if task is None or task.state is not State.ASKED:
+            self._base.counts["answers_dropped"] += 1
+            return
+        attempt = self._attempts.of(request)
+        if not task.last:
+            task.last = ("an offer was out when the owner's patience ended" if attempt
+                         else "no machine had room, or none was known, before the owner's patience ended")
+        self.close(task)
+        if attempt is not None:
+            attempt.abandoned = True
+        self._book.step(task, step)
+        self._board.mark(task.job)
+        reason = "Refused" if step is Step.REFUSE else "Failed"
+        self._board.tell(task.job, "Warning", reason, f"task {task.index}: {task.last}")
+        self._base.log("task-" + reason.lower(), request=request, job=task.job.key, task=task.index, why=task.last)
+
+    def placed(self, attempt: Attempt) -> None:
+        """A machine runs it: its request ends as placed, with its attempt."""
+        task = attempt.task
+        task.machine = attempt.link.name
+        self._host.cancel_timer(attempt.request)
+        self._book.step(task, Step.PLACE)
+        self._base.counts["placed"] += 1
+        self._board.mark(task.job)
+        self._base.log("task-placed", level="debug", request=attempt.request, attempt=attempt.number,
+                       machine=attempt.link.name)
+        waited = attempt.placed_us - attempt.decided_us
+        self._host.feed(api.TaskPlaced(attempt.request, attempt.number, attempt.link.ident, waited))
+
+    def attempt_over(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason, waited_us: int) -> None:
+        """Tell the module that an attempt is over; the request too, unless its answer is still owed."""
+        placed = attempt.stage is Stage.PLACED
+        if not self._attempts.advance(attempt, Stage.ENDED):
+            return
+        closed = placed or attempt.task.request != attempt.request or attempt.task.state is not State.ASKED
+        self._host.feed(api.AttemptEnded(attempt.request, attempt.number, attempt.link.ident, outcome, reason, closed,
+                                         waited_us, None))
--- /dev/null
+++ b/wingbarrow/core/runs.py
@@ -0,0 +1,98 @@
+"""Placed tasks: how their runs end, asking for them again, moves and stops."""
+
+from __future__ import annotations
+
+from wingbarrow import interface as api
+from wingbarrow.core.attempts import Attempt, Attempts, Stage
+from wingbarrow.core.base import Base
+from wingbarrow.core.board import Board
+from wingbarrow.core.book import Book, State, Step, TaskRecord
+from wingbarrow.core.requests import Requests
+from wingbarrow.core.stops import Stops
+from wingbarrow.decide import again
+from wingbarrow.transport import Timer
+
+
+class Runs:
+    """Owns the timers of tasks that will be asked for again."""
+
+    def __init__(self, base: Base, book: Book, attempts: Attempts, board: Board, requests: Requests,
+                 stops: Stops) -> None:
+        self._base, self._book, self._attempts, self._board = base, book, attempts, board
+        self._requests, self._stops = requests, stops
+        self._again: dict[str, Timer] = {}
+
+    def ended(self, attempt: Attempt, end: again.End, reason: api.Reason, words: str) -> None:
+        """A placed task's run is over."""
+        task, job = attempt.task, attempt.task.job
+        if attempt.stage is not Stage.PLACED:
+            return
+        outcome = (api.Outcome.DONE if end is again.End.DONE else api.Outcome.CANCELLED
+                   if end in (again.End.MOVED, again.End.STOPPED) else api.Outcome.BROKEN)
+        task.last = words
+        if task.request == attempt.request:
+            self._requests.close(task)
+        self._board.mark(job)
+        if end is again.End.DONE:
+            self._book.step(task, Step.DONE)
+        elif end is not again.End.STOPPED:
+            self._after_loss(task, end, words)
+        self._requests.attempt_over(attempt, outcome, reason, self._base.hub.now_us() - attempt.placed_us)
+
+    def lost(self, attempt: Attempt, words: str) -> None:
+        """Its machine holds it no longer, or is gone."""
+        end = attempt.stopping or again.End.LOST
+        self.ended(attempt, end, api.Reason.UNTOLD, f"{words} ({attempt.link.name})")
+
+    def _after_loss(self, task: TaskRecord, end: again.End, words: str) -> None:
+        effect = task.job.asked.task_class.task_class.effect
+        verdict = again.judge(end, effect, task.restarts_left, task.losses, self._base.random)
+        self._base.counts["run:" + end.value] += 1
+        # A task found running in this life had its answer from its owner's point of view: failed, or refused. One of a
+        # former life was placed, and its Job still wants it, where it is sure that its owner was told so.
+        answered_otherwise = task.state is State.FOUND and (not task.job.adopted or task.doubtful)
+        if verdict.after_us is None or answered_otherwise:
+            self._book.step(task, Step.LOSE)
+            self._board.tell(task.job, "Warning", "Lost", f"task {task.index}: {words}; not asked for again")
+            return
+        if verdict.counts:
+            task.restarts_left -= 1
+            task.losses += 1
+        self._book.step(task, Step.WAIT)
+        self._board.tell(task.job, "Normal", "Moved" if end is again.End.MOVED else "Lost",
+                         f"task {task.index}: {words}; asked for again")
+
+        def due() -> None:
+            self._again.pop(task.name, None)
+            if self._book.step(task, Step.ASK):
+                self._board.mark(task.job)
+                self._requests.ask(task)
+        self._again[task.name] = self._base.hub.call_at(self._base.hub.now_us() + verdict.after_us, due)
+
+    def cancel_again(self, task: TaskRecord) -> None:
+        """It will not be asked for again after all."""
+        timer = self._again.pop(task.name, None)
+        if timer is not None:
+            timer.cancel()
+
+    def move(self, request: int) -> None:
+        """Stop a placed task, which is then asked for again."""
+        attempt = self._attempts.of(request)
+        # Danger: a move of what is not asked for again would only stop it.
+        if (attempt is None or attempt.stage is not Stage.PLACED or attempt.stopping is not None
+                or attempt.task.doubtful):
+            self._base.counts["moves_dropped"] += 1
+            return
+        self._base.counts["moves"] += 1
+        self.stop(attempt, again.End.MOVED)
+
+    def stop(self, attempt: Attempt, end: again.End) -> None:
+        """Have a placed task stopped; its run ends so once the machine says that it is over."""
+        attempt.stopping = end
+
+        def stopped() -> None:
+            if attempt.stopping is not None:
+                self.ended(attempt, attempt.stopping, api.Reason.UNTOLD,
+                           f"{attempt.stopping.value}, stopped on {attempt.link.name}")
+        self._stops.owe(attempt.link, attempt.task.job.asked.namespace, attempt.pod,
+                        wanted=lambda: attempt.stage is Stage.PLACED, done=stopped)
--- a/wingbarrow/fronts/instances.py
+++ b/wingbarrow/fronts/instances.py
@@ -31,7 +31,7 @@
         self._hub = hub
         self._placer = placer
         self._log = log
-        self._snapshots = Snapshots(placer.born_us)
+        self._snapshots = Snapshots(placer.base.born_us)
         self._refused: OrderedDict[str, None] = OrderedDict()
         self.handovers = 0
         self.turned_away = 0
@@ -56,7 +56,7 @@
 
     def _check_sender(self, request: Request) -> None:
         peer = request.connection.stream.peer
-        if peer and peer in self._placer.settings.peers_allowed:
+        if peer and peer in self._placer.base.settings.peers_allowed:
             return
         if peer not in self._refused:
             self._refused[peer] = None
@@ -82,7 +82,7 @@
             return Answer(200, stream=self._follow)
         self.handovers += 1
         try:
-            page = self._snapshots.page(query.get("continue") or "", self._hub.now_us(), self._placer.know,
+            page = self._snapshots.page(query.get("continue") or "", self._hub.now_us(), self._placer.hearsay.know,
                                         self._hub.checkpoint)
         except KeyError:
             raise ApiError(410, "that snapshot is past its time; begin again", "Expired") from None
@@ -98,7 +98,7 @@
             told: dict[str, object] = {}
             first = True
             while self._hub.now_us() < end and not writer.gone:
-                sights, shares = self._placer.know()
+                sights, shares = self._placer.hearsay.know()
                 now = self._hub.now_us()
                 marks = {each.machine: _mark(each, now) for each in sights}
                 changed = [each for each in sights if first or marks[each.machine] != told.get(each.machine)]
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -28,18 +28,18 @@
     def __init__(self, hub: Hub, placer: Placer, log: Callable[..., None]) -> None:
         self._placer = placer
         self._log = log
-        limits, store, seed = placer.settings.limits, placer.store, placer.settings.seed
+        limits, store, seed = placer.base.settings.limits, placer.board.store, placer.base.settings.seed
         self.resources = {
-            "jobs": ListWatch(hub, store, placer.jobs, "Job", "batch/v1", limits.watchers, seed),
-            "nodes": ListWatch(hub, store, placer.nodes, "Node", "v1", limits.watchers, seed + 1),
+            "jobs": ListWatch(hub, store, placer.board.jobs, "Job", "batch/v1", limits.watchers, seed),
+            "nodes": ListWatch(hub, store, placer.board.nodes, "Node", "v1", limits.watchers, seed + 1),
             "events": ListWatch(hub, store, store.collection("events"), "Event", "v1", limits.watchers, seed + 2),
         }
         self.server = Server(
-            hub, placer.settings.host, placer.settings.port, self.handle, self._say,
+            hub, placer.base.settings.host, placer.base.settings.port, self.handle, self._say,
             ServerLimits(connections=limits.connections, message=Limits(body=limits.body)), self._refuse)
         self.port = self.server.port
         self.instances = InstancesFront(hub, placer, log)
-        placer.heartbeats.address = f"{placer.settings.host}:{self.port}"
+        placer.heartbeats.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
         self._registry.register(self)
         self.statuses: dict[int, int] = {}
@@ -94,7 +94,7 @@
         name = parts[0] if parts else ""
         if name == "pods" and len(parts) == 3 and parts[2] == "eviction" and namespace:
             self._allow(request, "POST")
-            self._placer.evict(parts[1])
+            self._placer.desk.evict(parts[1])
             return Answer(201, names.encode({"kind": "Status", "apiVersion": "v1", "metadata": {},
                                              "status": "Success"}))
         if (version, name) not in _COLLECTIONS or len(parts) > 2 or (namespace and name == "nodes"):
@@ -117,10 +117,10 @@
         """Namespaces exist by being named; those of present Jobs are listed, and `default`."""
         if parts:
             return Answer(200, names.encode(_namespace(parts[0])))
-        found = sorted({"default", *(job.asked.namespace for job in self._placer.book.jobs.values())})
+        found = self._placer.desk.namespaces()
         return Answer(200, names.encode({
             "kind": "NamespaceList", "apiVersion": "v1",
-            "metadata": {"resourceVersion": str(self._placer.store.version)},
+            "metadata": {"resourceVersion": str(self._placer.board.store.version)},
             "items": [_namespace(each) for each in found]}))
 
     def _allow(self, request: Request, *methods: str) -> None:
@@ -145,9 +145,9 @@
         return True
 
     def _create(self, request: Request, namespace: str, query: Query) -> Answer:
-        self._placer.look_at_door(request.came_us)
+        self._placer.desk.look_at_door(request.came_us)
         value = self._body(request)
-        made = self._placer.submit(value, namespace, self._dry_run(query.get("dryRun")), request.came_us)
+        made = self._placer.desk.submit(value, namespace, self._dry_run(query.get("dryRun")), request.came_us)
         return Answer(201, names.encode(made))
 
     def _drains(self, request: Request, parts: list[str]) -> Answer:
@@ -179,13 +179,12 @@
     def _delete(self, request: Request, key: str, query: Query) -> Answer:
         options = self._body(request) if request.body else {}
         told = options.get("dryRun")
-        job = self._placer.book.jobs.get(key)
-        wanted = options.get("preconditions")
-        if job is not None and isinstance(wanted, dict) and wanted.get("uid") not in (None, job.uid):
+        uid, wanted = self._placer.desk.uid_of(key), options.get("preconditions")
+        if uid is not None and isinstance(wanted, dict) and wanted.get("uid") not in (None, uid):
             raise ApiError(409, f"the UID in the precondition is not that of {key}", "Conflict")
         if self._dry_run(query.get("dryRun")) or self._dry_run(told):
             return self.resources["jobs"].get(key)
-        value = self._placer.delete_job(key)
+        value = self._placer.desk.delete_job(key)
         return Answer(200, names.encode({
             "kind": "Status", "apiVersion": "v1", "metadata": {}, "status": "Success",
             "details": {"name": value["metadata"]["name"], "group": "batch", "kind": "jobs",
@@ -195,7 +194,7 @@
         """Figures for Prometheus, read when asked for."""
         placer = self._placer
         events = CounterMetricFamily("wingbarrow_happenings", "What the placer did and met", labels=["what"])
-        for what, count in placer.counts.items():
+        for what, count in placer.base.counts.items():
             events.add_metric([what], count)
         for what, count in [*placer.book.odd.items(), *placer.attempts.odd.items()]:
             events.add_metric(["odd: " + what], count)
@@ -212,9 +211,9 @@
                 ("wingbarrow_open_tasks", "Tasks that are not over", placer.book.admission.open),
                 ("wingbarrow_stops_owed", "Tasks that machines are still to stop", placer.stops.owed),
                 ("wingbarrow_lag_seconds", "How late the process has lately run; fades by half a second by second",
-                 placer.hub.lag_us() / 1e6),
-                ("wingbarrow_lag_worst_seconds", "The longest lag of this process", placer.hub.lag.worst_us / 1e6),
-                ("wingbarrow_machines", "Machines on the list", len(placer.reflector.held)),
+                 placer.base.hub.lag_us() / 1e6),
+                ("wingbarrow_lag_worst_seconds", "The longest lag of this process", placer.base.hub.lag.worst_us / 1e6),
+                ("wingbarrow_machines", "Machines on the list", len(placer.fleet.reflector.held)),
                 ("wingbarrow_connections", "Client connections", self.server.connections),
                 ("wingbarrow_watchers", "Open watches", sum(each.watchers for each in self.resources.values()))):
             yield GaugeMetricFamily(name, help_text, value)
