--- a/tests/decide/test_door.py
+++ b/tests/decide/test_door.py
@@ -29,14 +29,34 @@
 def test_a_stall_is_worked_off_a_standing_queue_is_cut() -> None:
     door, now = Door(20_000), 100 * S
     for turn in range(40):  # what a stall of a second left: read one after the other, newer ones waited less
-        assert door.on_wait(now + turn * 10_000, now - S + turn * 25_000) is None
+        assert door.on_wait(now + turn * 10_000, now - S + turn * 25_000, 0, 0) is None
     for turn in range(100):  # waits that stay long
         came = now + 2 * S + turn * 10_000
-        away = door.on_wait(came + TARGET_US + 50_000, came)
+        away = door.on_wait(came + TARGET_US + 50_000, came, 0, 0)
         assert (away is not None) == (turn * 10_000 >= INTERVAL_US)
         assert away is None or (away.why is Why.OVERLOADED and away.retry_after_s >= 1)
-    assert door.on_wait(now + 9 * S, now + 9 * S - 1000) is None
-    assert door.on_wait(now + 9 * S + 300_000, now + 9 * S) is None, "one short wait ends it"
+    assert door.on_wait(now + 9 * S, now + 9 * S - 1000, 0, 0) is None
+    assert door.on_wait(now + 9 * S + 300_000, now + 9 * S, 0, 0) is None, "one short wait ends it"
+
+
+def test_a_placer_that_runs_late_with_much_owed_takes_in_no_more() -> None:
+    door = Door(20_000)
+    assert door.on_wait(S, S, 140_000, 10_000) is None and door.on_wait(S, S, 900_000, 60) is None
+    away = door.on_wait(S, S, 160_000, 65)
+    assert away is not None and away.why is Why.OVERLOADED
+
+
+def test_what_could_not_be_decided_in_time_at_the_present_pace_is_turned_away() -> None:
+    door, answered = Door(20_000), 0
+    for turn in range(20):  # a hundred answers a second
+        now = 100 * S + turn * 250_000
+        answered += 25
+        assert isinstance(door.due_us(now, now, 4 * S, 100_000, 150, answered), int)
+    away = door.due_us(now, now, 4 * S, 100_000, 210, answered)
+    assert isinstance(away, TurnedAway) and away.why is Why.OVERLOADED
+    assert isinstance(door.due_us(now, now, 20 * S, 100_000, 210, answered), int), "it has the time"
+    assert isinstance(door.due_us(now, now, 4 * S, 0, 210, answered), int), "waiting for room is no overload"
+    assert isinstance(door.due_us(now, now, S, 100_000, 60, answered), int), "a few are always taken in"
 
 
 def test_the_lag_is_a_peak_that_fades() -> None:
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -125,6 +125,7 @@
         self._next_request = 1
         self.odd: Counter[str] = Counter()  # steps that the table lacks
         self.answers: Counter[State] = Counter()
+        self.owed = 0  # tasks that wait for a final answer
 
     def take_limits(self, jobs_kept: int, tasks_open: int, per_namespace: int) -> None:
         """New bounds for what comes; nothing accepted is dropped."""
@@ -139,6 +140,7 @@
                      for index in range(asked.count)]
         job.counts[start] = asked.count
         job.unanswered = 0 if adopted else asked.count
+        self.owed += job.unanswered
         self.jobs[key] = job
         if not adopted:
             self.admission.add(asked.namespace, asked.count)
@@ -167,6 +169,7 @@
         task.state = after
         job.counts[before] -= 1
         job.counts[after] += 1
+        self.owed += (after is State.ASKED) - (before is State.ASKED)
         if not task.answered and before is State.ASKED:
             task.answered = True
             job.unanswered -= 1
--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -31,7 +31,7 @@
 
     def look_at_door(self, came_us: int) -> None:
         """Asked of each Job before its body is read: ApiError 429 where the placer is behind."""
-        away = self._door.on_wait(self._base.hub.now_us(), came_us)
+        away = self._door.on_wait(self._base.hub.now_us(), came_us, self._base.hub.lag_us(), self._book.owed)
         if away is not None:
             raise self._turned_away(away)
 
@@ -56,7 +56,8 @@
             raise ApiError(409, f'jobs.batch "{asked.name}" already exists', "AlreadyExists", name=asked.name,
                            kind="jobs")
         now = base.hub.now_us()
-        due = self._door.due_us(now, now if came_us is None else came_us, asked.patience_us, base.hub.lag_us())
+        due = self._door.due_us(now, now if came_us is None else came_us, asked.patience_us, base.hub.lag_us(),
+                                self._book.owed, self._book.answers.total())
         if isinstance(due, TurnedAway):
             raise self._turned_away(due)
         too_many = self._book.admission.check(namespace, asked.count, self._stops.owed)
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -69,7 +69,7 @@
         runs = Runs(base, book, attempts, board, requests, stops)
         strays = Strays(base, host, book, attempts, board, requests, runs, stops)
         offers = Offers(base, host, book, attempts, machines, requests, strays)
-        sightings = self._sightings = Sightings(base, host, attempts, offers, runs, strays)
+        sightings = Sightings(base, host, attempts, offers, runs, strays)
         fleet = self.fleet = Fleet(base, host, board, machines, attempts, runs, sightings)
         self.hearsay = Hearsay(base, host, fleet, machines, sightings)
         closing = Closing(base, host, fleet, attempts, runs, board)
@@ -94,8 +94,6 @@
             if base.settings.calendars:
                 nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.heartbeats.run, "heartbeats")
-            for link in list(self.machines.links.values()):
-                self._sightings.follow(link)
             if base.settings.state:
                 nursery.spawn(self._keeper.run, "saving")
         if self.host.failed is not None:
--- a/wingbarrow/decide/door.py
+++ b/wingbarrow/decide/door.py
@@ -11,6 +11,8 @@
 from enum import Enum
 
 TARGET_US = 200_000  # waits up to this are no sign of anything
+LAG_MOST_US, OWED_FREE = 150_000, 64  # later than this, with more answers owed than these: it takes in no more
+LAG_US, COUNT_US = 40_000, 250_000  # a lag that shows; the pace of answers is counted so often
 INTERVAL_US = 500_000  # waits that were all longer for this time show a load that is too much, not a stall
 RESERVE_PART = 8  # of the patience, at most, is kept back for a placer that runs late
 
@@ -37,12 +39,20 @@
         self._tick_us = tick_us
         self._long_since_us: int | None = None  # since when every wait was longer than the target
         self._asked_us = 0
+        self._rate = 0.0  # final answers a second, lately
+        self._counted_us = self._counted = 0
 
-    def on_wait(self, now_us: int, came_us: int) -> TurnedAway | None:
+    def on_wait(self, now_us: int, came_us: int, lag_us: int, owed: int) -> TurnedAway | None:
         """Asked of each Job before its body is read; `came_us`: it had not come at that time.
 
+        `lag_us`: how late the process has lately run; `owed`: tasks that have no final answer yet.
+
         As CoDel does for packets (RFC 8289): a queue that a stall left is worked off, one that stands is cut.
         """
+        # Danger (rule 1): what is taken in waits behind what is owed; where deciding on that makes the process late,
+        # more of it would make every answer late.
+        if lag_us > LAG_MOST_US and owed > OWED_FREE:
+            return TurnedAway(Why.OVERLOADED)
         quiet = now_us - self._asked_us > INTERVAL_US  # nothing came for a while: no queue can have stood
         self._asked_us = now_us
         if now_us - came_us <= TARGET_US:
@@ -56,11 +66,28 @@
         # Danger (rule 1): taking in more than can be decided makes every answer late, not only the newest.
         return TurnedAway(Why.OVERLOADED) if now_us - self._long_since_us >= INTERVAL_US else None
 
-    def due_us(self, now_us: int, came_us: int, patience_us: int, lag_us: int) -> int | TurnedAway:
-        """When the final answer is due, or why the Job is turned away.
+    def due_us(self, now_us: int, came_us: int, patience_us: int, lag_us: int, owed: int = 0,
+               answered: int = 0) -> int | TurnedAway:
+        """When the final answer is due, or why the Job is turned away; `answered`: final answers given so far.
 
         A placer that has lately run `lag_us` late keeps back that much, up to an eighth of the patience.
         """
         due = came_us + patience_us - min(lag_us, patience_us // RESERVE_PART)
         # Danger (rule 1): what is out of patience when it is read cannot be answered in time, whatever is done.
-        return TurnedAway(Why.OUT_OF_PATIENCE) if now_us >= due - 2 * self._tick_us else due
+        if now_us >= due - 2 * self._tick_us:
+            return TurnedAway(Why.OUT_OF_PATIENCE)
+        self._count(now_us, answered)
+        # Danger (rule 1): at the pace of the answers lately given, what is owed already takes half the time that this
+        # one has, and the process runs late: its turn would come too late. Waiting for room alone is no such sign.
+        slow = lag_us > LAG_US and owed > OWED_FREE and self._rate > 0
+        if slow and owed / self._rate * 1e6 > (due - now_us) / 2:
+            return TurnedAway(Why.OVERLOADED)
+        return due
+
+    def _count(self, now_us: int, answered: int) -> None:
+        passed = now_us - self._counted_us
+        if passed >= COUNT_US:
+            fresh = (answered - self._counted) * 1e6 / passed
+            # After a quiet while the pace is not known, and nothing is judged by it.
+            self._rate = 0.0 if passed > 8 * COUNT_US else (self._rate + fresh) / 2 if self._rate else fresh
+            self._counted_us, self._counted = now_us, answered
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -209,6 +209,7 @@
         yield requests
         for name, help_text, value in (
                 ("wingbarrow_open_tasks", "Tasks that are not over", placer.book.admission.open),
+                ("wingbarrow_answers_owed", "Tasks that wait for a final answer", placer.book.owed),
                 ("wingbarrow_stops_owed", "Tasks that machines are still to stop", placer.stops.owed),
                 ("wingbarrow_lag_seconds", "How late the process has lately run; fades by half a second by second",
                  placer.base.hub.lag_us() / 1e6),
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -116,6 +116,7 @@
         self._spread: Counter[tuple[str, object]] = Counter()
         self._held: dict[int, None] = {}
         self._no_room: dict[tuple[str, float, float], int] = {}  # when a shape last found no room
+        self._busy: set[str] = set()  # classes for which no machine starts more; until the next sweep or end
         self._ratio, self._average = [USE_PRIOR, USE_PRIOR], [0.5, 0.5]  # of asked; of size
         self._notes: list[float] = [PRIOR_NOTES, PRIOR_NOTES]
         self._watching = settings.discovery is api.Discovery.PUSH
@@ -169,11 +170,15 @@
     def _candidates(self, task: _Task) -> list[_Machine]:
         """The machines among which REM picks: allowed and fitting, narrowed to where the program is warm."""
         service, shape = task.arrival.service, (task.cls.name, task.arrival.cores, task.arrival.memory)
-        if self._now - self._no_room.get(shape, -SWEEP_US) < SWEEP_US:
+        if self._now - self._no_room.get(shape, -SWEEP_US) < SWEEP_US or task.cls.name in self._busy:
             return []
         starts = max(STARTS_MOST, STARTS_SHARED // self._settings.placers)
-        ready = [m for m in self._machines.values() if m.starts < starts
-                 and self._trusts(m, task.cls.name) and self._may_bind(task, m)]
+        free = [m for m in self._machines.values() if m.starts < starts and self._trusts(m, task.cls.name)]
+        if not free:
+            # Danger: past what machines start, each held task would look at all of them at each sweep, and
+            # what is owed would come late. Until a start ends there is nothing to be found.
+            self._busy.add(task.cls.name)
+        ready = [m for m in free if self._may_bind(task, m)]
         tight = max(TIGHT_CORES, task.cls.calm + TIGHT_FADE * task.cls.fade)
         fitting = ([m for m in ready if m.active and self._fits(task, m, FULL_CORES, FULL_MEMORY)]
                    or [m for m in ready if self._fits(task, m, FULL_CORES, FULL_MEMORY)]
@@ -329,6 +334,7 @@
             return
         self._came(machine, (event.request, event.attempt), None)
         machine.starts -= 1
+        self._busy.clear()
         machine.rests.pop(WHOLE, None)
         machine.rests.pop(task.cls.name, None)
         task.placed, task.since_us = True, self._now
@@ -349,6 +355,7 @@
             machine.warm[arrival.service] = self._now + WARM_US
         else:
             machine.starts -= 1
+            self._busy.clear()
             self._judge(machine, task, event)
         task.out = None
         if event.closed or task.placed:
@@ -411,6 +418,7 @@
             machine.listed, machine.gone = entry, entry.phase is not api.Phase.RUNNING
             if self._settings.room_in_list:
                 self._hear(machine, entry.free_cores, entry.free_memory, self._now - VIEW_LAG_US)
+        self._busy.clear()
         self._plan()
         if not self._watching:
             self._wake(self._ask_at_us)
@@ -514,6 +522,7 @@
                 self._ask_at_us = self._now + self._settings.ask_every_us // 2
                 self._actions.append(api.WatchList())
             self._wake(self._ask_at_us)
+        self._busy.clear()
         for request in list(self._held):
             self._settle(self._tasks[request])
 
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -25,6 +25,7 @@
 # Of one poll: what comes is known to have come after the poll before the one that found it, so this bounds by how
 # much too early an arrival is dated.
 _LONGEST_MS = 25
+_LOOKS = 4  # under a virtual clock, before time may jump
 _TURN_US = 10_000  # of ready tasks run before timers, writers and the poll get their turn again
 _COMPACT_AT = 512  # cancelled timers that may lie in the heap before it is rebuilt
 
@@ -470,9 +471,14 @@
 
     def _look(self, timeout_us: int | None) -> None:
         if self.clock.virtual and timeout_us:
-            # Loopback bytes are in the peer's buffer when send returns; a second look covers a late softirq.
-            if self.touched and (self._polled(0) or self._polled(0)):
-                return
+            # Loopback bytes are in the peer's buffer when send returns, but on a busy machine a later softirq may bring
+            # them: others run before the last look.
+            if self.touched:
+                for look in range(_LOOKS):
+                    if look:
+                        os.sched_yield()
+                    if self._polled(0):
+                        return
             self.touched = False
             self.clock.jump(self.clock.now_us() + timeout_us)
             self._looked_us = self.clock.now_us()  # the world stood still over the jump
