--- a/benchmarks/http_speed.py
+++ b/benchmarks/http_speed.py
@@ -101,7 +101,8 @@
 def parsers() -> dict[str, object]:
     import h11
 
-    from wingbarrow.http.wire import END, Parser
+    from wingbarrow.http.message import END
+    from wingbarrow.http.parse import Parser
 
     def with_h11(count: int) -> float:
         begun = time.perf_counter()
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -33,7 +33,9 @@
 from wingbarrow.kube import names
 from wingbarrow.lab.cluster import place, settings_text
 from wingbarrow.lab.load import Want, job_value
-from wingbarrow.lab.machine import Build, Machine, node_value
+from wingbarrow.lab.build import Build
+from wingbarrow.lab.machine import Machine
+from wingbarrow.lab.node import node_value
 from wingbarrow.lab.record import Recorder
 from wingbarrow.lab.source import ListSource
 from wingbarrow.transport import Hub, Nursery
--- a/tests/core/test_drains_path.py
+++ b/tests/core/test_drains_path.py
@@ -11,7 +11,8 @@
 
 from tests.stage import JOBS, S, Stage
 from wingbarrow.kube import names
-from wingbarrow.lab.machine import Build, node_value
+from wingbarrow.lab.build import Build
+from wingbarrow.lab.node import node_value
 
 DRAINS = "/apis/wingbarrow.io/v1/drains"
 
--- a/tests/core/test_learning_path.py
+++ b/tests/core/test_learning_path.py
@@ -13,10 +13,10 @@
 from wingbarrow.core.handover import Shares as HandedShares
 from wingbarrow.decide.learning import Announcement, Sight
 from wingbarrow.http.server import Answer, Server
-from wingbarrow.http.wire import Request
+from wingbarrow.http.message import Request
 from wingbarrow.interface import Phase
 from wingbarrow.kube import names
-from wingbarrow.lab.machine import node_value
+from wingbarrow.lab.node import node_value
 from wingbarrow.lab.proxy import Proxy
 from wingbarrow.transport import Nursery
 
--- a/tests/http/test_exchange.py
+++ b/tests/http/test_exchange.py
@@ -9,7 +9,7 @@
 
 from wingbarrow.http.client import MaybeDone, NotSent, Pool, PoolLimits, Why
 from wingbarrow.http.server import Answer, ChunkWriter, Server, ServerLimits
-from wingbarrow.http.wire import Limits, Request
+from wingbarrow.http.message import Limits, Request
 from wingbarrow.transport import Hub, Nursery, PeerGone, Stream, VirtualClock, connect, listen
 
 S = 1_000_000
--- a/tests/lab/test_days.py
+++ b/tests/lab/test_days.py
@@ -68,6 +68,11 @@
         "wingbarrow lab day generated --seed 37 --scale 3 --placers 2 --seconds 6 --only 1,3")
 
 
+def test_a_day_with_a_killed_placer_is_recorded_the_same_twice() -> None:
+    first, second = (play(Play("balancer_roll", SEED, 0.5, seconds=25)).cluster.record.records for _ in range(2))
+    assert first == second
+
+
 def test_a_quiet_day_answers_as_the_module_alone_does() -> None:
     """The same arrivals given straight to the module: the program refuses and places as many, within noise."""
     day = Day("", lambda cluster, owners: None, placers=1, seconds=30.0, mix=Mix(rate=24.0))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -229,3 +229,31 @@
     assert process.wait(10) == 0
     reader.join()
     assert not any("Traceback" in line for line in told)
+
+
+def test_lab_up_says_ready_once_every_placer_has_the_whole_list() -> None:
+    process = subprocess.Popen([*WINGBARROW, "lab", "up", "--nodes", "9", "--placers", "2"], stdout=subprocess.PIPE,
+                               stderr=subprocess.DEVNULL, text=True)
+    assert process.stdout is not None
+    placers = []
+    try:
+        for line in process.stdout:
+            told = json.loads(line)
+            if told["kind"] == "placer":
+                placers.append(told["url"])
+            if told["kind"] == "ready":
+                break
+        for url in placers:
+            nodes = k8s.CoreV1Api(k8s.ApiClient(k8s.Configuration(host=url))).list_node().items
+            assert len(nodes) == 9
+    finally:
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+
+
+def test_lab_up_says_how_many_descriptors_it_needs_and_what_the_limit_is() -> None:
+    words = "import resource as r; r.setrlimit(r.RLIMIT_NOFILE, (900, 900)); "
+    done = subprocess.run([sys.executable, "-c", words + WINGBARROW[2], "lab", "up", "--nodes", "5000"],
+                          capture_output=True, text=True, timeout=30, check=False)
+    assert done.returncode == 2 and done.stdout == ""
+    assert "40512 file descriptors" in done.stderr and "900" in done.stderr and done.stderr.count("\n") == 1
--- a/tests/test_silent_cold.py
+++ b/tests/test_silent_cold.py
@@ -8,7 +8,7 @@
 from tests.conftest import Driver, S, binds, listed, settings
 from tests.stage import Stage
 from wingbarrow import interface as api
-from wingbarrow.lab.machine import Build
+from wingbarrow.lab.build import Build
 
 
 def cold_driver(**more: Any) -> Driver:
--- a/wingbarrow/config/calendar.py
+++ b/wingbarrow/config/calendar.py
@@ -80,20 +80,25 @@
     out = Calendar(rules=Rules(kinds_needed=kinds_needed))
     for path in paths:
         raw = _read(Path(path))
+        before = {series.name for series in out.series}
         if str(path).endswith(".ics"):
             out = Calendar((*out.series, *read_ics(raw, str(path))), out.rules, out.policy)
         else:
             out = read_kdl(raw, str(path), out)
-    names: set[str] = set()
-    for series in out.series:
-        if series.name in names:
-            raise SettingsError(str(series.name), [(1, f"window {series.name!r} stands in two files")])
-        names.add(series.name)
+        twice = [series.name for series in out.series[len(before):] if series.name in before]
+        if twice:
+            raise SettingsError(str(path), [(_line_of(raw, name), f"window {name!r} stands in an earlier file too")
+                                            for name in twice])
     if len(out.series) > _SERIES_MOST:
         raise SettingsError("calendar", [(1, f"more than {_SERIES_MOST} windows")])
     return out
 
 
+def _line_of(raw: str, name: str) -> int:
+    """The first line that has a window's name."""
+    return next((number for number, line in enumerate(raw.splitlines(), 1) if name in line), 1)
+
+
 def _read(path: Path) -> str:
     try:
         raw = path.read_bytes()
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -186,16 +186,21 @@
         return True
 
     def delete(self, job: JobRecord) -> None:
-        """Forget a Job; its uid is remembered for what of it may still show up."""
+        """Forget a Job; of a former life's, the uid is remembered for what of it may still show up.
+
+        This life's pods are known by their names. Adopted Jobs are open tasks, whose bound is far below TOMBSTONES.
+        """
         job.deleted = True
         self.jobs.pop(job.key, None)
         self._ended.pop(job.key, None)
+        if not job.adopted:
+            return
         self._tombstones[job.uid] = None
         if len(self._tombstones) > TOMBSTONES:
             del self._tombstones[next(iter(self._tombstones))]
 
     def was_deleted(self, uid: str) -> bool:
-        """Whether a Job of that uid was deleted in this life."""
+        """Whether a former life's Job of that uid was deleted in this one."""
         return uid in self._tombstones
 
     def surplus(self) -> list[JobRecord]:
--- a/wingbarrow/core/heartbeats.py
+++ b/wingbarrow/core/heartbeats.py
@@ -9,7 +9,7 @@
 from wingbarrow.decide.learning import Announcement
 from wingbarrow.decide.membership import Hearing, Members
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
-from wingbarrow.http.wire import Limits
+from wingbarrow.http.message import Limits
 from wingbarrow.transport import Hub, Nursery
 
 EVERY_US = 1_000_000
--- a/wingbarrow/core/learner.py
+++ b/wingbarrow/core/learner.py
@@ -15,7 +15,7 @@
 from wingbarrow.decide import learning
 from wingbarrow.decide.learning import Announcement, ClockCheck, Sight
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
-from wingbarrow.http.wire import Limits
+from wingbarrow.http.message import Limits
 from wingbarrow.transport import Hub, Nursery
 
 SECOND = 1_000_000
--- a/wingbarrow/core/pods.py
+++ b/wingbarrow/core/pods.py
@@ -11,7 +11,7 @@
 from wingbarrow.config.settings import parse_duration, parse_size
 from wingbarrow.core.book import TaskRecord
 from wingbarrow.http.client import MaybeDone, NotSent, Why
-from wingbarrow.http.wire import Response
+from wingbarrow.http.message import Response
 from wingbarrow.kube import names
 
 _NO_ROOM = {"OutOfcpu": api.Reason.NO_CORES, "OutOfmemory": api.Reason.NO_MEMORY,
--- a/wingbarrow/fronts/instances.py
+++ b/wingbarrow/fronts/instances.py
@@ -13,7 +13,7 @@
 from wingbarrow.decide.learning import Sight
 from wingbarrow.http.listwatch import Query
 from wingbarrow.http.server import Answer, ChunkWriter
-from wingbarrow.http.wire import Request
+from wingbarrow.http.message import Request
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.transport import Hub
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -14,7 +14,7 @@
 from wingbarrow.fronts.instances import InstancesFront
 from wingbarrow.http.listwatch import ListWatch, Query, error_answer
 from wingbarrow.http.server import Answer, Server, ServerLimits
-from wingbarrow.http.wire import Limits, Request
+from wingbarrow.http.message import Limits, Request
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
 from wingbarrow.transport import Hub
--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingbarrow.http.wire import BadMessage, Data, End, Limits, Parser, Response, write_request
+from wingbarrow.http.message import BadMessage, Data, End, Limits, Response
+from wingbarrow.http.parse import Parser
+from wingbarrow.http.write import write_request
 from wingbarrow.transport import Cancelled, CancelScope, Hub, PeerGone, Signal, Stream, connect
 
 SECOND = 1_000_000
--- /dev/null
+++ b/wingbarrow/http/message.py
@@ -0,0 +1,74 @@
+"""HTTP/1.1 messages as values: heads, pieces of bodies, bounds, and what is wrong with one (RFC 9110, RFC 9112)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+
+class BadMessage(Exception):
+    """The peer broke the protocol; `status` is what a server answers before it closes."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on one message, in bytes and fields."""
+
+    line: int = 8192
+    head: int = 32768
+    fields: int = 100
+    body: int = 1 << 20
+
+
+@dataclass(slots=True)
+class Request:
+    """The head of a request; field names are lower case, in order of arrival."""
+
+    method: str
+    target: str
+    fields: list[tuple[str, str]]
+    minor: int = 1
+    keep_alive: bool = True
+    expects_continue: bool = False
+    body: bytes = b""
+    connection: Any = None  # the server's connection that it came on
+    came_us: int = 0  # its first byte was not there yet at this time of the hub's clock; 0 where that is not known
+
+    def get(self, name: str) -> str | None:
+        """The first value of a field, by lower-case name."""
+        return next((value for key, value in self.fields if key == name), None)
+
+
+@dataclass(slots=True)
+class Response:
+    """The head of a response."""
+
+    status: int
+    fields: list[tuple[str, str]] = field(default_factory=list)
+    minor: int = 1
+    keep_alive: bool = True
+    body: bytes = b""
+
+    def get(self, name: str) -> str | None:
+        """The first value of a field, by lower-case name."""
+        return next((value for key, value in self.fields if key == name), None)
+
+
+@dataclass(frozen=True, slots=True)
+class Data:
+    """Some bytes of the body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The message is complete."""
+
+
+END = End()
+Event: TypeAlias = Request | Response | Data | End
--- a/wingbarrow/http/wire.py
+++ b/wingbarrow/http/parse.py
@@ -1,14 +1,11 @@
-"""HTTP/1.1 messages without I/O: bytes in, events out; the same bytes cut anywhere give the same events.
-
-RFC 9112 is cited by section. Lines end in CRLF; a bare CR or LF in a head is refused (2.2).
-"""
+"""Reading HTTP/1.1 (RFC 9112): a parser without I/O, for servers and clients, strict where leniency is a danger."""
 
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Any, TypeAlias
+
+from wingbarrow.http.message import END, BadMessage, Data, Event, Limits, Request, Response
 
 _FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
 _REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/(\d)\.(\d)\r\n")
@@ -20,83 +17,6 @@
 _NAMES_MOST = 512
 _LINE_MOST = 1024  # of a chunk size with its extensions
 
-PHRASES = {
-    100: "Continue", 200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 400: "Bad Request",
-    403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 406: "Not Acceptable", 408: "Request Timeout",
-    409: "Conflict", 410: "Gone", 411: "Length Required", 413: "Content Too Large", 414: "URI Too Long",
-    415: "Unsupported Media Type", 417: "Expectation Failed", 422: "Unprocessable Content",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-    501: "Not Implemented", 503: "Service Unavailable", 504: "Gateway Timeout", 505: "HTTP Version Not Supported",
-}
-
-
-class BadMessage(Exception):
-    """The peer broke the protocol; `status` is what a server answers before it closes."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
-
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds on one message, in bytes and fields."""
-
-    line: int = 8192
-    head: int = 32768
-    fields: int = 100
-    body: int = 1 << 20
-
-
-@dataclass(slots=True)
-class Request:
-    """The head of a request; field names are lower case, in order of arrival."""
-
-    method: str
-    target: str
-    fields: list[tuple[str, str]]
-    minor: int = 1
-    keep_alive: bool = True
-    expects_continue: bool = False
-    body: bytes = b""
-    connection: Any = None  # the server's connection that it came on
-    came_us: int = 0  # its first byte was not there yet at this time of the hub's clock; 0 where that is not known
-
-    def get(self, name: str) -> str | None:
-        """The first value of a field, by lower-case name."""
-        return next((value for key, value in self.fields if key == name), None)
-
-
-@dataclass(slots=True)
-class Response:
-    """The head of a response."""
-
-    status: int
-    fields: list[tuple[str, str]] = field(default_factory=list)
-    minor: int = 1
-    keep_alive: bool = True
-    body: bytes = b""
-
-    def get(self, name: str) -> str | None:
-        """The first value of a field, by lower-case name."""
-        return next((value for key, value in self.fields if key == name), None)
-
-
-@dataclass(frozen=True, slots=True)
-class Data:
-    """Some bytes of the body."""
-
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """The message is complete."""
-
-
-END = End()
-Event: TypeAlias = Request | Response | Data | End
-
 
 class _State(Enum):
     HEAD = auto()
@@ -383,33 +303,3 @@
     if name != name.rstrip():
         return "white space before the colon"
     return "an unreadable field"
-
-
-def write_request(method: str, target: str, host: str, fields: list[tuple[str, str]], body: bytes | None) -> bytes:
-    """A whole request."""
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in fields)]
-    if body is not None:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + (body or b"")
-
-
-def write_response(status: int, fields: list[tuple[str, str]], body: bytes | None, keep_alive: bool,
-                   head_only: bool = False) -> bytes:
-    """A whole response, or with body None the head of a chunked one."""
-    lines = [f"HTTP/1.1 {status} {PHRASES.get(status, '')}", *(f"{name}: {value}" for name, value in fields)]
-    if body is None:
-        lines.append("Transfer-Encoding: chunked")
-    elif status >= 200 and status != 204:
-        lines.append(f"Content-Length: {len(body)}")
-    if not keep_alive:
-        lines.append("Connection: close")
-    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head if head_only or not body else head + body
-
-
-def write_chunk(data: bytes) -> bytes:
-    """One chunk (RFC 9112, 7.1); empty data would end the body, so it gives nothing."""
-    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-
-
-LAST_CHUNK = b"0\r\n\r\n"
--- a/wingbarrow/http/server.py
+++ b/wingbarrow/http/server.py
@@ -6,16 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wingbarrow.http.wire import (
-    LAST_CHUNK,
-    BadMessage,
-    Data,
-    Limits,
-    Parser,
-    Request,
-    write_chunk,
-    write_response,
-)
+from wingbarrow.http.message import BadMessage, Data, Limits, Request
+from wingbarrow.http.parse import Parser
+from wingbarrow.http.write import LAST_CHUNK, write_chunk, write_response
 from wingbarrow.transport import Hub, Listener, PeerGone, Signal, Stream, listen
 
 SECOND = 1_000_000
--- a/wingbarrow/http/watching.py
+++ b/wingbarrow/http/watching.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from wingbarrow.http.client import MaybeDone, Pool, Why
-from wingbarrow.http.wire import Response
+from wingbarrow.http.message import Response
 from wingbarrow.kube.names import decode
 from wingbarrow.kube.status import ApiError
 
--- /dev/null
+++ b/wingbarrow/lab/build.py
@@ -0,0 +1,64 @@
+"""How a stand-in machine is made and behaves, and a task on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from wingbarrow.config import parse_duration, parse_size
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+
+SECOND = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Build:
+    """How a machine is made and behaves; times in microseconds, memory in GiB."""
+
+    kind: str = "small"
+    cores: float = 24.0
+    memory: float = 48.0
+    zone: str = "hall-a"
+    cell: str = "rack-0"
+    booking_cores: float = 1.5
+    booking_memory: float = 1.0
+    admit_us: int = 8_000
+    line: int = 24  # offers that may wait
+    slots: int = 4  # starts at a time
+    start_us: int = 60_000  # of a program that the machine holds; `setup` times that otherwise
+    setup: float = 6.0
+    kept: int = 8  # programs kept after their last task
+    cold_from: float = 0.25
+    cold_us: int = 18 * SECOND
+    fall_us: int = 2 * SECOND
+    fresh_offers: int = 20
+    fall_multiple: float = 2.0
+    pushes_out: bool = True
+    drain: str = "paced"  # none, paced, at-once
+    tick_us: int = 3 * SECOND
+
+
+class Pod:
+    """A task on a machine."""
+
+    __slots__ = ("name", "namespace", "value", "task_class", "service", "cores", "memory", "priority", "phase",
+                 "started_us", "runs_us", "verdict", "use_cores", "use_memory", "ended_us", "task", "gone", "told")
+
+    def __init__(self, value: dict[str, Any], use: tuple[float, float]) -> None:
+        meta, notes = value["metadata"], value["metadata"].get("annotations", {})
+        self.name, self.namespace, self.value = meta["name"], meta["namespace"], value
+        self.task_class = meta.get("labels", {}).get(names.CLASS, "")
+        self.service = notes.get(names.SERVICE, "")
+        self.task = notes.get("lab/task", notes.get(names.TASK, ""))
+        requests = [each["resources"]["requests"] for each in value["spec"]["containers"]]
+        self.cores = sum(parse_size(str(each["cpu"])) for each in requests)
+        self.memory = sum(parse_size(str(each["memory"])) for each in requests) / 2**30
+        self.priority = int(value["spec"].get("priority", 0))
+        self.runs_us = parse_duration(notes.get(names.RUNS_FOR, "10s"))
+        self.phase = "Pending"
+        self.started_us = self.ended_us = 0
+        self.verdict: ApiError | None = None
+        self.gone = False  # whoever offered it has closed
+        self.told = False  # its offer is answered, or cannot be any more
+        self.use_cores, self.use_memory = use[0] * self.cores, use[1] * self.memory
--- a/wingbarrow/lab/cluster.py
+++ b/wingbarrow/lab/cluster.py
@@ -12,7 +12,9 @@
 from wingbarrow.config import PlacerSettings, load_text
 from wingbarrow.fronts.serve import Service
 from wingbarrow.lab.load import PlacerAddress
-from wingbarrow.lab.machine import Build, Machine, node_value
+from wingbarrow.lab.build import Build
+from wingbarrow.lab.machine import Machine
+from wingbarrow.lab.node import node_value
 from wingbarrow.lab.ports import PortHold
 from wingbarrow.lab.record import Recorder
 from wingbarrow.lab.source import ListSource
--- a/wingbarrow/transport/__init__.py
+++ b/wingbarrow/transport/__init__.py
@@ -2,8 +2,11 @@
 
 from wingbarrow.transport.channel import Channel, Closed, Full, Signal
 from wingbarrow.transport.clock import Clock, RealClock, VirtualClock
-from wingbarrow.transport.hub import Cancelled, CancelScope, Domain, Hub, Nursery, Task, Timer
+from wingbarrow.transport.domain import Domain
+from wingbarrow.transport.hub import Hub, Timer
 from wingbarrow.transport.net import Listener, PeerGone, Stream, connect, listen
+from wingbarrow.transport.nursery import Nursery
+from wingbarrow.transport.scopes import Cancelled, CancelScope, Task
 
 __all__ = [
     "CancelScope", "Cancelled", "Channel", "Clock", "Closed", "Domain", "Full", "Hub", "Listener", "Nursery",
--- a/wingbarrow/transport/channel.py
+++ b/wingbarrow/transport/channel.py
@@ -5,7 +5,8 @@
 from collections import deque
 from typing import Generic, TypeVar
 
-from wingbarrow.transport.hub import Hub, Task
+from wingbarrow.transport.hub import Hub
+from wingbarrow.transport.scopes import Task
 
 T = TypeVar("T")
 
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -1,8 +1,4 @@
-"""The greenlet hub: a run queue, a heap of timers with cheap cancel, `select.poll`, cancel scopes, nurseries.
-
-Cancellation is level-triggered as in trio: once a scope is cancelled, every blocking call inside it raises
-`Cancelled` until the scope is left. A task that fails cancels its nursery, which raises the failure on exit.
-"""
+"""The greenlet hub: a run queue, heaps of timers with cheap cancel, `select.poll`, one clock."""
 
 from __future__ import annotations
 
@@ -12,35 +8,24 @@
 import select
 from collections import deque
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 from greenlet import getcurrent, greenlet
 
 from wingbarrow.transport.clock import Clock, RealClock
+from wingbarrow.transport.domain import Domain
 from wingbarrow.transport.lag import Lag
+from wingbarrow.transport.scopes import Cancelled, CancelScope, Task
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 _BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 # Of one poll: what comes is known to have come after the poll before the one that found it, so this bounds by how
 # much too early an arrival is dated.
 _LONGEST_MS = 25
-_LOOKS = 4  # under a virtual clock, before time may jump
 _TURN_US = 10_000  # of ready tasks run before timers, writers and the poll get their turn again
 _COMPACT_AT = 512  # cancelled timers that may lie in the heap before it is rebuilt
 
 
-class Cancelled(BaseException):
-    """Thrown into a task whose scope was cancelled; only that scope's exit may swallow it.
-
-    A signal, not an error: `except Exception` must not swallow it.
-    """
-
-    def __init__(self, scope: CancelScope) -> None:
-        super().__init__(scope)
-        self.scope = scope
-
-
 class Timer:
     """A call at a time; `cancel` costs a flag, the heap forgets it later."""
 
@@ -58,127 +43,6 @@
             self.hub._dead_timers += 1
 
 
-class Domain:
-    """Tasks that share one fate, as an operating system process would give it: held still, or killed.
-
-    `hold_until` keeps every task of the domain from running, as a stopped process; what was ready runs when
-    the time has come. `kill` ends all tasks and resets their sockets.
-    """
-
-    def __init__(self, hub: Hub, name: str) -> None:
-        self.hub = hub
-        self.name = name
-        self.held_from_us = self.held_until_us = 0
-        self.lag = Lag()
-        self.dead = False
-        self.backlog: deque[tuple[Task, BaseException | None]] = deque()
-        self.calls: deque[tuple[bool, Callable[[], None]]] = deque()
-        self.tasks: set[Task] = set()
-        self.closers: set[Any] = set()
-
-    def hold(self, for_us: int) -> None:
-        """Stop the domain for that long from now on."""
-        if self.held_until_us <= self.hub.now_us():
-            self.held_from_us = self.hub.now_us()
-        self.held_until_us = max(self.held_until_us, self.hub.now_us() + for_us)
-        self.hub._at(self.held_until_us, self._thaw, None)
-
-    def _thaw(self) -> None:
-        if self.hub.now_us() >= self.held_until_us:
-            self.lag.note(self.hub.now_us(), self.hub.now_us() - self.held_from_us)
-            # What is owed first, whatever else came due meanwhile.
-            calls, self.calls = sorted(self.calls, key=lambda each: not each[0]), deque()
-            for _, call in calls:
-                if not self.dead:
-                    call()
-            self.hub._ready.extend(self.backlog)
-            self.backlog.clear()
-
-    def kill(self) -> None:
-        """End every task at once and reset the domain's sockets; nothing is said to anybody."""
-        self.dead, self.held_until_us = True, 0
-        self.hub._ready.extend(self.backlog)  # they meet their cancelled scope at the next blocking call
-        self.backlog.clear()
-        self.calls.clear()
-        for closer in list(self.closers):
-            closer.abort()
-        for task in list(self.tasks):
-            task.cancel()
-
-
-class CancelScope:
-    """A `with` block that can be cancelled, by hand or by its deadline (microseconds on the hub's clock)."""
-
-    __slots__ = ("hub", "deadline_us", "cancelled", "caught", "_timer", "_tasks")
-
-    def __init__(self, hub: Hub, deadline_us: int | None = None) -> None:
-        self.hub = hub
-        self.deadline_us = deadline_us
-        self.cancelled = False
-        self.caught = False  # whether the scope was left by its own cancellation
-        self._timer: Timer | None = None
-        self._tasks: set[Task] = set()
-
-    def cancel(self) -> None:
-        """Have every blocking call inside raise `Cancelled`."""
-        if not self.cancelled:
-            self.cancelled = True
-            for task in list(self._tasks):
-                task._interrupt()
-
-    def __enter__(self) -> CancelScope:
-        task = self.hub.current()
-        task.scopes.append(self)
-        self._tasks.add(task)
-        if self.deadline_us is not None:
-            self._timer = self.hub.call_at(self.deadline_us, self.cancel)
-        return self
-
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> bool:
-        task = self.hub.current()
-        task.scopes.remove(self)
-        self._tasks.discard(task)
-        if self._timer is not None:
-            self._timer.cancel()
-        if isinstance(error, Cancelled) and error.scope is self:
-            self.caught = True
-            return True
-        return False
-
-
-class Task:
-    """A greenlet with its scopes; `done` and `error` tell how it ended."""
-
-    __slots__ = ("hub", "glet", "scopes", "domain", "done", "error", "blocked", "on_end", "own", "name", "first",
-                 "silent_us")
-
-    def __init__(self, hub: Hub, call: Callable[[], None] | None, domain: Domain | None, name: str) -> None:
-        self.hub = hub
-        self.name = name
-        self.glet: greenlet = greenlet(call, hub._loop) if call else getcurrent()
-        self.scopes: list[CancelScope] = []
-        self.own = CancelScope(hub)
-        self.domain = domain
-        self.first = False  # runs before others that are ready: it hands on what is owed, and costs little
-        self.silent_us = 0  # when its descriptor was last seen to have nothing
-        self.done = False
-        self.error: BaseException | None = None
-        self.blocked: Callable[[], None] | None = None  # how to take back what it waits for
-        self.on_end: list[Callable[[Task], None]] = []
-
-    def cancel(self) -> None:
-        """Cancel the whole task."""
-        self.own.cancel()
-
-    def _interrupt(self) -> None:
-        scope = next((each for each in self.scopes if each.cancelled), None)
-        if scope is not None and self.blocked is not None:
-            undo, self.blocked = self.blocked, None
-            undo()
-            self.hub._wake(self, Cancelled(scope))
-
-
 class Hub:
     """The scheduler of tasks; one for a thread, made where the program starts."""
 
@@ -257,9 +121,9 @@
                 task.done = True
                 self._tasks.pop(task.glet, None)
                 if domain is not None:
-                    domain.tasks.discard(task)
+                    domain.tasks.pop(task, None)
                 for scope in task.scopes:
-                    scope._tasks.discard(task)
+                    scope._tasks.pop(task, None)
                 for each in task.on_end:
                     each(task)
                 if task.error is not None and not task.on_end:
@@ -268,10 +132,10 @@
         task.glet = greenlet(body, self._loop)
         task.scopes = [*(scopes or []), task.own]
         for scope in task.scopes:
-            scope._tasks.add(task)
+            scope._tasks[task] = None
         self._tasks[task.glet] = task
         if domain is not None:
-            domain.tasks.add(task)
+            domain.tasks[task] = None
         self._wake(task, None)
         return task
 
@@ -471,14 +335,9 @@
 
     def _look(self, timeout_us: int | None) -> None:
         if self.clock.virtual and timeout_us:
-            # Loopback bytes are in the peer's buffer when send returns, but on a busy machine a later softirq may bring
-            # them: others run before the last look.
-            if self.touched:
-                for look in range(_LOOKS):
-                    if look:
-                        os.sched_yield()
-                    if self._polled(0):
-                        return
+            # Loopback bytes are in the peer's buffer when send returns; a second look covers a late softirq.
+            if self.touched and (self._polled(0) or self._polled(0)):
+                return
             self.touched = False
             self.clock.jump(self.clock.now_us() + timeout_us)
             self._looked_us = self.clock.now_us()  # the world stood still over the jump
@@ -521,75 +380,6 @@
         return reading, writing
 
 
-class Nursery:
-    """Tasks that end together: leaving the block waits for all; the first failure cancels the rest."""
-
-    def __init__(self, hub: Hub) -> None:
-        self.hub = hub
-        self.scope = CancelScope(hub)
-        self._children: set[Task] = set()
-        self._waiter: Task | None = None
-        self._error: BaseException | None = None
-        self._outer: list[CancelScope] = []
-
-    def __enter__(self) -> Nursery:
-        self.scope.__enter__()
-        self._outer = list(self.hub.current().scopes)
-        return self
-
-    def spawn(self, call: Callable[[], Any], name: str = "", domain: Domain | None = None) -> Task:
-        """Start a child task."""
-        task = self.hub.spawn(call, name, domain, self._outer)
-        self._children.add(task)
-        task.on_end.append(self._ended)
-        return task
-
-    def _ended(self, task: Task) -> None:
-        self._children.discard(task)
-        if task.error is not None and self._error is None:
-            self._error = task.error
-            self.scope.cancel()
-        if self._waiter is not None and not self._children:
-            self.hub.wake(self._waiter)
-
-    def cancel(self) -> None:
-        """Cancel all children and the block."""
-        self.scope.cancel()
-
-    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
-                 trace: TracebackType | None) -> bool:
-        if error is not None:
-            self.scope.cancel()
-        cancelled: Cancelled | None = None
-        while self._children:
-            self._waiter = self.hub.current()
-            try:
-                if cancelled is not None or error is not None:
-                    self._join_quietly()
-                else:
-                    self.hub.block(_nothing)
-            except Cancelled as signal:
-                cancelled = signal
-                self.scope.cancel()
-            finally:
-                self._waiter = None
-        swallowed = self.scope.__exit__(kind, error, trace)
-        if self._error is not None and (error is None or isinstance(error, Cancelled)):
-            raise self._error
-        if cancelled is not None and cancelled.scope is not self.scope and error is None:
-            raise cancelled
-        return swallowed
-
-    def _join_quietly(self) -> None:
-        """Wait for children that are being cancelled, without hearing of the cancellation again."""
-        task = self.hub.current()
-        kept, task.scopes = task.scopes, []
-        try:
-            self.hub.block(_nothing)
-        finally:
-            task.scopes = kept
-
-
 def _nothing() -> None:
     """There is nothing to take back."""
 
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -8,7 +8,8 @@
 import struct
 from collections.abc import Callable
 
-from wingbarrow.transport.hub import READ, WRITE, Cancelled, Hub
+from wingbarrow.transport.hub import READ, WRITE, Hub
+from wingbarrow.transport.scopes import Cancelled
 
 _AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 _FULL_TABLE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -24,24 +25,43 @@
         self.sent = sent
 
 
-class Stream:
-    """A connected TCP socket."""
+class _Endpoint:
+    """A socket that belongs to the domain it was made in, and ends with it."""
 
-    __slots__ = ("hub", "_socket", "_fd", "open", "_domain", "bytes_in", "bytes_out", "silent_us")
+    __slots__ = ("hub", "open", "_socket", "_fd", "_domain")
 
-    def __init__(self, hub: Hub, sock: socket.socket, silent_us: int | None = None) -> None:
+    def __init__(self, hub: Hub, sock: socket.socket) -> None:
         self.hub = hub
         self._socket = sock
         self._fd = sock.fileno()
         self.open = True
+        self._domain = hub.current().domain
+        if self._domain is not None:
+            self._domain.closers[self] = None
+
+    def close(self) -> None:
+        """Close; whoever waits on it hears PeerGone."""
+        if self.open:
+            self.open = False
+            self.hub.touched = True
+            self.hub.forget(self._fd)
+            self._socket.close()
+            if self._domain is not None:
+                self._domain.closers.pop(self, None)
+
+
+class Stream(_Endpoint):
+    """A connected TCP socket."""
+
+    __slots__ = ("bytes_in", "bytes_out", "silent_us")
+
+    def __init__(self, hub: Hub, sock: socket.socket, silent_us: int | None = None) -> None:
+        super().__init__(hub, sock)
         self.bytes_in = self.bytes_out = 0
         # The latest moment at which it is certain that what is read next had not come; see docs/promptness.md.
         self.silent_us = hub.now_us() if silent_us is None else silent_us
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._domain = hub.current().domain
-        if self._domain is not None:
-            self._domain.closers.add(self)
 
     def receive(self, most: int = 65536) -> bytes:
         """Some bytes, b"" at the peer's end of stream; raises PeerGone when reset."""
@@ -109,16 +129,6 @@
             except OSError:
                 self.abort()
 
-    def close(self) -> None:
-        """Close; whoever waits on it hears PeerGone."""
-        if self.open:
-            self.open = False
-            self.hub.touched = True
-            self.hub.forget(self._fd)
-            self._socket.close()
-            if self._domain is not None:
-                self._domain.closers.discard(self)
-
     def abort(self) -> None:
         """Reset the connection: what was not sent is dropped."""
         if self.open:
@@ -129,22 +139,16 @@
             self.close()
 
 
-class Listener:
+class Listener(_Endpoint):
     """A listening socket; `serve` hands each connection to a task of its own."""
 
     def __init__(self, hub: Hub, sock: socket.socket, say: Callable[[str], None]) -> None:
-        self.hub = hub
-        self._socket = sock
-        self._fd = sock.fileno()
+        super().__init__(hub, sock)
         self._say = say
         self._told_full = False
-        self.open = True
         self.host, self.port = sock.getsockname()[:2]
         self.times_full = 0
         self._silent_us = hub.now_us()
-        self._domain = hub.current().domain
-        if self._domain is not None:
-            self._domain.closers.add(self)
 
     def accept(self) -> Stream:
         """The next connection; a full descriptor table is waited out and told once."""
@@ -196,17 +200,9 @@
         finally:
             stream.close()
 
-    def close(self) -> None:
-        """Stop listening."""
-        if self.open:
-            self.open = False
-            self.hub.touched = True
-            self.hub.forget(self._fd)
-            self._socket.close()
-            if self._domain is not None:
-                self._domain.closers.discard(self)
-
-    abort = close
+    def abort(self) -> None:
+        """The same as close: what waits in the backlog is reset."""
+        self.close()
 
 
 def listen(hub: Hub, host: str, port: int, say: Callable[[str], None], backlog: int = 1024) -> Listener:
--- /dev/null
+++ b/wingbarrow/transport/scopes.py
@@ -0,0 +1,100 @@
+"""Cancel scopes and tasks: cancellation is level-triggered as in trio.
+
+Once a scope is cancelled, every blocking call inside it raises `Cancelled` until the scope is left.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import TYPE_CHECKING
+
+from greenlet import getcurrent, greenlet
+
+if TYPE_CHECKING:
+    from wingbarrow.transport.domain import Domain
+    from wingbarrow.transport.hub import Hub, Timer
+
+
+class Cancelled(BaseException):
+    """Thrown into a task whose scope was cancelled; only that scope's exit may swallow it.
+
+    A signal, not an error: `except Exception` must not swallow it.
+    """
+
+    def __init__(self, scope: CancelScope) -> None:
+        super().__init__(scope)
+        self.scope = scope
+
+
+class CancelScope:
+    """A `with` block that can be cancelled, by hand or by its deadline (microseconds on the hub's clock)."""
+
+    __slots__ = ("hub", "deadline_us", "cancelled", "caught", "_timer", "_tasks")
+
+    def __init__(self, hub: Hub, deadline_us: int | None = None) -> None:
+        self.hub = hub
+        self.deadline_us = deadline_us
+        self.cancelled = False
+        self.caught = False  # whether the scope was left by its own cancellation
+        self._timer: Timer | None = None
+        self._tasks: dict[Task, None] = {}
+
+    def cancel(self) -> None:
+        """Have every blocking call inside raise `Cancelled`."""
+        if not self.cancelled:
+            self.cancelled = True
+            for task in list(self._tasks):
+                task._interrupt()
+
+    def __enter__(self) -> CancelScope:
+        task = self.hub.current()
+        task.scopes.append(self)
+        self._tasks[task] = None
+        if self.deadline_us is not None:
+            self._timer = self.hub.call_at(self.deadline_us, self.cancel)
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, error: BaseException | None,
+                 trace: TracebackType | None) -> bool:
+        task = self.hub.current()
+        task.scopes.remove(self)
+        self._tasks.pop(task, None)
+        if self._timer is not None:
+            self._timer.cancel()
+        if isinstance(error, Cancelled) and error.scope is self:
+            self.caught = True
+            return True
+        return False
+
+
+class Task:
+    """A greenlet with its scopes; `done` and `error` tell how it ended."""
+
+    __slots__ = ("hub", "glet", "scopes", "domain", "done", "error", "blocked", "on_end", "own", "name", "first",
+                 "silent_us")
+
+    def __init__(self, hub: Hub, call: Callable[[], None] | None, domain: Domain | None, name: str) -> None:
+        self.hub = hub
+        self.name = name
+        self.glet: greenlet = greenlet(call, hub._loop) if call else getcurrent()
+        self.scopes: list[CancelScope] = []
+        self.own = CancelScope(hub)
+        self.domain = domain
+        self.first = False  # runs before others that are ready: it hands on what is owed, and costs little
+        self.silent_us = 0  # when its descriptor was last seen to have nothing
+        self.done = False
+        self.error: BaseException | None = None
+        self.blocked: Callable[[], None] | None = None  # how to take back what it waits for
+        self.on_end: list[Callable[[Task], None]] = []
+
+    def cancel(self) -> None:
+        """Cancel the whole task."""
+        self.own.cancel()
+
+    def _interrupt(self) -> None:
+        scope = next((each for each in self.scopes if each.cancelled), None)
+        if scope is not None and self.blocked is not None:
+            undo, self.blocked = self.blocked, None
+            undo()
+            self.hub._wake(self, Cancelled(scope))
