A deleted task that ends by itself before its stop comes is stopped, not done

Change: the end of a run that is being stopped for its owner is a stop, whatever the machine says of it; a test brings it about.

--- a/tests/core/test_promptness.py
+++ b/tests/core/test_promptness.py
@@ -291,6 +291,20 @@
     stage.play(script)
 
 
+def test_a_deleted_task_that_ends_by_itself_before_its_stop_comes_is_stopped() -> None:
+    stage = Stage(machines=1)
+
+    def script() -> None:
+        stage.submit("a", runs_s=2)
+        stage.settled("a")
+        placer = stage.cluster.placers[0].service.placer  # type: ignore[union-attr]
+        stage.cluster.hold_machine(stage.cluster.machines[0], 4.0)
+        stage.delete("a")
+        stage.hub.sleep(8 * S)
+        assert not placer.oddities() and placer.stops.owed == 0
+    stage.play(script)
+
+
 def test_stops_that_are_owed_push_back_on_new_jobs() -> None:
     stage = Stage(machines=1)
 
--- a/wingbarrow/core/runs.py
+++ b/wingbarrow/core/runs.py
@@ -27,6 +27,8 @@
         task, job = attempt.task, attempt.task.job
         if attempt.stage is not Stage.PLACED:
             return
+        if attempt.stopping is again.End.STOPPED:
+            end = again.End.STOPPED  # its owner deleted it: how it ended before the stop came changes nothing
         outcome = (api.Outcome.DONE if end is again.End.DONE else api.Outcome.CANCELLED
                    if end in (again.End.MOVED, again.End.STOPPED) else api.Outcome.BROKEN)
         task.last = words
