List news is read before offers that are ready; order of work in the hub is tested

Cause: after a stall a drain may lie unread in the list's socket while offers that were decided before are ready to go. Change: the reflector's task goes before others that are ready; tests of the order (writers, owed timers, new work) and of the date that a poll gives to what it finds, held readers included.

--- a/tests/transport/test_hub.py
+++ b/tests/transport/test_hub.py
@@ -17,7 +17,10 @@
     Full,
     Hub,
     Nursery,
+    Signal,
     VirtualClock,
+    connect,
+    listen,
 )
 
 S = 1_000_000
@@ -219,3 +222,79 @@
         hub.run(main)
         return out
     assert run() == run()
+
+
+class StepClock:
+    """A clock that is no virtual one and moves only when a test says so."""
+
+    virtual = False
+
+    def __init__(self) -> None:
+        self.now = 1_000_000
+
+    def now_us(self) -> int:
+        return self.now
+
+    def wall_us(self) -> int:
+        return self.now
+
+    def jump(self, to_us: int) -> None:
+        """Time passes by itself."""
+
+
+def test_what_is_owed_and_who_hands_it_on_go_before_a_long_queue_of_new_work() -> None:
+    clock, order = StepClock(), list[str]()
+    hub = Hub(clock)
+
+    def main() -> None:
+        signal = Signal(hub)
+
+        def writer() -> None:
+            hub.current().first = True
+            signal.wait()
+            order.append("writer")
+
+        def work(number: int) -> None:
+            order.append(f"work {number}")
+            clock.now += 6_000
+            if number == 0:
+                signal.notify()
+        hub.spawn(writer)
+        hub.checkpoint()
+        for number in range(6):
+            hub.spawn(lambda number=number: work(number))
+        hub.call_at(clock.now + 5_000, lambda: order.append("other timer"))
+        hub.call_at(clock.now + 5_500, lambda: order.append("owed"), owed=True)
+        while len(order) < 9:
+            hub.checkpoint()
+    hub.run(main)
+    assert order[:3] == ["work 0", "writer", "work 1"]
+    assert order.index("owed") < order.index("other timer") < order.index("work 2"), order
+
+
+def test_a_poll_tells_since_when_a_descriptor_was_silent() -> None:
+    """What is read had not come when the poll before the one that found it began, nor before a hold of its reader."""
+    for hold_us in (0, 400_000):
+        hub = Hub(VirtualClock())
+
+        def main(hub: Hub = hub, hold_us: int = hold_us) -> None:
+            listener = listen(hub, "127.0.0.1", 0, lambda _: None)
+            domain, seen = Domain(hub, "held"), list[tuple[int, int]]()
+
+            def serve() -> None:
+                stream = listener.accept()
+                for _ in range(2):
+                    stream.receive()
+                    seen.append((stream.silent_us, hub.now_us()))
+            hub.spawn(serve, "serve", domain)
+            client = connect(hub, "127.0.0.1", listener.port)
+            client.send(b"a")
+            hub.sleep(300_000)
+            begun = hub.now_us()
+            if hold_us:
+                domain.hold(hold_us)
+                hub.sleep(hold_us // 2)
+            client.send(b"b")
+            hub.sleep(S)
+            assert seen[1] == ((begun, begun + hold_us) if hold_us else (begun, begun))
+        hub.run(main)
--- a/wingbarrow/core/reflector.py
+++ b/wingbarrow/core/reflector.py
@@ -50,6 +50,8 @@
 
     def run(self) -> None:
         """List and watch for ever."""
+        # Danger (rule 3): after a stall, offers that are ready would go out before the drains told meanwhile are read.
+        self._hub.current().first = True
         while True:
             try:
                 if not self._version:
