--- a/wingbarrow/lab/audit.py
+++ b/wingbarrow/lab/audit.py
@@ -352,8 +352,8 @@
             self.audit.breach("sends_to_draining", now, f"{placer} to {machine}, told {phase} at {since}")
 
     def _check_cold(self, placer: str, machine: str, now: int) -> None:
-        # What is told in the very instant of an offer, as where list source and placers go on together, cannot have been
-        # acted on: under a virtual clock an instant has no order.
+        # What is told in the very instant of an offer, as where list source and placers go on together, cannot have
+        # been acted on: under a virtual clock an instant has no order.
         if now >= self._cold_until.get(machine, 0) or self._informed.get((placer, machine), now) >= now:
             return
         offers, rules = self._cold[machine], self._settings.scheduler
