--- a/wingbarrow/config/__init__.py
+++ b/wingbarrow/config/__init__.py
@@ -1,4 +1,7 @@
-"""Settings of a placer in KDL: read whole, every error at once with its line, near misses suggested."""
+"""Settings of a placer in KDL: read whole, every error at once with its line, near misses suggested.
+
+`load_file` gives `PlacerSettings`, `calendar.load_calendar` maintenance windows; a file is taken whole or not at all.
+"""
 
 from wingbarrow.config.load import SettingsError, load_file, load_text
 from wingbarrow.config.settings import (
--- a/wingbarrow/core/__init__.py
+++ b/wingbarrow/core/__init__.py
@@ -1,1 +1,4 @@
-"""One placer: request book, attempts, machines, list reflector, and the host of the decision module."""
+"""One placer in rooms, a file a concept; `docs/architecture.md` says who owns what.
+
+Hands out `placer.Placer`: fronts talk to its `desk` and read its `board`. It knows no protocol of clients.
+"""
--- a/wingbarrow/http/__init__.py
+++ b/wingbarrow/http/__init__.py
@@ -1,1 +1,4 @@
-"""HTTP/1.1 (RFC 9110, RFC 9112): a parser and writer without I/O, a server and a client pool on the hub."""
+"""HTTP/1.1 (RFC 9110, RFC 9112): `message`, `parse` and `write` without I/O; `server` and `client` on the hub.
+
+`listwatch` serves lists and watches of a store, `watching` reads them.
+"""
--- a/wingbarrow/transport/__init__.py
+++ b/wingbarrow/transport/__init__.py
@@ -1,4 +1,7 @@
-"""Greenlets over `select.poll`: one hub with timers, cancel scopes, sockets and channels; no threads."""
+"""Greenlets over `select.poll`: one hub with timers, cancel scopes, sockets and channels; no threads.
+
+All code takes time from the hub's clock, real or virtual; domains can be held still or killed, as a process can.
+"""
 
 from wingbarrow.transport.channel import Channel, Closed, Full, Signal
 from wingbarrow.transport.clock import Clock, RealClock, VirtualClock
