--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -213,6 +213,7 @@
                 ("wingbarrow_stops_owed", "Tasks that machines are still to stop", placer.stops.owed),
                 ("wingbarrow_lag_seconds", "How late the process has lately run; fades by half a second by second",
                  placer.base.hub.lag_us() / 1e6),
+                ("wingbarrow_lags", "Lags of 50 ms or more so far", placer.base.hub.lag.times),
                 ("wingbarrow_lag_worst_seconds", "The longest lag of this process", placer.base.hub.lag.worst_us / 1e6),
                 ("wingbarrow_machines", "Machines on the list", len(placer.fleet.reflector.held)),
                 ("wingbarrow_connections", "Client connections", self.server.connections),
--- a/wingbarrow/lab/audit.py
+++ b/wingbarrow/lab/audit.py
@@ -233,7 +233,8 @@
             if place is not None and cls is not None:
                 key = (placer, data["service"], place)
                 self._spread[key] += 1
-                if self._spread[key] - self._given_up(key, now) > cls.spread_most and not self._hidden(key):
+                over = self._spread[key] - cls.spread_most
+                if over > 0 and over > self._given_up(key, now) and not self._hidden(key):
                     self.audit.breach("spread_overruns", now, f"{key}: {self._spread[key]}")
 
     def _check_ended(self, data: dict[str, Any], now: int) -> None:
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -209,7 +209,7 @@
         """All machines in the service's own order, the same at every placer; kept while the fleet is."""
         if service not in self._ranks:
             if len(self._ranks) >= RANKS_KEPT:
-                self._ranks.clear()
+                del self._ranks[next(iter(self._ranks))]
             self._ranks[service] = sorted(self._machines.values(), key=lambda m: _rank(service, m))
         return self._ranks[service]
 
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -271,27 +271,27 @@
         begun = self.clock.now_us()
         end = None if self.clock.virtual else begun + _TURN_US
         for _ in range(len(self._ready)):
-            while self._first:
-                self._switch(*self._first.popleft())
-                if self._stopped:
-                    return
-            if not self._ready:
-                break
+            self._run_first()
+            if self._stopped:
+                return
             self._switch(*self._ready.popleft())
             if self._stopped:
                 return
             # Danger (rule 1): a long queue of new work would keep due answers and their writers waiting.
             if end is not None and self.clock.now_us() >= end:
                 break
-        while self._first:
-            self._switch(*self._first.popleft())
-            if self._stopped:
-                return
+        self._run_first()
+        if self._stopped:
+            return
         timeout = self._due()
         if self._stopped:
             return
         self._look(0 if self._ready or self._first else timeout)
 
+    def _run_first(self) -> None:
+        while self._first and not self._stopped:
+            self._switch(*self._first.popleft())
+
     def _switch(self, task: Task, error: BaseException | None) -> None:
         if task.glet.dead:
             return
@@ -366,8 +366,9 @@
                 if mask & (what | _BROKEN):
                     task = waiters.pop(what)
                     # A process that stands still polls nothing: it last saw nothing before it was held.
-                    held = task.domain is not None and task.domain.held_until_us > self.clock.now_us()
-                    task.silent_us = min(silent_us, task.domain.held_from_us) if held and task.domain else silent_us
+                    domain = task.domain
+                    held = domain is not None and domain.held_until_us > self._looked_us
+                    task.silent_us = min(silent_us, domain.held_from_us) if domain and held else silent_us
                     self.wake(task)
             self._register(fd)
         return bool(events)
