Churn and overload share one rig for their two processes

Cause: both benchmarks started lab up and serve by two copies of the same lines. Change: benchmarks/rig.py; churn is run as a module like the others.

--- a/benchmarks/churn.py
+++ b/benchmarks/churn.py
@@ -1,6 +1,6 @@
 """Churn: clients that POST a Job and DELETE the one five before, at full speed, against `serve` and stand-ins.
 
-    python benchmarks/churn.py [--seconds 60] [--nodes 50] [--clients 8] [--out FILE]
+    python -m benchmarks.churn [--seconds 60] [--nodes 50] [--clients 8] [--out FILE]
 
 `lab up` gives machines and a list source; the placer under test is a `serve` process of its own. Ten seconds after
 the load has ended the machines are asked, at their own sockets, what still runs. Exit 1 where a deleted Job is listed
@@ -12,19 +12,17 @@
 import argparse
 import json
 import os
-import signal
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 from typing import Any
 
+from benchmarks.rig import asked, running
 from wingbarrow.http.client import Pool, PoolLimits
 from wingbarrow.http.watching import call
 from wingbarrow.kube.names import encode
 from wingbarrow.kube.status import ApiError
-from wingbarrow.lab.cluster import settings_text
 from wingbarrow.transport import Hub, Nursery
 
 SECOND = 1_000_000
@@ -90,25 +88,6 @@
                       "turned_away": sum(each.turned_away for each in made)}))
 
 
-def asked(hub: Hub, port: int, target: str) -> dict[str, Any]:
-    return call(Pool(hub, "127.0.0.1", port), "GET", target, None, hub.now_us() + 10 * SECOND)
-
-
-def watch_ready(lab: subprocess.Popen[str]) -> tuple[int, dict[str, int]]:
-    source, nodes = 0, {}
-    assert lab.stdout is not None
-    for line in lab.stdout:
-        told = json.loads(line)
-        port = int(told["url"].rpartition(":")[2]) if "url" in told else 0
-        if told["kind"] == "list-source":
-            source = port
-        elif told["kind"] == "node":
-            nodes[told["name"]] = port
-        elif told["kind"] == "ready":
-            break
-    return source, nodes
-
-
 def main() -> int:
     parser = argparse.ArgumentParser()
     parser.add_argument("--seconds", type=float, default=60)
@@ -121,27 +100,8 @@
         port, first, clients = options.load
         load(port, first, clients, options.seconds)
         return 0
-    program = [sys.executable, "-m", "wingbarrow"]
-    with tempfile.TemporaryDirectory() as folder:
-        lab = subprocess.Popen([*program, "lab", "up", "--nodes", str(options.nodes)], text=True,
-                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
-        source, nodes = watch_ready(lab)
-        file = Path(folder) / "placer.kdl"
-        file.write_text(settings_text(0, 1, 1, source, 0, folder).replace('"placer-0"', '"under-test"'))
-        serve = subprocess.Popen([*program, "serve", str(file)], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-                                 text=True)
-        assert serve.stdout is not None
-        port = int(json.loads(serve.stdout.readline())["url"].rpartition(":")[2])
-        hub = Hub()
-        try:
-            while len(hub.run(lambda: asked(hub, port, "/api/v1/nodes"))["items"]) < options.nodes:
-                time.sleep(0.1)
-            time.sleep(1)
-            result = measure(hub, options, port, nodes, lab.pid, serve.pid)
-        finally:
-            for each in (serve, lab):
-                each.send_signal(signal.SIGTERM)
-                each.wait(20)
+    with running(options.nodes) as rig:
+        result = measure(rig.hub, options, rig.port, rig.nodes, rig.lab, rig.serve)
     print(json.dumps(result, indent=1))
     if options.out:
         options.out.write_text(json.dumps(result, indent=1) + "\n")
@@ -150,8 +110,9 @@
 
 def measure(hub: Hub, options: argparse.Namespace, port: int, nodes: dict[str, int], lab: int,
             serve: int) -> dict[str, Any]:
-    loads = [subprocess.Popen([sys.executable, __file__, "--seconds", str(options.seconds), "--load", str(port),
-                               str(i), "1"], stdout=subprocess.PIPE, text=True) for i in range(options.clients)]
+    loads = [subprocess.Popen([sys.executable, "-m", "benchmarks.churn", "--seconds", str(options.seconds), "--load",
+                               str(port), str(i), "1"], stdout=subprocess.PIPE, text=True)
+             for i in range(options.clients)]
     memory: list[tuple[float, float, float]] = []
     begun = time.monotonic()
     while any(each.poll() is None for each in loads):
@@ -174,7 +135,7 @@
              for who, i in (("serve", 1), ("lab_up", 2))} if third else {}
     deleted = sum(each["deleted"] for each in told)
     figures = {
-        "command": f"python benchmarks/churn.py --seconds {options.seconds:g} --nodes {options.nodes} "
+        "command": f"python -m benchmarks.churn --seconds {options.seconds:g} --nodes {options.nodes} "
                    f"--clients {options.clients}",
         "cores": os.cpu_count(), "deleted": deleted, "kept": len(kept),
         "turned_away": sum(each["turned_away"] for each in told), "jobs_a_second": round(deleted / options.seconds),
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -13,22 +13,20 @@
 import json
 import os
 import random
-import signal
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.churn import JOBS, asked, watch_ready
+from benchmarks.churn import JOBS
+from benchmarks.rig import running
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
 from wingbarrow.http.watching import call, list_all, watch
 from wingbarrow.kube.names import encode
 from wingbarrow.kube.status import ApiError
-from wingbarrow.lab.cluster import settings_text
 from wingbarrow.transport import Hub, Nursery
 
 SECOND = 1_000_000
@@ -195,37 +193,18 @@
         print(json.dumps({"answers": load.answers, "turned": load.turned, "errors": load.errors,
                           "open": len(load.due)}))
         return 0
-    program = [sys.executable, "-m", "wingbarrow"]
-    with tempfile.TemporaryDirectory() as folder:
-        lab = subprocess.Popen([*program, "lab", "up", "--nodes", str(options.nodes)], text=True,
-                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
-        source, _ = watch_ready(lab)
-        file = Path(folder) / "placer.kdl"
-        file.write_text(settings_text(0, 1, 1, source, 0, folder).replace('"placer-0"', '"under-test"'))
-        serve = subprocess.Popen([*program, "serve", str(file)], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-                                 text=True)
-        assert serve.stdout is not None
-        port = int(json.loads(serve.stdout.readline())["url"].rpartition(":")[2])
-        hub = Hub()
-        try:
-            while len(hub.run(lambda: asked(hub, port, "/api/v1/nodes"))["items"]) < options.nodes:
-                time.sleep(0.1)
-            time.sleep(1)
-            can = Load(port, "closed").closed_loop(600, options.seconds)
-            rows = []
-            for share in LOADS:
-                time.sleep(2)
-                told = loads(port, [(share * can / PROCESSES, options.seconds)], f"l{round(share * 100)}")
-                rows.append({"load": share, **figures(told, options.seconds, share * can)})
-                print(json.dumps(rows[-1]), file=sys.stderr)
+    with running(options.nodes) as rig:
+        can = Load(rig.port, "closed").closed_loop(600, options.seconds)
+        rows = []
+        for share in LOADS:
             time.sleep(2)
-            each = can / PROCESSES
-            told = loads(port, [(3 * each, options.seconds), (0.6 * each, options.seconds)], "back")
-            back = recovery(told, options.seconds, rows[0]["answer_ms"]["p50"])
-        finally:
-            for process in (serve, lab):
-                process.send_signal(signal.SIGTERM)
-                process.wait(20)
+            told = loads(rig.port, [(share * can / PROCESSES, options.seconds)], f"l{round(share * 100)}")
+            rows.append({"load": share, **figures(told, options.seconds, share * can)})
+            print(json.dumps(rows[-1]), file=sys.stderr)
+        time.sleep(2)
+        each = can / PROCESSES
+        told = loads(rig.port, [(3 * each, options.seconds), (0.6 * each, options.seconds)], "back")
+        back = recovery(told, options.seconds, rows[0]["answer_ms"]["p50"])
     result = {"command": f"python -m benchmarks.overload --seconds {options.seconds:g} --nodes {options.nodes}",
               "cores": os.cpu_count(), "can_a_second": round(can, 1), "patience_s": PATIENCE_S, "rows": rows,
               "seconds_until_latency_is_as_before": back}
