--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from wingbarrow.simhost import read_settings, serve
+from wingbarrow.reader import read_settings
+from wingbarrow.simhost import serve
 
 SETUP: dict[str, Any] = {
     "balancers": 2,
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -12,7 +12,7 @@
 
 from wingbarrow.cli.client import need_plots
 from wingbarrow.core.logs import Log, silent
-from wingbarrow.fronts.serve import on_signals
+
 from wingbarrow.lab.cluster import Cluster
 from wingbarrow.lab.days import DAYS, Play, play
 from wingbarrow.lab.days import summary as day_summary
@@ -26,6 +26,7 @@
 from wingbarrow.lab.patching import summary as patch_summary
 from wingbarrow.lab.patching import write as write_patching
 from wingbarrow.transport import Hub, Nursery
+from wingbarrow.transport.signals import on_signals
 
 
 @click.group()
--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -16,8 +16,9 @@
 from wingbarrow.config import SettingsError, load_file
 from wingbarrow.config.calendar import load_calendar
 from wingbarrow.core.logs import Log
-from wingbarrow.fronts.serve import Service, on_signals, reload_file
+from wingbarrow.fronts.serve import Service, reload_file
 from wingbarrow.transport import Hub, Nursery
+from wingbarrow.transport.signals import on_signals
 
 @click.group()
 @click.version_option(package_name="wingbarrow")
--- a/wingbarrow/core/closing.py
+++ b/wingbarrow/core/closing.py
@@ -52,7 +52,7 @@
         """Own tasks by machine, placed or offered, with when they end by their owner's hint."""
         out: dict[str, list[Running]] = {}
         wall = self._base.hub.clock.wall_us() - self._base.hub.now_us()
-        for attempt in self._attempts.by_pod.values():
+        for attempt in self._attempts.by_key.values():
             if attempt.stage is not Stage.ENDED and attempt.stopping is None:
                 asked = attempt.task.job.asked
                 offered = attempt.stage is not Stage.PLACED
--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -104,7 +104,7 @@
                 # Danger: the offer is on its way; what it starts must not run on without an owner. One stop ends it
                 # on the machine, and the offer is answered by that.
                 attempt.stopping = again.End.STOPPED
-                self._stops.owe(attempt.link, task.job.asked.namespace, attempt.pod,
+                self._stops.owe(attempt.link, task.job.asked.namespace, attempt.key,
                                 settled=lambda: attempt.stage is Stage.ENDED)
             elif attempt.scope is not None:
                 attempt.scope.cancel()  # nothing went out: no call is owed
@@ -113,7 +113,7 @@
 
     def evict(self, pod: str) -> None:
         """Move one task by its pod's name (the Eviction API); ApiError where it cannot be."""
-        attempt = self._attempts.by_pod.get(pod)
+        attempt = self._attempts.by_key.get(pod)
         if attempt is None or attempt.stage is not Stage.PLACED:
             raise not_found("pods", pod)
         if attempt.task.job.asked.task_class.task_class.effect is api.Effect.UNSAFE:
--- a/wingbarrow/core/host.py
+++ b/wingbarrow/core/host.py
@@ -11,8 +11,7 @@
 from typing import Protocol
 
 from wingbarrow import interface as api
-from wingbarrow.core.base import Base
-from wingbarrow.core.book import Step
+from wingbarrow.core.life import Life
 from wingbarrow.logic import Scheduler
 from wingbarrow.transport import Timer
 
@@ -23,8 +22,11 @@
     def bind(self, bind: api.Bind) -> None:
         """Offer a task to a machine."""
 
-    def answer(self, request: int, step: Step) -> None:
-        """Give the final answer: refused or failed."""
+    def refuse(self, request: int) -> None:
+        """Give the final answer: refused, trying again is harmless."""
+
+    def fail(self, request: int) -> None:
+        """Give the final answer: failed, with no promise as to the effect."""
 
     def move(self, request: int) -> None:
         """Stop a placed task and ask for it again."""
@@ -39,9 +41,9 @@
 class Host:
     """The module with its queue and its timers."""
 
-    def __init__(self, base: Base) -> None:
-        self._base = base
-        self._scheduler = Scheduler(base.settings.scheduler, base.random.randrange(1 << 48))
+    def __init__(self, life: Life, settings: api.Settings) -> None:
+        self._life = life
+        self._scheduler = Scheduler(settings, life.random.randrange(1 << 48))
         self._queue: deque[api.Event] = deque()
         self._timers: dict[str, Timer] = {}
         self._pumping = False
@@ -61,15 +63,15 @@
             while self._queue:
                 happened = self._queue.popleft()
                 begun = time.perf_counter_ns()
-                actions = self._scheduler.handle(self._base.hub.now_us(), happened)
+                actions = self._scheduler.handle(self._life.hub.now_us(), happened)
                 self.module_ns += time.perf_counter_ns() - begun
                 for action in actions:
                     self._carry_out(action, hands)
         except Exception as error:
             # A core that failed halfway through an event must not go on placing: the whole placer ends.
             self.failed = error
-            self._base.log("core-failed", level="error", why=f"{type(error).__name__}: {error}")
-            self._base.end()
+            self._life.log("core-failed", level="error", why=f"{type(error).__name__}: {error}")
+            self._life.end()
             raise
         finally:
             self._pumping = False
@@ -80,9 +82,9 @@
             case api.Bind():
                 hands.bind(action)
             case api.Refuse(request):
-                hands.answer(request, Step.REFUSE)
+                hands.refuse(request)
             case api.Fail(request):
-                hands.answer(request, Step.FAIL)
+                hands.fail(request)
             case api.Move(request):
                 hands.move(request)
             case api.SetTimer(at_us, name):
@@ -90,16 +92,16 @@
             case api.Probe(machine):
                 hands.probe(machine)
             case api.WatchList():
-                self._base.counts["watch_list"] += 1  # the reflector watches for as long as the placer lives
+                self._life.counts["watch_list"] += 1  # the list is followed for as long as the placer lives
             case api.Log(text):
-                self._base.log("module", text=text)
+                self._life.log("module", text=text)
 
     def _set_timer(self, at_us: int, name: str) -> None:
         def due() -> None:
             self._timers.pop(name, None)
             self.feed(api.TimerDue(name))
         # A request's own timer gives the final answer that is owed: it runs before all else that is due.
-        timer = self._base.hub.call_at(at_us, due, owed=name.isdecimal())
+        timer = self._life.hub.call_at(at_us, due, owed=name.isdecimal())
         if name.isdecimal():
             self._timers[name] = timer
 
@@ -111,4 +113,4 @@
 
     def knowledge(self) -> api.Knowledge:
         """What the module knows of machines."""
-        return self._scheduler.knowledge(self._base.hub.now_us())
+        return self._scheduler.knowledge(self._life.hub.now_us())
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -61,7 +61,7 @@
         task, link = attempt.task, attempt.link
 
         def body() -> bytes:
-            return pod_text(task, attempt.pod, self._base.settings.name, link.name,
+            return pod_text(task, attempt.key, self._base.settings.name, link.name,
                             attempt.deadline_us - self._base.hub.now_us())
         ended: Ended | None = Ended(api.Outcome.CANCELLED, api.Reason.UNTOLD, "withdrawn by its owner")
         with CancelScope(self._base.hub) as scope:
@@ -87,7 +87,7 @@
             # The request was answered otherwise while the offer was out: what runs now is a stray.
             self._requests.attempt_over(attempt, api.Outcome.TIMED_OUT, api.Reason.UNTOLD, now - attempt.decided_us)
             self._base.counts["answers_late"] += 1
-            self._strays.judge(attempt.link, attempt.pod, task.job.asked.namespace, task, None)
+            self._strays.judge(attempt.link, attempt.key, task.job.asked.namespace, task, None)
             return
         if self._attempts.advance(attempt, Stage.PLACED):
             attempt.placed_us = now
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -40,8 +40,11 @@
     def bind(self, bind: api.Bind) -> None:
         self._offers.bind(bind)
 
-    def answer(self, request: int, step: Step) -> None:
-        self._requests.answer(request, step)
+    def refuse(self, request: int) -> None:
+        self._requests.answer(request, Step.REFUSE)
+
+    def fail(self, request: int) -> None:
+        self._requests.answer(request, Step.FAIL)
 
     def move(self, request: int) -> None:
         self._runs.move(request)
@@ -62,7 +65,7 @@
         book = self.book = Book(Admission(limits.tasks_open, limits.tasks_per_namespace), limits.jobs_kept)
         attempts = self.attempts = Attempts()
         machines = self.machines = Machines()
-        host = self.host = Host(base)
+        host = self.host = Host(base, settings.scheduler)
         board = self.board = Board(base, book)
         requests = Requests(base, host, book, attempts, board)
         stops = self.stops = Stops(hub, random.Random(base.random.random()), base.spawn, base.counts)
--- a/wingbarrow/core/runs.py
+++ b/wingbarrow/core/runs.py
@@ -96,5 +96,5 @@
             if attempt.stopping is not None:
                 self.ended(attempt, attempt.stopping, api.Reason.UNTOLD,
                            f"{attempt.stopping.value}, stopped on {attempt.link.name}")
-        self._stops.owe(attempt.link, attempt.task.job.asked.namespace, attempt.pod,
+        self._stops.owe(attempt.link, attempt.task.job.asked.namespace, attempt.key,
                         wanted=lambda: attempt.stage is Stage.PLACED, done=stopped)
--- a/wingbarrow/core/sightings.py
+++ b/wingbarrow/core/sightings.py
@@ -39,7 +39,7 @@
                     seen.add(sight.name)
                     self._seen(link, sight)
             for attempt in self._attempts.on(link):
-                if attempt.stage is Stage.PLACED and attempt.pod not in seen and attempt.placed_us < asked_us:
+                if attempt.stage is Stage.PLACED and attempt.key not in seen and attempt.placed_us < asked_us:
                     self._runs.lost(attempt, "the machine no longer holds it")
             self.told(link.name)
 
@@ -48,7 +48,7 @@
             if sight is None:
                 return
             if kind == "DELETED":
-                attempt = self._attempts.by_pod.get(sight.name)
+                attempt = self._attempts.by_key.get(sight.name)
                 if attempt is not None and attempt.stage is Stage.PLACED:
                     self._runs.lost(attempt, f"deleted on {link.name}")
             else:
@@ -64,7 +64,7 @@
             return None
 
     def _seen(self, link: MachineLink, sight: PodSight) -> None:
-        attempt = self._attempts.by_pod.get(sight.name)
+        attempt = self._attempts.by_key.get(sight.name)
         if attempt is None:
             self._strays.seen(link, sight)
             return
--- /dev/null
+++ b/wingbarrow/decide/crowd.py
@@ -0,0 +1,47 @@
+"""Who of the connections at the door may stay when there are too many, and how long one may say nothing.
+
+Usual owners come first: a connection on which a task was placed has proven itself. What has open set-ups is closed
+only when nothing else is left, as its owner would have to ask again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+
+SILENT_US = 1_800_000  # from connecting to the first whole message
+IDLE_US = 30_000_000  # without an open set-up, once it has proven itself
+ODD_IDLE_US = 5_000_000  # the same, where it never has
+OPEN_MOST = 256  # set-ups open on one connection
+
+
+@dataclass(slots=True, eq=False)
+class Guest:
+    """One connection as this is decided; times in microseconds."""
+
+    born_us: int
+    heard_us: int | None = None  # its latest whole message
+    proven: bool = False  # a task of it was placed, or it is the front's
+
+
+class Crowd:
+    """Built from the descriptors that this side may hold."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+
+    def is_idle(self, now_us: int, guest: Guest, open_set_ups: int) -> bool:
+        """Whether a connection has said nothing for too long."""
+        if open_set_ups:
+            return False
+        if guest.heard_us is None:
+            return now_us - guest.born_us >= SILENT_US
+        return now_us - guest.heard_us >= (IDLE_US if guest.proven else ODD_IDLE_US)
+
+    def whom_to_close(self, guests: list[tuple[Guest, int]]) -> Guest | None:
+        """Which of too many goes: never heard of, then unproven, then idle; of alike ones the oldest news."""
+        def order(each: tuple[Guest, int]) -> tuple[bool, bool, bool, float]:
+            guest, open_set_ups = each
+            return (open_set_ups > 0, guest.proven, guest.heard_us is not None,
+                    guest.born_us if guest.heard_us is None else guest.heard_us)
+        return min(guests, key=order, default=(None, inf))[0]
--- a/wingbarrow/fronts/serve.py
+++ b/wingbarrow/fronts/serve.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import os
-import signal
 from collections.abc import Callable
 from pathlib import Path
 
@@ -11,7 +9,6 @@
 from wingbarrow.core.placer import Placer
 from wingbarrow.fronts.rest import RestFront
 from wingbarrow.transport import Hub, Nursery
-from wingbarrow.transport.hub import READ
 
 
 class Service:
@@ -31,22 +28,6 @@
             nursery.cancel()
 
 
-def on_signals(hub: Hub, wanted: dict[int, Callable[[], None]]) -> Callable[[], None]:
-    """A call, to run as a task, that runs `wanted` in the hub when a signal comes."""
-    reading, writing = hub.wake_pipe()
-    signal.set_wakeup_fd(writing, warn_on_full_buffer=False)
-    for number in wanted:
-        signal.signal(number, lambda *_: None)
-
-    def listen() -> None:
-        while True:
-            hub.wait(reading, READ)
-            for number in os.read(reading, 64):
-                if number in wanted:
-                    wanted[number]()
-    return listen
-
-
 def reload_file(path: Path, running: PlacerSettings, log: Callable[..., None]) -> PlacerSettings | None:
     """The file's settings for a running placer; None, and told, where they cannot be taken."""
     try:
--- /dev/null
+++ b/wingbarrow/relay/__main__.py
@@ -0,0 +1,47 @@
+"""`python -m wingbarrow.relay`: one placer on the platform, in the foreground; its log is standard error."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+
+from wingbarrow.core.lines import LineLog
+from wingbarrow.relay.configuration import BadConfiguration, load
+from wingbarrow.relay.placer import Placer
+from wingbarrow.transport import Hub, PeerGone
+from wingbarrow.transport.signals import on_signals
+
+
+def main() -> int:
+    """Serve until told to end; 2 where the configuration cannot be used."""
+    hub = Hub()
+    log = LineLog(hub.now_us)
+    try:
+        configuration = load(os.environ)
+        placer = Placer(hub, configuration, log)
+    except (BadConfiguration, ValueError) as error:
+        print(f"wingbarrow: {error}", file=sys.stderr, flush=True)
+        return 2
+    path = os.environ["RELAY_CONFIG"]
+    listen_to_signals = on_signals(hub, {signal.SIGTERM: placer.finish, signal.SIGINT: placer.finish,
+                                         signal.SIGHUP: lambda: placer.reload(path)})
+    gc.collect()
+    gc.freeze()  # what was loaded stays: no need to look through it again
+    hub.complain = lambda name, error: log("task-failed", level="error", task=name,
+                                           why=f"{type(error).__name__}: {error}")
+
+    def serve() -> None:
+        hub.spawn(listen_to_signals, "signals")
+        placer.run()
+    try:
+        hub.run(serve)
+    except (OSError, PeerGone) as error:
+        log("ended", level="error", why=str(error))
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wingbarrow/relay/links.py
@@ -0,0 +1,243 @@
+"""The side of machines: each with its connections, keyed by the machine's id and never by its address.
+
+An offer goes on a connection without another open set-up where there is one, so that one spoilt answer costs one
+task. Where tasks stand, a connection is kept for their news.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Protocol
+
+from wingbarrow.core.life import Life
+from wingbarrow.core.stages import Ledger, Stage, Staged
+from wingbarrow.decide.liveness import Liveness, Verdict
+from wingbarrow.interface import ListedMachine, Phase
+from wingbarrow.relay.configuration import Address
+from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
+from wingbarrow.relay.tasks import Task
+from wingbarrow.transport import Outbox, PeerGone, Stream, connect
+
+OUT_MOST = 1 << 20
+SPARE_US = 3_000_000  # a connection beyond the one that news needs is closed so long after its last set-up
+LAST_US = 10_000_000  # the last one too, where nothing stands
+SWEEP_US = 100_000
+REDIAL_US = 100_000
+DIALS_MOST = 3  # at once to one machine
+STRAYS_MOST = 512  # offers given up that may run all the same, remembered for one machine
+RELEASES_MOST = 1024  # that wait for a connection
+
+
+class Attempt(Staged[Task, "Link"]):
+    """One set-up sent to one machine."""
+
+
+class Attempts(Ledger[Attempt]):
+    """All attempts that are not over."""
+
+
+class Line:
+    """One connection to a machine and the set-ups open on it."""
+
+    __slots__ = ("stream", "outbox", "framer", "out", "used_us")
+
+    def __init__(self, stream: Stream, outbox: Outbox, now_us: int) -> None:
+        self.stream, self.outbox, self.used_us = stream, outbox, now_us
+        self.framer = Framer()
+        self.out: dict[int, Attempt] = {}
+
+    def write(self, data: bytes) -> bool:
+        """Send; False where not all of it can have left."""
+        return self.stream.open and self.outbox.write(data) == len(data)
+
+
+class News(Protocol):
+    """Who hears of a machine."""
+
+    def message(self, link: Link, line: Line, message: Message) -> None:
+        """It sent a message."""
+
+    def unanswered(self, attempt: Attempt, why: str) -> None:
+        """The connection of an offer ended before its answer: it may have run."""
+
+    def cut(self, link: Link) -> None:
+        """Offers out there will not be answered."""
+
+    def lost(self, link: Link) -> None:
+        """What stood there is over."""
+
+
+class Link:
+    """One machine as this placer reaches it; `phase` and `launched_us` follow the list."""
+
+    def __init__(self, life: Life, name: str, address: Address, listed: ListedMachine, lines_most: int, dial_us: int,
+                 news: News) -> None:
+        self.name, self.ident = name, listed.machine
+        self.address = address
+        self.phase, self.launched_us = listed.phase, listed.launched_us
+        self.lines: list[Line] = []
+        self.standing: dict[int, Attempt] = {}
+        self.strays: OrderedDict[int, None] = OrderedDict()  # ids whose offers were given up and may run
+        self.liveness = Liveness(life.hub.now_us())
+        self._life, self._news = life, news
+        self._lines_most, self._dial_us = lines_most, dial_us
+        self._dials = 0
+        self._redial_us = 0
+        self._releases: OrderedDict[int, int] = OrderedDict()  # to send on the next connection, with their cause
+        self.closed = False
+
+    # -- connections
+
+    def free_line(self) -> Line | None:
+        """One on which no set-up is open."""
+        return next((line for line in self.lines if line.stream.open and not line.out), None)
+
+    def shared_line(self) -> Line | None:
+        """The one with the fewest set-ups open."""
+        lines = [line for line in self.lines if line.stream.open]
+        return min(lines, key=lambda line: len(line.out), default=None)
+
+    @property
+    def may_dial(self) -> bool:
+        """Whether the bounds allow one more connection."""
+        return not self.closed and len(self.lines) + self._dials < self._lines_most and self._dials < DIALS_MOST
+
+    def dial(self) -> Line | None:
+        """A new connection; None where it is refused or does not come up in its time."""
+        hub = self._life.hub
+        began, stream, refused = hub.now_us(), None, False
+        self._dials += 1
+        try:
+            with hub.limit(self._dial_us):
+                stream = connect(hub, self.address.host, self.address.port)
+        except PeerGone:
+            refused = True
+        finally:
+            self._dials -= 1
+        if self.closed:
+            if stream is not None:
+                stream.close()
+            return None
+        if stream is None:
+            self._life.counts["dials_refused" if refused else "dials_silent"] += 1
+            if not refused:
+                self.liveness.on_no_show(hub.now_us(), began)
+            elif not any(line.stream.open for line in self.lines):
+                # Nothing listens and nothing is open: the process is gone, and with it what stood there.
+                self._news.lost(self)
+            self._redial_us = hub.now_us() + REDIAL_US
+            return None
+        self.liveness.on_came_up(hub.now_us())
+        line = Line(stream, Outbox(hub, stream, OUT_MOST), hub.now_us())
+        self.lines.append(line)
+        self._life.spawn(lambda: self._read(line), f"line to {self.name}")
+        while self._releases and line.stream.open:
+            ident, cause = self._releases.popitem(last=False)
+            line.write(with_cause(Kind.RELEASE, ident, cause))
+        return line
+
+    def _read(self, line: Line) -> None:
+        why = "end of stream"
+        try:
+            while data := line.stream.receive():
+                self.liveness.on_heard(self._life.hub.now_us())
+                line.framer.feed(data)
+                while line.stream.open and (message := line.framer.next()) is not None:
+                    self._news.message(self, line, message)
+        except BadMessage as error:
+            why = f"unreadable: {error}"
+            self._life.counts["machines:unreadable"] += 1
+            self._life.log("unreadable-machine", level="warning", machine=self.name, why=str(error))
+        except PeerGone as error:
+            why = str(error)
+        finally:
+            self.drop(line, why)
+
+    def drop(self, line: Line, why: str) -> None:
+        """Close a connection; every set-up open on it ends as may-have-run."""
+        line.stream.close()
+        if line in self.lines:
+            self.lines.remove(line)
+        for attempt in list(line.out.values()):
+            self._news.unanswered(attempt, why)
+        line.out.clear()
+        if self.standing and not self.closed and not self.lines:
+            self._redial_us = min(self._redial_us, self._life.hub.now_us())
+            self._life.spawn(self._keep_one, f"news of {self.name}")
+
+    def _keep_one(self) -> None:
+        if not self.lines and not self._dials and not self.closed and self._life.hub.now_us() >= self._redial_us:
+            self._redial_us = self._life.hub.now_us() + REDIAL_US
+            self.dial()
+
+    def release(self, ident: int, cause: int) -> None:
+        """Cut a task, or give a set-up up, on any connection; on the next one where there is none."""
+        line = self.shared_line()
+        if line is None or not line.write(with_cause(Kind.RELEASE, ident, cause)):
+            self._releases[ident] = cause
+            if len(self._releases) > RELEASES_MOST:
+                self._releases.popitem(last=False)
+
+    def remember_stray(self, ident: int) -> None:
+        """An offer was given up that may run all the same."""
+        self.strays[ident] = None
+        self.strays.move_to_end(ident)
+        if len(self.strays) > STRAYS_MOST:
+            self.strays.popitem(last=False)
+
+    def close(self) -> None:
+        """The machine has left the list, or another has its address: nothing of it is used any more."""
+        self.closed = True
+        for line in list(self.lines):
+            self.drop(line, "the machine is gone")
+
+    # -- now and then
+
+    def look_after(self, now_us: int) -> None:
+        """Judge silence, close what is not in use, keep a connection where tasks stand."""
+        offers = any(line.out for line in self.lines)
+        verdict = self.liveness.judge(now_us, offers, bool(self.standing))
+        if verdict is Verdict.LOOK:
+            if self._dials < DIALS_MOST:
+                self._life.spawn(self.dial, f"look at {self.name}")
+        elif verdict is Verdict.CUT:
+            self._news.cut(self)
+        elif verdict is Verdict.LOST:
+            self._news.lost(self)
+        if (self.standing or self._releases) and not self.lines:
+            self._life.spawn(self._keep_one, f"news of {self.name}")
+        idle = [line for line in self.lines if not line.out]
+        for line in idle:
+            last = len(self.lines) == 1
+            if last and (self.standing or self._releases):
+                break
+            if now_us - line.used_us >= (LAST_US if last else SPARE_US):
+                self.drop(line, "idle")
+
+
+class Links:
+    """All machines that this placer reaches, by name and by the module's number."""
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, Link] = {}
+        self._by_ident: dict[int, Link] = {}
+
+    def of(self, ident: int) -> Link | None:
+        """The machine by its number with the module."""
+        return self._by_ident.get(ident)
+
+    def add(self, link: Link) -> None:
+        """A machine is reached from now on."""
+        self.by_name[link.name] = self._by_ident[link.ident] = link
+
+    def remove(self, link: Link) -> None:
+        """A machine is reached no more."""
+        self.by_name.pop(link.name, None)
+        self._by_ident.pop(link.ident, None)
+
+    def at(self, address: Address) -> list[Link]:
+        """Those listed at an address that are not gone."""
+        return [link for link in self.by_name.values() if link.address == address and link.phase is not Phase.GONE]
+
+
+__all__ = ["Attempt", "Attempts", "Cause", "Line", "Link", "Links", "News", "Stage"]
--- /dev/null
+++ b/wingbarrow/relay/offers.py
@@ -0,0 +1,297 @@
+"""From the module's Bind through the gate to the machine, and what machines say back to the module and owners."""
+
+from __future__ import annotations
+
+from wingbarrow import interface as api
+from wingbarrow.core.host import Host
+from wingbarrow.core.life import Life
+from wingbarrow.core.stages import Stage
+from wingbarrow.decide import strays
+from wingbarrow.decide.again import End
+from wingbarrow.decide.gate import Held, Offer, SendGate
+from wingbarrow.reader import read_report
+from wingbarrow.relay.links import Attempt, Attempts, Line, Link, Links
+from wingbarrow.relay.message import BadMessage, Cause, Code, Kind, Message, encode, with_cause
+from wingbarrow.relay.owners import Owners, refusal
+from wingbarrow.relay.tasks import Book, State, Step, Task
+
+PROBE_US = 1_000_000
+TEST = 1 << 63  # ids of own tests have the highest bit, and a count below
+REASONS = {"nc": api.Reason.NO_CORES, "nm": api.Reason.NO_MEMORY, "nq": api.Reason.OFFERS_WAIT,
+           "nh": api.Reason.NOT_HERE, "ev": api.Reason.EVICTED, "pre": api.Reason.PUSHED_OUT,
+           "dr": api.Reason.SENT_AWAY}
+NOTES = {"live": api.NoteKind.RUNS, "c": api.NoteKind.CORES_USED, "m": api.NoteKind.MEMORY_USED,
+         "s": api.NoteKind.SERVED, "p": api.NoteKind.MACHINE_MEMORY}
+BEFORE: dict[int, api.Outcome] = {
+    Cause.FULL: api.Outcome.REFUSED, Cause.ERROR: api.Outcome.ERROR, Cause.MOOT: api.Outcome.NOT_SENT}
+AFTER: dict[int, api.Outcome] = {Cause.OVER: api.Outcome.DONE, Cause.CANCELLED: api.Outcome.CANCELLED}
+
+
+class Offers:
+    """Owns the gate that every set-up passes right before its first byte, and the probes."""
+
+    def __init__(self, life: Life, host: Host, book: Book, attempts: Attempts, links: Links, owners: Owners,
+                 settings: api.Settings) -> None:
+        self._life, self._host, self._book, self._attempts = life, host, book, attempts
+        self._links, self._owners = links, owners
+        self._gate = SendGate(settings.cold_us, settings.fall_us)
+        self._probes: dict[int, tuple[Link, int]] = {}
+        self._tests = 0
+
+    # -- what the module decides
+
+    def bind(self, bind: api.Bind) -> None:
+        """The module chose a machine: an attempt begins."""
+        task, link = self._book.by_request.get(bind.request), self._links.of(bind.machine)
+        number = task.binds if task else 0
+        if task is None or link is None or link.closed:
+            self._life.counts["binds_dropped"] += 1
+            if task is not None:
+                task.binds += 1
+            self._host.feed(api.AttemptEnded(bind.request, number, bind.machine, api.Outcome.NOT_SENT,
+                                             api.Reason.UNTOLD, task is None, 0, None))
+            return
+        task.binds += 1
+        attempt = Attempt(bind.request, number, task, link, f"{task.ident:016x}/{number}", self._life.hub.now_us(),
+                          bind.give_up_us)
+        self._attempts.add(attempt)
+        self._life.counts["binds"] += 1
+        line = None if link.liveness.doubtful else link.free_line()
+        if line is not None:
+            self._send(attempt, line)
+        else:
+            self._life.spawn(lambda: self._dial_and_send(attempt), "offer")
+
+    def _dial_and_send(self, attempt: Attempt) -> None:
+        link = attempt.link
+        line = link.dial() if link.may_dial else None
+        if line is None and not link.liveness.doubtful:
+            line = link.shared_line()
+        if attempt.stage is not Stage.WAITING:
+            return
+        if line is None:
+            self._over(attempt, api.Outcome.UNREACHABLE)
+        else:
+            self._send(attempt, line)
+
+    def _may_send(self, attempt: Attempt) -> bool:
+        """Every set-up passes here right before its first byte; see decide.gate."""
+        task, link, now = attempt.task, attempt.link, self._life.hub.now_us()
+        held: Held | None = self._gate.check(now, Offer(
+            attempt.decided_us, attempt.deadline_us, task.state is State.ASKED,
+            attempt.stage is Stage.WAITING and self._attempts.of(attempt.request) is attempt,
+            link.phase is api.Phase.RUNNING and not link.closed, link.launched_us))
+        if held is not None:
+            self._life.counts["held:" + held.name.lower()] += 1
+        return held is None
+
+    def _send(self, attempt: Attempt, line: Line) -> None:
+        task, link = attempt.task, attempt.link
+        if not self._may_send(attempt):
+            self._over(attempt, api.Outcome.NOT_SENT)
+            return
+        left_ms = max(1, (attempt.deadline_us - self._life.hub.now_us()) // 1000)
+        values = {int(Code.CLASS): task.passed_on[Code.CLASS], int(Code.PATIENCE): b"%d" % left_ms,
+                  int(Code.NAME): task.passed_on[Code.NAME], int(Code.DESCRIPTION): task.passed_on[Code.DESCRIPTION]}
+        self._attempts.advance(attempt, Stage.SENT)
+        link.strays.pop(task.ident, None)
+        line.out[task.ident] = attempt
+        line.used_us = self._life.hub.now_us()
+        if not line.write(encode(Kind.SET_UP, task.ident, values)):
+            # Not wholly written: it cannot have come whole to the machine.
+            line.out.pop(task.ident, None)
+            self._over(attempt, api.Outcome.UNREACHABLE)
+
+    def abandon(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Nobody waits for its answer any longer: given up on the wire, and over."""
+        line = self._line_of(attempt)
+        if attempt.stage is Stage.SENT:
+            self._may_run(attempt)
+            data = with_cause(Kind.RELEASE, attempt.task.ident, Cause.GIVEN_UP)
+            if line is not None:
+                line.write(data)
+        elif attempt.stage is Stage.WAITING:
+            outcome = api.Outcome.NOT_SENT
+        self._over(attempt, outcome)
+
+    def _may_run(self, attempt: Attempt) -> None:
+        """An offer that nobody waits for may run all the same: should it show up, do what `decide.strays` says."""
+        sight = strays.Sight(attempt.task.cls.effect, True, True, False, False, False, False)
+        if strays.judge(sight) is strays.Stray.STOP:
+            attempt.link.remember_stray(attempt.task.ident)
+
+    def _line_of(self, attempt: Attempt) -> Line | None:
+        ident = attempt.task.ident
+        return next((line for line in attempt.link.lines if line.out.get(ident) is attempt), None)
+
+    def _over(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason = api.Reason.UNTOLD,
+              report: api.Report | None = None) -> None:
+        """Tell the module that an attempt is over; the request too, unless its answer is still owed."""
+        placed, now = attempt.stage is Stage.PLACED, self._life.hub.now_us()
+        line = self._line_of(attempt)
+        if line is not None:
+            del line.out[attempt.task.ident]
+            line.used_us = now
+        if not self._attempts.advance(attempt, Stage.ENDED):
+            return
+        attempt.link.standing.pop(attempt.task.ident, None)
+        self._life.counts[("run:" if placed else "offer:") + outcome.value] += 1
+        closed = placed or attempt.task.state is not State.ASKED
+        waited_us = now - (attempt.placed_us if placed else attempt.decided_us)
+        self._host.feed(api.AttemptEnded(attempt.request, attempt.number, attempt.link.ident, outcome, reason, closed,
+                                         waited_us, report))
+
+    def probe(self, machine: int) -> None:
+        """Ask a machine for its report."""
+        link = self._links.of(machine)
+        if link is None or link.closed:
+            self._host.feed(api.Probed(machine, api.Outcome.UNREACHABLE, None))
+            return
+        self._life.counts["probes"] += 1
+        self._life.spawn(lambda: self._probe(link), "probe")
+
+    def _probe(self, link: Link) -> None:
+        line = None if link.liveness.doubtful else link.shared_line()
+        if line is None:
+            line = link.dial() if link.may_dial else None
+        self._tests += 1
+        ident = TEST + self._tests
+        if line is None or not line.write(with_cause(Kind.TEST, ident, 1)):
+            self._host.feed(api.Probed(link.ident, api.Outcome.UNREACHABLE, None))
+            return
+        self._probes[ident] = link, self._life.hub.now_us()
+        self._life.hub.sleep(PROBE_US)
+        if self._probes.pop(ident, None) is not None:
+            self._host.feed(api.Probed(link.ident, api.Outcome.TIMED_OUT, None))
+
+    # -- what machines say
+
+    def message(self, link: Link, line: Line, message: Message) -> None:
+        """A machine's message; what is not expected changes nothing."""
+        kind, ident = message.kind, message.task
+        attempt = line.out.get(ident) or link.standing.get(ident)
+        if kind == Kind.TESTED:
+            self._tested(link, message)
+        elif attempt is None:
+            self._stray(link, message)
+        elif kind == Kind.ANSWER:
+            self._answered(attempt, line, message)
+        elif kind == Kind.RELEASE:
+            self._released(attempt, message)
+        elif kind == Kind.NOTE:
+            self._note(attempt, message)
+
+    def _answered(self, attempt: Attempt, line: Line, message: Message) -> None:
+        if attempt.stage is not Stage.SENT:
+            self._life.counts["answers_doubled"] += 1
+            return
+        description, task = message.values.get(Code.DESCRIPTION), attempt.task
+        if description is None:
+            raise BadMessage("an answer without a description")
+        owner = task.owner
+        del line.out[task.ident]
+        line.used_us = self._life.hub.now_us()
+        self._attempts.advance(attempt, Stage.PLACED)
+        attempt.placed_us = line.used_us
+        attempt.link.standing[task.ident] = attempt
+        self._book.step(task, Step.STAND)
+        self._host.cancel_timer(task.request)
+        owner.tasks.pop(task.ident, None)
+        owner.write(encode(Kind.ANSWER, task.ident, {Code.DESCRIPTION: description}))
+        self._owners.proven(owner)
+        self._host.feed(api.TaskPlaced(task.request, attempt.number, attempt.link.ident,
+                                       attempt.placed_us - attempt.decided_us))
+
+    def _released(self, attempt: Attempt, message: Message) -> None:
+        cause = message.cause
+        reason = REASONS.get(message.text(Code.REMARK) or "", api.Reason.UNTOLD)
+        report = read_report(message.text(Code.REPORT) or "-", ";")
+        if attempt.stage is Stage.PLACED:
+            self._ended(attempt, AFTER.get(cause, api.Outcome.BROKEN), reason, cause, report)
+        else:
+            self._over(attempt, BEFORE.get(cause, api.Outcome.BROKEN), reason, report)
+
+    def _ended(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason, cause: int,
+               report: api.Report | None = None) -> None:
+        """A task that stood is over: its owner is told, unless it ended it or was told to come again."""
+        task = attempt.task
+        if attempt.stopping is not None:
+            outcome = api.Outcome.CANCELLED
+        elif self._book.step(task, Step.END):
+            self._owners.release(None, task.ident, cause)
+        self._over(attempt, outcome, reason, report)
+
+    def _note(self, attempt: Attempt, message: Message) -> None:
+        kind = NOTES.get(message.text(Code.REMARK) or "")
+        try:
+            level = float(message.text(Code.LEVEL) or "0")
+        except ValueError:
+            return
+        if kind is not None:
+            self._host.feed(api.TaskNote(attempt.request, attempt.number, attempt.link.ident, kind, level))
+
+    def _tested(self, link: Link, message: Message) -> None:
+        known = self._probes.pop(message.task, None)
+        if known is None or known[0] is not link:
+            return
+        report = read_report(message.text(Code.REPORT) or "-", ";")
+        outcome = api.Outcome.DONE if message.values.get(Code.CAUSE) != b"\0" else api.Outcome.ERROR
+        self._host.feed(api.Probed(link.ident, outcome, report))
+
+    def _stray(self, link: Link, message: Message) -> None:
+        """News of what nobody here waits for: a safe task that was given up only takes room."""
+        ident = message.task
+        if message.kind == Kind.RELEASE:
+            link.strays.pop(ident, None)
+        elif message.kind in (Kind.ANSWER, Kind.NOTE) and link.strays.pop(ident, False) is None:
+            self._life.counts["strays_stopped"] += 1
+            link.release(ident, Cause.CANCELLED)
+
+    # -- what connections tell
+
+    def unanswered(self, attempt: Attempt, why: str) -> None:
+        """Its connection ended before its answer: it may have run."""
+        self._may_run(attempt)
+        self._life.log("offer-cut", level="debug", machine=attempt.link.name, why=why)
+        self._over(attempt, api.Outcome.BROKEN)
+
+    def cut(self, link: Link) -> None:
+        """Offers out there will not be answered; what stands may yet be heard of."""
+        self._life.log("machine-cut", level="warning", machine=link.name)
+        for line in list(link.lines):
+            link.drop(line, "no connection comes up")
+
+    def lost(self, link: Link) -> None:
+        """What stood there is over."""
+        if link.standing:
+            self._life.log("machine-lost", level="warning", machine=link.name, standing=len(link.standing))
+        for line in list(link.lines):
+            link.drop(line, "lost")
+        for attempt in list(link.standing.values()):
+            self._ended(attempt, api.Outcome.BROKEN, api.Reason.UNTOLD, Cause.RESET)
+
+    def restarted(self, link: Link, launched_us: int) -> None:
+        """The machine has started anew: what stood there before is over."""
+        for attempt in list(link.standing.values()):
+            if attempt.placed_us < launched_us:
+                self._ended(attempt, api.Outcome.BROKEN, api.Reason.UNTOLD, Cause.RESET)
+
+    def stop(self, attempt: Attempt, end: End, cause: int = Cause.CANCELLED) -> None:
+        """Have a standing task cut; its attempt is over once the machine says so."""
+        attempt.stopping = end
+        attempt.link.release(attempt.task.ident, cause)
+
+    def answer(self, task: Task, step: Step, cause: int) -> None:
+        """The final answer to a set-up that does not stand, at once."""
+        owner, attempt = task.owner, self._attempts.of(task.request)
+        if not self._book.step(task, step):
+            return
+        self._host.cancel_timer(task.request)
+        if owner is not None:
+            owner.tasks.pop(task.ident, None)
+            owner.write(refusal(task.ident, cause))
+        self._life.counts["answer:" + step.value] += 1
+        if attempt is not None:
+            self.abandon(attempt, api.Outcome.TIMED_OUT)
+
+
--- /dev/null
+++ b/wingbarrow/relay/owners.py
@@ -0,0 +1,153 @@
+"""The side of owners: listener, connections, what unreadable clients get, and releases until they can be sent."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+from wingbarrow.core.life import Life
+from wingbarrow.decide.crowd import Crowd, Guest
+from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, encode, with_cause
+from wingbarrow.relay.tasks import Task
+from wingbarrow.transport import Listener, Outbox, PeerGone, Stream
+
+OUT_MOST = 256 * 1024  # bytes that may wait for an owner that reads slowly
+SWEEP_US = 250_000
+BURST = 32  # messages of one connection before others get a turn
+OWED_US, OWED_MOST = 8_500_000, 8192  # releases that wait for a connection: how long, how many
+
+
+class Owner:
+    """One connection from an owner, the front, or anybody."""
+
+    __slots__ = ("stream", "outbox", "framer", "guest", "tasks")
+
+    def __init__(self, stream: Stream, outbox: Outbox, guest: Guest) -> None:
+        self.stream, self.outbox, self.guest = stream, outbox, guest
+        self.framer = Framer()
+        self.tasks: dict[int, Task] = {}  # open set-ups, by id
+
+    def write(self, data: bytes) -> bool:
+        """Send; False where the connection is of no use any more."""
+        return self.stream.open and self.outbox.write(data) == len(data)
+
+
+class Owners:
+    """All connections of owners; `take` gets each message and when it had surely not come yet."""
+
+    def __init__(self, life: Life, crowd: Crowd, take: Callable[[Owner, Message, int], None],
+                 left: Callable[[Owner], None]) -> None:
+        self._life, self._crowd, self._take, self._left = life, crowd, take, left
+        self._owners: OrderedDict[Owner, None] = OrderedDict()  # least lately heard of first
+        self._owed: deque[tuple[int, bytes]] = deque()  # releases without a connection, with their end
+
+    def __len__(self) -> int:
+        return len(self._owners)
+
+    def serve(self, listener: Listener) -> None:
+        """Accept until cancelled."""
+        listener.serve(self._serve)
+
+    def _serve(self, stream: Stream) -> None:
+        hub = self._life.hub
+        owner = Owner(stream, Outbox(hub, stream, OUT_MOST), Guest(hub.now_us()))
+        self._owners[owner] = None
+        self._make_room()
+        try:
+            taken = 0
+            while True:
+                data = stream.receive()
+                if not data:
+                    return
+                owner.framer.feed(data)
+                while stream.open:
+                    message = owner.framer.next()
+                    if message is None:
+                        break
+                    now = hub.now_us()
+                    owner.guest.heard_us = now
+                    self._owners.move_to_end(owner)
+                    self._take(owner, message, min(now, stream.silent_us))
+                    taken += 1
+                    if taken % BURST == 0:
+                        hub.checkpoint()
+        except BadMessage as error:
+            self._life.counts["owners:unreadable"] += 1
+            self._life.log("unreadable-owner", level="warning", why=str(error))
+        except PeerGone:
+            pass
+        finally:
+            self._owners.pop(owner, None)
+            stream.close()
+            self._left(owner)
+
+    def close(self, owner: Owner, why: str) -> None:
+        """End a connection that cannot go on."""
+        self._life.counts["owners:" + why] += 1
+        self._life.log("owner-closed", why=why)
+        owner.stream.close()
+
+    def _make_room(self) -> None:
+        if len(self._owners) <= self._crowd.most:
+            return
+        guests = {owner.guest: owner for owner in self._owners if owner.stream.open}
+        chosen = self._crowd.whom_to_close([(each.guest, len(each.tasks)) for each in guests.values()])
+        if chosen is not None:
+            self.close(guests[chosen], "crowded")
+
+    def sweep(self) -> None:
+        """Close those that say nothing; send what is owed where there is a connection. Goes on for ever."""
+        hub = self._life.hub
+        while True:
+            hub.sleep(SWEEP_US)
+            now = hub.now_us()
+            for owner in list(self._owners):
+                if owner.stream.open and self._crowd.is_idle(now, owner.guest, len(owner.tasks)):
+                    self.close(owner, "idle" if owner.guest.proven else "silent")
+            self._send_owed()
+
+    def release(self, owner: Owner | None, ident: int, cause: int, more: dict[int, bytes] | None = None) -> None:
+        """Tell that a task that stood is over, on its own connection or any other, now or as soon as there is one."""
+        data = with_cause(Kind.RELEASE, ident, cause, more)
+        if not self.tell(owner, data):
+            self._owe(data)
+
+    def told_to_move(self, ident: int) -> None:
+        """Tell that a task was stopped and is to come again."""
+        data = encode(Kind.MOVE, ident, {})
+        if not self.tell(None, data):
+            self._owe(data)
+
+    def _owe(self, data: bytes) -> None:
+        if len(self._owed) >= OWED_MOST:
+            self._owed.popleft()
+            self._life.counts["releases_dropped"] += 1
+        self._owed.append((self._life.hub.now_us() + OWED_US, data))
+        self._life.counts["releases_waited"] += 1
+
+    def tell(self, owner: Owner | None, data: bytes) -> bool:
+        """Send on this connection, or on any that has proven to be an owner's; False without one."""
+        if owner is not None and owner.stream.open and owner.tasks and owner.write(data):
+            return True
+        # Those with an open set-up first: their owner does not close them now. Then the latest heard of.
+        known = [each for each in reversed(self._owners) if each.guest.proven and each.stream.open]
+        known.sort(key=lambda each: not each.tasks)
+        return any(each.write(data) for each in known)
+
+    def proven(self, owner: Owner) -> None:
+        """A task of this connection was answered: it is a usual owner's."""
+        if not owner.guest.proven:
+            owner.guest.proven = True
+            self._send_owed()
+
+    def _send_owed(self) -> None:
+        now = self._life.hub.now_us()
+        for _ in range(len(self._owed)):
+            until_us, data = self._owed.popleft()
+            if now < until_us and not self.tell(None, data):
+                self._owed.append((until_us, data))
+
+
+def refusal(ident: int, cause: int = Cause.BUSY, more: dict[int, bytes] | None = None) -> bytes:
+    """The final answer to a set-up that does not stand."""
+    return with_cause(Kind.RELEASE, ident, cause, more)
--- a/wingbarrow/simhost.py
+++ b/wingbarrow/simhost.py
@@ -2,24 +2,14 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO, TypeVar
+from typing import TextIO
 
 from wingbarrow import interface as api
 from wingbarrow.logic import Scheduler
+from wingbarrow.reader import read_report, read_settings
 
-EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
-PLACES = {
-    "off": api.Place.NONE,
-    "machine": api.Place.MACHINE,
-    "cell": api.Place.CELL,
-    "zone": api.Place.ZONE,
-    "all": api.Place.ALL,
-}
-DISCOVERY = {"push": api.Discovery.PUSH, "ask": api.Discovery.ASK}
-REPORTS = {"inline": api.Reports.IN_ANSWERS, "on_probe": api.Reports.ON_PROBES, "off": api.Reports.NONE}
 PHASES = {"Running": api.Phase.RUNNING, "Stopping": api.Phase.DRAINING, "Deleted": api.Phase.GONE}
 FORMS = {
     "INCREMENTAL": api.ListForm.CHANGES,
@@ -54,146 +44,14 @@
     5: api.NoteKind.MACHINE_MEMORY,
 }
 
-T = TypeVar("T")
-
-
 class FrameError(Exception):
     """The wire's framing is broken; no sound reply is possible."""
 
 
-def _need(source: Any, path: str) -> Any:
-    """The value at a dotted path of the settings; ValueError names the path where it is missing."""
-    value = source
-    for part in path.split("."):
-        if not isinstance(value, dict) or part not in value:
-            raise ValueError(f"{path}: missing")
-        value = value[part]
-    return value
-
-
-def _number(source: Any, path: str) -> float:
-    value = _need(source, path)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise ValueError(f"{path}: not a number: {value!r}")
-    return float(value)
-
-
-def _whole(source: Any, path: str) -> int:
-    value = _number(source, path)
-    if value != value or value in (float("inf"), float("-inf")):
-        raise ValueError(f"{path}: out of range: {value}")
-    return int(value)
-
-
-def _flag(source: Any, path: str) -> bool:
-    value = _need(source, path)
-    if not isinstance(value, bool):
-        raise ValueError(f"{path}: neither true nor false: {value!r}")
-    return value
-
-
-def _choice(table: dict[str, T], source: Any, path: str) -> T:
-    value = _need(source, path)
-    if value not in table:
-        raise ValueError(f"{path}: unknown: {value!r}")
-    return table[value]
-
-
-def _list(source: Any, path: str) -> list[Any]:
-    value = _need(source, path)
-    if not isinstance(value, list):
-        raise ValueError(f"{path}: not a list: {value!r}")
-    return value
-
-
-def _per_item(source: Any, path: str, count: int) -> list[dict[str, Any]]:
-    """A list of the settings that runs parallel to another, wrapped so that each value can be named."""
-    values = _list(source, path)
-    if len(values) < count:
-        raise ValueError(f"{path}: {len(values)} values for {count}")
-    return [{path.rpartition(".")[2]: value} for value in values]
-
-
-def read_settings(text: str) -> api.Settings:
-    """Settings from the simulator's JSON; ValueError names what is missing or out of range."""
-    setup = json.loads(text)
-    names = _list(setup, "kinds")
-    cores, memory = (
-        _per_item(setup, f"family_info.{key}", len(names)) for key in ("cores_by_kind", "memory_by_kind")
-    )
-    kinds = tuple(
-        api.MachineKind(str(name), _number(cores[i], "cores_by_kind"), _number(memory[i], "memory_by_kind"))
-        for i, name in enumerate(names)
-    )
-    lanes = _list(setup, "lanes")
-    columns = {
-        key: _per_item(setup, f"family_info.{key}", len(lanes))
-        for key in ("class_kind", "class_most", "easy_until", "lost_after", "spread_by")
-    }
-    classes = []
-    for i, lane in enumerate(lanes):
-        row = {key: column[i][key] for key, column in columns.items()}
-        needs = _whole(row, "class_kind")
-        if needs >= len(kinds):
-            raise ValueError(f"class_kind: no such kind: {needs}")
-        effect = _choice(EFFECTS, lane, "effect")
-        keyed = effect is api.Effect.KEYED
-        classes.append(
-            api.TaskClass(
-                name=str(_need(lane, "name")),
-                effect=effect,
-                group=_choice(PLACES, lane, "dedup_scope") if keyed else api.Place.ALL,
-                window_us=_whole(lane, "dedup_window_us") if keyed else 0,
-                worth=_number(lane, "importance"),
-                spread=_choice(PLACES, row, "spread_by"),
-                spread_most=_whole(row, "class_most"),
-                kind=kinds[needs].name if needs >= 0 else None,
-                calm=_number(row, "easy_until"),
-                fade=_number(row, "lost_after"),
-            )
-        )
-    return api.Settings(
-        placers=_whole(setup, "balancers"),
-        index=_whole(setup, "me"),
-        classes=tuple(classes),
-        kinds=kinds,
-        booking_cores=_number(setup, "family_info.cpu_booking"),
-        booking_memory=_number(setup, "family_info.admit_memory"),
-        attempts_most=_whole(setup, "bounds.send_cap"),
-        discovery=_choice(DISCOVERY, setup, "discovery"),
-        may_probe=_flag(setup, "bounds.probes"),
-        reports=_choice(REPORTS, setup, "report.how"),
-        reports_use=_need(setup, "family_info.report_counts") == "used",
-        room_in_list=_flag(setup, "family_info.free_in_list"),
-        tick_us=_whole(setup, "quantum_us"),
-        ask_every_us=_whole(setup, "rules.ask_every_us"),
-        cold_us=_whole(setup, "rules.cold_us"),
-        fall_us=_whole(setup, "rules.fall_us"),
-        fresh_offers=_number(setup, "family_info.fresh_offers"),
-        prices=api.Prices(
-            fleet=float(setup.get("costs", {}).get("fleet", 0.0)), probe=_number(setup, "costs.probe")
-        ),
-    )
-
-
 def _absent_as_zero(text: str) -> int:
     return 0 if text == "-" else int(text)
 
 
-def _report(text: str) -> api.Report | None:
-    """A load report; a value that cannot be read counts as not told."""
-    if text == "-":
-        return None
-    values: dict[str, float] = {}
-    for pair in text.split(","):
-        name, _, value = pair.partition(":")
-        try:
-            values[name] = float(value)
-        except ValueError:
-            continue
-    return api.Report(values.get("x0"), values.get("x1"))
-
-
 def _entry(line: str) -> api.ListedMachine:
     word, memory, cell, condition, kind, launched, cores, machine, _weight, zone = line.split(" ")
     if word != "ITEM":
@@ -251,7 +109,7 @@
         REASONS.get(_absent_as_zero(remark), api.Reason.UNTOLD),
         closed == "1",
         _absent_as_zero(waited),
-        _report(gauge),
+        read_report(gauge),
     )
 
 
@@ -262,7 +120,7 @@
 
 def _probed(v: list[str]) -> api.Event:
     _waited, verdict, machine, gauge = v
-    return api.Probed(int(machine), OUTCOMES[int(verdict)], _report(gauge))
+    return api.Probed(int(machine), OUTCOMES[int(verdict)], read_report(gauge))
 
 
 def _note(v: list[str]) -> api.Event:
--- a/wingbarrow/transport/__init__.py
+++ b/wingbarrow/transport/__init__.py
@@ -9,9 +9,10 @@
 from wingbarrow.transport.hub import Hub, Timer
 from wingbarrow.transport.net import Listener, PeerGone, Stream, connect, listen
 from wingbarrow.transport.nursery import Nursery
+from wingbarrow.transport.outbox import Outbox
 from wingbarrow.transport.scopes import Cancelled, CancelScope, Task
 
 __all__ = [
     "CancelScope", "Cancelled", "Channel", "Clock", "Closed", "Domain", "Full", "Hub", "Listener", "Nursery",
-    "PeerGone", "RealClock", "Signal", "Stream", "Task", "Timer", "VirtualClock", "connect", "listen",
+    "Outbox", "PeerGone", "RealClock", "Signal", "Stream", "Task", "Timer", "VirtualClock", "connect", "listen",
 ]
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -97,6 +97,20 @@
                 sent += count
                 self.bytes_out += count
 
+    def send_now(self, data: bytes) -> int:
+        """Write what fits without waiting; how many bytes that was. Raises PeerGone where none can go any more."""
+        if not self.open:
+            raise PeerGone("closed here")
+        try:
+            count = self._socket.send(data)
+        except OSError as error:
+            if error.errno in _AGAIN:
+                return 0
+            raise PeerGone(errno.errorcode.get(error.errno or 0, "?")) from None
+        self.hub.touched = True
+        self.bytes_out += count
+        return count
+
     @property
     def peer(self) -> str:
         """The peer's address, empty once it is gone."""
--- /dev/null
+++ b/wingbarrow/transport/signals.py
@@ -0,0 +1,25 @@
+"""Signals of the operating system, heard in the hub."""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Callable
+
+from wingbarrow.transport.hub import READ, Hub
+
+
+def on_signals(hub: Hub, wanted: dict[int, Callable[[], None]]) -> Callable[[], None]:
+    """A call, to run as a task, that runs `wanted` in the hub when a signal comes."""
+    reading, writing = hub.wake_pipe()
+    signal.set_wakeup_fd(writing, warn_on_full_buffer=False)
+    for number in wanted:
+        signal.signal(number, lambda *_: None)
+
+    def listen() -> None:
+        while True:
+            hub.wait(reading, READ)
+            for number in os.read(reading, 64):
+                if number in wanted:
+                    wanted[number]()
+    return listen
