Set-ups that a machine holds already are taken whatever their patience

Checked: the log of each placer says 'patience is out of range' for as many set-ups, all with at; releases by machines, lost machines and unknown machines (counters) were none. Cause: setup.read demanded a patience in range of what wants no answer. Change: with at the patience is not looked at; releases are counted by stage and cause.

--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -206,6 +206,7 @@
         cause = message.cause
         reason = REASONS.get(message.text(Code.REMARK) or "", api.Reason.UNTOLD)
         report = read_report(message.text(Code.REPORT) or "-", ";")
+        self._life.counts[f"release:{attempt.stage.name.lower()}:{cause}"] += 1
         if attempt.stage is Stage.PLACED:
             self._ended(attempt, AFTER.get(cause, api.Outcome.BROKEN), reason, cause, report)
         else:
@@ -252,7 +253,7 @@
     def unanswered(self, attempt: Attempt, why: str) -> None:
         """Its connection ended before its answer: it may have run."""
         self._may_run(attempt)
-        self._life.log("offer-cut", level="debug", machine=attempt.link.name, why=why)
+        self._life.counts["cut:" + why.partition(":")[0]] += 1
         self._over(attempt, api.Outcome.BROKEN)
 
     def cut(self, link: Link) -> None:
--- a/wingbarrow/relay/setup.py
+++ b/wingbarrow/relay/setup.py
@@ -48,7 +48,7 @@
     except ValueError:
         raise BadSetUp(f"{what} is no number") from None
     if not (isfinite(value) and least <= value <= most):
-        raise BadSetUp(f"{what} is out of range")
+        raise BadSetUp(f"{what} is out of range: {(text or '')[:20]}")
     return value
 
 
@@ -75,7 +75,8 @@
         raise BadSetUp("no service")
     if at is not None and not _SERVICE.fullmatch(at):
         raise BadSetUp("at names no machine")
-    patience_ms = 0.0 if at is not None and patience is None else _figure(patience, "patience", 0, PATIENCE_MOST_MS)
+    # What a machine holds already wants no answer: its patience may be long over.
+    patience_ms = 0.0 if at is not None else _figure(patience, "patience", 0, PATIENCE_MOST_MS)
     return SetUp(message.task, cls, name, service, _figure(figures.get("cores"), "cores", 1e-6, SIZE_MOST),
                  _figure(figures.get("memory"), "memory", 0, SIZE_MOST), int(patience_ms * 1000),
                  None if hint is None else int(_figure(hint, "hint", 0, 1e9) * 1000), again, at,
