A second machine's error tells of the task: no machine rests for what none can use

Checked: counters show 125 and 130 errors (release cause 47) of set-ups by bad clients, 3 to 4 machines each; no refusal, lost machine or lag that would explain it (lag_worst 0.2 s once). Ruled out: turned-away messages (they cost no attempt). At fault: logic._judge let each error rest a whole machine, 0.5 s and doubling, so that bad set-ups drove usual tasks off their warm machines. Change: the second machine's error of one task takes the first one's rest back and counts against neither. Covers any task that no machine can use; may hurt where many machines err for everything (a task that meets two of them clears the first until its next error). Also: after SIGTERM what stands is looked after until shortly before the platform's end.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -199,3 +199,25 @@
     for key, value in (("index", 2), ("index", -1), *wrong.items()):
         with pytest.raises(ValueError, match=key):
             settings(**{key: value})
+
+
+def test_an_error_at_two_machines_tells_of_the_task_and_rests_neither() -> None:
+    driver = Driver(settings(task_class("web")))
+    driver.listing(listed(1), listed(2), listed(3))
+    (first,) = binds(driver.arrive(1))
+    (second,) = binds(driver.end(1, first.machine, api.Outcome.ERROR))
+    assert second.machine != first.machine  # the first rests until more is known
+    driver.end(1, second.machine, api.Outcome.ERROR, attempt=1)
+    driver.give(api.TaskWithdrawn(1))
+    known = {each.machine: each for each in driver.scheduler.knowledge(driver.now).machines}
+    assert not any(each.rests_us for each in known.values())
+
+
+def test_an_error_at_one_machine_alone_has_it_rest() -> None:
+    driver = Driver(settings(task_class("web")))
+    driver.listing(listed(1), listed(2), listed(3))
+    (first,) = binds(driver.arrive(1))
+    (second,) = binds(driver.end(1, first.machine, api.Outcome.ERROR))
+    driver.give(api.TaskPlaced(1, 1, second.machine, 1000))
+    known = {each.machine: each for each in driver.scheduler.knowledge(driver.now).machines}
+    assert known[first.machine].rests_us and not known[second.machine].rests_us
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -55,6 +55,7 @@
     out: int | None = None  # the attempt without an outcome
     placed: bool = False
     maybe: tuple[int, api.ListedMachine] | None = None  # the first attempt that may have run
+    erred: tuple["_Machine", tuple[int, int] | None] | None = None  # its first error, and the rest before it
 
     def left_us(self, now_us: int) -> int:
         return self.since_us + (self.arrival.remaining_us or LEFT_UNTOLD_US) - now_us
@@ -419,6 +420,14 @@
             apart = (event.outcome in (api.Outcome.TIMED_OUT, api.Outcome.REFUSED)
                      and event.reason is api.Reason.UNTOLD)
             key, rest_us = (task.cls.name, SILENT_US) if apart else (WHOLE, REST_US)
+            if event.outcome is api.Outcome.ERROR:
+                # Danger: what no machine can use would have one after the other rest. A second machine's
+                # error tells of the task: the first one's is taken back, and this one is not held against it.
+                if task.erred is not None:
+                    first, before = task.erred
+                    first.rests[key] = before or (0, 0)
+                    return
+                task.erred = machine, machine.rests.get(key)
             strikes = machine.rests.get(key, (0, 0))[0]
             machine.rests[key] = min(strikes + 1, REST_DOUBLINGS), self._now + (rest_us << strikes)
 
--- a/wingbarrow/reader.py
+++ b/wingbarrow/reader.py
@@ -1,4 +1,4 @@
-"""The platform's settings object, and load reports, as the scheduler's types: shared by all who are handed them."""
+"""The platform's settings object and load reports as the scheduler's types, for all who are handed them."""
 
 from __future__ import annotations
 
--- a/wingbarrow/relay/configuration.py
+++ b/wingbarrow/relay/configuration.py
@@ -44,6 +44,7 @@
     dial_us: int
     idle_us: int
     stay_away_most_us: int
+    patience_us: int  # the longest of any class
 
 
 def read_address(text: object, what: str) -> Address:
@@ -91,8 +92,9 @@
             name=name, listen=listen, seed=int(str(need(value, "seed")), 16),
             sockets=int(number(value, "limits.sockets")), journal=read_address(value.get("journal"), "journal"),
             known=need(value, "known"), settings=settings_of(settings), dial_us=bound("dial_timeout_us", DIAL_US),
+            patience_us=max(whole(lane, "deadline_us") for lane in settings["lanes"]),
             idle_us=bound("conn_idle_us", IDLE_US), stay_away_most_us=bound("max_retry_after_us", 1_000_000))
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise BadConfiguration(f"{path}: {error}") from None
 
 
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -20,7 +20,9 @@
 
 LINES_MOST = 6  # connections to one machine
 KEPT_BACK = 16  # descriptors for the journal, the listener, the log and what is being accepted
-LINGER_US = 900_000  # what arrives so long after SIGTERM is still taken
+# The platform ends a placer no sooner than so long after SIGTERM: the longest deadline, counted as 3 s where it is
+# longer, and 0.7 s. Until shortly before, what stands is looked after: nobody else could tell its owners that it is over.
+PATIENCE_MOST_US, LINGER_US = 3_000_000, 300_000
 FORGET_US = 30_000_000  # a machine that is gone is forgotten so long after
 COUNTS_US = 10_000_000
 
@@ -212,8 +214,9 @@
 
     def _wind_up(self) -> None:
         hub = self.life.hub
-        hub.sleep(LINGER_US)
-        while self._book.owed:
+        patience_us = min(PATIENCE_MOST_US, self._configuration.patience_us)
+        end_us = hub.now_us() + patience_us + LINGER_US
+        while self._book.owed or hub.now_us() < end_us:
             hub.sleep(20_000)
         self.tell_counts()
         self.life.end()
