--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -21,7 +21,7 @@
 LINES_MOST = 6  # connections to one machine
 KEPT_BACK = 16  # descriptors for the journal, the listener, the log and what is being accepted
 # The platform ends a placer no sooner than so long after SIGTERM: the longest deadline, counted as 3 s where it is
-# longer, and 0.7 s. Until shortly before, what stands is looked after: nobody else could tell its owners that it is over.
+# longer, and 0.7 s. Until shortly before, what stands is looked after: nobody else tells its owners that it is over.
 PATIENCE_MOST_US, LINGER_US = 3_000_000, 300_000
 FORGET_US = 30_000_000  # a machine that is gone is forgotten so long after
 COUNTS_US = 10_000_000
