The harness that plays the module alone ends attempts at their owner's patience

Seen: test_a_quiet_day_answers_as_the_module_alone_does failed with 'placed after its answer' after the warm machines' starts were raised. Checked: the module bound a held task 90 ms before its deadline, which it may; the harness then reported it placed 120 ms later though the attempt's give_up_us had passed, which neither simulator nor sockets do. At fault: tests/lab/direct.py, which never ended an attempt at its time. Change: it does.

--- a/tests/lab/direct.py
+++ b/tests/lab/direct.py
@@ -55,7 +55,12 @@
             if isinstance(action, api.Bind):
                 number = attempts[action.request] = attempts.get(action.request, -1) + 1
                 want, free = by_request[action.request], room[action.machine]
-                if want.cores <= free[0] and want.memory <= free[1]:
+                if now + START_US >= action.give_up_us:  # it could only start after its owner's patience
+                    at(action.give_up_us, api.AttemptEnded(action.request, number, action.machine,
+                                                           api.Outcome.TIMED_OUT, api.Reason.UNTOLD, True, 0, None))
+                    room[action.machine][0] -= want.cores
+                    room[action.machine][1] -= want.memory
+                elif want.cores <= free[0] and want.memory <= free[1]:
                     free[0] -= want.cores
                     free[1] -= want.memory
                     at(now + START_US, api.TaskPlaced(action.request, number, action.machine, START_US))
