Unused setting and export list removed from the relay

Need: the change read once more: configuration.idle_us was read and used by nobody (machines close idle connections; the placer closes its spare ones sooner), links re-exported names of others. Change: both removed.

--- a/tests/relay/stage.py
+++ b/tests/relay/stage.py
@@ -225,7 +225,7 @@
         configuration = Configuration(
             name="n0", listen=Address("127.0.0.1", 0), seed=5, sockets=self.sockets,
             journal=Address("127.0.0.1", self.journal.server.port), known=self.journal.known(),
-            settings=settings_of(self.settings), dial_us=250 * MS, idle_us=30 * S, stay_away_most_us=3 * S,
+            settings=settings_of(self.settings), dial_us=250 * MS, stay_away_most_us=3 * S,
             patience_us=5 * S)
         return Placer(self.hub, configuration, log)
 
--- a/wingbarrow/relay/configuration.py
+++ b/wingbarrow/relay/configuration.py
@@ -12,7 +12,7 @@
 from wingbarrow.reader import need, number, settings_of, whole
 
 FILE_MOST = 16 << 20
-DIAL_US, IDLE_US = 250_000, 30_000_000
+DIAL_US = 250_000
 
 
 class BadConfiguration(Exception):
@@ -42,7 +42,6 @@
     known: Any  # of the journal service's form, up to now
     settings: api.Settings
     dial_us: int
-    idle_us: int
     stay_away_most_us: int
     patience_us: int  # the longest of any class
 
@@ -93,7 +92,7 @@
             sockets=int(number(value, "limits.sockets")), journal=read_address(value.get("journal"), "journal"),
             known=need(value, "known"), settings=settings_of(settings), dial_us=bound("dial_timeout_us", DIAL_US),
             patience_us=max(whole(lane, "deadline_us") for lane in settings["lanes"]),
-            idle_us=bound("conn_idle_us", IDLE_US), stay_away_most_us=bound("max_retry_after_us", 1_000_000))
+            stay_away_most_us=bound("max_retry_after_us", 1_000_000))
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise BadConfiguration(f"{path}: {error}") from None
 
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -10,11 +10,11 @@
 from typing import Protocol
 
 from wingbarrow.core.life import Life
-from wingbarrow.core.stages import Ledger, Stage, Staged
+from wingbarrow.core.stages import Ledger, Staged
 from wingbarrow.decide.liveness import Liveness, Verdict
 from wingbarrow.interface import ListedMachine, Phase
 from wingbarrow.relay.configuration import Address
-from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
+from wingbarrow.relay.message import BadMessage, Framer, Kind, Message, with_cause
 from wingbarrow.relay.tasks import Task
 from wingbarrow.transport import Outbox, PeerGone, Signal, Stream, connect
 
@@ -264,5 +264,3 @@
         """Those listed at an address that are not gone."""
         return [link for link in self.by_name.values() if link.address == address and link.phase is not Phase.GONE]
 
-
-__all__ = ["Attempt", "Attempts", "Cause", "Line", "Link", "Links", "News", "Stage"]
