A full descriptor table here ends nothing; connections to machines bounded in all

Found in links.dial: any failed connect but a silent one counted as refused, so that a full descriptor table here (EMFILE) would have released all that stands at every machine; links.may_dial: six connections a machine, but no bound over all machines; decide.crowd: a client that sends only what wants no answer was closed after 5 s, not 3; offers.bind: a machine whose address another has taken was told to the module as 'not sent', which lets none rest; desk: a set-up with at and an unknown machine was answered on another owner's connection. Change: own faults are told apart and logged; half the descriptors bound the connections to machines beyond each one's first; who was sent nothing goes after 1.8 s; such a machine is out of reach; that set-up is answered where it came. Each with a path test; those of the table and the bound were seen to fail on the old lines.

--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import pytest
 from tests.relay.stage import DESCRIPTION, MADE, MS, S, Machine, Stage, over
 
+from wingbarrow.relay import links
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
-from wingbarrow.transport import Stream
+from wingbarrow.transport import PeerGone, Stream
 
 
 def test_a_task_stands_with_its_machines_description_and_is_released() -> None:
@@ -417,6 +419,54 @@
     Stage().run(play)
 
 
+def test_messages_that_want_no_answer_and_tasks_nowhere_are_no_reason_to_stay() -> None:
+    def play(stage: Stage) -> None:
+        idle, lost = stage.client(), stage.client()
+        began = stage.hub.now_us()
+        idle.stream.send(encode(Kind.PROGRESS, 5, {}) + encode(Kind.RELEASE_HEARD, 6, {}))
+        lost.ask(7, figures="cores:1;memory:1;service:s1;at:s-nowhere")
+        stage.sleep(2500)
+        assert idle.ended_us is not None and idle.ended_us - began <= 3 * S
+        assert lost.kinds(7) == [Kind.RELEASE] and stage.owner.of(7) == []
+    Stage().run(play)
+
+
+def test_a_full_descriptor_table_here_ends_nothing_that_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.owner.ask(1)
+        stage.sleep(50)
+
+        def full(*_: object) -> Stream:
+            raise PeerGone("EMFILE")
+        with monkeypatch.context() as patched:
+            patched.setattr(links, "connect", full)
+            for stream in machine.streams:
+                stream.abort()
+            stage.sleep(1500)
+        assert stage.owner.kinds(1) == [Kind.ANSWER]
+        stage.sleep(500)
+        machine.tell(over(1))  # a connection is there again
+        stage.sleep(50)
+        assert stage.owner.kinds(1) == [Kind.ANSWER, Kind.RELEASE]
+    Stage(1).run(play)
+
+
+def test_connections_to_machines_are_bounded_in_all() -> None:
+    def play(stage: Stage) -> None:
+        stage.owner.ask(100, name="f" * 16)  # a usual owner: it may have many open
+        stage.sleep(50)
+        for machine in stage.machines:
+            machine.on_set_up = lambda stream, message: None
+        for task in range(1, 61):
+            stage.owner.ask(task, name=f"{task:016x}", figures=f"cores:0.1;memory:0.1;service:s{task}")
+            stage.sleep(10)
+        assert sum(bool(stage.set_ups(task)) for task in range(1, 61)) >= 50, "they share what there is"
+        most = max(link.held for link in stage.placer._links.by_name.values())
+        assert most > 1 and sum(link.held for link in stage.placer._links.by_name.values()) <= 16 + 8
+    Stage(8, sockets=48).run(play)
+
+
 def test_bad_set_ups_are_failed_and_reach_no_machine() -> None:
     def play(stage: Stage) -> None:
         bad = stage.client()
--- a/wingbarrow/decide/crowd.py
+++ b/wingbarrow/decide/crowd.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from math import inf
 
-SILENT_US = 1_800_000  # from connecting to the first whole message
+SILENT_US = 1_800_000  # from connecting to the first message that was answered
 IDLE_US = 30_000_000  # without an open set-up, once it has proven itself
 ODD_IDLE_US = 5_000_000  # the same, where it never has
 OPEN_MOST = 256  # set-ups open on one connection that has proven itself
@@ -24,6 +24,7 @@
     born_us: int
     heard_us: int | None = None  # its latest whole message
     proven: bool = False  # a task of it was placed, or found standing
+    told: bool = False  # something was sent to it
     errors: int = 0  # of its set-ups at machines
 
 
@@ -47,7 +48,8 @@
         """Whether a connection has said nothing for too long."""
         if open_set_ups:
             return False
-        if guest.heard_us is None:
+        # What says nothing that wants an answer is owed a close as soon as what says nothing at all.
+        if guest.heard_us is None or not (guest.told or guest.proven):
             return now_us - guest.born_us >= SILENT_US
         return now_us - guest.heard_us >= (IDLE_US if guest.proven else ODD_IDLE_US)
 
--- a/wingbarrow/relay/desk.py
+++ b/wingbarrow/relay/desk.py
@@ -93,7 +93,7 @@
         if link is None or link.closed or asked.ident in link.standing:
             self._life.log("found-nowhere", level="warning", machine=at)
             if link is None or link.closed:
-                self.owners.release(asked.ident, Cause.RESET)
+                owner.write(refusal(asked.ident, Cause.RESET))
             return
         task = Task(request, asked.ident, asked.cls, asked.arrival(request, now), None, {}, State.STANDING, 1)
         self._book.add(task)
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -24,9 +24,11 @@
 SWEEP_US = 100_000
 REDIAL_US = 100_000
 RETIRE_US = 1_000_000  # for the machine to end its side of a connection that is closed here
+LINES_MOST = 6  # connections to one machine
 DIALS_MOST = 3  # at once to one machine
 STRAYS_MOST = 512  # offers given up that may run all the same, remembered for one machine
 RELEASES_MOST = 1024  # that wait for a connection
+OWN_FAULTS = ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EADDRNOTAVAIL")  # of dials: they say nothing of the machine
 
 
 class Attempt(Staged[Task, "Link"]):
@@ -71,7 +73,7 @@
 class Link:
     """One machine as this placer reaches it; `phase` and `launched_us` follow the list."""
 
-    def __init__(self, life: Life, name: str, address: Address, listed: ListedMachine, lines_most: int, dial_us: int,
+    def __init__(self, life: Life, name: str, address: Address, listed: ListedMachine, links: Links, dial_us: int,
                  news: News) -> None:
         self.name, self.ident = name, listed.machine
         self.address = address
@@ -80,8 +82,7 @@
         self.standing: dict[int, Attempt] = {}
         self.strays: OrderedDict[int, None] = OrderedDict()  # ids whose offers were given up and may run
         self.liveness = Liveness(life.hub.now_us())
-        self._life, self._news = life, news
-        self._lines_most, self._dial_us = lines_most, dial_us
+        self._life, self._news, self._links, self._dial_us = life, news, links, dial_us
         self._dials = 0
         self._missed = False  # a connection broke while tasks stood, and none has come up since
         self._dialled = Signal(life.hub)
@@ -103,7 +104,14 @@
     @property
     def may_dial(self) -> bool:
         """Whether the bounds allow one more connection."""
-        return not self.closed and len(self.lines) + self._dials < self._lines_most and self._dials < DIALS_MOST
+        own = self.held
+        return (not self.closed and own < LINES_MOST and self._dials < DIALS_MOST
+                and (own == 0 or self._links.have_room))
+
+    @property
+    def held(self) -> int:
+        """Connections it has, and those being asked for."""
+        return len(self.lines) + self._dials
 
     def line_for_offer(self) -> Line | None:
         """A new connection, else the least used one; None where none comes up in its time."""
@@ -116,13 +124,13 @@
     def dial(self) -> Line | None:
         """A new connection; None where it is refused or does not come up in its time."""
         hub = self._life.hub
-        began, stream, refused = hub.now_us(), None, False
+        began, stream, why = hub.now_us(), None, "silent"
         self._dials += 1
         try:
             with hub.limit(self._dial_us):
                 stream = connect(hub, self.address.host, self.address.port)
-        except PeerGone:
-            refused = True
+        except PeerGone as error:
+            why = str(error)
         finally:
             self._dials -= 1
             self._dialled.notify()
@@ -131,8 +139,11 @@
                 stream.close()
             return None
         if stream is None:
-            self._life.counts["dials_refused" if refused else "dials_silent"] += 1
-            if not refused:
+            self._life.counts["dials_failed:" + why] += 1
+            if why in OWN_FAULTS:
+                # Danger: a full descriptor table here would look as if every machine were gone.
+                self._life.log("no-descriptor", level="error", machine=self.name, why=why)
+            elif why != "ECONNREFUSED":
                 self.liveness.on_no_show(hub.now_us(), began)
             elif not any(line.stream.open for line in self.lines):
                 # Nothing listens and nothing is open: the process is gone, and with it what stood there.
@@ -241,12 +252,21 @@
 
 
 class Links:
-    """All machines that this placer reaches, by name and by the module's number."""
+    """All machines that this placer reaches, by name and by the module's number.
 
-    def __init__(self) -> None:
+    Together they hold at most `lines_most` connections beyond the first of each machine.
+    """
+
+    def __init__(self, lines_most: int) -> None:
+        self._lines_most = lines_most
         self.by_name: dict[str, Link] = {}
         self._by_ident: dict[int, Link] = {}
 
+    @property
+    def have_room(self) -> bool:
+        """Whether one more connection, beyond a machine's first, is within the bound."""
+        return sum(link.held for link in self.by_name.values()) < self._lines_most
+
     def of(self, ident: int) -> Link | None:
         """The machine by its number with the module."""
         return self._by_ident.get(ident)
@@ -263,4 +283,3 @@
     def at(self, address: Address) -> list[Link]:
         """Those listed at an address that are not gone."""
         return [link for link in self.by_name.values() if link.address == address and link.phase is not Phase.GONE]
-
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -48,7 +48,8 @@
             self._life.counts["binds_dropped"] += 1
             if task is not None:
                 task.binds += 1
-            self._host.feed(api.AttemptEnded(bind.request, number, bind.machine, api.Outcome.NOT_SENT,
+            # Out of reach, not just unsent: the module lets such a machine rest until the list tells more of it.
+            self._host.feed(api.AttemptEnded(bind.request, number, bind.machine, api.Outcome.UNREACHABLE,
                                              api.Reason.UNTOLD, task is None, 0, None))
             return
         task.binds += 1
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -32,6 +32,7 @@
 
     def write(self, data: bytes) -> bool:
         """Send; False where the connection is of no use any more."""
+        self.guest.told = True
         return self.stream.open and self.outbox.write(data) == len(data)
 
 
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -18,7 +18,6 @@
 from wingbarrow.relay.tasks import Book
 from wingbarrow.transport import Hub, Nursery, listen
 
-LINES_MOST = 6  # connections to one machine
 KEPT_BACK = 16  # descriptors for the journal, the listener, the log and what is being accepted
 # The platform ends a placer no sooner than so long after SIGTERM: the longest deadline, counted as 3 s where it is
 # longer, and 0.7 s. Until shortly before, what stands is looked after: nobody else tells its owners that it is over.
@@ -35,8 +34,9 @@
         settings = configuration.settings
         life = self.life = Life(hub, log, configuration.seed)
         self._host = Host(life, settings)
-        self._book, self._attempts, self._links = Book(), Attempts(), Links()
-        crowd = Crowd(max(16, (configuration.sockets - KEPT_BACK) // 2))
+        owners_most = max(16, (configuration.sockets - KEPT_BACK) // 2)  # and as many for machines
+        self._book, self._attempts, self._links = Book(), Attempts(), Links(owners_most)
+        crowd = Crowd(owners_most)
         self.owners = Owners(life, crowd, self._take, self._left)
         self._offers = Offers(life, self._host, self._book, self._attempts, self._links, self.owners, settings)
         self.desk = Desk(life, self._host, self._book, self._attempts, self._links, self._offers, crowd, settings,
@@ -100,7 +100,7 @@
         self._host.feed(api.MachineList(api.ListForm.SAVED, tuple(each.listed for each in running)))
 
     def _reach(self, entry: journal.Entry) -> Link:
-        link = Link(self.life, entry.name, entry.address, entry.listed, LINES_MOST, self._configuration.dial_us,
+        link = Link(self.life, entry.name, entry.address, entry.listed, self._links, self._configuration.dial_us,
                     self._offers)
         self._links.add(link)
         return link
