One budget for the whole descriptor table; a look takes the place of the line it checks

At its worst n10 held 755 connections to machines of a bound of 384, 16 of owners, up to 248 being closed; only some 230 of the 755 had a set-up open, 385 machines had one at all. Lines at fault, relay/links.py: have_room left each machine's first connection out; look_after dialled its looks past may_dial and kept each beside the one it checked (one every 2 s for a machine that says nothing, spare ones stay 3 s); retire and dials under way were in no bound. Change: decide/descriptors.py, one budget: 32 kept, owners up to half of the rest, machines all that owners do not hold; what ends cheapest goes first (being read to its end, spare, last without tasks, last with tasks: asked again after 3 s); what has a set-up open never goes; no second connection in the last eighth; dials to machines that do not answer a quarter at most. A look retires the least lately used idle connection. Listener.serve takes how many to accept in one go.

--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -5,6 +5,7 @@
 import pytest
 from tests.relay.stage import DESCRIPTION, MADE, MS, S, Machine, Stage, over
 
+from wingbarrow.decide.descriptors import Table
 from wingbarrow.relay import links
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.transport import PeerGone, Stream
@@ -462,8 +463,8 @@
             stage.owner.ask(task, name=f"{task:016x}", figures=f"cores:0.1;memory:0.1;service:s{task}")
             stage.sleep(10)
         assert sum(bool(stage.set_ups(task)) for task in range(1, 61)) >= 50, "they share what there is"
-        most = max(link.held for link in stage.placer._links.by_name.values())
-        assert most > 1 and sum(link.held for link in stage.placer._links.by_name.values()) <= 16 + 8
+        held = [link.held for link in stage.placer._links.by_name.values()]
+        assert max(held) > 1 and sum(held) <= Table(48).extras_most
     Stage(8, sockets=48).run(play)
 
 
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Protocol
 
 from wingbarrow.core.life import Life
 from wingbarrow.core.stages import Ledger, Staged
+from wingbarrow.decide.descriptors import Rank, Table
 from wingbarrow.decide.liveness import Liveness, Verdict
 from wingbarrow.interface import ListedMachine, Phase
 from wingbarrow.relay.configuration import Address
@@ -24,6 +26,7 @@
 SWEEP_US = 100_000
 REDIAL_US = 100_000
 RETIRE_US = 1_000_000  # for the machine to end its side of a connection that is closed here
+VISIT_US = 3_000_000  # after a connection had to go, the machine is asked on a new one for what it may have said
 LINES_MOST = 6  # connections to one machine
 DIALS_MOST = 3  # at once to one machine
 STRAYS_MOST = 512  # offers given up that may run all the same, remembered for one machine
@@ -42,13 +45,25 @@
 class Line:
     """One connection to a machine and the set-ups open on it."""
 
-    __slots__ = ("stream", "outbox", "framer", "out", "used_us")
+    __slots__ = ("link", "stream", "outbox", "framer", "out", "used_us")
 
-    def __init__(self, stream: Stream, outbox: Outbox, now_us: int) -> None:
-        self.stream, self.outbox, self.used_us = stream, outbox, now_us
+    def __init__(self, link: Link, stream: Stream, outbox: Outbox, now_us: int) -> None:
+        self.link, self.stream, self.outbox, self.used_us = link, stream, outbox, now_us
         self.framer = Framer()
         self.out: dict[int, Attempt] = {}
 
+    @property
+    def rank(self) -> Rank:
+        """What its end would cost now."""
+        lines = self.link.lines
+        if self not in lines:
+            return Rank.RETIRING
+        if self.out:
+            return Rank.BUSY
+        if len(lines) > 1:
+            return Rank.SPARE
+        return Rank.NEWS if self.link.standing else Rank.IDLE
+
     def write(self, data: bytes) -> bool:
         """Send; False where not all of it can have left."""
         return self.stream.open and self.outbox.write(data) == len(data)
@@ -85,6 +100,7 @@
         self._life, self._news, self._links, self._dial_us = life, news, links, dial_us
         self._dials = 0
         self._missed = False  # a connection broke while tasks stood, and none has come up since
+        self._visit_us: int | None = None  # a connection had to go: a new one is due then
         self._dialled = Signal(life.hub)
         self._redial_us = 0
         self._releases: OrderedDict[int, int] = OrderedDict()  # to send on the next connection, with their cause
@@ -103,10 +119,10 @@
 
     @property
     def may_dial(self) -> bool:
-        """Whether the bounds allow one more connection."""
+        """Whether the bounds allow one more connection for an offer."""
         own = self.held
         return (not self.closed and own < LINES_MOST and self._dials < DIALS_MOST
-                and (own == 0 or self._links.have_room))
+                and (own == 0 or self._links.may_add_extra()))
 
     @property
     def held(self) -> int:
@@ -124,8 +140,14 @@
     def dial(self) -> Line | None:
         """A new connection; None where it is refused or does not come up in its time."""
         hub = self._life.hub
+        if not self._links.make_room():
+            self._life.counts["dials_without_room"] += 1
+            self._life.log("no-room", level="warning", machine=self.name)
+            self._redial_us = hub.now_us() + REDIAL_US
+            return None
         began, stream, why = hub.now_us(), None, "silent"
         self._dials += 1
+        self._links.dials += 1
         try:
             with hub.limit(self._dial_us):
                 stream = connect(hub, self.address.host, self.address.port)
@@ -133,6 +155,7 @@
             why = str(error)
         finally:
             self._dials -= 1
+            self._links.dials -= 1
             self._dialled.notify()
         if self.closed:
             if stream is not None:
@@ -153,9 +176,10 @@
             self._redial_us = hub.now_us() + REDIAL_US
             return None
         self.liveness.on_came_up(hub.now_us())
-        self._missed = False
-        line = Line(stream, Outbox(hub, stream, OUT_MOST), hub.now_us())
+        self._missed, self._visit_us = False, None
+        line = Line(self, stream, Outbox(hub, stream, OUT_MOST), hub.now_us())
         self.lines.append(line)
+        self._links.lines[line] = None
         self._life.spawn(lambda: self._read(line), f"line to {self.name}")
         while self._releases and line.stream.open:
             ident, cause = self._releases.popitem(last=False)
@@ -179,9 +203,13 @@
         finally:
             self.drop(line, why)
 
+    def _close(self, line: Line) -> None:
+        line.stream.close()
+        self._links.lines.pop(line, None)
+
     def drop(self, line: Line, why: str) -> None:
         """Close a connection; every set-up open on it ends as may-have-run."""
-        line.stream.close()
+        self._close(line)
         broke = line in self.lines
         if broke:
             self.lines.remove(line)
@@ -197,14 +225,40 @@
         """Close a connection that is not in use: what the machine has sent on it is read to its end."""
         self.lines.remove(line)
         line.stream.end_writing()
-        self._life.hub.call_at(self._life.hub.now_us() + RETIRE_US, line.stream.close)
+        self._life.hub.call_at(self._life.hub.now_us() + RETIRE_US, lambda: self._close(line))
+
+    def give_up(self, line: Line) -> None:
+        """Close a connection on which nothing is open, to make room for another; what it missed is asked for soon."""
+        self._life.counts["given_up:" + line.rank.name.lower()] += 1
+        if line in self.lines:
+            self.lines.remove(line)
+        self._close(line)
+        if self.standing and self._visit_us is None:
+            # Danger: what the machine had sent on it, or would have, comes again only on the next connection.
+            self._visit_us = self._life.hub.now_us() + VISIT_US
+
+    def _look(self) -> None:
+        """A new connection shows whether the machine is there and brings what was missed; it takes an old one's place.
+
+        Danger: kept beside the old one, looks at machines that have nothing to say fill the descriptor table.
+        """
+        if self.dial() is not None:
+            idle = [line for line in self.lines if line.stream.open and not line.out]
+            if len(idle) > 1:
+                self.retire(min(idle, key=lambda line: line.used_us))
 
     def _renew(self) -> None:
         """A new connection for what may have been missed, or where there is none."""
         now = self._life.hub.now_us()
-        if (self._missed or not self.lines) and not self._dials and not self.closed and now >= self._redial_us:
+        if self._wants_news(now) and not self._dials and not self.closed and now >= self._redial_us:
             self._redial_us = now + REDIAL_US
-            self.dial()
+            self._look()
+
+    def _wants_news(self, now_us: int) -> bool:
+        """Whether a connection is due for what may have been missed."""
+        if self._visit_us is not None and not self._missed and not self._releases:
+            return now_us >= self._visit_us  # it went to make room: a new one at once would take another's
+        return self._missed or not self.lines
 
     def release(self, ident: int, cause: int) -> None:
         """Cut a task, or give a set-up up, on any connection; on the next one where there is none."""
@@ -234,13 +288,13 @@
         offers = any(line.out for line in self.lines)
         verdict = self.liveness.judge(now_us, offers, bool(self.standing))
         if verdict is Verdict.LOOK:
-            if self._dials < DIALS_MOST:
-                self._life.spawn(self.dial, f"look at {self.name}")
+            if self._dials < DIALS_MOST and (not self.liveness.doubtful or self._links.may_look()):
+                self._life.spawn(self._look, f"look at {self.name}")
         elif verdict is Verdict.CUT:
             self._news.cut(self)
         elif verdict is Verdict.LOST:
             self._news.lost(self, may_return=True)
-        if (self.standing or self._releases) and (self._missed or not self.lines):
+        if (self.standing or self._releases) and self._wants_news(now_us):
             self._life.spawn(self._renew, f"news of {self.name}")
         idle = [line for line in self.lines if not line.out]
         for line in idle:
@@ -254,18 +308,37 @@
 class Links:
     """All machines that this placer reaches, by name and by the module's number.
 
-    Together they hold at most `lines_most` connections beyond the first of each machine.
+    Together with owners' connections, theirs stay within the budget of `decide.descriptors`.
     """
 
-    def __init__(self, lines_most: int) -> None:
-        self._lines_most = lines_most
+    def __init__(self, table: Table, owners: Callable[[], int]) -> None:
+        self._table, self._owners = table, owners
+        self.lines: dict[Line, None] = {}  # all that hold a descriptor, also those that are being read to their end
+        self.dials = 0  # connections asked for that have not come up
         self.by_name: dict[str, Link] = {}
         self._by_ident: dict[int, Link] = {}
 
     @property
-    def have_room(self) -> bool:
-        """Whether one more connection, beyond a machine's first, is within the bound."""
-        return sum(link.held for link in self.by_name.values()) < self._lines_most
+    def held(self) -> int:
+        """Descriptors that machines take."""
+        return len(self.lines) + self.dials
+
+    def may_add_extra(self) -> bool:
+        """Whether one more connection, beyond a machine's first, is within the budget."""
+        return self._table.may_add_extra(self._owners(), self.held)
+
+    def may_look(self) -> bool:
+        """Whether one more machine that does not answer may be asked for a connection."""
+        return self.dials < self._table.looks_most
+
+    def make_room(self, wanted: int = 1) -> bool:
+        """Close what costs least until `wanted` more descriptors fit; False where what is left is in use."""
+        while self._table.over(self._owners(), self.held + wanted):
+            line = self._table.whom_to_close(self.lines, Rank.NEWS)
+            if line is None:
+                return False
+            line.link.give_up(line)
+        return True
 
     def of(self, ident: int) -> Link | None:
         """The machine by its number with the module."""
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -13,6 +13,7 @@
 
 OUT_MOST = 256 * 1024  # bytes that may wait for an owner that reads slowly
 SWEEP_US = 250_000
+ACCEPTED_MOST = 8  # connections accepted before each of them has had its turn, and is counted
 FOREIGN_MOST = 64  # remembered for one connection
 BURST = 32  # messages of one connection before others get a turn
 HEARD_US = 2_000_000  # a release is sent again where its connection ends so soon without a word that it was heard
@@ -40,8 +41,9 @@
     """All connections of owners; `take` gets each message and when it had surely not come yet."""
 
     def __init__(self, life: Life, crowd: Crowd, take: Callable[[Owner, Message, int], None],
-                 left: Callable[[Owner], None]) -> None:
+                 left: Callable[[Owner], None], fits: Callable[[], bool]) -> None:
         self._life, self._crowd, self._take, self._left = life, crowd, take, left
+        self._fits = fits  # makes room for one that has come; whether there is
         self._owners: OrderedDict[Owner, None] = OrderedDict()  # least lately heard of first
         self._owed: deque[tuple[int, bytes]] = deque()  # releases without a connection, with their end
         self._unheard: OrderedDict[int, tuple[int, Owner, bytes]] = OrderedDict()  # sent, with their end, by id
@@ -51,7 +53,7 @@
 
     def serve(self, listener: Listener) -> None:
         """Accept until cancelled."""
-        listener.serve(self._serve)
+        listener.serve(self._serve, ACCEPTED_MOST)
 
     def _serve(self, stream: Stream) -> None:
         hub = self._life.hub
@@ -96,7 +98,7 @@
         owner.stream.close()
 
     def _make_room(self) -> None:
-        if len(self._owners) <= self._crowd.most:
+        if len(self._owners) <= self._crowd.most and self._fits():
             return
         guests = {owner.guest: owner for owner in self._owners if owner.stream.open}
         chosen = self._crowd.whom_to_close([(each.guest, len(each.tasks)) for each in guests.values()])
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -8,6 +8,7 @@
 from wingbarrow.core.host import Host
 from wingbarrow.core.life import Life
 from wingbarrow.decide.crowd import Crowd
+from wingbarrow.decide.descriptors import Table
 from wingbarrow.relay import journal
 from wingbarrow.relay.configuration import BadConfiguration, Configuration, load_journal
 from wingbarrow.relay.desk import Desk
@@ -18,7 +19,6 @@
 from wingbarrow.relay.tasks import Book
 from wingbarrow.transport import Hub, Nursery, listen
 
-KEPT_BACK = 16  # descriptors for the journal, the listener, the log and what is being accepted
 # The platform ends a placer no sooner than so long after SIGTERM: the longest deadline, counted as 3 s where it is
 # longer, and 0.7 s. Until shortly before, what stands is looked after: nobody else tells its owners that it is over.
 PATIENCE_MOST_US, LINGER_US = 3_000_000, 300_000
@@ -34,10 +34,10 @@
         settings = configuration.settings
         life = self.life = Life(hub, log, configuration.seed)
         self._host = Host(life, settings)
-        owners_most = max(16, (configuration.sockets - KEPT_BACK) // 2)  # and as many for machines
-        self._book, self._attempts, self._links = Book(), Attempts(), Links(owners_most)
-        crowd = Crowd(owners_most)
-        self.owners = Owners(life, crowd, self._take, self._left)
+        table = self._table = Table(configuration.sockets)
+        self._book, self._attempts, self._links = Book(), Attempts(), Links(table, lambda: len(self.owners))
+        crowd = Crowd(table.owners_most)
+        self.owners = Owners(life, crowd, self._take, self._left, lambda: self._links.make_room(0))
         self._offers = Offers(life, self._host, self._book, self._attempts, self._links, self.owners, settings)
         self.desk = Desk(life, self._host, self._book, self._attempts, self._links, self._offers, crowd, settings,
                          configuration.stay_away_most_us)
@@ -189,7 +189,8 @@
 
     def tell_counts(self) -> None:
         """A line with all counters."""
-        self.life.log("counts", owners=len(self.owners), standing=len(self._attempts), owed=self._book.owed,
+        self.life.log("counts", owners=len(self.owners), machines=self._links.held, descriptors_most=self._table.most,
+                      standing=len(self._attempts), owed=self._book.owed,
                       module_ms=self._host.module_ns // 1_000_000, lag_worst_us=self.life.hub.lag.worst_us,
                       odd=dict(self._book.odd + self._attempts.odd), **self.life.counts)
 
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -189,8 +189,11 @@
                 return Stream(self.hub, sock, self._silent_us)
         raise PeerGone("closed here")
 
-    def serve(self, handle: Callable[[Stream], None]) -> None:
-        """Accept until cancelled or closed; a connection's own failure never reaches the others."""
+    def serve(self, handle: Callable[[Stream], None], most: int = _ACCEPT_BURST) -> None:
+        """Accept until cancelled or closed; a connection's own failure never reaches the others.
+
+        `most`: connections accepted in one go, before those that came first have their turn.
+        """
         burst = 0
         while self.open:
             try:
@@ -199,7 +202,7 @@
                 return
             self.hub.spawn(lambda stream=stream: self._one(handle, stream), name="connection")  # type: ignore[misc]
             burst += 1
-            if burst % _ACCEPT_BURST == 0:
+            if burst % most == 0:
                 self.hub.checkpoint()
 
     def _one(self, handle: Callable[[Stream], None], stream: Stream) -> None:
