An offer skips a machine whose look has just failed instead of waiting for it again

Seen: a probe logged every offer that waited more than 0.2 s for its connection. Of 2,000 logged, all got none, 1,700 had met a machine whose looks had failed two times or more already ("fails": 8, "dials": 1, "lines": 0, "took": 432); 259 were the first to find it out. Lines at fault: links.line_for_offer dialled a doubted machine anew, or waited for a dial under way, 0.25 s each. Ruled out: lag of the placer (70 ms at most), a full table (no room was never counted). Change: Liveness.doubts, a look that failed less than 0.3 s ago tells as much as another would; such an offer is out of reach at once. Tests at both depths; the path test fails on the old lines.

--- a/tests/decide/test_liveness.py
+++ b/tests/decide/test_liveness.py
@@ -80,3 +80,12 @@
         assert crowd.whom_to_close(crowd_of) is leaves
         crowd_of = [each for each in crowd_of if each[0] is not leaves]
     assert crowd.whom_to_close([]) is None
+
+
+def test_what_failed_lately_is_not_asked_again_for_an_offer() -> None:
+    live = Liveness(0)
+    assert not live.doubts(0)
+    live.on_no_show(1_000_000, 750_000)
+    assert live.doubts(1_000_000 + RETRY_US - 1) and not live.doubts(1_000_000 + RETRY_US)
+    live.on_came_up(1_100_000)
+    assert not live.doubts(1_100_000)
--- a/tests/relay/test_path.py
+++ b/tests/relay/test_path.py
@@ -286,6 +286,27 @@
     Stage(1).run(play)
 
 
+def test_an_offer_does_not_wait_for_a_machine_whose_look_has_just_failed() -> None:
+    def play(stage: Stage) -> None:
+        gone, other = stage.machines
+        other.on_set_up = lambda stream, message: stream.send(with_cause(Kind.RELEASE, message.task, Cause.FULL))
+        stage.owner.ask(1)
+        stage.sleep(100)
+        assert gone.set_ups(1)
+        other.on_set_up = other.take
+        fillers = gone.vanish()
+        link = stage.placer._links.by_name[gone.name]
+        for _ in range(1000):
+            stage.sleep(5)
+            if link.liveness.doubts(stage.hub.now_us()):
+                break
+        began = stage.hub.now_us()
+        assert link.line_for_offer() is None and stage.hub.now_us() == began, "no second wait for the same news"
+        for filler in fillers:
+            filler.close()
+    Stage(2).run(play)
+
+
 def test_a_machine_that_was_written_off_and_comes_back_has_its_safe_tasks_cut() -> None:
     def play(stage: Stage) -> None:
         (machine,) = stage.machines
--- a/wingbarrow/decide/liveness.py
+++ b/wingbarrow/decide/liveness.py
@@ -60,6 +60,10 @@
         """Whether the latest look failed: what is written on an old connection may never arrive."""
         return self._fails > 0
 
+    def doubts(self, now_us: int) -> bool:
+        """Whether a look failed so lately that another now would tell no more."""
+        return self._fails > 0 and now_us - self._looked_us < RETRY_US
+
     def judge(self, now_us: int, offers: bool, standing: bool) -> Verdict:
         """Asked now and then, as often as it may matter."""
         if self._fails:
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -131,6 +131,9 @@
 
     def line_for_offer(self) -> Line | None:
         """A new connection, else the least used one; None where none comes up in its time."""
+        if self.liveness.doubts(self._life.hub.now_us()) or (self.liveness.doubtful and self._dials):
+            self._life.counts["doubted"] += 1
+            return None
         line = self.dial() if self.may_dial else None
         # Danger: with no connection yet and all dials under way, an offer would count its machine as out of reach.
         while line is None and self._dials and self.shared_line() is None:
