--- a/tests/core/test_hard_cases.py
+++ b/tests/core/test_hard_cases.py
@@ -13,7 +13,7 @@
 from wingbarrow.lab.faults import Fault, FaultRule
 from wingbarrow.lab.build import Build
 from wingbarrow.lab.node import node_value
-from wingbarrow.lab.proxy import Proxy
+from wingbarrow.lab.fleet.link import Proxy
 from wingbarrow.transport import Nursery
 
 
--- /dev/null
+++ b/tests/decide/peers/test_membership.py
@@ -0,0 +1,143 @@
+"""Membership on the virtual clock: joins, deaths, cuts, one-way cuts, stalls, former lives; what it costs."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingbarrow.decide.peers.membership import NEWS_MOST, SYNC_MOST, Me, Membership, Rules
+from wingbarrow.decide.peers.effects import Send
+from wingbarrow.decide.peers.words import Ack, Probe, Standing, Sync, Word
+from wingbarrow.lab.fleet.swarm import SECOND, Swarm
+
+
+def settled(count: int, seed: int = 1, loss: float = 0.0) -> Swarm:
+    swarm = Swarm(count, seed, loss=loss)
+    assert swarm.run_until(swarm.whole, 120 * SECOND), "all know each other"
+    return swarm
+
+
+@pytest.mark.parametrize("count", [2, 3, 5, 16, 40])
+def test_all_that_start_know_each_other_by_three_seeds_alone(count: int) -> None:
+    settled(count)
+
+
+@pytest.mark.parametrize("count", [3, 5, 16])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_one_that_is_killed_is_dead_to_all_within_the_stated_time_and_nobody_else_is(count: int, seed: int) -> None:
+    swarm = settled(count, seed)
+    gone, begun = swarm.names[seed % count], swarm.now_us
+    swarm.kill(gone)
+    assert swarm.run_until(lambda: swarm.all_think(gone, Standing.DEAD), swarm.rules.detect_us(count))
+    assert {each.fields["member"] for each in swarm.deaths(begun)} == {gone}
+
+
+def test_one_that_comes_back_is_alive_to_all_also_with_its_wall_clock_set_back_an_hour() -> None:
+    swarm = settled(5)
+    for life in (3600 * SECOND, 5):
+        swarm.kill("p003")
+        assert swarm.run_until(lambda: swarm.all_think("p003", Standing.DEAD), swarm.rules.detect_us(5))
+        swarm.start("p003", life=life)
+        assert swarm.run_until(swarm.whole, swarm.rules.heal_us(5))
+    assert swarm.members["p003"].incarnation > 3600 * SECOND and not swarm.members["p003"].twins
+    assert [swarm.members[each].table.members["p003"].restarts for each in ("p000", "p001")] == [2, 2]
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_both_sides_of_a_long_cut_find_together_again_within_the_stated_time(seed: int) -> None:
+    swarm = settled(8, seed)
+    side = set(swarm.names[:3])
+    swarm.cut = lambda a, b: (a in side) != (b in side)
+    swarm.run(swarm.now_us + 90 * SECOND)
+    assert all(swarm.standing(a, b) is Standing.DEAD for a in side for b in swarm.names if b not in side)
+    assert all(swarm.standing(a, b) is Standing.ALIVE for a in side for b in side if a != b)
+    swarm.cut = lambda a, b: False
+    healed = swarm.now_us
+    assert swarm.run_until(swarm.whole, swarm.rules.heal_us(8))
+    assert not swarm.deaths(healed + SECOND), "nobody is buried by what the other side had thought"
+
+
+@pytest.mark.parametrize("hears", [True, False])
+def test_one_way_cuts_to_one_other_are_bridged_by_helpers(hears: bool) -> None:
+    swarm = settled(5)
+    begun = swarm.now_us
+    swarm.cut = (lambda a, b: (a, b) == ("p001", "p002")) if hears else (lambda a, b: (a, b) == ("p002", "p001"))
+    swarm.run(begun + 120 * SECOND)
+    assert not swarm.deaths(begun) and swarm.whole()
+
+
+def test_every_pair_cut_but_through_one() -> None:
+    swarm = settled(5)
+    begun = swarm.now_us
+    swarm.cut = lambda a, b: "p000" not in (a, b)
+    swarm.run(begun + 120 * SECOND)
+    assert not swarm.deaths(begun), "each is reached by the one that all can talk to"
+
+
+def test_one_that_can_send_and_not_hear_is_suspected_by_nobody_for_good_and_doubts_itself() -> None:
+    swarm = settled(5)
+    swarm.cut = lambda a, b: b == "p004"
+    swarm.run(swarm.now_us + 60 * SECOND)
+    assert swarm.members["p004"].health.score >= 4, "none of its probes is answered: it slows down"
+    assert all(swarm.standing(a, "p004") is Standing.DEAD for a in swarm.names[:4]), "it answers nobody"
+    swarm.cut = lambda a, b: False
+    assert swarm.run_until(swarm.whole, swarm.rules.heal_us(5))
+
+
+@pytest.mark.parametrize("seconds", [2, 5, 20, 60])
+def test_a_placer_that_stood_still_buries_nobody(seconds: int) -> None:
+    for seed in range(1, 8):
+        swarm = settled(6, seed)
+        begun = swarm.now_us
+        swarm.stop("p002", seconds * SECOND)
+        swarm.run(begun + (seconds + 60) * SECOND)
+        told = [each for each in swarm.deaths(begun) if each.fields["member"] != "p002"]
+        assert not told, "it doubts itself first"
+        assert swarm.run_until(swarm.whole, swarm.rules.heal_us(6))
+
+
+def test_a_fifth_of_all_messages_lost_buries_nobody() -> None:
+    for seed in range(1, 6):
+        swarm = settled(16, seed, loss=0.2)
+        begun = swarm.now_us
+        swarm.run(begun + 120 * SECOND)
+        assert not swarm.deaths(begun)
+
+
+def test_the_cost_of_each_does_not_grow_with_their_number() -> None:
+    rates = {}
+    for count in (5, 40, 170):
+        swarm = settled(count)
+        swarm.sent.clear()
+        swarm.run(swarm.now_us + 30 * SECOND)
+        rates[count] = max(swarm.sent.values()) / 30
+    # A probe, an answer to each that came, two syncs in five seconds and their answers; by chance some send more.
+    assert rates[170] <= rates[5] * 2.5 and rates[170] < 8, rates
+
+
+def test_messages_are_bounded_whatever_there_is_to_tell() -> None:
+    swarm = settled(100)
+    member = swarm.members["p000"]
+    for name in swarm.names[1:]:
+        held = member.table.members[name].word
+        member.table.hear(held.as_standing(Standing.SUSPECTED, "p001"), swarm.now_us)
+    sends = [each for each in member.on_message(swarm.now_us, "p001", "at p001", Probe(7)) if isinstance(each, Send)]
+    assert len(sends[0].message.news) <= NEWS_MOST and isinstance(sends[0].message, Ack)
+    sends = [each for each in member.on_message(swarm.now_us, "p001", "at p001", Sync(True)) if isinstance(each, Send)]
+    assert len(sends[0].message.news) <= SYNC_MOST
+
+
+def test_another_placer_under_ones_own_name_is_told() -> None:
+    member = Membership(Me("a", "here", "", 10), (), 1)
+    member.start(0)
+    told = []
+    for round_ in range(20):
+        word = Word("a", member.incarnation, Standing.ALIVE, "there", "", 99)
+        told += [each.what for each in member.on_message(round_, "b", "at b", Sync(False, (word,)))
+                 if hasattr(each, "what")]
+    assert told[0] == "former-life" and told[-1] == "twin" and member.twins
+
+
+def test_the_stated_times_are_formulas_that_grow_with_the_logarithm() -> None:
+    rules = Rules()
+    assert rules.detect_us(5) == 2 * (7 + 1 + 6) * SECOND + 12 * SECOND
+    assert rules.detect_us(170) < 2.5 * rules.detect_us(5) and rules.heal_us(64) < 2 * rules.heal_us(5)
--- /dev/null
+++ b/tests/lab/test_fleet.py
@@ -0,0 +1,258 @@
+"""The rig of many processes: its links, scripts and processes, and its judge with every kind of breach planted."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from wingbarrow.core.logs import silent
+from wingbarrow.lab.fleet.judge import judge
+from wingbarrow.lab.fleet.link import Network, Proxy
+from wingbarrow.lab.fleet.rig import Rig, Size
+from wingbarrow.lab.fleet.script import BadScript, Fault, generate, read_script
+from wingbarrow.transport import Hub, PeerGone, Stream, VirtualClock, connect, listen
+
+S = 1_000_000
+NAMES = ["placer-0", "placer-1", "placer-2"]
+
+
+# -- links
+
+
+class Echo:
+    """A server that says again what it hears, and keeps all of it."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.heard: list[bytes] = []
+        self.listener = listen(hub, "127.0.0.1", 0, print)
+        hub.spawn(lambda: self.listener.serve(self._serve))
+
+    def _serve(self, stream: Stream) -> None:
+        while data := stream.receive():
+            self.heard.append(data)
+            stream.send(data)
+
+
+def played(script: Callable[[Hub, Echo, Proxy], None]) -> None:
+    hub = Hub(VirtualClock())
+
+    def main() -> None:
+        echo = Echo(hub)
+        script(hub, echo, Proxy(hub, echo.listener.port, seed=3))
+    hub.run(main)
+
+
+def asked(hub: Hub, port: int, within_us: int = S) -> bytes | None:
+    """One word sent; what comes back in time, None where nothing does."""
+    stream, got = connect(hub, "127.0.0.1", port), None
+    try:
+        stream.send(b"word")
+        with hub.limit(within_us):
+            got = stream.receive()
+    except PeerGone:
+        got = b"reset"
+    stream.close()
+    return got
+
+
+def test_a_whole_link_passes_all_and_a_cut_one_holds_it_without_a_word() -> None:
+    def script(hub: Hub, echo: Echo, proxy: Proxy) -> None:
+        assert asked(hub, proxy.port) == b"word"
+        proxy.forth.cut = True
+        assert asked(hub, proxy.port) is None and echo.heard == [b"word"]
+        proxy.forth.cut, proxy.back.cut = False, True
+        assert asked(hub, proxy.port) is None
+        assert len(echo.heard) == 2, "one way is cut: it was heard, its answer was not"
+        proxy.heal()
+        assert asked(hub, proxy.port) == b"word"
+    played(script)
+
+
+def test_a_link_is_late_slow_resets_and_delivers_twice() -> None:
+    def script(hub: Hub, echo: Echo, proxy: Proxy) -> None:
+        proxy.forth.delay_us, begun = S // 2, hub.now_us()
+        assert asked(hub, proxy.port) == b"word" and hub.now_us() - begun >= S // 2
+        proxy.forth.delay_us, proxy.back.bytes_per_s, begun = 0, 8, hub.now_us()
+        assert asked(hub, proxy.port) == b"word"
+        proxy.heal()
+        proxy.forth.twice_share = 1.0
+        count = len(echo.heard)
+        assert asked(hub, proxy.port) == b"word"
+        hub.sleep(S)
+        assert len(echo.heard) == count + 2 and proxy.doubles == 1
+        proxy.heal()
+        proxy.back.reset_share = 1.0
+        assert asked(hub, proxy.port) == b"reset"
+    played(script)
+
+
+def test_a_fault_from_one_to_the_other_takes_its_requests_and_its_answers() -> None:
+    hub = Hub(VirtualClock())
+
+    def main() -> None:
+        network = Network(hub, NAMES, 1)
+        network.set("placer-0", "placer-1", cut=True)
+        assert network.links["placer-0", "placer-1"].forth.cut and network.links["placer-1", "placer-0"].back.cut
+        assert not network.links["placer-0", "placer-1"].back.cut
+        assert not network.links["placer-1", "placer-0"].forth.cut
+        assert all(way.whole for way in network.ways("placer-0", "placer-2"))
+        network.moved("placer-1", 7)
+        assert {key for key, link in network.links.items() if link.to == 7} == {
+            ("placer-0", "placer-1"), ("placer-2", "placer-1")}
+        network.close()
+    hub.run(main)
+
+
+# -- scripts
+
+
+def test_a_script_says_what_happens_when(tmp_path: Path) -> None:
+    path = tmp_path / "x.kdl"
+    path.write_text('kill "12s" "placer-0" lasts="3s" state=false\n'
+                    'cut "3s" from="placer-0" to="placer-1" lasts="5s" both=false\n'
+                    'late "1s" from="placer-2" to="placer-1" lasts="1s" amount="250ms"\n')
+    assert read_script(path, NAMES) == [
+        Fault("late", S, "placer-2", "placer-1", S, True, 250_000.0),
+        Fault("cut", 3 * S, "placer-0", "placer-1", 5 * S, False),
+        Fault("kill", 12 * S, "placer-0", "", 3 * S, state=False)]
+
+
+@pytest.mark.parametrize("text, words", [
+    ("explode \"1s\" \"placer-0\"", "is wanted"), ("stop \"1s\"", "a placer"), ("stop \"1s\" \"placer-9\"", "no such"),
+    ("cut \"soon\" from=\"placer-0\" to=\"placer-1\"", "duration"), ("cut \"1s\" from=\"placer-0\"", "to"),
+    ("cut \"1s\" from=\"placer-0\" to=\"placer-0\"", "itself"), ("stop \"1s\" \"placer-0\" often=3", "unknown: often"),
+    ("lossy \"1s\" from=\"placer-0\" to=\"placer-1\" amount=3", "share"), ("stop {", "x.kdl"),
+])
+def test_a_script_that_cannot_be_used_is_refused_in_words(tmp_path: Path, text: str, words: str) -> None:
+    path = tmp_path / "x.kdl"
+    path.write_text(text)
+    with pytest.raises(BadScript, match=words):
+        read_script(path, NAMES)
+
+
+def test_generated_faults_are_a_function_of_the_seed_and_leave_time_to_heal() -> None:
+    for seed in range(1, 60):
+        faults = generate(seed, NAMES, 60)
+        assert faults == generate(seed, NAMES, 60) and faults
+        spans: dict[str, int] = {}
+        for fault in faults:
+            assert {fault.who, fault.other} <= {*NAMES, ""} and fault.who != fault.other
+            if fault.kind in ("stop", "kill"):
+                assert fault.at_us >= spans.get(fault.who, 0), "a process suffers one thing at a time"
+                spans[fault.who] = fault.end_us
+    assert {fault.kind for seed in range(1, 60) for fault in generate(seed, NAMES, 60)} == {
+        "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill"}
+
+
+# -- a play with processes, and its judge
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Path]:
+    """What one short play with three processes left."""
+    folder = tmp_path_factory.mktemp("fleet") / "run"
+    faults = [Fault("isolate", 1 * S, "placer-2", "", 2 * S), Fault("stop", 2 * S, "placer-1", "", 1 * S),
+              Fault("twice", 1 * S, "placer-0", "placer-1", 4 * S, amount=1.0),
+              Fault("kill", 4 * S, "placer-0", "", 1 * S, state=False)]
+    hub = Hub()
+    hub.run(Rig(hub, Size(3, 4, 8.0, 7, 6.0), faults, folder, silent).run)
+    yield folder
+
+
+def test_processes_with_faults_between_them_keep_the_rules_and_find_together(fleet: Path) -> None:
+    verdict = judge(fleet)
+    assert verdict.clean, verdict.notes
+    assert (verdict.placers, verdict.faults, verdict.kills) == (3, 4, 1)
+    assert verdict.sends == verdict.audit.offers >= 20 and verdict.audit.placed >= 20
+    assert verdict.audit.accepted == sum((verdict.audit.placed, verdict.audit.refused, verdict.audit.failed,
+                                          verdict.audit.left_to_owners))
+    assert judge(fleet).line() == verdict.line(), "it can be judged again"
+    kinds = {each["what"] for each in map(json.loads, (fleet / "placer-1.history.jsonl").read_text().splitlines())}
+    assert {"start", "member-joined", "member-restarted"} <= kinds
+
+
+@pytest.fixture
+def copy(fleet: Path, tmp_path: Path) -> Path:
+    return Path(shutil.copytree(fleet, tmp_path / "copy"))
+
+
+def lines(path: Path) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def write(path: Path, found: list[dict[str, Any]]) -> None:
+    path.write_text("".join(json.dumps(each) + "\n" for each in sorted(found, key=lambda each: int(each["at_us"]))))
+
+
+def told(at_us: int, what: str, member: str) -> dict[str, Any]:
+    return {"at_us": at_us, "what": f"member-{what}", "member": member, "incarnation": 1, "life": 1, "by": ""}
+
+
+def test_a_planted_burial_without_cause_is_found(copy: Path) -> None:
+    events, history = lines(copy / "events.jsonl"), copy / "placer-1.history.jsonl"
+    over = next(each["at_us"] for each in events if each["what"] == "over")
+    later = over + judge(copy).detect_stated_ms * 1000
+    write(history, [*lines(history), told(later, "dead", "placer-2"), told(later + 1, "alive", "placer-2")])
+    found = judge(copy)
+    assert (found.unfounded_burials, found.burials) == (1, judge(copy).burials) and not found.clean
+    write(history, [*lines(history), told(over - S, "dead", "placer-2"), told(over - S + 1, "alive", "placer-2")])
+    assert judge(copy).unfounded_burials == 1, "one that has its cause in a cut of late is none"
+
+
+def test_a_planted_death_that_nobody_tells_of_is_found(copy: Path) -> None:
+    events = copy / "events.jsonl"
+    found = lines(events)
+    over = next(each for each in found if each["what"] == "over")
+    window = judge(copy).detect_stated_ms * 1000
+    killed = {"at_us": over["at_us"] + window, "what": "killed", "who": "placer-2", "life": 1}
+    over["at_us"] += 3 * window
+    write(events, [each for each in found if each["what"] not in ("ending", "ended")] + [killed])
+    verdict = judge(copy)
+    assert verdict.late_burials == 2 and not verdict.clean
+    for name, at_us in (("placer-0", killed["at_us"] + window // 2), ("placer-1", killed["at_us"] + window + 1)):
+        history = copy / f"{name}.history.jsonl"
+        write(history, [*[each for each in lines(history) if each["what"] != "member-left"],
+                        told(at_us, "dead", "placer-2")])
+    verdict = judge(copy)
+    assert verdict.late_burials == 1 and verdict.detect_longest_ms == window // 2000
+
+
+def test_a_planted_member_that_stays_dead_is_found(copy: Path) -> None:
+    over = next(each["at_us"] for each in lines(copy / "events.jsonl") if each["what"] == "over")
+    history = copy / "placer-0.history.jsonl"
+    write(history, [*lines(history), told(over, "dead", "placer-1")])
+    verdict = judge(copy)
+    assert verdict.not_healed == 1 and not verdict.clean
+    write(history, [each for each in lines(history) if each.get("member") != "placer-1"])
+    assert judge(copy).not_healed == 1, "never heard of is no better"
+
+
+def test_a_planted_bad_end_and_a_run_cut_short_are_found(copy: Path) -> None:
+    events = copy / "events.jsonl"
+    found = lines(events)
+    next(each for each in found if each["what"] == "ended")["status"] = 1
+    write(events, found)
+    assert judge(copy).ended_badly == 1
+    write(events, [each for each in found if each["what"] != "over"])
+    assert judge(copy).ended_badly == 2
+
+
+def test_a_planted_breach_of_a_rule_in_the_recording_is_found(copy: Path) -> None:
+    path = copy / "recording.jsonl"
+    found = lines(path)
+    start = next(each for each in found if each["what"] == "start")
+    write(path, [*found, {**start, "task_class": "settlement"}, {**start, "task_class": "settlement"}])
+    assert judge(copy).audit.double_effects and not judge(copy).clean
+    write(path, [each for each in found if each["what"] != "answer" or each["where"] != "owner"])
+    assert judge(copy).audit.unanswered
+
+
+def test_a_torn_last_line_of_a_history_is_passed_over(copy: Path) -> None:
+    history = copy / "placer-0.history.jsonl"
+    history.write_bytes(history.read_bytes() + b'{"at_us": 5, "wh')
+    assert judge(copy).clean
--- a/tests/core/test_learning_path.py
+++ b/tests/peers/test_learning_path.py
@@ -9,15 +9,15 @@
 import pytest
 
 from tests.stage import S, Stage
-from wingbarrow.core.handover import PAGE, Snapshots, read_page, write_instance
-from wingbarrow.core.handover import Shares as HandedShares
+from wingbarrow.peers.handover import PAGE, Snapshots, read_page, write_instance
+from wingbarrow.peers.handover import Shares as HandedShares
 from wingbarrow.decide.learning import Announcement, Sight
 from wingbarrow.http.server import Answer, Server
 from wingbarrow.http.message import Request
 from wingbarrow.interface import Phase
 from wingbarrow.kube import names
 from wingbarrow.lab.node import node_value
-from wingbarrow.lab.proxy import Proxy
+from wingbarrow.lab.fleet.link import Proxy
 from wingbarrow.transport import Nursery
 
 ALLOW = '\nallow-peer "127.0.0.0/8"\n'
@@ -108,7 +108,7 @@
         stage.hub.sleep(70 * S)
         assert placer.learner.state == "learned" and placer.learner.counts["followed"] >= 50
         assert teacher.service is not None and teacher.service.rest.instances.handovers == 0
-        member = placer.heartbeats.members.members["placer-1"]
+        member = placer.peering.members["placer-1"]
         assert member.standing.value == "alive"
     stage.play(script)
     assert stage.audit().clean
@@ -303,7 +303,7 @@
             assert slot.service is not None
             learner = slot.service.placer.learner
             assert learner.state == "cold" and not learner.counts["pages"]
-            assert len(slot.service.placer.heartbeats.members.members) == 1
+            assert len(slot.service.placer.peering.members) == 1
         stage.submit("works")
         assert "Placed" in stage.settled("works")
     stage.play(script)
@@ -351,7 +351,7 @@
         pool = stage.pool()
         for path in ("instance", "knowledge", "members"):
             assert pool.request("GET", f"/apis/wingbarrow.io/v1/{path}").status == 403
-        assert pool.request("POST", "/apis/wingbarrow.io/v1/heartbeats", b"{}").status == 403
+        assert pool.request("POST", "/apis/wingbarrow.io/v1/peers", b"{}").status == 403
     stage.play(script)
     assert told.count("peer-refused") == 1
 
--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -68,7 +68,13 @@
                 if fresh is not None:
                     service.placer.take_settings(fresh)
                     log("settings-taken", file=str(file))
-            nursery.spawn(on_signals(hub, {signal.SIGINT: nursery.cancel, signal.SIGTERM: nursery.cancel,
+            def end() -> None:
+                service.placer.peering.leave()
+                nursery.cancel()
+
+            def ask_to_end() -> None:
+                nursery.spawn(end, "end")
+            nursery.spawn(on_signals(hub, {signal.SIGINT: ask_to_end, signal.SIGTERM: ask_to_end,
                                            signal.SIGHUP: reload}), "signals")
             service.run()
             nursery.cancel()
--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -116,12 +116,14 @@
     "placer": Shape((text,), {"index": (number(0, 10_000, True), 0), "of": (number(1, 10_000, True), 1),
                                 "seed": (number(0, 1 << 62, True), 1), "region": (text, ""),
                                 "cluster": (text, "main")}),
-    "peer": Shape((_address,), {"port": (number(1, 65535, True), NEEDED)}, many=True),
+    "peer": Shape((_address,), {"port": (number(1, 65535, True), NEEDED), "name": (text, ""),
+                                "seed": (flag, True)}, many=True),
     "allow-peer": Shape((_network,), many=True),
     "calendar": Shape((text,), many=True),
     "listen": Shape((text,), {"port": (number(0, 65535, True), 0)}),
     "list-source": Shape((text,), {"port": (number(1, 65535, True), NEEDED)}),
     "state": Shape((text,)),
+    "history": Shape((text,)),
     "class": Shape((text,), {
         "effect": (word("safe", "keyed", "unsafe"), NEEDED),
         "group": (word("machine", "cell", "zone", "all"), "all"), "window": (read_duration, 0),
@@ -317,7 +319,9 @@
         state=state.args[0] if state else None, scheduler=scheduler, classes=classes,
         drain_grace_us=top.get("drain", "grace", 250_000), limits=limits, region=placer.props["region"],
         cluster=placer.props["cluster"],
-        peers=tuple(PeerAddress(node.args[0], node.props["port"]) for node in top.children.get("peer", [])),
+        peers=tuple(PeerAddress(node.args[0], node.props["port"], node.props["name"], node.props["seed"])
+                    for node in top.children.get("peer", [])),
+        history=top.children["history"][0].args[0] if "history" in top.children else None,
         calendars=tuple(node.args[0] for node in top.children.get("calendar", [])),
         peers_allowed=IPSet(node.args[0] for node in top.children.get("allow-peer", [])))
 
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -68,6 +68,8 @@
 
     host: str
     port: int
+    name: str = ""  # where told, this is how that instance is reached, whatever address it gives itself
+    seed: bool = True  # asked at a start; otherwise only a way to an instance that others tell of
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
@@ -92,4 +94,5 @@
     cluster: str = "main"
     peers: tuple[PeerAddress, ...] = ()
     calendars: tuple[str, ...] = ()  # files of maintenance windows
-    peers_allowed: IPSet = field(default_factory=IPSet)  # who may ask for this instance's knowledge
+    peers_allowed: IPSet = field(default_factory=IPSet)  # who may ask, and be asked, besides the peers
+    history: str | None = None  # file of what this placer did, for judges
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -15,11 +15,8 @@
 from wingbarrow.core.desk import Desk
 from wingbarrow.core.drainer import Drainer
 from wingbarrow.core.fleet import Fleet
-from wingbarrow.core.hearsay import Hearsay
-from wingbarrow.core.heartbeats import Heartbeats
 from wingbarrow.core.host import Host
 from wingbarrow.core.keeper import Keeper
-from wingbarrow.core.learner import Learner
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.offers import Offers
 from wingbarrow.core.requests import Requests
@@ -28,6 +25,9 @@
 from wingbarrow.core.stops import Stops
 from wingbarrow.core.strays import Strays
 from wingbarrow.decide.admission import Admission
+from wingbarrow.peers.hearsay import Hearsay
+from wingbarrow.peers.host import Peering
+from wingbarrow.peers.learner import Learner
 from wingbarrow.transport import Hub, Nursery
 
 
@@ -79,7 +79,7 @@
         self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing)
         host.hands = _Hands(offers, requests, runs, fleet, board)
         self._keeper = Keeper(base, fleet)
-        self.heartbeats = Heartbeats(hub, settings, base.born_us, self.hearsay.announce, log)
+        self.peering = Peering(hub, settings, base.born_us, log)
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
         self.drainer = Drainer(hub, settings.calendars, needed, settings.scheduler.placers, settings.state, closing,
@@ -96,7 +96,7 @@
             nursery.spawn(self.learner.run, "learner")
             if base.settings.calendars:
                 nursery.spawn(self.drainer.run, "drainer")
-            nursery.spawn(self.heartbeats.run, "heartbeats")
+            nursery.spawn(self.peering.run, "peers")
             if base.settings.state:
                 nursery.spawn(self._keeper.run, "saving")
         if self.host.failed is not None:
--- /dev/null
+++ b/wingbarrow/decide/peers/table.py
@@ -0,0 +1,131 @@
+"""The table of members of one placer: which word of each counts, suspicions under way, what is to be told on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wingbarrow.decide.peers.news import Gossip
+from wingbarrow.decide.peers.suspicion import Suspicion
+from wingbarrow.decide.peers.words import Standing, Word, overrides
+
+MEMBERS_MOST = 256
+FORGET_US = 600_000_000  # after a member was dead for so long
+
+GONE = (Standing.DEAD, Standing.LEFT)
+
+
+@dataclass(slots=True)
+class Member:
+    """One other placer as it is thought of; times in microseconds of the owner's clock."""
+
+    word: Word
+    since_us: int  # of its standing
+    suspicion: Suspicion | None = None
+    restarts: int = 0
+
+    @property
+    def standing(self) -> Standing:
+        """What is thought of it."""
+        return self.word.standing
+
+
+class Change:
+    """How the standing of a member changed: for logs, histories and rooms that act on it."""
+
+    __slots__ = ("what", "word", "before")
+
+    def __init__(self, what: str, word: Word, before: Standing | None) -> None:
+        self.what, self.word, self.before = what, word, before
+
+
+class Table:
+    """All other members; `suspect` makes the suspicion of a member that somebody accuses."""
+
+    def __init__(self, ident: str, suspect: Callable[[int], Suspicion]) -> None:
+        self.ident = ident
+        self._suspect = suspect
+        self.members: dict[str, Member] = {}
+        self.gossip: Gossip[Word] = Gossip(lambda: len(self.members))
+        self.full = 0  # words about new members that found no room
+
+    def living(self) -> list[Member]:
+        """Those that are not gone: alive or suspected."""
+        return [each for each in self.members.values() if each.standing not in GONE]
+
+    def dead(self) -> list[Member]:
+        """Those that count as dead and did not say that they leave."""
+        return [each for each in self.members.values() if each.standing is Standing.DEAD]
+
+    def hear(self, word: Word, now_us: int) -> Change | None:
+        """Take a word about another member; the change that it made."""
+        held = self.members.get(word.ident)
+        if held is None:
+            if word.standing in GONE:
+                return None  # nothing is owed to who was never known
+            if len(self.members) >= MEMBERS_MOST and not self._make_room():
+                self.full += 1
+                return None
+            held = self.members[word.ident] = Member(word, now_us)
+            if word.standing is Standing.SUSPECTED:
+                self._begin(held, word, now_us)
+            self.gossip.add(word)
+            return Change("joined", word, None)
+        if not overrides(word, held.word):
+            if (word.standing is Standing.SUSPECTED is held.standing and word.incarnation == held.word.incarnation
+                    and held.suspicion is not None and word.by and held.suspicion.confirm(word.by)):
+                self.gossip.add(word)  # an independent confirmation makes others' suspicions shorter too
+            return None
+        before, another = held.standing, word.life != held.word.life
+        held.word, held.suspicion = word, None
+        if word.standing is not before:
+            held.since_us = now_us
+        if word.standing is Standing.SUSPECTED:
+            self._begin(held, word, now_us)
+        self.gossip.add(word)
+        if another and before is not None:
+            held.restarts += 1
+            return Change("restarted", word, before)
+        return Change(word.standing.value, word, before) if word.standing is not before else None
+
+    def _begin(self, member: Member, word: Word, now_us: int) -> None:
+        member.suspicion = self._suspect(now_us)
+        member.suspicion.confirm(word.by or "?")
+
+    def accuse(self, ident: str, now_us: int) -> Change | None:
+        """This placer itself could not reach a member."""
+        held = self.members.get(ident)
+        if held is None or held.standing in GONE:
+            return None
+        return self.hear(held.word.as_standing(Standing.SUSPECTED, self.ident), now_us)
+
+    def bury(self, now_us: int) -> list[Change]:
+        """Suspicions that are due end in death; the long dead are forgotten."""
+        out = []
+        for ident, member in list(self.members.items()):
+            if member.suspicion is not None and now_us >= member.suspicion.due_us:
+                change = self.hear(member.word.as_standing(Standing.DEAD, self.ident), now_us)
+                if change is not None:
+                    out.append(change)
+            elif member.standing in GONE and now_us - member.since_us >= FORGET_US:
+                del self.members[ident]
+                out.append(Change("forgotten", member.word, member.standing))
+        return out
+
+    def next_due_us(self) -> int | None:
+        """When the next suspicion ends."""
+        return min((each.suspicion.due_us for each in self.members.values() if each.suspicion is not None),
+                   default=None)
+
+    def grant_time(self, for_us: int) -> None:
+        """This placer stood still for so long: what it would have heard meanwhile may still come."""
+        for member in self.members.values():
+            if member.suspicion is not None:
+                member.suspicion.since_us += for_us
+
+    def _make_room(self) -> bool:
+        gone = [each for each in self.members.values() if each.standing in GONE]
+        if not gone:
+            return False
+        del self.members[min(gone, key=lambda each: each.since_us).word.ident]
+        return True
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -11,12 +11,12 @@
 from wingbarrow.config import parse_duration
 from wingbarrow.core.placer import Placer
 from wingbarrow.fronts.discovery import DOCUMENTS
-from wingbarrow.fronts.instances import InstancesFront
 from wingbarrow.http.listwatch import ListWatch, Query, error_answer
 from wingbarrow.http.server import Answer, Server, ServerLimits
 from wingbarrow.http.message import Limits, Request
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
+from wingbarrow.peers.front import InstancesFront
 from wingbarrow.transport import Hub
 
 _COLLECTIONS = {("batch/v1", "jobs"), ("v1", "nodes"), ("v1", "events")}
@@ -38,8 +38,9 @@
             hub, placer.base.settings.host, placer.base.settings.port, self.handle, self._say,
             ServerLimits(connections=limits.connections, message=Limits(body=limits.body)), self._refuse)
         self.port = self.server.port
-        self.instances = InstancesFront(hub, placer, log)
-        placer.heartbeats.address = f"{placer.base.settings.host}:{self.port}"
+        self.instances = InstancesFront(hub, lambda: placer.base.settings, placer.hearsay, placer.peering,
+                                        placer.base.born_us, log)
+        placer.peering.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
         self._registry.register(self)
         self.statuses: dict[int, int] = {}
@@ -196,6 +197,8 @@
         events = CounterMetricFamily("wingbarrow_happenings", "What the placer did and met", labels=["what"])
         for what, count in placer.base.counts.items():
             events.add_metric([what], count)
+        for what, count in placer.peering.counts.items():
+            events.add_metric([what], count)
         for what, count in [*placer.book.odd.items(), *placer.attempts.odd.items()]:
             events.add_metric(["odd: " + what], count)
         yield events
--- a/wingbarrow/lab/audit.py
+++ b/wingbarrow/lab/audit.py
@@ -86,8 +86,8 @@
 class Auditor:
     """One pass over the records, in their order."""
 
-    def __init__(self, settings: PlacerSettings) -> None:
-        self._settings = settings
+    def __init__(self, settings: PlacerSettings, slack_us: int = ANSWER_SLACK_US) -> None:
+        self._settings, self._slack_us = settings, slack_us
         self._classes = {name: each.task_class for name, each in settings.classes.items()}
         self.audit = Audit()
         self._jobs: dict[str, _Job] = {}
@@ -134,7 +134,7 @@
         data = record.data
         self.audit.accepted += 1
         deadline = data["sent_us"] + data["patience_us"]
-        self._jobs[data["uid"]] = _Job(data["placer"], deadline, deadline - data["patience_us"] // 8 - ANSWER_SLACK_US)
+        self._jobs[data["uid"]] = _Job(data["placer"], deadline, deadline - data["patience_us"] // 8 - self._slack_us)
 
     def _deleted(self, record: Record) -> None:
         """Its owner was told that a Job is deleted: nothing is owed, and nothing of it may be sent or run on."""
@@ -161,11 +161,11 @@
             return  # a Job that a restarted placer made anew; its first life's answer counts
         if not job.answers:
             job.answers.append((record.at_us, answer))
-            if record.at_us > job.deadline_us + ANSWER_SLACK_US:
+            if record.at_us > job.deadline_us + self._slack_us:
                 # A placer that the lab holds over the deadline cannot answer in time: it owes it at once after.
                 held = next((end for begin, end in self._held.get(job.placer, ())
                              if begin <= job.deadline_us <= end), 0)
-                if record.at_us <= held + ANSWER_SLACK_US:
+                if record.at_us <= held + self._slack_us:
                     self.audit.late_by_stall += 1
                 else:
                     self.audit.breach("late_answers", record.at_us, f"{record.data['job']} {answer}")
@@ -183,7 +183,7 @@
             self.audit.deleted_unanswered += 1
         elif job.killed:
             self.audit.left_to_owners += 1
-        elif last_us <= job.deadline_us + ANSWER_SLACK_US:
+        elif last_us <= job.deadline_us + self._slack_us:
             self.audit.open_at_end += 1  # the recording ends before its answer was due
         else:
             self.audit.breach("unanswered", last_us, uid)
@@ -366,6 +366,6 @@
             offers.clear()
 
 
-def audit(records: Iterable[Record], settings: PlacerSettings) -> Audit:
-    """Audit a recording."""
-    return Auditor(settings).run(records)
+def audit(records: Iterable[Record], settings: PlacerSettings, slack_us: int = ANSWER_SLACK_US) -> Audit:
+    """Audit a recording; `slack_us`: by how much an answer may be read late without being late."""
+    return Auditor(settings, slack_us).run(records)
--- /dev/null
+++ b/wingbarrow/lab/fleet/script.py
@@ -0,0 +1,127 @@
+"""A fleet's script: what happens to links and processes, when and for how long; from KDL or from a seed.
+
+    cut "3s" from="placer-0" to="placer-1" lasts="5s" both=true
+    isolate "3s" "placer-2" lasts="6s"
+    stop "10s" "placer-1" lasts="4s"
+    kill "12s" "placer-0" lasts="3s" state=false
+
+`late`, `slow`, `lossy` and `twice` take what `cut` takes, and `amount`: a time in words, bytes a second, a share.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import ckdl
+
+from wingbarrow.config import parse_duration
+
+SECOND = 1_000_000
+BETWEEN = ("cut", "late", "slow", "lossy", "twice", "reset")
+TO_ONE = ("isolate", "deafen", "stop", "kill")
+FAULTS_MOST = 10_000
+
+
+class BadScript(ValueError):
+    """A script that cannot be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault; times in microseconds from the begin of the load. `who` is its sender, or the only one concerned."""
+
+    kind: str
+    at_us: int
+    who: str
+    other: str = ""
+    lasts_us: int = 0
+    both: bool = True
+    amount: float = 0.0  # microseconds, bytes a second, or a share
+    state: bool = True  # a killed placer comes back with its state
+
+    @property
+    def end_us(self) -> int:
+        """When it is taken back."""
+        return self.at_us + self.lasts_us
+
+    def touches(self, name: str) -> bool:
+        """Whether a placer, or a link of it, is concerned."""
+        return name in (self.who, self.other)
+
+
+def read_script(path: Path, names: list[str]) -> list[Fault]:
+    """The faults of a file; BadScript says what is wrong and where."""
+    try:
+        nodes = ckdl.parse(path.read_text(encoding="utf-8")).nodes
+    except (OSError, UnicodeDecodeError, ckdl.ParseError, ValueError) as error:
+        raise BadScript(f"{path}: {error}") from None
+    if len(nodes) > FAULTS_MOST:
+        raise BadScript(f"{path}: {len(nodes)} faults; {FAULTS_MOST} are the most")
+    out: list[Fault] = []
+    for number, node in enumerate(nodes, 1):
+        try:
+            out.append(_read(node, names))
+        except (ValueError, TypeError, KeyError) as error:
+            raise BadScript(f"{path}: fault {number} ({node.name}): {error}") from None
+    return sorted(out, key=lambda fault: fault.at_us)
+
+
+def _read(node: Any, names: list[str]) -> Fault:
+    props = dict(node.properties)
+    if node.name not in (*BETWEEN, *TO_ONE):
+        raise ValueError(f"one of {', '.join((*BETWEEN, *TO_ONE))} is wanted")
+    args = [str(each) for each in node.args]
+    if len(args) != (2 if node.name in TO_ONE else 1):
+        raise ValueError("a time is wanted" + (", and a placer" if node.name in TO_ONE else ""))
+    who, other = (args[1], "") if node.name in TO_ONE else (str(props.pop("from")), str(props.pop("to")))
+    for name in filter(None, (who, other)):
+        if name not in names:
+            raise ValueError(f"no such placer: {name}")
+    if who == other:
+        raise ValueError("a placer has no link to itself")
+    amount = props.pop("amount", 0)
+    figure = float(parse_duration(amount)) if isinstance(amount, str) else float(amount)
+    if node.name in ("lossy", "twice") and not 0 <= figure <= 1:
+        raise ValueError("amount: a share of 0 to 1 is wanted")
+    fault = Fault(node.name, parse_duration(args[0]), who, other, parse_duration(str(props.pop("lasts", "0s"))),
+                  bool(props.pop("both", True)), figure, bool(props.pop("state", True)))
+    if props:
+        raise ValueError(f"unknown: {', '.join(sorted(props))}")
+    return fault
+
+
+def generate(seed: int, names: list[str], seconds: float) -> list[Fault]:
+    """Faults of a play, a function of seed, names and length; the last fifth of it is left to heal."""
+    rng = random.Random(f"fleet/{seed}")
+    out: list[Fault] = []
+    for _ in range(max(2, int(seconds / 6))):
+        at, lasts = rng.uniform(0.05, 0.7) * seconds, min(rng.uniform(0.5, 9), seconds * 0.2)
+        kind = rng.choice((*BETWEEN, *TO_ONE, "cut", "stop", "kill"))
+        who = rng.choice(names)
+        other = rng.choice([name for name in names if name != who]) if len(names) > 1 and kind in BETWEEN else ""
+        amount = {"late": rng.uniform(0.05, 2) * SECOND, "slow": rng.choice((200, 2_000, 20_000)),
+                  "lossy": rng.uniform(0.05, 0.5), "twice": rng.uniform(0.1, 1)}.get(kind, 0.0)
+        out.append(Fault(kind, int(at * SECOND), who, other, int(lasts * SECOND), rng.random() < 0.5, float(amount),
+                         rng.random() < 0.7))
+    if rng.random() < 0.4 and len(names) > 2:
+        # A part of the fleet is cut off from the rest.
+        side = rng.sample(names, max(1, len(names) // 3))
+        at, lasts = rng.uniform(0.1, 0.5) * seconds, seconds * 0.25
+        out += [Fault("cut", int(at * SECOND), a, b, int(lasts * SECOND)) for a in side for b in names if b not in side]
+    return _apart(sorted(out, key=lambda fault: fault.at_us))
+
+
+def _apart(faults: list[Fault]) -> list[Fault]:
+    """One thing at a time happens to each process; what comes while it is stopped or down is moved behind it."""
+    free: dict[str, int] = {}
+    out: list[Fault] = []
+    for fault in faults:
+        if fault.kind in ("stop", "kill"):
+            at = max(fault.at_us, free.get(fault.who, 0))
+            fault = replace(fault, at_us=at)
+            free[fault.who] = fault.end_us + SECOND
+        out.append(fault)
+    return sorted(out, key=lambda each: each.at_us)
--- a/wingbarrow/lab/learn.py
+++ b/wingbarrow/lab/learn.py
@@ -18,7 +18,7 @@
 from wingbarrow.lab.figures import over_seeds, write_rows
 from wingbarrow.lab.load import Mix, Owners, draw
 from wingbarrow.lab.build import Build
-from wingbarrow.lab.proxy import Proxy
+from wingbarrow.lab.fleet.link import Proxy
 from wingbarrow.lab.record import Record
 from wingbarrow.transport import Hub, VirtualClock
 
--- a/wingbarrow/lab/record.py
+++ b/wingbarrow/lab/record.py
@@ -35,6 +35,13 @@
             return
         self.records.append(Record(self._now_us(), where, what, data))
 
+    @staticmethod
+    def read(path: Path) -> list[Record]:
+        """What `write` wrote."""
+        with open(path, encoding="utf-8") as file:
+            return [Record(value.pop("at_us"), value.pop("where"), value.pop("what"), value)
+                    for value in map(json.loads, file)]
+
     def limit(self, most: int) -> None:
         """Keep at most so many from now on."""
         self._most = most
--- a/wingbarrow/fronts/instances.py
+++ b/wingbarrow/peers/front.py
@@ -1,4 +1,4 @@
-"""What instances ask of each other: announcement, knowledge in pages and as a watch, heartbeats, members.
+"""What instances ask of each other: announcement, knowledge in pages and as a watch, mail, members.
 
 Only addresses that the settings allow are answered; what is handed over is read-only.
 """
@@ -8,14 +8,17 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from wingbarrow.core.handover import BadPage, Snapshots, changes_line
-from wingbarrow.core.placer import Placer
+from wingbarrow.config import PlacerSettings
 from wingbarrow.decide.learning import Sight
 from wingbarrow.http.listwatch import Query
 from wingbarrow.http.server import Answer, ChunkWriter
 from wingbarrow.http.message import Request
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
+from wingbarrow.peers.handover import Snapshots, changes_line, write_instance
+from wingbarrow.peers.hearsay import Hearsay
+from wingbarrow.peers.host import Peering
+from wingbarrow.peers.message import BadMail
 from wingbarrow.transport import Hub
 
 SECOND = 1_000_000
@@ -27,11 +30,12 @@
 class InstancesFront:
     """Routes below /apis/wingbarrow.io/v1."""
 
-    def __init__(self, hub: Hub, placer: Placer, log: Callable[..., None]) -> None:
-        self._hub = hub
-        self._placer = placer
+    def __init__(self, hub: Hub, settings: Callable[[], PlacerSettings], hearsay: Hearsay, peering: Peering, life: int,
+                 log: Callable[..., None]) -> None:
+        self._hub, self._settings = hub, settings
+        self._hearsay, self._peering = hearsay, peering
         self._log = log
-        self._snapshots = Snapshots(placer.base.born_us)
+        self._snapshots = Snapshots(life)
         self._refused: OrderedDict[str, None] = OrderedDict()
         self.handovers = 0
         self.turned_away = 0
@@ -41,13 +45,14 @@
         self._check_sender(request)
         what = (request.method, *parts)
         if what == ("GET", "instance"):
-            return Answer(200, self._placer.heartbeats.message())
-        if what == ("POST", "heartbeats"):
+            return Answer(200, write_instance(self._hearsay.announce(), self._peering.address))
+        if what == ("POST", "peers"):
             try:
-                self._placer.heartbeats.hear(request.body, request.connection.stream.peer)
-            except BadPage as error:
+                return Answer(200, self._peering.mail(request.body))
+            except BadMail as error:
+                self._peering.counts["peers:bad mail"] += 1
+                self._log("peer-mail-refused", level="warning", address=request.connection.stream.peer, why=str(error))
                 raise ApiError(422, str(error)) from None
-            return Answer(200, self._placer.heartbeats.message())
         if what == ("GET", "members"):
             return Answer(200, self._members())
         if what == ("GET", "knowledge"):
@@ -56,7 +61,7 @@
 
     def _check_sender(self, request: Request) -> None:
         peer = request.connection.stream.peer
-        if peer and peer in self._placer.base.settings.peers_allowed:
+        if peer and peer in self._settings().peers_allowed:
             return
         if peer not in self._refused:
             self._refused[peer] = None
@@ -69,10 +74,10 @@
         now = self._hub.now_us()
         return names.encode({
             "kind": "MemberList", "apiVersion": "wingbarrow.io/v1", "items": [
-                {"ident": each.ident, "incarnation": each.incarnation, "region": each.region,
-                 "address": each.address, "silentUs": now - each.heard_us, "standing": each.standing.value,
-                 "restarts": each.restarts}
-                for each in self._placer.heartbeats.members.members.values()]})
+                {"ident": each.word.ident, "incarnation": each.word.incarnation, "region": each.word.region,
+                 "address": each.word.address, "standing": each.standing.value, "sinceUs": now - each.since_us,
+                 "restarts": each.restarts, "suspectedBy": sorted(each.suspicion.by) if each.suspicion else []}
+                for each in self._peering.members.values()]})
 
     def _knowledge(self, query: Query) -> Answer:
         if self.handovers >= HANDOVERS_MOST:
@@ -82,7 +87,7 @@
             return Answer(200, stream=self._follow)
         self.handovers += 1
         try:
-            page = self._snapshots.page(query.get("continue") or "", self._hub.now_us(), self._placer.hearsay.know,
+            page = self._snapshots.page(query.get("continue") or "", self._hub.now_us(), self._hearsay.know,
                                         self._hub.checkpoint)
         except KeyError:
             raise ApiError(410, "that snapshot is past its time; begin again", "Expired") from None
@@ -98,7 +103,7 @@
             told: dict[str, object] = {}
             first = True
             while self._hub.now_us() < end and not writer.gone:
-                sights, shares = self._placer.hearsay.know()
+                sights, shares = self._hearsay.know()
                 now = self._hub.now_us()
                 marks = {each.machine: _mark(each, now) for each in sights}
                 changed = [each for each in sights if first or marks[each.machine] != told.get(each.machine)]
--- a/wingbarrow/core/hearsay.py
+++ b/wingbarrow/peers/hearsay.py
@@ -2,24 +2,115 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Protocol
+
 from wingbarrow import interface as api
-from wingbarrow.core.base import Base
-from wingbarrow.core.fleet import Fleet
-from wingbarrow.core.handover import Page, Shares
-from wingbarrow.core.host import Host
-from wingbarrow.core.machines import Machines
-from wingbarrow.core.nodes import NodeEntry
-from wingbarrow.core.sightings import Sightings
+from wingbarrow.config import PlacerSettings
 from wingbarrow.decide import learning
 from wingbarrow.decide.learning import Sight
+from wingbarrow.peers.handover import Page, Shares
+from wingbarrow.transport import Hub
 
 GONE_KEPT = 1024
 
 
+class Entry(Protocol):
+    """A machine of the list."""
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+
+    @property
+    def version(self) -> int:
+        """The list's version of it."""
+
+    @property
+    def listed(self) -> api.ListedMachine:
+        """As the module has it."""
+
+
+class Reflector(Protocol):
+    """The list, as far as hearsay goes."""
+
+    heard_us: int | None
+    on_new_source: Callable[[], None]
+
+    @property
+    def held(self) -> Mapping[str, Any]:
+        """Entries by name."""
+
+    @property
+    def version(self) -> int:
+        """Of the list."""
+
+
+class Fleet(Protocol):
+    """The placer's machines; `guards` narrow what the module is told, the calls hear of what comes and goes."""
+
+    guards: list[Any]
+    gone: Callable[[str], None]
+    listed: Callable[[str], None]
+    taken_in: Callable[[], None]
+    reflector: Any
+
+    @property
+    def held(self) -> Mapping[str, Any]:
+        """Entries by name."""
+
+    @property
+    def reopening(self) -> bool:
+        """Whether closed machines are being opened right now."""
+
+    def closed_by_start(self, entry: Any) -> bool:
+        """Whether a machine is closed by this placer's own start."""
+
+    def size_of(self, entry: Any) -> tuple[float, float]:
+        """Cores and memory."""
+
+    def take_again(self, entries: Iterable[Any]) -> None:
+        """Have entries pass the guards anew."""
+
+
+class Links(Protocol):
+    """The machines that are reached, by name."""
+
+    @property
+    def links(self) -> Mapping[str, Any]:
+        """Each has `launched_us` and `phase`."""
+
+
+class Module(Protocol):
+    """The host of the decision module."""
+
+    def feed(self, event: api.Event) -> None:
+        """Tell it of an event."""
+
+    def knowledge(self) -> api.Knowledge:
+        """What it knows of machines."""
+
+
+class Use(Protocol):
+    """When a task last told of its use."""
+
+    use_us: int | None
+
+
+class Life(Protocol):
+    """The placer's life."""
+
+    hub: Hub
+    settings: PlacerSettings
+    counts: Counter[str]
+    born_us: int
+
+
 class Hearsay:
     """Owns what was heard and is not applied yet, and which machines are distrusted for it."""
 
-    def __init__(self, base: Base, host: Host, fleet: Fleet, machines: Machines, sightings: Sightings) -> None:
+    def __init__(self, base: Life, host: Module, fleet: Fleet, machines: Links, sightings: Use) -> None:
         self._base, self._host, self._fleet, self._machines = base, host, fleet, machines
         self._sightings = sightings
         self._begun_us = base.hub.now_us()
@@ -103,7 +194,7 @@
             self._shares_taken = True
             self._host.feed(api.Learned((), (weighed[0][0], weighed[1][0]), (weighed[0][1], weighed[1][1])))
 
-    def _guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
+    def _guard(self, entry: Entry, listed: api.ListedMachine) -> api.ListedMachine:
         """A machine that a peer saw draining is not trusted before a newer list says that it runs (rule 3)."""
         return self._distrust.narrow(entry.name, entry.version, listed)
 
--- a/wingbarrow/core/learner.py
+++ b/wingbarrow/peers/learner.py
@@ -11,7 +11,7 @@
 from urllib.parse import quote
 
 from wingbarrow.config.settings import PeerAddress, PlacerSettings
-from wingbarrow.core.handover import PAGE, BadPage, Page, read_instance, read_page
+from wingbarrow.peers.handover import PAGE, BadPage, Page, read_instance, read_page
 from wingbarrow.decide import learning
 from wingbarrow.decide.learning import Announcement, ClockCheck, Sight
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
@@ -49,7 +49,8 @@
         self._incarnation = incarnation
         self._log = log
         self._pools: dict[PeerAddress, Pool] = {}
-        self.state = "asking" if settings.peers else "cold"
+        self._peers = [peer for peer in settings.peers if peer.seed]
+        self.state = "asking" if self._peers else "cold"
         self.source = ""  # the peer that was learned from
         self.counts: Counter[str] = Counter()
 
@@ -62,12 +63,12 @@
 
     def run(self) -> None:
         """Learn once; returns when there is nothing more to learn."""
-        if not self._settings.peers:
+        if not self._peers:
             return
         end = self._hub.now_us() + BUDGET_US
         announced = self._announcements()
         order = learning.order_peers(announced, self._settings.region, self._settings.cluster, self._settings.name)
-        by_name = {str(peer): peer for peer in self._settings.peers}
+        by_name = {str(peer): peer for peer in self._peers}
         for announcement in order:
             peer = by_name[announcement.peer]
             if self._hub.now_us() >= end:
@@ -81,7 +82,7 @@
             self.counts["fell_back"] += 1
         if self.state == "asking":
             self.state = "learned" if self.counts["pages"] else "cold"
-            self._log("cold-start", peers=len(self._settings.peers), announced=len(announced),
+            self._log("cold-start", peers=len(self._peers), announced=len(announced),
                       pages=self.counts["pages"])
 
     # -- whom to ask
@@ -102,7 +103,7 @@
                 return
             out.append(announced)
         with self._hub.limit(ANNOUNCE_US), Nursery(self._hub) as nursery:
-            for peer in self._settings.peers:
+            for peer in self._peers:
                 nursery.spawn(lambda peer=peer: ask(peer), "asks a peer")  # type: ignore[misc]
         return out
 
--- /dev/null
+++ b/wingbarrow/peers/message.py
@@ -0,0 +1,117 @@
+"""Mail between placers: one form, versioned and bounded; what is in it are the messages of the state machines.
+
+A mail is a JSON object of form, cluster, sender, its address, and letters; a letter has a kind and a body, which is the
+kind's dataclass. A letter of an unknown kind is passed over and counted: a later program may know more kinds. A letter
+of a known kind that cannot be read spoils the whole mail: its sender is not what it says.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from wingbarrow.decide.peers import words
+
+FORM = 1
+MAIL_MOST = 256 * 1024  # bytes
+LETTERS_MOST = 64
+NAME_MOST, ADDRESS_MOST = 253, 300
+WORDS_MOST = 64
+INCARNATION_MOST = 1 << 62
+
+KINDS: dict[str, type[Any]] = {
+    "probe": words.Probe, "probe-for": words.ProbeFor, "ack": words.Ack, "nack": words.Nack, "sync": words.Sync}
+_NAMES = {kind: name for name, kind in KINDS.items()}
+
+
+class BadMail(ValueError):
+    """Mail that cannot be used; what is wrong in words."""
+
+
+class _Letter(msgspec.Struct):
+    kind: str
+    body: msgspec.Raw
+
+
+class _Mail(msgspec.Struct):
+    form: int
+    cluster: str
+    sender: str
+    address: str
+    letters: list[_Letter]
+
+
+@dataclass(frozen=True, slots=True)
+class Mail:
+    """As read: `strange` counts letters of unknown kinds."""
+
+    sender: str
+    address: str
+    messages: list[Any]
+    strange: int
+
+
+_encode = msgspec.json.Encoder().encode
+_mail: msgspec.json.Decoder[_Mail] = msgspec.json.Decoder(_Mail)
+_bodies: dict[str, msgspec.json.Decoder[Any]] = {name: msgspec.json.Decoder(kind) for name, kind in KINDS.items()}
+
+
+def write_letter(message: Any) -> bytes:
+    """One letter; KeyError for a message of no known kind."""
+    return _encode(_Letter(_NAMES[type(message)], msgspec.Raw(_encode(message))))
+
+
+def write_mail(cluster: str, sender: str, address: str, letters: Iterable[bytes]) -> bytes:
+    """Letters in one mail."""
+    return _encode({"form": FORM, "cluster": cluster, "sender": sender, "address": address,
+                    "letters": [msgspec.Raw(each) for each in letters]})
+
+
+def read_mail(raw: bytes, cluster: str) -> Mail:
+    """Mail as it came; BadMail says what is wrong with it, and then nothing of it counts."""
+    if len(raw) > MAIL_MOST:
+        raise BadMail(f"{len(raw)} bytes; {MAIL_MOST} are the most")
+    try:
+        mail = _mail.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise BadMail(f"no mail: {str(error)[:120]}") from None
+    if mail.form != FORM:
+        raise BadMail(f"form {mail.form}; {FORM} is spoken here")
+    if mail.cluster != cluster:
+        raise BadMail(f"another cluster: {mail.cluster[:80]}")
+    if not 0 < len(mail.sender) <= NAME_MOST or not 0 < len(mail.address) <= ADDRESS_MOST:
+        raise BadMail("a name or address that is empty or too long")
+    if len(mail.letters) > LETTERS_MOST:
+        raise BadMail(f"{len(mail.letters)} letters; {LETTERS_MOST} are the most")
+    messages, strange = [], 0
+    for letter in mail.letters:
+        decoder = _bodies.get(letter.kind)
+        if decoder is None:
+            strange += 1
+            continue
+        try:
+            message = decoder.decode(letter.body)
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+            raise BadMail(f"{letter.kind}: {str(error)[:120]}") from None
+        _check(message)
+        messages.append(message)
+    return Mail(mail.sender, mail.address, messages, strange)
+
+
+def _check(message: Any) -> None:
+    news = getattr(message, "news", ())
+    if len(news) > WORDS_MOST:
+        raise BadMail(f"{len(news)} words; {WORDS_MOST} are the most")
+    for word in news:
+        if not 0 < len(word.ident) <= NAME_MOST or len(word.by) > NAME_MOST or len(word.region) > NAME_MOST:
+            raise BadMail("a member's name that is empty or too long")
+        if not 0 < len(word.address) <= ADDRESS_MOST:
+            raise BadMail("a member's address that is empty or too long")
+        if not (0 <= word.incarnation < INCARNATION_MOST and 0 <= word.life < INCARNATION_MOST):
+            raise BadMail("an incarnation out of range")
+    if isinstance(message, words.ProbeFor) and not (0 < len(message.ident) <= NAME_MOST
+                                                    and 0 < len(message.address) <= ADDRESS_MOST):
+        raise BadMail("a probe for nobody")
