Raft for what voters decide: pre-vote, check-quorum, confirmed leadership, folding

Need: rule sets want one order that no cut can split; libraries for it bring threads, a loop of their own and pickle.

--- /dev/null
+++ b/tests/decide/peers/test_raft.py
@@ -0,0 +1,251 @@
+"""The order of decisions under generated schedules, beside a plain reference: one leader a term, one log."""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from wingbarrow.decide.peers.effects import Persist, Send, SetTimer
+from wingbarrow.decide.peers.raft import VOTERS, Committed, Confirmed, Disk, Elected, Entry, Raft, Restored
+
+S = 1_000_000
+
+
+class Cluster:
+    """Voters on a virtual clock. What was persisted is what a killed one comes back with; all else is gone."""
+
+    def __init__(self, count: int, seed: int, loss: float = 0.0) -> None:
+        self.now_us, self.loss = 0, loss
+        self.names = [f"v{index}" for index in range(count)]
+        self.random = random.Random(seed)
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.sequence = 0
+        self.cut: Callable[[str, str], bool] = lambda a, b: False
+        self.disks: dict[str, Disk] = {name: Disk(tuple(self.names)) for name in self.names}
+        self.lives: dict[str, int] = dict.fromkeys(self.names, 0)
+        self.live: dict[str, Raft] = {}
+        self.timers: dict[tuple[str, str], int] = {}
+        self.leaders: dict[int, str] = {}  # by term
+        self.decided: dict[int, Entry] = {}  # the reference: what anybody was ever told is decided
+        self.applied: dict[str, int] = {}
+        self.states: dict[str, list[str]] = {}
+        self.confirmed: list[tuple[str, int]] = []
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str, empty: bool = False) -> None:
+        self.lives[name] += 1
+        raft = self.live[name] = Raft(name, None if empty else copy.deepcopy(self.disks[name]),
+                                      self.random.randrange(1 << 30))
+        self.act(name, raft.start(self.now_us))
+
+    def kill(self, name: str) -> None:
+        self.live.pop(name, None)
+
+    def at(self, at_us: int, call: Callable[[], None]) -> None:
+        self.sequence += 1
+        heapq.heappush(self.queue, (at_us, self.sequence, call))
+
+    def run(self, for_us: int) -> None:
+        end = self.now_us + for_us
+        while self.queue and self.queue[0][0] <= end:
+            self.now_us, _, call = heapq.heappop(self.queue)
+            call()
+        self.now_us = end
+
+    def act(self, name: str, effects: list[Any]) -> None:
+        life = self.lives[name]
+
+        def while_alive(call: Callable[[], list[Any]]) -> None:
+            if name in self.live and self.lives[name] == life:
+                self.act(name, call())
+        for effect in effects:
+            if isinstance(effect, Persist):
+                self.persist(name, effect)
+            elif isinstance(effect, SetTimer):
+                key = effect.key.removeprefix("raft ")
+                self.timers[name, key] = effect.at_us
+
+                def due(key: str = key, at_us: int = effect.at_us) -> None:
+                    if self.timers.get((name, key)) == at_us:
+                        while_alive(lambda: self.live[name].on_timer(self.now_us, key))
+                self.at(effect.at_us, due)
+            elif isinstance(effect, Send):
+                self.send(name, effect)
+            elif isinstance(effect, Elected) and effect.on:
+                term = self.live[name].disk.term
+                assert self.leaders.setdefault(term, name) == name, f"two leaders in term {term}"
+            elif isinstance(effect, Committed):
+                for offset, entry in enumerate(effect.entries):
+                    index = effect.first + offset
+                    assert index == self.applied[name] + 1
+                    assert self.decided.setdefault(index, entry) == entry, f"{name}: another decision at {index}"
+                    self.applied[name] = index
+                    if entry.kind == "x":
+                        self.states[name].append(entry.body)
+            elif isinstance(effect, Restored):
+                self.applied[name] = effect.index
+                self.states[name] = effect.state.split()
+            elif isinstance(effect, Confirmed):
+                self.confirmed.append((name, effect.number))
+        disk, live = self.disks[name], self.live[name].disk
+        if not self.live[name].empty:
+            assert (disk.term, disk.vote, disk.base, disk.log) == (live.term, live.vote, live.base, live.log)
+
+    def persist(self, name: str, wanted: Persist) -> None:
+        disk = self.disks[name]
+        disk.term, disk.vote = wanted.term, wanted.vote
+        if wanted.snapshot is not None:
+            disk.base, disk.base_term, voters, disk.state = wanted.snapshot
+            disk.voters, disk.log = tuple(voters.split()), []
+        if wanted.first is not None:
+            disk.log = disk.log[:wanted.first - disk.base - 1] + list(wanted.entries)
+
+    def send(self, name: str, send: Send) -> None:
+        if self.cut(name, send.ident) or self.random.random() < self.loss:
+            return
+        for _ in range(1 + (self.random.random() < 0.05)):
+            def arrive() -> None:
+                if send.ident in self.live:
+                    self.act(send.ident, self.live[send.ident].on_message(self.now_us, name, send.message))
+            delay = self.random.randrange(200, 20_000) if self.random.random() < 0.95 else self.random.randrange(2 * S)
+            self.at(self.now_us + delay, arrive)
+
+    def leader(self) -> Raft | None:
+        found = [raft for raft in self.live.values() if raft.leads]
+        return max(found, key=lambda raft: raft.disk.term, default=None)
+
+    def propose(self, body: str, kind: str = "x") -> bool:
+        leader = self.leader()
+        if leader is None:
+            return False
+        index, effects = leader.propose(self.now_us, kind, body)
+        self.act(leader.me, effects)
+        return index > 0
+
+    def settle(self) -> None:
+        """All links whole and nobody down: within ten elections all have decided the same."""
+        self.cut, self.loss = (lambda a, b: False), 0.0
+        for name in self.names:
+            if name not in self.live:
+                self.start(name)
+        for _ in range(40):
+            self.run(S // 2)
+            self.propose(f"last-{self.now_us}")
+        self.run(2 * S)
+        voters = [name for name in self.names if name in self.live and not self.live[name].empty]
+        assert len({self.applied[name] for name in voters}) == 1 and len({tuple(self.states[v]) for v in voters}) == 1
+
+
+def test_one_is_elected_and_what_it_proposes_is_decided_by_all() -> None:
+    cluster = Cluster(3, 1)
+    cluster.run(5 * S)
+    assert len(cluster.leaders) == 1
+    for number in range(50):
+        assert cluster.propose(str(number))
+    cluster.run(S)
+    assert all(state == [str(number) for number in range(50)] for state in cluster.states.values())
+
+
+@pytest.mark.parametrize("count", [3, 5])
+@pytest.mark.parametrize("seed", range(1, 31))
+def test_generated_schedules_of_cuts_kills_loss_and_proposals_decide_one_thing(count: int, seed: int) -> None:
+    rng, cluster = random.Random(seed), Cluster(count, seed)
+    proposed = 0
+    for _ in range(60):
+        cluster.run(rng.randrange(S))
+        what = rng.random()
+        if what < 0.15:
+            side = set(rng.sample(cluster.names, rng.randrange(1, count)))
+            one_way = rng.random() < 0.3
+            cluster.cut = lambda a, b, side=side, one=one_way: (
+                (a in side and b not in side) or (not one and b in side and a not in side))
+        elif what < 0.3:
+            cluster.cut = lambda a, b: False
+        elif what < 0.4:
+            cluster.loss = rng.choice((0.0, 0.1, 0.4))
+        elif what < 0.5 and len(cluster.live) > 1:
+            cluster.kill(rng.choice(sorted(cluster.live)))
+        elif what < 0.6:
+            for name in sorted(set(cluster.names) - set(cluster.live)):
+                cluster.start(name)
+        elif what < 0.65 and (leader := cluster.leader()) is not None:
+            cluster.act(leader.me, leader.fold(" ".join(cluster.states[leader.me])))
+        else:
+            proposed += cluster.propose(f"{seed}-{proposed}")
+    cluster.settle()
+    assert proposed >= 5 and any(entry.kind == "x" for entry in cluster.decided.values())
+
+
+def test_one_cut_off_raises_no_term_and_deposes_nobody_when_it_comes_back() -> None:
+    cluster = Cluster(5, 3)
+    cluster.run(5 * S)
+    leader = cluster.leader()
+    assert leader is not None
+    term, other = leader.disk.term, next(name for name in cluster.names if name != leader.me)
+    cluster.cut = lambda a, b: other in (a, b)
+    cluster.run(30 * S)
+    cluster.cut = lambda a, b: False
+    cluster.run(5 * S)
+    assert cluster.leader() is leader and leader.disk.term == term
+
+
+def test_a_leader_that_a_majority_does_not_hear_stops_and_confirms_nothing() -> None:
+    cluster = Cluster(5, 4)
+    cluster.run(5 * S)
+    old = cluster.leader()
+    assert old is not None
+    cluster.act(old.me, old.confirm(cluster.now_us, 1))
+    cluster.run(S // 2)
+    assert cluster.confirmed == [(old.me, 1)]
+    side = {old.me, next(name for name in cluster.names if name != old.me)}
+    cluster.cut = lambda a, b: (a in side) != (b in side)
+    cluster.act(old.me, old.confirm(cluster.now_us, 2))
+    cluster.run(4 * S)
+    assert not old.leads and (old.me, 2) not in cluster.confirmed
+    new = cluster.leader()
+    assert new is not None and new.me not in side
+
+
+def test_one_that_lost_its_disk_says_nothing() -> None:
+    cluster = Cluster(3, 5)
+    cluster.run(5 * S)
+    leader = cluster.leader()
+    assert leader is not None
+    lost, other = (name for name in cluster.names if name != leader.me)
+    cluster.kill(lost)
+    cluster.start(lost, empty=True)
+    cluster.kill(other)
+    cluster.run(10 * S)
+    assert not leader.leads, "two of three are a majority only where both remember what they said"
+    cluster.start(other)
+    cluster.run(10 * S)
+    assert cluster.leader() is not None
+
+
+def test_voters_change_one_at_a_time_and_a_majority_of_the_new_ones_decides() -> None:
+    cluster = Cluster(4, 6)
+    for name in cluster.names:
+        cluster.kill(name)
+    for name in cluster.names:
+        cluster.disks[name] = Disk(tuple(cluster.names[:3]))
+        cluster.start(name)
+    cluster.run(5 * S)
+    leader = cluster.leader()
+    assert leader is not None and leader.change_voters(cluster.now_us, ("v0", "v3", "v9"))[0] == -1
+    index, effects = leader.change_voters(cluster.now_us, tuple(cluster.names))
+    cluster.act(leader.me, effects)
+    assert index > 0 and leader.change_voters(cluster.now_us, tuple(cluster.names[:3]))[0] == -1, "not yet decided"
+    cluster.run(2 * S)
+    assert all(cluster.live[name].voters == tuple(cluster.names) for name in cluster.names)
+    index, effects = leader.change_voters(cluster.now_us, tuple(n for n in cluster.names if n != leader.me))
+    cluster.act(leader.me, effects)
+    cluster.run(6 * S)
+    new = cluster.leader()
+    assert index > 0 and new is not None and new.me != leader.me and leader.me not in new.voters
+    assert any(entry.kind == VOTERS for entry in cluster.decided.values())
--- a/wingbarrow/decide/peers/effects.py
+++ b/wingbarrow/decide/peers/effects.py
@@ -34,4 +34,18 @@
     fields: dict[str, Any]
 
 
-Effect = Send | SetTimer | Tell
+@dataclass(frozen=True, slots=True)
+class Persist:
+    """Have this on disk before anything that follows in the list is done.
+
+    `entries` replace the log from index `first` on (None: the log stays); `snapshot` is base, its term, voters, state.
+    """
+
+    term: int
+    vote: str
+    first: int | None
+    entries: tuple[Any, ...]
+    snapshot: tuple[int, int, str, str] | None
+
+
+Effect = Send | SetTimer | Tell | Persist
--- /dev/null
+++ b/wingbarrow/decide/peers/raft.py
@@ -0,0 +1,509 @@
+"""One order of decisions among a few named voters: Raft (Ongaro 2014) with pre-vote and check-quorum.
+
+A state machine without I/O. What must be on disk is asked for by a `Persist` before the sends that rest on it, in the
+same list. Voters change one at a time. `confirm` tells when a majority still followed this leader after a moment:
+nothing is answered by one that was deposed and does not know it. A voter without its disk is none: see `Raft.empty`.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from wingbarrow.decide.peers.effects import Effect, Persist, Send, SetTimer, Tell
+
+ENTRIES_MOST = 32  # in one Append
+LOG_MOST = 512  # entries kept before they are folded into a snapshot
+VOTERS = "voters"  # the kind of an entry that changes who votes
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One decision: `kind` and `body` are the replicated state's, but for VOTERS (names with spaces between)."""
+
+    term: int
+    kind: str
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class VoteAsk:
+    """Elect me; `pre`: would you?"""
+
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+@dataclass(frozen=True, slots=True)
+class VoteAnswer:
+    """Whether, in a term."""
+
+    term: int
+    granted: bool
+    pre: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Entries after `prev_index`; none of them is a heartbeat. `round` counts what the leader sent."""
+
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendAnswer:
+    """Up to where the log is the leader's, or where to try next."""
+
+    term: int
+    ok: bool
+    match: int
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class Install:
+    """The state up to an index, in place of entries that are no longer kept."""
+
+    term: int
+    index: int
+    last_term: int
+    voters: str
+    state: str
+    round: int
+
+
+Message = VoteAsk | VoteAnswer | Append | AppendAnswer | Install
+
+
+class Role(Enum):
+    """What a voter is now."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True)
+class Disk:
+    """What a voter has on disk: its term and vote, the log after `base`, and the state up to there."""
+
+    voters: tuple[str, ...]  # as of `base`
+    term: int = 0
+    vote: str = ""
+    base: int = 0
+    base_term: int = 0
+    state: str = ""
+    log: list[Entry] = field(default_factory=list)
+
+    @property
+    def last(self) -> int:
+        """The index of the last entry."""
+        return self.base + len(self.log)
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an entry; None where it is not kept, or not there."""
+        if index == self.base:
+            return self.base_term
+        return self.log[index - self.base - 1].term if self.base < index <= self.last else None
+
+    def after(self, index: int, most: int) -> tuple[Entry, ...]:
+        """Some entries after an index."""
+        start = index - self.base
+        return tuple(self.log[start:start + most])
+
+    def voters_now(self) -> tuple[str, ...]:
+        """By the latest entry about it, committed or not."""
+        for entry in reversed(self.log):
+            if entry.kind == VOTERS:
+                return tuple(entry.body.split())
+        return self.voters
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """Entries, with the index of the first, that are decided: for the replicated state, once and in order."""
+
+    first: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Restored:
+    """The replicated state begins anew from a snapshot."""
+
+    index: int
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """A majority followed this leader after the `confirm` of that number was asked for."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Elected:
+    """This voter leads from now on; or does so no longer."""
+
+    on: bool
+
+
+Effects = list["Effect | Committed | Restored | Confirmed | Elected"]
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What a leader knows of another voter."""
+
+    next: int
+    match: int = 0
+    round: int = 0  # the latest of this leader's rounds that it has answered
+    heard_us: int = 0
+
+
+class Raft:
+    """One voter. `disk` is None for one that has none: it takes no part until it is taken in anew (`empty`)."""
+
+    def __init__(self, me: str, disk: Disk | None, seed: int, election_us: int = 1_000_000) -> None:
+        self.me = me
+        self.empty = disk is None
+        self.disk = disk or Disk(())
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.commit = self.disk.base
+        self.began_us = 0  # when this voter was elected last
+        self._election_us, self._beat_us = election_us, election_us // 5
+        self._random = random.Random(seed)
+        self._applied = self.disk.base
+        self._heard_us = -election_us  # of a leader
+        self._granted: set[str] = set()
+        self._pre = False
+        self._peers: dict[str, _Peer] = {}
+        self._round = 0
+        self._confirms: list[tuple[int, int]] = []  # number, the round that must be answered
+        self._due: dict[str, int] = {}
+        self._now_us = 0
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Who votes now."""
+        return self.disk.voters_now()
+
+    @property
+    def leads(self) -> bool:
+        """Whether this voter is the leader."""
+        return self.role is Role.LEADER
+
+    def start(self, now_us: int) -> Effects:
+        """Begin, from what is on disk."""
+        out: Effects = [Restored(self.disk.base, self.disk.state)]
+        return [*out, *self._wait_for_leader(now_us)]
+
+    # -- asked by the placer
+
+    def propose(self, now_us: int, kind: str, body: str) -> tuple[int, Effects]:
+        """Append a decision: its index, which is committed or lost in the end; -1 where this is not the leader."""
+        self._now_us = now_us
+        if not self.leads:
+            return -1, []
+        self.disk.log.append(Entry(self.disk.term, kind, body))
+        if kind == VOTERS:
+            self._know_peers(now_us)
+        return self.disk.last, [self._persist(self.disk.last), *self._send_all(now_us), *self._advance()]
+
+    def change_voters(self, now_us: int, voters: tuple[str, ...]) -> tuple[int, Effects]:
+        """Take one in or leave one out; -1 where that is not one step, or the last one is not committed yet."""
+        held = self.voters
+        pending = any(entry.kind == VOTERS for entry in self.disk.log[self.commit - self.disk.base:])
+        own_term = self.disk.term_at(self.commit) == self.disk.term
+        if pending or not own_term or len(set(held) ^ set(voters)) != 1 or not voters:
+            return -1, []
+        return self.propose(now_us, VOTERS, " ".join(voters))
+
+    def confirm(self, now_us: int, number: int) -> Effects:
+        """Tell `Confirmed(number)` once a majority has answered something sent from now on."""
+        if not self.leads:
+            return []
+        self._confirms.append((number, self._round + 1))
+        return [*self._send_all(now_us), *self._check_confirms()]
+
+    def fold(self, state: str) -> Effects:
+        """The replicated state as of what was committed and applied: entries up to there are kept no longer."""
+        disk = self.disk
+        if self._applied <= disk.base:
+            return []
+        voters, term = disk.voters, disk.term_at(self._applied)
+        for entry in disk.log[:self._applied - disk.base]:
+            if entry.kind == VOTERS:
+                voters = tuple(entry.body.split())
+        disk.log = disk.log[self._applied - disk.base:]
+        disk.base, disk.base_term, disk.state, disk.voters = self._applied, term or 0, state, voters
+        return [self._persist(disk.base)]
+
+    @property
+    def wants_fold(self) -> bool:
+        """Whether the log is long enough."""
+        return self._applied - self.disk.base > LOG_MOST
+
+    # -- driven by the host
+
+    def on_timer(self, now_us: int, key: str) -> Effects:
+        """A timer is due: `election` or `beat`."""
+        if self._due.pop(key, None) is None:
+            return []
+        if key == "beat":
+            return self._beat(now_us)
+        if self.leads or self.empty or self.me not in self.voters:
+            return self._wait_for_leader(now_us)
+        return self._stand(now_us, True)
+
+    def on_message(self, now_us: int, ident: str, message: Message) -> Effects:
+        """A message of another voter."""
+        self._now_us = now_us
+        if self.empty:
+            return []  # Danger: what it once promised is lost with its disk; a second word could undo a decision
+        if isinstance(message, VoteAsk):
+            return self._on_vote_ask(now_us, ident, message)
+        if message.term > self.disk.term and not (isinstance(message, VoteAnswer) and message.pre):
+            out = self._step_down(now_us, message.term)
+        else:
+            out = []
+        if isinstance(message, VoteAnswer):
+            return [*out, *self._on_vote(now_us, ident, message)]
+        if isinstance(message, AppendAnswer):
+            return [*out, *self._on_answer(now_us, ident, message)]
+        if message.term < self.disk.term:
+            return [*out, Send(ident, "", AppendAnswer(self.disk.term, False, self.disk.last, message.round))]
+        if self.role is not Role.FOLLOWER or self.leader != ident:
+            out += self._follow(ident)
+        self._heard_us = now_us
+        out += self._wait_for_leader(now_us)
+        return [*out, *(self._on_append(ident, message) if isinstance(message, Append)
+                        else self._on_install(ident, message))]
+
+    # -- elections
+
+    def _wait_for_leader(self, now_us: int) -> Effects:
+        wait = self._election_us + self._random.randrange(self._election_us)
+        return [self._timer("election", now_us + wait)]
+
+    def _stand(self, now_us: int, pre: bool) -> Effects:
+        """Ask to be elected; first only whether one would be, so that who was cut off raises no term in vain."""
+        out: Effects = []
+        self._pre, self._granted, self.leader = pre, {self.me}, ""
+        self.role = Role.CANDIDATE
+        if not pre:
+            self.disk.term, self.disk.vote = self.disk.term + 1, self.me
+            out.append(self._persist(None))
+        term = self.disk.term + 1 if pre else self.disk.term
+        last_term = self.disk.term_at(self.disk.last) or 0
+        out += [Send(each, "", VoteAsk(term, self.disk.last, last_term, pre)) for each in self.voters
+                if each != self.me]
+        return [*out, *self._wait_for_leader(now_us), *self._count_votes(now_us)]
+
+    def _on_vote_ask(self, now_us: int, ident: str, asked: VoteAsk) -> Effects:
+        disk = self.disk
+        out: Effects = []
+        # Who hears a leader elects no other: one that was cut off or let go of must not depose it by coming back.
+        stays = self.leads or now_us - self._heard_us < self._election_us
+        if asked.term > disk.term and not asked.pre and not stays:
+            out += self._step_down(now_us, asked.term)
+        mine = (disk.term_at(disk.last) or 0, disk.last)
+        good = (asked.last_term, asked.last_index) >= mine and not stays and ident in self.voters
+        if asked.pre:
+            granted = good and asked.term > disk.term
+            return [*out, Send(ident, "", VoteAnswer(asked.term if granted else disk.term, granted, True))]
+        granted = good and asked.term == disk.term and disk.vote in ("", ident)
+        if granted and not disk.vote:
+            disk.vote = ident
+            out.append(self._persist(None))
+        if granted:
+            out += self._wait_for_leader(now_us)
+        return [*out, Send(ident, "", VoteAnswer(disk.term, granted, False))]
+
+    def _on_vote(self, now_us: int, ident: str, answer: VoteAnswer) -> Effects:
+        if self.role is not Role.CANDIDATE or answer.pre is not self._pre or ident not in self.voters:
+            return []
+        if answer.granted and answer.term == (self.disk.term + 1 if self._pre else self.disk.term):
+            self._granted.add(ident)
+            return self._count_votes(now_us)
+        if answer.term > self.disk.term:
+            return self._step_down(now_us, answer.term)
+        return []
+
+    def _count_votes(self, now_us: int) -> Effects:
+        if 2 * len(self._granted & set(self.voters)) <= len(self.voters):
+            return []
+        return self._stand(now_us, False) if self._pre else self._lead(now_us)
+
+    def _lead(self, now_us: int) -> Effects:
+        self.role, self.leader, self.began_us = Role.LEADER, self.me, now_us
+        self._peers, self._confirms = {}, []
+        self._know_peers(now_us)
+        self.disk.log.append(Entry(self.disk.term, "", ""))  # of its own term: earlier ones are committed with it
+        return [self._persist(self.disk.last), Elected(True), Tell("leads", {"term": self.disk.term}),
+                *self._send_all(now_us), *self._advance(), self._timer("beat", now_us + self._beat_us)]
+
+    def _know_peers(self, now_us: int) -> None:
+        for name in self.voters:
+            if name != self.me and name not in self._peers:
+                self._peers[name] = _Peer(self.disk.last + 1, heard_us=now_us)
+        for name in [name for name in self._peers if name not in self.voters]:
+            del self._peers[name]
+
+    def _step_down(self, now_us: int, term: int) -> Effects:
+        led, self.role = self.leads, Role.FOLLOWER
+        out: Effects = []
+        if term > self.disk.term:
+            self.disk.term, self.disk.vote, self.leader = term, "", ""
+            out.append(self._persist(None))
+        if led:
+            self.leader = ""
+            out += [Elected(False), Tell("leads-no-longer", {"term": self.disk.term})]
+        self._confirms = []
+        return [*out, *self._wait_for_leader(now_us)]
+
+    def _follow(self, ident: str) -> Effects:
+        led, self.role = self.leads, Role.FOLLOWER
+        self.leader = ident
+        self._confirms = []
+        return [*([Elected(False)] if led else []), Tell("follows", {"leader": ident, "term": self.disk.term})]
+
+    # -- leading
+
+    def _beat(self, now_us: int) -> Effects:
+        if not self.leads:
+            return []
+        heard = 1 + sum(now_us - each.heard_us < 2 * self._election_us for name, each in self._peers.items())
+        counted = heard if self.me in self.voters else heard - 1
+        if 2 * counted <= len(self.voters):
+            # Check-quorum. Danger: a leader that a majority does not hear any more would go on answering as one.
+            return self._step_down(now_us, self.disk.term)
+        return [*self._send_all(now_us), self._timer("beat", now_us + self._beat_us)]
+
+    def _send_all(self, now_us: int) -> Effects:
+        self._round += 1
+        return [self._send_to(name, each) for name, each in self._peers.items()]
+
+    def _send_to(self, name: str, peer: _Peer) -> Send:
+        disk, prev = self.disk, peer.next - 1
+        prev_term = disk.term_at(prev)
+        if prev_term is None:
+            return Send(name, "", Install(disk.term, disk.base, disk.base_term, " ".join(disk.voters), disk.state,
+                                          self._round))
+        return Send(name, "", Append(disk.term, prev, prev_term, disk.after(prev, ENTRIES_MOST), self.commit,
+                                     self._round))
+
+    def _on_answer(self, now_us: int, ident: str, answer: AppendAnswer) -> Effects:
+        peer = self._peers.get(ident)
+        if not self.leads or peer is None or answer.term != self.disk.term:
+            return []
+        peer.heard_us, peer.round = now_us, max(peer.round, answer.round)
+        out = self._check_confirms()
+        if not answer.ok:
+            peer.next = max(1, min(peer.next - 1, answer.match + 1))
+            return [*out, self._send_to(ident, peer)]
+        before = peer.match
+        peer.match = max(peer.match, answer.match)
+        peer.next = max(peer.next, peer.match + 1)
+        out += self._advance()
+        if peer.match < self.disk.last and peer.match > before:
+            out.append(self._send_to(ident, peer))
+        return out
+
+    def _advance(self) -> Effects:
+        """Commit what a majority holds of this term."""
+        voters = self.voters
+        held = sorted((self.disk.last if name == self.me else self._peers[name].match for name in voters), reverse=True)
+        index = held[len(voters) // 2]
+        if index <= self.commit or self.disk.term_at(index) != self.disk.term:
+            return []
+        self.commit = index
+        out = self._apply()
+        if self.me not in self.voters and not any(
+                entry.kind == VOTERS for entry in self.disk.log[self.commit - self.disk.base:]):
+            out += self._step_down(self._now_us, self.disk.term)  # it was left out, and that is decided
+        return out
+
+    def _check_confirms(self) -> Effects:
+        done: Effects = []
+        while self._confirms:
+            number, wanted = self._confirms[0]
+            count = sum(peer.round >= wanted for peer in self._peers.values()) + (self.me in self.voters)
+            if 2 * count <= len(self.voters):
+                break
+            self._confirms.pop(0)
+            done.append(Confirmed(number))
+        return done
+
+    # -- following
+
+    def _on_append(self, ident: str, message: Append) -> Effects:
+        disk = self.disk
+        held = disk.term_at(message.prev_index)
+        if message.prev_index < disk.base:
+            held, skip = disk.base_term, disk.base - message.prev_index
+            message = replace(message, prev_index=disk.base, entries=message.entries[skip:])
+        elif held is None or held != message.prev_term:
+            near = min(disk.last, message.prev_index - 1)
+            return [Send(ident, "", AppendAnswer(disk.term, False, near, message.round))]
+        out: Effects = []
+        index = message.prev_index
+        for offset, entry in enumerate(message.entries):
+            index = message.prev_index + offset + 1
+            known = disk.term_at(index)
+            if known == entry.term:
+                continue
+            if known is not None:
+                disk.log = disk.log[:index - disk.base - 1]  # an entry that was never committed gives way
+            disk.log += message.entries[offset:]
+            out.append(self._persist(index))
+            index = message.prev_index + len(message.entries)
+            break
+        if message.commit > self.commit:
+            self.commit = max(self.commit, min(message.commit, index))
+            out += self._apply()
+        return [*out, Send(ident, "", AppendAnswer(disk.term, True, index, message.round))]
+
+    def _on_install(self, ident: str, message: Install) -> Effects:
+        disk = self.disk
+        out: Effects = []
+        if message.index > self.commit:
+            kept = disk.after(message.index, LOG_MOST * 2) if disk.term_at(message.index) == message.last_term else ()
+            disk.base, disk.base_term, disk.state = message.index, message.last_term, message.state
+            disk.voters, disk.log = tuple(message.voters.split()), list(kept)
+            self.commit = self._applied = message.index
+            out += [self._persist(disk.base), Restored(message.index, message.state)]
+        return [*out, Send(ident, "", AppendAnswer(disk.term, True, max(message.index, 0), message.round))]
+
+    def _apply(self) -> Effects:
+        """Hand over what was decided, once and in order."""
+        if self.commit <= self._applied:
+            return []
+        first, self_base = self._applied + 1, self.disk.base
+        entries = tuple(self.disk.log[self._applied - self_base:self.commit - self_base])
+        self._applied = self.commit
+        return [Committed(first, entries)]
+
+    # -- small things
+
+    def _persist(self, first: int | None) -> Persist:
+        """Term and vote; and the log from an index on (all of it, and the snapshot, from `base`)."""
+        disk = self.disk
+        whole = first is not None and first <= disk.base
+        entries = () if first is None else tuple(disk.log if whole else disk.log[first - disk.base - 1:])
+        return Persist(disk.term, disk.vote, disk.base + 1 if whole else first, entries,
+                       (disk.base, disk.base_term, " ".join(disk.voters), disk.state) if whole else None)
+
+    def _timer(self, key: str, at_us: int) -> SetTimer:
+        self._due[key] = at_us
+        return SetTimer("raft " + key, at_us)
--- a/wingbarrow/lab/fleet/swarm.py
+++ b/wingbarrow/lab/fleet/swarm.py
@@ -117,7 +117,7 @@
                 self.told.append(Told(self.now_us, name, effect.what, effect.fields))
             elif isinstance(effect, SetTimer):
                 self._set_timer(name, life, effect)
-            else:
+            elif isinstance(effect, Send):
                 self._send(name, effect)
 
     def _set_timer(self, name: str, life: int, timer: SetTimer) -> None:
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -133,7 +133,7 @@
                 self._send(effect)
             elif isinstance(effect, SetTimer):
                 self._set_timer(effect)
-            else:
+            elif isinstance(effect, Tell):
                 self._tell(effect)
 
     def _send(self, send: Send) -> None:
