Rule sets that placers agree on: an order of versions, meets and floors, and grants to act

Need: no two placers may act on rules that contradict each other for longer than a stated time, whatever is cut or stopped. Change, all without I/O in decide/peers: rules (a table for each field: what is within what, and the meet of two), agreed (the voters' replicated state: versions, the edition in force, steps to come, floors), grants (counted from when they were asked for, reckoned with for longer by their giver) and agreement (ask, answer only after a majority has followed since, next step only once the last but one has lapsed, a new leader waits for as long as a grant lasts). lab/fleet/assembly runs any number on a virtual clock with drifting clocks, all acting every 10 ms, and judges who acted on what when. Found by a test of the bound: a drift allowance of 1,000 ppm is 0.5 us short for two clocks 500 ppm off in both directions; it is 2,000 now. Not connected to `serve` yet.

--- /dev/null
+++ b/tests/decide/peers/test_agreement.py
@@ -0,0 +1,258 @@
+"""Agreement on the virtual clock: nobody acts on rules whose time has passed, whatever breaks; and its judge."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+
+from wingbarrow.decide.peers.agreed import Agreed, from_text
+from wingbarrow.decide.peers.agreement import Ask, Grant, NotLeader, Times
+from wingbarrow.decide.peers.grants import DRIFT, Holder, given_until_us
+from wingbarrow.decide.peers.rules import ClassRules, RuleSet, allows, contradict, meet, normal, read, shares
+from wingbarrow.lab.fleet.assembly import ACT_US, Assembly, Use, judge
+from wingbarrow.lab.fleet.swarm import SECOND
+
+STATED_US = Times().stated_us(ACT_US)
+
+
+def rules(of: int = 3, most: int = 3, offers: int = 20, barred: tuple[str, ...] = ()) -> RuleSet:
+    classes = ClassRules("web", "safe", "cell", most), ClassRules("settlement", "unsafe", "none", 0)
+    return normal(RuleSet(classes, 4, 18 * SECOND, 2 * SECOND, shares(offers, tuple(f"p{i:03d}" for i in range(of))),
+                          250_000, barred))
+
+
+FLOOR = normal(RuleSet((ClassRules("web", "safe", "cell", 1),), 1, 60 * SECOND, 10 * SECOND, (), 0, ("n1", "n2")))
+
+
+def founded(count: int = 5, voters: int = 3, seed: int = 1, loss: float = 0.0) -> Assembly:
+    assembly = Assembly(count, voters, seed, loss=loss)
+    assert assembly.run_until(lambda: assembly.leader() is not None, 20 * SECOND)
+    assembly.propose(rules())
+    assert assembly.run_until(lambda: assembly.all_on(rules()), 20 * SECOND)
+    return assembly
+
+
+def fine(assembly: Assembly) -> None:
+    verdict = assembly.judged()
+    assert verdict.acts and not verdict.past and verdict.longest_us <= STATED_US, verdict
+
+
+@pytest.mark.parametrize("count, voters", [(1, 1), (3, 3), (5, 3), (16, 5), (64, 7)])
+def test_all_act_on_what_was_proposed_also_where_it_contradicts_and_nobody_pauses(count: int, voters: int) -> None:
+    assembly = founded(count, voters)
+    assembly.refused = 0
+    assert contradict(rules(3), rules(4))
+    assembly.propose(rules(4))
+    assert assembly.run_until(lambda: assembly.all_on(rules(4)), 10 * SECOND)
+    assert [assembly.uses[number].rules for number in (1, 2, 3)] == [
+        rules(3).text(), meet(rules(3), rules(4)).text(), rules(4).text()]
+    assert assembly.refused == 0, "no gap in service"
+    fine(assembly)
+
+
+def test_one_that_is_cut_off_lapses_and_goes_on_by_the_floor_and_comes_back() -> None:
+    assembly = founded()
+    assembly.lower_floor(FLOOR, 60 * SECOND, "floor")
+    assembly.run(assembly.now_us + 3 * SECOND)
+    assert assembly.outcome("floor") == ""
+    assembly.cut = lambda a, b: "p004" in (a, b)
+    assembly.run(assembly.now_us + 4 * SECOND)
+    member = assembly.members["p004"]
+    acting = member.acting(assembly.clock_us("p004"))
+    assert acting is not None and acting.label == "f1" and read(acting.rules) == FLOOR
+    assembly.propose(rules(4))
+    assembly.run(assembly.now_us + 10 * SECOND)
+    assembly.propose(rules(4, most=2))
+    assembly.run(assembly.now_us + 60 * SECOND)
+    assert member.acting(assembly.clock_us("p004")) is None, "the floor's own grant is over: it refuses"
+    assembly.cut = lambda a, b: False
+    assert assembly.run_until(lambda: assembly.all_on(rules(4, most=2)), 10 * SECOND)
+    fine(assembly)
+
+
+def test_without_a_floor_one_that_is_cut_off_refuses() -> None:
+    assembly = founded()
+    assembly.cut = lambda a, b: "p004" in (a, b)
+    assembly.run(assembly.now_us + 4 * SECOND)
+    assert assembly.members["p004"].acting(assembly.clock_us("p004")) is None
+
+
+def test_a_proposal_that_forbids_what_a_floor_allows_waits_for_the_longest_grant() -> None:
+    assembly = founded()
+    assembly.lower_floor(FLOOR, 30 * SECOND, "floor 1")
+    assembly.run(assembly.now_us + 3 * SECOND)
+    barring = rules(barred=("n1", "n2", "n3"))
+    first = assembly.propose(barring)
+    assembly.run(assembly.now_us + SECOND)
+    assert first is not None and "lower the floor" in (assembly.outcome(first) or "")
+    assembly.lower_floor(replace(FLOOR, barred=("n1", "n2", "n3")), 30 * SECOND, "floor 2")
+    assembly.run(assembly.now_us + 20 * SECOND)
+    second = assembly.propose(barring)
+    assembly.run(assembly.now_us + SECOND)
+    assert second is not None and "lower the floor" in (assembly.outcome(second) or ""), "the first may still be out"
+    assembly.run(assembly.now_us + 20 * SECOND)
+    assembly.propose(barring)
+    assert assembly.run_until(lambda: assembly.all_on(barring), 10 * SECOND)
+
+
+def test_two_at_once_one_wins_and_one_sent_again_is_taken_once() -> None:
+    assembly = founded()
+    assembly.propose(rules(most=2), base=1, ident="one")
+    assembly.propose(rules(most=1), base=1, ident="other")
+    assembly.run(assembly.now_us + SECOND)
+    assert assembly.outcome("one") == "" and "version 2 has been accepted since" in (assembly.outcome("other") or "")
+    assembly.propose(rules(most=2), base=1, ident="one")
+    assembly.run(assembly.now_us + 5 * SECOND)
+    leader = assembly.leader()
+    assert leader is not None and assembly.members[leader].agreed.version == 2
+    assert [each.number for each in assembly.members[leader].agreed.versions] == [1, 2]
+
+
+def test_a_version_proposed_in_the_middle_of_a_step_to_another_takes_its_place() -> None:
+    assembly = founded()
+    assembly.propose(rules(4))
+    assembly.run(assembly.now_us + SECOND // 2)
+    assembly.propose(rules(2, offers=30))
+    assert assembly.run_until(lambda: assembly.all_on(rules(2, offers=30)), 20 * SECOND)
+    assert rules(4).text() not in {use.rules for use in assembly.uses.values()}
+    fine(assembly)
+
+
+def test_a_leader_cut_off_with_a_third_of_the_fleet_comes_back_after_three_versions() -> None:
+    assembly = founded(9, 5, seed=4)
+    old = assembly.leader()
+    assert old is not None
+    side = {old, "p007", "p008"}
+    assembly.cut = lambda a, b: (a in side) != (b in side)
+    assembly.run(assembly.now_us + 6 * SECOND)
+    for most in (2, 1, 3):
+        assembly.propose(rules(4, most=most))
+        assembly.run(assembly.now_us + 12 * SECOND)
+    for name in side:
+        assert assembly.members[name].acting(assembly.clock_us(name)) is None
+    assembly.cut = lambda a, b: False
+    assert assembly.run_until(lambda: assembly.all_on(rules(4)), 10 * SECOND)
+    fine(assembly)
+
+
+@pytest.mark.parametrize("seconds", [1, 3, 10])
+def test_a_placer_stopped_for_longer_than_its_grant_acts_on_nothing_when_it_wakes(seconds: int) -> None:
+    assembly = founded(5, 3, seed=2)
+    assembly.stop("p004", seconds * SECOND)
+    assembly.propose(rules(4))
+    assembly.run(assembly.now_us + seconds * SECOND - 1)
+    if seconds > 2:
+        assert assembly.members["p004"].holder.acting(assembly.clock_us("p004")) is None
+    assert assembly.run_until(lambda: assembly.all_on(rules(4)), 10 * SECOND)
+    fine(assembly)
+
+
+def generated(count: int, voters: int, seed: int) -> Iterator[Assembly]:
+    """A schedule of cuts (one way, too), loss, stops, kills and proposals; then all heals."""
+    rng, assembly = random.Random(seed), founded(count, voters, seed)
+    if rng.random() < 0.5:
+        assembly.lower_floor(FLOOR, 20 * SECOND, "floor")
+    assembly.twice = 0.1
+    for _ in range(25):
+        assembly.run(assembly.now_us + rng.randrange(3 * SECOND))
+        what, some = rng.random(), rng.choice(assembly.names)
+        if what < 0.2:
+            side, one_way = set(rng.sample(assembly.names, rng.randrange(1, count))), rng.random() < 0.4
+            assembly.cut = lambda a, b, side=side, one=one_way: (
+                (a in side and b not in side) or (not one and b in side and a not in side))
+        elif what < 0.35:
+            assembly.cut = lambda a, b: False
+        elif what < 0.45:
+            assembly.loss = rng.choice((0.0, 0.1, 0.3))
+        elif what < 0.6 and some in assembly.members and some not in assembly.stopped:
+            assembly.stop(some, rng.randrange(6 * SECOND))
+        elif what < 0.7 and some in assembly.members and len(assembly.members) > 1:
+            assembly.kill(some)
+        elif what < 0.8:
+            for name in set(assembly.names) - set(assembly.members):
+                assembly.start(name)
+        else:
+            assembly.propose(rules(rng.randrange(1, count + 1), rng.randrange(1, 4), rng.randrange(0, 40)))
+        yield assembly
+    assembly.cut, assembly.loss = (lambda a, b: False), 0.0
+    for name in sorted(set(assembly.names) - set(assembly.members)):
+        assembly.start(name)
+    assert assembly.run_until(lambda: not assembly.stopped and assembly.leader() is not None, 30 * SECOND)
+    assembly.run(assembly.now_us + 15 * SECOND)
+    last = rules(count, 2, 17)
+    assembly.propose(last)
+    assert assembly.run_until(lambda: assembly.all_on(last), 20 * SECOND), "all are on the last version after healing"
+    yield assembly
+
+
+@pytest.mark.parametrize("count, voters", [(3, 3), (5, 3), (16, 5)])
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_generated_schedules_never_have_rules_in_use_whose_time_has_passed(count: int, voters: int, seed: int) -> None:
+    for assembly in generated(count, voters, seed):
+        fine(assembly)
+    assert len(assembly.uses) >= 2
+
+
+# -- parts
+
+
+def test_the_giver_reckons_with_a_grant_for_longer_than_its_holder_whatever_their_clocks() -> None:
+    for rate in (-5e-4, 0.0, 5e-4):
+        holder = Holder()
+        holder.take(1_000_000, 1, "x", 2_000_000)
+        lasts_truly = (holder.until_us - 1_000_000) / (1 + rate)
+        assert lasts_truly <= (given_until_us(0, 2_000_000)) / (1 + 5e-4) and DRIFT >= 2 * 5e-4
+
+
+def test_a_late_grant_brings_no_rules_back() -> None:
+    holder = Holder()
+    assert holder.take(10, 2, "new", 100) and not holder.take(50, 1, "old", 100)
+    assert holder.acting(60) is not None and holder.acting(60).rules == "new" and holder.acting(110) is None  # type: ignore[union-attr]
+
+
+def test_answers_to_asks_that_were_given_up_count_for_nothing() -> None:
+    assembly = founded()
+    member = assembly.members["p004"]
+    before = member.holder.until_us
+    for number in (0, 10_000_000):
+        assert member.on_message(1, "p000", "", Grant(number, 9, rules(2).text(), 10**12, 9, 0, "", 0)) == []
+        assert member.on_message(1, "p000", "", NotLeader(number, "p001")) == []
+    assert (member.holder.edition, member.holder.until_us) == (1, before)
+
+
+def test_who_does_not_lead_gives_nothing() -> None:
+    assembly = founded()
+    leader = assembly.leader()
+    other = next(name for name in assembly.voters if name != leader)
+    effects = assembly.members[other].on_message(1, "x", "at x", Ask(1, 0, 0))
+    assert [type(each.message) for each in effects] == [NotLeader]  # type: ignore[union-attr]
+
+
+def test_the_state_is_read_back_and_what_cannot_be_read_changes_nothing() -> None:
+    state = Agreed()
+    state.apply("propose", json.dumps({"ident": "a", "base": 0, "rules": rules().text(), "by": "x", "why": ""}))
+    before = state.text()
+    for kind, body in (("propose", "{"), ("propose", "{}"), ("step", '{"from": 9}'), ("step", ""), ("nonsense", "{}"),
+                       ("floor", '{"ident": "f", "rules": "", "lasts_us": "x"}'), ("floor-lapsed", "[]")):
+        state.apply(kind, body)
+        assert state.text() == before
+    assert from_text(before) == state and state.edition == 1
+
+
+def test_what_a_class_is_spread_by_cannot_change() -> None:
+    state = Agreed(1, rules().text(), 1)
+    moved = replace(rules(), classes=(ClassRules("web", "safe", "zone", 3),))
+    assert "spread by" in state.objection(1, normal(moved).text())
+
+
+def test_the_judge_finds_planted_acts_on_rules_whose_time_has_passed() -> None:
+    tight, loose = rules(most=1).text(), rules(most=3).text()
+    assert allows(read(tight), read(loose))
+    assert judge({1: Use(0, 100, loose), 2: Use(60, 200, tight)}, 9).longest_us == 40
+    assert judge({1: Use(0, 100, tight), 2: Use(60, 200, loose)}, 9).longest_us == 0, "the new one allows it all"
+    assert judge({1: Use(0, 100, loose), 2: Use(50, 300, tight), 3: Use(100, 300, loose)}, 9).past == 1
+    assert judge({1: Use(0, 100, loose), 2: Use(50, 300, tight), 3: Use(101, 300, loose)}, 9).past == 0
--- a/tests/decide/peers/test_membership.py
+++ b/tests/decide/peers/test_membership.py
@@ -36,7 +36,8 @@
     for life in (3600 * SECOND, 5):
         swarm.kill("p003")
         assert swarm.run_until(lambda: swarm.all_think("p003", Standing.DEAD), swarm.rules.detect_us(5))
-        swarm.start("p003", life=life)
+        swarm.life = life
+        swarm.start("p003")
         assert swarm.run_until(swarm.whole, swarm.rules.heal_us(5))
     assert swarm.members["p003"].incarnation > 3600 * SECOND and not swarm.members["p003"].twins
     assert [swarm.members[each].table.members["p003"].restarts for each in ("p000", "p001")] == [2, 2]
--- /dev/null
+++ b/tests/decide/peers/test_rules.py
@@ -0,0 +1,99 @@
+"""How rule sets compare: an order with a meet, field by field; what is wrong with one is said in words."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wingbarrow.decide.peers import rules as r
+
+CLASSES = st.dictionaries(
+    st.sampled_from(["web", "settlement", "batch"]),
+    st.tuples(st.sampled_from(r.EFFECTS), st.sampled_from(["none", "machine", "cell"]), st.integers(1, 4)),
+    min_size=1).map(lambda found: tuple(r.ClassRules(name, *each) for name, each in found.items()))
+SETS = st.builds(
+    r.RuleSet, CLASSES, st.integers(1, 4), st.integers(0, 3), st.integers(1, 3),
+    st.dictionaries(st.sampled_from("abcd"), st.integers(0, 8)).map(lambda found: tuple(found.items())),
+    st.integers(0, 3), st.sets(st.sampled_from(["n1", "n2"])).map(tuple)).map(r.normal)
+ONE = r.normal(r.RuleSet((r.ClassRules("web", "safe", "cell", 3),), 4, 18, 2, (("a", 10), ("b", 10)), 250, ()))
+
+
+@given(SETS, SETS, SETS)
+def test_it_is_an_order(a: r.RuleSet, b: r.RuleSet, c: r.RuleSet) -> None:
+    assert r.allows(a, a)
+    if r.allows(a, b) and r.allows(b, c):
+        assert r.allows(a, c)
+    if a == b:
+        assert a.digest == b.digest and not r.contradict(a, b) and not r.differences(a, b)
+    else:
+        assert a.digest != b.digest and r.differences(a, b)
+
+
+@given(SETS, SETS)
+def test_the_meet_allows_only_what_both_allow(a: r.RuleSet, b: r.RuleSet) -> None:
+    met = r.meet(a, b)
+    assert r.allows(met, a) and r.allows(met, b)
+    assert r.meet(b, a) == met
+    if r.allows(a, b):
+        assert r.allows(met, a) and r.allows(a, met), "nothing is lost where one is within the other"
+
+
+@given(SETS, SETS, SETS)
+def test_what_is_within_both_is_within_the_meet_but_where_spreads_differ_by_kind(
+        a: r.RuleSet, b: r.RuleSet, c: r.RuleSet) -> None:
+    if r.allows(c, a) and r.allows(c, b):
+        lost = {each.name for each in c.classes} - {each.name for each in r.meet(a, b).classes}
+        kinds = [{each.name: each.spread_by for each in side.classes} for side in (a, b)]
+        assert all(kinds[0][name] != kinds[1][name] for name in lost)
+        if not lost:
+            assert r.allows(c, r.meet(a, b))
+
+
+@given(SETS)
+def test_the_text_is_read_back(a: r.RuleSet) -> None:
+    assert r.read(a.text()) == a and not r.check(a)
+
+
+def test_the_cases_of_the_issue() -> None:
+    three = replace(ONE, cold_shares=r.shares(20, ("a", "b", "c")))
+    four = replace(ONE, cold_shares=r.shares(20, ("a", "b", "c", "d")))
+    assert r.contradict(three, four), "one share grows while others shrink"
+    assert dict(r.meet(three, four).cold_shares) == {"a": 5, "b": 5, "c": 5}
+    tight = replace(ONE, classes=(r.ClassRules("web", "safe", "cell", 2),))
+    assert r.allows(tight, ONE) and not r.allows(ONE, tight) and not r.contradict(tight, ONE)
+    assert r.meet(tight, ONE) == tight
+    barred = replace(ONE, barred=("n1",))
+    assert r.allows(barred, ONE) and r.differences(ONE, barred) == ["barred: n1"]
+
+
+@given(st.integers(0, 100), st.sets(st.sampled_from("abcdefgh"), min_size=1))
+def test_shares_sum_to_the_budget(offers: int, names: set[str]) -> None:
+    cut = dict(r.shares(offers, tuple(names)))
+    assert sum(cut.values()) == offers and max(cut.values(), default=0) - min(cut.values(), default=0) <= 1
+
+
+@pytest.mark.parametrize("change, words", [
+    ({"classes": []}, "classes"), ({"classes": [{"name": "x"}]}, "no rule set"), ({"attempts_most": 0}, "attempts"),
+    ({"attempts_most": True}, "attempts"), ({"cold_window_us": 0}, "window"), ({"cold_shares": [["a", -1]]}, "share"),
+    ({"cold_shares": [["a", 1], ["a", 2]]}, "two shares"), ({"barred": [""]}, "without a name"),
+    ({"more": 1}, "fields"),
+    ({"drain_grace_us": "soon"}, "grace"), ({"cold_shares": 5}, "no rule set"), ({"barred": [3]}, "without a name"),
+])
+def test_what_is_wrong_with_one_is_said(change: dict[str, object], words: str) -> None:
+    with pytest.raises(r.BadRules, match=words):
+        r.read(json.dumps({**json.loads(ONE.text()), **change}))
+
+
+@given(st.text(max_size=200))
+def test_no_text_brings_about_anything_but_a_refusal(text: str) -> None:
+    with pytest.raises(r.BadRules):
+        r.read(text)
+
+
+def test_ten_megabytes_are_refused() -> None:
+    with pytest.raises(r.BadRules, match="the most"):
+        r.read(" " * (10 << 20))
--- /dev/null
+++ b/wingbarrow/decide/peers/agreement.py
@@ -0,0 +1,357 @@
+"""Agreement on rules, one placer's part: it holds grants; where it votes it decides, and where it leads it gives them.
+
+A leader answers for a grant only after a majority has followed it since it was asked, so that nobody is answered by one
+that was deposed; it takes the next step only once all grants of earlier editions have lapsed by its reckoning, or their
+holders have moved on; a new leader, which knows of no grants, waits for as long as one lasts.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from wingbarrow.decide.peers import raft as r
+from wingbarrow.decide.peers.agreed import Agreed, from_text
+from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
+from wingbarrow.decide.peers.grants import Acting, Holder, given_until_us
+
+HOLDERS_MOST = 4096
+ASKS_MOST = 4096  # that wait for a round
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """May I act? `edition`, `floor`: what the asker acts on, so that their rules need not be said again."""
+
+    number: int
+    edition: int
+    floor: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """You may, for so long from when you asked. Rules are empty where the asker has them."""
+
+    number: int
+    edition: int
+    rules: str
+    lasts_us: int
+    version: int
+    floor: int
+    floor_rules: str
+    floor_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeader:
+    """Ask that one instead; "" where none is known."""
+
+    number: int
+    leader: str
+
+
+Message = Ask | Grant | NotLeader | r.Message
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """Times in microseconds."""
+
+    grant_us: int = 2_000_000
+    election_us: int = 1_000_000
+    batch_us: int = 20_000  # asks are answered together, one round of the voters for all
+    again_us: int = 200_000  # an ask without an answer is sent again, to another voter
+
+    def stated_us(self, turn_us: int) -> int:
+        """For how long after the first act under new rules somebody may act under those before: the stated time.
+
+        A grant of the old ones was asked for before the new ones were decided, and lasts `grant_us` by its holder's
+        clock; the gate asks right before the first byte, which may then wait for the hub's longest turn.
+        """
+        return given_until_us(0, self.grant_us) + turn_us
+
+
+@dataclass(slots=True)
+class _Asked:
+    ident: str
+    address: str
+    ask: Ask
+
+
+class Agreement:
+    """`disk`: what this placer has as a voter, None where it has none; `voter`: whether the settings name it as one."""
+
+    def __init__(self, me: str, voters: tuple[str, ...], disk: r.Disk | None, seed: int,
+                 times: Times = Times()) -> None:  # noqa: B008 - frozen
+        self.me, self.times = me, times
+        self.named = voters
+        self.raft = r.Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
+        self.agreed = Agreed()
+        self.holder = Holder()
+        self.version = 0  # the latest that a grant told of
+        self._random = random.Random(seed + 1)
+        self._due: dict[str, int] = {}
+        self._number = 0
+        self._asked: dict[int, int] = {}  # own asks without an answer: when each was sent
+        self._leader = ""
+        self._tried = 0
+        self._acting: Acting | None = None
+        # a leader's
+        self._waiting: list[_Asked] = []
+        self._rounds: dict[int, list[_Asked]] = {}
+        self._round = 0
+        self._holders: dict[str, tuple[int, int]] = {}  # edition, and until when it may act on it at the latest
+        self._floors_out: dict[int, int] = {}  # floor: until when somebody may go on by it at the latest
+        self._old_until_us = 0  # until when editions before the one in force may be acted on, beside `_holders`
+
+    # -- driven by the host
+
+    def start(self, now_us: int) -> list[Effect]:
+        """Begin."""
+        out = self._of_raft(now_us, self.raft.start(now_us)) if self.raft is not None else []
+        return [*out, self._timer("ask", now_us + 1)]
+
+    def on_message(self, now_us: int, ident: str, address: str, message: Any) -> list[Effect]:
+        """Mail of another placer."""
+        if isinstance(message, Ask):
+            return self._on_ask(now_us, ident, address, message)
+        if isinstance(message, Grant):
+            return self._on_grant(now_us, ident, message)
+        if isinstance(message, NotLeader):
+            return self._on_not_leader(now_us, message)
+        if self.raft is None or ident not in (*self.raft.voters, *self.named):
+            return []
+        return self._of_raft(now_us, self.raft.on_message(now_us, ident, message))
+
+    def on_timer(self, now_us: int, key: str) -> list[Effect]:
+        """A timer that was set is due."""
+        if key.startswith("raft "):
+            assert self.raft is not None
+            return self._of_raft(now_us, self.raft.on_timer(now_us, key.removeprefix("raft ")))
+        if self._due.pop(key, None) is None:
+            return []
+        if key == "ask":
+            return self._ask(now_us)
+        if key == "lapse":
+            return self._look_at_grant(now_us)
+        if key == "batch":
+            return self._begin_round(now_us)
+        return self._look_at_steps(now_us)
+
+    # -- the placer's questions
+
+    def acting(self, now_us: int) -> Acting | None:
+        """What this placer may act on right now: to be asked right before each first byte."""
+        return self.holder.acting(now_us)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this placer decides."""
+        return self.raft is not None and self.raft.leads
+
+    @property
+    def leader(self) -> str:
+        """Who leads, as far as is known; "" where nobody is."""
+        if self.raft is not None and self.raft.leader:
+            return self.raft.leader
+        return self._leader
+
+    def propose(self, now_us: int, kind: str, value: dict[str, Any]) -> list[Effect]:
+        """At the leader: have a proposal decided; its outcome is in `agreed.outcomes` by its `ident`."""
+        if self.raft is None or not self.raft.leads:
+            return []
+        _, effects = self.raft.propose(now_us, kind, json.dumps(value))
+        return self._of_raft(now_us, effects)
+
+    def change_voters(self, now_us: int, voters: tuple[str, ...]) -> tuple[bool, list[Effect]]:
+        """At the leader: take one voter in, or leave one out; whether that is possible now."""
+        if self.raft is None:
+            return False, []
+        index, effects = self.raft.change_voters(now_us, voters)
+        return index > 0, self._of_raft(now_us, effects)
+
+    # -- holding
+
+    def _ask(self, now_us: int) -> list[Effect]:
+        out: list[Effect] = []
+        unanswered = bool(self._asked)
+        self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
+        self._number += 1
+        self._asked[self._number] = now_us
+        ask = Ask(self._number, self.holder.edition, self.holder.floor)
+        if self.leads:
+            out += self._on_ask(now_us, self.me, "", ask)
+        else:
+            if unanswered:
+                self._leader = ""  # it did not answer: somebody else may know better
+            receiver = self.leader if not unanswered else ""
+            others = [name for name in self.named if name != self.me]
+            if not receiver and others:
+                self._tried += 1
+                receiver = others[self._tried % len(others)]
+            if receiver:
+                out.append(Send(receiver, "", ask))
+        wait = self.times.again_us + self._random.randrange(self.times.again_us // 2)
+        return [*out, self._timer("ask", now_us + wait), *self._look_at_grant(now_us)]
+
+    def _on_grant(self, now_us: int, ident: str, grant: Grant) -> list[Effect]:
+        asked_us = self._asked.pop(grant.number, None)
+        if asked_us is None:
+            return []  # given up, or doubled: when it was asked for is not known
+        self._asked.clear()
+        self._leader, self._tried = ident, 0
+        rules = grant.rules or self.holder.rules
+        if grant.edition and (grant.rules or grant.edition == self.holder.edition):
+            self.holder.take(asked_us, grant.edition, rules, grant.lasts_us)
+        if grant.floor and (grant.floor_rules or grant.floor == self.holder.floor):
+            self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
+        self.version = max(self.version, grant.version)
+        # A third of the grant between asks: two may be lost before one lapses.
+        return [self._timer("ask", now_us + self.times.grant_us // 3), *self._look_at_grant(now_us)]
+
+    def _on_not_leader(self, now_us: int, message: NotLeader) -> list[Effect]:
+        if self._asked.pop(message.number, None) is None:
+            return []
+        self._leader = message.leader
+        if not message.leader:
+            return []
+        return [self._timer("ask", now_us + 1)]
+
+    def _look_at_grant(self, now_us: int) -> list[Effect]:
+        """Tell what is acted on, where that is another than before."""
+        acting = self.holder.acting(now_us)
+        out: list[Effect] = []
+        if acting != self._acting:
+            self._acting = acting
+            told = acting or Acting("", 0, "")
+            out.append(Tell("rules", {"label": told.label, "edition": told.edition, "rules": told.rules}))
+        ends = [at for at in (self.holder.until_us, self.holder.floor_until_us) if at > now_us]
+        if ends:
+            out.append(self._timer("lapse", min(ends)))
+        return out
+
+    # -- leading
+
+    def _on_ask(self, now_us: int, ident: str, address: str, ask: Ask) -> list[Effect]:
+        if not self.leads:
+            return [Send(ident, address, NotLeader(ask.number, self.leader))]
+        if len(self._waiting) >= ASKS_MOST:
+            return []
+        self._waiting = [each for each in self._waiting if each.ident != ident]
+        self._waiting.append(_Asked(ident, address, ask))
+        return [] if "batch" in self._due else [self._timer("batch", now_us + self.times.batch_us)]
+
+    def _begin_round(self, now_us: int) -> list[Effect]:
+        if not self.leads or self.raft is None or not self._waiting:
+            self._waiting = []
+            return []
+        self._round += 1
+        self._rounds[self._round], self._waiting = self._waiting, []
+        return self._of_raft(now_us, self.raft.confirm(now_us, self._round))
+
+    def _confirmed(self, now_us: int, number: int) -> list[Effect]:
+        out: list[Effect] = []
+        if self.raft is None or self.raft.disk.term_at(self.raft.commit) != self.raft.disk.term:
+            # Danger: what earlier leaders decided is known for sure only once an entry of this term is decided.
+            self._rounds.pop(number, None)
+            return out
+        for asked in self._rounds.pop(number, []):
+            out += self._give(now_us, asked)
+        return [*out, *self._look_at_steps(now_us)]
+
+    def _give(self, now_us: int, asked: _Asked) -> list[Effect]:
+        agreed, ask, lasts = self.agreed, asked.ask, self.times.grant_us
+        if not agreed.edition:
+            return []
+        floor = agreed.floors[-1] if agreed.floors else None
+        if asked.ident not in self._holders and len(self._holders) >= HOLDERS_MOST:
+            self._holders = {name: each for name, each in self._holders.items() if each[1] > now_us}
+            if len(self._holders) >= HOLDERS_MOST:
+                return []
+        # One that asks with this edition has left those before; one that does not may act on its old one until later.
+        held = self._holders.get(asked.ident)
+        until = given_until_us(now_us, lasts)
+        if held is not None and ask.edition < agreed.edition and held[0] < agreed.edition:
+            self._old_until_us = max(self._old_until_us, held[1])
+        self._holders[asked.ident] = agreed.edition, until
+        if floor is not None:
+            self._floors_out[floor.number] = given_until_us(now_us, floor.lasts_us)
+        grant = Grant(ask.number, agreed.edition, "" if ask.edition == agreed.edition else agreed.rules, lasts,
+                      agreed.version, floor.number if floor else 0,
+                      floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0)
+        if asked.ident == self.me:
+            return self._on_grant(now_us, self.me, grant)
+        return [Send(asked.ident, asked.address, grant)]
+
+    def _look_at_steps(self, now_us: int) -> list[Effect]:
+        """At the leader: take the next step, or drop a floor, once what came before has lapsed."""
+        if not self.leads or self.raft is None:
+            return []
+        if self.raft.disk.term_at(self.raft.commit) != self.raft.disk.term or self.raft.commit != self.raft.disk.last:
+            return [self._timer("step", now_us + self.times.batch_us)]  # something is being decided
+        out: list[Effect] = []
+        agreed = self.agreed
+        if agreed.steps:
+            due = self._lapsed_at_us()
+            if now_us >= due:
+                return self.propose(now_us, "step", {"from": agreed.edition})
+            out.append(self._timer("step", due))
+        if len(agreed.floors) > 1:
+            last = agreed.floors[-1].number
+            ends = [self._floors_out.get(each.number, given_until_us(self.raft.began_us, each.lasts_us))
+                    for each in agreed.floors[:-1]]
+            ends += [given_until_us(self.raft.began_us, each.lasts_us) for each in agreed.floors[:-1]]
+            if now_us >= max(ends):
+                return [*out, *self.propose(now_us, "floor-lapsed", {"number": last})]
+            if "step" not in self._due:
+                out.append(self._timer("step", max(ends)))
+        return out
+
+    def _lapsed_at_us(self) -> int:
+        """When no placer can act on an edition before the one in force any more, by this leader's reckoning."""
+        assert self.raft is not None
+        old = [until for edition, until in self._holders.values() if edition < self.agreed.edition]
+        # Grants that an earlier leader gave are not known here: each was asked for before this one was elected.
+        before = given_until_us(self.raft.began_us, self.times.grant_us)
+        return max([self._old_until_us, before, *old])
+
+    # -- the voters' log
+
+    def _of_raft(self, now_us: int, effects: r.Effects) -> list[Effect]:
+        """Effects for the host; what is decided goes into the replicated state on the way."""
+        out: list[Effect] = []
+        for effect in effects:
+            if isinstance(effect, r.Restored):
+                self.agreed = from_text(effect.state)
+            elif isinstance(effect, r.Committed):
+                out += self._decided(now_us, effect)
+            elif isinstance(effect, r.Confirmed):
+                out += self._confirmed(now_us, effect.number)
+            elif isinstance(effect, r.Elected):
+                self._waiting, self._rounds, self._holders = [], {}, {}
+                self._floors_out, self._old_until_us = {}, 0
+                if effect.on:
+                    out.append(self._timer("step", now_us + self.times.batch_us))
+            else:
+                out.append(effect)
+        return out
+
+    def _decided(self, now_us: int, committed: r.Committed) -> list[Effect]:
+        out: list[Effect] = []
+        before = self.agreed.edition, self.agreed.version, len(self.agreed.floors)
+        for entry in committed.entries:
+            if entry.kind not in ("", r.VOTERS):
+                self.agreed.apply(entry.kind, entry.body)
+        if self.agreed.edition != before[0]:
+            out.append(Tell("edition", {"edition": self.agreed.edition, "version": self.agreed.version}))
+        if self.raft is not None and self.raft.wants_fold:
+            out += self._of_raft(now_us, self.raft.fold(self.agreed.text()))
+        if self.leads and before != (self.agreed.edition, self.agreed.version, len(self.agreed.floors)):
+            out.append(self._timer("step", now_us + 1))
+        return out
+
+    def _timer(self, key: str, at_us: int) -> SetTimer:
+        self._due[key] = at_us
+        return SetTimer(key, at_us)
--- /dev/null
+++ b/wingbarrow/decide/peers/grants.py
@@ -0,0 +1,63 @@
+"""Until when a placer may act on which rules: the holder's side, counted from when it asked, by its own clock alone.
+
+As leases in Chubby, but that time only ever shortens them: the giver reckons with a grant until later than its holder
+does, by the drift that two clocks may have. A holder that hears of nobody goes on by the floor, as long as the floor's
+own grant lasts; then it refuses.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+DRIFT = 0.002  # two clocks, each 500 ppm off, differ by a little more than 1,000 ppm
+
+
+def given_until_us(now_us: int, lasts_us: int) -> int:
+    """Until when the giver reckons with a grant that it gives now: its holder asked before."""
+    return now_us + int(lasts_us * (1 + DRIFT)) + 1
+
+
+@dataclass(frozen=True, slots=True)
+class Acting:
+    """What a placer acts on: `label` goes with each offer. `rules` is a rule set's text."""
+
+    label: str
+    edition: int  # 0 for a floor
+    rules: str
+
+
+@dataclass(slots=True)
+class Holder:
+    """One placer's grants; times by its own clock."""
+
+    edition: int = 0
+    rules: str = ""
+    until_us: int = 0
+    floor: int = 0
+    floor_rules: str = ""
+    floor_until_us: int = 0
+
+    def take(self, asked_us: int, edition: int, rules: str, lasts_us: int) -> bool:
+        """A grant, as asked for at `asked_us`; False for one of an edition that was left behind."""
+        if edition < self.edition:
+            return False  # Danger: an answer that was late must not bring rules back whose time has passed
+        if edition > self.edition:
+            self.edition, self.rules, self.until_us = edition, rules, 0
+        self.until_us = max(self.until_us, asked_us + lasts_us)
+        return True
+
+    def take_floor(self, asked_us: int, number: int, rules: str, lasts_us: int) -> None:
+        """A floor's grant."""
+        if number < self.floor:
+            return
+        if number > self.floor:
+            self.floor, self.floor_rules, self.floor_until_us = number, rules, 0
+        self.floor_until_us = max(self.floor_until_us, asked_us + lasts_us)
+
+    def acting(self, now_us: int) -> Acting | None:
+        """What may be acted on at this moment; None: nothing."""
+        if self.edition and now_us < self.until_us:
+            return Acting(f"e{self.edition}", self.edition, self.rules)
+        if self.floor and now_us < self.floor_until_us:
+            return Acting(f"f{self.floor}", 0, self.floor_rules)
+        return None
