--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -146,7 +146,7 @@
                 assert fault.at_us >= spans.get(fault.who, 0), "a process suffers one thing at a time"
                 spans[fault.who] = fault.end_us
     assert {fault.kind for seed in range(1, 60) for fault in generate(seed, NAMES, 60)} == {
-        "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill"}
+        "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill", "propose"}
 
 
 # -- a play with processes, and its judge
@@ -158,7 +158,9 @@
     folder = tmp_path_factory.mktemp("fleet") / "run"
     faults = [Fault("isolate", 1 * S, "placer-2", "", 2 * S), Fault("stop", 2 * S, "placer-1", "", 1 * S),
               Fault("twice", 1 * S, "placer-0", "placer-1", 4 * S, amount=1.0),
-              Fault("kill", 4 * S, "placer-0", "", 1 * S, state=False)]
+              Fault("propose", S // 2, "placer-1", amount=11.0), Fault("propose", 2 * S, "placer-0", amount=12.0),
+              Fault("kill", 4 * S, "placer-0", "", 1 * S, state=False),
+              Fault("propose", 5 * S, "placer-2", amount=13.0), Fault("propose", 6 * S, "placer-2", amount=14.0)]
     hub = Hub()
     hub.run(Rig(hub, Size(3, 4, 8.0, 7, 6.0), faults, folder, silent).run)
     yield folder
@@ -167,13 +169,14 @@
 def test_processes_with_faults_between_them_keep_the_rules_and_find_together(fleet: Path) -> None:
     verdict = judge(fleet)
     assert verdict.clean, verdict.notes
-    assert (verdict.placers, verdict.faults, verdict.kills) == (3, 4, 1)
+    assert (verdict.placers, verdict.faults, verdict.kills) == (3, 8, 1)
+    assert verdict.versions >= 4 and verdict.editions >= 4 and verdict.longest_contradiction_ms <= verdict.stated_ms
     assert verdict.sends == verdict.audit.offers >= 20 and verdict.audit.placed >= 20
     assert verdict.audit.accepted == sum((verdict.audit.placed, verdict.audit.refused, verdict.audit.failed,
                                           verdict.audit.left_to_owners))
     assert judge(fleet).line() == verdict.line(), "it can be judged again"
     kinds = {each["what"] for each in map(json.loads, (fleet / "placer-1.history.jsonl").read_text().splitlines())}
-    assert {"start", "member-joined", "member-restarted"} <= kinds
+    assert {"start", "member-joined", "member-restarted", "rules"} <= kinds
 
 
 @pytest.fixture
@@ -256,3 +259,93 @@
     history = copy / "placer-0.history.jsonl"
     history.write_bytes(history.read_bytes() + b'{"at_us": 5, "wh')
     assert judge(copy).clean
+
+
+def offers(copy: Path) -> list[dict[str, Any]]:
+    """Offers of the recording under editions, in order."""
+    found = lines(copy / "recording.jsonl")
+    return [each for each in found if each["what"] == "offer" and each["rules"].startswith("e")]
+
+
+def plant(copy: Path, like: dict[str, Any], **changes: Any) -> None:
+    """One more offer in the recording, as a copy of another."""
+    path = copy / "recording.jsonl"
+    number = len(lines(path))
+    write(path, [*lines(path), {**like, "pod": f"planted-{number}-0", "late": False, **changes}])
+
+
+def test_a_planted_send_under_an_edition_two_back_is_found(copy: Path) -> None:
+    found = offers(copy)
+    late = found[-1]
+    old = f"e{int(late['rules'][1:]) - 2}"
+    plant(copy, late, rules=old, at_us=late["at_us"] + 1)
+    verdict = judge(copy)
+    assert verdict.contradictions == 1 and not verdict.clean
+
+
+def test_a_planted_send_past_the_stated_time_is_found_and_one_within_it_is_none(copy: Path) -> None:
+    texts = {each["label"]: each["rules"] for name in NAMES for each in lines(copy / f"{name}.history.jsonl")
+             if each["what"] == "rules"}
+    number = max(int(label[1:]) for label in texts if label.startswith("e"))
+    tight, loose = json.loads(texts["e1"]), json.loads(texts["e1"])
+    tight["attempts_most"] = 1
+    history = copy / "placer-1.history.jsonl"
+    over = next(each["at_us"] for each in lines(copy / "events.jsonl") if each["what"] == "over")
+    for label, rules in ((f"e{number + 1}", loose), (f"e{number + 2}", tight)):
+        write(history, [*lines(history), {"at_us": over + 1, "what": "rules", "label": label, "edition": 0,
+                                          "rules": json.dumps(rules)}])
+    first, stated_us = over + S, judge(copy).stated_ms * 1000
+    like = offers(copy)[-1]
+    plant(copy, like, rules=f"e{number + 1}", at_us=over + 2)
+    plant(copy, like, rules=f"e{number + 2}", at_us=first)
+    plant(copy, like, rules=f"e{number + 1}", at_us=first + stated_us - S // 10)
+    verdict = judge(copy)
+    assert verdict.contradictions == 0 and verdict.longest_contradiction_ms == stated_us // 1000 - 100
+    plant(copy, like, rules=f"e{number + 1}", at_us=first + stated_us + S // 10)
+    assert judge(copy).contradictions == 1
+
+
+def test_planted_sends_without_a_label_or_under_an_unknown_one_are_found(copy: Path) -> None:
+    plant(copy, offers(copy)[-1], rules="")
+    plant(copy, offers(copy)[-1], rules="e999")
+    assert judge(copy).contradictions == 2
+
+
+def test_a_planted_send_that_its_own_rules_forbid_is_found(copy: Path) -> None:
+    like = offers(copy)[-1]
+    plant(copy, like, task_class="another")
+    assert judge(copy).forbidden_sends == 1
+    for name in NAMES:
+        history = copy / f"{name}.history.jsonl"
+        write(history, [{**each, "rules": json.dumps({**json.loads(each["rules"]), "barred": [like["where"]]})}
+                        if each["what"] == "rules" and each["label"] == like["rules"] else each
+                        for each in lines(history)])
+    assert judge(copy).forbidden_sends >= 2
+
+
+def test_planted_rules_that_two_know_otherwise_are_found(copy: Path) -> None:
+    history = copy / "placer-2.history.jsonl"
+    told_rules = next(each for each in lines(history) if each["what"] == "rules" and each["label"])
+    other = json.dumps({**json.loads(told_rules["rules"]), "attempts_most": 99})
+    write(history, [*lines(history), {**told_rules, "rules": other}])
+    assert judge(copy).contradictions >= 1
+
+
+def test_a_planted_floor_that_allows_too_much_is_found(copy: Path) -> None:
+    like = offers(copy)[len(offers(copy)) // 2]
+    history = copy / "placer-1.history.jsonl"
+    told_rules = next(each for each in lines(history) if each["what"] == "rules" and each["label"])
+    loose = json.dumps({**json.loads(told_rules["rules"]), "attempts_most": 99, "barred": []})
+    write(history, [*lines(history), {**told_rules, "label": "f1", "rules": loose}])
+    plant(copy, like, rules="f1")
+    verdict = judge(copy)
+    assert verdict.contradictions == 1 and verdict.sends_on_floor == 1
+
+
+def test_a_planted_placer_that_stays_on_other_rules_is_found(copy: Path) -> None:
+    history = copy / "placer-1.history.jsonl"
+    found = lines(history)
+    last = [each for each in found if each["what"] == "rules"][-1]
+    write(history, [each for each in found if each is not last])
+    verdict = judge(copy)
+    assert verdict.not_on_last == 1 and not verdict.clean
--- /dev/null
+++ b/tests/peers/test_store.py
@@ -0,0 +1,89 @@
+"""A voter's disk: what is written is there, torn writes are not, and it is made by an operator's word alone."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import lmdb
+import pytest
+
+from wingbarrow.decide.peers.effects import Persist
+from wingbarrow.decide.peers.raft import Disk, Entry
+from wingbarrow.store.votes import StoreFailed, VoteStore, create, open_if_there
+
+
+def made(path: Path) -> VoteStore:
+    create(path / "rules", ("a", "b", "c"))
+    return VoteStore(path / "rules")
+
+
+def test_what_is_written_is_there_when_it_is_opened_again(tmp_path: Path) -> None:
+    rng, store, disk = random.Random(3), made(tmp_path), Disk(("a", "b", "c"))
+    assert store.load() == disk
+    for _ in range(200):
+        what = rng.random()
+        if what < 0.5:
+            first = rng.randrange(disk.base + 1, disk.last + 2)
+            entries = tuple(Entry(disk.term, "x", str(rng.random())) for _ in range(rng.randrange(4)))
+            disk.log = disk.log[:first - disk.base - 1] + list(entries)
+            store.persist(Persist(disk.term, disk.vote, first, entries, None))
+        elif what < 0.8:
+            disk.term, disk.vote = disk.term + 1, rng.choice("abc")
+            store.persist(Persist(disk.term, disk.vote, None, (), None))
+        elif disk.log:
+            cut = rng.randrange(len(disk.log)) + 1
+            disk.base, disk.base_term, disk.log = disk.base + cut, disk.log[cut - 1].term, disk.log[cut:]
+            disk.state = str(rng.random())
+            store.persist(Persist(disk.term, disk.vote, disk.base + 1, tuple(disk.log),
+                                  (disk.base, disk.base_term, "a b c", disk.state)))
+        if rng.random() < 0.1:
+            store.close()
+            store = VoteStore(tmp_path / "rules")
+        assert store.load() == disk
+    store.close()
+
+
+def test_it_is_made_once_and_never_by_itself(tmp_path: Path) -> None:
+    assert open_if_there(tmp_path / "rules") is None
+    made(tmp_path).close()
+    with pytest.raises(StoreFailed, match="already"):
+        create(tmp_path / "rules", ("a",))
+    again = open_if_there(tmp_path / "rules")
+    assert again is not None
+    again.close()
+
+
+def test_what_was_not_written_by_this_program_is_refused_in_words(tmp_path: Path) -> None:
+    made(tmp_path).close()
+    with lmdb.open(str(tmp_path / "rules")) as env, env.begin(write=True) as txn:
+        txn.put(b"meta", b"{}")
+    store = VoteStore(tmp_path / "rules")
+    with pytest.raises(StoreFailed, match="form"):
+        store.load()
+    store.close()
+    (tmp_path / "rules" / "data.mdb").write_bytes(b"rubbish" * 10_000)
+    with pytest.raises(StoreFailed):
+        VoteStore(tmp_path / "rules")
+
+
+def test_a_gap_in_the_log_is_refused(tmp_path: Path) -> None:
+    store = made(tmp_path)
+    store.persist(Persist(1, "a", 1, (Entry(1, "x", "1"), Entry(1, "x", "2"), Entry(1, "x", "3")), None))
+    store.close()
+    with lmdb.open(str(tmp_path / "rules")) as env, env.begin(write=True) as txn:
+        txn.delete(b"entry/" + (2).to_bytes(8, "big"))
+    store = VoteStore(tmp_path / "rules")
+    with pytest.raises(StoreFailed, match="after 1"):
+        store.load()
+    store.close()
+
+
+def test_a_write_that_fails_changes_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("wingbarrow.store.votes.BYTES_MOST", 1 << 17)
+    store = made(tmp_path)
+    before = store.load()
+    with pytest.raises(StoreFailed):
+        store.persist(Persist(7, "b", 1, (Entry(7, "x", "y" * (1 << 20)),), None))
+    assert store.load() == before
+    store.close()
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -48,7 +48,7 @@
 
 
 def test_imports_run_downwards() -> None:
-    order = ["cli", "lab", "fronts", "relay", "core", "peers", "config", "decide", "http", "kube", "transport"]
+    order = ["cli", "lab", "fronts", "relay", "core", "peers", "config", "store", "decide", "http", "kube", "transport"]
     for source in (ROOT / "wingbarrow").rglob("*.py"):
         parts = source.relative_to(ROOT / "wingbarrow").parts
         if len(parts) < 2:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -221,3 +221,16 @@
     driver.give(api.TaskPlaced(1, 1, second.machine, 1000))
     known = {each.machine: each for each in driver.scheduler.knowledge(driver.now).machines}
     assert known[first.machine].rests_us and not known[second.machine].rests_us
+
+
+def test_other_settings_hold_at_once_also_for_tasks_that_are_there_already() -> None:
+    spread = task_class("web", spread=api.Place.ZONE, spread_most=2)
+    driver = Driver(settings(spread, attempts_most=4))
+    driver.listing(listed(1), listed(2))
+    (first,) = binds(driver.arrive(1))
+    assert binds(driver.arrive(2)), "two of one service in the zone"
+    driver.give(settings(task_class("web", spread=api.Place.ZONE, spread_most=1), attempts_most=1))
+    assert not binds(driver.arrive(3)), "two stand already where one is allowed now"
+    assert finals(driver.end(1, first.machine, api.Outcome.REFUSED)) == [api.Refuse(1)], "one attempt is the most"
+    driver.give(settings(task_class("web", spread=api.Place.ZONE, spread_most=3), attempts_most=4))
+    assert binds(driver.arrive(4))
--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -34,6 +34,9 @@
     """One line for the person."""
 
 
+LEADERS_MOST = 5  # hops from one placer that does not lead to the next
+
+
 class Client:
     """Calls on one placer."""
 
@@ -64,6 +67,22 @@
         except (ApiError, CallFailed) as error:
             raise CommandFailed(str(error)) from None
 
+    def at_leader(self, path: str, value: dict[str, Any]) -> dict[str, Any]:
+        """A POST to whoever leads the voters: this placer, or the one that it names."""
+        answer = self.exchange("POST", path, value)
+        for _ in range(LEADERS_MOST):
+            if answer.get("kind") != "Leader":
+                return answer
+            host, _, port = str(answer.get("address", "")).rpartition(":")
+            if not port.isdecimal():
+                break
+            answer = Client(self._hub, host, int(port)).exchange("POST", path, value)
+        raise CommandFailed("no leader found: the voters are electing one; try again")
+
+    def elsewhere(self, host: str, port: int) -> Client:
+        """A client of another placer."""
+        return Client(self._hub, host, port)
+
     def wait_for_answer(self, job: dict[str, Any]) -> tuple[str, str]:
         """Watch one Job until its answer is there."""
         meta = job["metadata"]
--- /dev/null
+++ b/wingbarrow/cli/rules.py
@@ -0,0 +1,191 @@
+"""`wingbarrow rules`: the rules that placers agree on: state, history, proposals, floors, voters."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from wingbarrow.cli.client import URL, Client, CommandFailed, with_client
+from wingbarrow.config import PlacerSettings, SettingsError, load_file, parse_duration
+from wingbarrow.decide.peers.rules import RuleSet, allows, contradict, differences, read
+from wingbarrow.peers.ruleset import rules_of
+from wingbarrow.store.votes import StoreFailed, create
+
+
+@click.group()
+def rules() -> None:
+    """Rules with versions on which the placers agree."""
+
+
+def _settings(path: Path) -> PlacerSettings:
+    try:
+        return load_file(path)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+
+
+def _state(client: Client) -> dict[str, Any]:
+    return client.exchange("GET", "rules")
+
+
+def _voter(client: Client) -> dict[str, Any]:
+    """The state as a voter has it: this placer, or the leader that it names."""
+    state = _state(client)
+    if "versions" in state:
+        return state
+    leader = client.exchange("POST", "rules", {})
+    host, _, port = str(leader.get("address", "")).rpartition(":")
+    if leader.get("kind") != "Leader" or not port.isdecimal():
+        raise CommandFailed("this placer does not vote and knows of no leader")
+    return _state(client.elsewhere(host, int(port)))
+
+
+def _version(state: dict[str, Any], number: int) -> RuleSet:
+    for each in state["versions"]:
+        if each["number"] == number:
+            return read(json.dumps(each["rules"]))
+    raise CommandFailed(f"version {number} is not kept; there are "
+                        f"{', '.join(str(each['number']) for each in state['versions']) or 'none'}")
+
+
+def _propose(client: Client, wanted: RuleSet, base: int, why: str, dry_run: bool, lasts_us: int | None = None) -> None:
+    value: dict[str, Any] = {"ident": f"cli-{secrets.token_hex(8)}", "rules": json.loads(wanted.text()), "base": base,
+                             "by": "an operator", "why": why, "dryRun": dry_run}
+    if lasts_us is not None:
+        value["lastsUs"] = lasts_us
+    try:
+        told = client.at_leader("rules", value)
+    except CommandFailed as error:
+        if "Timeout" not in str(error) and "504" not in str(error):
+            raise
+        told = client.at_leader("rules", value)  # the same proposal: it is taken once
+    if dry_run:
+        click.echo("it would be accepted")
+    else:
+        click.echo(f"accepted: version {told['version']}; edition {told['edition']} in force, {told['steps']} to come")
+
+
+@rules.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--base", type=click.IntRange(0), help="The version that it changes; the present one without it.")
+@click.option("--why", default="", help="For the history.")
+@click.option("--dry-run", is_flag=True, help="Say what would change, and whether it would be accepted.")
+@URL
+def propose(file: Path, base: int | None, why: str, dry_run: bool, url: str) -> None:
+    """Propose the rules that FILE's settings hold; exit 1 where they are not accepted."""
+    wanted = rules_of(_settings(file))
+
+    def call(client: Client) -> None:
+        state = _voter(client)
+        if state["versions"]:
+            now = read(json.dumps(state["versions"][-1]["rules"]))
+            for line in differences(now, wanted):
+                click.echo(line)
+            if contradict(now, wanted):
+                click.echo("it contradicts the version before: the fleet goes by what both allow")
+            elif not allows(now, wanted):
+                click.echo("it forbids some of what the version before allows")
+        _propose(client, wanted, state["version"] if base is None else base, why, dry_run)
+    with_client(url, call)
+
+
+@rules.command()
+@click.argument("number", type=click.IntRange(1))
+@URL
+def rollback(number: int, url: str) -> None:
+    """Propose an earlier version anew."""
+    def call(client: Client) -> None:
+        state = _voter(client)
+        _propose(client, _version(state, number), state["version"], f"back to version {number}", False)
+    with_client(url, call)
+
+
+@rules.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--lasts", required=True, help="How long one may go on by it without hearing of anybody, as 1h.")
+@URL
+def floor(file: Path, lasts: str, url: str) -> None:
+    """Have the rules of FILE's settings be the floor: what a placer that is cut off goes on by."""
+    wanted = rules_of(_settings(file))
+    try:
+        lasts_us = parse_duration(lasts)
+    except ValueError as error:
+        raise click.BadParameter(f"--lasts: {error}") from None
+    with_client(url, lambda client: _propose(client, wanted, 0, "floor", False, lasts_us))
+
+
+@rules.command()
+@click.option("--json", "as_json", is_flag=True)
+@URL
+def status(as_json: bool, url: str) -> None:
+    """What a placer acts on; at a voter also what was decided, at the leader who holds what."""
+    def call(client: Client) -> None:
+        state = _state(client)
+        if as_json:
+            click.echo(json.dumps(state))
+            return
+        left_s = state["grantLeftUs"] / 1e6
+        click.echo(f"{state['placer']} acts on {state['label'] or 'nothing'} for {left_s:.1f} s more; "
+                   f"version {state['version']}, leader {state['leader'] or 'unknown'}")
+        if "voters" in state:
+            click.echo(f"edition {state['edition']} in force, {state['steps']} steps to come, "
+                       f"{len(state['floors'])} floors; voters {', '.join(state['voters'])}")
+        for each in state.get("holders", []):
+            click.echo(f"  {each['placer']}: edition {each['edition']}, for {each['leftUs'] / 1e6:.1f} s at most")
+    with_client(url, call)
+
+
+@rules.command()
+@URL
+def history(url: str) -> None:
+    """All versions that are kept."""
+    def call(client: Client) -> None:
+        for each in _voter(client)["versions"]:
+            click.echo(f"{each['number']}  {each['digest']}  on {each['base']}  {each['by']}  {each['why']}")
+    with_client(url, call)
+
+
+@rules.command()
+@click.argument("one", type=click.IntRange(1))
+@click.argument("other", type=click.IntRange(1))
+@URL
+def diff(one: int, other: int, url: str) -> None:
+    """What version OTHER changes of version ONE."""
+    def call(client: Client) -> None:
+        state = _voter(client)
+        for line in differences(_version(state, one), _version(state, other)):
+            click.echo(line)
+    with_client(url, call)
+
+
+@rules.command()
+@click.argument("names", nargs=-1, required=True)
+@URL
+def voters(names: tuple[str, ...], url: str) -> None:
+    """Make NAMES the voters: one more, or one less, than now."""
+    with_client(url, lambda client: click.echo(json.dumps(client.at_leader("rules/voters", {"voters": list(names)}))))
+
+
+@rules.command()
+@click.argument("file", type=click.Path(path_type=Path))
+def init(file: Path) -> None:
+    """Make the store of the voter that FILE configures, once, before its first start; exit 2 where there is one.
+
+    Never for a voter that has lost its store: leave it out (`rules voters`), and take it in under another name.
+    """
+    settings = _settings(file)
+    if settings.agree is None or settings.name not in settings.agree.voters or settings.state is None:
+        click.echo(f"{file}: {settings.name} is no voter with a state folder", err=True)
+        sys.exit(2)
+    try:
+        create(Path(settings.state) / "rules", settings.agree.voters)
+    except StoreFailed as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    click.echo(f"{settings.name} may vote")
--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -14,6 +14,7 @@
 from wingbarrow import interface as api
 from wingbarrow.config.lines import NodeLines
 from wingbarrow.config.settings import (
+    Agree,
     ClassSettings,
     Limits,
     PeerAddress,
@@ -24,6 +25,7 @@
 
 _FILE_MOST = 1 << 20
 _PEERS_MOST = 64
+_VOTERS, _GRANTS = (1, 3, 5, 7), (200_000, 4_000_000)
 
 
 class SettingsError(Exception):
@@ -124,6 +126,9 @@
     "list-source": Shape((text,), {"port": (number(1, 65535, True), NEEDED)}),
     "state": Shape((text,)),
     "history": Shape((text,)),
+    "bar": Shape((text,), many=True),
+    "agree": Shape((), {"grant": (read_duration, 2_000_000)}, {
+        "voter": Shape((text,), many=True), "member": Shape((text,), many=True)}),
     "class": Shape((text,), {
         "effect": (word("safe", "keyed", "unsafe"), NEEDED),
         "group": (word("machine", "cell", "zone", "all"), "all"), "window": (read_duration, 0),
@@ -321,11 +326,31 @@
         cluster=placer.props["cluster"],
         peers=tuple(PeerAddress(node.args[0], node.props["port"], node.props["name"], node.props["seed"])
                     for node in top.children.get("peer", [])),
+        agree=_agree(top, placer.args[0], state is not None, problems),
+        barred=tuple(node.args[0] for node in top.children.get("bar", [])),
         history=top.children["history"][0].args[0] if "history" in top.children else None,
         calendars=tuple(node.args[0] for node in top.children.get("calendar", [])),
         peers_allowed=IPSet(node.args[0] for node in top.children.get("allow-peer", [])))
 
 
+def _agree(top: Node, name: str, has_state: bool, problems: list[tuple[int, str]]) -> Agree | None:
+    node = top.one("agree")
+    if node is None:
+        return None
+    voters = tuple(each.args[0] for each in node.children.get("voter", []))
+    members = tuple(sorted({*voters, *(each.args[0] for each in node.children.get("member", []))}))
+    if len(voters) not in _VOTERS or len(set(voters)) != len(voters):
+        problems.append((node.line, f"agree: {', '.join(map(str, _VOTERS))} different voters are wanted, "
+                         f"not {len(voters)}"))
+    if name not in members:
+        problems.append((node.line, f"agree: {name!r} is neither a voter nor a member"))
+    if name in voters and not has_state:
+        problems.append((node.line, "agree: a voter needs a state folder"))
+    if not _GRANTS[0] <= node.props["grant"] <= _GRANTS[1]:
+        problems.append((node.line, "agree: a grant lasts 200ms to 4s"))
+    return Agree(voters, members, node.props["grant"])
+
+
 def _twice(nodes: list[Node], what: str, problems: list[tuple[int, str]]) -> None:
     seen: dict[str, int] = {}
     for node in nodes:
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -75,6 +75,15 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True, slots=True)
+class Agree:
+    """On what terms placers agree on rules; `members` share the cold budget, `voters` among them decide."""
+
+    voters: tuple[str, ...]
+    members: tuple[str, ...]
+    grant_us: int = 2_000_000
+
+
 @dataclass(frozen=True, slots=True)
 class PlacerSettings:
     """Everything that `serve` needs; `scheduler` is what the decision module is told."""
@@ -95,4 +104,6 @@
     peers: tuple[PeerAddress, ...] = ()
     calendars: tuple[str, ...] = ()  # files of maintenance windows
     peers_allowed: IPSet = field(default_factory=IPSet)  # who may ask, and be asked, besides the peers
+    agree: Agree | None = None
+    barred: tuple[str, ...] = ()  # machines that get nothing
     history: str | None = None  # file of what this placer did, for judges
--- a/wingbarrow/core/attempts.py
+++ b/wingbarrow/core/attempts.py
@@ -14,6 +14,7 @@
     """One offer of one request to one machine; its key is the pod's name."""
 
     use: tuple[float, ...] = ()
+    rules: str = ""  # the label of the agreed rules that it was decided under; empty where none are
 
 
 class Attempts(Ledger[Attempt]):
--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -12,6 +12,7 @@
 from wingbarrow.core.closing import Closing
 from wingbarrow.core.intake import job_value, read_job
 from wingbarrow.core.requests import Requests
+from wingbarrow.core.rulebook import Rulebook
 from wingbarrow.core.runs import Runs
 from wingbarrow.core.stops import Stops
 from wingbarrow.decide import again
@@ -24,7 +25,8 @@
     """Owns the door; every limit on what comes in is asked here."""
 
     def __init__(self, base: Base, book: Book, attempts: Attempts, board: Board, requests: Requests, runs: Runs,
-                 stops: Stops, closing: Closing) -> None:
+                 stops: Stops, closing: Closing, rulebook: Rulebook) -> None:
+        self._rulebook = rulebook
         self._base, self._book, self._attempts, self._board = base, book, attempts, board
         self._requests, self._runs, self._stops, self._closing = requests, runs, stops, closing
         self._door = Door(base.settings.scheduler.tick_us)
@@ -49,6 +51,7 @@
         Its owner's patience runs from `came_us`, when it had not come yet; without that from now.
         """
         base = self._base
+        self._rulebook.look()
         fresh = f"{base.random.randrange(36 ** 5):05x}"[-5:]
         asked = read_job(value, namespace, base.settings.classes, base.settings.limits, fresh)
         key = f"{namespace}/{asked.name}"
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -10,6 +10,7 @@
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.pods import Ended, pod_text
 from wingbarrow.core.requests import Requests
+from wingbarrow.core.rulebook import Rulebook
 from wingbarrow.core.strays import Strays
 from wingbarrow.decide import again
 from wingbarrow.decide.gate import Held, Offer, SendGate
@@ -20,7 +21,8 @@
     """Owns the gate that every offer passes right before its first byte."""
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, machines: Machines, requests: Requests,
-                 strays: Strays) -> None:
+                 strays: Strays, rulebook: Rulebook) -> None:
+        self._rulebook = rulebook
         self._base, self._host, self._book, self._attempts, self._machines = base, host, book, attempts, machines
         self._requests, self._strays = requests, strays
         rules = base.settings.scheduler
@@ -40,6 +42,7 @@
         number, task.binds = task.binds, task.binds + 1
         pod = f"t{self._base.life}-{bind.request}-{number}"
         attempt = Attempt(bind.request, number, task, link, pod, self._base.hub.now_us(), bind.give_up_us)
+        attempt.rules = self._rulebook.label
         self._attempts.add(attempt)
         self._base.counts["binds"] += 1
         self._base.spawn(lambda: self._offer(attempt), "offer")
@@ -50,7 +53,8 @@
         held: Held | None = self._gate.check(now, Offer(
             attempt.decided_us, attempt.deadline_us, task.state is State.ASKED and task.request == attempt.request,
             attempt.stage is Stage.WAITING and not attempt.abandoned and self._attempts.of(attempt.request) is attempt,
-            link.phase is api.Phase.RUNNING, link.launched_us))
+            link.phase is api.Phase.RUNNING, link.launched_us,
+            self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
             return False
@@ -62,7 +66,7 @@
 
         def body() -> bytes:
             return pod_text(task, attempt.key, self._base.settings.name, link.name,
-                            attempt.deadline_us - self._base.hub.now_us())
+                            attempt.deadline_us - self._base.hub.now_us(), attempt.rules)
         ended: Ended | None = Ended(api.Outcome.CANCELLED, api.Reason.UNTOLD, "withdrawn by its owner")
         with CancelScope(self._base.hub) as scope:
             attempt.scope = scope
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -20,11 +20,13 @@
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.offers import Offers
 from wingbarrow.core.requests import Requests
+from wingbarrow.core.rulebook import Rulebook
 from wingbarrow.core.runs import Runs
 from wingbarrow.core.sightings import Sightings
 from wingbarrow.core.stops import Stops
 from wingbarrow.core.strays import Strays
 from wingbarrow.decide.admission import Admission
+from wingbarrow.decide.peers.grants import Acting
 from wingbarrow.peers.hearsay import Hearsay
 from wingbarrow.peers.host import Peering
 from wingbarrow.peers.learner import Learner
@@ -71,15 +73,22 @@
         stops = self.stops = Stops(hub, random.Random(base.random.random()), base.spawn, base.counts)
         runs = Runs(base, book, attempts, board, requests, stops)
         strays = Strays(base, host, book, attempts, board, requests, runs, stops)
-        offers = Offers(base, host, book, attempts, machines, requests, strays)
+        rulebook = self.rulebook = Rulebook(base, host)
+        offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook)
         sightings = Sightings(base, host, attempts, offers, runs, strays)
         fleet = self.fleet = Fleet(base, host, board, machines, attempts, runs, sightings)
         self.hearsay = Hearsay(base, host, fleet, machines, sightings)
         closing = Closing(base, host, fleet, attempts, runs, board)
-        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing)
+        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook)
         host.hands = _Hands(offers, requests, runs, fleet, board)
         self._keeper = Keeper(base, fleet)
         self.peering = Peering(hub, settings, base.born_us, log)
+        if settings.agree is not None:
+            rulebook.pass_again = lambda names: fleet.take_again(
+                [entry for name, entry in fleet.held.items() if name in names])
+            fleet.guards.append(rulebook.guard)
+            rulebook.acting = self._acting
+            self.peering.on_rules = rulebook.take
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
         self.drainer = Drainer(hub, settings.calendars, needed, settings.scheduler.placers, settings.state, closing,
@@ -102,6 +111,10 @@
         if self.host.failed is not None:
             raise self.host.failed
 
+    def _acting(self, now_us: int) -> Acting | None:
+        agreement = self.peering.agreement
+        return agreement.acting(now_us) if agreement is not None else None
+
     @property
     def ready(self) -> bool:
         """Whether a list of machines has come."""
--- a/wingbarrow/core/pods.py
+++ b/wingbarrow/core/pods.py
@@ -40,7 +40,7 @@
     FAILED = "Failed"
 
 
-def pod_text(task: TaskRecord, pod: str, placer: str, machine: str, within_us: int) -> bytes:
+def pod_text(task: TaskRecord, pod: str, placer: str, machine: str, within_us: int, rules: str = "") -> bytes:
     """The Pod of one attempt; `within_us` tells the machine after how long nobody waits for its start."""
     job, asked = task.job, task.job.asked
     template = job.value["spec"]["template"]
@@ -55,6 +55,8 @@
             notes[key] = told
     labels = {**(meta.get("labels") or {}), names.PLACER: placer,
               names.CLASS: asked.task_class.task_class.name, names.JOB_NAME: asked.name}
+    if rules:
+        labels[names.RULES] = rules
     return names.encode({
         "apiVersion": "v1", "kind": "Pod",
         "metadata": {"name": pod, "namespace": asked.namespace, "labels": labels, "annotations": notes},
--- /dev/null
+++ b/wingbarrow/core/rulebook.py
@@ -0,0 +1,65 @@
+"""The rules that this placer acts on, where placers agree on them: fed to the module, asked by the gate."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from wingbarrow import interface as api
+from wingbarrow.core.base import Base
+from wingbarrow.core.host import Host
+from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.decide.gate import Held
+from wingbarrow.decide.peers.grants import Acting
+from wingbarrow.decide.peers.rules import RuleSet, read
+from wingbarrow.kube.status import ApiError
+from wingbarrow.peers.ruleset import scheduler_under
+
+
+class Rulebook:
+    """`acting` tells what may be acted on at a time; None where placers agree on nothing here."""
+
+    def __init__(self, base: Base, host: Host) -> None:
+        self._base, self._host = base, host
+        self.acting: Callable[[int], Acting | None] | None = None
+        self.pass_again: Callable[[set[str]], None] = lambda names: None  # has machines pass the fleet's guards anew
+        self.label = ""  # of the rules that the module goes by
+        self._rules: RuleSet | None = None
+
+    def take(self, label: str, text: str) -> None:
+        """Other rules are acted on from now on; an empty text: none, and the module keeps those it has."""
+        before, self.label = self._rules, label
+        self._base.log("rules", label=label or "none")
+        if not text:
+            return
+        self._rules = read(text)
+        self._host.feed(scheduler_under(self._base.settings, text))
+        changed = set(self._rules.barred) ^ set(before.barred if before is not None else ())
+        if changed:
+            self.pass_again(changed)
+
+    def guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
+        """A barred machine gets nothing, as one that drains."""
+        if self._rules is None or entry.name not in self._rules.barred or listed.phase is not api.Phase.RUNNING:
+            return listed
+        return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
+                                 listed.launched_us, listed.free_cores, listed.free_memory)
+
+    def against(self, now_us: int, label: str, task_class: str, machine: str) -> Held | None:
+        """What speaks against an offer that was decided under rules of a label, right before its first byte."""
+        if self.acting is None:
+            return None
+        acting = self.acting(now_us)
+        if acting is None:
+            return Held.NO_GRANT
+        if acting.label != label or self._rules is None:
+            return Held.OTHER_RULES
+        if machine in self._rules.barred or all(each.name != task_class for each in self._rules.classes):
+            return Held.FORBIDDEN
+        return None
+
+    def look(self) -> None:
+        """Asked of each Job: ApiError 503 where this placer may act on nothing."""
+        if self.acting is not None and self.acting(self._base.hub.now_us()) is None:
+            self._base.counts["turned_away:no grant"] += 1
+            raise ApiError(503, "this placer is out of touch with the others and may act on no rules now",
+                           "ServiceUnavailable", retry_after_s=1)
--- a/wingbarrow/decide/gate.py
+++ b/wingbarrow/decide/gate.py
@@ -18,6 +18,9 @@
     NOT_OUT = "another attempt is out"
     DRAINING = "the machine drains or is gone"
     STALE_COLD = "the offer to a cold machine waited too long"
+    NO_GRANT = "this placer may act on no rules now"
+    OTHER_RULES = "it was decided under rules that are not acted on any more"
+    FORBIDDEN = "the rules in force allow no such offer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +33,7 @@
     attempt_out: bool  # this attempt, and no other, is the one out
     machine_runs: bool  # by all that the list has told so far
     launched_us: int  # the machine's last start, 0 for long ago
+    granted: Held | None = None  # what the agreed rules say against it at this moment
 
 
 class SendGate:
@@ -50,6 +54,9 @@
         # Rule 2. Danger: two attempts out, when this one was given up while it waited for its connection.
         if not offer.attempt_out:
             return Held.NOT_OUT
+        # Agreed rules. Danger: this placer stood still, or was cut off, while the others went on to other rules.
+        if offer.granted is not None:
+            return offer.granted
         # Rule 3. Danger: the drain was heard while the offer waited; stopped at once, not after the grace.
         if not offer.machine_runs:
             return Held.DRAINING
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -146,6 +146,11 @@
         """What this placer may act on right now: to be asked right before each first byte."""
         return self.holder.acting(now_us)
 
+    @property
+    def holders(self) -> dict[str, tuple[int, int]]:
+        """At the leader: who holds a grant, for which edition, until when at the latest."""
+        return self._holders
+
     @property
     def leads(self) -> bool:
         """Whether this placer decides."""
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -17,6 +17,7 @@
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
 from wingbarrow.peers.front import InstancesFront
+from wingbarrow.peers.rulesfront import RulesFront
 from wingbarrow.transport import Hub
 
 _COLLECTIONS = {("batch/v1", "jobs"), ("v1", "nodes"), ("v1", "events")}
@@ -40,6 +41,7 @@
         self.port = self.server.port
         self.instances = InstancesFront(hub, lambda: placer.base.settings, placer.hearsay, placer.peering,
                                         placer.base.born_us, log)
+        self.rules = RulesFront(hub, placer.peering)
         placer.peering.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
         self._registry.register(self)
@@ -79,6 +81,8 @@
             return self._resource(request, "v1", parts[2:], Query(query_text))
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "drains"]:
             return self._drains(request, parts[4:])
+        if parts[:4] == ["apis", "wingbarrow.io", "v1", "rules"]:
+            return self.rules.handle(request, parts[4:])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
             return self.instances.handle(request, parts[3:], Query(query_text))
         if parts[:3] == ["apis", "batch", "v1"]:
--- a/wingbarrow/interface.py
+++ b/wingbarrow/interface.py
@@ -134,7 +134,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What the scheduler is told at its start; figures out of range raise ValueError with the key's name."""
+    """What the scheduler is told at its start, and where rules change.
+
+    Figures out of range raise ValueError with the key's name.
+    """
 
     placers: int
     index: int
@@ -407,5 +410,5 @@
 
 
 Event: TypeAlias = (MachineList | TaskArrived | TaskFound | TaskWithdrawn | TimerDue | TaskPlaced
-                    | AttemptEnded | Probed | TaskNote | Learned | Planned)
+                    | AttemptEnded | Probed | TaskNote | Learned | Planned | Settings)
 Action: TypeAlias = Bind | Refuse | Fail | Move | SetTimer | Probe | WatchList | Log
--- a/wingbarrow/lab/fleet/judge.py
+++ b/wingbarrow/lab/fleet/judge.py
@@ -7,6 +7,11 @@
   had a fault, at any time of the stated detection time before;
 - **late burial**: a placer was killed and stayed down for longer than the stated detection time, while no other fault
   was on, and another that ran all the while did not tell so within that time;
+- **contradiction**: an offer under an edition of the rules after one two further on was in use, or for longer than the
+  stated time after the next one that forbids some of it was in use; under rules that another placer knows otherwise by
+  the same label; under a floor that allows what an edition in use forbids; or under no label;
+- **forbidden send**: to a machine that the offer's own rules bar, or of a class that they lack;
+- **not on the last**: a placer that runs at the end acts on other rules than those accepted last;
 - **not healed**: a stated time after the last fault, one that runs does not hold another that runs for alive.
 """
 
@@ -19,13 +24,18 @@
 from typing import Any
 
 from wingbarrow.config import load_file
+from wingbarrow.decide.peers.agreement import Times
 from wingbarrow.decide.peers.membership import Rules
+from wingbarrow.decide.peers.rules import RuleSet, allows, read
 from wingbarrow.lab.audit import Audit, audit
-from wingbarrow.lab.record import Recorder
+from wingbarrow.lab.record import Record, Recorder
 
 SLACK_US = 250_000  # by which the rig itself may read an answer late, beside the worst lag that it saw of itself
 ALIVE = ("joined", "alive", "restarted")
 NEVER = 1 << 62
+TURN_US = 10_000  # the hub's longest turn, between the gate and the write
+BREACHES = ("unfounded_burials", "late_burials", "not_healed", "contradictions", "forbidden_sends", "not_on_last",
+            "ended_badly")
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +65,14 @@
     unfounded_burials: int = 0
     late_burials: int = 0
     not_healed: int = 0
+    versions: int = 0  # accepted while it was played
+    editions: int = 0  # in use
+    contradictions: int = 0
+    longest_contradiction_ms: int = 0
+    stated_ms: int = 0
+    forbidden_sends: int = 0
+    not_on_last: int = 0
+    sends_on_floor: int = 0
     ended_badly: int = 0  # processes that ended by themselves, or not with status 0 when asked to
     detect_stated_ms: int = 0
     detect_longest_ms: int | None = None
@@ -67,14 +85,12 @@
     @property
     def clean(self) -> bool:
         """Whether nothing was broken."""
-        return self.audit.clean and not (self.unfounded_burials or self.late_burials or self.not_healed
-                                         or self.ended_badly)
+        return self.audit.clean and not any(getattr(self, name) for name in BREACHES)
 
     def line(self) -> dict[str, Any]:
-        """The last line of a run. `contradictions` is told once placers act on agreed rules: until then it is null."""
+        """The last line of a run."""
         own = {key: value for key, value in vars(self).items() if key not in ("audit", "notes")}
-        return {"kind": "verdict", **own, "contradictions": None, "longest_contradiction_ms": None, "stated_ms": None,
-                **{key: value for key, value in self.audit.line().items() if key != "kind"}}
+        return {"kind": "verdict", **own, **{key: value for key, value in self.audit.line().items() if key != "kind"}}
 
 
 def read_lines(path: Path) -> list[dict[str, Any]]:
@@ -143,8 +159,9 @@
                                                     self.rules.heal_us(count) // 1000)
         lag = max((each.get("lag_worst_us", 0) for each in self.events), default=0)
         out.slack_ms = (SLACK_US + lag) // 1000
-        out.audit = audit(Recorder.read(self.folder / "recording.jsonl"),
-                          load_file(self.folder / f"{self.names[0]}.kdl"), SLACK_US + lag)
+        records = Recorder.read(self.folder / "recording.jsonl")
+        out.audit = audit(records, load_file(self.folder / f"{self.names[0]}.kdl"), SLACK_US + lag)
+        self._judge_rules(out, records, SLACK_US + lag)
         out.sends = out.audit.offers
         out.notes += out.audit.notes
         self._judge_burials(out)
@@ -153,6 +170,85 @@
         self._judge_statuses(out)
         return out
 
+    # -- rules
+
+    def _judge_rules(self, out: Verdict, records: list[Record], slack_us: int) -> None:
+        out.versions = sum(each["what"] == "accepted" for each in self.events)
+        texts = self._texts(out)
+        stated_us = Times().stated_us(TURN_US) + slack_us
+        out.stated_ms = stated_us // 1000
+        sends = [each for each in records if each.what == "offer" and not each.data["late"]]
+        first: dict[int, int] = {}
+        last: dict[int, int] = {}
+        for each in sends:
+            edition = _edition(each.data["rules"])
+            if edition:
+                first.setdefault(edition, each.at_us)
+                last[edition] = each.at_us
+        out.editions = len(first)
+        for each in sends:
+            rules = texts.get(each.data["rules"])
+            if rules is None:
+                self._contradicts(out, each, "under rules that no history knows")
+                continue
+            if each.where in rules.barred or all(known.name != each.data["task_class"] for known in rules.classes):
+                out.forbidden_sends += 1
+                out.notes.append(f"{each.at_us}: {each.data['placer']} to {each.where} against {each.data['rules']}")
+            edition = _edition(each.data["rules"])
+            if not edition:
+                out.sends_on_floor += 1
+                self._judge_floor(out, each, rules, texts, first, last)
+            else:
+                self._judge_send(out, each, edition, rules, texts, first, stated_us)
+        self._judge_last(out, texts)
+
+    def _texts(self, out: Verdict) -> dict[str, RuleSet]:
+        texts: dict[str, str] = {}
+        for name, lines in self.histories.items():
+            for each in lines:
+                known = texts.setdefault(each["label"], each["rules"]) if each["what"] == "rules" else ""
+                if known and known != each["rules"]:
+                    out.contradictions += 1
+                    out.notes.append(f"{name} knows other rules as {each['label']}")
+        return {label: read(text) for label, text in texts.items() if label}
+
+    def _contradicts(self, out: Verdict, send: Record, words: str) -> None:
+        out.contradictions += 1
+        if len(out.notes) < 100:
+            out.notes.append(f"{send.at_us}: {send.data['placer']} sent {send.data['pod']} under "
+                             f"{send.data['rules'] or 'no label'}: {words}")
+
+    def _judge_send(self, out: Verdict, send: Record, edition: int, rules: RuleSet, texts: dict[str, RuleSet],
+                    first: dict[int, int], stated_us: int) -> None:
+        later = [number for number, at in first.items() if number >= edition + 2 and at < send.at_us]
+        if later:
+            self._contradicts(out, send, f"e{max(later)} was in use")
+            return
+        following, since = texts.get(f"e{edition + 1}"), first.get(edition + 1, NEVER)
+        if following is not None and since < send.at_us and not allows(rules, following):
+            took = send.at_us - since
+            out.longest_contradiction_ms = max(out.longest_contradiction_ms, took // 1000)
+            if took > stated_us:
+                self._contradicts(out, send, f"{took // 1000} ms after e{edition + 1} was in use")
+
+    def _judge_floor(self, out: Verdict, send: Record, rules: RuleSet, texts: dict[str, RuleSet], first: dict[int, int],
+                     last: dict[int, int]) -> None:
+        for edition, since in first.items():
+            known = texts.get(f"e{edition}")
+            if since <= send.at_us <= last[edition] and known is not None and not allows(rules, known):
+                self._contradicts(out, send, f"e{edition}, in use, forbids some of it")
+
+    def _judge_last(self, out: Verdict, texts: dict[str, RuleSet]) -> None:
+        accepted = [each["rules"] for each in self.events if each["what"] == "accepted"]
+        for name in self.names:
+            if not accepted or all(span.end_us != NEVER for span in self.up[name]):
+                continue
+            told = [each["label"] for each in self.histories[name]
+                    if each["what"] == "rules" and each["at_us"] <= self.end_us]
+            if not told or told[-1] not in texts or texts[told[-1]] != read(accepted[-1]):
+                out.not_on_last += 1
+                out.notes.append(f"at the end {name} acts on {told[-1] if told else 'nothing'}, not on the last rules")
+
     # -- burials
 
     def _burials(self) -> list[tuple[int, str, str]]:
@@ -234,6 +330,11 @@
             out.notes.append("the run was not played to its end")
 
 
+def _edition(label: str) -> int:
+    """The number of an edition's label; 0 for a floor's, or none."""
+    return int(label[1:]) if label.startswith("e") and label[1:].isdecimal() else 0
+
+
 def judge(folder: Path) -> Verdict:
     """Judge a run by what it left."""
     return Judge(folder).verdict()
--- a/wingbarrow/lab/fleet/rig.py
+++ b/wingbarrow/lab/fleet/rig.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import json
+import random
 import signal
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 from typing import Any
 
+from wingbarrow.config import load_text
 from wingbarrow.decide.peers.membership import Rules
+from wingbarrow.decide.peers.rules import normal, shares
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
 from wingbarrow.http.watching import call
 from wingbarrow.kube.status import ApiError
@@ -23,12 +26,15 @@
 from wingbarrow.lab.fleet.process import SECOND, Process
 from wingbarrow.lab.fleet.script import Fault
 from wingbarrow.lab.load import Mix, Owners, PlacerAddress, draw
+from wingbarrow.peers.ruleset import rules_of
+from wingbarrow.store.votes import create
 from wingbarrow.transport import Hub, Nursery
 
 START_US = 60 * SECOND
 SEEDS = 3  # placers that all others name as peers
 TAIL_US = 12 * SECOND  # of load after the last fault, for what was owed to be answered
 LEAVE_US = 20 * SECOND
+PROPOSE_TRIES = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +47,11 @@
     seed: int = 1
     rate: float = 8.0  # tasks a second over all owners
 
+    @property
+    def voters(self) -> int:
+        """How many of them decide on rules."""
+        return 5 if self.placers >= 7 else 3 if self.placers >= 3 else 1
+
 
 class Slot:
     """One placer's place: its process, if it runs, and the link by which owners reach it."""
@@ -77,13 +88,16 @@
         self.slots = [Slot(name, index, Proxy(hub, 1, seed=index)) for index, name in enumerate(self.names)]
         try:
             self.cluster.start()
+            for name in self.names[:size.voters]:
+                create(folder / f"{name}.state" / "rules", tuple(self.names[:size.voters]))
             with Nursery(hub) as nursery:
                 for slot in self.slots:
                     nursery.spawn(lambda slot=slot: self.start(slot), "starts")  # type: ignore[misc]
             self.progress("all processes listen")
             self._wait_until(self._all_listed, START_US, "every placer has the whole list")
             self._wait_until(self.whole, START_US, "every placer knows all others")
-            self.progress("all placers have their list and know each other")
+            self._wait_until(self.agreed, START_US, "every placer acts on agreed rules")
+            self.progress("all placers have their list, know each other and act on agreed rules")
             self._play()
         finally:
             self._end()
@@ -103,11 +117,13 @@
             nursery.spawn(lambda: owners.run(wants, begun + int(size.seconds * SECOND) + 60 * SECOND), "owners")
         hub.sleep_until(begun + int(size.seconds * SECOND))
         self.event("quiet")
+        hub.sleep(SECOND)
+        self._propose_last()
         self.progress("the last fault is over")
         hub.sleep(TAIL_US // 4)
         # The judge holds the fleet to its stated time: the rig waits that long at most, and less where all is well.
         end = hub.now_us() + Rules().heal_us(size.placers)
-        while not self.whole() and hub.now_us() < end:
+        while not (self.whole() and self.agreed()) and hub.now_us() < end:
             hub.sleep(SECOND // 5)
         hub.sleep(SECOND)
         self.event("over", lag_worst_us=hub.lag.worst_us)
@@ -180,6 +196,61 @@
         slot.stopped = False
         self.event("continued", who=slot.name)
 
+    def variant(self, number: int) -> tuple[str, list[str]]:
+        """Settings with rules that differ from those at the beginning, and who shares the cold budget, by a number."""
+        rng, text = random.Random(number), self._settings(self.slots[0])
+        text = text.replace("most=3", f"most={rng.randrange(1, 4)}").replace(
+            "offers=20", f"offers={rng.randrange(4, 21)}").replace(
+            "attempts most=4", f"attempts most={rng.randrange(2, 5)}")
+        barred = "".join(f'bar "{machine.name}"\n' for machine in self.cluster.machines if rng.random() < 0.15)
+        sharers = rng.sample(self.names, rng.randrange(1, len(self.names) + 1))
+        return text + barred, sharers
+
+    def _propose(self, fault: Fault) -> None:
+        """Ask a placer to change the rules; whoever leads is asked in the end, as a command would do it."""
+        self.propose(int(fault.amount), self.slot(fault.who))
+
+    def propose(self, number: int, slot: Slot) -> bool:
+        """Propose a variant; whether it was accepted."""
+        text, sharers = self.variant(number)
+        wanted = rules_of(load_text(text))
+        offers = sum(share for _, share in wanted.cold_shares)
+        wanted = normal(replace(wanted, cold_shares=shares(offers, tuple(sharers))))
+        body = {"ident": f"rig-{number}-{self._hub.now_us()}", "rules": json.loads(wanted.text()), "by": "the rig"}
+        for _ in range(PROPOSE_TRIES):
+            told = self._post(slot, body)
+            if told is not None and told.get("kind") == "Accepted":
+                self.event("accepted", version=told["version"], rules=wanted.text())
+                return True
+            if told is not None and told.get("kind") == "Leader" and told.get("name") in self.names:
+                slot = self.slot(str(told["name"]))
+                continue
+            if told is not None and told.get("code") == 409:
+                self.event("objected", words=told["message"])
+                return False
+            self._hub.sleep(SECOND // 2)
+            slot = self.slots[(slot.index + 1) % len(self.slots)]
+        self.event("not-decided", variant=number)
+        return False
+
+    def _propose_last(self) -> None:
+        """What all are to act on in the end."""
+        for number in range(1, 20):
+            if self.propose(1_000_000 + self.size.seed * 100 + number, self.slots[number % len(self.slots)]):
+                return
+
+    def _post(self, slot: Slot, body: dict[str, Any]) -> dict[str, Any] | None:
+        pool = Pool(self._hub, "127.0.0.1", slot.front.port, PoolLimits(connections=1), "rig")
+        try:
+            response = pool.request("POST", "/apis/wingbarrow.io/v1/rules", json.dumps(body).encode(),
+                                    [("Content-Type", "application/json")], self._hub.now_us() + 8 * SECOND)
+            value: dict[str, Any] = json.loads(response.body)
+            return value
+        except (CallFailed, ValueError):
+            return None
+        finally:
+            pool.close()
+
     def _kill(self, fault: Fault) -> None:
         slot = self.slot(fault.who)
         if slot.process is None:
@@ -221,8 +292,10 @@
         self.network.moved(slot.name, 1)
 
     def _forget(self, slot: Slot) -> None:
+        """What it saved is gone; a voter's store stays: without it, it would be none (`raft.Raft.empty`)."""
         for file in (self.folder / f"{slot.name}.state").glob("*"):
-            file.unlink()
+            if file.is_file():
+                file.unlink()
 
     def _settings(self, slot: Slot) -> str:
         seeds = [name for name in self.names[:SEEDS] if name != slot.name]
@@ -234,7 +307,12 @@
         state.mkdir(exist_ok=True)
         return (settings_text(slot.index, self.size.placers, self.size.seed + slot.index, self.cluster.source.port, 0,
                               str(state)) + f'allow-peer "127.0.0.0/8"\nhistory "{self.folder}/{slot.name}'
-                f'.history.jsonl"\n{peers}')
+                f'.history.jsonl"\n{peers}{self._agree()}')
+
+    def _agree(self) -> str:
+        count = self.size.voters
+        return "".join(["agree {\n", *[f'    voter "{name}"\n' for name in self.names[:count]],
+                        *[f'    member "{name}"\n' for name in self.names[count:]], "}\n"])
 
     # -- questions to the placers, for waiting only: the judge never hears the answers
 
@@ -252,6 +330,18 @@
         told = [self._ask(slot, "/api/v1/nodes") for slot in self.slots]
         return all(each is not None and len(each["items"]) >= wanted for each in told)
 
+    def agreed(self) -> bool:
+        """Whether all placers that run act on the same version, with no step to come."""
+        labels = set()
+        for slot in self.slots:
+            if slot.process is None or slot.stopped:
+                continue
+            told = self._ask(slot, "/apis/wingbarrow.io/v1/rules")
+            if told is None or not str(told["label"]).startswith("e") or told.get("steps"):
+                return False
+            labels.add((told["label"], told["version"]))
+        return len(labels) == 1
+
     def whole(self) -> bool:
         """Whether all placers that run say that all others are alive."""
         running = [slot for slot in self.slots if slot.process is not None and not slot.stopped]
--- a/wingbarrow/lab/fleet/script.py
+++ b/wingbarrow/lab/fleet/script.py
@@ -5,7 +5,10 @@
     stop "10s" "placer-1" lasts="4s"
     kill "12s" "placer-0" lasts="3s" state=false
 
-`late`, `slow`, `lossy` and `twice` take what `cut` takes, and `amount`: a time in words, bytes a second, a share.
+    propose "15s" "placer-1" amount=7
+
+`propose` has a placer asked to change the rules, to variant `amount` of them. `late`, `slow`, `lossy` and `twice` take
+what `cut` takes, and `amount`: a time in words, bytes a second, a share.
 """
 
 from __future__ import annotations
@@ -21,7 +24,7 @@
 
 SECOND = 1_000_000
 BETWEEN = ("cut", "late", "slow", "lossy", "twice", "reset")
-TO_ONE = ("isolate", "deafen", "stop", "kill")
+TO_ONE = ("isolate", "deafen", "stop", "kill", "propose")
 FAULTS_MOST = 10_000
 
 
@@ -106,6 +109,10 @@
                   "lossy": rng.uniform(0.05, 0.5), "twice": rng.uniform(0.1, 1)}.get(kind, 0.0)
         out.append(Fault(kind, int(at * SECOND), who, other, int(lasts * SECOND), rng.random() < 0.5, float(amount),
                          rng.random() < 0.7))
+    # Rules change all along, while links are cut and processes stopped.
+    for turn in range(max(2, int(seconds / 8))):
+        at = (0.05 + 0.7 * turn / max(2, int(seconds / 8)) + rng.uniform(0, 0.05)) * seconds
+        out.append(Fault("propose", int(at * SECOND), rng.choice(names), amount=float(rng.randrange(1, 1 << 20))))
     if rng.random() < 0.4 and len(names) > 2:
         # A part of the fleet is cut off from the rest.
         side = rng.sample(names, max(1, len(names) // 3))
--- a/wingbarrow/lab/machine.py
+++ b/wingbarrow/lab/machine.py
@@ -170,7 +170,7 @@
         placer = (request.get("user-agent") or "").rpartition("/")[2]
         gone = request.connection.reader_gone()
         self._record(self.name, "offer", placer=placer, pod=pod.name, task=pod.task, task_class=pod.task_class,
-                     service=pod.service, late=gone,
+                     service=pod.service, late=gone, rules=value["metadata"].get("labels", {}).get(names.RULES, ""),
                      uid=value["metadata"]["annotations"].get(names.PREFIX + "job-uid", ""))
         self.offers_seen += 1
         self._count_cold()
--- a/wingbarrow/logic.py
+++ b/wingbarrow/logic.py
@@ -111,21 +111,18 @@
     """One placer's decisions; it knows only what its own events tell."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self._settings = settings
         self._random = random.Random(seed)
-        self._classes = {each.name: each for each in settings.classes}
         self._sizes = {each.name: (each.cores, each.memory) for each in settings.kinds}
         self._machines: dict[int, _Machine] = {}
         self._tasks: dict[int, _Task] = {}
+        self._on_settings(settings)
         self._out: dict[tuple[int, int], tuple[_Machine, _Task]] = {}
-        self._closes: dict[int, int] = {}  # machines planned to close, and when
         self._spread: Counter[tuple[str, object]] = Counter()
-        self._held: dict[int, None] = {}
+        self._held, self._closes = dict[int, None](), dict[int, int]()  # machines planned to close, and when
         self._no_room: dict[tuple[str, float, float], int] = {}  # when a shape last found no room
         self._oldest: list[tuple[int, int]] = []  # machines by the age of their figures, as a heap
-        self._ranks: dict[str, list[_Machine]] = {}
         self._warm_at, self._warm_most = dict[str, dict[int, None]](), WARM_KEPT  # where a service was warm
-        self._busy: set[str] = set()  # classes for which no machine starts more; until the next sweep or end
+        self._busy, self._ranks = set[str](), dict[str, list[_Machine]]()  # classes without a start
         self._ratio, self._average = [USE_PRIOR, USE_PRIOR], [0.5, 0.5]  # of asked; of size
         self._notes: list[float] = [PRIOR_NOTES, PRIOR_NOTES]
         self._watching = settings.discovery is api.Discovery.PUSH
@@ -136,15 +133,19 @@
             api.MachineList: self._on_list, api.TaskArrived: self._on_arrival, api.TaskFound: self._on_found,
             api.TaskWithdrawn: self._close, api.TaskPlaced: self._on_placed, api.AttemptEnded: self._on_ended,
             api.Probed: self._on_report, api.TaskNote: self._on_note, api.TimerDue: self._on_timer,
-            api.Learned: self._on_learned, api.Planned: self._on_planned}
+            api.Learned: self._on_learned, api.Planned: self._on_planned, api.Settings: self._on_settings}
 
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         """Decide on one event."""
-        self._actions = []
-        self._now = now_us
+        self._actions, self._now = [], now_us
         self._handlers[type(event)](event)
         return self._actions
 
+    def _on_settings(self, settings: api.Settings) -> None:  # at the start, and when rules change
+        self._settings, self._classes = settings, {each.name: each for each in settings.classes}
+        for task in self._tasks.values():
+            task.cls = self._classes.get(task.cls.name, task.cls)
+
     def knowledge(self, now_us: int) -> api.Knowledge:
         """What is known of machines, as a value for another instance; it changes nothing."""
         known = []
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -7,21 +7,27 @@
 from __future__ import annotations
 
 from collections import Counter
+from pathlib import Path
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from netaddr import AddrFormatError, IPAddress
 
 from wingbarrow.config.settings import PlacerSettings
-from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
+from wingbarrow.decide.peers import words
+from wingbarrow.decide.peers.agreement import Agreement, Times
+from wingbarrow.decide.peers.effects import Effect, Persist, Send, SetTimer, Tell
 from wingbarrow.decide.peers.membership import Me, Membership, Rules, Seed
 from wingbarrow.decide.peers.table import Member
 from wingbarrow.peers.history import History
-from wingbarrow.peers.message import BadMail, read_mail, write_letter, write_mail
+from wingbarrow.peers.message import BadMail, Mail, read_mail, write_letter, write_mail
 from wingbarrow.peers.post import Post
+from wingbarrow.peers.ruleset import rules_of
+from wingbarrow.store.votes import StoreFailed, VoteStore, open_if_there
 from wingbarrow.transport import Hub, Nursery, Timer
 
 LEAVE_US = 300_000
+FOUNDING = "founding"  # the first proposal's name: whoever leads first makes it, and it is taken once
 LOUD = {"twin": "error", "dead": "warning", "suspected": "info"}
 
 
@@ -46,9 +52,12 @@
         self.history = History(settings.history, hub.now_us, log)
         self._routes = {peer.name: str(peer) for peer in settings.peers if peer.name}
         self._life, self._rules = life, rules
-        self.on = bool(settings.peers) or settings.peers_allowed.size > 0
+        self.on = bool(settings.peers) or settings.peers_allowed.size > 0 or settings.agree is not None
         self.membership = self._member()
-        self._timers: dict[str, Timer] = {}
+        self.agreement: Agreement | None = None
+        self.on_rules: Callable[[str, str], None] = lambda label, text: None
+        self._store: VoteStore | None = None
+        self._timers: dict[tuple[str, str], Timer] = {}
         self._nursery: Nursery | None = None
         self._post = Post(hub, f"wingbarrow/{settings.name}", self._pack, self._take, self._spawn, self.counts)
         self._reply: tuple[str, list[bytes]] | None = None  # to whom mail is being answered, and with what so far
@@ -67,10 +76,13 @@
             return
         self.membership = self._member()  # the address is known by now
         self.history("start", name=self._settings.name, life=self._life, address=self.address)
+        self.agreement = self._agreement()
         try:
             with Nursery(self._hub) as nursery:
                 self._nursery = nursery
-                self._act(self.membership.start(self._hub.now_us()))
+                self._act("members", self.membership.start(self._hub.now_us()))
+                if self.agreement is not None:
+                    self._act("rules", self.agreement.start(self._hub.now_us()))
                 while True:
                     self._hub.sleep(3_600_000_000)
         finally:
@@ -78,13 +90,15 @@
             for timer in self._timers.values():
                 timer.cancel()
             self._post.close()
+            if self._store is not None:
+                self._store.close()
             self.history("end")
             self.history.close()
 
     def leave(self) -> None:
         """Say to a few others that this placer ends by itself; returns soon, whether they heard it or not."""
         if self._nursery is not None:
-            self._act(self.membership.leave(self._hub.now_us()))
+            self._act("members", self.membership.leave(self._hub.now_us()))
             with self._hub.limit(LEAVE_US):
                 while self._post.busy:
                     self._hub.sleep(5_000)
@@ -101,47 +115,53 @@
         if self._nursery is None:
             raise BadMail("this placer takes part in nothing yet")
         mail = read_mail(raw, self._settings.cluster)
-        self._count_strange(mail.strange)
         before = self._reply
         letters: list[bytes] = []
         self._reply = mail.sender, letters
         try:
-            for message in mail.messages:
-                self._act(self.membership.on_message(self._hub.now_us(), mail.sender, mail.address, message))
+            self._deliver(mail)
         finally:
             self._reply = before
         return self._pack(letters)
 
     def _take(self, raw: bytes) -> None:
         mail = read_mail(raw, self._settings.cluster)
-        self._count_strange(mail.strange)
-        for message in mail.messages:
-            self._act(self.membership.on_message(self._hub.now_us(), mail.sender, mail.address, message))
+        self._deliver(mail)
 
-    def _count_strange(self, count: int) -> None:
-        if count:
-            self.counts["peers:letters of unknown kinds"] += count
+    def _deliver(self, mail: Mail) -> None:
+        if mail.strange:
+            self.counts["peers:letters of unknown kinds"] += mail.strange
+        for message in mail.messages:
+            now = self._hub.now_us()
+            if isinstance(message, words.Message):
+                self._act("members", self.membership.on_message(now, mail.sender, mail.address, message))
+            elif self.agreement is not None:
+                self._act("rules", self.agreement.on_message(now, mail.sender, mail.address, message))
+            else:
+                self.counts["peers:letters about rules, which are not agreed on here"] += 1
 
     def _pack(self, letters: list[bytes]) -> bytes:
         return write_mail(self._settings.cluster, self._settings.name, self.address, letters)
 
     # -- effects
 
-    def _act(self, effects: Iterable[Effect]) -> None:
+    def _act(self, machine: str, effects: Iterable[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect)
             elif isinstance(effect, SetTimer):
-                self._set_timer(effect)
+                self._set_timer(machine, effect)
             elif isinstance(effect, Tell):
-                self._tell(effect)
+                self._tell(machine, effect)
+            elif not self._persist(effect):
+                return  # Danger: what follows would be said though it is not on disk
 
     def _send(self, send: Send) -> None:
         letter = write_letter(send.message)
         if self._reply is not None and send.ident == self._reply[0]:
             self._reply[1].append(letter)
             return
-        address = self._routes.get(send.ident, send.address)
+        address = self._routes.get(send.ident) or send.address or self.address_of(send.ident)
         host, _, port = address.rpartition(":")
         if not port.isdecimal() or not 0 < int(port) < 65536 or not self._may_ask(host, address):
             self.counts["peers:addresses refused"] += 1
@@ -157,20 +177,97 @@
         except (AddrFormatError, ValueError):
             return False
 
-    def _set_timer(self, wanted: SetTimer) -> None:
-        held = self._timers.pop(wanted.key, None)
+    def _set_timer(self, machine: str, wanted: SetTimer) -> None:
+        key = machine, wanted.key
+        held = self._timers.pop(key, None)
         if held is not None:
             held.cancel()
 
         def due() -> None:
-            self._timers.pop(wanted.key, None)
-            self._spawn(lambda: self._act(self.membership.on_timer(self._hub.now_us(), wanted.key)), "peers' timer")
-        self._timers[wanted.key] = self._hub.call_at(wanted.at_us, due)
-
-    def _tell(self, tell: Tell) -> None:
-        self.counts["peers:" + tell.what] += 1
-        self.history("member-" + tell.what, **tell.fields)
-        self._log("member-" + tell.what, level=LOUD.get(tell.what, "info"), **tell.fields)
+            self._timers.pop(key, None)
+            self._spawn(lambda: self._on_timer(machine, wanted.key), "peers' timer")
+        self._timers[key] = self._hub.call_at(wanted.at_us, due)
+
+    def _on_timer(self, machine: str, key: str) -> None:
+        now = self._hub.now_us()
+        if machine == "members":
+            self._act(machine, self.membership.on_timer(now, key))
+        elif self.agreement is not None:
+            self._act(machine, self.agreement.on_timer(now, key))
+
+    def _tell(self, machine: str, tell: Tell) -> None:
+        if machine == "members":
+            self.counts["peers:" + tell.what] += 1
+            self.history("member-" + tell.what, **tell.fields)
+            self._log("member-" + tell.what, level=LOUD.get(tell.what, "info"), **tell.fields)
+            return
+        self.history(tell.what, **tell.fields)
+        if tell.what == "rules":
+            self.on_rules(str(tell.fields["label"]), str(tell.fields["rules"]))
+        else:
+            self._log("rules-" + tell.what, **tell.fields)
+        if tell.what == "leads":
+            self._spawn(self._found, "founds")
+
+    # -- rules
+
+    def _agreement(self) -> Agreement | None:
+        settings, agree = self._settings, self._settings.agree
+        if agree is None:
+            return None
+        disk = None
+        if settings.state is not None:
+            try:
+                self._store = open_if_there(Path(settings.state) / "rules")
+                disk = self._store.load() if self._store is not None else None
+            except StoreFailed as error:
+                self._log("rules-store-failed", level="error", why=str(error))
+        if disk is None and settings.name in agree.voters:
+            # Danger: a voter that lost its disk may have promised what it does not know; it votes no more.
+            self._log("rules-voter-without-store", level="error", what="`wingbarrow rules init` makes a new voter's; "
+                      "one that lost it is left out and taken in anew (`wingbarrow rules voters`)")
+        return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + self._life,
+                         Times(grant_us=agree.grant_us))
+
+    def _persist(self, what: Persist) -> bool:
+        if self._store is None:
+            return False
+        try:
+            self._store.persist(what)
+            return True
+        except StoreFailed as error:
+            self.counts["rules:store failed"] += 1
+            self._log("rules-store-failed", level="error", why=str(error))
+            if self.agreement is not None and self.agreement.raft is not None:
+                self.agreement.raft.empty = True  # it says nothing more as a voter; it goes on by its grants
+            self._store.close()
+            self._store = None
+            return False
+
+    def _found(self) -> None:
+        """The first leader proposes what its own settings say, once."""
+        agreement = self.agreement
+        if agreement is not None and agreement.leads and not agreement.agreed.version:
+            self.propose("propose", {"ident": FOUNDING, "base": 0, "rules": rules_of(self._settings).text(),
+                                     "by": self._settings.name, "why": "the settings of the first leader"})
+
+    def propose(self, kind: str, value: dict[str, Any]) -> None:
+        """At the leader: have something decided."""
+        if self.agreement is not None:
+            self._act("rules", self.agreement.propose(self._hub.now_us(), kind, value))
+
+    def change_voters(self, names: tuple[str, ...]) -> bool:
+        """At the leader: take one voter in, or leave one out."""
+        if self.agreement is None:
+            return False
+        possible, effects = self.agreement.change_voters(self._hub.now_us(), names)
+        self._act("rules", effects)
+        return possible
+
+    def address_of(self, ident: str) -> str:
+        """Where another placer says that it can be reached; "" where it is not known."""
+        held = self.members.get(ident)
+        return held.word.address if held is not None else ""
 
     def _spawn(self, call: Callable[[], None], name: str) -> None:
         if self._nursery is not None and not self._nursery.scope.cancelled:
--- /dev/null
+++ b/wingbarrow/peers/ruleset.py
@@ -0,0 +1,36 @@
+"""Between a placer's settings and the rules that placers agree on: what a file says, and what a placer then goes by."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from wingbarrow import interface as api
+from wingbarrow.config.settings import PlacerSettings
+from wingbarrow.decide.peers.rules import ClassRules, RuleSet, normal, read, shares
+
+
+def rules_of(settings: PlacerSettings) -> RuleSet:
+    """The rule set that a file of settings asks for."""
+    scheduler, agree = settings.scheduler, settings.agree
+    members = agree.members if agree is not None else (settings.name,)
+    classes = tuple(ClassRules(name, each.task_class.effect.name.lower(), each.task_class.spread.name.lower(),
+                               each.task_class.spread_most) for name, each in settings.classes.items())
+    return normal(RuleSet(classes, scheduler.attempts_most, scheduler.cold_us, scheduler.fall_us,
+                          shares(int(scheduler.fresh_offers), members), settings.drain_grace_us, settings.barred))
+
+
+def scheduler_under(settings: PlacerSettings, text: str) -> api.Settings:
+    """What the module is told while a placer acts on rules; classes that they lack are held at the gate."""
+    rules, scheduler = read(text), settings.scheduler
+    held = {each.name: each for each in rules.classes}
+    classes = tuple(_class(each, held.get(each.name)) for each in scheduler.classes)
+    share = rules.cold_share(settings.name)
+    return replace(scheduler, classes=classes, attempts_most=rules.attempts_most, cold_us=rules.cold_us,
+                   fall_us=rules.cold_window_us, placers=max(1, scheduler.placers),
+                   fresh_offers=float(share * max(1, scheduler.placers)))
+
+
+def _class(mine: api.TaskClass, agreed: ClassRules | None) -> api.TaskClass:
+    if agreed is None or agreed.spread_by == "none" or mine.spread.name.lower() != agreed.spread_by:
+        return mine
+    return replace(mine, spread_most=agreed.spread_most)
--- /dev/null
+++ b/wingbarrow/peers/rulesfront.py
@@ -0,0 +1,124 @@
+"""What operators ask about agreed rules, of any placer: state, proposals, floors, voters.
+
+What only the leader can do is answered elsewhere with 307 and the leader's address; 503 where none is known.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from wingbarrow.decide.peers.agreement import Agreement
+from wingbarrow.http.message import Request
+from wingbarrow.http.server import Answer
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+from wingbarrow.peers.host import Peering
+from wingbarrow.transport import Hub
+
+DECIDED_US = 5_000_000
+TEXT_MOST = 100
+PATH = "/apis/wingbarrow.io/v1/rules"
+
+
+class RulesFront:
+    """Routes below /apis/wingbarrow.io/v1/rules."""
+
+    def __init__(self, hub: Hub, peering: Peering) -> None:
+        self._hub, self._peering = hub, peering
+
+    def handle(self, request: Request, parts: list[str]) -> Answer:
+        """Answer one request; ApiError for what is refused."""
+        agreement = self._peering.agreement
+        if agreement is None:
+            raise ApiError(404, "this placer agrees on rules with nobody: `agree` in its settings", "NotFound")
+        if request.method == "GET" and not parts:
+            return Answer(200, names.encode(self._state(agreement)))
+        if request.method == "POST" and parts in ([], ["voters"]):
+            if not agreement.leads:
+                return self._elsewhere(agreement, request)
+            value = self._body(request)
+            return self._voters(agreement, value) if parts else self._propose(agreement, value)
+        raise ApiError(405 if parts in ([], ["voters"]) else 404, "GET or POST rules, POST rules/voters")
+
+    def _elsewhere(self, agreement: Agreement, request: Request) -> Answer:
+        address = self._peering.address_of(agreement.leader) if agreement.leader else ""
+        if not address:
+            raise ApiError(503, "no leader is known now: too few voters hear each other", "ServiceUnavailable",
+                           retry_after_s=1)
+        return Answer(307, names.encode({"kind": "Leader", "name": agreement.leader, "address": address}),
+                      fields=[("Location", f"http://{address}{request.target}")])
+
+    def _body(self, request: Request) -> dict[str, Any]:
+        try:
+            return names.decode(request.body)
+        except ValueError as error:
+            raise ApiError(400, f"the body is no JSON object: {error}", "BadRequest") from None
+
+    def _state(self, agreement: Agreement) -> dict[str, Any]:
+        now, acting, raft = self._hub.now_us(), agreement.acting(self._hub.now_us()), agreement.raft
+        state: dict[str, Any] = {
+            "kind": "Rules", "apiVersion": "wingbarrow.io/v1", "placer": agreement.me, "leader": agreement.leader,
+            "label": acting.label if acting else "", "rules": json.loads(acting.rules) if acting else None,
+            "version": max(agreement.version, agreement.agreed.version),
+            "grantLeftUs": max(0, agreement.holder.until_us - now),
+            "floorLeftUs": max(0, agreement.holder.floor_until_us - now)}
+        if raft is not None and not raft.empty:
+            agreed = agreement.agreed
+            state |= {
+                "voters": list(raft.voters), "term": raft.disk.term, "edition": agreed.edition,
+                "steps": len(agreed.steps),
+                "versions": [{"number": each.number, "by": each.by, "why": each.why, "base": each.base,
+                              "digest": each.digest, "rules": json.loads(each.rules)} for each in agreed.versions],
+                "floors": [{"number": each.number, "lastsUs": each.lasts_us, "rules": json.loads(each.rules)}
+                           for each in agreed.floors]}
+        if agreement.leads:
+            state["holders"] = [{"placer": name, "edition": edition, "leftUs": max(0, until - now)}
+                                for name, (edition, until) in sorted(agreement.holders.items())]
+        return state
+
+    def _propose(self, agreement: Agreement, value: dict[str, Any]) -> Answer:
+        ident, rules, lasts = value.get("ident"), value.get("rules"), value.get("lastsUs")
+        if not isinstance(ident, str) or not 0 < len(ident) <= TEXT_MOST or not isinstance(rules, dict):
+            raise ApiError(422, "ident (a name of its own) and rules are wanted", "Invalid")
+        text, agreed = json.dumps(rules), agreement.agreed
+        base = value.get("base", agreed.version)
+        if not isinstance(base, int) or (lasts is not None and not isinstance(lasts, int)):
+            raise ApiError(422, "base and lastsUs are whole numbers", "Invalid")
+        held = agreed.outcomes.get(ident)
+        if held is None:
+            why_not = agreed.objection(base, text) if lasts is None else agreed.floor_objection(text, lasts)
+            if why_not or value.get("dryRun"):
+                return self._outcome(agreement, why_not, bool(value.get("dryRun")))
+            told = {"ident": ident, "rules": text, "by": str(value.get("by", ""))[:TEXT_MOST],
+                    "why": str(value.get("why", ""))[:500]}
+            if lasts is None:
+                self._peering.propose("propose", {**told, "base": base})
+            else:
+                self._peering.propose("floor", {**told, "lasts_us": lasts})
+            held = self._decided(agreement, ident)
+        return self._outcome(agreement, held, False)
+
+    def _decided(self, agreement: Agreement, ident: str) -> str:
+        end = self._hub.now_us() + DECIDED_US
+        while ident not in agreement.agreed.outcomes:
+            if self._hub.now_us() >= end:
+                raise ApiError(504, "not decided yet: send it again under the same ident to learn what became of it",
+                               "Timeout")
+            self._hub.sleep(10_000)
+        return agreement.agreed.outcomes[ident]
+
+    def _outcome(self, agreement: Agreement, why_not: str, dry: bool) -> Answer:
+        if why_not:
+            raise ApiError(409, why_not, "Conflict")
+        return Answer(200 if dry else 201, names.encode({
+            "kind": "Accepted", "version": agreement.agreed.version, "edition": agreement.agreed.edition,
+            "steps": len(agreement.agreed.steps), "dryRun": dry}))
+
+    def _voters(self, agreement: Agreement, value: dict[str, Any]) -> Answer:
+        wanted = value.get("voters")
+        if not isinstance(wanted, list) or not all(isinstance(each, str) and each for each in wanted):
+            raise ApiError(422, "voters: a list of names is wanted", "Invalid")
+        if not self._peering.change_voters(tuple(dict.fromkeys(wanted))):
+            raise ApiError(409, "one voter at a time, and not before the last change is decided", "Conflict")
+        return Answer(202, names.encode({"kind": "Voters", "voters": wanted}))
--- /dev/null
+++ b/wingbarrow/store/votes.py
@@ -0,0 +1,105 @@
+"""A voter's disk: term, vote, log and snapshot, in one LMDB environment; a write is on disk when it returns.
+
+What is stored is what `decide.peers.raft.Disk` holds. It is made once, by an operator's word (`create`): a voter
+that finds none where there was one has lost what it promised, and must not begin anew by itself.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import lmdb
+
+from wingbarrow.decide.peers.effects import Persist
+from wingbarrow.decide.peers.raft import Disk, Entry
+
+BYTES_MOST = 256 << 20
+FORM = 1
+_META, _SNAPSHOT, _ENTRY = b"meta", b"snapshot", b"entry/"
+
+
+class StoreFailed(Exception):
+    """The disk could not be read or written; the text says how."""
+
+
+def _key(index: int) -> bytes:
+    return _ENTRY + index.to_bytes(8, "big")
+
+
+class VoteStore:
+    """Opened on a folder that `create` has made."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        try:
+            self._env = lmdb.open(str(folder), map_size=BYTES_MOST, max_dbs=0, subdir=True, create=False, lock=True)
+        except lmdb.Error as error:
+            raise StoreFailed(f"{folder}: {error}") from None
+
+    def load(self) -> Disk:
+        """What is on disk; StoreFailed where it cannot be what was written."""
+        try:
+            with self._env.begin() as txn:
+                meta: dict[str, Any] = json.loads(txn.get(_META) or b"{}")
+                base, base_term, voters, state = json.loads(txn.get(_SNAPSHOT) or b"null")
+                if meta.get("form") != FORM:
+                    raise StoreFailed(f"{self.folder}: form {meta.get('form')}; {FORM} is read here")
+                disk = Disk(tuple(voters.split()), meta["term"], meta["vote"], base, base_term, state)
+                for key, value in txn.cursor():
+                    if not bytes(key).startswith(_ENTRY):
+                        continue
+                    index = int.from_bytes(bytes(key)[len(_ENTRY):], "big")
+                    if index <= base:
+                        continue
+                    if index != disk.last + 1:
+                        raise StoreFailed(f"{self.folder}: entry {index} after {disk.last}")
+                    disk.log.append(Entry(*json.loads(value)))
+        except (lmdb.Error, ValueError, TypeError, KeyError) as error:
+            raise StoreFailed(f"{self.folder}: {type(error).__name__}: {error}") from None
+        return disk
+
+    def persist(self, what: Persist) -> None:
+        """Write in one transaction, and sync; StoreFailed where it is not on disk, and then nothing of it is."""
+        try:
+            with self._env.begin(write=True) as txn:
+                txn.put(_META, json.dumps({"form": FORM, "term": what.term, "vote": what.vote}).encode())
+                if what.snapshot is not None:
+                    txn.put(_SNAPSHOT, json.dumps(what.snapshot).encode())
+                    self._drop(txn, 0, what.snapshot[0] + 1)
+                if what.first is not None:
+                    self._drop(txn, what.first, None)
+                    for offset, entry in enumerate(what.entries):
+                        txn.put(_key(what.first + offset), json.dumps([entry.term, entry.kind, entry.body]).encode())
+        except lmdb.Error as error:
+            raise StoreFailed(f"{self.folder}: {error}") from None
+
+    def _drop(self, txn: Any, first: int, end: int | None) -> None:
+        with txn.cursor() as cursor:
+            found = cursor.set_range(_key(first))
+            while found and bytes(cursor.key()).startswith(_ENTRY) and (end is None or bytes(cursor.key()) < _key(end)):
+                found = cursor.delete()
+
+    def close(self) -> None:
+        """Let it go."""
+        self._env.close()
+
+
+def create(folder: Path, voters: tuple[str, ...]) -> None:
+    """Make the disk of a voter that has never voted; StoreFailed where there is one already."""
+    if (folder / "data.mdb").exists():
+        raise StoreFailed(f"{folder}: there is one already")
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        lmdb.open(str(folder), map_size=BYTES_MOST, subdir=True).close()
+        store = VoteStore(folder)
+        store.persist(Persist(0, "", 1, (), (0, 0, " ".join(voters), "")))
+        store.close()
+    except (lmdb.Error, OSError) as error:
+        raise StoreFailed(f"{folder}: {error}") from None
+
+
+def open_if_there(folder: Path) -> VoteStore | None:
+    """The store of a folder; None where none was made."""
+    return VoteStore(folder) if (folder / "data.mdb").exists() else None
