--- a/tests/decide/peers/test_agreement.py
+++ b/tests/decide/peers/test_agreement.py
@@ -3,43 +3,18 @@
 from __future__ import annotations
 
 import json
-import random
-from collections.abc import Iterator
 from dataclasses import replace
 
 import pytest
 
 from wingbarrow.decide.peers.agreed import Agreed, from_text
-from wingbarrow.decide.peers.agreement import Ask, Grant, NotLeader, Times
+from wingbarrow.decide.peers.agreement import Ask, Grant, NotLeader
 from wingbarrow.decide.peers.grants import DRIFT, Holder, given_until_us
-from wingbarrow.decide.peers.rules import ClassRules, RuleSet, allows, contradict, meet, normal, read, shares
-from wingbarrow.lab.fleet.assembly import ACT_US, Assembly, Use, judge
+from wingbarrow.decide.peers.rules import ClassRules, allows, contradict, meet, normal, read
+from wingbarrow.lab.fleet.assembly import Use, judge
+from wingbarrow.lab.fleet.schedules import FLOOR, fine, founded, generated, rules
 from wingbarrow.lab.fleet.swarm import SECOND
 
-STATED_US = Times().stated_us(ACT_US)
-
-
-def rules(of: int = 3, most: int = 3, offers: int = 20, barred: tuple[str, ...] = ()) -> RuleSet:
-    classes = ClassRules("web", "safe", "cell", most), ClassRules("settlement", "unsafe", "none", 0)
-    return normal(RuleSet(classes, 4, 18 * SECOND, 2 * SECOND, shares(offers, tuple(f"p{i:03d}" for i in range(of))),
-                          250_000, barred))
-
-
-FLOOR = normal(RuleSet((ClassRules("web", "safe", "cell", 1),), 1, 60 * SECOND, 10 * SECOND, (), 0, ("n1", "n2")))
-
-
-def founded(count: int = 5, voters: int = 3, seed: int = 1, loss: float = 0.0) -> Assembly:
-    assembly = Assembly(count, voters, seed, loss=loss)
-    assert assembly.run_until(lambda: assembly.leader() is not None, 20 * SECOND)
-    assembly.propose(rules())
-    assert assembly.run_until(lambda: assembly.all_on(rules()), 20 * SECOND)
-    return assembly
-
-
-def fine(assembly: Assembly) -> None:
-    verdict = assembly.judged()
-    assert verdict.acts and not verdict.past and verdict.longest_us <= STATED_US, verdict
-
 
 @pytest.mark.parametrize("count, voters", [(1, 1), (3, 3), (5, 3), (16, 5), (64, 7)])
 def test_all_act_on_what_was_proposed_also_where_it_contradicts_and_nobody_pauses(count: int, voters: int) -> None:
@@ -151,44 +126,6 @@
     fine(assembly)
 
 
-def generated(count: int, voters: int, seed: int) -> Iterator[Assembly]:
-    """A schedule of cuts (one way, too), loss, stops, kills and proposals; then all heals."""
-    rng, assembly = random.Random(seed), founded(count, voters, seed)
-    if rng.random() < 0.5:
-        assembly.lower_floor(FLOOR, 20 * SECOND, "floor")
-    assembly.twice = 0.1
-    for _ in range(25):
-        assembly.run(assembly.now_us + rng.randrange(3 * SECOND))
-        what, some = rng.random(), rng.choice(assembly.names)
-        if what < 0.2:
-            side, one_way = set(rng.sample(assembly.names, rng.randrange(1, count))), rng.random() < 0.4
-            assembly.cut = lambda a, b, side=side, one=one_way: (
-                (a in side and b not in side) or (not one and b in side and a not in side))
-        elif what < 0.35:
-            assembly.cut = lambda a, b: False
-        elif what < 0.45:
-            assembly.loss = rng.choice((0.0, 0.1, 0.3))
-        elif what < 0.6 and some in assembly.members and some not in assembly.stopped:
-            assembly.stop(some, rng.randrange(6 * SECOND))
-        elif what < 0.7 and some in assembly.members and len(assembly.members) > 1:
-            assembly.kill(some)
-        elif what < 0.8:
-            for name in set(assembly.names) - set(assembly.members):
-                assembly.start(name)
-        else:
-            assembly.propose(rules(rng.randrange(1, count + 1), rng.randrange(1, 4), rng.randrange(0, 40)))
-        yield assembly
-    assembly.cut, assembly.loss = (lambda a, b: False), 0.0
-    for name in sorted(set(assembly.names) - set(assembly.members)):
-        assembly.start(name)
-    assert assembly.run_until(lambda: not assembly.stopped and assembly.leader() is not None, 30 * SECOND)
-    assembly.run(assembly.now_us + 15 * SECOND)
-    last = rules(count, 2, 17)
-    assembly.propose(last)
-    assert assembly.run_until(lambda: assembly.all_on(last), 20 * SECOND), "all are on the last version after healing"
-    yield assembly
-
-
 @pytest.mark.parametrize("count, voters", [(3, 3), (5, 3), (16, 5)])
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_generated_schedules_never_have_rules_in_use_whose_time_has_passed(count: int, voters: int, seed: int) -> None:
--- /dev/null
+++ b/tests/decide/peers/test_model.py
@@ -0,0 +1,29 @@
+"""The model of grants, steps and floors, explored whole; errors that are planted in it are found."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingbarrow.lab.fleet.model import Plan, explore, explore_floors
+
+
+def test_nothing_that_must_not_happen_can_be_reached_by_three_placers_and_two_versions() -> None:
+    found = explore(Plan(3))
+    print(f"{found.states} states")
+    assert found.way == () and found.states > 100_000
+
+
+def test_nobody_goes_on_by_a_floor_that_allows_what_an_accepted_version_forbids() -> None:
+    found = explore_floors(Plan(2))
+    print(f"{found.states} states")
+    assert found.way == () and found.states > 1_000
+
+
+@pytest.mark.parametrize("plan", [Plan(2, from_answer=True), Plan(2, no_wait=True), Plan(2, forgetful=True)])
+def test_planted_errors_of_grants_and_steps_are_found(plan: Plan) -> None:
+    assert explore(plan).way
+
+
+@pytest.mark.parametrize("plan", [Plan(2, floor_unchecked=True), Plan(2, from_answer=True)])
+def test_planted_errors_of_floors_are_found(plan: Plan) -> None:
+    assert explore_floors(plan).way
