--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -15,8 +15,8 @@
 QUIET_S = 60
 
 
-def settled(count: int, seed: int, loss: float = 0.0) -> Swarm:
-    swarm = Swarm(count, seed, loss=loss)
+def settled(count: int, seed: int) -> Swarm:
+    swarm = Swarm(count, seed)
     if not swarm.run_until(swarm.whole, 300 * SECOND, SECOND):
         raise SystemExit(f"{count} placers, seed {seed}: they do not find each other")
     return swarm
@@ -44,8 +44,8 @@
     row |= {"first_dead_s": min(times), "all_dead_s": max(times)}
     row["wrong_after_death"] = wrong(swarm, begun, {gone})[1]
 
-    swarm = settled(count, seed, loss=0.2)
-    begun = swarm.now_us
+    swarm = settled(count, seed)
+    swarm.loss, begun = 0.2, swarm.now_us
     swarm.run(begun + QUIET_S * SECOND)
     row["loss_suspected"], row["loss_dead"] = wrong(swarm, begun, set())
 
--- a/tests/relay/test_descriptors.py
+++ b/tests/relay/test_descriptors.py
@@ -40,7 +40,9 @@
 
 
 class Crowded(Stage):
-    """A stage whose machines come later, each with one task."""
+    """A stage whose machines come later, and so many tasks for each."""
+
+    a_machine = 3.0
 
     def fill(self, count: int) -> list[Telling]:
         """So many machines, and a task standing on each."""
@@ -49,7 +51,7 @@
         self.sleep(200)
         self.held_most = 0
         self.hub.spawn(lambda: self._watch(machines), "watch")
-        for task in range(1, count * 3 + 1):
+        for task in range(1, int(count * self.a_machine) + 1):
             self.owner.ask(task, name=f"{task:016x}", figures=f"cores:7;memory:1;service:s{task}", patience_ms=4000)
             self.sleep(5)
         self.sleep(500)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -58,6 +58,20 @@
                 assert order.index(found) >= order.index(parts[0]), f"{source} imports {found}"
 
 
+def test_no_two_files_import_each_other() -> None:
+    found: dict[str, set[str]] = {}
+    for source in (ROOT / "wingbarrow").rglob("*.py"):
+        name = ".".join(source.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+        text = source.read_text()
+        found[name] = {f"{package}.{part.strip()}" if f"{package}.{part.strip()}" in found else package
+                       for package, parts in re.findall(r"^\s*from (wingbarrow[\w.]*) import \(?([^)\n]*)", text, re.M)
+                       for part in (parts.split(",") or [""])}
+    circles = {tuple(sorted((one, other))) for one, used in found.items() for other in used
+               if one != other and one in found.get(other, ())}
+    # The hub, its scopes and its domains know each other, by type alone; a package and its own parts are no circle.
+    assert not {pair for pair in circles if not pair[0].startswith("wingbarrow.transport.") and pair[0] != "wingbarrow"}
+
+
 def test_the_readme_example_runs() -> None:
     blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert blocks
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -8,7 +8,7 @@
 from wingbarrow.core.life import Life
 from wingbarrow.decide.crowd import Crowd, Guest
 from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, encode, with_cause
-from wingbarrow.relay.tasks import Task
+from wingbarrow.relay.tasks import Asker, Task
 from wingbarrow.transport import Listener, Outbox, PeerGone, Stream
 
 OUT_MOST = 256 * 1024  # bytes that may wait for an owner that reads slowly
@@ -159,7 +159,7 @@
         known.sort(key=lambda each: not each.tasks)
         return next((each for each in known if each.write(data)), None)
 
-    def proven(self, owner: Owner) -> None:
+    def proven(self, owner: Asker) -> None:
         """A task of this connection was answered: it is a usual owner's."""
         if not owner.guest.proven:
             owner.guest.proven = True
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -9,12 +9,10 @@
 from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from wingbarrow import interface as api
-
-if TYPE_CHECKING:
-    from wingbarrow.relay.owners import Owner
+from wingbarrow.decide.crowd import Guest
 
 
 class State(Enum):
@@ -47,6 +45,16 @@
 }
 
 
+class Asker(Protocol):
+    """The connection that a set-up came on, as far as the task needs it."""
+
+    guest: Guest
+    tasks: dict[int, Task]  # open set-ups, by id
+
+    def write(self, data: bytes) -> bool:
+        """Send; False where the connection is of no use any more."""
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One set-up; `request` is its number with the module, `ident` its id on the wire."""
@@ -55,7 +63,7 @@
     ident: int
     cls: api.TaskClass
     arrival: api.TaskArrived
-    owner: Owner | None  # the connection it came on, as long as a final answer is owed
+    owner: Asker | None  # the connection it came on, as long as a final answer is owed
     passed_on: dict[int, bytes]  # parameters that go to machines unchanged; empty once no answer is owed
     state: State = State.ASKED
     binds: int = 0
