--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -104,7 +104,7 @@
         self._round = 0
         self._holders: dict[str, tuple[int, int]] = {}  # edition, and until when it may act on it at the latest
         self._floors_out: dict[int, int] = {}  # floor: until when somebody may go on by it at the latest
-        self._old_until_us = 0  # until when editions before the one in force may be acted on, beside `_holders`
+        self._leaving: dict[str, int] = {}  # who was given a later edition, and until when it may act on its last one
 
     # -- driven by the host
 
@@ -275,11 +275,14 @@
             self._holders = {name: each for name, each in self._holders.items() if each[1] > now_us}
             if len(self._holders) >= HOLDERS_MOST:
                 return []
-        # One that asks with this edition has left those before; one that does not may act on its old one until later.
+        # Who asks with the edition in force has left those before for good. Who does not may never hear of it, and act
+        # on its last one as long as that was given to it.
         held = self._holders.get(asked.ident)
         until = given_until_us(now_us, lasts)
-        if held is not None and ask.edition < agreed.edition and held[0] < agreed.edition:
-            self._old_until_us = max(self._old_until_us, held[1])
+        if ask.edition >= agreed.edition:
+            self._leaving.pop(asked.ident, None)
+        elif held is not None and held[0] < agreed.edition:
+            self._leaving[asked.ident] = max(self._leaving.get(asked.ident, 0), held[1])
         self._holders[asked.ident] = agreed.edition, until
         if floor is not None:
             self._floors_out[floor.number] = given_until_us(now_us, floor.lasts_us)
@@ -320,7 +323,7 @@
         old = [until for edition, until in self._holders.values() if edition < self.agreed.edition]
         # Grants that an earlier leader gave are not known here: each was asked for before this one was elected.
         before = given_until_us(self.raft.began_us, self.times.grant_us)
-        return max([self._old_until_us, before, *old])
+        return max([before, *old, *self._leaving.values()])
 
     # -- the voters' log
 
@@ -336,7 +339,7 @@
                 out += self._confirmed(now_us, effect.number)
             elif isinstance(effect, r.Elected):
                 self._waiting, self._rounds, self._holders = [], {}, {}
-                self._floors_out, self._old_until_us = {}, 0
+                self._floors_out, self._leaving = {}, {}
                 if effect.on:
                     out.append(self._timer("step", now_us + self.times.batch_us))
             else:
