--- a/tests/test_rules_command.py
+++ b/tests/test_rules_command.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import urllib.request
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -62,6 +63,35 @@
     assert state["version"] == 3 and state["voters"] == ["placer-0"] and state["leader"] == "placer-0"
 
 
+def refuse(url: str, names: range) -> None:
+    """Jobs that nobody can place: there is no machine, and their owners wait for 100 ms."""
+    for number in names:
+        job = {"metadata": {"name": f"none-{number}", "annotations": {"wingbarrow.io/patience": "100ms"}}, "spec": {
+            "template": {"spec": {"containers": [
+                {"name": "c", "resources": {"requests": {"cpu": "1", "memory": "1Gi"}}}]}}}}
+        request = urllib.request.Request(f"{url}/apis/batch/v1/namespaces/default/jobs", json.dumps(job).encode(),
+                                         {"Content-Type": "application/json"})
+        urllib.request.urlopen(request, timeout=10).close()
+
+
+def test_a_change_after_which_answers_get_worse_is_taken_back(placer: tuple[str, Path], tmp_path: Path) -> None:
+    url, file = placer
+    changed = tmp_path / "watched.kdl"
+    changed.write_text(file.read_text().replace("attempts most=4", "attempts most=3"))
+    begun = json.loads(run("status", "--json", "--url", url)[1])
+    before = json.dumps(begun["rules"], sort_keys=True)
+    process = subprocess.Popen([sys.executable, "-m", "wingbarrow", "rules", "propose", str(changed), "--watch", "5",
+                                "--url", url], stdout=subprocess.PIPE, text=True)
+    while json.loads(run("status", "--json", "--url", url)[1])["version"] == begun["version"]:
+        assert process.poll() is None
+    refuse(url, range(40))
+    out, _ = process.communicate(timeout=60)
+    assert process.returncode == 3 and "back to version" in out
+    after = json.loads(run("status", "--json", "--url", url)[1])
+    assert json.dumps(after["versions"][-1]["rules"], sort_keys=True) == before
+    assert after["version"] == begun["version"] + 2
+
+
 def test_a_floor_is_taken_and_what_forbids_it_refused(placer: tuple[str, Path], tmp_path: Path) -> None:
     url, file = placer
     least = tmp_path / "least.kdl"
--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -10,7 +10,9 @@
 from urllib.parse import quote, urlsplit
 
 import click
+from prometheus_client.parser import text_string_to_metric_families
 
+from wingbarrow.decide.peers.trial import Count
 from wingbarrow.http.client import CallFailed, Pool
 from wingbarrow.http.watching import call, list_all, watch
 from wingbarrow.kube.status import ApiError
@@ -67,6 +69,21 @@
         except (ApiError, CallFailed) as error:
             raise CommandFailed(str(error)) from None
 
+    def answers(self) -> Count:
+        """Final answers that this placer has given, and those that placed nothing."""
+        try:
+            response = self._pool.request("GET", "/metrics", until_us=self._until())
+            families = list(text_string_to_metric_families(response.body.decode()))
+        except (CallFailed, ValueError) as error:
+            raise CommandFailed(str(error)) from None
+        found = {sample.labels["answer"]: int(sample.value) for family in families
+                 if family.name == "wingbarrow_answers" for sample in family.samples if sample.name.endswith("_total")}
+        return Count(sum(found.values()), sum(count for answer, count in found.items() if answer != "placed"))
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        self._hub.sleep(int(seconds * SECOND))
+
     def at_leader(self, path: str, value: dict[str, Any]) -> dict[str, Any]:
         """A POST to whoever leads the voters: this placer, or the one that it names."""
         answer = self.exchange("POST", path, value)
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -12,11 +12,15 @@
 
 from wingbarrow.cli.client import URL, Client, CommandFailed, with_client
 from wingbarrow.config import PlacerSettings, SettingsError, load_file, parse_duration
+from wingbarrow.decide.peers.trial import Advice, Trial
 from wingbarrow.decide.peers.rules import RuleSet, allows, contradict, differences, read
 from wingbarrow.peers.ruleset import rules_of
 from wingbarrow.store.votes import StoreFailed, create
 
 
+SECOND = 1_000_000
+
+
 @click.group()
 def rules() -> None:
     """Rules with versions on which the placers agree."""
@@ -76,12 +80,17 @@
 @click.option("--base", type=click.IntRange(0), help="The version that it changes; the present one without it.")
 @click.option("--why", default="", help="For the history.")
 @click.option("--dry-run", is_flag=True, help="Say what would change, and whether it would be accepted.")
+@click.option("--watch", "watch_s", type=click.FloatRange(1, 3600), help="Look at this placer's answers for so many "
+              "seconds before and after; take the change back, and exit 3, where they get worse.")
+@click.option("--bound", type=click.FloatRange(0, 1), default=0.05, show_default=True,
+              help="With --watch: by how much the share of answers that place nothing may rise.")
 @URL
-def propose(file: Path, base: int | None, why: str, dry_run: bool, url: str) -> None:
+def propose(file: Path, base: int | None, why: str, dry_run: bool, watch_s: float | None, bound: float,
+            url: str) -> None:
     """Propose the rules that FILE's settings hold; exit 1 where they are not accepted."""
     wanted = rules_of(_settings(file))
 
-    def call(client: Client) -> None:
+    def call(client: Client) -> int:
         state = _voter(client)
         if state["versions"]:
             now = read(json.dumps(state["versions"][-1]["rules"]))
@@ -91,8 +100,37 @@
                 click.echo("it contradicts the version before: the fleet goes by what both allow")
             elif not allows(now, wanted):
                 click.echo("it forbids some of what the version before allows")
-        _propose(client, wanted, state["version"] if base is None else base, why, dry_run)
-    with_client(url, call)
+        begun = client.answers() if watch_s is not None else None
+        if watch_s is not None:
+            client.sleep(watch_s)
+        version = state["version"] if base is None else base
+        _propose(client, wanted, version, why, dry_run)
+        if begun is None or watch_s is None or dry_run:
+            return 0
+        at = client.answers()
+        trial = Trial(at.since(begun), at, bound, int(watch_s * SECOND))
+        return _watch(client, trial, watch_s, version)
+    sys.exit(with_client(url, call))
+
+
+def _watch(client: Client, trial: Trial, seconds: float, before: int) -> int:
+    """Keep the change, or take it back: 0 or 3."""
+    passed, step = 0.0, min(1.0, seconds / 5)
+    while True:
+        client.sleep(step)
+        passed += step
+        advice = trial.judge(int(passed * SECOND), client.answers())
+        if advice is Advice.KEEP:
+            click.echo(f"kept: of {trial.after.answers} answers {trial.after.share:.1%} placed nothing, "
+                       f"{trial.rise:+.1%} beside before")
+            return 0
+        if advice is Advice.BACK:
+            click.echo(f"of {trial.after.answers} answers {trial.after.share:.1%} placed nothing, {trial.rise:+.1%} "
+                       f"beside before: back to version {before}")
+            state = _voter(client)
+            _propose(client, _version(state, before), state["version"], f"back to version {before}: answers got worse",
+                     False)
+            return 3
 
 
 @rules.command()
