Raft split from the log it speaks about; what decides is held to do no I/O by a test

Change: decide/peers/log has entries, messages, what is on disk and what is handed to the owner; a test holds decide to no I/O, no clock and no globals, by its imports.

--- a/tests/decide/peers/test_raft.py
+++ b/tests/decide/peers/test_raft.py
@@ -11,7 +11,8 @@
 import pytest
 
 from wingbarrow.decide.peers.effects import Persist, Send, SetTimer
-from wingbarrow.decide.peers.raft import VOTERS, Committed, Confirmed, Disk, Elected, Entry, Raft, Restored
+from wingbarrow.decide.peers.log import VOTERS, Committed, Confirmed, Disk, Elected, Entry, Restored
+from wingbarrow.decide.peers.raft import Raft
 
 S = 1_000_000
 
--- a/tests/peers/test_store.py
+++ b/tests/peers/test_store.py
@@ -9,7 +9,7 @@
 import pytest
 
 from wingbarrow.decide.peers.effects import Persist
-from wingbarrow.decide.peers.raft import Disk, Entry
+from wingbarrow.decide.peers.log import Disk, Entry
 from wingbarrow.store.votes import StoreFailed, VoteStore, create, open_if_there
 
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -58,6 +58,17 @@
                 assert order.index(found) >= order.index(parts[0]), f"{source} imports {found}"
 
 
+def test_what_decides_does_no_io_and_asks_no_clock() -> None:
+    for source in (ROOT / "wingbarrow" / "decide").rglob("*.py"):
+        found = set(re.findall(r"^\s*(?:from|import) (\w+(?:\.\w+)?)", source.read_text(), re.M))
+        assert not {name.partition(".")[0] for name in found} & {
+            "socket", "select", "os", "io", "sys", "time", "threading", "pathlib", "subprocess", "signal",
+            "msgspec"}, source
+        assert {name for name in found if name.startswith("wingbarrow")} <= {
+            "wingbarrow", "wingbarrow.decide", "wingbarrow.interface"}, source
+        assert not re.search(r"\bprint\(|\bopen\(|^\s*global\b", source.read_text(), re.M), source
+
+
 def test_no_two_files_import_each_other() -> None:
     found: dict[str, set[str]] = {}
     for source in (ROOT / "wingbarrow").rglob("*.py"):
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -12,10 +12,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wingbarrow.decide.peers import raft as r
+from wingbarrow.decide.peers import log
 from wingbarrow.decide.peers.agreed import Agreed, from_text
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.grants import Acting, Holder, given_until_us
+from wingbarrow.decide.peers.raft import Raft
 
 HOLDERS_MOST = 4096
 ASKS_MOST = 4096  # that wait for a round
@@ -52,7 +53,7 @@
     leader: str
 
 
-Message = Ask | Grant | NotLeader | r.Message
+Message = Ask | Grant | NotLeader | log.Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,11 +84,11 @@
 class Agreement:
     """`disk`: what this placer has as a voter, None where it has none; `voter`: whether the settings name it as one."""
 
-    def __init__(self, me: str, voters: tuple[str, ...], disk: r.Disk | None, seed: int,
+    def __init__(self, me: str, voters: tuple[str, ...], disk: log.Disk | None, seed: int,
                  times: Times = Times()) -> None:  # noqa: B008 - frozen
         self.me, self.times = me, times
         self.named = voters
-        self.raft = r.Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
+        self.raft = Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
         self.agreed = Agreed()
         self.holder = Holder()
         self.version = 0  # the latest that a grant told of
@@ -327,17 +328,17 @@
 
     # -- the voters' log
 
-    def _of_raft(self, now_us: int, effects: r.Effects) -> list[Effect]:
+    def _of_raft(self, now_us: int, effects: log.Effects) -> list[Effect]:
         """Effects for the host; what is decided goes into the replicated state on the way."""
         out: list[Effect] = []
         for effect in effects:
-            if isinstance(effect, r.Restored):
+            if isinstance(effect, log.Restored):
                 self.agreed = from_text(effect.state)
-            elif isinstance(effect, r.Committed):
+            elif isinstance(effect, log.Committed):
                 out += self._decided(now_us, effect)
-            elif isinstance(effect, r.Confirmed):
+            elif isinstance(effect, log.Confirmed):
                 out += self._confirmed(now_us, effect.number)
-            elif isinstance(effect, r.Elected):
+            elif isinstance(effect, log.Elected):
                 self._waiting, self._rounds, self._holders = [], {}, {}
                 self._floors_out, self._leaving = {}, {}
                 if effect.on:
@@ -346,11 +347,11 @@
                 out.append(effect)
         return out
 
-    def _decided(self, now_us: int, committed: r.Committed) -> list[Effect]:
+    def _decided(self, now_us: int, committed: log.Committed) -> list[Effect]:
         out: list[Effect] = []
         before = self.agreed.edition, self.agreed.version, len(self.agreed.floors)
         for entry in committed.entries:
-            if entry.kind not in ("", r.VOTERS):
+            if entry.kind not in ("", log.VOTERS):
                 self.agreed.apply(entry.kind, entry.body)
         if self.agreed.edition != before[0]:
             out.append(Tell("edition", {"edition": self.agreed.edition, "version": self.agreed.version}))
--- /dev/null
+++ b/wingbarrow/decide/peers/log.py
@@ -0,0 +1,143 @@
+"""A voter's log and what is said about it: entries, messages, what is on disk, and what `raft` hands to its owner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from wingbarrow.decide.peers.effects import Effect
+
+VOTERS = "voters"  # the kind of an entry that changes who votes
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One decision: `kind` and `body` are the replicated state's, but for VOTERS (names with spaces between)."""
+
+    term: int
+    kind: str
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class VoteAsk:
+    """Elect me; `pre`: would you?"""
+
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+@dataclass(frozen=True, slots=True)
+class VoteAnswer:
+    """Whether, in a term."""
+
+    term: int
+    granted: bool
+    pre: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Entries after `prev_index`; none of them is a heartbeat. `round` counts what the leader sent."""
+
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendAnswer:
+    """Up to where the log is the leader's, or where to try next."""
+
+    term: int
+    ok: bool
+    match: int
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class Install:
+    """The state up to an index, in place of entries that are no longer kept."""
+
+    term: int
+    index: int
+    last_term: int
+    voters: str
+    state: str
+    round: int
+
+
+Message = VoteAsk | VoteAnswer | Append | AppendAnswer | Install
+
+
+@dataclass(slots=True)
+class Disk:
+    """What a voter has on disk: its term and vote, the log after `base`, and the state up to there."""
+
+    voters: tuple[str, ...]  # as of `base`
+    term: int = 0
+    vote: str = ""
+    base: int = 0
+    base_term: int = 0
+    state: str = ""
+    log: list[Entry] = field(default_factory=list)
+
+    @property
+    def last(self) -> int:
+        """The index of the last entry."""
+        return self.base + len(self.log)
+
+    def term_at(self, index: int) -> int | None:
+        """The term of an entry; None where it is not kept, or not there."""
+        if index == self.base:
+            return self.base_term
+        return self.log[index - self.base - 1].term if self.base < index <= self.last else None
+
+    def after(self, index: int, most: int) -> tuple[Entry, ...]:
+        """Some entries after an index."""
+        start = index - self.base
+        return tuple(self.log[start:start + most])
+
+    def voters_now(self) -> tuple[str, ...]:
+        """By the latest entry about it, committed or not."""
+        for entry in reversed(self.log):
+            if entry.kind == VOTERS:
+                return tuple(entry.body.split())
+        return self.voters
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """Entries, with the index of the first, that are decided: for the replicated state, once and in order."""
+
+    first: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Restored:
+    """The replicated state begins anew from a snapshot."""
+
+    index: int
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """A majority followed this leader after the `confirm` of that number was asked for."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Elected:
+    """This voter leads from now on; or does so no longer."""
+
+    on: bool
+
+
+Effects = list["Effect | Committed | Restored | Confirmed | Elected"]
--- a/wingbarrow/lab/fleet/assembly.py
+++ b/wingbarrow/lab/fleet/assembly.py
@@ -6,9 +6,9 @@
 import random
 from dataclasses import dataclass
 
-from wingbarrow.decide.peers import raft as r
 from wingbarrow.decide.peers.agreement import Agreement, Times
 from wingbarrow.decide.peers.effects import Persist
+from wingbarrow.decide.peers.log import Disk
 from wingbarrow.decide.peers.rules import RuleSet, allows, read
 from wingbarrow.lab.fleet.swarm import SECOND, Drift, Virtual
 
@@ -52,7 +52,7 @@
         super().__init__([f"p{index:03d}" for index in range(count)], seed, loss)
         self.times = times
         self.voters = tuple(self.names[:voters])
-        self.disks = {name: r.Disk(self.voters) for name in self.voters}
+        self.disks = {name: Disk(self.voters) for name in self.voters}
         rng = random.Random(f"clocks/{seed}")
         self.drifts = {name: Drift(rng.uniform(-5e-4, 5e-4), rng.randrange(10_000 * SECOND)) for name in self.names}
         self.uses: dict[int, Use] = {}
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from wingbarrow.decide.peers import agreement, raft, words
+from wingbarrow.decide.peers import agreement, log, words
 
 FORM = 1
 MAIL_MOST = 4 << 20  # bytes
@@ -24,8 +24,8 @@
 
 KINDS: dict[str, type[Any]] = {
     "probe": words.Probe, "probe-for": words.ProbeFor, "ack": words.Ack, "nack": words.Nack, "sync": words.Sync,
-    "vote-ask": raft.VoteAsk, "vote-answer": raft.VoteAnswer, "append": raft.Append, "append-answer": raft.AppendAnswer,
-    "install": raft.Install, "ask": agreement.Ask, "grant": agreement.Grant, "not-leader": agreement.NotLeader}
+    "vote-ask": log.VoteAsk, "vote-answer": log.VoteAnswer, "append": log.Append, "append-answer": log.AppendAnswer,
+    "install": log.Install, "ask": agreement.Ask, "grant": agreement.Grant, "not-leader": agreement.NotLeader}
 _NAMES = {kind: name for name, kind in KINDS.items()}
 
 
@@ -114,7 +114,7 @@
             raise BadMail("a member's address that is empty or too long")
         if not (0 <= word.incarnation < INCARNATION_MOST and 0 <= word.life < INCARNATION_MOST):
             raise BadMail("an incarnation out of range")
-    if isinstance(message, raft.Append) and len(message.entries) > ENTRIES_MOST:
+    if isinstance(message, log.Append) and len(message.entries) > ENTRIES_MOST:
         raise BadMail(f"{len(message.entries)} entries; {ENTRIES_MOST} are the most")
     if isinstance(message, words.ProbeFor) and not (0 < len(message.ident) <= NAME_MOST
                                                     and 0 < len(message.address) <= ADDRESS_MOST):
