A letter too long for any mail no longer spins in its box; what is kept fits one mail

Mail was allowed 4 MiB, fronts take 1 MiB. A test's voter and the assembly wrote the same store twice; the gate walked all classes for each offer. Change: such letters are dropped and counted; mail 1 MiB, a rule set 32 KiB, versions kept 128 KiB in all, entries in one Append 256 KiB; Disk.keep, used by both; the rulebook keeps its classes and barred machines as sets.

--- a/tests/decide/peers/test_raft.py
+++ b/tests/decide/peers/test_raft.py
@@ -67,7 +67,7 @@
                 self.act(name, call())
         for effect in effects:
             if isinstance(effect, Persist):
-                self.persist(name, effect)
+                self.disks[name].keep(effect)
             elif isinstance(effect, SetTimer):
                 key = effect.key.removeprefix("raft ")
                 self.timers[name, key] = effect.at_us
@@ -98,15 +98,6 @@
         if not self.live[name].empty:
             assert (disk.term, disk.vote, disk.base, disk.log) == (live.term, live.vote, live.base, live.log)
 
-    def persist(self, name: str, wanted: Persist) -> None:
-        disk = self.disks[name]
-        disk.term, disk.vote = wanted.term, wanted.vote
-        if wanted.snapshot is not None:
-            disk.base, disk.base_term, voters, disk.state = wanted.snapshot
-            disk.voters, disk.log = tuple(voters.split()), []
-        if wanted.first is not None:
-            disk.log = disk.log[:wanted.first - disk.base - 1] + list(wanted.entries)
-
     def send(self, name: str, send: Send) -> None:
         if self.cut(name, send.ident) or self.random.random() < self.loss:
             return
--- a/tests/peers/test_peering.py
+++ b/tests/peers/test_peering.py
@@ -8,7 +8,7 @@
 from wingbarrow.decide.peers.words import Standing
 from wingbarrow.http.client import Pool
 from wingbarrow.lab.cluster import PlacerSlot
-from wingbarrow.peers.message import write_letter, write_mail
+from wingbarrow.peers.message import MAIL_MOST, write_letter, write_mail
 from wingbarrow.peers.post import BOXES_MOST, PATH
 from wingbarrow.decide.peers.words import Sync, Word
 
@@ -114,6 +114,23 @@
     stage.play(script)
 
 
+def test_a_letter_that_no_mail_has_room_for_is_dropped_and_holds_up_nothing() -> None:
+    stage = Peers(machines=1, placers=2)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(stage.whole, 20)
+        service = stage.cluster.placers[0].service
+        assert service is not None
+        peering = service.placer.peering
+        for size in (MAIL_MOST // 2 + 1, MAIL_MOST, MAIL_MOST * 3):
+            peering._post.send("127.0.0.1", stage.cluster.placers[1].port, b'"' + b"x" * size + b'"')
+        assert peering.counts["peers:letters dropped, too long"] == 2
+        stage.hub.sleep(5 * S)
+        assert stage.whole()
+    stage.play(script)
+
+
 def test_a_placer_without_peers_takes_no_part_and_costs_nothing() -> None:
     stage = Stage(machines=1)
 
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -24,22 +24,26 @@
         self.pass_again: Callable[[set[str]], None] = lambda names: None  # has machines pass the fleet's guards anew
         self.label = ""  # of the rules that the module goes by
         self._rules: RuleSet | None = None
+        self._classes: frozenset[str] = frozenset()
+        self._barred: frozenset[str] = frozenset()
 
     def take(self, label: str, text: str) -> None:
         """Other rules are acted on from now on; an empty text: none, and the module keeps those it has."""
-        before, self.label = self._rules, label
+        self.label = label
         self._base.log("rules", label=label or "none")
         if not text:
             return
         self._rules = read(text)
         self._host.feed(scheduler_under(self._base.settings, text))
-        changed = set(self._rules.barred) ^ set(before.barred if before is not None else ())
+        before, self._barred = self._barred, frozenset(self._rules.barred)
+        self._classes = frozenset(each.name for each in self._rules.classes)
+        changed = set(before ^ self._barred)
         if changed:
             self.pass_again(changed)
 
     def guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
         """A barred machine gets nothing, as one that drains."""
-        if self._rules is None or entry.name not in self._rules.barred or listed.phase is not api.Phase.RUNNING:
+        if entry.name not in self._barred or listed.phase is not api.Phase.RUNNING:
             return listed
         return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
                                  listed.launched_us, listed.free_cores, listed.free_memory)
@@ -53,7 +57,7 @@
             return Held.NO_GRANT
         if acting.label != label or self._rules is None:
             return Held.OTHER_RULES
-        if machine in self._rules.barred or all(each.name != task_class for each in self._rules.classes):
+        if machine in self._barred or task_class not in self._classes:
             return Held.FORBIDDEN
         return None
 
--- a/wingbarrow/decide/peers/agreed.py
+++ b/wingbarrow/decide/peers/agreed.py
@@ -14,7 +14,7 @@
 
 from wingbarrow.decide.peers.rules import BadRules, RuleSet, allows, contradict, meet, read
 
-VERSIONS_MOST = 64  # kept whole; older ones are known by number alone
+VERSIONS_MOST, VERSIONS_CHARS = 64, 128 * 1024  # kept whole; older ones are known by number alone
 IDENTS_MOST = 256  # proposals whose outcome is remembered, for those that are sent again
 FLOORS_MOST = 4  # that may be out at a time
 DAY_US = 86_400_000_000
@@ -108,6 +108,8 @@
         self.versions.append(Version(self.version, rules.text(), int(value["base"]), str(value["by"])[:253],
                                      str(value["why"])[:500], rules.digest))
         self.versions = self.versions[-VERSIONS_MOST:]
+        while sum(len(each.rules) for each in self.versions) > VERSIONS_CHARS:
+            del self.versions[0]
         if not self.edition:
             self.edition, self.rules = 1, rules.text()
             return
--- a/wingbarrow/decide/peers/log.py
+++ b/wingbarrow/decide/peers/log.py
@@ -4,8 +4,9 @@
 
 from dataclasses import dataclass, field
 
-from wingbarrow.decide.peers.effects import Effect
+from wingbarrow.decide.peers.effects import Effect, Persist
 
+APPEND_CHARS = 256 * 1024  # of entries in one message
 VOTERS = "voters"  # the kind of an entry that changes who votes
 
 
@@ -98,9 +99,24 @@
         return self.log[index - self.base - 1].term if self.base < index <= self.last else None
 
     def after(self, index: int, most: int) -> tuple[Entry, ...]:
-        """Some entries after an index."""
-        start = index - self.base
-        return tuple(self.log[start:start + most])
+        """Some entries after an index; few where they are long, so that they fit a mail."""
+        size = 0
+        out: list[Entry] = []
+        for entry in self.log[index - self.base:index - self.base + most]:
+            size += len(entry.body)
+            if out and size > APPEND_CHARS:
+                break
+            out.append(entry)
+        return tuple(out)
+
+    def keep(self, what: Persist) -> None:
+        """Take what was asked to be on disk, as a store does it."""
+        self.term, self.vote = what.term, what.vote
+        if what.snapshot is not None:
+            self.base, self.base_term, voters, self.state = what.snapshot
+            self.voters, self.log = tuple(voters.split()), []
+        if what.first is not None:
+            self.log = self.log[:what.first - self.base - 1] + list(what.entries)
 
     def voters_now(self) -> tuple[str, ...]:
         """By the latest entry about it, committed or not."""
--- a/wingbarrow/decide/peers/raft.py
+++ b/wingbarrow/decide/peers/raft.py
@@ -346,9 +346,9 @@
         disk = self.disk
         out: Effects = []
         if message.index > self.commit:
-            kept = disk.after(message.index, LOG_MOST * 2) if disk.term_at(message.index) == message.last_term else ()
+            kept = disk.log[message.index - disk.base:] if disk.term_at(message.index) == message.last_term else []
             disk.base, disk.base_term, disk.state = message.index, message.last_term, message.state
-            disk.voters, disk.log = tuple(message.voters.split()), list(kept)
+            disk.voters, disk.log = tuple(message.voters.split()), kept
             self.commit = self._applied = message.index
             out += [self._persist(disk.base), Restored(message.index, message.state)]
         return [*out, Send(ident, "", AppendAnswer(disk.term, True, max(message.index, 0), message.round))]
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 CLASSES_MOST, NAMES_MOST = 256, 4096
-TEXT_MOST = 64 * 1024
+TEXT_MOST = 32 * 1024  # so that a snapshot with all that is kept fits one mail
 EFFECTS = ("unsafe", "keyed", "safe")  # from what forbids most
 
 
--- a/wingbarrow/lab/fleet/assembly.py
+++ b/wingbarrow/lab/fleet/assembly.py
@@ -69,13 +69,7 @@
 
     def persisted(self, name: str, what: Persist) -> None:
         """As the store does it."""
-        disk = self.disks[name]
-        disk.term, disk.vote = what.term, what.vote
-        if what.snapshot is not None:
-            disk.base, disk.base_term, voters, disk.state = what.snapshot
-            disk.voters, disk.log = tuple(voters.split()), []
-        if what.first is not None:
-            disk.log = disk.log[:what.first - disk.base - 1] + list(what.entries)
+        self.disks[name].keep(what)
 
     def _act_all(self) -> None:
         for name, member in self.members.items():
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -16,7 +16,7 @@
 from wingbarrow.decide.peers import agreement, log, words
 
 FORM = 1
-MAIL_MOST = 4 << 20  # bytes
+MAIL_MOST = 1 << 20  # bytes: what a front takes by default
 LETTERS_MOST = 64
 NAME_MOST, ADDRESS_MOST = 253, 300
 WORDS_MOST, ENTRIES_MOST = 64, 64
--- a/wingbarrow/peers/post.py
+++ b/wingbarrow/peers/post.py
@@ -16,6 +16,7 @@
 PATH = "/apis/wingbarrow.io/v1/peers"
 CALL_US = 1_000_000
 OLD_US = 1_000_000  # a letter that has waited so long is of no use any more
+LETTER_MOST = MAIL_MOST - 4096  # one letter, or all of one mail, beside what is said of their sender
 WAITING_MOST = 128  # letters for one address
 CALLS_MOST = 2  # at a time to one address: one that hangs must not hold up the next
 BOXES_MOST = 512
@@ -43,6 +44,10 @@
 
     def send(self, host: str, port: int, letter: bytes) -> None:
         """Put a letter in the box of an address."""
+        if len(letter) > LETTER_MOST:
+            # Danger: no mail has room for it; left in its box, it would be tried without an end.
+            self._counts["peers:letters dropped, too long"] += 1
+            return
         key = host, port
         box = self._boxes.get(key)
         if box is None:
@@ -83,7 +88,7 @@
     def _next(self, box: _Box) -> list[bytes]:
         now, size = self._hub.now_us(), 0
         out: list[bytes] = []
-        while box.letters and len(out) < LETTERS_MOST and size + len(box.letters[0][1]) < MAIL_MOST // 2:
+        while box.letters and len(out) < LETTERS_MOST and size + len(box.letters[0][1]) <= LETTER_MOST:
             at_us, letter = box.letters.popleft()
             if now - at_us > OLD_US:
                 self._counts["peers:letters dropped, too old"] += 1
