--- /dev/null
+++ b/tests/peers/test_drains_agreed.py
@@ -0,0 +1,206 @@
+"""Windows and drains on which placers agree, and hard changes of rules, on a virtual clock, judged at the sockets."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from typing import Any
+
+from tests.peers.stage import Agreeing
+from tests.stage import S
+from wingbarrow.lab.cluster import PlacerSlot
+from wingbarrow.lab.record import Record
+
+DRAINS = "/apis/wingbarrow.io/v1/drains"
+
+
+class Draining(Agreeing):
+    """With work at all placers."""
+
+    def phase(self, slot: PlacerSlot, machine: str) -> str:
+        assert slot.service is not None
+        return slot.service.placer.machines.links[machine].phase.value
+
+    def everywhere(self, machine: str, phase: str) -> bool:
+        return all(self.phase(slot, machine) == phase for slot in self.cluster.placers if slot.service is not None)
+
+    def work(self, seconds: float, tag: str) -> None:
+        for number in range(int(seconds * 10)):
+            slot = self.cluster.placers[number % len(self.cluster.placers)]
+            if slot.service is not None:
+                self.post(slot.port, f"{tag}-{number}")
+            self.hub.sleep(S // 10)
+
+    def sent(self, machine: str, since_us: int) -> list[Record]:
+        return [each for each in self.seen("offer") if each.where == machine and each.at_us > since_us]
+
+    def window(self, starts_s: float, lasts_s: float = 60) -> dict[str, Any]:
+        start = datetime.fromtimestamp(self.hub.clock.wall_us() / S, UTC) + timedelta(seconds=starts_s)
+        return {"name": "patch", "start": start.isoformat(), "zone": "", "lasts_us": int(lasts_s * S),
+                "each_us": int(lasts_s * S), "repeats": "", "exceptions": [], "extra": [],
+                "machines": [["node-1", "", "", ""]], "precedence": 0, "unsafe": "wait"}
+
+    def propose(self, ident: str, **changes: Any) -> tuple[int, dict[str, Any]]:
+        return self.ask(self.leader(), "POST", {"ident": ident, "rules": self.changed(**changes)})
+
+
+def test_a_drain_asked_of_one_is_known_to_all_and_taken_back_by_another() -> None:
+    stage = Draining(machines=4, placers=5)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        other = next(slot for slot in stage.cluster.placers if slot is not stage.leader())
+        wanted = {"machine": "node-2", "lasts": "10m"}
+        status, told = stage.ask(other, "POST", wanted, DRAINS)
+        assert (status, told["name"]) == (307, stage.leader().name)
+        status, told = stage.ask(stage.leader(), "POST", wanted, DRAINS)
+        assert status == 201 and told["version"] == 2 and told["floors"] == []
+        assert stage.wait(lambda: stage.everywhere("node-2", "draining"), 5)
+        assert stage.ask(stage.leader(), "POST", wanted, DRAINS)[0] == 409, "it is out already"
+        assert stage.ask(stage.leader(), "POST", {**wanted, "machine": "none"}, DRAINS)[0] == 409
+        since = stage.hub.now_us()
+        stage.work(4, "drained")
+        assert not stage.sent("node-2", since)
+        # One that comes back without what it had saved closes it before anything is sent.
+        back = stage.cluster.placers[4]
+        back.kill()
+        stage.hub.sleep(S)
+        (Path(back.state) / "drains.json").unlink(missing_ok=True)
+        back.start()
+        stage.work(4, "back")
+        assert stage.phase(back, "node-2") == "draining" and not stage.sent("node-2", since)
+        # A proposal from a file says nothing of drains that were asked for; a change by hand keeps them too.
+        assert stage.propose("bars", barred=["node-0"])[0] == 201
+        stage.hub.sleep(4 * S)
+        assert stage.everywhere("node-2", "draining") and stage.everywhere("node-0", "draining")
+        key = stage.ask(other, path=DRAINS)[1]["items"][0]["key"]
+        assert stage.ask(stage.leader(), "DELETE", None, f"{DRAINS}/{key}x")[0] == 404
+        assert stage.ask(stage.leader(), "DELETE", None, f"{DRAINS}/{key}")[0] == 200
+        assert stage.wait(lambda: stage.everywhere("node-2", "running"), 5)
+        stage.work(3, "open")
+        assert stage.sent("node-2", since)
+    stage.play(script)
+
+
+def test_a_window_is_everybodys_and_is_taken_back_in_its_last_second_and_given_again() -> None:
+    stage = Draining(machines=4, placers=3)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        patch = stage.window(70)  # closes 60 s earlier
+        assert stage.propose("w", windows=[patch])[0] == 201
+        assert stage.wait(lambda: stage.all_on("e2"), 5)
+        stage.hub.sleep(3 * S)
+        assert stage.everywhere("node-1", "running")
+        key = stage.ask(stage.leader(), path=DRAINS)[1]["items"][0]["key"]
+        assert stage.wait(lambda: stage.phase(stage.leader(), "node-1") == "draining", 15)
+        assert stage.ask(stage.leader(), "DELETE", None, f"{DRAINS}/{key}")[0] == 200
+        assert stage.wait(lambda: stage.everywhere("node-1", "running"), 5)
+        stage.hub.sleep(20 * S)
+        assert stage.everywhere("node-1", "running"), "one that planned it later than it was taken back leaves it too"
+        assert stage.propose("again", cancelled=[])[0] == 201
+        assert stage.wait(lambda: stage.everywhere("node-1", "draining"), 5)
+        assert stage.propose("none", windows=[])[0] == 201
+        assert stage.wait(lambda: stage.everywhere("node-1", "running"), 5)
+    stage.play(script)
+
+
+def test_nothing_is_moved_by_one_that_may_act_on_no_rules() -> None:
+    stage = Draining(machines=4, placers=5)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        alone = stage.cluster.placers[4]
+        assert alone.service is not None
+        assert stage.propose("w", windows=[stage.window(66)])[0] == 201
+        assert stage.wait(lambda: stage.all_on("e2"), 5)
+        for number in range(12):
+            stage.post(alone.port, f"long-{number}")
+        for slot in stage.cluster.placers[:3]:
+            slot.kill()
+        stage.hub.sleep(15 * S)
+        assert stage.label(alone) == "" and alone.service.placer.base.counts["drain_moves"] == 0
+        assert stage.phase(alone, "node-1") == "draining"
+    stage.play(script)
+
+
+def test_under_a_floor_a_drain_is_taken_and_told_with_what_it_means() -> None:
+    stage = Draining(machines=4, placers=5)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        floor = {**stage.changed(), "cold_shares": [], "attempts_most": 2}
+        assert stage.ask(stage.leader(), "POST", {"ident": "f", "rules": floor, "lastsUs": 60 * S})[0] == 201
+        stage.hub.sleep(2 * S)
+        status, told = stage.ask(stage.leader(), "POST", {"machine": "node-2", "lasts": "10m"}, DRAINS)
+        assert status == 201 and told["floors"] == [{"number": 1, "lastsUs": 60 * S}]
+        assert stage.wait(lambda: stage.everywhere("node-2", "draining"), 5)
+        for slot in stage.cluster.placers[:3]:
+            slot.kill()
+        stage.hub.sleep(4 * S)
+        alone = stage.cluster.placers[4]
+        assert stage.label(alone) == "f1" and stage.phase(alone, "node-2") == "draining", "known before, it goes on"
+    stage.play(script)
+
+
+def test_spread_is_lowered_while_services_stand_at_more() -> None:
+    stage = Draining(machines=3, placers=3)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        for number in range(6):
+            stage.submit(f"stands-{number}", service="one", runs_s=60, patience_s=5)
+        stage.hub.sleep(2 * S)
+        stood = len(stage.seen("offer"))
+        assert stood >= 3
+        classes = [{**each, "spread_most": 2} if each["name"] == "web" else each
+                   for each in stage.changed()["classes"]]
+        assert stage.propose("t", classes=classes)[0] == 201
+        assert stage.wait(lambda: stage.all_on("e2"), 5)
+        since = stage.hub.now_us()
+        for number in range(6):
+            stage.submit(f"more-{number}", service="one", runs_s=60, patience_s=2)
+        stage.hub.sleep(4 * S)
+        assert not [each for each in stage.seen("offer") if each.at_us > since], "no cell has room under the new most"
+        standing = [each for each in stage.jobs() if each["metadata"]["name"].startswith("stands")
+                    and each["status"].get("ready")]
+        assert len(standing) == 6, "what stands is not stopped"
+    stage.play(script)
+
+
+def test_one_more_shares_the_cold_budget_while_a_hall_comes_back_cold() -> None:
+    stage = Draining(machines=4, placers=4)
+    offers: list[int] = []
+    since: list[int] = []
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        offers.append(sum(share for _, share in stage.changed()["cold_shares"]))
+        three = [[f"placer-{index}", offers[0] // 3] for index in range(3)]
+        assert stage.propose("three", cold_shares=three)[0] == 201
+        assert stage.wait(lambda: stage.all_on("e3"), 8), "by what both allow"
+        hall = [machine for machine in stage.cluster.machines if machine.build.zone == "hall-a"]
+        for machine in hall:
+            machine.die()
+        stage.hub.sleep(2 * S)
+        for machine in hall:
+            machine.launch(cold=True)
+        since.append(stage.hub.now_us())
+        four = [[f"placer-{index}", offers[0] // 4] for index in range(4)]
+        assert stage.propose("four", cold_shares=four)[0] == 201
+        stage.work(8, "cold")
+        assert stage.all_on("e5")
+    stage.play(script)
+    assert stage.audit().clean
+    window = stage.cluster.placers[0].settings.scheduler
+    for machine in stage.cluster.machines:
+        if machine.build.zone == "hall-a":
+            times = [each.at_us for each in stage.sent(machine.name, since[0])]
+            most = max((sum(at <= other < at + window.fall_us for other in times) for at in times), default=0)
+            assert 0 < most <= offers[0], f"{machine.name}: {most} offers within the window"
--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -84,16 +84,16 @@
         """Let time pass."""
         self._hub.sleep(int(seconds * SECOND))
 
-    def at_leader(self, path: str, value: dict[str, Any]) -> dict[str, Any]:
-        """A POST to whoever leads the voters: this placer, or the one that it names."""
-        answer = self.exchange("POST", path, value)
+    def at_leader(self, path: str, value: dict[str, Any] | None, method: str = "POST") -> dict[str, Any]:
+        """A call to whoever leads the voters: this placer, or the one that it names."""
+        answer = self.exchange(method, path, value)
         for _ in range(LEADERS_MOST):
             if answer.get("kind") != "Leader":
                 return answer
             host, _, port = str(answer.get("address", "")).rpartition(":")
             if not port.isdecimal():
                 break
-            answer = Client(self._hub, host, int(port)).exchange("POST", path, value)
+            answer = Client(self._hub, host, int(port)).exchange(method, path, value)
         raise CommandFailed("no leader found: the voters are electing one; try again")
 
     def elsewhere(self, host: str, port: int) -> Client:
--- a/wingbarrow/cli/drains.py
+++ b/wingbarrow/cli/drains.py
@@ -114,9 +114,17 @@
 @click.argument("key")
 @URL
 def cancel(key: str, url: str) -> None:
-    """Take a drain back; the machine is opened again."""
-    with_client(url, lambda client: client.exchange("DELETE", f"drains/{quote(key)}"))
+    """Take a drain back; the machine is opened again. Where placers agree on rules, at all of them."""
+    told = with_client(url, lambda client: client.at_leader(f"drains/{quote(key)}", None, "DELETE"))
     click.echo(f"{key} cancelled")
+    _unheard(told)
+
+
+def _unheard(told: dict[str, Any]) -> None:
+    """Danger, said to whoever asked: who goes by a floor hears of it later."""
+    for each in told.get("floors", []):
+        click.echo(f"a placer that is cut off may not hear of it for up to {each['lastsUs'] / SECOND:g} s "
+                   f"(floor {each['number']})", err=True)
 
 
 @drains.command()
@@ -124,6 +132,7 @@
 @click.option("--lasts", default="30m", show_default=True)
 @URL
 def now(machine: str, lasts: str, url: str) -> None:
-    """Drain a machine from now on, under the same budgets."""
-    made = with_client(url, lambda client: client.exchange("POST", "drains", {"machine": machine, "lasts": lasts}))
+    """Drain a machine from now on, under the same budgets. Where placers agree on rules, at all of them."""
+    made = with_client(url, lambda client: client.at_leader("drains", {"machine": machine, "lasts": lasts}))
     click.echo(made["key"])
+    _unheard(made)
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -5,6 +5,7 @@
 import json
 import secrets
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -12,9 +13,10 @@
 
 from wingbarrow.cli.client import URL, Client, CommandFailed, with_client
 from wingbarrow.config import PlacerSettings, SettingsError, load_file, parse_duration
+from wingbarrow.decide.peers.planned import DrainPlan
 from wingbarrow.decide.peers.trial import Advice, Trial
 from wingbarrow.decide.peers.rules import RuleSet, allows, contradict, differences, read
-from wingbarrow.peers.ruleset import rules_of
+from wingbarrow.peers.ruleset import keeping_drains, rules_of
 from wingbarrow.store.votes import StoreFailed, create
 
 
@@ -34,6 +36,14 @@
         sys.exit(2)
 
 
+def _rules_of(path: Path) -> RuleSet:
+    try:
+        return rules_of(_settings(path))
+    except SettingsError as error:  # one of its calendars
+        click.echo(str(error), err=True)
+        sys.exit(2)
+
+
 def _state(client: Client) -> dict[str, Any]:
     return client.exchange("GET", "rules")
 
@@ -58,6 +68,10 @@
                         f"{', '.join(str(each['number']) for each in state['versions']) or 'none'}")
 
 
+def _back(state: dict[str, Any], number: int) -> RuleSet:
+    return keeping_drains(_version(state, number), read(json.dumps(state["versions"][-1]["rules"])))
+
+
 def _propose(client: Client, wanted: RuleSet, base: int, why: str, dry_run: bool, lasts_us: int | None = None) -> None:
     value: dict[str, Any] = {"ident": f"cli-{secrets.token_hex(8)}", "rules": json.loads(wanted.text()), "base": base,
                              "by": "an operator", "why": why, "dryRun": dry_run}
@@ -88,12 +102,13 @@
 def propose(file: Path, base: int | None, why: str, dry_run: bool, watch_s: float | None, bound: float,
             url: str) -> None:
     """Propose the rules that FILE's settings hold; exit 1 where they are not accepted."""
-    wanted = rules_of(_settings(file))
+    asked = _rules_of(file)
 
     def call(client: Client) -> int:
-        state = _voter(client)
+        state, wanted = _voter(client), asked
         if state["versions"]:
             now = read(json.dumps(state["versions"][-1]["rules"]))
+            wanted = keeping_drains(asked, now)
             for line in differences(now, wanted):
                 click.echo(line)
             if contradict(now, wanted):
@@ -128,7 +143,7 @@
             click.echo(f"of {trial.after.answers} answers {trial.after.share:.1%} placed nothing, {trial.rise:+.1%} "
                        f"beside before: back to version {before}")
             state = _voter(client)
-            _propose(client, _version(state, before), state["version"], f"back to version {before}: answers got worse",
+            _propose(client, _back(state, before), state["version"], f"back to version {before}: answers got worse",
                      False)
             return 3
 
@@ -137,10 +152,10 @@
 @click.argument("number", type=click.IntRange(1))
 @URL
 def rollback(number: int, url: str) -> None:
-    """Propose an earlier version anew."""
+    """Propose an earlier version anew; drains asked for, or taken back, since then stay as they are."""
     def call(client: Client) -> None:
         state = _voter(client)
-        _propose(client, _version(state, number), state["version"], f"back to version {number}", False)
+        _propose(client, _back(state, number), state["version"], f"back to version {number}", False)
     with_client(url, call)
 
 
@@ -150,7 +165,7 @@
 @URL
 def floor(file: Path, lasts: str, url: str) -> None:
     """Have the rules of FILE's settings be the floor: what a placer that is cut off goes on by."""
-    wanted = rules_of(_settings(file))
+    wanted = replace(_rules_of(file), windows=(), plan=DrainPlan())
     try:
         lasts_us = parse_duration(lasts)
     except ValueError as error:
--- a/wingbarrow/core/drainer.py
+++ b/wingbarrow/core/drainer.py
@@ -7,19 +7,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from datetime import UTC, datetime
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Protocol
 
 import msgspec
 import xxhash
 
-from wingbarrow.config.calendar import load_calendar
+from wingbarrow.config.calendar import Calendar, load_calendar
 from wingbarrow.config.load import SettingsError
 from wingbarrow.core.saved import write_whole
-from wingbarrow.decide.draining import Drains, Held, Phase, Running, failed_zones
+from wingbarrow.decide.draining import OVER, Drains, Held, Phase, Running, failed_zones
 from wingbarrow.decide.drains import Drain, Fate, MachineState, plan
-from wingbarrow.decide.windows import Selector, Series, UnsafePolicy, expand_all, to_us
+from wingbarrow.decide.peers.planned import AskedDrain
+from wingbarrow.decide.windows import Series, UnsafePolicy, expand_all, to_us
 from wingbarrow.transport import Hub
 
 SECOND = 1_000_000
@@ -76,14 +77,19 @@
     """Runs the calendar of one placer."""
 
     def __init__(self, hub: Hub, paths: tuple[str, ...], kinds_needed: tuple[str, ...], placers: int,
-                 state: str | None, host: Host, log: Callable[..., None]) -> None:
+                 state: str | None, host: Host, log: Callable[..., None], agreed: bool = False) -> None:
         self._hub = hub
         self._paths = paths
         self._kinds_needed = kinds_needed
         self._host = host
         self._log = log
         self._file = Path(state) / "drains.json" if state else None
-        self.calendar = load_calendar(paths, kinds_needed)
+        self.agreed = agreed  # windows and drains are what placers agree on, and nothing of this one's own
+        self.may_move: Callable[[], bool] = lambda: True
+        self.on_closed: Callable[[frozenset[str]], None] = lambda machines: None
+        self._closed = frozenset[str]()
+        self._agreed: dict[str, AskedDrain] = {}  # by machine
+        self.calendar = Calendar() if agreed else load_calendar(paths, kinds_needed)
         self.drains = Drains(self.calendar.policy, placers)
         self.refused: list[Drain] = []
         self._asked: list[Series] = []  # drains that an operator asked for now
@@ -94,6 +100,9 @@
 
     def reload(self) -> bool:
         """Read the calendar again, whole or not at all; False, and told, where it cannot be used."""
+        if self.agreed:
+            self._log("calendar-agreed", what="a calendar read again changes nothing: `wingbarrow rules propose`")
+            return True
         try:
             fresh = load_calendar(self._paths, self._kinds_needed)
         except SettingsError as error:
@@ -105,6 +114,26 @@
         self._planned_us = None
         return True
 
+    def take(self, calendar: Calendar, asked: tuple[AskedDrain, ...], cancelled: tuple[str, ...]) -> None:
+        """What placers agree on, in place of what was there; acted on when this returns."""
+        now = self._hub.clock.wall_us()
+        self.calendar, self._asked = calendar, [each.series() for each in asked]
+        self.drains.take_policy(calendar.policy)
+        windows = frozenset(each.name for each in (*calendar.series, *self._asked))
+        for each in self.drains.agree(windows, frozenset(cancelled), now):
+            self._host.tell_drain(each)
+        self._agreed = {each.machine: each for each in asked}
+        self._planned_us = None
+        self.turn()
+
+    def closes(self, machine: str) -> bool:
+        """Whether a drain that placers agree on closes a machine, also before it is planned here."""
+        asked = self._agreed.get(machine)
+        if asked is None or not asked.start_us <= self._hub.clock.wall_us() < asked.start_us + asked.lasts_us:
+            return False
+        held = self.drains.held.get(f"{asked.window}@{asked.start_us // SECOND}/{machine}")
+        return held is None or held.phase not in OVER
+
     def run(self) -> None:
         """Follow the calendar until cancelled."""
         self._restore()
@@ -114,6 +143,8 @@
 
     def turn(self) -> None:
         """Plan where it is time to, then do what is due."""
+        if not (self.calendar.series or self._asked or self.drains.held):
+            return
         now = self._hub.clock.wall_us()
         machines = self._host.machine_states()
         self._look(now, machines)
@@ -129,7 +160,11 @@
         self._host.take_planned(turn.closing, turn.closed)
         for each in turn.changed:
             self._host.tell_drain(each)
-        for request in turn.moves:
+        if turn.closed != self._closed:
+            self._closed = turn.closed
+            self.on_closed(turn.closed)
+        # Danger: what is stopped here while this placer may act on no rules could not be started elsewhere.
+        for request in turn.moves if self.may_move() else ():
             self._host.move_task(request, "its machine is drained by the calendar")
         if turn.changed:
             self._save()
@@ -154,6 +189,10 @@
         occurrences = expand_all([*self._asked, *self.calendar.series], now - EARLIER_US, now + HORIZON_US)
         unsafe = {occurrence.ident: occurrence.series.unsafe for occurrence in occurrences}
         found = plan(occurrences, machines, self.calendar.rules)
+        if self.agreed:
+            # Weighed when it was asked for: who sees the fleet otherwise now must not leave it out.
+            windows = {each.name for each in self._asked}
+            found = [replace(each, fate=Fate.PLANNED, reason="") if each.window in windows else each for each in found]
         self.drains.take_plan([(drain, unsafe[drain.occurrence]) for drain in found if drain.fate is Fate.PLANNED], now)
         self.refused = [drain for drain in found if drain.fate is Fate.REFUSED and drain.end_us > now]
 
@@ -213,21 +252,24 @@
 
     def ask_now(self, machine: str, lasts_us: int) -> Drain:
         """Drain a machine from now on, under the same budgets; the drain as planned, or refused with the reason."""
+        asked, drain = self.weigh(machine, lasts_us)
+        if drain.fate is Fate.PLANNED:
+            self._asked = [*self._asked[-ASKED_MOST:], asked.series()]
+            self._planned_us = None
+            self.turn()
+        return drain
+
+    def weigh(self, machine: str, lasts_us: int) -> tuple[AskedDrain, Drain]:
+        """What would come of a drain from now on; nothing changes."""
         now = self._hub.clock.wall_us()
-        start = datetime.fromtimestamp(now // SECOND, UTC)
-        series = Series(f"now-{machine}-{now // SECOND}", start, lasts_us, lasts_us,
-                        selectors=(Selector(name=machine),), precedence=1000, unsafe=UnsafePolicy.WAIT)
-        self._asked = [*self._asked[-ASKED_MOST:], series]
-        self._planned_us = None
-        self.turn()
-        found = [each.drain for each in self.drains.held.values() if each.drain.window == series.name]
-        found += [each for each in self.refused if each.window == series.name]
-        if not found:
-            self._asked.remove(series)
-            return Drain(series.name, "", machine, Fate.REFUSED, now, now, "no such machine runs")
-        if found[0].fate is Fate.REFUSED:
-            self._asked.remove(series)
-        return found[0]
+        asked = AskedDrain(machine, now // SECOND * SECOND, lasts_us)
+        every = [asked.series(), *self._asked, *self.calendar.series]
+        found = plan(expand_all(every, now - EARLIER_US, now + HORIZON_US), self._host.machine_states(),
+                     self.calendar.rules)
+        mine = [each for each in found if each.window == asked.window]
+        if not mine:
+            return asked, Drain(asked.window, "", machine, Fate.REFUSED, now, now, "no such machine runs")
+        return asked, mine[0]
 
     def describe(self) -> list[dict[str, Any]]:
         """All drains that are known, by their start, refused ones with their reason."""
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -30,6 +30,7 @@
 from wingbarrow.peers.hearsay import Hearsay
 from wingbarrow.peers.host import Peering
 from wingbarrow.peers.learner import Learner
+from wingbarrow.peers.ruleset import calendar_under
 from wingbarrow.transport import Hub, Nursery
 
 
@@ -92,7 +93,13 @@
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
         self.drainer = Drainer(hub, settings.calendars, needed, settings.scheduler.placers, settings.state, closing,
-                               log)
+                               log, settings.agree is not None)
+        if settings.agree is not None:
+            rulebook.on_drains = lambda rules: self.drainer.take(calendar_under(rules, needed), rules.asked,
+                                                                 rules.cancelled)
+            rulebook.drained = self.drainer.closes
+            self.drainer.may_move = lambda: self._acting(hub.now_us()) is not None
+            self.drainer.on_closed = lambda machines: self.peering.history("closed", machines=sorted(machines))
 
     def run(self) -> None:
         """Work until cancelled; a failure of the core itself ends it."""
@@ -103,7 +110,7 @@
             nursery.spawn(self.fleet.reflector.run, "reflector")
             nursery.spawn(self.fleet.give_up_waiting, "rebirth")
             nursery.spawn(self.learner.run, "learner")
-            if base.settings.calendars:
+            if base.settings.calendars or self.drainer.agreed:
                 nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.peering.run, "peers")
             if base.settings.state:
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -22,6 +22,8 @@
         self._base, self._host = base, host
         self.acting: Callable[[int], Acting | None] | None = None
         self.pass_again: Callable[[set[str]], None] = lambda names: None  # has machines pass the fleet's guards anew
+        self.on_drains: Callable[[RuleSet], None] = lambda rules: None
+        self.drained: Callable[[str], bool] = lambda machine: False  # by a drain that placers agree on
         self.label = ""  # of the rules that the module goes by
         self._rules: RuleSet | None = None
         self._classes: frozenset[str] = frozenset()
@@ -40,10 +42,12 @@
         changed = set(before ^ self._barred)
         if changed:
             self.pass_again(changed)
+        if label.startswith("e"):  # a floor speaks of no drains: those known last go on
+            self.on_drains(self._rules)
 
     def guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
-        """A barred machine gets nothing, as one that drains."""
-        if entry.name not in self._barred or listed.phase is not api.Phase.RUNNING:
+        """A barred machine, or one that is to be drained, gets nothing."""
+        if not (entry.name in self._barred or self.drained(entry.name)) or listed.phase is not api.Phase.RUNNING:
             return listed
         return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
                                  listed.launched_us, listed.free_cores, listed.free_memory)
@@ -57,7 +61,7 @@
             return Held.NO_GRANT
         if acting.label != label or self._rules is None:
             return Held.OTHER_RULES
-        if machine in self._barred or task_class not in self._classes:
+        if machine in self._barred or self.drained(machine) or task_class not in self._classes:
             return Held.FORBIDDEN
         return None
 
--- a/wingbarrow/decide/draining.py
+++ b/wingbarrow/decide/draining.py
@@ -14,6 +14,7 @@
 from wingbarrow.decide.windows import UnsafePolicy
 
 SECOND = 1_000_000
+CANCELLED, WITHDRAWN = "cancelled by the operator", "its window was taken back"
 KEPT = 4_096  # ended drains that are remembered
 LOOK_AHEAD_US = 24 * 3600 * SECOND  # a machine closes for tasks that would outlive a start so far ahead
 
@@ -102,6 +103,7 @@
         self._allowance = 0.0
         self._last_us: int | None = None
         self._calls = frozenset[str]()  # drains cancelled by an operator
+        self._barred = frozenset[str]()  # keys that placers agree to have taken back
 
     def take_policy(self, policy: Policy) -> None:
         """A calendar was read again."""
@@ -116,7 +118,7 @@
         for key, (drain, unsafe) in fresh.items():
             known = self.held.get(key)
             if known is None:
-                if drain.end_us > now_us and key not in self._calls:
+                if drain.end_us > now_us and key not in self._calls and key not in self._barred:
                     self.held[key] = Held(drain, Phase.PLANNED, unsafe, now_us)
             elif known.phase is Phase.PLANNED:
                 self.held[key] = replace(known, drain=drain, unsafe=unsafe)
@@ -132,16 +134,36 @@
         """What a former life knew."""
         for each in held:
             self.held[each.drain.key] = each
+            if each.phase is Phase.GIVEN_UP and each.reason in (CANCELLED, WITHDRAWN):
+                self._calls |= {each.drain.key}
 
     def cancel(self, key: str, now_us: int) -> bool:
         """An operator takes a drain back; False where there is none to take."""
         held = self.held.get(key)
         if held is None or held.phase in OVER:
             return False
-        self.held[key] = replace(held, phase=Phase.GIVEN_UP, since_us=now_us, reason="cancelled by the operator")
+        self.held[key] = replace(held, phase=Phase.GIVEN_UP, since_us=now_us, reason=CANCELLED)
         self._calls |= {key}
         return True
 
+    def agree(self, windows: frozenset[str], cancelled: frozenset[str], now_us: int) -> list[Held]:
+        """What placers agree on: drains taken back, and of windows that are gone, end; those no longer taken back may
+        be planned anew. What has changed."""
+        self._barred = cancelled
+        changed: list[Held] = []
+        for key, held in list(self.held.items()):
+            out = key in cancelled
+            gone = held.drain.window not in windows
+            if held.phase not in OVER and (out or gone):
+                self.held[key] = replace(held, phase=Phase.GIVEN_UP, since_us=now_us,
+                                         reason=CANCELLED if out else WITHDRAWN)
+                self._calls |= {key}
+                changed.append(self.held[key])
+            elif key in self._calls and not out and not gone:
+                self._calls -= {key}
+                del self.held[key]
+        return changed
+
     def step(self, now_us: int, running: Mapping[str, list[Running]], zones: Mapping[str, str],
              failed: frozenset[str], room: Mapping[str, bool]) -> Turn:
         """One turn at a wall time. `running`: own tasks by machine; `zones`: each machine's hall; `failed`: halls
--- a/wingbarrow/decide/peers/agreed.py
+++ b/wingbarrow/decide/peers/agreed.py
@@ -12,7 +12,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from wingbarrow.decide.peers.rules import BadRules, RuleSet, allows, contradict, meet, read
+from wingbarrow.decide.peers.rules import BadRules, RuleSet, contradict, keeps_floor, meet, read
 
 VERSIONS_MOST, VERSIONS_CHARS = 64, 128 * 1024  # kept whole; older ones are known by number alone
 IDENTS_MOST = 256  # proposals whose outcome is remembered, for those that are sent again
@@ -68,6 +68,11 @@
         except (ValueError, KeyError, TypeError, BadRules):
             return
 
+    @property
+    def latest(self) -> str:
+        """The rules of the latest version; "" before there is one."""
+        return self.steps[-1] if self.steps else self.rules
+
     # -- proposals
 
     def objection(self, base: int, text: str) -> str:
@@ -78,10 +83,10 @@
             return str(error)
         if base != self.version:
             return f"version {self.version} has been accepted since; yours is based on {base}: see `rules diff`"
-        if rules.text() == (self.steps[-1] if self.steps else self.rules):
+        if rules.text() == self.latest:
             return "these are the rules already"
         for floor in self.floors:
-            if not allows(read(floor.rules), rules):
+            if not keeps_floor(read(floor.rules), rules):
                 return f"it forbids what floor {floor.number} allows: lower the floor first"
         moved = self._moved(rules)
         return f"what a class is spread by cannot change while placers run: {', '.join(moved)}" if moved else ""
@@ -138,7 +143,7 @@
         if not self.edition:
             return "nothing is agreed on yet"
         for each in [self.rules, *self.steps]:
-            if not allows(floor, read(each)):
+            if not keeps_floor(floor, read(each)):
                 return "it allows what the rules in force, or still to come, forbid"
         return ""
 
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -13,9 +13,21 @@
 from dataclasses import asdict, dataclass, fields, replace
 from typing import Any
 
+from wingbarrow.decide.peers.planned import (
+    AskedDrain,
+    DrainPlan,
+    WindowRules,
+    check_planned,
+    plan_meet,
+    plan_within,
+    read_plan,
+    read_window,
+)
+
 CLASSES_MOST, NAMES_MOST = 256, 4096
 TEXT_MOST = 32 * 1024  # so that a snapshot with all that is kept fits one mail
 EFFECTS = ("unsafe", "keyed", "safe")  # from what forbids most
+DRAINS = ("windows", "asked", "cancelled", "plan")  # fields about drains; no floor speaks of them
 
 
 class BadRules(ValueError):
@@ -46,10 +58,18 @@
     cold_shares: tuple[tuple[str, int], ...]
     drain_grace_us: int
     barred: tuple[str, ...]  # machines that get nothing
+    windows: tuple[WindowRules, ...] = ()
+    asked: tuple[AskedDrain, ...] = ()
+    cancelled: tuple[str, ...] = ()  # keys of drains that were taken back
+    plan: DrainPlan = DrainPlan()
 
     def text(self) -> str:
-        """The canonical text: the same rules, the same text."""
-        return json.dumps(asdict(self), sort_keys=True, separators=(",", ":"))
+        """The canonical text: the same rules, the same text. What is said of drains is left out where it is nothing."""
+        value = asdict(self)
+        for name in DRAINS:
+            if getattr(self, name) == _NO_DRAINS[name]:
+                del value[name]
+        return json.dumps(value, sort_keys=True, separators=(",", ":"))
 
     @property
     def digest(self) -> str:
@@ -61,12 +81,17 @@
         return dict(self.cold_shares).get(placer, 0)
 
 
+_NO_DRAINS: dict[str, Any] = {each.name: each.default for each in fields(RuleSet) if each.name in DRAINS}
+
+
 def normal(rules: RuleSet) -> RuleSet:
     """The one form of the same rules: names in order, shares of nothing and figures without a meaning left out."""
     classes = (each if each.spread_by != "none" else replace(each, spread_most=0) for each in rules.classes)
     return replace(rules, classes=tuple(sorted(classes, key=lambda each: each.name)),
                    cold_shares=tuple(sorted((name, share) for name, share in rules.cold_shares if share != 0)),
-                   barred=tuple(sorted(set(rules.barred))))
+                   barred=tuple(sorted(set(rules.barred))), asked=tuple(sorted(set(rules.asked))),
+                   windows=tuple(sorted(rules.windows, key=lambda each: (each.name, repr(each)))),
+                   cancelled=tuple(sorted(set(rules.cancelled))))
 
 
 def read(text: str) -> RuleSet:
@@ -75,11 +100,16 @@
         raise BadRules(f"{len(text)} characters; {TEXT_MOST} are the most")
     try:
         value = json.loads(text)
-        if not isinstance(value, dict) or set(value) != {each.name for each in fields(RuleSet)}:
+        if not isinstance(value, dict) or set(value) | set(DRAINS) != {each.name for each in fields(RuleSet)}:
             raise BadRules("not the fields of a rule set")
         classes = tuple(ClassRules(**each) for each in value["classes"])
         shares = tuple((name, share) for name, share in value["cold_shares"])
-        value |= {"classes": classes, "cold_shares": shares, "barred": tuple(value["barred"])}
+        value |= {"classes": classes, "cold_shares": shares, "barred": tuple(value["barred"]),
+                  "windows": tuple(read_window(each) for each in value.get("windows", ())),
+                  "asked": tuple(AskedDrain(**each) for each in value.get("asked", ())),
+                  "cancelled": tuple(value.get("cancelled", ()))}
+        if "plan" in value:
+            value["plan"] = read_plan(value["plan"])
         rules = normal(RuleSet(**value))
     except BadRules:
         raise
@@ -119,7 +149,7 @@
     want(len({who for who, _ in rules.cold_shares}) == len(rules.cold_shares), "cold: two shares for one placer")
     want(whole(rules.drain_grace_us, 0, 3_600_000_000), "drain: a grace of at most an hour is wanted")
     want(all(name(machine) for machine in rules.barred), "barred: a machine without a name")
-    return out
+    return out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan)
 
 
 def shares(offers: int, placers: tuple[str, ...]) -> tuple[tuple[str, int], ...]:
@@ -178,6 +208,25 @@
     return tuple((name, min(share, held.get(name, 0))) for name, share in a)
 
 
+def _closing(windows: tuple[WindowRules, ...]) -> set[WindowRules]:
+    """What windows close, whatever they are called."""
+    return {replace(each, name="") for each in windows}
+
+
+def _windows_meet(a: tuple[WindowRules, ...], b: tuple[WindowRules, ...]) -> tuple[WindowRules, ...]:
+    """All of both, those that close the same once; where two of one name differ, one goes by another for the step."""
+    named: dict[WindowRules, str] = {}
+    for each in sorted((*a, *b), key=lambda each: each.name):
+        named.setdefault(replace(each, name=""), each.name)
+    met: dict[str, WindowRules] = {}
+    for closing, name in sorted(named.items(), key=lambda pair: (pair[1], repr(pair[0]))):
+        while name in met:
+            name += "+"
+        met[name] = replace(closing, name=name)
+    return tuple(met.values())
+
+
+_NAMED = _Order(lambda a, b: set(a) >= set(b), lambda a, b: tuple(set(a) | set(b)))  # more of them allow less
 _LESS = _Order(lambda a, b: a <= b, min)  # a smaller figure allows less
 _MORE = _Order(lambda a, b: a >= b, max)  # a larger figure allows less
 _FIELDS: dict[str, _Order] = {
@@ -187,7 +236,11 @@
     "cold_window_us": _MORE,  # the same offers within a longer time
     "cold_shares": _Order(_shares_within, _shares_meet),
     "drain_grace_us": _LESS,
-    "barred": _Order(lambda a, b: set(a) >= set(b), lambda a, b: tuple(set(a) | set(b))),
+    "barred": _NAMED,
+    "windows": _Order(lambda a, b: _closing(a) >= _closing(b), _windows_meet),
+    "asked": _NAMED,
+    "cancelled": _Order(lambda a, b: set(a) <= set(b), lambda a, b: tuple(set(a) & set(b))),
+    "plan": _Order(plan_within, plan_meet),
 }
 
 
@@ -196,6 +249,12 @@
     return all(order.within(getattr(a, name), getattr(b, name)) for name, order in _FIELDS.items())
 
 
+def keeps_floor(floor: RuleSet, rules: RuleSet) -> bool:
+    """Whether rules allow what a floor does, drains aside: of those a placer that is cut off hears later."""
+    return all(order.within(getattr(floor, name), getattr(rules, name)) for name, order in _FIELDS.items()
+               if name not in DRAINS)
+
+
 def contradict(a: RuleSet, b: RuleSet) -> bool:
     """Whether each allows something that the other forbids."""
     return not allows(a, b) and not allows(b, a)
@@ -222,6 +281,18 @@
             mine, theirs = dict(one), dict(other)
             out += [f"cold share of {key}: {mine.get(key, 0)} -> {theirs.get(key, 0)}"
                     for key in sorted(mine.keys() | theirs.keys()) if mine.get(key, 0) != theirs.get(key, 0)]
+        elif name == "windows":
+            old, new = ({each.name: each for each in side} for side in (one, other))
+            out += [f"window {key}: {'changed' if key in old and key in new else 'new' if key in new else 'gone'}"
+                    for key in sorted(old.keys() | new.keys()) if old.get(key) != new.get(key)]
+        elif name in ("asked", "cancelled"):
+            word = "drain asked for" if name == "asked" else "drain taken back"
+            out += [f"{word}: {_drain(each)}" for each in sorted(set(other) - set(one))]
+            out += [f"no longer a {word}: {_drain(each)}" for each in sorted(set(one) - set(other))]
+        elif name == "plan":
+            out += [f"drains, {field.name.replace('_', ' ')}: {getattr(one, field.name)} -> "
+                    f"{getattr(other, field.name)}" for field in fields(DrainPlan)
+                    if getattr(one, field.name) != getattr(other, field.name)]
         elif name == "barred":
             out += [f"barred: {key}" for key in sorted(set(other) - set(one))]
             out += [f"no longer barred: {key}" for key in sorted(set(one) - set(other))]
@@ -230,6 +301,10 @@
     return out
 
 
+def _drain(each: AskedDrain | str) -> str:
+    return each if isinstance(each, str) else f"{each.machine} for {each.lasts_us // 1_000_000} s"
+
+
 def _words(rules: ClassRules | None) -> str:
     if rules is None:
         return "not there"
--- /dev/null
+++ b/wingbarrow/fronts/drains.py
@@ -0,0 +1,95 @@
+"""Drains over REST: list; POST {"machine", "lasts"} drains from now on; DELETE takes one back.
+
+Where placers agree on rules, the leader has both decided as a version of them, so that every placer knows of it;
+the others answer 307 with its address.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from wingbarrow.config import parse_duration
+from wingbarrow.core.drainer import Drainer
+from wingbarrow.decide.drains import Fate
+from wingbarrow.decide.peers.planned import fresh
+from wingbarrow.decide.peers.rules import RuleSet
+from wingbarrow.http.message import Request
+from wingbarrow.http.server import Answer
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
+from wingbarrow.peers.rulesfront import RulesFront
+from wingbarrow.transport import Hub
+
+API = "wingbarrow.io/v1"
+
+
+class DrainsFront:
+    """Routes below /apis/wingbarrow.io/v1/drains."""
+
+    def __init__(self, hub: Hub, drainer: Drainer, rules: RulesFront) -> None:
+        self._hub, self._drainer, self._rules = hub, drainer, rules
+
+    def handle(self, request: Request, parts: list[str]) -> Answer:
+        """Answer one request; ApiError for what is refused."""
+        if request.method == "GET" and not parts:
+            return Answer(200, names.encode({"kind": "DrainList", "apiVersion": API,
+                                             "items": self._drainer.describe()}))
+        if request.method != ("DELETE" if parts else "POST"):
+            raise ApiError(405, "DELETE is allowed here" if parts else "GET, POST are allowed here")
+        away = self._rules.away(request) if self._drainer.agreed else None
+        if away is not None:
+            return away
+        return self._cancel("/".join(parts)) if parts else self._ask(request)
+
+    def _ask(self, request: Request) -> Answer:
+        machine, lasts = self._wanted(request)
+        if not self._drainer.agreed:
+            drain = self._drainer.ask_now(machine, lasts)
+            told = {}
+        else:
+            asked, drain = self._drainer.weigh(machine, lasts)
+            if drain.fate is Fate.PLANNED:
+                told = self._rules.change(lambda rules: self._fresh(replace(rules, asked=(*rules.asked, asked))),
+                                          f"drain {machine}")
+        if drain.fate is Fate.REFUSED:
+            raise ApiError(409, f"{machine}: {drain.reason}", "Conflict")
+        return Answer(201, names.encode({"kind": "Drain", "apiVersion": API, "key": drain.key, **told}))
+
+    def _wanted(self, request: Request) -> tuple[str, int]:
+        try:
+            value = names.decode(request.body)
+        except ValueError as error:
+            raise ApiError(400, f"the body is no JSON object: {error}", "BadRequest") from None
+        machine, lasts = value.get("machine"), value.get("lasts")
+        try:
+            if not isinstance(machine, str) or not isinstance(lasts, str):
+                raise ValueError("machine and lasts are wanted")
+            return machine, parse_duration(lasts)
+        except ValueError as error:
+            raise invalid("Drain", "", [Cause("lasts" if isinstance(machine, str) else "machine",
+                                              "FieldValueInvalid", str(error))]) from None
+
+    def _cancel(self, key: str) -> Answer:
+        told = {}
+        if not self._drainer.agreed:
+            if not self._drainer.cancel(key):
+                raise not_found("drains", key)
+        else:
+            if key not in self._drainer.drains.held:
+                raise not_found("drains", key)
+            told = self._rules.change(lambda rules: self._fresh(_without(rules, key)), f"take back {key}")
+        return Answer(200, names.encode({"kind": "Status", "apiVersion": "v1", "metadata": {}, "status": "Success",
+                                         **told}))
+
+    def _fresh(self, rules: RuleSet) -> RuleSet:
+        asked, cancelled = fresh(rules.asked, rules.cancelled, self._hub.clock.wall_us())
+        return replace(rules, asked=asked, cancelled=cancelled)
+
+
+def _without(rules: RuleSet, key: str) -> RuleSet:
+    """Rules under which a drain is taken back: it is asked for no more, or one of the calendar is left out."""
+    window = key.partition("@")[0]
+    kept = tuple(each for each in rules.asked if each.window != window)
+    if len(kept) < len(rules.asked):
+        return replace(rules, asked=kept)
+    return replace(rules, cancelled=(*rules.cancelled, key))
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -8,14 +8,14 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-from wingbarrow.config import parse_duration
 from wingbarrow.core.placer import Placer
 from wingbarrow.fronts.discovery import DOCUMENTS
+from wingbarrow.fronts.drains import DrainsFront
 from wingbarrow.http.listwatch import ListWatch, Query, error_answer
 from wingbarrow.http.server import Answer, Server, ServerLimits
 from wingbarrow.http.message import Limits, Request
 from wingbarrow.kube import names
-from wingbarrow.kube.status import ApiError, Cause, invalid, not_found
+from wingbarrow.kube.status import ApiError
 from wingbarrow.peers.front import InstancesFront
 from wingbarrow.peers.rulesfront import RulesFront
 from wingbarrow.transport import Hub
@@ -42,6 +42,7 @@
         self.instances = InstancesFront(hub, lambda: placer.base.settings, placer.hearsay, placer.peering,
                                         placer.base.born_us, log)
         self.rules = RulesFront(hub, placer.peering)
+        self.drains = DrainsFront(hub, placer.drainer, self.rules)
         placer.peering.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
         self._registry.register(self)
@@ -80,7 +81,7 @@
         if parts[:2] == ["api", "v1"]:
             return self._resource(request, "v1", parts[2:], Query(query_text))
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "drains"]:
-            return self._drains(request, parts[4:])
+            return self.drains.handle(request, parts[4:])
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "rules"]:
             return self.rules.handle(request, parts[4:])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
@@ -155,32 +156,6 @@
         made = self._placer.desk.submit(value, namespace, self._dry_run(query.get("dryRun")), request.came_us)
         return Answer(201, names.encode(made))
 
-    def _drains(self, request: Request, parts: list[str]) -> Answer:
-        """Drains by the calendar: list; POST {"machine", "lasts"} drains now; DELETE takes one back."""
-        drainer = self._placer.drainer
-        if not parts:
-            self._allow(request, "GET", "POST")
-            if request.method == "GET":
-                return Answer(200, names.encode({"kind": "DrainList", "apiVersion": "wingbarrow.io/v1",
-                                                 "items": drainer.describe()}))
-            value = self._body(request)
-            machine, lasts = value.get("machine"), value.get("lasts")
-            try:
-                if not isinstance(machine, str) or not isinstance(lasts, str):
-                    raise ValueError("machine and lasts are wanted")
-                drain = drainer.ask_now(machine, parse_duration(lasts))
-            except ValueError as error:
-                raise invalid("Drain", "", [Cause("lasts" if isinstance(machine, str) else "machine",
-                                                  "FieldValueInvalid", str(error))]) from None
-            if drain.reason:
-                raise ApiError(409, f"{machine}: {drain.reason}", "Conflict")
-            return Answer(201, names.encode({"kind": "Drain", "apiVersion": "wingbarrow.io/v1", "key": drain.key}))
-        self._allow(request, "DELETE")
-        if not drainer.cancel("/".join(parts)):
-            raise not_found("drains", "/".join(parts))
-        return Answer(200, names.encode({"kind": "Status", "apiVersion": "v1", "metadata": {},
-                                         "status": "Success"}))
-
     def _delete(self, request: Request, key: str, query: Query) -> Answer:
         options = self._body(request) if request.body else {}
         told = options.get("dryRun")
--- a/wingbarrow/lab/fleet/script.py
+++ b/wingbarrow/lab/fleet/script.py
@@ -6,8 +6,10 @@
     kill "12s" "placer-0" lasts="3s" state=false
 
     propose "15s" "placer-1" amount=7
+    drain "18s" "placer-2" amount=3
 
-`propose` has a placer asked to change the rules, to variant `amount` of them. `late`, `slow`, `lossy` and `twice` take
+`propose` has a placer asked to change the rules, to variant `amount` of them; `drain` to drain a machine, by number,
+or to take that back where it is asked for. `late`, `slow`, `lossy` and `twice` take
 what `cut` takes, and `amount`: a time in words, bytes a second, a share.
 """
 
@@ -24,7 +26,7 @@
 
 SECOND = 1_000_000
 BETWEEN = ("cut", "late", "slow", "lossy", "twice", "reset")
-TO_ONE = ("isolate", "deafen", "stop", "kill", "propose")
+TO_ONE = ("isolate", "deafen", "stop", "kill", "propose", "drain")
 FAULTS_MOST = 10_000
 
 
@@ -113,6 +115,8 @@
     for turn in range(max(2, int(seconds / 8))):
         at = (0.05 + 0.7 * turn / max(2, int(seconds / 8)) + rng.uniform(0, 0.05)) * seconds
         out.append(Fault("propose", int(at * SECOND), rng.choice(names), amount=float(rng.randrange(1, 1 << 20))))
+        if turn % 2:
+            out.append(Fault("drain", int((at + 1) * SECOND), rng.choice(names), amount=float(rng.randrange(1 << 20))))
     if rng.random() < 0.4 and len(names) > 2:
         # A part of the fleet is cut off from the rest.
         side = rng.sample(names, max(1, len(names) // 3))
--- a/wingbarrow/peers/hearsay.py
+++ b/wingbarrow/peers/hearsay.py
@@ -145,6 +145,9 @@
             launched = now - link.launched_us if link.launched_us > 0 else None
             # What is closed by this placer's own start is no drain that others should hear of.
             phase = entry.listed.phase if self._fleet.closed_by_start(entry) else link.phase
+            if self._base.settings.agree is not None:
+                # What placers agree on reaches each of them by its rules; here it would outlive its being taken back.
+                phase = self._guard(entry, entry.listed).phase
             sights.append(Sight(name, max(entry.version, self._distrust.version(name)), phase, launched,
                                 each.asked, each.asked_age_us, each.beyond, each.measured_age_us, each.warm_us,
                                 each.rests_us))
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -13,6 +13,7 @@
 
 from netaddr import AddrFormatError, IPAddress
 
+from wingbarrow.config import SettingsError
 from wingbarrow.config.settings import PlacerSettings
 from wingbarrow.decide.peers import words
 from wingbarrow.decide.peers.agreement import Agreement, Times
@@ -248,7 +249,12 @@
         """The first leader proposes what its own settings say, once."""
         agreement = self.agreement
         if agreement is not None and agreement.leads and not agreement.agreed.version:
-            self.propose("propose", {"ident": FOUNDING, "base": 0, "rules": rules_of(self._settings).text(),
+            try:
+                text = rules_of(self._settings).text()
+            except SettingsError as error:
+                self._log("rules-not-founded", level="error", why=str(error)[:500])
+                return
+            self.propose("propose", {"ident": FOUNDING, "base": 0, "rules": text,
                                      "by": self._settings.name, "why": "the settings of the first leader"})
 
     def propose(self, kind: str, value: dict[str, Any]) -> None:
--- a/wingbarrow/peers/ruleset.py
+++ b/wingbarrow/peers/ruleset.py
@@ -5,18 +5,34 @@
 from dataclasses import replace
 
 from wingbarrow import interface as api
+from wingbarrow.config.calendar import Calendar, load_calendar
 from wingbarrow.config.settings import PlacerSettings
+from wingbarrow.decide.peers.planned import plan_of, series_of, window_of
 from wingbarrow.decide.peers.rules import ClassRules, RuleSet, normal, read, shares
 
 
 def rules_of(settings: PlacerSettings) -> RuleSet:
-    """The rule set that a file of settings asks for."""
+    """The rule set that a file of settings asks for, with its calendars; SettingsError where one cannot be used."""
+    calendar = load_calendar(settings.calendars)
     scheduler, agree = settings.scheduler, settings.agree
     members = agree.members if agree is not None else (settings.name,)
     classes = tuple(ClassRules(name, each.task_class.effect.name.lower(), each.task_class.spread.name.lower(),
                                each.task_class.spread_most) for name, each in settings.classes.items())
     return normal(RuleSet(classes, scheduler.attempts_most, scheduler.cold_us, scheduler.fall_us,
-                          shares(int(scheduler.fresh_offers), members), settings.drain_grace_us, settings.barred))
+                          shares(int(scheduler.fresh_offers), members), settings.drain_grace_us, settings.barred,
+                          windows=tuple(window_of(each) for each in calendar.series),
+                          plan=plan_of(calendar.rules, calendar.policy)))
+
+
+def calendar_under(rules: RuleSet, kinds_needed: tuple[str, ...]) -> Calendar:
+    """The calendar that placers agree on; drains that were asked for stand beside it."""
+    return Calendar(tuple(series_of(each) for each in rules.windows), rules.plan.rules(kinds_needed),
+                    rules.plan.policy())
+
+
+def keeping_drains(wanted: RuleSet, now: RuleSet) -> RuleSet:
+    """Other rules with the drains that were asked for, and taken back, as they stand: no file speaks of those."""
+    return replace(wanted, asked=now.asked, cancelled=now.cancelled)
 
 
 def scheduler_under(settings: PlacerSettings, text: str) -> api.Settings:
--- a/wingbarrow/peers/rulesfront.py
+++ b/wingbarrow/peers/rulesfront.py
@@ -6,18 +6,22 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 from wingbarrow.decide.peers.agreement import Agreement
+from wingbarrow.decide.peers.rules import BadRules, RuleSet, normal, read
 from wingbarrow.http.message import Request
 from wingbarrow.http.server import Answer
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.peers.host import Peering
+from wingbarrow.peers.ruleset import keeping_drains
 from wingbarrow.transport import Hub
 
 DECIDED_US = 5_000_000
 TEXT_MOST = 100
+CHANGE_TRIES = 5
 PATH = "/apis/wingbarrow.io/v1/rules"
 
 
@@ -49,6 +53,40 @@
         return Answer(307, names.encode({"kind": "Leader", "name": agreement.leader, "address": address}),
                       fields=[("Location", f"http://{address}{request.target}")])
 
+    def away(self, request: Request) -> Answer | None:
+        """Where the leader is, for what only that can do; None at the leader. ApiError where nothing is agreed on."""
+        agreement = self._peering.agreement
+        if agreement is None:
+            raise ApiError(503, "this placer takes part in nothing yet", "ServiceUnavailable", retry_after_s=1)
+        return None if agreement.leads else self._elsewhere(agreement, request)
+
+    def change(self, edit: Callable[[RuleSet], RuleSet], why: str) -> dict[str, Any]:
+        """At the leader: have the latest rules changed, anew where another change came first; what was accepted.
+
+        `floors`: for how long placers that are cut off may go on without hearing of it, where there are floors.
+        """
+        agreement = self._peering.agreement
+        why_not = "nothing is agreed on yet"
+        for number in range(CHANGE_TRIES if agreement is not None else 0):
+            assert agreement is not None
+            agreed = agreement.agreed
+            if not agreed.edition:
+                break
+            wanted = normal(edit(read(agreed.latest))).text()
+            if wanted != agreed.latest:
+                why_not = agreed.objection(agreed.version, wanted)
+                if why_not:
+                    break
+                ident = f"{agreement.me}-{self._hub.now_us()}-{number}"
+                self._peering.propose("propose", {"ident": ident, "base": agreed.version, "rules": wanted,
+                                                  "by": agreement.me, "why": why[:500]})
+                why_not = self._decided(agreement, ident)
+                if why_not:
+                    continue
+            return {"version": agreed.version,
+                    "floors": [{"number": each.number, "lastsUs": each.lasts_us} for each in agreed.floors]}
+        raise ApiError(409, why_not, "Conflict")
+
     def _body(self, request: Request) -> dict[str, Any]:
         try:
             return names.decode(request.body)
@@ -85,6 +123,11 @@
         base = value.get("base", agreed.version)
         if not isinstance(base, int) or (lasts is not None and not isinstance(lasts, int)):
             raise ApiError(422, "base and lastsUs are whole numbers", "Invalid")
+        if value.get("keepDrains") and agreed.edition:
+            try:
+                text = keeping_drains(read(text), read(agreed.latest)).text()
+            except BadRules as error:
+                raise ApiError(409, str(error), "Conflict") from None
         held = agreed.outcomes.get(ident)
         if held is None:
             why_not = agreed.objection(base, text) if lasts is None else agreed.floor_objection(text, lasts)
