A machine that has closed its door is asked again at a bounded pace

Change: a refusal tells that the machine's system is there (Liveness.on_refused), the next look is due as after one that came up; further calls for news are put off, doubled up to 500 ms while old connections stand.

--- a/tests/decide/test_liveness.py
+++ b/tests/decide/test_liveness.py
@@ -53,7 +53,7 @@
 
 
 def test_a_word_or_a_connection_clears_all_doubt() -> None:
-    for clear in ("on_heard", "on_came_up"):
+    for clear in ("on_heard", "on_came_up", "on_refused"):
         live = Liveness(0)
         live.on_no_show(1_000_000, 750_000)
         live.on_no_show(2_000_000, 1_750_000)
--- a/tests/relay/test_descriptors.py
+++ b/tests/relay/test_descriptors.py
@@ -114,3 +114,26 @@
         answers = sum(client.kinds(task) == [Kind.ANSWER] for task, client in zip(range(1001, 1021), more, strict=True))
         assert answers >= 15 and stage.held_most <= Table(96).most
     Crowded(0, settings=MANY, sockets=96).run(play)
+
+
+@pytest.mark.parametrize("broken", [0, 1])
+def test_a_machine_that_takes_no_new_connections_and_keeps_the_old_is_asked_at_a_bounded_pace(broken: int) -> None:
+    """As on a drain: its process lives and has closed its door. `broken`: one of its old connections was reset too."""
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        for task in (1, 2):
+            stage.owner.ask(task, name=f"{task:016x}")
+        stage.sleep(50)
+        assert len(machine.streams) == 2
+        machine.listener.close()
+        for stream in machine.streams[:broken]:
+            stream.abort()
+        counts = stage.placer.life.counts
+        stage.sleep(10_000)
+        refused = counts["dials_failed:ECONNREFUSED"]
+        assert 1 <= refused <= 24, f"{refused} times in 10 s"
+        assert stage.owner.kinds(2) == [Kind.ANSWER], "what stands there stands"
+        machine.tell(over(2))
+        stage.sleep(100)
+        assert stage.owner.kinds(2) == [Kind.ANSWER, Kind.RELEASE]
+    Stage(1).run(play)
--- a/wingbarrow/decide/liveness.py
+++ b/wingbarrow/decide/liveness.py
@@ -48,6 +48,10 @@
         self._looked_us = now_us
         self._failed_since_us, self._fails = None, 0
 
+    def on_refused(self, now_us: int) -> None:
+        """A new connection was refused: its system is there, though nothing listens; old connections go on."""
+        self.on_came_up(now_us)
+
     def on_no_show(self, now_us: int, began_us: int) -> None:
         """A connection asked for at `began_us` did not come up in its time."""
         self._looked_us = now_us
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -25,6 +25,7 @@
 LAST_US = 10_000_000  # the last one too, where nothing stands
 SWEEP_US = 100_000
 REDIAL_US = 100_000
+REDIAL_MOST_US = 500_000  # doubled up to this while connections are refused and old ones stand
 RETIRE_US = 1_000_000  # for the machine to end its side of a connection that is closed here
 VISIT_US = 3_000_000  # after a connection had to go, the machine is asked on a new one for what it may have said
 LINES_MOST = 6  # connections to one machine
@@ -103,6 +104,7 @@
         self._visit_us: int | None = None  # a connection had to go: a new one is due then
         self._dialled = Signal(life.hub)
         self._redial_us = 0
+        self._refusals = 0  # in a row, while old connections stood
         self._releases: OrderedDict[int, int] = OrderedDict()  # to send on the next connection, with their cause
         self.closed = False
 
@@ -176,9 +178,15 @@
                 self._releases.clear()
                 self.strays.clear()
                 self._news.lost(self)
-            self._redial_us = hub.now_us() + REDIAL_US
+            else:
+                # Danger: a machine that drains has closed its door and keeps what is open; asked at each turn by each
+                # placer, it and they have no time for anything else.
+                self.liveness.on_refused(hub.now_us())
+                self._refusals += 1
+            self._redial_us = hub.now_us() + min(REDIAL_MOST_US, REDIAL_US << min(self._refusals, 10))
             return None
         self.liveness.on_came_up(hub.now_us())
+        self._refusals = 0
         self._missed, self._visit_us = False, None
         line = Line(self, stream, Outbox(hub, stream, OUT_MOST), hub.now_us())
         self.lines.append(line)
@@ -254,7 +262,7 @@
         """A new connection for what may have been missed, or where there is none."""
         now = self._life.hub.now_us()
         if self._wants_news(now) and not self._dials and not self.closed and now >= self._redial_us:
-            self._redial_us = now + REDIAL_US
+            self._redial_us = now + REDIAL_US  # put off further where it is refused
             self._look()
 
     def _wants_news(self, now_us: int) -> bool:
