A majority of voters lost for good: rules recover; Raft explored by a state machine

Need: with two of three voters gone for good a new agreement had to be founded, which forgets all versions; and Raft was tried by generated schedules only.

A voter's store is held by one process (flock). A hypothesis state machine delivers, keeps, loses and reorders each message, fires timers, kills and returns voters, changes them and folds logs, beside a plain list of decisions; three planted errors (votes for anybody, twice, decisions alone) are found.

--- /dev/null
+++ b/tests/decide/peers/test_raft_machine.py
@@ -0,0 +1,208 @@
+"""Raft as a state machine: every message, timer, kill and return in any order, beside a plain list of decisions."""
+
+from __future__ import annotations
+
+import copy
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis import stateful
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from wingbarrow.decide.peers import log
+from wingbarrow.decide.peers.effects import Persist, Send, SetTimer
+from wingbarrow.decide.peers.raft import Raft
+
+NAMES = ("v0", "v1", "v2", "v3")
+PICK = st.integers(0, 1 << 16)
+PLAY = settings(max_examples=120, stateful_step_count=50, deadline=None, derandomize=True,
+                suppress_health_check=list(HealthCheck))
+
+
+class Voters(RuleBasedStateMachine):
+    """Three voters, and a fourth that may be taken in. Nothing is delivered, and no time passes, but by a rule."""
+
+    kind: type[Raft] = Raft
+    found: Counter[str] = Counter()
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_us = 0
+        self.mail: list[tuple[str, str, Any]] = []
+        self.timers: dict[tuple[str, str], int] = {}
+        self.disks = {name: log.Disk(NAMES[:3]) for name in NAMES}
+        self.live: dict[str, Raft] = {}
+        self.leaders: dict[int, str] = {}
+        self.decided: list[log.Entry] = []  # the reference
+        self.applied: dict[str, int] = {}
+        self.number = self.lives = 0
+        for name in NAMES:
+            self.begin(name)
+
+    def begin(self, name: str) -> None:
+        self.lives += 1
+        self.live[name] = self.kind(name, copy.deepcopy(self.disks[name]), self.lives * 31)
+        self.applied[name] = self.disks[name].base
+        self.act(name, self.live[name].start(self.now_us))
+
+    def act(self, name: str, effects: list[Any]) -> None:
+        for effect in effects:
+            if isinstance(effect, Persist):
+                self.disks[name].keep(effect)
+            elif isinstance(effect, SetTimer):
+                self.timers[name, effect.key.removeprefix("raft ")] = effect.at_us
+            elif isinstance(effect, Send):
+                self.mail.append((name, effect.ident, effect.message))
+            elif isinstance(effect, log.Elected) and effect.on:
+                self.elected(name)
+            elif isinstance(effect, log.Restored):
+                assert effect.index <= len(self.decided), "a snapshot of what nobody was told is decided"
+                self.applied[name] = effect.index
+            elif isinstance(effect, log.Committed):
+                self.committed(name, effect)
+
+    def elected(self, name: str) -> None:
+        disk = self.live[name].disk
+        self.found["elected"] += 1
+        assert self.leaders.setdefault(disk.term, name) == name, f"two leaders in term {disk.term}"
+        for index, entry in enumerate(self.decided, 1):
+            if index > disk.base:
+                assert disk.last >= index and disk.log[index - disk.base - 1] == entry, "a leader that lacks a decision"
+
+    def committed(self, name: str, effect: log.Committed) -> None:
+        assert effect.first == self.applied[name] + 1, "in order, and once"
+        for index, entry in enumerate(effect.entries, effect.first):
+            if index > len(self.decided):
+                assert index == len(self.decided) + 1
+                self.decided.append(entry)
+                self.found[entry.kind or "of its own term"] += 1
+            assert self.decided[index - 1] == entry, f"{name}: another decision at {index}"
+            self.applied[name] = index
+
+    def take(self, index: int, keep: bool) -> None:
+        if self.mail:
+            at = index % len(self.mail)
+            sender, receiver, message = self.mail[at] if keep else self.mail.pop(at)
+            if receiver in self.live:
+                self.act(receiver, self.live[receiver].on_message(self.now_us, sender, message))
+
+    @rule(picks=st.lists(PICK, min_size=1, max_size=8))
+    def deliver(self, picks: list[int]) -> None:
+        for pick in picks:
+            self.take(pick, False)
+
+    @rule(count=st.integers(1, 12))
+    def deliver_in_order(self, count: int) -> None:
+        for _ in range(count):
+            self.take(0, False)
+
+    @rule(pick=PICK)
+    def deliver_and_keep(self, pick: int) -> None:
+        self.take(pick, True)
+
+    @rule(name=st.sampled_from(NAMES))
+    def lose_all_to(self, name: str) -> None:
+        self.mail = [each for each in self.mail if each[1] != name]
+
+    @rule(pick=PICK)
+    def pass_time(self, pick: int) -> None:
+        due = sorted((at, *key) for key, at in self.timers.items() if key[0] in self.live)
+        if due:
+            at, name, key = due[pick % min(3, len(due))]  # one that stands still lets others go first
+            del self.timers[name, key]
+            self.now_us = max(self.now_us, at)
+            self.act(name, self.live[name].on_timer(self.now_us, key))
+
+    @rule(count=st.integers(5, 60))
+    def go_on(self, count: int) -> None:
+        for _ in range(count):
+            if self.mail:
+                self.take(0, False)
+            else:
+                self.pass_time(0)
+
+    @rule(name=st.sampled_from(NAMES))
+    def kill(self, name: str) -> None:
+        self.live.pop(name, None)
+        self.timers = {key: at for key, at in self.timers.items() if key[0] != name}
+
+    @rule(name=st.sampled_from(NAMES))
+    def come_back(self, name: str) -> None:
+        if name not in self.live:
+            self.begin(name)
+
+    @rule(pick=PICK)
+    def propose(self, pick: int) -> None:
+        leading = [raft for raft in self.live.values() if raft.leads]
+        if leading:  # also one that was deposed and does not know it
+            raft = leading[pick % len(leading)]
+            self.number += 1
+            self.act(raft.me, raft.propose(self.now_us, "x", str(self.number))[1])
+
+    @rule(pick=PICK)
+    def change_voters(self, pick: int) -> None:
+        leading = [raft for raft in self.live.values() if raft.leads]
+        if leading:
+            raft, name = leading[pick % len(leading)], NAMES[pick % 4]
+            voters = tuple(each for each in raft.voters if each != name) if name in raft.voters else (
+                *raft.voters, name)
+            if voters:
+                self.act(raft.me, raft.change_voters(self.now_us, voters)[1])
+
+    @rule(name=st.sampled_from(NAMES))
+    def fold(self, name: str) -> None:
+        if name in self.live:
+            self.act(name, self.live[name].fold(f"state up to {self.applied[name]}"))
+
+    @invariant()
+    def what_is_on_disk_is_what_is_said(self) -> None:
+        for name, raft in self.live.items():
+            disk, said = self.disks[name], raft.disk
+            assert (disk.term, disk.vote, disk.base, disk.log) == (said.term, said.vote, said.base, said.log)
+
+
+run: Callable[..., None] = stateful.run_state_machine_as_test
+
+
+def test_whatever_comes_in_whatever_order_one_thing_is_decided() -> None:
+    Voters.found = Counter()
+    run(Voters, settings=PLAY)
+    assert min(Voters.found[each] for each in ("elected", "x")) >= 20 and Voters.found[log.VOTERS] >= 3, Voters.found
+
+
+class VotesForAnybody(Raft):
+    """Planted: whose log is shorter may be elected."""
+
+    def on_message(self, now_us: int, ident: str, message: Any) -> log.Effects:
+        if isinstance(message, log.VoteAsk):
+            message = replace(message, last_term=1 << 30)
+        return super().on_message(now_us, ident, message)
+
+
+class VotesTwice(Raft):
+    """Planted: a vote is forgotten as soon as it is given."""
+
+    def on_message(self, now_us: int, ident: str, message: Any) -> log.Effects:
+        if isinstance(message, log.VoteAsk):
+            self.disk.vote = ""
+        return super().on_message(now_us, ident, message)
+
+
+class DecidesAlone(Raft):
+    """Planted: what one other holds counts as decided, however many vote."""
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        return super().voters[:1] if self.leads else super().voters
+
+
+@pytest.mark.parametrize("planted", [VotesForAnybody, VotesTwice, DecidesAlone])
+def test_a_planted_error_is_found(planted: type[Raft]) -> None:
+    machine = type(planted.__name__, (Voters,), {"kind": planted})
+    with pytest.raises(AssertionError):
+        run(machine, settings=settings(PLAY, phases=[Phase.generate], max_examples=3000))
--- a/tests/peers/test_drains_agreed.py
+++ b/tests/peers/test_drains_agreed.py
@@ -6,10 +6,14 @@
 from pathlib import Path
 from typing import Any
 
-from tests.peers.stage import Agreeing
+import pytest
+
+from tests.peers.stage import RULES, Agreeing
 from tests.stage import S
+from wingbarrow.decide.peers.agreed import RECOVERED
 from wingbarrow.lab.cluster import PlacerSlot
 from wingbarrow.lab.record import Record
+from wingbarrow.store.votes import StoreFailed, VoteStore, create, recover
 
 DRAINS = "/apis/wingbarrow.io/v1/drains"
 
@@ -204,3 +208,46 @@
             times = [each.at_us for each in stage.sent(machine.name, since[0])]
             most = max((sum(at <= other < at + window.fall_us for other in times) for at in times), default=0)
             assert 0 < most <= offers[0], f"{machine.name}: {most} offers within the window"
+
+
+def test_a_majority_of_voters_that_is_lost_for_good_is_gone_on_without(tmp_path: Path) -> None:
+    stage = Draining(machines=4, placers=5)
+    files: dict[str, Path] = {}
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        assert stage.propose("b", barred=["node-0"])[0] == 201
+        assert stage.wait(lambda: stage.all_on("e2"), 5)
+        left = stage.cluster.placers[2]
+        for slot in stage.cluster.placers[:3]:
+            slot.kill()
+        stage.hub.sleep(4 * S)
+        folder = Path(left.state) / "rules"
+        holder = VoteStore(folder)
+        with pytest.raises(StoreFailed, match="another process has it open"):
+            recover(folder, left.name, RECOVERED, True)
+        holder.close()
+        before = recover(folder, left.name, RECOVERED, False)
+        assert recover(folder, left.name, RECOVERED, True).last == before.last, "to look changes nothing"
+        left.start()
+        assert stage.wait(lambda: stage.all_on("e1002"), 20), "with the rules that it knew"
+        create(Path(stage.cluster.placers[3].state) / "rules", (left.name,))
+        files["new"] = Path(stage.cluster.placers[3].state)
+        taken_in = stage.cluster.placers[3]
+        taken_in.kill()
+        stage.hub.sleep(S)
+        taken_in.start()
+        assert left.service is not None
+        # Both seeds are down: the two find each other by those that asked who was thought dead.
+        assert stage.wait(lambda: taken_in.name in left.service.placer.peering.members, 40)
+        wanted = {"voters": [left.name, taken_in.name]}
+        assert stage.ask(stage.leader(), "POST", wanted, f"{RULES}/voters")[0] == 202
+        assert stage.propose("c", barred=["node-1"])[0] == 201
+        assert stage.wait(lambda: stage.all_on("e1004"), 20)
+        assert stage.ask(taken_in)[1]["voters"] == [left.name, taken_in.name]
+        # One of the lost comes back with its store after all: it hears of a later term and decides nothing.
+        stage.cluster.placers[0].start()
+        stage.hub.sleep(8 * S)
+        assert stage.label(stage.cluster.placers[0]) == "e1004" and stage.leader() in (left, taken_in)
+    stage.play(script)
--- a/tests/test_rules_command.py
+++ b/tests/test_rules_command.py
@@ -110,3 +110,22 @@
     file.write_text(settings_text(0, 1, 1, 1))
     code, words = run("init", str(file))
     assert code == 2 and "no voter" in words
+
+
+def test_to_recover_says_what_it_risks_and_does_nothing_unasked_or_while_the_placer_runs(
+        placer: tuple[str, Path], tmp_path: Path) -> None:
+    code, words = run("recover", str(placer[1]), "--yes")
+    assert code == 2 and "another process has it open" in words
+    file = tmp_path / "left.kdl"
+    file.write_text(settings_text(0, 1, 1, 1, 0, str(tmp_path / "state"))
+                    + 'agree {\n    voter "placer-0"\n    voter "placer-1"\n    voter "placer-2"\n}\n'
+                    + 'allow-peer "127.0.0.0/8"\n')
+    code, words = run("recover", str(file))
+    assert code == 2 and "no voter's store" in words
+    assert run("init", str(file))[0] == 0
+    code, words = run("recover", str(file))
+    assert code == 3 and "voters placer-0, placer-1, placer-2" in words and words.count("risked") == 3
+    assert run("recover", str(file)) == (3, words), "nothing was done"
+    assert run("recover", str(file), "--yes")[0] == 0
+    code, words = run("recover", str(file))
+    assert code == 3 and "term 1000000" in words and "voters placer-0\n" in words
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -13,14 +13,21 @@
 
 from wingbarrow.cli.client import URL, Client, CommandFailed, with_client
 from wingbarrow.config import PlacerSettings, SettingsError, load_file, parse_duration
+from wingbarrow.decide.peers.agreed import EDITIONS_LEFT, RECOVERED, from_text
 from wingbarrow.decide.peers.planned import DrainPlan
 from wingbarrow.decide.peers.trial import Advice, Trial
 from wingbarrow.decide.peers.rules import RuleSet, allows, contradict, differences, read
 from wingbarrow.peers.ruleset import keeping_drains, rules_of
 from wingbarrow.store.votes import StoreFailed, create
+from wingbarrow.store.votes import recover as recover_store
 
 
 SECOND = 1_000_000
+RISKS = (
+    "risked: what was decided without this voter is gone, and what was proposed and not decided may come to be;",
+    "risked: placers go by rules of the voters that are lost until their grants, and floors, have lapsed;",
+    "risked: a lost voter that comes back with its store, out of touch with this one, could decide as before: "
+    "remove those stores for good")
 
 
 @click.group()
@@ -242,3 +249,34 @@
         click.echo(str(error), err=True)
         sys.exit(2)
     click.echo(f"{settings.name} may vote")
+
+
+@rules.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--yes", is_flag=True, help="Do it; without this it is told what the store holds and what is risked.")
+def recover(file: Path, yes: bool) -> None:
+    """Make the voter that FILE configures the only one, where a majority of voters is lost for good.
+
+    Its placer must be stopped. Of the voters that are left take the one with the highest term and entry. Others are
+    taken in afterwards (`rules voters`). Exit 3 where nothing was done.
+    """
+    settings = _settings(file)
+    if settings.state is None or not (Path(settings.state) / "rules" / "data.mdb").exists():
+        click.echo(f"{file}: {settings.name} has no voter's store", err=True)
+        sys.exit(2)
+    try:
+        disk = recover_store(Path(settings.state) / "rules", settings.name, RECOVERED, yes)
+    except StoreFailed as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    agreed = from_text(disk.state)
+    for entry in disk.log:
+        agreed.apply(entry.kind, entry.body)
+    click.echo(f"{settings.name}: term {disk.term}, last entry {disk.last} of term {disk.term_at(disk.last)}, "
+               f"version {agreed.version}; voters {', '.join(disk.voters_now())}")
+    for line in RISKS:
+        click.echo(line)
+    if not yes:
+        click.echo("nothing was done: add --yes")
+        sys.exit(3)
+    click.echo(f"{settings.name} decides alone from its next start on; editions go on {EDITIONS_LEFT} further")
--- a/wingbarrow/decide/peers/agreed.py
+++ b/wingbarrow/decide/peers/agreed.py
@@ -16,6 +16,8 @@
 
 VERSIONS_MOST, VERSIONS_CHARS = 64, 128 * 1024  # kept whole; older ones are known by number alone
 IDENTS_MOST = 256  # proposals whose outcome is remembered, for those that are sent again
+RECOVERED = "recovered"  # the kind of the entry by which one voter went on alone
+EDITIONS_LEFT = 1000  # for those that may have been decided by voters that were lost
 FLOORS_MOST = 4  # that may be out at a time
 DAY_US = 86_400_000_000
 
@@ -61,6 +63,8 @@
                 self._propose(value)
             elif kind == "step" and value["from"] == self.edition and self.steps:
                 self.edition, self.rules = self.edition + 1, self.steps.pop(0)
+            elif kind == RECOVERED and self.edition:
+                self.edition += EDITIONS_LEFT
             elif kind == "floor":
                 self._floor(value)
             elif kind == "floor-lapsed" and len(self.floors) > 1:
--- a/wingbarrow/decide/peers/log.py
+++ b/wingbarrow/decide/peers/log.py
@@ -7,6 +7,7 @@
 from wingbarrow.decide.peers.effects import Effect, Persist
 
 APPEND_CHARS = 256 * 1024  # of entries in one message
+TERMS_LEFT = 1_000_000  # for elections of voters that were lost
 VOTERS = "voters"  # the kind of an entry that changes who votes
 
 
@@ -126,6 +127,16 @@
         return self.voters
 
 
+def alone(me: str, disk: Disk, kind: str) -> Persist:
+    """What makes one voter the only one, whatever the others decided: for a majority that is lost for good.
+
+    Danger: entries that were not decided may come to be, and those decided without this voter are gone. `kind` is of
+    an entry that has the replicated state leave room for what it does not know of.
+    """
+    term = disk.term + TERMS_LEFT
+    return Persist(term, "", disk.last + 1, (Entry(term, VOTERS, me), Entry(term, kind, "{}")), None)
+
+
 @dataclass(frozen=True, slots=True)
 class Committed:
     """Entries, with the index of the first, that are decided: for the replicated state, once and in order."""
--- a/wingbarrow/store/votes.py
+++ b/wingbarrow/store/votes.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import lmdb
 
 from wingbarrow.decide.peers.effects import Persist
-from wingbarrow.decide.peers.log import Disk, Entry
+from wingbarrow.decide.peers.log import Disk, Entry, alone
 
 BYTES_MOST = 256 << 20
 FORM = 1
@@ -28,14 +29,30 @@
     return _ENTRY + index.to_bytes(8, "big")
 
 
+def _owned(folder: Path) -> TextIO:
+    """Hold a store for this process as long as the file is open; StoreFailed where another does."""
+    try:
+        file = (folder / "owner").open("a", encoding="utf-8")
+    except OSError as error:
+        raise StoreFailed(f"{folder}: {error.strerror}") from None
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        file.close()
+        raise StoreFailed(f"{folder}: another process has it open") from None
+    return file
+
+
 class VoteStore:
     """Opened on a folder that `create` has made."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
+        self._owner = _owned(folder)
         try:
             self._env = lmdb.open(str(folder), map_size=BYTES_MOST, max_dbs=0, subdir=True, create=False, lock=True)
         except lmdb.Error as error:
+            self._owner.close()
             raise StoreFailed(f"{folder}: {error}") from None
 
     def load(self) -> Disk:
@@ -84,6 +101,7 @@
     def close(self) -> None:
         """Let it go."""
         self._env.close()
+        self._owner.close()
 
 
 def create(folder: Path, voters: tuple[str, ...]) -> None:
@@ -100,6 +118,18 @@
         raise StoreFailed(f"{folder}: {error}") from None
 
 
+def recover(folder: Path, me: str, kind: str, act: bool) -> Disk:
+    """What a voter holds; with `act` it is the only voter from then on (`log.alone`). Its placer must not run."""
+    store = VoteStore(folder)
+    try:
+        disk = store.load()
+        if act:
+            store.persist(alone(me, disk, kind))
+        return disk
+    finally:
+        store.close()
+
+
 def open_if_there(folder: Path) -> VoteStore | None:
     """The store of a folder; None where none was made."""
     return VoteStore(folder) if (folder / "data.mdb").exists() else None
