--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -80,6 +80,12 @@
                  if family.name == "wingbarrow_answers" for sample in family.samples if sample.name.endswith("_total")}
         return Count(sum(found.values()), sum(count for answer, count in found.items() if answer != "placed"))
 
+    def others(self) -> list[Client]:
+        """Clients of the placers that this one knows and holds for alive."""
+        members = self.exchange("GET", "members").get("items", [])
+        found = [str(each.get("address", "")).rpartition(":") for each in members if each.get("standing") == "alive"]
+        return [self.elsewhere(host, int(port)) for host, _, port in found if port.isdecimal()]
+
     def sleep(self, seconds: float) -> None:
         """Let time pass."""
         self._hub.sleep(int(seconds * SECOND))
@@ -163,6 +169,36 @@
                 self._hub.sleep(SECOND)
 
 
+class FleetAnswers:
+    """Counts of answers of all placers that were known at the beginning; of one out of reach, those heard last."""
+
+    def __init__(self, first: Client) -> None:
+        self._clients = [first, *first.others()]
+        self._last: dict[int, Count] = {}
+
+    def count(self) -> Count:
+        """All together, as of now; CommandFailed where none can be asked."""
+        failed: CommandFailed | None = None
+        for number, client in enumerate(self._clients):
+            try:
+                told = client.answers()
+            except CommandFailed as error:
+                failed = error
+                continue
+            before = self._last.get(number, Count(0, 0))
+            # One that began anew counts from nothing: its former answers stay in the sum.
+            self._last[number] = told if told.answers >= before.answers else Count(
+                before.answers + told.answers, before.bad + told.bad)
+        if not self._last and failed is not None:
+            raise failed
+        return Count(sum(each.answers for each in self._last.values()), sum(each.bad for each in self._last.values()))
+
+    @property
+    def placers(self) -> int:
+        """How many are asked."""
+        return len(self._clients)
+
+
 def with_client(url: str, call: Callable[[Client], Any]) -> Any:
     """Run `call` with a client of a placer; exit 1 with one line where it fails."""
     parts = urlsplit(url)
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -11,7 +11,7 @@
 
 import click
 
-from wingbarrow.cli.client import URL, Client, CommandFailed, with_client
+from wingbarrow.cli.client import URL, Client, CommandFailed, FleetAnswers, with_client
 from wingbarrow.config import PlacerSettings, SettingsError, load_file, parse_duration
 from wingbarrow.decide.peers.agreed import EDITIONS_LEFT, RECOVERED, from_text
 from wingbarrow.decide.peers.planned import DrainPlan
@@ -101,7 +101,7 @@
 @click.option("--base", type=click.IntRange(0), help="The version that it changes; the present one without it.")
 @click.option("--why", default="", help="For the history.")
 @click.option("--dry-run", is_flag=True, help="Say what would change, and whether it would be accepted.")
-@click.option("--watch", "watch_s", type=click.FloatRange(1, 3600), help="Look at this placer's answers for so many "
+@click.option("--watch", "watch_s", type=click.FloatRange(1, 3600), help="Look at all placers' answers for so many "
               "seconds before and after; take the change back, and exit 3, where they get worse.")
 @click.option("--bound", type=click.FloatRange(0, 1), default=0.05, show_default=True,
               help="With --watch: by how much the share of answers that place nothing may rise.")
@@ -122,29 +122,30 @@
                 click.echo("it contradicts the version before: the fleet goes by what both allow")
             elif not allows(now, wanted):
                 click.echo("it forbids some of what the version before allows")
-        begun = client.answers() if watch_s is not None else None
+        fleet = FleetAnswers(client) if watch_s is not None else None
+        begun = fleet.count() if fleet is not None else None
         if watch_s is not None:
             client.sleep(watch_s)
         version = state["version"] if base is None else base
         _propose(client, wanted, version, why, dry_run)
-        if begun is None or watch_s is None or dry_run:
+        if fleet is None or begun is None or watch_s is None or dry_run:
             return 0
-        at = client.answers()
+        at = fleet.count()
         trial = Trial(at.since(begun), at, bound, int(watch_s * SECOND))
-        return _watch(client, trial, watch_s, version)
+        return _watch(client, fleet, trial, watch_s, version)
     sys.exit(with_client(url, call))
 
 
-def _watch(client: Client, trial: Trial, seconds: float, before: int) -> int:
+def _watch(client: Client, fleet: FleetAnswers, trial: Trial, seconds: float, before: int) -> int:
     """Keep the change, or take it back: 0 or 3."""
     passed, step = 0.0, min(1.0, seconds / 5)
     while True:
         client.sleep(step)
         passed += step
-        advice = trial.judge(int(passed * SECOND), client.answers())
+        advice = trial.judge(int(passed * SECOND), fleet.count())
         if advice is Advice.KEEP:
-            click.echo(f"kept: of {trial.after.answers} answers {trial.after.share:.1%} placed nothing, "
-                       f"{trial.rise:+.1%} beside before")
+            click.echo(f"kept: of {trial.after.answers} answers of {fleet.placers} placer(s) {trial.after.share:.1%} "
+                       f"placed nothing, {trial.rise:+.1%} beside before")
             return 0
         if advice is Advice.BACK:
             click.echo(f"of {trial.after.answers} answers {trial.after.share:.1%} placed nothing, {trial.rise:+.1%} "
@@ -197,7 +198,9 @@
             click.echo(f"edition {state['edition']} in force, {state['steps']} steps to come, "
                        f"{len(state['floors'])} floors; voters {', '.join(state['voters'])}")
         for each in state.get("holders", []):
-            click.echo(f"  {each['placer']}: edition {each['edition']}, for {each['leftUs'] / 1e6:.1f} s at most")
+            held = (f"for {each['leftUs'] / 1e6:.1f} s at most" if each["leftUs"] else
+                    f"lapsed {each['lapsedUs'] / 1e6:.1f} s ago: it is stopped, gone or cut off")
+            click.echo(f"  {each['placer']}: edition {each['edition']}, {held}")
     with_client(url, call)
 
 
--- a/wingbarrow/lab/fleet/rig.py
+++ b/wingbarrow/lab/fleet/rig.py
@@ -200,7 +200,7 @@
 
     def variant(self, number: int) -> tuple[str, list[str]]:
         """Settings with rules that differ from those at the beginning, and who shares the cold budget, by a number."""
-        rng, text = random.Random(number), self._settings(self.slots[0])
+        rng, text = random.Random(number), self.settings(self.slots[0])
         text = text.replace("most=3", f"most={rng.randrange(1, 4)}").replace(
             "offers=20", f"offers={rng.randrange(4, 21)}").replace(
             "attempts most=4", f"attempts most={rng.randrange(2, 5)}")
@@ -293,7 +293,7 @@
     def start(self, slot: Slot) -> None:
         """Start a placer's process; returns when it listens."""
         path = self.folder / f"{slot.name}.kdl"
-        path.write_text(self._settings(slot))
+        path.write_text(self.settings(slot))
         slot.lives += 1
         self.event("starting", who=slot.name, life=slot.lives)
         process = Process(self._hub, ["serve", str(path)], self.folder / f"{slot.name}.log")
@@ -320,7 +320,8 @@
             if file.is_file():
                 file.unlink()
 
-    def _settings(self, slot: Slot) -> str:
+    def settings(self, slot: Slot) -> str:
+        """The file of a placer."""
         seeds = [name for name in self.names[:SEEDS] if name != slot.name]
         others = [name for name in self.names if name != slot.name]
         # All links are named, so that whatever address a placer gives itself, it is reached through its link.
--- a/wingbarrow/peers/rulesfront.py
+++ b/wingbarrow/peers/rulesfront.py
@@ -111,7 +111,8 @@
                 "floors": [{"number": each.number, "lastsUs": each.lasts_us, "rules": json.loads(each.rules)}
                            for each in agreed.floors]}
         if agreement.leads:
-            state["holders"] = [{"placer": name, "edition": edition, "leftUs": max(0, until - now)}
+            state["holders"] = [{"placer": name, "edition": edition, "leftUs": max(0, until - now),
+                                 "lapsedUs": max(0, now - until)}
                                 for name, (edition, until) in sorted(agreement.holders.items())]
         return state
 
