Limits of the whole fleet: rights in escrow, held in parts that follow demand

Need: a namespace with 1,000 tasks allowed got 1,000 at each placer, and the cold budget was cut into equal parts of which those of idle placers went unused while a hall waited.

Change: limits are part of the agreed rules (standing: so many at once, rate: so many in a window; of namespaces, classes, and cold machines). The leader of the voters keeps the account (decide/peers/rights.Bank), what it gives rides on the grants and lapses with them; each placer spends only what its Purse holds; max-min fair by demand. Over a limit 429 at the door, with its name and Retry-After spread. 'wingbarrow fleet limits' tells who holds what. The rig's placers have three limits, the judge holds them to the sockets.

On the path, five placers: one with all the demand holds the whole, never more; one that is stopped or killed strands its part until the stated time; with the cold budget held by the one that needs it more than twice the offers of equal parts in the second to sixth second, no cold machine pushed over.

--- a/benchmarks/change.py
+++ b/benchmarks/change.py
@@ -29,7 +29,7 @@
 def contradicting(rig: Rig) -> tuple[str, list[str]]:
     """A smaller spread and more attempts: each of the two versions allows what the other forbids."""
     text = rig.settings(rig.slots[0])
-    return text.replace("most=3", "most=2").replace("attempts most=4", "attempts most=5"), rig.names
+    return text.replace('by="cell" most=3', 'by="cell" most=2').replace("attempts most=4", "attempts most=5"), rig.names
 
 
 def quantile(values: list[float], share: float) -> float:
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -360,6 +360,24 @@
     assert judge(copy).not_on_last == 5
 
 
+def test_planted_tasks_beyond_a_limit_of_the_fleet_are_found(copy: Path) -> None:
+    records = lines(copy / "recording.jsonl")
+    begun = next(each for each in records if each["what"] == "start")
+    more = [{**begun, "at_us": records[-1]["at_us"], "pod": f"planted-{number}"} for number in range(55)]
+    write(copy / "recording.jsonl", [*records, *more])
+    assert judge(copy).limit_overs == 1
+    taken = [each for each in records if each["what"] == "accepted"][-1]
+    many = [{**taken, "job": f"planted-{number}", "uid": f"planted-{number}"} for number in range(37)]
+    write(copy / "recording.jsonl", [*records, *many])
+    assert judge(copy).limit_overs == 1
+    write(copy / "recording.jsonl", records)
+    for name in FLEET[:2]:
+        history = copy / f"{name}.history.jsonl"
+        last = [each for each in lines(history) if each["what"] == "rights"][-1]
+        write(history, [*lines(history), {**last, "shares": {**last["shares"], "namespace/default/standing": 30}}])
+    assert judge(copy).limit_overs == 1
+
+
 def test_a_planted_floor_that_allows_too_much_is_found(copy: Path) -> None:
     like = offers(copy)[len(offers(copy)) // 2]
     history = copy / "placer-1.history.jsonl"
--- a/tests/peers/stage.py
+++ b/tests/peers/stage.py
@@ -17,11 +17,14 @@
 class Agreeing(Stage):
     """Five placers, three of them voters, that know each other by the first one."""
 
+    limits = ""  # in KDL, within `agree`
+
     def join(self) -> None:
         slots = self.cluster.placers
         voters = [slot.name for slot in slots[:3]]
         agree = "agree {\n" + "".join(
-            f'    {"voter" if slot.name in voters else "member"} "{slot.name}"\n' for slot in slots) + "}\n"
+            f'    {"voter" if slot.name in voters else "member"} "{slot.name}"\n' for slot in slots)
+        agree += self.limits + "}\n"
         for slot in slots:
             slot.kill()
             slot.extra = ('\nallow-peer "127.0.0.0/8"\n' + agree
--- /dev/null
+++ b/tests/peers/test_limits_path.py
@@ -0,0 +1,163 @@
+"""Limits of the whole fleet on the whole path, on a virtual clock, judged at the sockets."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from tests.peers.stage import Agreeing
+from tests.stage import JOBS, S
+from wingbarrow.config import SettingsError, load_text
+from wingbarrow.kube import names
+from wingbarrow.lab.cluster import PlacerSlot, settings_text
+from wingbarrow.lab.load import Want, job_value
+
+LIMITS = "/apis/wingbarrow.io/v1/limits"
+
+
+class Limited(Agreeing):
+    """Placers that share limits."""
+
+    def __init__(self, limits: str, machines: int = 4, placers: int = 5) -> None:
+        super().__init__(machines, placers)
+        self.limits, self.turned_away = limits, list[tuple[int, str, str]]()
+        self.jobs_given: list[str] = []
+
+    def give(self, slot: PlacerSlot, name: str, runs_s: float = 60, service: str = "") -> bool:
+        """Ask a placer to run something; whether it accepted."""
+        want = Want(0, name, "web", service or name, 0.25, 0.25, int(runs_s * S))
+        response = self.pool(slot.port).request("POST", "/apis/batch/v1/namespaces/default/jobs",
+                                                names.encode(job_value(want, name, 5 * S)))
+        if response.status != 201:
+            message = names.decode(response.body)["message"]
+            self.turned_away.append((response.status, message, response.get("retry-after") or ""))
+        else:
+            self.jobs_given.append(names.decode(response.body)["metadata"]["name"])
+        return response.status == 201
+
+    def standing(self) -> int:
+        return sum(slot.service.placer.book.admission.open for slot in self.cluster.placers if slot.service is not None)
+
+    def fill(self, slot: PlacerSlot, tag: str, tries: int, pause_s: float = 0.2) -> int:
+        taken = 0
+        for number in range(tries):
+            taken += self.give(slot, f"{tag}-{number}")
+            self.hub.sleep(int(pause_s * S))
+        return taken
+
+
+def test_who_has_the_demand_gets_the_whole_and_nobody_more_than_that() -> None:
+    stage = Limited('limit "namespace/default" most=20 stranded="5s"\n')
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        stage.hub.sleep(3 * S)
+        one, other = stage.cluster.placers[4], stage.cluster.placers[3]
+        assert stage.fill(one, "a", 60) == 20, "parts of those without demand are not left unused"
+        status, words, retry = stage.turned_away[-1]
+        assert status == 429 and "limit namespace/default/standing of the whole fleet: 20 at once" in words
+        assert 1 <= int(retry) <= 4
+        assert stage.fill(other, "b", 20) == 0 and stage.standing() == 20
+        told = stage.ask(stage.leader(), path=LIMITS)[1]
+        assert told["accounts"][0]["free"] == 0
+        mine = next(each for each in told["accounts"][0]["held"] if each["placer"] == one.name)
+        assert mine["uses"] == 20
+        assert stage.ask(other, path=LIMITS)[1]["items"][0]["wants"] > 0
+        for job in stage.jobs_given[:12]:
+            assert stage.pool(one.port).request("DELETE", f"{JOBS}/{job}").status == 200
+        assert stage.fill(other, "c", 40) >= 8 and stage.standing() <= 20, "it goes where it is wanted"
+    stage.play(script)
+
+
+def test_cut_off_from_the_voters_nothing_more_is_accepted_and_what_is_stranded_comes_free() -> None:
+    stage = Limited('limit "namespace/default" most=12 stranded="6s"\n')
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        stage.hub.sleep(3 * S)
+        one, other = stage.cluster.placers[4], stage.cluster.placers[3]
+        assert stage.fill(one, "a", 40) == 12
+        one.hold(4 * S)
+        assert stage.fill(other, "b", 30, 0.1) == 0, "stopped, it may have all of them in use"
+        assert stage.standing() == 12
+        one.kill()
+        killed = stage.hub.now_us()
+        first = None
+        for number in range(200):
+            if stage.give(other, f"c-{number}"):
+                first = stage.hub.now_us() - killed
+                break
+            stage.hub.sleep(S // 10)
+        assert first is not None and 4 * S <= first <= 10 * S, "after the grant and the stated time"
+    stage.play(script)
+
+
+def test_a_rate_of_new_tasks_holds_for_the_whole_fleet_through_a_change_of_leader() -> None:
+    stage = Limited('limit "class/web" most=10 per="5s"\n')
+    times: list[int] = []
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        stage.hub.sleep(3 * S)
+        for number in range(120):
+            slot = stage.cluster.placers[(3, 4)[number // 40 % 2]]
+            if stage.give(slot, f"r-{number}", 3):
+                times.append(stage.hub.now_us())
+            if number == 60:
+                stage.leader().kill()
+            stage.hub.sleep(S // 4)
+    stage.play(script)
+    assert max(sum(at <= other < at + 5 * S for other in times) for at in times) <= 10
+    assert len(times) >= 30, "and most of it is used"
+
+
+def cold_hall(limits: str) -> tuple[int, int]:
+    """One placer has all the work as a hall comes back cold: offers in its second to sixth second, and overruns."""
+    stage = Limited(limits)
+    since: list[int] = []
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        stage.hub.sleep(2 * S)
+        for machine in stage.cluster.machines:
+            machine.die()
+        stage.hub.sleep(2 * S)
+        for machine in stage.cluster.machines:
+            machine.launch(cold=True)
+        since.append(stage.hub.now_us())
+        for number in range(240):
+            stage.give(stage.cluster.placers[4], f"cold-{number}", 30)
+            stage.hub.sleep(S // 40)
+        stage.hub.sleep(3 * S)
+    stage.play(script)
+    sent = [each.at_us for each in stage.seen("offer") if each.at_us >= since[0]]
+    return sum(S <= at - since[0] < 6 * S for at in sent), stage.audit().cold_overruns
+
+
+def test_the_cold_budget_goes_to_the_one_that_needs_it() -> None:
+    parts, over = cold_hall("")
+    held, held_over = cold_hall('limit "cold"\n')
+    assert (over, held_over) == (0, 0)
+    assert held >= 2 * parts, f"{held} offers where equal parts allow {parts}"
+
+
+@pytest.mark.parametrize("line, words", [
+    ('limit "tenant/x" most=1', "out of its bounds"), ('limit "namespace/x"', "most= is wanted"),
+    ('limit "cold" most=4', "said by `cold`"),
+    ('limit "class/web" most=1\nlimit "class/web" most=2', "two limits of the same")])
+def test_bad_limits_are_told_with_their_line(line: str, words: str) -> None:
+    with pytest.raises(SettingsError, match=words):
+        load_text(settings_text(0, 1, 1, 1, 0, "/tmp/none") + f'agree {{\n    voter "placer-0"\n    {line}\n}}\n')
+
+
+def test_a_placer_that_agrees_with_nobody_has_no_such_limits() -> None:
+    stage = Limited("")
+
+    def script() -> Any:
+        return stage.ask(stage.cluster.placers[0], path=LIMITS)[0]
+    assert stage.play(script) == 404
--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -13,6 +13,7 @@
 from wingbarrow.cli.client import URL, Client, with_client
 from wingbarrow.cli.lab import lab
 from wingbarrow.cli.drains import drains
+from wingbarrow.cli.fleet import fleet
 from wingbarrow.cli.rules import rules
 from wingbarrow.config import SettingsError, load_file
 from wingbarrow.config.calendar import load_calendar
@@ -30,6 +31,7 @@
 main.add_command(lab)
 main.add_command(drains)
 main.add_command(rules)
+main.add_command(fleet)
 
 
 def settings_or_exit(path: Path):  # type: ignore[no-untyped-def]
--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -22,6 +22,7 @@
     parse_duration,
     parse_size,
 )
+from wingbarrow.decide.peers.limits import STRANDED_US, FleetLimit, check_limits
 
 _FILE_MOST = 1 << 20
 _PEERS_MOST = 64
@@ -128,7 +129,9 @@
     "history": Shape((text,)),
     "bar": Shape((text,), many=True),
     "agree": Shape((), {"grant": (read_duration, 2_000_000)}, {
-        "voter": Shape((text,), many=True), "member": Shape((text,), many=True)}),
+        "voter": Shape((text,), many=True), "member": Shape((text,), many=True),
+        "limit": Shape((text,), {"most": (_WHOLE, None), "per": (read_duration, 0),
+                                 "stranded": (read_duration, STRANDED_US)}, many=True)}),
     "class": Shape((text,), {
         "effect": (word("safe", "keyed", "unsafe"), NEEDED),
         "group": (word("machine", "cell", "zone", "all"), "all"), "window": (read_duration, 0),
@@ -348,7 +351,22 @@
         problems.append((node.line, "agree: a voter needs a state folder"))
     if not _GRANTS[0] <= node.props["grant"] <= _GRANTS[1]:
         problems.append((node.line, "agree: a grant lasts 200ms to 4s"))
-    return Agree(voters, members, node.props["grant"])
+    limits = tuple(_limit(each, members, top, problems) for each in node.children.get("limit", []))
+    problems += [(node.line, words) for words in check_limits(limits)]
+    return Agree(voters, members, node.props["grant"], limits)
+
+
+def _limit(node: Node, members: tuple[str, ...], top: Node, problems: list[tuple[int, str]]) -> FleetLimit:
+    """`limit "namespace/shop" most=100`, `limit "class/web" most=50 per="10s"`, `limit "cold"`: the cold budget."""
+    about, _, name = node.args[0].partition("/")
+    most, per = node.props["most"], node.props["per"]
+    if about == "cold":
+        if most is not None or per:
+            problems.append((node.line, "limit: that of cold machines is said by `cold`"))
+        most, per = int(top.get("cold", "offers", 20)), top.get("cold", "window", 2_000_000) * 5 // 4
+    elif most is None:
+        problems.append((node.line, f"limit {node.args[0]!r}: most= is wanted"))
+    return FleetLimit(about, name, "rate" if per else "standing", most or 0, per, node.props["stranded"], members)
 
 
 def _twice(nodes: list[Node], what: str, problems: list[tuple[int, str]]) -> None:
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -8,6 +8,7 @@
 from netaddr import IPSet
 
 from wingbarrow import interface as api
+from wingbarrow.decide.peers.limits import FleetLimit
 
 _DURATION = re.compile(r"(?:(\d+(?:\.\d+)?)(us|ms|s|m|h))")
 _UNITS_US = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
@@ -82,6 +83,7 @@
     voters: tuple[str, ...]
     members: tuple[str, ...]
     grant_us: int = 2_000_000
+    limits: tuple[FleetLimit, ...] = ()  # of the whole fleet, shared by `members`
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -143,7 +143,7 @@
         self.owed += job.unanswered
         self.jobs[key] = job
         if not adopted:
-            self.admission.add(asked.namespace, asked.count)
+            self.admission.add(asked.namespace, asked.count, asked.task_class.task_class.name)
         return job
 
     def open_request(self, task: TaskRecord, deadline_us: int) -> int:
@@ -177,11 +177,11 @@
         if after in (State.REFUSED, State.FAILED, State.LOST):
             job.causes.setdefault(after, task.last)
         if before in OPEN and after not in OPEN:
-            self.admission.remove(job.asked.namespace)
+            self.admission.remove(job.asked.namespace, 1, job.asked.task_class.task_class.name)
             if not job.open and not job.deleted:
                 self._ended[job.key] = None
         elif after in OPEN and before not in OPEN:
-            self.admission.add(job.asked.namespace, 1)
+            self.admission.add(job.asked.namespace, 1, job.asked.task_class.task_class.name)
             self._ended.pop(job.key, None)
         return True
 
--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -68,6 +68,14 @@
             base.counts["turned_away"] += 1
             base.log("job-turned-away", level="warning", what=too_many.what, most=too_many.most)
             raise ApiError(429, f"more than {too_many.most} {too_many.what}", retry_after_s=too_many.retry_after_s)
+        beyond = None if dry_run else self._rulebook.beyond(
+            namespace, asked.task_class.task_class.name, asked.count)
+        if beyond is not None:
+            base.counts["turned_away:limit"] += 1
+            # Spread, so that those turned away together do not come back together.
+            raise ApiError(429, f"limit {beyond.key} of the whole fleet: {beyond.most}"
+                           + (f" in {beyond.window_us / 1e6:g} s" if beyond.window_us else " at once"),
+                           retry_after_s=base.random.randrange(1, 5))
         uid = names.uid(base.settings.name, base.life, key, self._board.store.version, base.random.random())
         shown = job_value(value, asked, uid, base.hub.clock.wall_us())
         if dry_run:
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -54,7 +54,8 @@
             attempt.decided_us, attempt.deadline_us, task.state is State.ASKED and task.request == attempt.request,
             attempt.stage is Stage.WAITING and not attempt.abandoned and self._attempts.of(attempt.request) is attempt,
             link.phase is api.Phase.RUNNING, link.launched_us,
-            self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name)))
+            self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
+                                   attempt.decided_us)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
             return False
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -90,6 +90,11 @@
             fleet.guards.append(rulebook.guard)
             rulebook.acting = self._acting
             self.peering.on_rules = rulebook.take
+            self.peering.on_rights = rulebook.take_rights
+            self.peering.uses = self._uses
+            # Of the cold budget a placer wants as much as waits; how much of that is for cold machines nobody knows.
+            self.peering.demand = lambda key: book.owed if key == "cold" else 0
+            rulebook.purse = lambda: self.peering.agreement.purse if self.peering.agreement is not None else None
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
         self.drainer = Drainer(hub, settings.calendars, needed, settings.scheduler.placers, settings.state, closing,
@@ -118,6 +123,11 @@
         if self.host.failed is not None:
             raise self.host.failed
 
+    def _uses(self, key: str) -> int:
+        """Open tasks under a standing limit, for what is told to the voters' leader."""
+        about, _, rest = key.partition("/")
+        return self.book.admission.standing(about, rest.rpartition("/")[0])
+
     def _acting(self, now_us: int) -> Acting | None:
         agreement = self.peering.agreement
         return agreement.acting(now_us) if agreement is not None else None
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -10,6 +10,8 @@
 from wingbarrow.core.nodes import NodeEntry
 from wingbarrow.decide.gate import Held
 from wingbarrow.decide.peers.grants import Acting
+from wingbarrow.decide.peers.limits import FleetLimit
+from wingbarrow.decide.peers.rights import Purse
 from wingbarrow.decide.peers.rules import RuleSet, read
 from wingbarrow.kube.status import ApiError
 from wingbarrow.peers.ruleset import scheduler_under
@@ -21,6 +23,9 @@
     def __init__(self, base: Base, host: Host) -> None:
         self._base, self._host = base, host
         self.acting: Callable[[int], Acting | None] | None = None
+        self.purse: Callable[[], Purse | None] = lambda: None
+        self._cold: int | None = None  # this placer's part of the cold budget, where it is held in parts
+        self._cold_less_us = 0  # when that became less last
         self.pass_again: Callable[[set[str]], None] = lambda names: None  # has machines pass the fleet's guards anew
         self.on_drains: Callable[[RuleSet], None] = lambda rules: None
         self.drained: Callable[[str], bool] = lambda machine: False  # by a drain that placers agree on
@@ -28,6 +33,7 @@
         self._rules: RuleSet | None = None
         self._classes: frozenset[str] = frozenset()
         self._barred: frozenset[str] = frozenset()
+        self._text, self._by_rights = "", False
 
     def take(self, label: str, text: str) -> None:
         """Other rules are acted on from now on; an empty text: none, and the module keeps those it has."""
@@ -35,8 +41,13 @@
         self._base.log("rules", label=label or "none")
         if not text:
             return
-        self._rules = read(text)
-        self._host.feed(scheduler_under(self._base.settings, text))
+        self._rules, self._text = read(text), text
+        self._by_rights = label.startswith("e") and any(each.about == "cold" for each in self._rules.limits)
+        self._cold = None
+        if self._by_rights:
+            self.take_rights()
+        else:
+            self._host.feed(scheduler_under(self._base.settings, text))
         before, self._barred = self._barred, frozenset(self._rules.barred)
         self._classes = frozenset(each.name for each in self._rules.classes)
         changed = set(before ^ self._barred)
@@ -45,6 +56,35 @@
         if label.startswith("e"):  # a floor speaks of no drains: those known last go on
             self.on_drains(self._rules)
 
+    def take_rights(self) -> None:
+        """Another part of the fleet's limits is held now."""
+        purse = self.purse()
+        if not self._by_rights or purse is None:
+            return
+        share = purse.shares.get("cold", 0)
+        if share != self._cold:
+            if self._cold is not None and share < self._cold:
+                self._cold_less_us = self._base.hub.now_us()
+            self._cold = share
+            self._host.feed(scheduler_under(self._base.settings, self._text, share))
+
+    def beyond(self, namespace: str, task_class: str, count: int) -> FleetLimit | None:
+        """The limit of the whole fleet that so many more tasks would pass, by what is held here; else they count."""
+        purse = self.purse()
+        if self.acting is None or purse is None or self._rules is None:
+            return None
+        now, names = self._base.hub.now_us(), {"namespace": namespace, "class": task_class}
+        asked = [each for each in self._rules.limits if names.get(each.about) == each.name]
+        acting = self.acting(now)
+        if asked and (acting is None or not acting.edition):
+            return asked[0]  # Danger: on a floor, rights have lapsed: others may hold them by now
+        for each in asked:
+            if not purse.may(now, each.key, count):
+                return each
+        for each in asked:
+            purse.use(now, each.key, count)
+        return None
+
     def guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
         """A barred machine, or one that is to be drained, gets nothing."""
         if not (entry.name in self._barred or self.drained(entry.name)) or listed.phase is not api.Phase.RUNNING:
@@ -52,14 +92,14 @@
         return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
                                  listed.launched_us, listed.free_cores, listed.free_memory)
 
-    def against(self, now_us: int, label: str, task_class: str, machine: str) -> Held | None:
+    def against(self, now_us: int, label: str, task_class: str, machine: str, decided_us: int) -> Held | None:
         """What speaks against an offer that was decided under rules of a label, right before its first byte."""
         if self.acting is None:
             return None
         acting = self.acting(now_us)
         if acting is None:
             return Held.NO_GRANT
-        if acting.label != label or self._rules is None:
+        if acting.label != label or self._rules is None or decided_us < self._cold_less_us:
             return Held.OTHER_RULES
         if machine in self._barred or self.drained(machine) or task_class not in self._classes:
             return Held.FORBIDDEN
--- a/wingbarrow/decide/admission.py
+++ b/wingbarrow/decide/admission.py
@@ -23,6 +23,7 @@
         self._per_namespace = per_namespace
         self.open = 0
         self._namespaces: Counter[str] = Counter()
+        self.classes: Counter[str] = Counter()
 
     def take_limits(self, tasks_open: int, per_namespace: int) -> None:
         """New bounds; what is open stays."""
@@ -39,14 +40,20 @@
             return TooMany(f"open tasks in namespace {namespace}", self._per_namespace, 1)
         return None
 
-    def add(self, namespace: str, count: int) -> None:
+    def standing(self, about: str, name: str) -> int:
+        """Open tasks of a namespace, or of a class."""
+        return self.classes[name] if about == "class" else self._namespaces[name]
+
+    def add(self, namespace: str, count: int, task_class: str = "") -> None:
         """So many tasks were accepted."""
         self.open += count
         self._namespaces[namespace] += count
+        self.classes[task_class] += count
 
-    def remove(self, namespace: str, count: int = 1) -> None:
+    def remove(self, namespace: str, count: int = 1, task_class: str = "") -> None:
         """So many tasks have ended for good."""
         self.open -= count
+        self.classes[task_class] -= count
         self._namespaces[namespace] -= count
         if self._namespaces[namespace] <= 0:
             del self._namespaces[namespace]
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -9,71 +9,25 @@
 
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from wingbarrow.decide.peers import log
 from wingbarrow.decide.peers.agreed import Agreed, from_text
+from wingbarrow.decide.peers.asking import Ask, Grant, Message, NotLeader, Times
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.grants import Acting, Holder, given_until_us
 from wingbarrow.decide.peers.raft import Raft
+from wingbarrow.decide.peers.rights import Asker, Bank, Purse
+from wingbarrow.decide.peers.rules import RuleSet, read
+
+__all__ = ["Agreement", "Ask", "Grant", "Message", "NotLeader", "Times"]
 
 HOLDERS_MOST = 4096
 ASKS_MOST = 4096  # that wait for a round
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """May I act? `edition`, `floor`: what the asker acts on, so that their rules need not be said again."""
-
-    number: int
-    edition: int
-    floor: int
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """You may, for so long from when you asked. Rules are empty where the asker has them."""
-
-    number: int
-    edition: int
-    rules: str
-    lasts_us: int
-    version: int
-    floor: int
-    floor_rules: str
-    floor_us: int
-
-
-@dataclass(frozen=True, slots=True)
-class NotLeader:
-    """Ask that one instead; "" where none is known."""
-
-    number: int
-    leader: str
-
-
-Message = Ask | Grant | NotLeader | log.Message
-
-
-@dataclass(frozen=True, slots=True)
-class Times:
-    """Times in microseconds."""
-
-    grant_us: int = 2_000_000
-    election_us: int = 1_000_000
-    batch_us: int = 20_000  # asks are answered together, one round of the voters for all
-    again_us: int = 200_000  # an ask without an answer is sent again, to another voter
-
-    def stated_us(self, turn_us: int) -> int:
-        """For how long after the first act under new rules somebody may act under those before: the stated time.
-
-        A grant of the old ones was asked for before the new ones were decided, and lasts `grant_us` by its holder's
-        clock; the gate asks right before the first byte, which may then wait for the hub's longest turn.
-        """
-        return given_until_us(0, self.grant_us) + turn_us
-
-
 @dataclass(slots=True)
 class _Asked:
     ident: str
@@ -85,8 +39,9 @@
     """`disk`: what this placer has as a voter, None where it has none; `voter`: whether the settings name it as one."""
 
     def __init__(self, me: str, voters: tuple[str, ...], disk: log.Disk | None, seed: int,
-                 times: Times = Times()) -> None:  # noqa: B008 - frozen
-        self.me, self.times = me, times
+                 times: Times = Times(), life: int = 0) -> None:  # noqa: B008 - frozen
+        self.me, self.times, self._life, self._born_us = me, times, life, 0
+        self.purse = Purse()
         self.named = voters
         self.raft = Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
         self.agreed = Agreed()
@@ -100,6 +55,8 @@
         self._tried = 0
         self._acting: Acting | None = None
         # a leader's
+        self.bank: Bank | None = None
+        self._read: tuple[str, int, RuleSet | None, frozenset[str]] = ("", 0, None, frozenset())
         self._waiting: list[_Asked] = []
         self._rounds: dict[int, list[_Asked]] = {}
         self._round = 0
@@ -111,6 +68,7 @@
 
     def start(self, now_us: int) -> list[Effect]:
         """Begin."""
+        self._born_us = now_us
         out = self._of_raft(now_us, self.raft.start(now_us)) if self.raft is not None else []
         return [*out, self._timer("ask", now_us + 1)]
 
@@ -186,7 +144,8 @@
         self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
         self._number += 1
         self._asked[self._number] = now_us
-        ask = Ask(self._number, self.holder.edition, self.holder.floor)
+        ask = Ask(self._number, self.holder.edition, self.holder.floor, self._life, max(0, now_us - self._born_us),
+                  self.purse.stated(now_us))
         if self.leads:
             out += self._on_ask(now_us, self.me, "", ask)
         else:
@@ -208,14 +167,27 @@
             return []  # given up, or doubled: when it was asked for is not known
         self._asked.clear()
         self._leader, self._tried = ident, 0
+        out: list[Effect] = []
         rules = grant.rules or self.holder.rules
         if grant.edition and (grant.rules or grant.edition == self.holder.edition):
-            self.holder.take(asked_us, grant.edition, rules, grant.lasts_us)
+            before = self.holder.edition
+            if self.holder.take(asked_us, grant.edition, rules, grant.lasts_us):
+                out += self._take_rights(grant, before)
         if grant.floor and (grant.floor_rules or grant.floor == self.holder.floor):
             self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
         self.version = max(self.version, grant.version)
         # A third of the grant between asks: two may be lost before one lapses.
-        return [self._timer("ask", now_us + self.times.grant_us // 3), *self._look_at_grant(now_us)]
+        # Sooner where rights are short: what others give back comes by the answers.
+        wait = self.times.again_us if self.purse.limits and self.purse.short(now_us) else self.times.grant_us // 3
+        return [self._timer("ask", now_us + wait), *self._look_at_grant(now_us), *out]
+
+    def _take_rights(self, grant: Grant, before: int) -> list[Effect]:
+        shares = dict(self.purse.shares)
+        if self.holder.edition != before:
+            self.purse.take_limits(read(self.holder.rules).limits)
+        if grant.number == self._number:  # Danger: an earlier ask stated what may have been given back since
+            self.purse.take(grant.rights)
+        return [Tell("rights", {"shares": dict(self.purse.shares)})] if shares != self.purse.shares else []
 
     def _on_not_leader(self, now_us: int, message: NotLeader) -> list[Effect]:
         if self._asked.pop(message.number, None) is None:
@@ -287,13 +259,27 @@
         self._holders[asked.ident] = agreed.edition, until
         if floor is not None:
             self._floors_out[floor.number] = given_until_us(now_us, floor.lasts_us)
+        rules, holders = self._rules()
+        rights = self.bank.answer(now_us, Asker(asked.ident, ask.life, ask.up_us, ask.number), ask.stated, rules.limits,
+                                  holders) if self.bank is not None and rules.limits else ()
         grant = Grant(ask.number, agreed.edition, "" if ask.edition == agreed.edition else agreed.rules, lasts,
                       agreed.version, floor.number if floor else 0,
-                      floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0)
+                      floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0,
+                      rights)
         if asked.ident == self.me:
             return self._on_grant(now_us, self.me, grant)
         return [Send(asked.ident, asked.address, grant)]
 
+    def _rules(self) -> tuple[RuleSet, frozenset[str]]:
+        """The rules in force, and who may hold rights under them or any version that is kept."""
+        text, version, rules, holders = self._read
+        if rules is None or (text, version) != (self.agreed.rules, self.agreed.version):
+            rules = read(self.agreed.rules)
+            kept = [rules, *(read(each.rules) for each in self.agreed.versions)]
+            holders = frozenset(name for each in kept for limit in each.limits for name in limit.among)
+            self._read = self.agreed.rules, self.agreed.version, rules, holders
+        return rules, holders
+
     def _look_at_steps(self, now_us: int) -> list[Effect]:
         """At the leader: take the next step, or drop a floor, once what came before has lapsed."""
         if not self.leads or self.raft is None:
@@ -341,12 +327,23 @@
             elif isinstance(effect, log.Elected):
                 self._waiting, self._rounds, self._holders = [], {}, {}
                 self._floors_out, self._leaving = {}, {}
+                self.bank = Bank(self.times.grant_us, now_us, self._given_before()) if effect.on else None
                 if effect.on:
                     out.append(self._timer("step", now_us + self.times.batch_us))
             else:
                 out.append(effect)
         return out
 
+    def _given_before(self) -> Callable[[str], bool]:
+        """At an election: to which limits leaders before may have given rights."""
+        assert self.raft is not None
+        disk = self.raft.disk
+        if any(entry.kind not in ("", log.VOTERS) for entry in disk.log[self.raft.commit - disk.base:]):
+            return lambda key: True  # Danger: a version that is decided, and not known to be, may have had any limit
+        texts = [self.agreed.rules, *(each.rules for each in self.agreed.versions)]
+        keys = frozenset(limit.key for text in texts if text for limit in read(text).limits)
+        return lambda key: key in keys
+
     def _decided(self, now_us: int, committed: log.Committed) -> list[Effect]:
         out: list[Effect] = []
         before = self.agreed.edition, self.agreed.version, len(self.agreed.floors)
--- /dev/null
+++ b/wingbarrow/decide/peers/asking.py
@@ -0,0 +1,64 @@
+"""What is asked and answered about acting on rules: asks, grants, who leads; and the times that go with them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wingbarrow.decide.peers import log
+from wingbarrow.decide.peers.grants import given_until_us
+from wingbarrow.decide.peers.rights import Right, Stated
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """May I act? `edition`, `floor`: what the asker acts on, so that their rules need not be said again."""
+
+    number: int
+    edition: int
+    floor: int
+    life: int = 0  # of the asker, and for how long it has lasted
+    up_us: int = 0
+    stated: tuple[Stated, ...] = ()  # what it holds, uses and wants of the fleet's limits
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """You may, for so long from when you asked. Rules are empty where the asker has them."""
+
+    number: int
+    edition: int
+    rules: str
+    lasts_us: int
+    version: int
+    floor: int
+    floor_rules: str
+    floor_us: int
+    rights: tuple[Right, ...] = ()  # in place of what was stated
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeader:
+    """Ask that one instead; "" where none is known."""
+
+    number: int
+    leader: str
+
+
+Message = Ask | Grant | NotLeader | log.Message
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """Times in microseconds."""
+
+    grant_us: int = 2_000_000
+    election_us: int = 1_000_000
+    batch_us: int = 20_000  # asks are answered together, one round of the voters for all
+    again_us: int = 200_000  # an ask without an answer is sent again, to another voter
+
+    def stated_us(self, turn_us: int) -> int:
+        """For how long after the first act under new rules somebody may act under those before: the stated time.
+
+        A grant of the old ones was asked for before the new ones were decided, and lasts `grant_us` by its holder's
+        clock; the gate asks right before the first byte, which may then wait for the hub's longest turn.
+        """
+        return given_until_us(0, self.grant_us) + turn_us
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -13,6 +13,7 @@
 from dataclasses import asdict, dataclass, fields, replace
 from typing import Any
 
+from wingbarrow.decide.peers.limits import FleetLimit, check_limits, limits_meet, limits_within, normal_limits
 from wingbarrow.decide.peers.planned import (
     AskedDrain,
     DrainPlan,
@@ -27,7 +28,8 @@
 CLASSES_MOST, NAMES_MOST = 256, 4096
 TEXT_MOST = 32 * 1024  # so that a snapshot with all that is kept fits one mail
 EFFECTS = ("unsafe", "keyed", "safe")  # from what forbids most
-DRAINS = ("windows", "asked", "cancelled", "plan")  # fields about drains; no floor speaks of them
+DRAINS = ("windows", "asked", "cancelled", "plan")  # fields about drains
+FLOORLESS = (*DRAINS, "limits")  # no floor speaks of these; rights to a limit are lost with the grant
 
 
 class BadRules(ValueError):
@@ -62,12 +64,13 @@
     asked: tuple[AskedDrain, ...] = ()
     cancelled: tuple[str, ...] = ()  # keys of drains that were taken back
     plan: DrainPlan = DrainPlan()
+    limits: tuple[FleetLimit, ...] = ()  # of the whole fleet, held in parts
 
     def text(self) -> str:
-        """The canonical text: the same rules, the same text. What is said of drains is left out where it is nothing."""
+        """The canonical text: the same rules, the same text. What is nothing of drains and limits is left out."""
         value = asdict(self)
-        for name in DRAINS:
-            if getattr(self, name) == _NO_DRAINS[name]:
+        for name in FLOORLESS:
+            if getattr(self, name) == _NOTHING[name]:
                 del value[name]
         return json.dumps(value, sort_keys=True, separators=(",", ":"))
 
@@ -81,7 +84,7 @@
         return dict(self.cold_shares).get(placer, 0)
 
 
-_NO_DRAINS: dict[str, Any] = {each.name: each.default for each in fields(RuleSet) if each.name in DRAINS}
+_NOTHING: dict[str, Any] = {each.name: each.default for each in fields(RuleSet) if each.name in FLOORLESS}
 
 
 def normal(rules: RuleSet) -> RuleSet:
@@ -91,7 +94,7 @@
                    cold_shares=tuple(sorted((name, share) for name, share in rules.cold_shares if share != 0)),
                    barred=tuple(sorted(set(rules.barred))), asked=tuple(sorted(set(rules.asked))),
                    windows=tuple(sorted(rules.windows, key=lambda each: (each.name, repr(each)))),
-                   cancelled=tuple(sorted(set(rules.cancelled))))
+                   cancelled=tuple(sorted(set(rules.cancelled))), limits=normal_limits(rules.limits))
 
 
 def read(text: str) -> RuleSet:
@@ -100,14 +103,16 @@
         raise BadRules(f"{len(text)} characters; {TEXT_MOST} are the most")
     try:
         value = json.loads(text)
-        if not isinstance(value, dict) or set(value) | set(DRAINS) != {each.name for each in fields(RuleSet)}:
+        if not isinstance(value, dict) or set(value) | set(FLOORLESS) != {each.name for each in fields(RuleSet)}:
             raise BadRules("not the fields of a rule set")
         classes = tuple(ClassRules(**each) for each in value["classes"])
         shares = tuple((name, share) for name, share in value["cold_shares"])
         value |= {"classes": classes, "cold_shares": shares, "barred": tuple(value["barred"]),
                   "windows": tuple(read_window(each) for each in value.get("windows", ())),
                   "asked": tuple(AskedDrain(**each) for each in value.get("asked", ())),
-                  "cancelled": tuple(value.get("cancelled", ()))}
+                  "cancelled": tuple(value.get("cancelled", ())),
+                  "limits": tuple(FleetLimit(**{**each, "among": tuple(each["among"])})
+                                  for each in value.get("limits", ()))}
         if "plan" in value:
             value["plan"] = read_plan(value["plan"])
         rules = normal(RuleSet(**value))
@@ -149,7 +154,7 @@
     want(len({who for who, _ in rules.cold_shares}) == len(rules.cold_shares), "cold: two shares for one placer")
     want(whole(rules.drain_grace_us, 0, 3_600_000_000), "drain: a grace of at most an hour is wanted")
     want(all(name(machine) for machine in rules.barred), "barred: a machine without a name")
-    return out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan)
+    return out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan) + check_limits(rules.limits)
 
 
 def shares(offers: int, placers: tuple[str, ...]) -> tuple[tuple[str, int], ...]:
@@ -241,6 +246,7 @@
     "asked": _NAMED,
     "cancelled": _Order(lambda a, b: set(a) <= set(b), lambda a, b: tuple(set(a) & set(b))),
     "plan": _Order(plan_within, plan_meet),
+    "limits": _Order(limits_within, limits_meet),
 }
 
 
@@ -250,9 +256,9 @@
 
 
 def keeps_floor(floor: RuleSet, rules: RuleSet) -> bool:
-    """Whether rules allow what a floor does, drains aside: of those a placer that is cut off hears later."""
+    """Whether rules allow what a floor does; of drains who is cut off hears later, of limits it holds nothing."""
     return all(order.within(getattr(floor, name), getattr(rules, name)) for name, order in _FIELDS.items()
-               if name not in DRAINS)
+               if name not in FLOORLESS)
 
 
 def contradict(a: RuleSet, b: RuleSet) -> bool:
@@ -289,6 +295,10 @@
             word = "drain asked for" if name == "asked" else "drain taken back"
             out += [f"{word}: {_drain(each)}" for each in sorted(set(other) - set(one))]
             out += [f"no longer a {word}: {_drain(each)}" for each in sorted(set(one) - set(other))]
+        elif name == "limits":
+            told, new = ({each.key: each for each in side} for side in (one, other))
+            out += [f"limit {key}: {_limit(told.get(key))} -> {_limit(new.get(key))}"
+                    for key in sorted(told.keys() | new.keys()) if told.get(key) != new.get(key)]
         elif name == "plan":
             out += [f"drains, {field.name.replace('_', ' ')}: {getattr(one, field.name)} -> "
                     f"{getattr(other, field.name)}" for field in fields(DrainPlan)
@@ -301,6 +311,13 @@
     return out
 
 
+def _limit(limit: FleetLimit | None) -> str:
+    if limit is None:
+        return "none"
+    return (f"{limit.most}" + (f" in {limit.window_us / 1_000_000:g} s" if limit.window_us else "")
+            + f" among {len(limit.among)}, stranded for {limit.stranded_us / 1_000_000:g} s")
+
+
 def _drain(each: AskedDrain | str) -> str:
     return each if isinstance(each, str) else f"{each.machine} for {each.lasts_us // 1_000_000} s"
 
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -17,6 +17,7 @@
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.peers.front import InstancesFront
+from wingbarrow.peers.limitsfront import LimitsFront
 from wingbarrow.peers.rulesfront import RulesFront
 from wingbarrow.transport import Hub
 
@@ -42,6 +43,7 @@
         self.instances = InstancesFront(hub, lambda: placer.base.settings, placer.hearsay, placer.peering,
                                         placer.base.born_us, log)
         self.rules = RulesFront(hub, placer.peering)
+        self.limits = LimitsFront(hub, placer.peering)
         self.drains = DrainsFront(hub, placer.drainer, self.rules)
         placer.peering.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
@@ -84,6 +86,8 @@
             return self.drains.handle(request, parts[4:])
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "rules"]:
             return self.rules.handle(request, parts[4:])
+        if parts == ["apis", "wingbarrow.io", "v1", "limits"]:
+            return self.limits.handle(request)
         if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
             return self.instances.handle(request, parts[3:], Query(query_text))
         if parts[:3] == ["apis", "batch", "v1"]:
--- a/wingbarrow/lab/fleet/judge.py
+++ b/wingbarrow/lab/fleet/judge.py
@@ -11,6 +11,8 @@
   stated time after the next one that forbids some of it was in use; under rules that another placer knows otherwise by
   the same label; under a floor that allows what an edition in use forbids; or under no label;
 - **forbidden send**: to a machine that the offer's own rules bar or have drained, or of a class that they lack;
+- **limit over**: more tasks ran at once, or were accepted within the window, than a limit of the whole fleet allows, or
+  more rights are held at the end than there are;
 - **not on the last**: a placer that runs at the end acts on other rules than those accepted last, or has other machines
   drained than were asked for and not taken back;
 - **not healed**: a stated time after the last fault, one that runs does not hold another that runs for alive.
@@ -29,14 +31,15 @@
 from wingbarrow.decide.peers.membership import Rules
 from wingbarrow.decide.peers.rules import RuleSet, allows, keeps_floor, read
 from wingbarrow.lab.audit import Audit, audit
+from wingbarrow.lab.fleet.holding import loosest, over, unaccounted
 from wingbarrow.lab.record import Record, Recorder
 
 SLACK_US = 250_000  # by which the rig itself may read an answer late, beside the worst lag that it saw of itself
 ALIVE = ("joined", "alive", "restarted")
 NEVER = 1 << 62
 TURN_US = 10_000  # the hub's longest turn, between the gate and the write
-BREACHES = ("unfounded_burials", "late_burials", "not_healed", "contradictions", "forbidden_sends", "not_on_last",
-            "ended_badly")
+BREACHES = ("unfounded_burials", "late_burials", "not_healed", "contradictions", "forbidden_sends", "limit_overs",
+            "not_on_last", "ended_badly")
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +75,8 @@
     longest_contradiction_ms: int = 0
     stated_ms: int = 0
     forbidden_sends: int = 0
+    limit_overs: int = 0
+    turned_away: int = 0  # by a limit of the whole fleet
     not_on_last: int = 0
     sends_on_floor: int = 0
     ended_badly: int = 0  # processes that ended by themselves, or not with status 0 when asked to
@@ -163,6 +168,7 @@
         records = Recorder.read(self.folder / "recording.jsonl")
         out.audit = audit(records, load_file(self.folder / f"{self.names[0]}.kdl"), SLACK_US + lag)
         self._judge_rules(out, records, SLACK_US + lag)
+        self._judge_limits(out, records)
         out.sends = out.audit.offers
         out.notes += out.audit.notes
         self._judge_burials(out)
@@ -204,6 +210,16 @@
                 self._judge_send(out, each, edition, rules, texts, first, stated_us)
         self._judge_last(out, texts)
 
+    def _judge_limits(self, out: Verdict, records: list[Record]) -> None:
+        limits = loosest(self._texts(Verdict(0)).values())
+        last = {name: [each["shares"] for each in lines if each["what"] == "rights" and each["at_us"] <= self.end_us]
+                for name, lines in self.histories.items()}
+        shares = {name: found[-1] for name, found in last.items() if found and self.up[name][-1].end_us == NEVER}
+        for words in (*over(limits, records), *unaccounted(limits, shares)):
+            out.limit_overs += 1
+            out.notes.append(words)
+        out.turned_away = sum(each.what == "turned-away" and each.data["code"] == 429 for each in records)
+
     def _texts(self, out: Verdict) -> dict[str, RuleSet]:
         texts: dict[str, str] = {}
         for name, lines in self.histories.items():
--- a/wingbarrow/lab/fleet/rig.py
+++ b/wingbarrow/lab/fleet/rig.py
@@ -201,7 +201,7 @@
     def variant(self, number: int) -> tuple[str, list[str]]:
         """Settings with rules that differ from those at the beginning, and who shares the cold budget, by a number."""
         rng, text = random.Random(number), self.settings(self.slots[0])
-        text = text.replace("most=3", f"most={rng.randrange(1, 4)}").replace(
+        text = text.replace('by="cell" most=3', f'by="cell" most={rng.randrange(1, 4)}').replace(
             "offers=20", f"offers={rng.randrange(4, 21)}").replace(
             "attempts most=4", f"attempts most={rng.randrange(2, 5)}")
         barred = "".join(f'bar "{machine.name}"\n' for machine in self.cluster.machines if rng.random() < 0.15)
@@ -335,8 +335,12 @@
 
     def _agree(self) -> str:
         count = self.size.voters
+        rate = self.size.rate
+        limits = (f'    limit "namespace/default" most={int(rate * 9)} stranded="40s"\n'
+                  f'    limit "class/web" most={int(rate * 6)} per="5s"\n    limit "cold"\n')
         return "".join(["agree {\n", *[f'    voter "{name}"\n' for name in self.names[:count]],
-                        *[f'    member "{name}"\n' for name in self.names[count:]], "}\n"])
+                        *[f'    member "{name}"\n' for name in self.names[count:]], limits,
+                        "}\n"])
 
     # -- questions to the placers, for waiting only: the judge never hears the answers
 
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -57,6 +57,9 @@
         self.membership = self._member()
         self.agreement: Agreement | None = None
         self.on_rules: Callable[[str, str], None] = lambda label, text: None
+        self.on_rights: Callable[[], None] = lambda: None
+        self.uses: Callable[[str], int] = lambda key: 0  # of a standing limit, by its key
+        self.demand: Callable[[str], int] = lambda key: 0  # what would be used beyond that
         self._store: VoteStore | None = None
         self._timers: dict[tuple[str, str], Timer] = {}
         self._nursery: Nursery | None = None
@@ -205,6 +208,8 @@
         self.history(tell.what, **tell.fields)
         if tell.what == "rules":
             self.on_rules(str(tell.fields["label"]), str(tell.fields["rules"]))
+        elif tell.what == "rights":
+            self.on_rights()
         else:
             self._log("rules-" + tell.what, **tell.fields)
         if tell.what == "leads":
@@ -227,8 +232,10 @@
             # Danger: a voter that lost its disk may have promised what it does not know; it votes no more.
             self._log("rules-voter-without-store", level="error", what="`wingbarrow rules init` makes a new voter's; "
                       "one that lost it is left out and taken in anew (`wingbarrow rules voters`)")
-        return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + self._life,
-                         Times(grant_us=agree.grant_us))
+        made = Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + self._life,
+                         Times(grant_us=agree.grant_us), self._life)
+        made.purse.uses, made.purse.demand = self.uses, self.demand
+        return made
 
     def _persist(self, what: Persist) -> bool:
         if self._store is None:
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from wingbarrow.decide.peers import agreement, log, words
+from wingbarrow.decide.peers import asking, log, words
+from wingbarrow.decide.peers.limits import LIMITS_MOST
 
 FORM = 1
 MAIL_MOST = 1 << 20  # bytes: what a front takes by default
@@ -25,7 +26,7 @@
 KINDS: dict[str, type[Any]] = {
     "probe": words.Probe, "probe-for": words.ProbeFor, "ack": words.Ack, "nack": words.Nack, "sync": words.Sync,
     "vote-ask": log.VoteAsk, "vote-answer": log.VoteAnswer, "append": log.Append, "append-answer": log.AppendAnswer,
-    "install": log.Install, "ask": agreement.Ask, "grant": agreement.Grant, "not-leader": agreement.NotLeader}
+    "install": log.Install, "ask": asking.Ask, "grant": asking.Grant, "not-leader": asking.NotLeader}
 _NAMES = {kind: name for name, kind in KINDS.items()}
 
 
@@ -116,6 +117,9 @@
             raise BadMail("an incarnation out of range")
     if isinstance(message, log.Append) and len(message.entries) > ENTRIES_MOST:
         raise BadMail(f"{len(message.entries)} entries; {ENTRIES_MOST} are the most")
+    if isinstance(message, asking.Ask) and (len(message.stated) > LIMITS_MOST or len(
+            {each.key for each in message.stated}) < len(message.stated) or message.up_us < 0):
+        raise BadMail("more limits than there can be, one twice, or a life of no length")
     if isinstance(message, words.ProbeFor) and not (0 < len(message.ident) <= NAME_MOST
                                                     and 0 < len(message.address) <= ADDRESS_MOST):
         raise BadMail("a probe for nobody")
--- a/wingbarrow/peers/ruleset.py
+++ b/wingbarrow/peers/ruleset.py
@@ -21,7 +21,8 @@
     return normal(RuleSet(classes, scheduler.attempts_most, scheduler.cold_us, scheduler.fall_us,
                           shares(int(scheduler.fresh_offers), members), settings.drain_grace_us, settings.barred,
                           windows=tuple(window_of(each) for each in calendar.series),
-                          plan=plan_of(calendar.rules, calendar.policy)))
+                          plan=plan_of(calendar.rules, calendar.policy),
+                          limits=agree.limits if agree is not None else ()))
 
 
 def calendar_under(rules: RuleSet, kinds_needed: tuple[str, ...]) -> Calendar:
@@ -35,12 +36,15 @@
     return replace(wanted, asked=now.asked, cancelled=now.cancelled)
 
 
-def scheduler_under(settings: PlacerSettings, text: str) -> api.Settings:
-    """What the module is told while a placer acts on rules; classes that they lack are held at the gate."""
+def scheduler_under(settings: PlacerSettings, text: str, cold_share: int | None = None) -> api.Settings:
+    """What the module is told while a placer acts on rules; classes that they lack are held at the gate.
+
+    `cold_share`: what this placer holds of the cold budget now, where that is a limit of the whole fleet.
+    """
     rules, scheduler = read(text), settings.scheduler
     held = {each.name: each for each in rules.classes}
     classes = tuple(_class(each, held.get(each.name)) for each in scheduler.classes)
-    share = rules.cold_share(settings.name)
+    share = rules.cold_share(settings.name) if cold_share is None else cold_share
     return replace(scheduler, classes=classes, attempts_most=rules.attempts_most, cold_us=rules.cold_us,
                    fall_us=rules.cold_window_us, placers=max(1, scheduler.placers),
                    fresh_offers=float(share * max(1, scheduler.placers)))
