--- a/tests/decide/peers/test_agreement.py
+++ b/tests/decide/peers/test_agreement.py
@@ -9,7 +9,8 @@
 
 from wingbarrow.decide.peers.agreed import Agreed, from_text
 from wingbarrow.decide.peers.agreement import Ask, Grant, NotLeader
-from wingbarrow.decide.peers.grants import DRIFT, Holder, given_until_us
+from wingbarrow.decide.peers.grants import Holder, given_until_us
+from wingbarrow.decide.peers.limits import DRIFT
 from wingbarrow.decide.peers.rules import ClassRules, allows, contradict, meet, normal, read
 from wingbarrow.lab.fleet.assembly import Use, judge
 from wingbarrow.lab.fleet.schedules import FLOOR, fine, founded, generated, rules
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -40,7 +40,7 @@
 
     def __init__(self, me: str, voters: tuple[str, ...], disk: log.Disk | None, seed: int,
                  times: Times = Times(), life: int = 0) -> None:  # noqa: B008 - frozen
-        self.me, self.times, self._life, self._born_us = me, times, life, 0
+        self.me, self.times, self.life, self._born_us = me, times, life, 0
         self.purse = Purse()
         self.named = voters
         self.raft = Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
@@ -144,7 +144,7 @@
         self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
         self._number += 1
         self._asked[self._number] = now_us
-        ask = Ask(self._number, self.holder.edition, self.holder.floor, self._life, max(0, now_us - self._born_us),
+        ask = Ask(self._number, self.holder.edition, self.holder.floor, self.life, max(0, now_us - self._born_us),
                   self.purse.stated(now_us))
         if self.leads:
             out += self._on_ask(now_us, self.me, "", ask)
--- a/wingbarrow/decide/peers/grants.py
+++ b/wingbarrow/decide/peers/grants.py
@@ -9,12 +9,11 @@
 
 from dataclasses import dataclass
 
-DRIFT = 0.002  # two clocks, each 500 ppm off, differ by a little more than 1,000 ppm
-
+from wingbarrow.decide.peers.limits import drifted_us
 
 def given_until_us(now_us: int, lasts_us: int) -> int:
     """Until when the giver reckons with a grant that it gives now: its holder asked before."""
-    return now_us + int(lasts_us * (1 + DRIFT)) + 1
+    return now_us + drifted_us(lasts_us)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/decide/peers/limits.py
+++ b/wingbarrow/decide/peers/limits.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, replace
 
+DRIFT = 0.002  # two clocks, each 500 ppm off, differ by a little more than 1,000 ppm
 LIMITS_MOST, AMONG_MOST = 64, 4096
 STRANDED_US = 60_000_000
 HOUR_US = 3_600_000_000
@@ -15,6 +16,11 @@
 KINDS = ("standing", "rate")
 
 
+def drifted_us(time_us: int) -> int:
+    """At least so long by another's clock."""
+    return int(time_us * (1 + DRIFT)) + 1
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class FleetLimit:
     """One limit. `most` is the whole, which `among` share; who is not named there has nothing."""
@@ -34,8 +40,9 @@
 
     @property
     def lag_us(self) -> int:
-        """For how long what was held may count after it was given back or has lapsed: a use in the window does."""
-        return self.window_us if self.kind == "rate" else self.stranded_us
+        """For how long what was held may count after it was given back or has lapsed, by any clock: a use in the
+        window does."""
+        return drifted_us(self.window_us if self.kind == "rate" else self.stranded_us)
 
 
 def check_limits(limits: tuple[FleetLimit, ...]) -> list[str]:
--- a/wingbarrow/decide/peers/rights.py
+++ b/wingbarrow/decide/peers/rights.py
@@ -231,7 +231,7 @@
         if limit.kind == "standing":
             return self.uses(key)
         times = self._times.get(key, deque())
-        while times and times[0][0] <= now_us - limit.window_us:
+        while times and times[0][0] <= now_us - limit.lag_us:
             times.popleft()
         return sum(count for _, count in times)
 
