Verdicts on machines for the whole fleet: two witnesses close, one placer tries, it ends by itself

Need: each of 16 placers found out by itself that a machine is bad, at the price of its own failed starts, and one that was itself in trouble believed that all are.

Change: placers tell the voters' leader what starts came to (decide/peers/verdicts.Experience), with their asks for grants; the leader (Bench) closes a machine once two witnesses, of two regions where there are more, saw three starts fail, never more than a fifth of the fleet or a third of a zone, and hears nobody who finds more than 0.3 of its machines bad. A verdict ends by itself, longer each time; one placer, by rendezvous hashing, tries the machine for all, and its good experience ends it. In the core it is a guard like bars and drains: the list's word outranks it, a relaunch too. 'wingbarrow fleet verdicts [--why MACHINE]'. The rig has a fault 'faulty', the judge holds closures to failed starts at the sockets, with a planted one. The rig no longer kills a process that is still starting (a play ended by that).

Result: path tests with five placers: a bad machine closed to all, tried by one, opened when it is well; a liar closes nothing; a fleet of eight wastes less than half.

--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -146,7 +146,8 @@
                 assert fault.at_us >= spans.get(fault.who, 0), "a process suffers one thing at a time"
                 spans[fault.who] = fault.end_us
     assert {fault.kind for seed in range(1, 60) for fault in generate(seed, NAMES, 60)} == {
-        "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill", "propose", "drain"}
+        "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill", "propose", "drain",
+        "faulty"}
 
 
 # -- a play with processes, and its judge
@@ -166,6 +167,7 @@
               Fault("cut", 4 * S, "placer-1", "placer-3", 3 * S, both=False),
               Fault("kill", 5 * S, "placer-0", "", 1 * S, state=False),
               Fault("propose", 6 * S, "placer-2", amount=14.0), Fault("drain", 7 * S, "placer-3", amount=2.0),
+              Fault("faulty", S // 2, "placer-0", "", 6 * S, amount=3.0),
               Fault("lossy", 6 * S, "placer-2", "placer-1", 3 * S, amount=0.3),
               Fault("propose", 10 * S, "placer-4", amount=16.0)]
     hub = Hub()
@@ -176,7 +178,7 @@
 def test_processes_with_faults_between_them_keep_the_rules_and_find_together(fleet: Path) -> None:
     verdict = judge(fleet)
     assert verdict.clean, verdict.notes
-    assert (verdict.placers, verdict.faults, verdict.kills) == (5, 12, 1)
+    assert (verdict.placers, verdict.faults, verdict.kills) == (5, 13, 1)
     assert verdict.versions >= 5 and verdict.editions >= 3 and verdict.longest_contradiction_ms <= verdict.stated_ms
     assert verdict.sends == verdict.audit.offers >= 20 and verdict.audit.placed >= 20
     assert verdict.audit.accepted == sum((verdict.audit.placed, verdict.audit.refused, verdict.audit.failed,
@@ -184,6 +186,7 @@
     assert judge(fleet).line() == verdict.line(), "it can be judged again"
     kinds = {each["what"] for each in map(json.loads, (fleet / "placer-1.history.jsonl").read_text().splitlines())}
     assert {"start", "member-joined", "member-restarted", "rules"} <= kinds
+    assert verdict.closures >= 1, "a machine failed every start for six seconds"
     drained = [each for each in lines(fleet / "events.jsonl") if each["what"] == "drain"]
     assert len(drained) == 1 and drained[0]["told"]["kind"] == "Drain"
     closed = [name for name in FLEET if any(drained[0]["machine"] in each.get("machines", [])
@@ -360,6 +363,13 @@
     assert judge(copy).not_on_last == 5
 
 
+def test_a_planted_closure_that_nobody_saw_reason_for_is_found(copy: Path) -> None:
+    history = copy / "placer-1.history.jsonl"
+    at = next(each["at_us"] for each in lines(copy / "events.jsonl") if each["what"] == "quiet")
+    write(history, [*lines(history), {"at_us": at, "what": "verdicts", "machines": ["node-1"]}])
+    assert judge(copy).unfounded_closures == 1
+
+
 def test_planted_tasks_beyond_a_limit_of_the_fleet_are_found(copy: Path) -> None:
     records = lines(copy / "recording.jsonl")
     begun = next(each for each in records if each["what"] == "start")
--- /dev/null
+++ b/tests/peers/test_verdicts_path.py
@@ -0,0 +1,102 @@
+"""Verdicts on the whole path, on a virtual clock: one bad machine costs the fleet little, and is tried by one alone."""
+
+from __future__ import annotations
+
+from tests.peers.stage import Agreeing
+from tests.stage import S, Stage
+from wingbarrow.lab.cluster import PlacerSlot
+
+VERDICTS = "/apis/wingbarrow.io/v1/verdicts"
+
+
+class Judged(Agreeing):
+    """Placers with work, and machines that may fail every start."""
+
+    def work(self, seconds: float, tag: str) -> None:
+        for number in range(int(seconds * 25)):
+            slot = self.cluster.placers[number % len(self.cluster.placers)]
+            if slot.service is not None:
+                self.post(slot.port, f"{tag}-{number}")
+            self.hub.sleep(S // 25)
+
+    def closed(self, slot: PlacerSlot, machine: str) -> bool:
+        assert slot.service is not None
+        return bool(slot.service.placer.machines.links[machine].phase.value == "draining")
+
+    def offers(self, machine: str, since_us: int) -> list[str]:
+        return [each.data["placer"] for each in self.seen("offer") if each.where == machine and each.at_us >= since_us]
+
+
+def wasted(placers: int, agree: bool, seed: int = 3) -> int:
+    """Starts that one bad machine in eight costs in 12 s."""
+    stage = Judged(machines=8, placers=placers, seed=seed)
+    begun: list[int] = []
+
+    def script() -> None:
+        if agree:
+            stage.join()
+            assert stage.wait(lambda: stage.all_on("e1"))
+        stage.hub.sleep(2 * S)
+        stage.cluster.machines[3].faulty = True
+        begun.append(stage.hub.now_us())
+        stage.work(12, "w")
+    stage.play(script)
+    return len(stage.offers("node-3", begun[0]))
+
+
+def test_two_witnesses_close_a_bad_machine_to_all_one_tries_it_and_good_experience_opens_it() -> None:
+    stage = Judged(machines=8, placers=5)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        bad = stage.cluster.machines[3]
+        bad.faulty = True
+        begun = stage.hub.now_us()
+        stage.work(5, "a")
+        slots = stage.cluster.placers
+        assert sum(stage.closed(slot, "node-3") for slot in slots) >= 4
+        told = stage.ask(stage.leader(), path=VERDICTS)[1]
+        (verdict,) = told["items"]
+        assert verdict["machine"] == "node-3" and len(verdict["by"]) >= 2 and not verdict["ended"]
+        assert any("node-3" in each["evidence"] for each in told["witnesses"])
+        assert stage.ask(slots[4], path=VERDICTS)[1]["closed"] in ([], ["node-3"])
+        since = stage.hub.now_us()
+        stage.work(3, "b")
+        assert len(set(stage.offers("node-3", since))) <= 1, "one placer tries it for all"
+        bad.faulty = False
+        stage.work(10, "c")
+        assert not any(stage.closed(slot, "node-3") for slot in slots)
+        assert len(set(stage.offers("node-3", begun))) >= 4, "and it is used again"
+    stage.play(script)
+
+
+def test_a_bad_machine_costs_a_fleet_that_agrees_less_than_one_whose_placers_find_out_alone() -> None:
+    assert wasted(8, True) * 2 < wasted(8, False)
+
+
+def test_one_liar_closes_nothing() -> None:
+    stage = Judged(machines=8, placers=5)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        liar = stage.cluster.placers[4].service
+        assert liar is not None and liar.placer.peering.agreement is not None
+        for _ in range(20):
+            for machine in stage.cluster.machines:
+                liar.placer.peering.agreement.experience.note(stage.hub.now_us(), machine.name, False)
+            stage.hub.sleep(S // 4)
+        told = stage.ask(stage.leader(), path=VERDICTS)[1]
+        assert not told["items"] and any(each["bad"] == 8 for each in told["witnesses"])
+        assert not any(stage.closed(slot, machine.name) for slot in stage.cluster.placers
+                       for machine in stage.cluster.machines)
+    stage.play(script)
+
+
+def test_a_placer_that_agrees_with_nobody_gives_no_verdicts() -> None:
+    stage = Stage(machines=2)
+
+    def script() -> int:
+        return stage.pool().request("GET", VERDICTS).status
+    assert stage.play(script) == 404
--- a/wingbarrow/cli/fleet.py
+++ b/wingbarrow/cli/fleet.py
@@ -15,16 +15,16 @@
     """What holds for all placers together."""
 
 
-def _accounts(client: Client) -> dict[str, Any]:
-    """As the leader has them, whichever placer was asked."""
-    told = client.exchange("GET", "limits")
-    if "accounts" in told:
+def _leaders(client: Client, what: str, mark: str) -> dict[str, Any]:
+    """As the leader has it, which `mark` tells, whichever placer was asked."""
+    told = client.exchange("GET", what)
+    if mark in told:
         return told
     leader = client.exchange("POST", "rules", {})
     host, _, port = str(leader.get("address", "")).rpartition(":")
     if leader.get("kind") != "Leader" or not port.isdecimal():
         raise CommandFailed("no leader found: the voters are electing one; try again")
-    return client.elsewhere(host, int(port)).exchange("GET", "limits")
+    return client.elsewhere(host, int(port)).exchange("GET", what)
 
 
 @fleet.command()
@@ -33,7 +33,7 @@
 def limits(as_json: bool, url: str) -> None:
     """Who holds how much of each limit, what of it is used and wanted, and how old that news is."""
     def call(client: Client) -> None:
-        told = _accounts(client)
+        told = _leaders(client, "limits", "accounts")
         if as_json:
             click.echo(json.dumps(told))
             return
@@ -46,3 +46,34 @@
                 click.echo(f"  {held['placer']}: may {held['share']}, stated {held['uses']}, wants {held['wants']}, "
                            f"counts as {held['counts']}; {state}")
     with_client(url, call)
+
+
+@fleet.command()
+@click.option("--why", "machine", help="Who said what about one machine, when, and what it led to.")
+@click.option("--json", "as_json", is_flag=True)
+@URL
+def verdicts(machine: str | None, as_json: bool, url: str) -> None:
+    """Machines that verdicts close for the whole fleet, and those that were found bad and left open."""
+    def call(client: Client) -> None:
+        told = _leaders(client, "verdicts", "items")
+        if as_json:
+            click.echo(json.dumps(told))
+            return
+        items = [each for each in told["items"] if machine in (None, each["machine"])]
+        for each in items:
+            state = f"ended: {each['ended']}" if each["ended"] else (
+                f"for {each['leftUs'] / 1e6:.1f} s more, tried for all by {each['prober'] or 'nobody yet'}")
+            click.echo(f"{each['machine']}: {each['ageUs'] / 1e6:.1f} s old, by {', '.join(each['by'])}; {state}")
+        spared = {name: why for name, why in told["spared"].items() if machine in (None, name)}
+        for name, why in spared.items():
+            click.echo(f"{name}: left open: {why}")
+        for each in told["witnesses"]:
+            if machine is not None and machine in each["evidence"]:
+                failed, tried = each["evidence"][machine]
+                where = f" of {each['region']}" if each["region"] else ""
+                click.echo(f"  {each['placer']}{where}: {failed} of {tried} starts failed; "
+                           f"{each['bad']} of {each['tried']} machines bad; "
+                           f"{each['ageUs'] / 1e6:.1f} s ago")
+        if not items and not spared:
+            click.echo("nothing is held against " + (machine or "any machine"))
+    with_client(url, call)
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -25,6 +25,7 @@
 from wingbarrow.core.sightings import Sightings
 from wingbarrow.core.stops import Stops
 from wingbarrow.core.strays import Strays
+from wingbarrow.core.verdicts import Verdicts
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.peers.grants import Acting
 from wingbarrow.peers.hearsay import Hearsay
@@ -94,6 +95,9 @@
             self.peering.uses = self._uses
             # Of the cold budget a placer wants as much as waits; how much of that is for cold machines nobody knows.
             self.peering.demand = lambda key: book.owed if key == "cold" else 0
+            verdicts = Verdicts(base, fleet, lambda: self.peering.agreement)
+            requests.came_to = verdicts.note
+            self.peering.zones, self.peering.on_verdicts = verdicts.zones, verdicts.take
             rulebook.purse = lambda: self.peering.agreement.purse if self.peering.agreement is not None else None
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
--- a/wingbarrow/core/requests.py
+++ b/wingbarrow/core/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from wingbarrow import interface as api
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
@@ -15,6 +17,7 @@
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, board: Board) -> None:
         self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
+        self.came_to: Callable[[str, api.Outcome | None], None] = lambda machine, outcome: None  # None: it runs
 
     def ask(self, task: TaskRecord, due_us: int | None = None) -> None:
         """Ask for a task; its final answer is due then, without a time after its Job's patience."""
@@ -64,6 +67,7 @@
         """A machine runs it: its request ends as placed, with its attempt."""
         task = attempt.task
         task.machine = attempt.link.name
+        self.came_to(attempt.link.name, None)
         self._host.cancel_timer(attempt.request)
         self._book.step(task, Step.PLACE)
         self._base.counts["placed"] += 1
@@ -78,6 +82,8 @@
         placed = attempt.stage is Stage.PLACED
         if not self._attempts.advance(attempt, Stage.ENDED):
             return
+        if not placed:
+            self.came_to(attempt.link.name, outcome)
         closed = placed or attempt.task.request != attempt.request or attempt.task.state is not State.ASKED
         self._host.feed(api.AttemptEnded(attempt.request, attempt.number, attempt.link.ident, outcome, reason, closed,
                                          waited_us, None))
--- /dev/null
+++ b/wingbarrow/core/verdicts.py
@@ -0,0 +1,54 @@
+"""Verdicts on machines as the core goes by them: what starts came to is told, what verdicts close gets nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from wingbarrow import interface as api
+from wingbarrow.core.base import Base
+from wingbarrow.core.fleet import Fleet
+from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.decide.peers.agreement import Agreement
+
+# A refusal for want of room is no fault of a machine's, and what was not sent or given up here none either.
+FAULTS = (api.Outcome.ERROR, api.Outcome.TIMED_OUT, api.Outcome.UNREACHABLE, api.Outcome.BROKEN)
+
+
+class Verdicts:
+    """`agreement` gives the state machine that placers agree by, None where there is none."""
+
+    def __init__(self, base: Base, fleet: Fleet, agreement: Callable[[], Agreement | None]) -> None:
+        self._base, self._fleet, self._agreement = base, fleet, agreement
+        self._closed: frozenset[str] = frozenset()
+        fleet.guards.append(self._guard)
+
+    def note(self, machine: str, outcome: api.Outcome | None) -> None:
+        """What an attempt came to at a machine; None: it runs."""
+        agreement = self._agreement()
+        if agreement is not None and (outcome is None or outcome in FAULTS):
+            agreement.experience.note(self._base.hub.now_us(), machine, outcome is None)
+
+    def take(self, closed: frozenset[str]) -> None:
+        """Verdicts close these machines from now on, and no others."""
+        changed, self._closed = self._closed ^ closed, closed
+        for name in sorted(changed):
+            self._base.counts["verdicts:closed" if name in closed else "verdicts:opened"] += 1
+            self._base.log("verdict", machine=name, closed=name in closed)
+        held = self._fleet.held
+        self._fleet.take_again([held[name] for name in sorted(changed) if name in held])
+
+    def zones(self) -> Mapping[str, str]:
+        """The hall of each machine that the list has running."""
+        return {name: entry.listed.zone for name, entry in self._fleet.held.items()
+                if entry.listed.phase is api.Phase.RUNNING}
+
+    def _guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
+        """Verdicts can only take from what the list says; one on a machine's former life says nothing of this one."""
+        agreement = self._agreement()
+        if entry.name not in self._closed or listed.phase is not api.Phase.RUNNING or agreement is None:
+            return listed
+        now = self._base.hub.now_us()
+        if listed.launched_us > now - agreement.closures.age_us(now, entry.name):
+            return listed
+        return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
+                                 listed.launched_us, listed.free_cores, listed.free_memory)
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -9,7 +9,7 @@
 
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,10 +21,12 @@
 from wingbarrow.decide.peers.raft import Raft
 from wingbarrow.decide.peers.rights import Asker, Bank, Purse
 from wingbarrow.decide.peers.rules import RuleSet, read
+from wingbarrow.decide.peers.verdicts import Bench, Closures, Experience
 
 __all__ = ["Agreement", "Ask", "Grant", "Message", "NotLeader", "Times"]
 
 HOLDERS_MOST = 4096
+JUDGE_US = 250_000  # between looks at all evidence
 ASKS_MOST = 4096  # that wait for a round
 
 
@@ -42,6 +44,10 @@
                  times: Times = Times(), life: int = 0) -> None:  # noqa: B008 - frozen
         self.me, self.times, self.life, self._born_us = me, times, life, 0
         self.purse = Purse()
+        self.region = ""
+        self.experience, self.closures = Experience(), Closures()
+        self.zones: Callable[[], Mapping[str, str]] = dict  # of each machine of this placer's list
+        self._closed: frozenset[str] = frozenset()
         self.named = voters
         self.raft = Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
         self.agreed = Agreed()
@@ -56,6 +62,7 @@
         self._acting: Acting | None = None
         # a leader's
         self.bank: Bank | None = None
+        self.bench, self._judged_us = Bench(), -JUDGE_US
         self._read: tuple[str, int, RuleSet | None, frozenset[str]] = ("", 0, None, frozenset())
         self._waiting: list[_Asked] = []
         self._rounds: dict[int, list[_Asked]] = {}
@@ -144,8 +151,9 @@
         self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
         self._number += 1
         self._asked[self._number] = now_us
+        evidence, bad, tried = self.experience.evidence(now_us)
         ask = Ask(self._number, self.holder.edition, self.holder.floor, self.life, max(0, now_us - self._born_us),
-                  self.purse.stated(now_us))
+                  self.purse.stated(now_us), self.region, evidence, bad, tried)
         if self.leads:
             out += self._on_ask(now_us, self.me, "", ask)
         else:
@@ -159,7 +167,15 @@
             if receiver:
                 out.append(Send(receiver, "", ask))
         wait = self.times.again_us + self._random.randrange(self.times.again_us // 2)
-        return [*out, self._timer("ask", now_us + wait), *self._look_at_grant(now_us)]
+        return [*out, self._timer("ask", now_us + wait), *self._look_at_grant(now_us), *self._look_at_closed(now_us)]
+
+    def _look_at_closed(self, now_us: int) -> list[Effect]:
+        """Tell which machines verdicts close, where those are others than before; also as they end unrenewed."""
+        closed = self.closures.now(now_us)
+        if closed == self._closed:
+            return []
+        self._closed = closed
+        return [Tell("verdicts", {"machines": sorted(closed)})]
 
     def _on_grant(self, now_us: int, ident: str, grant: Grant) -> list[Effect]:
         asked_us = self._asked.pop(grant.number, None)
@@ -177,6 +193,8 @@
             self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
         self.version = max(self.version, grant.version)
         # A third of the grant between asks: two may be lost before one lapses.
+        self.closures.take(now_us, self.me, grant.closed)
+        out += self._look_at_closed(now_us)
         # Sooner where rights are short: what others give back comes by the answers.
         wait = self.times.again_us if self.purse.limits and self.purse.short(now_us) else self.times.grant_us // 3
         return [self._timer("ask", now_us + wait), *self._look_at_grant(now_us), *out]
@@ -235,6 +253,9 @@
             # Danger: what earlier leaders decided is known for sure only once an entry of this term is decided.
             self._rounds.pop(number, None)
             return out
+        if now_us - self._judged_us >= JUDGE_US:
+            self._judged_us = now_us
+            self.bench.judge(now_us, self.zones())
         for asked in self._rounds.pop(number, []):
             out += self._give(now_us, asked)
         return [*out, *self._look_at_steps(now_us)]
@@ -262,10 +283,11 @@
         rules, holders = self._rules()
         rights = self.bank.answer(now_us, Asker(asked.ident, ask.life, ask.up_us, ask.number), ask.stated, rules.limits,
                                   holders) if self.bank is not None and rules.limits else ()
+        self.bench.hear(now_us, asked.ident, ask.region, ask.evidence, ask.bad, ask.tried)
         grant = Grant(ask.number, agreed.edition, "" if ask.edition == agreed.edition else agreed.rules, lasts,
                       agreed.version, floor.number if floor else 0,
                       floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0,
-                      rights)
+                      rights, self.bench.told(now_us))
         if asked.ident == self.me:
             return self._on_grant(now_us, self.me, grant)
         return [Send(asked.ident, asked.address, grant)]
@@ -327,6 +349,7 @@
             elif isinstance(effect, log.Elected):
                 self._waiting, self._rounds, self._holders = [], {}, {}
                 self._floors_out, self._leaving = {}, {}
+                self.bench = Bench()
                 self.bank = Bank(self.times.grant_us, now_us, self._given_before()) if effect.on else None
                 if effect.on:
                     out.append(self._timer("step", now_us + self.times.batch_us))
--- a/wingbarrow/decide/peers/asking.py
+++ b/wingbarrow/decide/peers/asking.py
@@ -7,6 +7,7 @@
 from wingbarrow.decide.peers import log
 from wingbarrow.decide.peers.grants import given_until_us
 from wingbarrow.decide.peers.rights import Right, Stated
+from wingbarrow.decide.peers.verdicts import Closed, Evidence
 
 @dataclass(frozen=True, slots=True)
 class Ask:
@@ -18,6 +19,10 @@
     life: int = 0  # of the asker, and for how long it has lasted
     up_us: int = 0
     stated: tuple[Stated, ...] = ()  # what it holds, uses and wants of the fleet's limits
+    region: str = ""
+    evidence: tuple[Evidence, ...] = ()  # what it saw of machines lately: of `tried` ones it found `bad` bad
+    bad: int = 0
+    tried: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +38,7 @@
     floor_rules: str
     floor_us: int
     rights: tuple[Right, ...] = ()  # in place of what was stated
+    closed: tuple[Closed, ...] = ()  # machines that verdicts close
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -86,8 +86,8 @@
             return self.drains.handle(request, parts[4:])
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "rules"]:
             return self.rules.handle(request, parts[4:])
-        if parts == ["apis", "wingbarrow.io", "v1", "limits"]:
-            return self.limits.handle(request)
+        if parts[:3] == ["apis", "wingbarrow.io", "v1"] and parts[3:] in (["limits"], ["verdicts"]):
+            return self.limits.handle(request, parts[3])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
             return self.instances.handle(request, parts[3:], Query(query_text))
         if parts[:3] == ["apis", "batch", "v1"]:
--- a/wingbarrow/lab/fleet/holding.py
+++ b/wingbarrow/lab/fleet/holding.py
@@ -67,3 +67,15 @@
         held = sum(int(each.get(key, 0)) for each in shares.values())
         if held > limit.most:
             yield f"{key}: {held} are held at the end, {limit.most} are there"
+
+
+def unfounded(machine: str, at_us: int, window_us: int, witnesses: int, records: list[Record]) -> bool:
+    """Whether a verdict closed a machine though fewer placers than are wanted had a start fail there before.
+
+    Failed is what the machine answered with a fault of its own, broke off, or did not answer; not what it refused.
+    """
+    offers = {each.data["pod"]: each.data["placer"] for each in records
+              if each.what == "offer" and each.where == machine and at_us - window_us <= each.at_us <= at_us}
+    good = {each.data["pod"] for each in records if each.what == "answer" and each.where == machine
+            and each.data["status"] < 500 and each.at_us <= at_us}
+    return len({placer for pod, placer in offers.items() if pod not in good}) < witnesses
--- a/wingbarrow/lab/fleet/judge.py
+++ b/wingbarrow/lab/fleet/judge.py
@@ -13,6 +13,7 @@
 - **forbidden send**: to a machine that the offer's own rules bar or have drained, or of a class that they lack;
 - **limit over**: more tasks ran at once, or were accepted within the window, than a limit of the whole fleet allows, or
   more rights are held at the end than there are;
+- **unfounded closure**: a verdict closed a machine though fewer placers than its terms want had a start fail there;
 - **not on the last**: a placer that runs at the end acts on other rules than those accepted last, or has other machines
   drained than were asked for and not taken back;
 - **not healed**: a stated time after the last fault, one that runs does not hold another that runs for alive.
@@ -29,9 +30,10 @@
 from wingbarrow.config import load_file
 from wingbarrow.decide.peers.agreement import Times
 from wingbarrow.decide.peers.membership import Rules
+from wingbarrow.decide.peers.verdicts import Terms
 from wingbarrow.decide.peers.rules import RuleSet, allows, keeps_floor, read
 from wingbarrow.lab.audit import Audit, audit
-from wingbarrow.lab.fleet.holding import loosest, over, unaccounted
+from wingbarrow.lab.fleet.holding import loosest, over, unaccounted, unfounded
 from wingbarrow.lab.record import Record, Recorder
 
 SLACK_US = 250_000  # by which the rig itself may read an answer late, beside the worst lag that it saw of itself
@@ -39,7 +41,7 @@
 NEVER = 1 << 62
 TURN_US = 10_000  # the hub's longest turn, between the gate and the write
 BREACHES = ("unfounded_burials", "late_burials", "not_healed", "contradictions", "forbidden_sends", "limit_overs",
-            "not_on_last", "ended_badly")
+            "unfounded_closures",             "not_on_last", "ended_badly")
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +79,8 @@
     forbidden_sends: int = 0
     limit_overs: int = 0
     turned_away: int = 0  # by a limit of the whole fleet
+    closures: int = 0  # of a machine to a placer, by a verdict
+    unfounded_closures: int = 0
     not_on_last: int = 0
     sends_on_floor: int = 0
     ended_badly: int = 0  # processes that ended by themselves, or not with status 0 when asked to
@@ -140,7 +144,7 @@
             elif what == "killed":
                 self.up[who].append(Span(begun.pop(who), at, who))
                 down[who] = at
-            elif what in ("fault", "healed") and each["kind"] not in ("stop", "kill"):
+            elif what in ("fault", "healed") and each["kind"] not in ("stop", "kill", "faulty"):
                 key = (each["kind"], who, each["other"], str(each["amount"]), str(each["both"]))
                 if what == "fault":
                     open_[key] = at
@@ -169,6 +173,7 @@
         out.audit = audit(records, load_file(self.folder / f"{self.names[0]}.kdl"), SLACK_US + lag)
         self._judge_rules(out, records, SLACK_US + lag)
         self._judge_limits(out, records)
+        self._judge_closures(out, records, SLACK_US + lag)
         out.sends = out.audit.offers
         out.notes += out.audit.notes
         self._judge_burials(out)
@@ -220,6 +225,21 @@
             out.notes.append(words)
         out.turned_away = sum(each.what == "turned-away" and each.data["code"] == 429 for each in records)
 
+    def _judge_closures(self, out: Verdict, records: list[Record], slack_us: int) -> None:
+        terms = Terms()
+        window = terms.span_us + 2 * Times().grant_us + (terms.lasts_us << terms.doublings) + slack_us
+        first: dict[str, int] = {}  # when a verdict that still holds was heard of first
+        for at, name, closed in sorted((each["at_us"], name, each["machines"]) for name, lines in self.histories.items()
+                                       for each in lines if each["what"] == "verdicts"):
+            for machine in closed:
+                out.closures += 1
+                if at - first.get(machine, -NEVER) <= window - terms.span_us:
+                    continue  # one that came to others before, or again after its prober's turn
+                first[machine] = at
+                if unfounded(machine, at, terms.span_us + 2 * Times().grant_us + slack_us, terms.witnesses, records):
+                    out.unfounded_closures += 1
+                    out.notes.append(f"{at}: {name} leaves {machine} alone, which hardly anybody saw fail")
+
     def _texts(self, out: Verdict) -> dict[str, RuleSet]:
         texts: dict[str, str] = {}
         for name, lines in self.histories.items():
--- a/wingbarrow/lab/fleet/rig.py
+++ b/wingbarrow/lab/fleet/rig.py
@@ -61,7 +61,7 @@
         self.name, self.index, self.front = name, index, front
         self.process: Process | None = None
         self.lives = 0
-        self.stopped = False
+        self.stopped = self.starting = False
 
 
 class Rig:
@@ -240,6 +240,13 @@
             self._drains[name] = told["key"]
         self.event("drain", machine=name, back=key is not None, told=told)
 
+    def _faulty(self, fault: Fault) -> None:
+        """A machine, by number, fails every start."""
+        machine = self.cluster.machines[int(fault.amount) % len(self.cluster.machines)]
+        machine.faulty = True
+        self._hub.sleep(fault.lasts_us)
+        machine.faulty = False
+
     def _at_leader(self, slot: Slot, method: str, path: str, body: dict[str, Any] | None) -> dict[str, Any] | None:
         """What whoever leads answers in the end, asked by way of other placers; None where nothing was decided."""
         for _ in range(PROPOSE_TRIES):
@@ -276,8 +283,8 @@
 
     def _kill(self, fault: Fault) -> None:
         slot = self.slot(fault.who)
-        if slot.process is None:
-            return
+        if slot.process is None or slot.starting:
+            return  # on a busy machine a start may last into the next fault
         self.kill(slot)
         if not fault.state:
             self._forget(slot)
@@ -297,8 +304,9 @@
         slot.lives += 1
         self.event("starting", who=slot.name, life=slot.lives)
         process = Process(self._hub, ["serve", str(path)], self.folder / f"{slot.name}.log")
-        slot.process = process
+        slot.process, slot.starting = process, True
         port = int(process.line("placer", START_US)["url"].rpartition(":")[2])
+        slot.starting = False
         slot.front.to = port
         self.network.moved(slot.name, port)
         self.event("started", who=slot.name, life=slot.lives, pid=process.pid)
--- a/wingbarrow/lab/fleet/script.py
+++ b/wingbarrow/lab/fleet/script.py
@@ -7,10 +7,11 @@
 
     propose "15s" "placer-1" amount=7
     drain "18s" "placer-2" amount=3
+    faulty "20s" "placer-0" lasts="8s" amount=1
 
 `propose` has a placer asked to change the rules, to variant `amount` of them; `drain` to drain a machine, by number,
-or to take that back where it is asked for. `late`, `slow`, `lossy` and `twice` take
-what `cut` takes, and `amount`: a time in words, bytes a second, a share.
+or to take that back where it is asked for; `faulty` has a machine, by number, fail every start (no placer concerned).
+`late`, `slow`, `lossy` and `twice` take what `cut` takes, and `amount`: a time in words, bytes a second, a share.
 """
 
 from __future__ import annotations
@@ -26,7 +27,7 @@
 
 SECOND = 1_000_000
 BETWEEN = ("cut", "late", "slow", "lossy", "twice", "reset")
-TO_ONE = ("isolate", "deafen", "stop", "kill", "propose", "drain")
+TO_ONE = ("isolate", "deafen", "stop", "kill", "propose", "drain", "faulty")
 FAULTS_MOST = 10_000
 
 
--- a/wingbarrow/lab/machine.py
+++ b/wingbarrow/lab/machine.py
@@ -45,6 +45,7 @@
         self.pods: dict[str, Pod] = {}
         self.changed: Callable[[Machine], None] = lambda _: None
         self.offers_seen = 0
+        self.faulty = False  # fails every start
 
     # -- life
 
@@ -286,6 +287,8 @@
 
     def _refusal(self, pod: Pod) -> ApiError | None:
         build = self.build
+        if self.faulty:
+            return ApiError(500, "the machine cannot start it", "InternalError")
         if self.draining:
             return ApiError(409, "the machine is shutting down", "NodeShutdown")
         for which, reason in ((0, "OutOfcpu"), (1, "OutOfmemory")):
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from pathlib import Path
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 from netaddr import AddrFormatError, IPAddress
@@ -59,6 +59,8 @@
         self.on_rules: Callable[[str, str], None] = lambda label, text: None
         self.on_rights: Callable[[], None] = lambda: None
         self.uses: Callable[[str], int] = lambda key: 0  # of a standing limit, by its key
+        self.zones: Callable[[], Mapping[str, str]] = dict  # of each machine of the list
+        self.on_verdicts: Callable[[frozenset[str]], None] = lambda machines: None
         self.demand: Callable[[str], int] = lambda key: 0  # what would be used beyond that
         self._store: VoteStore | None = None
         self._timers: dict[tuple[str, str], Timer] = {}
@@ -210,6 +212,8 @@
             self.on_rules(str(tell.fields["label"]), str(tell.fields["rules"]))
         elif tell.what == "rights":
             self.on_rights()
+        elif tell.what == "verdicts":
+            self.on_verdicts(frozenset(tell.fields["machines"]))
         else:
             self._log("rules-" + tell.what, **tell.fields)
         if tell.what == "leads":
@@ -235,6 +239,7 @@
         made = Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + self._life,
                          Times(grant_us=agree.grant_us), self._life)
         made.purse.uses, made.purse.demand = self.uses, self.demand
+        made.region, made.zones = settings.region, self.zones
         return made
 
     def _persist(self, what: Persist) -> bool:
--- a/wingbarrow/peers/limitsfront.py
+++ b/wingbarrow/peers/limitsfront.py
@@ -1,7 +1,11 @@
-"""Limits of the whole fleet as a placer sees them: GET /apis/wingbarrow.io/v1/limits; at the leader who holds what."""
+"""What holds for the whole fleet, as a placer sees it: GET /apis/wingbarrow.io/v1/limits and .../verdicts.
+
+At the leader also who holds what of each limit, and who said what about each machine.
+"""
 
 from __future__ import annotations
 
+from wingbarrow.decide.peers.agreement import Agreement
 from wingbarrow.decide.peers.rules import read
 from wingbarrow.http.message import Request
 from wingbarrow.http.server import Answer
@@ -12,18 +16,20 @@
 
 
 class LimitsFront:
-    """One route."""
+    """Two routes."""
 
     def __init__(self, hub: Hub, peering: Peering) -> None:
         self._hub, self._peering = hub, peering
 
-    def handle(self, request: Request) -> Answer:
-        """Answer one request; ApiError for what is refused."""
+    def handle(self, request: Request, what: str) -> Answer:
+        """Answer one request for `limits` or `verdicts`; ApiError for what is refused."""
         agreement = self._peering.agreement
         if agreement is None:
             raise ApiError(404, "this placer agrees on limits with nobody: `agree` in its settings", "NotFound")
         if request.method != "GET":
             raise ApiError(405, "GET is allowed here; limits are changed as rules are")
+        if what == "verdicts":
+            return self._verdicts(agreement)
         now, purse = self._hub.now_us(), agreement.purse
         acting = agreement.acting(now)
         told: dict[str, object] = {
@@ -35,3 +41,22 @@
         if agreement.leads and agreement.bank is not None and agreement.agreed.rules:
             told["accounts"] = agreement.bank.told(now, read(agreement.agreed.rules).limits)
         return Answer(200, names.encode(told))
+
+    def _verdicts(self, agreement: Agreement) -> Answer:
+        now = self._hub.now_us()
+        told: dict[str, object] = {
+            "kind": "VerdictList", "apiVersion": "wingbarrow.io/v1", "placer": agreement.me, "leader": agreement.leader,
+            "closed": sorted(agreement.closures.now(now))}
+        if agreement.leads:
+            bench = agreement.bench
+            told["items"] = [
+                {"machine": machine, "ageUs": now - each.since_us, "leftUs": 0 if each.ended else each.until_us - now,
+                 "by": list(each.by), "strikes": each.strikes, "ended": each.ended,
+                 "prober": "" if each.ended else bench.prober(now, machine, each)}
+                for machine, each in sorted(bench.verdicts.items())]
+            told["spared"] = dict(sorted(bench.spared.items()))
+            told["witnesses"] = [
+                {"placer": name, "region": each.region, "ageUs": now - each.at_us, "bad": each.bad, "tried": each.tried,
+                 "evidence": {key: [seen.failed, seen.tried] for key, seen in sorted(each.evidence.items())}}
+                for name, each in sorted(bench.witnesses.items())]
+        return Answer(200, names.encode(told))
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -15,6 +15,7 @@
 
 from wingbarrow.decide.peers import asking, log, words
 from wingbarrow.decide.peers.limits import LIMITS_MOST
+from wingbarrow.decide.peers.verdicts import EVIDENCE_MOST, VERDICTS_MOST
 
 FORM = 1
 MAIL_MOST = 1 << 20  # bytes: what a front takes by default
@@ -120,6 +121,11 @@
     if isinstance(message, asking.Ask) and (len(message.stated) > LIMITS_MOST or len(
             {each.key for each in message.stated}) < len(message.stated) or message.up_us < 0):
         raise BadMail("more limits than there can be, one twice, or a life of no length")
+    if isinstance(message, asking.Ask) and (len(message.evidence) > EVIDENCE_MOST or not all(
+            0 <= each.failed <= each.tried and 0 < len(each.machine) <= NAME_MOST for each in message.evidence)):
+        raise BadMail("evidence that cannot be")
+    if isinstance(message, asking.Grant) and len(message.closed) > VERDICTS_MOST:
+        raise BadMail(f"{len(message.closed)} verdicts; {VERDICTS_MOST} are the most")
     if isinstance(message, words.ProbeFor) and not (0 < len(message.ident) <= NAME_MOST
                                                     and 0 < len(message.address) <= ADDRESS_MOST):
         raise BadMail("a probe for nobody")
