--- a/tests/decide/peers/test_raft_machine.py
+++ b/tests/decide/peers/test_raft_machine.py
@@ -201,8 +201,38 @@
         return super().voters[:1] if self.leads else super().voters
 
 
-@pytest.mark.parametrize("planted", [VotesForAnybody, VotesTwice, DecidesAlone])
+@pytest.mark.parametrize("planted", [VotesTwice, DecidesAlone])
 def test_a_planted_error_is_found(planted: type[Raft]) -> None:
     machine = type(planted.__name__, (Voters,), {"kind": planted})
     with pytest.raises(AssertionError):
         run(machine, settings=settings(PLAY, phases=[Phase.generate], max_examples=3000))
+
+
+def lagging(kind: type[Raft]) -> None:
+    """A decision that one voter lacks; then the leader dies, and that one stands again and again."""
+    machine = type("Lagging", (Voters,), {"kind": kind})()
+    while not any(raft.leads for raft in machine.live.values()):
+        machine.go_on(10)
+    machine.go_on(60)
+    leader = next(name for name, raft in machine.live.items() if raft.leads)
+    lags = next(name for name in NAMES[:3] if name != leader)
+    before = len(machine.decided)
+    machine.propose(0)
+    while len(machine.decided) == before:
+        machine.mail = [each for each in machine.mail if lags not in each[:2]]
+        machine.take(0, False)
+    machine.kill(leader)
+    machine.mail = []
+    for _ in range(20):
+        due = [key for (name, key) in machine.timers if name == lags]
+        machine.now_us += 2_000_000
+        for key in due:
+            del machine.timers[lags, key]
+            machine.act(lags, machine.live[lags].on_timer(machine.now_us, key))
+        machine.deliver_in_order(12)
+
+
+def test_who_lacks_a_decision_is_not_elected_but_by_a_planted_error() -> None:
+    lagging(Raft)
+    with pytest.raises(AssertionError, match="lacks a decision"):
+        lagging(VotesForAnybody)
--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -81,8 +81,11 @@
         return Count(sum(found.values()), sum(count for answer, count in found.items() if answer != "placed"))
 
     def others(self) -> list[Client]:
-        """Clients of the placers that this one knows and holds for alive."""
-        members = self.exchange("GET", "members").get("items", [])
+        """Clients of the placers that this one knows and holds for alive; none where it does not tell."""
+        try:
+            members = self.exchange("GET", "members").get("items", [])
+        except CommandFailed:
+            return []  # it tells its members to `allow-peer` addresses alone
         found = [str(each.get("address", "")).rpartition(":") for each in members if each.get("standing") == "alive"]
         return [self.elsewhere(host, int(port)) for host, _, port in found if port.isdecimal()]
 
