--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -16,13 +16,10 @@
 
 from wingbarrow.lab.fleet.assembly import ACT_US
 from wingbarrow.lab.fleet.schedules import STATED_US, Broken, fine, founded, generated, rules
+from wingbarrow.lab.fleet.schedules import voters_of as voters
 from wingbarrow.lab.fleet.swarm import SECOND
 
 
-def voters(count: int) -> int:
-    return 7 if count >= 40 else 5 if count >= 10 else 3
-
-
 def schedule(asked: tuple[int, int]) -> dict[str, Any]:
     count, seed = asked
     broken, moments = "", generated(count, voters(count), seed)
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from multiprocessing import get_context
 from pathlib import Path
 
 import click
@@ -20,6 +21,8 @@
 from wingbarrow.lab.fleet.judge import judge
 from wingbarrow.lab.fleet.process import NotStarted
 from wingbarrow.lab.fleet.rig import Rig, Size
+from wingbarrow.lab.fleet.schedules import shrink as shrink_schedule
+from wingbarrow.lab.fleet.schedules import steps, trial
 from wingbarrow.lab.fleet.script import BadScript, generate, read_script
 from wingbarrow.lab.hunt import Found, plays, shrink
 from wingbarrow.lab.hunt import hunt as run_hunt
@@ -111,6 +114,35 @@
     sys.exit(0 if all(row.clean for row in rows) else 1)
 
 
+@lab.command()
+@click.option("--placers", default="3,5,16", show_default=True, help="With commas between.")
+@click.option("--seeds", type=click.IntRange(1, 100_000), default=20, show_default=True)
+@click.option("--first-seed", type=click.IntRange(0, 1 << 30), default=1, show_default=True)
+@click.option("--only", help="Of the schedule only these steps, as 0,3,5; with one size and one seed.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=4, show_default=True, help="Processes.")
+def agreement(placers: str, seeds: int, first_seed: int, only: str | None, jobs: int) -> None:
+    """Hunt for broken agreement in generated schedules; each breach by its shortest reproduction, and exit 1."""
+    try:
+        counts = [int(part) for part in placers.split(",")]
+        kept = None if only is None else tuple(int(part) for part in only.split(",") if part)
+    except ValueError as error:
+        raise click.BadParameter(f"--placers, --only: {error}") from None
+    if any(not 2 <= count <= 170 for count in counts) or (kept is not None and (len(counts), seeds) != (1, 1)):
+        raise click.BadParameter("--placers lie between 2 and 170; --only goes with one size and one seed")
+    if kept is not None and not all(0 <= index < len(steps(counts[0], first_seed)) for index in kept):
+        raise click.BadParameter(f"--only: the schedule has {len(steps(counts[0], first_seed))} steps")
+    wanted = [(count, seed, kept) for count in counts for seed in range(first_seed, first_seed + seeds)]
+    with get_context("fork").Pool(jobs) as pool:
+        broken = [(count, seed, words) for (count, seed, _), words in zip(
+            wanted, pool.starmap(trial, wanted, 1), strict=True) if words]
+    for count, seed, words in broken:
+        some = ",".join(map(str, kept if kept is not None else shrink_schedule(count, seed)))
+        command = f"wingbarrow lab agreement --placers {count} --seeds 1 --first-seed {seed} --only {some}"
+        click.echo(json.dumps({"reproduction": command, "broken": words[:500]}))
+    click.echo(json.dumps({"schedules": len(wanted), "broken": len(broken), "placers": counts}))
+    sys.exit(1 if broken else 0)
+
+
 @lab.command()
 @click.option("--days", default="generated", show_default=True, help="Names with commas between, or `all`.")
 @click.option("--seeds", type=click.IntRange(1, 100_000), default=20, show_default=True)
