A placer states no rights that have lapsed: found by exploring the escrow whole

Lines at fault: Purse.stated and Agreement._take_rights, which kept shares over a gap between grants. The state machine and the holders under generated trouble had not shown it.

Change: shares are gone with the grant (Purse.lapse); the first grant after a gap brings no rights, the next one does.

--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -152,6 +152,8 @@
         self._number += 1
         self._asked[self._number] = now_us
         evidence, bad, tried = self.experience.evidence(now_us)
+        if now_us >= self.holder.until_us:
+            self.purse.lapse()
         ask = Ask(self._number, self.holder.edition, self.holder.floor, self.life, max(0, now_us - self._born_us),
                   self.purse.stated(now_us), self.region, evidence, bad, tried)
         if self.leads:
@@ -186,9 +188,9 @@
         out: list[Effect] = []
         rules = grant.rules or self.holder.rules
         if grant.edition and (grant.rules or grant.edition == self.holder.edition):
-            before = self.holder.edition
+            before, gap = self.holder.edition, now_us >= self.holder.until_us
             if self.holder.take(asked_us, grant.edition, rules, grant.lasts_us):
-                out += self._take_rights(grant, before)
+                out += self._take_rights(grant, before, gap)
         if grant.floor and (grant.floor_rules or grant.floor == self.holder.floor):
             self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
         self.version = max(self.version, grant.version)
@@ -199,11 +201,13 @@
         wait = self.times.again_us if self.purse.limits and self.purse.short(now_us) else self.times.grant_us // 3
         return [self._timer("ask", now_us + wait), *self._look_at_grant(now_us), *out]
 
-    def _take_rights(self, grant: Grant, before: int) -> list[Effect]:
+    def _take_rights(self, grant: Grant, before: int, gap: bool) -> list[Effect]:
         shares = dict(self.purse.shares)
         if self.holder.edition != before:
             self.purse.take_limits(read(self.holder.rules).limits)
-        if grant.number == self._number:  # Danger: an earlier ask stated what may have been given back since
+        if gap:
+            self.purse.lapse()
+        elif grant.number == self._number:  # Danger: an earlier ask stated what may have been given back since
             self.purse.take(grant.rights)
         return [Tell("rights", {"shares": dict(self.purse.shares)})] if shares != self.purse.shares else []
 
--- a/wingbarrow/decide/peers/rights.py
+++ b/wingbarrow/decide/peers/rights.py
@@ -5,6 +5,8 @@
 confirmed by a majority and lapses with the grant; a placer's part is a `Purse`. Why the sum of what all may use never
 passes the whole, whatever is lost, doubled, late or stopped:
 
+- a purse states nothing that has lapsed, and takes rights only while its grant goes on without a gap (after one it
+  states nothing, and begins anew with the next ask);
 - a purse takes only the answer to its latest ask, so that what an ask states is all that its sender may use until the
   answer to that very ask, and the account of it is the larger of the two;
 - what is given is at most what the account has left, in which what has been given back, or has lapsed, goes on counting
@@ -254,8 +256,15 @@
         """Whether more is wanted of some limit than is held."""
         return any(each.wants > each.share for each in self.stated(now_us))
 
+    def lapse(self) -> None:
+        """The grant has lapsed, and what was held with it: it must not be stated any more.
+
+        Danger: a new leader leaves everybody what it states, and another may have been given this by now.
+        """
+        self.shares.clear()
+
     def take(self, rights: Iterable[Right]) -> None:
-        """The answer to the latest ask."""
+        """The answer to the latest ask, which came before the grant lapsed that the ask was sent under."""
         for each in rights:
             if each.key in self.limits:
                 self.shares[each.key] = max(0, each.share)
--- a/wingbarrow/lab/fleet/model.py
+++ b/wingbarrow/lab/fleet/model.py
@@ -107,11 +107,12 @@
 def explore(plan: Plan, most: int = 5_000_000) -> Explored:
     """Every state that can be reached from all placers at the beginning; MemoryError past `most` of them."""
     start = _State(V, ((0, 0, None, 0, 0),) * plan.placers)
-    return _search(start, _bad, lambda state: _steps(state, plan), most)
+    return search(start, _bad, lambda state: _steps(state, plan), most)
 
 
-def _search(start: StateT, bad: Callable[[StateT], bool], steps: Callable[[StateT], Iterator[tuple[str, StateT]]],
+def search(start: StateT, bad: Callable[[StateT], bool], steps: Callable[[StateT], Iterator[tuple[str, StateT]]],
             most: int) -> Explored:
+    """From a state by all steps, nearest first, to the first that is bad; MemoryError past `most` states."""
     came: dict[StateT, tuple[StateT, str] | None] = {start: None}
     line = [start]
     while line:
@@ -169,5 +170,5 @@
     """As `explore`: nobody may go on by the first floor once w is accepted."""
     def bad(state: _Floors) -> bool:
         return state.accepted and any(each[0] == 1 and each[1] > 0 for each in state.placers)
-    return _search(_Floors(1, False, 0, ((0, 0, None, 0, 0),) * plan.placers), bad,
+    return search(_Floors(1, False, 0, ((0, 0, None, 0, 0),) * plan.placers), bad,
                    lambda state: _floor_steps(state, plan), most)
