A drain that is asked for again, as its answer was lost, is taken once

Line at fault: fronts/drains.py asked the plan alone, which a leader fills only once it acts on the version.

Change: the leader looks at the drains asked for in the latest version first, and again as the proposal is made; the same machine is the same drain.

--- a/wingbarrow/core/drainer.py
+++ b/wingbarrow/core/drainer.py
@@ -131,7 +131,7 @@
         asked = self._agreed.get(machine)
         if asked is None or not asked.start_us <= self._hub.clock.wall_us() < asked.start_us + asked.lasts_us:
             return False
-        held = self.drains.held.get(f"{asked.window}@{asked.start_us // SECOND}/{machine}")
+        held = self.drains.held.get(asked.key)
         return held is None or held.phase not in OVER
 
     def run(self) -> None:
--- a/wingbarrow/decide/peers/planned.py
+++ b/wingbarrow/decide/peers/planned.py
@@ -50,6 +50,11 @@
         """The name of the window that it stands for."""
         return f"now-{self.machine}-{self.start_us // SECOND}"
 
+    @property
+    def key(self) -> str:
+        """Of the drain that comes of it."""
+        return f"{self.window}@{self.start_us // SECOND}/{self.machine}"
+
     def series(self) -> Series:
         """As a window that outranks the calendar's."""
         start = datetime.fromtimestamp(self.start_us // SECOND, UTC)
--- a/wingbarrow/fronts/drains.py
+++ b/wingbarrow/fronts/drains.py
@@ -11,7 +11,7 @@
 from wingbarrow.config import parse_duration
 from wingbarrow.core.drainer import Drainer
 from wingbarrow.decide.drains import Fate
-from wingbarrow.decide.peers.planned import fresh
+from wingbarrow.decide.peers.planned import AskedDrain, fresh
 from wingbarrow.decide.peers.rules import RuleSet
 from wingbarrow.http.message import Request
 from wingbarrow.http.server import Answer
@@ -47,14 +47,25 @@
             drain = self._drainer.ask_now(machine, lasts)
             told = {}
         else:
+            # Danger: the answer to the first ask may be lost, and a second drain would outlast the first one's end.
+            held = self._standing(self._rules.latest(), machine)
+            if held is not None:
+                return Answer(200, names.encode({"kind": "Drain", "apiVersion": API, "key": held.key}))
             asked, drain = self._drainer.weigh(machine, lasts)
             if drain.fate is Fate.PLANNED:
-                told = self._rules.change(lambda rules: self._fresh(replace(rules, asked=(*rules.asked, asked))),
-                                          f"drain {machine}")
+                told = self._rules.change(lambda rules: self._with(rules, asked), f"drain {machine}")
         if drain.fate is Fate.REFUSED:
             raise ApiError(409, f"{machine}: {drain.reason}", "Conflict")
         return Answer(201, names.encode({"kind": "Drain", "apiVersion": API, "key": drain.key, **told}))
 
+    def _standing(self, rules: RuleSet | None, machine: str) -> AskedDrain | None:
+        """A drain of a machine that is asked for already."""
+        return next((each for each in self._fresh(rules).asked if each.machine == machine), None) if rules else None
+
+    def _with(self, rules: RuleSet, asked: AskedDrain) -> RuleSet:
+        rules = self._fresh(rules)
+        return rules if self._standing(rules, asked.machine) else replace(rules, asked=(*rules.asked, asked))
+
     def _wanted(self, request: Request) -> tuple[str, int]:
         try:
             value = names.decode(request.body)
--- a/wingbarrow/peers/rulesfront.py
+++ b/wingbarrow/peers/rulesfront.py
@@ -60,6 +60,11 @@
             raise ApiError(503, "this placer takes part in nothing yet", "ServiceUnavailable", retry_after_s=1)
         return None if agreement.leads else self._elsewhere(agreement, request)
 
+    def latest(self) -> RuleSet | None:
+        """At the leader: the rules of the latest version; None before there is one."""
+        agreement = self._peering.agreement
+        return read(agreement.agreed.latest) if agreement is not None and agreement.agreed.latest else None
+
     def change(self, edit: Callable[[RuleSet], RuleSet], why: str) -> dict[str, Any]:
         """At the leader: have the latest rules changed, anew where another change came first; what was accepted.
 
