--- a/wingbarrow/lab/fleet/rightsmodel.py
+++ b/wingbarrow/lab/fleet/rightsmodel.py
@@ -25,7 +25,7 @@
     no_stranding: bool = False  # what has lapsed is free at once
     no_former: bool = False  # a former life's part is free at once
     hasty: bool = False  # a new leader thinks that it knows all
-    stale: bool = False  # an answer after a gap brings rights
+    stale: bool = False  # shares outlive the grant, and an answer after a gap brings rights
     reborn: bool = False  # a new leader takes one that is reborn for one that never held anything
 
 
@@ -56,11 +56,11 @@
     return sum(each.uses for each in state.placers) + state.orphans[0] > whole
 
 
-def _tick(each: _Placer) -> _Placer:
+def _tick(each: _Placer, plan: RightsPlan) -> _Placer:
     left, idle = max(0, each.left - 1), 0 if each.left > 1 else min(STRANDED, each.idle + (each.left == 0))
     kind, age, figure = each.way
     former_until = max(0, each.former_until - 1)
-    share = each.share if left else 0
+    share = each.share if left or plan.stale else 0
     return replace(each, left=left, idle=idle, share=share, uses=0 if left == 0 and idle >= STRANDED else each.uses,
                    way=(kind, age + 1, figure) if kind and age < GRANT else ("", 0, 0),
                    young=max(0, each.young - 1), until=max(0, each.until - 1), wait=max(0, each.wait - 1),
@@ -113,8 +113,8 @@
 
 def _steps(state: _State, plan: RightsPlan) -> Iterator[tuple[str, _State]]:
     count, ticks = state.orphans
-    yield "tick", _State(tuple(sorted(map(_tick, state.placers))), (count, ticks - 1) if ticks > 1 else (0, 0),
-                         max(0, state.began - 1))
+    yield "tick", _State(tuple(sorted(_tick(each, plan) for each in state.placers)),
+                         (count, ticks - 1) if ticks > 1 else (0, 0), max(0, state.began - 1))
     for index, placer in enumerate(state.placers):
         if index and state.placers[index - 1] == placer:
             continue  # the same by symmetry
