--- a/wingbarrow/cli/client.py
+++ b/wingbarrow/cli/client.py
@@ -105,6 +105,14 @@
             answer = Client(self._hub, host, int(port)).exchange(method, path, value)
         raise CommandFailed("no leader found: the voters are electing one; try again")
 
+    def leader(self) -> Client:
+        """A client of the voters' leader, as this placer names it; CommandFailed where it names none."""
+        told = self.exchange("POST", "rules", {})
+        host, _, port = str(told.get("address", "")).rpartition(":")
+        if told.get("kind") != "Leader" or not port.isdecimal():
+            raise CommandFailed("no leader found: the voters are electing one; try again")
+        return self.elsewhere(host, int(port))
+
     def elsewhere(self, host: str, port: int) -> Client:
         """A client of another placer."""
         return Client(self._hub, host, port)
--- a/wingbarrow/cli/fleet.py
+++ b/wingbarrow/cli/fleet.py
@@ -7,7 +7,7 @@
 
 import click
 
-from wingbarrow.cli.client import URL, Client, CommandFailed, with_client
+from wingbarrow.cli.client import URL, Client, with_client
 
 
 @click.group()
@@ -20,11 +20,7 @@
     told = client.exchange("GET", what)
     if mark in told:
         return told
-    leader = client.exchange("POST", "rules", {})
-    host, _, port = str(leader.get("address", "")).rpartition(":")
-    if leader.get("kind") != "Leader" or not port.isdecimal():
-        raise CommandFailed("no leader found: the voters are electing one; try again")
-    return client.elsewhere(host, int(port)).exchange("GET", what)
+    return client.leader().exchange("GET", what)
 
 
 @fleet.command()
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -60,11 +60,7 @@
     state = _state(client)
     if "versions" in state:
         return state
-    leader = client.exchange("POST", "rules", {})
-    host, _, port = str(leader.get("address", "")).rpartition(":")
-    if leader.get("kind") != "Leader" or not port.isdecimal():
-        raise CommandFailed("this placer does not vote and knows of no leader")
-    return _state(client.elsewhere(host, int(port)))
+    return _state(client.leader())
 
 
 def _version(state: dict[str, Any], number: int) -> RuleSet:
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from wingbarrow import interface as api
 from wingbarrow.core.base import Base
@@ -89,8 +90,7 @@
         """A barred machine, or one that is to be drained, gets nothing."""
         if not (entry.name in self._barred or self.drained(entry.name)) or listed.phase is not api.Phase.RUNNING:
             return listed
-        return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
-                                 listed.launched_us, listed.free_cores, listed.free_memory)
+        return replace(listed, phase=api.Phase.DRAINING)
 
     def against(self, now_us: int, label: str, task_class: str, machine: str, decided_us: int) -> Held | None:
         """What speaks against an offer that was decided under rules of a label, right before its first byte."""
--- a/wingbarrow/core/verdicts.py
+++ b/wingbarrow/core/verdicts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from wingbarrow import interface as api
 from wingbarrow.core.base import Base
@@ -50,5 +51,4 @@
         now = self._base.hub.now_us()
         if listed.launched_us > now - agreement.closures.age_us(now, entry.name):
             return listed
-        return api.ListedMachine(listed.machine, listed.kind, listed.cell, listed.zone, api.Phase.DRAINING,
-                                 listed.launched_us, listed.free_cores, listed.free_memory)
+        return replace(listed, phase=api.Phase.DRAINING)
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -9,7 +9,7 @@
 
 import json
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,7 +19,7 @@
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.grants import Acting, Holder, given_until_us
 from wingbarrow.decide.peers.raft import Raft
-from wingbarrow.decide.peers.rights import Asker, Bank, Purse
+from wingbarrow.decide.peers.rights import Asker, Bank, Purse, Right
 from wingbarrow.decide.peers.rules import RuleSet, read
 from wingbarrow.decide.peers.verdicts import Bench, Closures, Experience
 
@@ -151,9 +151,10 @@
         self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
         self._number += 1
         self._asked[self._number] = now_us
-        evidence, bad, tried = self.experience.evidence(now_us)
-        if now_us >= self.holder.until_us:
+        evidence, bad, tried = self.experience.evidence(now_us, self.closures.mine)
+        if now_us >= self.holder.until_us and self.purse.shares:
             self.purse.lapse()
+            out.append(Tell("rights", {"shares": {}}))
         ask = Ask(self._number, self.holder.edition, self.holder.floor, self.life, max(0, now_us - self._born_us),
                   self.purse.stated(now_us), self.region, evidence, bad, tried)
         if self.leads:
@@ -194,10 +195,10 @@
         if grant.floor and (grant.floor_rules or grant.floor == self.holder.floor):
             self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
         self.version = max(self.version, grant.version)
-        # A third of the grant between asks: two may be lost before one lapses.
         self.closures.take(now_us, self.me, grant.closed)
         out += self._look_at_closed(now_us)
-        # Sooner where rights are short: what others give back comes by the answers.
+        # A third of the grant between asks: two may be lost before one lapses. Sooner where rights are short: what
+        # others give back comes by the answers.
         wait = self.times.again_us if self.purse.limits and self.purse.short(now_us) else self.times.grant_us // 3
         return [self._timer("ask", now_us + wait), *self._look_at_grant(now_us), *out]
 
@@ -260,14 +261,23 @@
         if now_us - self._judged_us >= JUDGE_US:
             self._judged_us = now_us
             self.bench.judge(now_us, self.zones())
-        for asked in self._rounds.pop(number, []):
-            out += self._give(now_us, asked)
+        asks = self._rounds.pop(number, []) if self.agreed.edition else []
+        for asked in asks:
+            self.bench.hear(now_us, asked.ident, asked.ask.region, asked.ask.evidence, asked.ask.bad, asked.ask.tried)
+        for asked, rights in zip(asks, self._rights(now_us, asks), strict=True):
+            out += self._give(now_us, asked, rights)
         return [*out, *self._look_at_steps(now_us)]
 
-    def _give(self, now_us: int, asked: _Asked) -> list[Effect]:
+    def _rights(self, now_us: int, asks: Sequence[_Asked]) -> list[tuple[Right, ...]]:
+        """What those that asked together may use of the fleet's limits."""
+        if self.bank is None or not asks:
+            return [() for _ in asks]
+        rules, holders = self._rules()
+        return self.bank.answers(now_us, [(Asker(each.ident, each.ask.life, each.ask.up_us, each.ask.number),
+                                           each.ask.stated) for each in asks], rules.limits, holders)
+
+    def _give(self, now_us: int, asked: _Asked, rights: tuple[Right, ...]) -> list[Effect]:
         agreed, ask, lasts = self.agreed, asked.ask, self.times.grant_us
-        if not agreed.edition:
-            return []
         floor = agreed.floors[-1] if agreed.floors else None
         if asked.ident not in self._holders and len(self._holders) >= HOLDERS_MOST:
             self._holders = {name: each for name, each in self._holders.items() if each[1] > now_us}
@@ -284,10 +294,6 @@
         self._holders[asked.ident] = agreed.edition, until
         if floor is not None:
             self._floors_out[floor.number] = given_until_us(now_us, floor.lasts_us)
-        rules, holders = self._rules()
-        rights = self.bank.answer(now_us, Asker(asked.ident, ask.life, ask.up_us, ask.number), ask.stated, rules.limits,
-                                  holders) if self.bank is not None and rules.limits else ()
-        self.bench.hear(now_us, asked.ident, ask.region, ask.evidence, ask.bad, ask.tried)
         grant = Grant(ask.number, agreed.edition, "" if ask.edition == agreed.edition else agreed.rules, lasts,
                       agreed.version, floor.number if floor else 0,
                       floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0,
--- a/wingbarrow/decide/peers/rights.py
+++ b/wingbarrow/decide/peers/rights.py
@@ -20,15 +20,16 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from wingbarrow.decide.peers.grants import given_until_us
-from wingbarrow.decide.peers.limits import FleetLimit
+from wingbarrow.decide.peers.limits import HOUR_US, FleetLimit
 
 # Of its equal part of what nobody wants each holds all of a standing limit, which comes back at once where it is not in
 # use, and half of a rate, which comes back after its window; the rest of that waits with the leader.
 IDLE = {"standing": 1, "rate": 2}
+GRAINS = 256  # of a rate's window: uses within one are remembered together
 STEADY = 8  # a share changes by more than one part in so many, or not at all: shares do not flap
 
 
@@ -106,30 +107,50 @@
 
     def answer(self, now_us: int, asker: Asker, stated: Iterable[Stated], limits: Iterable[FleetLimit],
                holders: frozenset[str]) -> tuple[Right, ...]:
-        """What an asker may use from now on. `holders`: all that may hold anything under any version of late."""
-        said = {each.key: each for each in stated}
-        limits = tuple(limits)
+        """As `answers`, to one."""
+        return self.answers(now_us, [(asker, stated)], limits, holders)[0]
+
+    def answers(self, now_us: int, asks: Sequence[tuple[Asker, Iterable[Stated]]], limits: Iterable[FleetLimit],
+                holders: frozenset[str]) -> list[tuple[Right, ...]]:
+        """What each asker may use from now on. `holders`: all that may hold anything under any version of late.
+
+        Those that ask together are answered together: the whole account is gone through once for all of them.
+        """
+        limits, out = tuple(limits), [list[Right]() for _ in asks]
+        said = [{each.key: each for each in stated} for _, stated in asks]
         for key in self._accounts.keys() - {each.key for each in limits}:
             self._fade_all(key, now_us)
-        shares = ((each.key, self._one(now_us, asker, said.get(each.key), each, holders)) for each in limits)
-        return tuple(Right(key, share) for key, share in shares if share is not None)
+        for limit in limits:
+            heard: list[tuple[int, int, _Account]] = []
+            for index, (asker, _) in enumerate(asks):
+                mine = said[index].get(limit.key, Stated(limit.key, 0, 0, 0))
+                account = self._hear(now_us, asker, mine, limit, holders)
+                if account is not None:
+                    heard.append((index, mine.share, account))
+            for index, share in self._shares(now_us, [(asks[index][0].ident, index, before, account)
+                                                      for index, before, account in heard], limit, holders):
+                out[index].append(Right(limit.key, share))
+        return [tuple(each) for each in out]
 
     def _fade_all(self, key: str, now_us: int) -> None:
         """A limit that the rules lack for now: forgotten once nothing of it can be in use."""
         accounts = self._accounts[key]
-        for name in [name for name, each in accounts.items() if now_us >= each.until_us + 2 * 3_600_000_000]:
+        for name in [name for name, each in accounts.items() if now_us >= each.until_us + 2 * HOUR_US]:
             del accounts[name]
         if not accounts:
             del self._accounts[key]
 
-    def _one(self, now_us: int, asker: Asker, said: Stated | None, limit: FleetLimit,
-             holders: frozenset[str]) -> int | None:
+    def _hear(self, now_us: int, asker: Asker, said: Stated, limit: FleetLimit,
+              holders: frozenset[str]) -> _Account | None:
+        """Take what an ask states; None where no answer is due."""
         accounts = self._accounts.setdefault(limit.key, {})
         ident, life, number = asker.ident, asker.life, asker.number
         account = accounts.get(ident)
+        if account is None and ident not in limit.among and ident not in holders:
+            return None  # it holds nothing and gets nothing: accounts are as many as the rules name
         if account is not None and (life, number) <= (account.life, account.number):
             return None  # late or doubled: who sent it takes no answer to it
-        stated = 0 if said is None else max(0, said.share, said.uses)
+        stated = max(0, said.share, said.uses)
         if account is None:
             # Danger: what a former life of it was given by an earlier leader is in no account here.
             lapses = given_until_us(now_us, self._grant_us) + limit.lag_us
@@ -137,10 +158,9 @@
         else:
             self._settle(now_us, account, life, stated, limit)
         account.life, account.number, account.stated, account.given = life, number, stated, 0
-        account.wants = 0 if said is None else min(max(0, said.wants), limit.most)
+        account.wants = min(max(0, said.wants), limit.most)
         account.until_us = given_until_us(now_us, self._grant_us)
-        account.given = self._share(now_us, ident, 0 if said is None else said.share, account, limit, holders)
-        return account.given
+        return account
 
     def _settle(self, now_us: int, account: _Account, life: int, stated: int, limit: FleetLimit) -> None:
         """What it held before this ask, where it may be in use for a while."""
@@ -164,24 +184,28 @@
     def _of_former(self, now_us: int, account: _Account) -> int:
         return sum(each for each, until in account.former if until > now_us)
 
-    def _share(self, now_us: int, ident: str, before: int, account: _Account, limit: FleetLimit,
-               holders: frozenset[str]) -> int:
-        if ident not in limit.among:
-            return 0
-        accounts = self._accounts[limit.key]
-        used = sum(self._in_use(now_us, each, limit) for name, each in accounts.items() if name != ident)
-        room = max(0, limit.most - used - self._of_former(now_us, account))
+    def _shares(self, now_us: int, heard: Sequence[tuple[str, int, int, _Account]], limit: FleetLimit,
+                holders: frozenset[str]) -> Iterator[tuple[int, int]]:
+        """For each (name, index, share before, account) its index and share from now on."""
+        accounts = self._accounts.get(limit.key, {})
+        total = sum(self._in_use(now_us, each, limit) for each in accounts.values())
         known = (now_us >= given_until_us(self._began_us, self._grant_us) + limit.lag_us
                  or not self._given_before(limit.key)
                  or all(name in accounts and now_us >= accounts[name].known_us for name in holders))
-        if not known:
-            return min(before, limit.most)  # somebody may hold what is not known here: nobody gets more
-        wants = {name: accounts[name].wants if name in accounts and self._alive(now_us, accounts[name]) else 0
-                 for name in limit.among}
-        target = fair(limit.most, wants, IDLE[limit.kind])[ident]
-        if target != before and abs(target - before) * STEADY <= max(before, target) and account.wants <= before:
-            target = before
-        return min(target, room)
+        parts = fair(limit.most, {
+            name: accounts[name].wants if name in accounts and self._alive(now_us, accounts[name]) else 0
+            for name in limit.among}, IDLE[limit.kind])
+        for name, index, before, account in heard:
+            own = self._in_use(now_us, account, limit)
+            room = max(0, limit.most - (total - own) - self._of_former(now_us, account))
+            target = parts.get(name, 0)
+            if name in parts and not known:
+                account.given = min(before, limit.most)  # somebody may hold what is not known here: nobody gets more
+            else:
+                steady = abs(target - before) * STEADY <= max(before, target) and account.wants <= before
+                account.given = min(before if steady and name in parts else target, room)
+            total += self._in_use(now_us, account, limit) - own
+            yield index, account.given
 
     def _alive(self, now_us: int, account: _Account) -> bool:
         return now_us < account.until_us
@@ -199,14 +223,28 @@
         return out
 
 
-@dataclass(frozen=True, slots=True)
-class Told:
-    """One limit as a placer sees it."""
+class _Lately:
+    """How many were used within a window, in grains of it: each counts as of its grain's end, so never too short."""
 
-    limit: FleetLimit
-    share: int
-    uses: int
-    wants: int
+    __slots__ = ("_times", "_sum")
+
+    def __init__(self) -> None:
+        self._times: deque[tuple[int, int]] = deque()
+        self._sum = 0
+
+    def add(self, now_us: int, count: int, grain_us: int) -> None:
+        """So many more."""
+        self._sum += count
+        ends_us = (now_us // max(1, grain_us) + 1) * max(1, grain_us)
+        if self._times and self._times[-1][0] == ends_us:
+            count += self._times.pop()[1]
+        self._times.append((ends_us, count))
+
+    def within(self, now_us: int, window_us: int) -> int:
+        """How many within a window that ends now."""
+        while self._times and self._times[0][0] <= now_us - window_us:
+            self._sum -= self._times.popleft()[1]
+        return self._sum
 
 
 class Purse:
@@ -217,13 +255,13 @@
         self.uses, self.demand = uses, demand  # what stands of a limit; what would be used beyond what is
         self.shares: dict[str, int] = {}
         self.limits: dict[str, FleetLimit] = {}
-        self._times: dict[str, deque[tuple[int, int]]] = {}  # of a rate: when how many were used
+        self._lately: dict[str, _Lately] = {}  # of a rate: what was used
         self._turned_away: dict[str, tuple[int, int]] = {}  # how many were not allowed, and when last
 
     def take_limits(self, limits: Iterable[FleetLimit]) -> None:
         """The limits of other rules; shares of those that are gone are given back."""
         self.limits = {each.key: each for each in limits}
-        for held in (self.shares, self._times, self._turned_away):
+        for held in (self.shares, self._lately, self._turned_away):
             for key in held.keys() - self.limits.keys():
                 del held[key]
 
@@ -232,10 +270,8 @@
         limit = self.limits[key]
         if limit.kind == "standing":
             return self.uses(key)
-        times = self._times.get(key, deque())
-        while times and times[0][0] <= now_us - limit.lag_us:
-            times.popleft()
-        return sum(count for _, count in times)
+        lately = self._lately.get(key)
+        return 0 if lately is None else lately.within(now_us, limit.lag_us)
 
     def stated(self, now_us: int) -> tuple[Stated, ...]:
         """For an ask."""
@@ -248,10 +284,6 @@
         self._turned_away = {key: each for key, each in self._turned_away.items() if now_us - each[1] < 2_000_000}
         return tuple(out)
 
-    def told(self, now_us: int) -> list[Told]:
-        """For people."""
-        return [Told(self.limits[each.key], each.share, each.uses, each.wants) for each in self.stated(now_us)]
-
     def short(self, now_us: int) -> bool:
         """Whether more is wanted of some limit than is held."""
         return any(each.wants > each.share for each in self.stated(now_us))
@@ -280,4 +312,4 @@
     def use(self, now_us: int, key: str, count: int) -> None:
         """So many are used: told for rates; what stands is counted by `uses`."""
         if self.limits[key].kind == "rate":
-            self._times.setdefault(key, deque()).append((now_us, count))
+            self._lately.setdefault(key, _Lately()).add(now_us, count, self.limits[key].window_us // GRAINS)
--- a/wingbarrow/decide/peers/verdicts.py
+++ b/wingbarrow/decide/peers/verdicts.py
@@ -10,7 +10,7 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field
 
 SECOND = 1_000_000
@@ -66,12 +66,9 @@
         """A start went well, or failed by the machine's fault."""
         self._notes.setdefault(machine, deque(maxlen=NOTES_MOST)).append((now_us, good))
 
-    def forget(self, machine: str) -> None:
-        """It is gone, or has begun anew."""
-        self._notes.pop(machine, None)
-
-    def evidence(self, now_us: int) -> tuple[tuple[Evidence, ...], int, int]:
-        """What is worth telling, the worst first; of how many machines that were tried how many were bad."""
+    def evidence(self, now_us: int, tried_for_all: Container[str] = ()) -> tuple[tuple[Evidence, ...], int, int]:
+        """What is worth telling, first of machines that this placer tries for all, then the worst; of how many machines
+        that were tried how many were bad."""
         if self._looked_us is not None and now_us - self._looked_us > 2 * SECOND:
             self._notes.clear()  # Danger: who stood still found all machines late
         self._looked_us = now_us
@@ -84,8 +81,8 @@
                 continue
             found.append(Evidence(machine, sum(not good for _, good in notes), len(notes)))
         bad = sum(is_bad(each, self.terms) for each in found)
-        # A few good ones, too: who tries a machine for all has to say that it is well again.
-        found.sort(key=lambda each: (-each.failed, each.tried, each.machine))
+        # Danger: among many good ones the word that opens a machine would be left out.
+        found.sort(key=lambda each: (each.machine not in tried_for_all, -each.failed, each.machine))
         return tuple(found[:EVIDENCE_MOST]), bad, len(found)
 
 
@@ -110,6 +107,7 @@
     strikes: int
     by: tuple[str, ...]
     ended: str = ""  # why it no longer holds; it is remembered for its strikes
+    prober: str = ""  # who tries the machine for all, as of the last look
 
 
 @dataclass(slots=True)
@@ -131,6 +129,7 @@
         terms = self.terms
         self.witnesses = {name: each for name, each in self.witnesses.items() if now_us - each.at_us <= terms.span_us}
         for machine, verdict in list(self.verdicts.items()):
+            verdict.prober = "" if verdict.ended else self._prober(now_us, machine, verdict)
             self._end(now_us, machine, verdict, zones)
         against: dict[str, list[str]] = {}
         for name, witness in sorted(self.witnesses.items()):
@@ -156,7 +155,7 @@
             if now_us - verdict.until_us > self.terms.remember_us:
                 del self.verdicts[machine]
             return
-        prober = self.witnesses.get(self.prober(now_us, machine, verdict))
+        prober = self.witnesses.get(verdict.prober)
         seen = prober.evidence.get(machine) if prober is not None else None
         if machine not in zones:
             verdict.ended = "it left the list"
@@ -191,7 +190,7 @@
         strikes = min(former.strikes + 1, terms.doublings) if former is not None else 0
         self.verdicts[machine] = _Verdict(now_us, now_us + (terms.lasts_us << strikes), strikes, tuple(names))
 
-    def prober(self, now_us: int, machine: str, verdict: _Verdict) -> str:
+    def _prober(self, now_us: int, machine: str, verdict: _Verdict) -> str:
         """Who tries a machine for all: the same for all that know the same placers; "" while nobody does yet."""
         if now_us < verdict.since_us + self.terms.try_after_us:
             return ""
@@ -201,7 +200,7 @@
 
     def told(self, now_us: int) -> tuple[Closed, ...]:
         """For a grant."""
-        found = [Closed(machine, each.until_us - now_us, now_us - each.since_us, self.prober(now_us, machine, each))
+        found = [Closed(machine, each.until_us - now_us, now_us - each.since_us, each.prober)
                  for machine, each in sorted(self.verdicts.items()) if not each.ended]
         return tuple(found[:VERDICTS_MOST])
 
@@ -212,19 +211,19 @@
     def __init__(self) -> None:
         self._until_us: dict[str, int] = {}
         self._since_us: dict[str, int] = {}
-        self._mine: set[str] = set()  # that this placer tries for all
+        self.mine: frozenset[str] = frozenset()  # that this placer tries for all
 
     def take(self, now_us: int, me: str, closed: Iterable[Closed]) -> None:
         """What a grant told, in place of what was told before."""
         closed = list(closed)
         self._until_us = {each.machine: now_us + each.left_us for each in closed}
         self._since_us = {each.machine: now_us - each.age_us for each in closed}
-        self._mine = {each.machine for each in closed if each.prober == me}
+        self.mine = frozenset(each.machine for each in closed if each.prober == me)
 
     def now(self, now_us: int) -> frozenset[str]:
         """The machines that get nothing from here."""
         return frozenset(machine for machine, until in self._until_us.items()
-                         if until > now_us and machine not in self._mine)
+                         if until > now_us and machine not in self.mine)
 
     def age_us(self, now_us: int, machine: str) -> int:
         """How old a verdict is: a machine that was launched since then is another."""
--- a/wingbarrow/peers/limitsfront.py
+++ b/wingbarrow/peers/limitsfront.py
@@ -25,7 +25,7 @@
         """Answer one request for `limits` or `verdicts`; ApiError for what is refused."""
         agreement = self._peering.agreement
         if agreement is None:
-            raise ApiError(404, "this placer agrees on limits with nobody: `agree` in its settings", "NotFound")
+            raise ApiError(404, "this placer agrees with nobody: `agree` in its settings", "NotFound")
         if request.method != "GET":
             raise ApiError(405, "GET is allowed here; limits are changed as rules are")
         if what == "verdicts":
@@ -35,9 +35,9 @@
         told: dict[str, object] = {
             "kind": "LimitList", "apiVersion": "wingbarrow.io/v1", "placer": agreement.me, "leader": agreement.leader,
             "grantLeftUs": max(0, agreement.holder.until_us - now), "items": [
-                {"limit": each.limit.key, "most": each.limit.most, "windowUs": each.limit.window_us,
+                {"limit": each.key, "most": purse.limits[each.key].most, "windowUs": purse.limits[each.key].window_us,
                  "share": each.share if acting is not None and acting.edition else 0, "uses": each.uses,
-                 "wants": each.wants} for each in purse.told(now)]}
+                 "wants": each.wants} for each in purse.stated(now)]}
         if agreement.leads and agreement.bank is not None and agreement.agreed.rules:
             told["accounts"] = agreement.bank.told(now, read(agreement.agreed.rules).limits)
         return Answer(200, names.encode(told))
@@ -52,7 +52,7 @@
             told["items"] = [
                 {"machine": machine, "ageUs": now - each.since_us, "leftUs": 0 if each.ended else each.until_us - now,
                  "by": list(each.by), "strikes": each.strikes, "ended": each.ended,
-                 "prober": "" if each.ended else bench.prober(now, machine, each)}
+                 "prober": each.prober}
                 for machine, each in sorted(bench.verdicts.items())]
             told["spared"] = dict(sorted(bench.spared.items()))
             told["witnesses"] = [
