Agreement split into holding and leading; chapters of the log; types of leases, turns and specs

Nothing that placers decide changes. Checked: 318 tests of agreement, peers and project; the planted error of steps that wait for nobody is still found.

--- a/tests/decide/peers/test_agreement.py
+++ b/tests/decide/peers/test_agreement.py
@@ -8,8 +8,9 @@
 import pytest
 
 from wingbarrow.decide.peers.agreed import Agreed, from_text
-from wingbarrow.decide.peers.agreement import Agreement, Ask, Grant, NotLeader
+from wingbarrow.decide.peers.agreement import Ask, Grant, NotLeader
 from wingbarrow.decide.peers.grants import Holder, given_until_us
+from wingbarrow.decide.peers.leading import Leading
 from wingbarrow.decide.peers.limits import DRIFT
 from wingbarrow.decide.peers.rules import ClassRules, allows, contradict, meet, normal, read
 from wingbarrow.lab.fleet.assembly import Use, judge
@@ -198,7 +199,7 @@
 
 def test_a_planted_error_is_found_by_a_schedule_and_shrunk(monkeypatch: pytest.MonkeyPatch) -> None:
     assert not trial(3, 1)
-    monkeypatch.setattr(Agreement, "_lapsed_at_us", lambda self: 0)  # steps wait for nobody
+    monkeypatch.setattr(Leading, "_lapsed_at_us", lambda self: 0)  # steps wait for nobody
     seed = next(seed for seed in range(1, 30) if trial(3, seed))
     kept = shrink(3, seed)
     assert len(kept) <= len(steps(3, seed)) // 2 and trial(3, seed, kept), f"seed {seed}"
--- a/tests/lab/test_holders.py
+++ b/tests/lab/test_holders.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wingbarrow.decide.peers import agreement
+from wingbarrow.decide.peers import leading
 from wingbarrow.decide.peers.rights import Bank
 from wingbarrow.lab.fleet.holders import Holders, limited, trouble
 from wingbarrow.lab.fleet.swarm import SECOND
@@ -36,5 +36,5 @@
     class Forgetful(Bank):
         def _in_use(self, now_us, account, limit):  # type: ignore[no-untyped-def]
             return account.held if now_us < account.until_us - 1_500_000 else 0
-    monkeypatch.setattr(agreement, "Bank", Forgetful)
+    monkeypatch.setattr(leading, "Bank", Forgetful)
     assert any(played(3, seed).over for seed in range(1, 20))
--- a/wingbarrow/decide/peers/agreed.py
+++ b/wingbarrow/decide/peers/agreed.py
@@ -54,6 +54,7 @@
     versions: list[Version] = field(default_factory=list)
     floors: list[Floor] = field(default_factory=list)  # the latest last; those before may still be out
     outcomes: dict[str, str] = field(default_factory=dict)  # by proposal: "" where it was accepted, else why not
+    chapters: dict[str, str] = field(default_factory=dict)  # each one's text as of the last snapshot
 
     def apply(self, kind: str, body: str) -> None:
         """Take one decided entry; what cannot be read changes nothing (it was checked before it was proposed)."""
@@ -175,4 +176,4 @@
     value = json.loads(text)
     return Agreed(value["edition"], value["rules"], value["version"], list(value["steps"]),
                   [Version(**each) for each in value["versions"]], [Floor(**each) for each in value["floors"]],
-                  dict(value["outcomes"]))
+                  dict(value["outcomes"]), dict(value.get("chapters", {})))
--- a/wingbarrow/decide/peers/asking.py
+++ b/wingbarrow/decide/peers/asking.py
@@ -6,7 +6,9 @@
 
 from wingbarrow.decide.peers import log
 from wingbarrow.decide.peers.grants import given_until_us
+from wingbarrow.decide.peers.leasing import SessionsSaid, SessionsTold
 from wingbarrow.decide.peers.rights import Right, Stated
+from wingbarrow.decide.peers.turns import TurnsSaid, TurnsTold
 from wingbarrow.decide.peers.verdicts import Closed, Evidence
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +25,8 @@
     evidence: tuple[Evidence, ...] = ()  # what it saw of machines lately: of `tried` ones it found `bad` bad
     bad: int = 0
     tried: int = 0
+    sessions: SessionsSaid | None = None
+    turns: TurnsSaid | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,8 @@
     floor_us: int
     rights: tuple[Right, ...] = ()  # in place of what was stated
     closed: tuple[Closed, ...] = ()  # machines that verdicts close
+    sessions: SessionsTold | None = None
+    turns: TurnsTold | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/wingbarrow/decide/peers/holding.py
@@ -0,0 +1,130 @@
+"""A placer's side of agreement: it asks for grants, again and again, and holds what the answers bring.
+
+With the grant of rules come rights to the fleet's limits, verdicts on machines, and the parts of all chapters.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from wingbarrow.decide.peers.asking import Ask, Grant, NotLeader, Times
+from wingbarrow.decide.peers.chapters import Side
+from wingbarrow.decide.peers.effects import Effect, SetTimer, Tell
+from wingbarrow.decide.peers.grants import Acting, Holder
+from wingbarrow.decide.peers.rights import Purse
+from wingbarrow.decide.peers.rules import read
+from wingbarrow.decide.peers.verdicts import Closures, Experience
+
+
+class Holding:
+    """`timer` sets one of the owner's; `named`: the voters of the settings, who are asked in turn while no leader is
+    known."""
+
+    def __init__(self, me: str, named: tuple[str, ...], seed: int, times: Times, life: int,
+                 timer: Callable[[str, int], SetTimer], sides: tuple[Side, ...] = ()) -> None:
+        self.me, self.named, self.times, self.life, self._timer, self.sides = me, named, times, life, timer, sides
+        self.born_us = 0
+        self.region = ""
+        self.purse = Purse()
+        self.experience, self.closures = Experience(), Closures()
+        self.holder = Holder()
+        self.version = 0  # the latest that a grant told of
+        self.leader = ""  # as the last answer told
+        self._closed: frozenset[str] = frozenset()
+        self._random = random.Random(seed)
+        self._number = 0
+        self._asked: dict[int, int] = {}  # own asks without an answer: when each was sent
+        self._tried = 0
+        self._acting: Acting | None = None
+
+    def ask(self, now_us: int, known: str) -> tuple[Ask, str, list[Effect]]:
+        """The next ask, whom to send it to ("" for nobody; `known` leads as far as is known), and what else is to be
+        done."""
+        out: list[Effect] = []
+        unanswered = bool(self._asked)
+        self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
+        self._number += 1
+        self._asked[self._number] = now_us
+        evidence, bad, tried = self.experience.evidence(now_us, self.closures.mine)
+        if now_us >= self.holder.until_us and self.purse.shares:
+            self.purse.lapse()
+            out.append(Tell("rights", {"shares": {}}))
+        ask = Ask(self._number, self.holder.edition, self.holder.floor, self.life, max(0, now_us - self.born_us),
+                  self.purse.stated(now_us), self.region, evidence, bad, tried,
+                  **{side.name: side.say(now_us) for side in self.sides})
+        receiver = known
+        if known != self.me:
+            if unanswered:
+                self.leader = ""  # it did not answer: somebody else may know better
+            receiver = known if not unanswered else ""
+            others = [name for name in self.named if name != self.me]
+            if not receiver and others:
+                self._tried += 1
+                receiver = others[self._tried % len(others)]
+        wait = self.times.again_us + self._random.randrange(self.times.again_us // 2)
+        return ask, receiver, [*out, self._timer("ask", now_us + wait), *self.look_at_grant(now_us),
+                               *self._look_at_closed(now_us)]
+
+    def _look_at_closed(self, now_us: int) -> list[Effect]:
+        """Tell which machines verdicts close, where those are others than before; also as they end unrenewed."""
+        closed = self.closures.now(now_us)
+        if closed == self._closed:
+            return []
+        self._closed = closed
+        return [Tell("verdicts", {"machines": sorted(closed)})]
+
+    def on_grant(self, now_us: int, ident: str, grant: Grant) -> list[Effect]:
+        """An answer."""
+        asked_us = self._asked.pop(grant.number, None)
+        if asked_us is None:
+            return []  # given up, or doubled: when it was asked for is not known
+        self._asked.clear()
+        self.leader, self._tried = ident, 0
+        out: list[Effect] = []
+        rules = grant.rules or self.holder.rules
+        if grant.edition and (grant.rules or grant.edition == self.holder.edition):
+            before, gap = self.holder.edition, now_us >= self.holder.until_us
+            if self.holder.take(asked_us, grant.edition, rules, grant.lasts_us):
+                out += self._take_rights(grant, before, gap)
+        if grant.floor and (grant.floor_rules or grant.floor == self.holder.floor):
+            self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
+        self.version = max(self.version, grant.version)
+        self.closures.take(now_us, self.me, grant.closed)
+        out += self._look_at_closed(now_us)
+        for side in self.sides:
+            out += side.take(now_us, asked_us, getattr(grant, side.name))
+        # A third of the grant between asks: two may be lost before one lapses. Sooner where rights are short: what
+        # others give back comes by the answers.
+        wait = self.times.again_us if self.purse.limits and self.purse.short(now_us) else self.times.grant_us // 3
+        return [self._timer("ask", now_us + wait), *self.look_at_grant(now_us), *out]
+
+    def _take_rights(self, grant: Grant, before: int, gap: bool) -> list[Effect]:
+        shares = dict(self.purse.shares)
+        if self.holder.edition != before:
+            self.purse.take_limits(read(self.holder.rules).limits)
+        if gap:
+            self.purse.lapse()
+        elif grant.number == self._number:  # Danger: an earlier ask stated what may have been given back since
+            self.purse.take(grant.rights)
+        return [Tell("rights", {"shares": dict(self.purse.shares)})] if shares != self.purse.shares else []
+
+    def on_not_leader(self, now_us: int, message: NotLeader) -> list[Effect]:
+        """Whoever was asked does not lead."""
+        if self._asked.pop(message.number, None) is None:
+            return []
+        self.leader = message.leader
+        return [self._timer("ask", now_us + 1)] if message.leader else []
+
+    def look_at_grant(self, now_us: int) -> list[Effect]:
+        """Tell what is acted on, where that is another than before."""
+        acting = self.holder.acting(now_us)
+        out: list[Effect] = []
+        if acting != self._acting:
+            self._acting = acting
+            told = acting or Acting("", 0, "")
+            out.append(Tell("rules", {"label": told.label, "edition": told.edition, "rules": told.rules}))
+        ends = [at for at in (self.holder.until_us, self.holder.floor_until_us) if at > now_us]
+        if ends:
+            out.append(self._timer("lapse", min(ends)))
+        return out
--- /dev/null
+++ b/wingbarrow/decide/peers/leading.py
@@ -0,0 +1,231 @@
+"""The leader's side of agreement: asks answered by rounds, grants and steps; what it knows is its own, and not logged.
+
+A leader answers for a grant only after a majority has followed it since it was asked, so that nobody is answered by one
+that was deposed; it takes the next step only once all grants of earlier editions have lapsed by its reckoning, or their
+holders have moved on; a new leader, which knows of no grants, waits for as long as one lasts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from wingbarrow.decide.peers import log
+from wingbarrow.decide.peers.agreed import Agreed
+from wingbarrow.decide.peers.asking import Ask, Grant, NotLeader, Times
+from wingbarrow.decide.peers.chapters import Chapter
+from wingbarrow.decide.peers.effects import Effect, Send, SetTimer
+from wingbarrow.decide.peers.grants import given_until_us
+from wingbarrow.decide.peers.raft import Raft
+from wingbarrow.decide.peers.rights import Asker, Bank, Right
+from wingbarrow.decide.peers.rules import RuleSet, read
+from wingbarrow.decide.peers.verdicts import Bench
+
+HOLDERS_MOST = 4096
+JUDGE_US = 250_000  # between looks at all evidence
+ASKS_MOST = 4096  # that wait for a round
+
+
+@dataclass(slots=True)
+class _Asked:
+    ident: str
+    address: str
+    ask: Ask
+
+    @property
+    def asker(self) -> Asker:
+        return Asker(self.ident, self.ask.life, self.ask.up_us, self.ask.number)
+
+
+class Owner(Protocol):
+    """The agreement that this is the leader's side of."""
+
+    me: str
+    raft: Raft | None
+    agreed: Agreed
+
+    @property
+    def leads(self) -> bool:
+        """Whether this placer decides."""
+
+    @property
+    def leader(self) -> str:
+        """Who does, as far as is known."""
+
+    def timer(self, key: str, at_us: int) -> SetTimer:
+        """Set one."""
+
+    def of_raft(self, now_us: int, effects: log.Effects) -> list[Effect]:
+        """Effects for the host."""
+
+    def propose(self, now_us: int, kind: str, value: dict[str, Any]) -> list[Effect]:
+        """Have something decided."""
+
+
+class Leading:
+    """`take_grant`: what becomes of a grant to this very placer."""
+
+    def __init__(self, owner: Owner, times: Times, chapters: tuple[Chapter, ...],
+                 take_grant: Callable[[int, Grant], list[Effect]]) -> None:
+        self._owner, self.times, self.chapters, self._take_grant = owner, times, chapters, take_grant
+        self.zones: Callable[[], Mapping[str, str]] = dict  # of each machine of this placer's list
+        self.bank: Bank | None = None
+        self.bench, self._judged_us = Bench(), -JUDGE_US
+        self._read: tuple[str, int, RuleSet | None, frozenset[str]] = ("", 0, None, frozenset())
+        self._waiting: list[_Asked] = []
+        self._rounds: dict[int, list[_Asked]] = {}
+        self._round = 0
+        self.holders: dict[str, tuple[int, int]] = {}  # edition, and until when it may act on it at the latest
+        self._floors_out: dict[int, int] = {}  # floor: until when somebody may go on by it at the latest
+        self._leaving: dict[str, int] = {}  # who was given a later edition, and until when it may act on its last one
+
+    def elected(self, now_us: int, on: bool) -> list[Effect]:
+        """Begin anew, with nothing known but the log; or end."""
+        self._waiting, self._rounds, self.holders = [], {}, {}
+        self._floors_out, self._leaving = {}, {}
+        self.bench = Bench()
+        self.bank = Bank(self.times.grant_us, now_us, self._given_before()) if on else None
+        for chapter in self.chapters:
+            chapter.elected(now_us, on)
+        return [self._owner.timer("step", now_us + self.times.batch_us)] if on else []
+
+    # -- rounds
+
+    def on_ask(self, now_us: int, ident: str, address: str, ask: Ask) -> list[Effect]:
+        """Somebody asks, this placer itself too."""
+        if not self._owner.leads:
+            return [Send(ident, address, NotLeader(ask.number, self._owner.leader))]
+        if len(self._waiting) >= ASKS_MOST:
+            return []
+        waits = bool(self._waiting)
+        self._waiting = [each for each in self._waiting if each.ident != ident]
+        self._waiting.append(_Asked(ident, address, ask))
+        return [] if waits else [self._owner.timer("batch", now_us + self.times.batch_us)]
+
+    def begin_round(self, now_us: int) -> list[Effect]:
+        """Have a majority confirm this leader, for all that wait."""
+        owner = self._owner
+        if not owner.leads or owner.raft is None or not self._waiting:
+            self._waiting = []
+            return []
+        self._round += 1
+        self._rounds[self._round], self._waiting = self._waiting, []
+        return owner.of_raft(now_us, owner.raft.confirm(now_us, self._round))
+
+    def confirmed(self, now_us: int, number: int) -> list[Effect]:
+        """A majority has followed since a round began: its asks are answered."""
+        out: list[Effect] = []
+        owner = self._owner
+        if owner.raft is None or owner.raft.disk.term_at(owner.raft.commit) != owner.raft.disk.term:
+            # Danger: what earlier leaders decided is known for sure only once an entry of this term is decided.
+            self._rounds.pop(number, None)
+            return out
+        if now_us - self._judged_us >= JUDGE_US:
+            self._judged_us = now_us
+            self.bench.judge(now_us, self.zones())
+        asks = self._rounds.pop(number, []) if owner.agreed.edition else []
+        for asked in asks:
+            self.bench.hear(now_us, asked.ident, asked.ask.region, asked.ask.evidence, asked.ask.bad, asked.ask.tried)
+            for chapter in self.chapters:
+                said = getattr(asked.ask, chapter.name)
+                if said is not None:
+                    chapter.hear(now_us, asked.asker, said)
+        for asked, rights in zip(asks, self._rights(now_us, asks), strict=True):
+            out += self._give(now_us, asked, rights)
+        return [*out, *self.look_at_steps(now_us)]
+
+    def _rights(self, now_us: int, asks: Sequence[_Asked]) -> list[tuple[Right, ...]]:
+        """What those that asked together may use of the fleet's limits."""
+        if self.bank is None or not asks:
+            return [() for _ in asks]
+        rules, holders = self._rules()
+        return self.bank.answers(now_us, [(each.asker, each.ask.stated) for each in asks], rules.limits, holders)
+
+    def _give(self, now_us: int, asked: _Asked, rights: tuple[Right, ...]) -> list[Effect]:
+        agreed, ask, lasts = self._owner.agreed, asked.ask, self.times.grant_us
+        floor = agreed.floors[-1] if agreed.floors else None
+        if asked.ident not in self.holders and len(self.holders) >= HOLDERS_MOST:
+            self.holders = {name: each for name, each in self.holders.items() if each[1] > now_us}
+            if len(self.holders) >= HOLDERS_MOST:
+                return []
+        # Who asks with the edition in force has left those before for good. Who does not may never hear of it, and act
+        # on its last one as long as that was given to it.
+        held = self.holders.get(asked.ident)
+        until = given_until_us(now_us, lasts)
+        if ask.edition >= agreed.edition:
+            self._leaving.pop(asked.ident, None)
+        elif held is not None and held[0] < agreed.edition:
+            self._leaving[asked.ident] = max(self._leaving.get(asked.ident, 0), held[1])
+        self.holders[asked.ident] = agreed.edition, until
+        if floor is not None:
+            self._floors_out[floor.number] = given_until_us(now_us, floor.lasts_us)
+        grant = Grant(ask.number, agreed.edition, "" if ask.edition == agreed.edition else agreed.rules, lasts,
+                      agreed.version, floor.number if floor else 0,
+                      floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0,
+                      rights, self.bench.told(now_us),
+                      **{chapter.name: chapter.told(now_us, asked.asker) for chapter in self.chapters})
+        if asked.ident == self._owner.me:
+            return self._take_grant(now_us, grant)
+        return [Send(asked.ident, asked.address, grant)]
+
+    def _rules(self) -> tuple[RuleSet, frozenset[str]]:
+        """The rules in force, and who may hold rights under them or any version that is kept."""
+        text, version, rules, holders = self._read
+        agreed = self._owner.agreed
+        if rules is None or (text, version) != (agreed.rules, agreed.version):
+            rules = read(agreed.rules)
+            kept = [rules, *(read(each.rules) for each in agreed.versions)]
+            holders = frozenset(name for each in kept for limit in each.limits for name in limit.among)
+            self._read = agreed.rules, agreed.version, rules, holders
+        return rules, holders
+
+    # -- steps
+
+    def look_at_steps(self, now_us: int) -> list[Effect]:
+        """Take the next step, drop a floor, or what chapters have due, once what came before has lapsed."""
+        owner, agreed = self._owner, self._owner.agreed
+        if not owner.leads or owner.raft is None:
+            return []
+        if owner.raft.disk.term_at(owner.raft.commit) != owner.raft.disk.term or (
+                owner.raft.commit != owner.raft.disk.last):
+            return [owner.timer("step", now_us + self.times.batch_us)]  # something is being decided
+        out: list[Effect] = []
+        again: list[int] = []
+        if agreed.steps:
+            due = self._lapsed_at_us()
+            if now_us >= due:
+                return owner.propose(now_us, "step", {"from": agreed.edition})
+            again.append(due)
+        if len(agreed.floors) > 1:
+            began = owner.raft.began_us
+            ends = [max(self._floors_out.get(each.number, 0), given_until_us(began, each.lasts_us))
+                    for each in agreed.floors[:-1]]
+            if now_us >= max(ends):
+                return owner.propose(now_us, "floor-lapsed", {"number": agreed.floors[-1].number})
+            again.append(max(ends))
+        for chapter in self.chapters if agreed.edition else ():
+            proposals, at = chapter.due(now_us, self._rules()[0])
+            for each in proposals:
+                out += owner.propose(now_us, f"{chapter.name}/{each.kind}", each.value)
+            if at is not None:
+                again.append(max(at, now_us + self.times.batch_us))
+        return [*out, owner.timer("step", min(again))] if again else out
+
+    def _lapsed_at_us(self) -> int:
+        """When no placer can act on an edition before the one in force any more, by this leader's reckoning."""
+        raft, edition = self._owner.raft, self._owner.agreed.edition
+        assert raft is not None
+        old = [until for each, until in self.holders.values() if each < edition]
+        # Grants that an earlier leader gave are not known here: each was asked for before this one was elected.
+        return max([given_until_us(raft.began_us, self.times.grant_us), *old, *self._leaving.values()])
+
+    def _given_before(self) -> Callable[[str], bool]:
+        """At an election: to which limits leaders before may have given rights."""
+        raft, agreed = self._owner.raft, self._owner.agreed
+        assert raft is not None
+        if any(entry.kind not in ("", log.VOTERS) for entry in raft.disk.log[raft.commit - raft.disk.base:]):
+            return lambda key: True  # Danger: a version that is decided, and not known to be, may have had any limit
+        texts = [agreed.rules, *(each.rules for each in agreed.versions)]
+        keys = frozenset(limit.key for text in texts if text for limit in read(text).limits)
+        return lambda key: key in keys
--- a/wingbarrow/lab/fleet/holders.py
+++ b/wingbarrow/lab/fleet/holders.py
@@ -45,7 +45,7 @@
     def make(self, name: str, now_us: int) -> Agreement:
         """An agreement that counts its placer's tasks."""
         made = super().make(name, now_us)
-        made.life = self.lives[name]
+        made.holding.life = self.lives[name]
         self.orphans += self.tasks.pop(name, [])
         self.tasks[name] = []
         made.purse.uses = lambda key: len(self.tasks.get(name, ())) if key == STANDING else 0
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -239,7 +239,7 @@
         made = Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + self._life,
                          Times(grant_us=agree.grant_us), self._life)
         made.purse.uses, made.purse.demand = self.uses, self.demand
-        made.region, made.zones = settings.region, self.zones
+        made.live_in(settings.region, self.zones)
         return made
 
     def _persist(self, what: Persist) -> bool:
