News of regions: load, room, refusals and losses summed up by the leader, aged by whoever holds them

Need: the choice of a region needs to know how loaded each is, what it has free and whether it is lost; such news may be stale, by a stated amount, and must cost nothing. Change: decide/peers/regionnews.py, a chapter without entries: each placer tells with its asks what its list says of its own region, the leader sums up by region and tells it with grants; ages count from the ask, beyond 15 s news counts for nothing. Bound: 1.74 s old at a placer in touch with default settings (2 x (0.67 + 0.2) s). A hand-over's end says now whether the run ended well.

--- a/tests/decide/peers/test_handing.py
+++ b/tests/decide/peers/test_handing.py
@@ -12,7 +12,7 @@
 from wingbarrow.decide.peers import handing
 from wingbarrow.decide.peers.effects import Effect, Send, Tell
 from wingbarrow.decide.peers.handing import (
-    AGAIN_US, FAILED, OVER, PLACED, REFUSED, TAKEN, Budget, Giving, Hand, HandSays, HandStop, Taking, Target)
+    AGAIN_US, DONE, FAILED, FINAL, PLACED, RAN, REFUSED, TAKEN, Budget, Giving, Hand, HandSays, HandStop, Taking, Target)
 from wingbarrow.lab.fleet.swarm import SECOND, Virtual
 
 
@@ -72,7 +72,7 @@
             return
         self.starts[ident] += 1
         self.act(name, taking.came_to(self.now_us, ident, PLACED, "node-1"))
-        self.at(self.now_us + 2 * SECOND, lambda: self.act(name, taking.came_to(self.now_us, ident, OVER))
+        self.at(self.now_us + 2 * SECOND, lambda: self.act(name, taking.came_to(self.now_us, ident, DONE))
                 if name in self.members and self.lives[name] == life else None)
 
     def hand(self, giver: str) -> None:
@@ -105,8 +105,8 @@
            if count > 1 and not play.harmless[ident]]
     for ident, told in play.outcomes.items():
         firsts = [each for each in told if each != TAKEN]
-        if not firsts or firsts[0] == OVER or firsts.count(PLACED) > 1 or sum(
-                each in (REFUSED, FAILED, OVER) for each in firsts) > 1:
+        if not firsts or firsts[0] in RAN or firsts.count(PLACED) > 1 or sum(
+                each in FINAL for each in firsts) > 1:
             out.append(f"{ident} was told {told}")
         if told[-1:] == [REFUSED] and play.starts[ident]:
             out.append(f"{ident} was told refused, and ran")
--- a/wingbarrow/decide/peers/asking.py
+++ b/wingbarrow/decide/peers/asking.py
@@ -7,6 +7,7 @@
 from wingbarrow.decide.peers import log
 from wingbarrow.decide.peers.grants import given_until_us
 from wingbarrow.decide.peers.leasing import SessionsSaid, SessionsTold
+from wingbarrow.decide.peers.regionnews import RegionsSaid, RegionTold
 from wingbarrow.decide.peers.rights import Right, Stated
 from wingbarrow.decide.peers.turns import TurnsSaid, TurnsTold
 from wingbarrow.decide.peers.verdicts import Closed, Evidence
@@ -27,6 +28,7 @@
     tried: int = 0
     sessions: SessionsSaid | None = None
     turns: TurnsSaid | None = None
+    regions: RegionsSaid | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +47,7 @@
     closed: tuple[Closed, ...] = ()  # machines that verdicts close
     sessions: SessionsTold | None = None
     turns: TurnsTold | None = None
+    regions: tuple[RegionTold, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/decide/peers/handing.py
+++ b/wingbarrow/decide/peers/handing.py
@@ -29,8 +29,9 @@
 SHARE = 0.2  # of first tries that may be handed over
 BURST = 20.0
 
-TAKEN, REFUSED, PLACED, FAILED, OVER = "taken", "refused", "placed", "failed", "over"
-FINAL = (REFUSED, FAILED, OVER)
+TAKEN, REFUSED, PLACED, FAILED, DONE, LOST = "taken", "refused", "placed", "failed", "done", "lost"
+RAN = (DONE, LOST)  # it was placed, and has ended well or otherwise
+FINAL = (REFUSED, FAILED, *RAN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +152,10 @@
             return []
         if message.state == REFUSED and out.state in ("", TAKEN):
             return self._next(now_us, message.ident, out, message.words)
-        if message.state == out.state or message.state not in (TAKEN, PLACED, FAILED, OVER) or (
+        if message.state == out.state or message.state not in (TAKEN, PLACED, FAILED, *RAN) or (
                 out.state == PLACED and message.state == TAKEN):
             return []
-        missed = message.state == OVER and out.state != PLACED  # it was placed and has ended; that word was lost
+        missed = message.state in RAN and out.state != PLACED  # it was placed and has ended; that word was lost
         out.state = message.state
         if message.state in FINAL:
             del self._open[message.ident]
@@ -212,7 +213,7 @@
         del self._open[ident]
         self.counts["handing:lost with their receiver"] += 1
         if out.state == PLACED:
-            return [_told(ident, OVER, "", "the placer that ran it is gone; its session decides")]
+            return [_told(ident, LOST, "", "the placer that ran it is gone; its session decides")]
         return [_told(ident, FAILED, "", "the placer that had it is gone, and it may have been started")]
 
 
@@ -269,12 +270,12 @@
                               "left_us": message.left_us}), Send(ident, address, HandSays(message.ident, TAKEN))]
 
     def came_to(self, now_us: int, ident: str, state: str, where: str = "", words: str = "") -> list[Effect]:
-        """What this placer made of one: placed, refused (nothing was started, nor will be), failed, over."""
+        """What this placer made of one: placed, refused (nothing was started, nor will be), failed, done, lost."""
         held = self._open.get(ident)
         if held is None:
             return []
         if held.state == PLACED and state in (REFUSED, FAILED):
-            state = OVER
+            state = LOST
         held.state, held.where, held.words = state, where, words[:300]
         says = self._says(ident, held)
         if state in FINAL:
--- /dev/null
+++ b/wingbarrow/decide/peers/regionnews.py
@@ -0,0 +1,168 @@
+"""News of regions: how loaded each is, what it has free, whether it refuses, since when it is well. News, and no more.
+
+Each placer tells with its asks what its own region's list says; the leader sums up by region and tells it with grants.
+Nothing of it is in the log: a leader begins with nothing and has heard of every region in touch within one ask. How old
+it may be at a placer in touch: an ask's interval there and one here (`fresh_within_us`); at one that is cut off it gets
+older, tells its age, and counts for nothing past `OLD_US`. A choice that rests on old news sends work where it is
+refused, and costs time; no rule rests on it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from wingbarrow.decide.federation.route import RegionNews
+from wingbarrow.decide.peers.chapters import Proposal
+from wingbarrow.decide.peers.effects import Effect
+from wingbarrow.decide.peers.rights import Asker
+from wingbarrow.decide.peers.rules import RuleSet
+
+OLD_US = 15_000_000  # news beyond this age counts for nothing
+REGIONS_MOST, PLACERS_MOST = 64, 4096
+REFUSED_SHARE = 0.5  # of what came lately: from then on a placer counts as refusing
+
+
+def fresh_within_us(grant_us: int, again_us: int) -> int:
+    """How old news is at most at a placer in touch: what another told at its last ask, as of this one's last grant."""
+    return 2 * (grant_us // 3 + again_us)
+
+
+@dataclass(frozen=True, slots=True)
+class RegionsSaid:
+    """With an ask: what this placer's list says of its own region. Cores; memory in GiB."""
+
+    region: str
+    cores: float  # of all machines that run
+    memory: float
+    free_cores: float  # that nobody has asked for
+    free_memory: float
+    closed: bool = False
+    came: int = 0  # Jobs lately, and of them turned away
+    refused: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RegionTold:
+    """One region, with a grant; ages and durations as of then."""
+
+    region: str
+    age_us: int
+    load: float
+    cores: float  # free
+    memory: float
+    lost: bool
+    closed: bool
+    refusing_us: int
+    stable_us: int
+    placers: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _Heard:
+    at_us: int
+    said: RegionsSaid
+
+
+class Regions:
+    """The leader's side, a chapter without entries. `named`: the regions of the settings, lost until heard of."""
+
+    name = "regions"
+
+    def __init__(self, lost_us: int, named: tuple[str, ...] = ()) -> None:
+        self._lost_us, self._named = lost_us, named
+        self._heard: dict[str, _Heard] = {}
+        self._well: dict[str, int] = {}  # since when each region has been heard of without a gap
+        self._refusing: dict[str, int] = {}
+        self._began_us = 0
+
+    def apply(self, kind: str, value: dict[str, Any]) -> None:
+        """It has no entries."""
+
+    def text(self) -> str:
+        """Nothing is replicated."""
+        return ""
+
+    def restore(self, text: str) -> None:
+        """Likewise."""
+
+    def elected(self, now_us: int, on: bool) -> None:
+        """Begin with nothing."""
+        self._heard, self._well, self._refusing, self._began_us = {}, {}, {}, now_us
+
+    def hear(self, now_us: int, asker: Asker, said: RegionsSaid) -> None:
+        """What a placer's list says, in place of what it said before."""
+        if len(self._heard) >= PLACERS_MOST and asker.ident not in self._heard:
+            return
+        region = said.region
+        last = max((each.at_us for each in self._heard.values() if each.said.region == region), default=None)
+        if last is None or now_us - last > self._lost_us:
+            self._well[region] = now_us
+        self._heard[asker.ident] = _Heard(now_us, said)
+        lately = [each.said for each in self._heard.values()
+                  if each.said.region == region and now_us - each.at_us <= self._lost_us]
+        came, refused = sum(each.came for each in lately), sum(each.refused for each in lately)
+        if came and refused >= REFUSED_SHARE * came:
+            self._refusing.setdefault(region, now_us)
+        else:
+            self._refusing.pop(region, None)
+
+    def told(self, now_us: int, asker: Asker) -> tuple[RegionTold, ...]:
+        """All regions, by name."""
+        by_region: dict[str, dict[str, _Heard]] = {name: {} for name in self._named}
+        for name, heard in self._heard.items():
+            by_region.setdefault(heard.said.region, {})[name] = heard
+        return tuple(self._one(now_us, region, heard) for region, heard in sorted(by_region.items())[:REGIONS_MOST])
+
+    def _one(self, now_us: int, region: str, heard: dict[str, _Heard]) -> RegionTold:
+        live = {name: each for name, each in heard.items() if now_us - each.at_us <= self._lost_us}
+        if not live:
+            # Danger: a leader that has just been elected has heard of nobody, which says nothing of them.
+            lost = now_us - self._began_us > self._lost_us
+            return RegionTold(region, now_us - self._began_us, 0.0, 0.0, 0.0, lost, False, 0, 0, ())
+        # All placers of a region read one list; the one that asked last has read it last.
+        newest = max(live.values(), key=lambda each: each.at_us)
+        said = newest.said
+        load = max((1 - free / whole for free, whole in ((said.free_cores, said.cores), (said.free_memory, said.memory))
+                    if whole > 0), default=1.0)
+        return RegionTold(region, now_us - newest.at_us, round(load, 4), said.free_cores, said.free_memory, False,
+                          all(each.said.closed for each in live.values()),
+                          now_us - self._refusing.get(region, now_us), now_us - self._well.get(region, now_us),
+                          tuple(sorted(live))[:64])
+
+    def due(self, now_us: int, rules: RuleSet) -> tuple[list[Proposal], int | None]:
+        """Nothing is decided."""
+        return [], None
+
+
+class RegionsSide:
+    """Every placer's: `own` gives what its list says, None while it has none."""
+
+    name = "regions"
+
+    def __init__(self, own: Callable[[int], RegionsSaid | None]) -> None:
+        self.own = own
+        self._told: tuple[RegionTold, ...] = ()
+        self._at_us = 0
+
+    def say(self, now_us: int) -> RegionsSaid | None:
+        """With an ask."""
+        return self.own(now_us)
+
+    def take(self, now_us: int, asked_us: int, told: tuple[RegionTold, ...] | None) -> list[Effect]:
+        """With a grant; ages count from the ask, so that a slow answer makes nothing younger."""
+        if told:
+            self._told, self._at_us = tuple(told), asked_us
+        return []
+
+    def news(self, now_us: int) -> dict[str, RegionNews]:
+        """By region, what is not too old; a region that is not there is not known."""
+        since = now_us - self._at_us
+        out = {}
+        for each in self._told:
+            news = RegionNews(each.region, each.age_us + since, each.load, each.cores, each.memory, each.lost,
+                              each.closed, each.refusing_us, each.stable_us, each.placers)
+            if news.age_us <= OLD_US or each.lost and since <= OLD_US:
+                out[each.region] = replace(news, age_us=min(news.age_us, since) if each.lost else news.age_us)
+        return out
