--- a/tests/decide/peers/test_handing.py
+++ b/tests/decide/peers/test_handing.py
@@ -12,7 +12,8 @@
 from wingbarrow.decide.peers import handing
 from wingbarrow.decide.peers.effects import Effect, Send, Tell
 from wingbarrow.decide.peers.handing import (
-    AGAIN_US, DONE, FAILED, FINAL, PLACED, RAN, REFUSED, TAKEN, Budget, Giving, Hand, HandSays, HandStop, Taking, Target)
+    AGAIN_US, DONE, FAILED, FINAL, PLACED, RAN, REFUSED, TAKEN, Budget, Giving, Hand, HandSays, HandStop, Taking,
+    Target)
 from wingbarrow.lab.fleet.swarm import SECOND, Virtual
 
 
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -126,6 +127,7 @@
         self.odd: Counter[str] = Counter()  # steps that the table lacks
         self.answers: Counter[State] = Counter()
         self.owed = 0  # tasks that wait for a final answer
+        self.on_step: list[Callable[[TaskRecord, State], None]] = []  # called with the state before, after each step
 
     def take_limits(self, jobs_kept: int, tasks_open: int, per_namespace: int) -> None:
         """New bounds for what comes; nothing accepted is dropped."""
@@ -183,6 +185,8 @@
         elif after in OPEN and before not in OPEN:
             self.admission.add(job.asked.namespace, 1, job.asked.task_class.task_class.name)
             self._ended.pop(job.key, None)
+        for call in self.on_step:
+            call(task, before)
         return True
 
     def delete(self, job: JobRecord) -> None:
