Sessions of placers are leases: opened, renewed and ended by the voters' log

Work of a region that is out of reach can be issued again only once nobody may act for it any more, so each life of a placer has a session that its grants renew. The chapter of sessions keeps which are open, which have ended at which epoch and who succeeds; its leader ends one after its own reckoning and the least `after` of what keepers say, a placer's lease says until when it may send. Mail carries and bounds the new letters, a further state machine can be hosted, and GET /leases shows sessions in the terms of coordination.k8s.io.

--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -84,6 +84,8 @@
     members: tuple[str, ...]
     grant_us: int = 2_000_000
     limits: tuple[FleetLimit, ...] = ()  # of the whole fleet, shared by `members`
+    lease_us: int = 10_000_000
+    regions: tuple[tuple[str, str], ...] = ()  # (name, region) of those that say one
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -65,7 +65,7 @@
     """With an ask."""
 
     region: str
-    serial: int  # of its present session; the life goes with the ask
+    serial: int  # of its present session, 0 before the first; the life goes with the ask
     leased: int  # Jobs under it
     keeping: tuple[Kept, ...] = ()  # at most KEPT_MOST
     heard: int = 0  # the latest epoch that it has heard of
@@ -76,7 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """A session that is over, by the voters' log. `epoch` counts ends; later successors come in later batches.
+    """A session that is over, by the voters' log. `epoch` counts ends, and changes of who succeeds.
+
+    `changed` is the epoch of its own latest change: whoever takes over acts under that, as it heard it. Later
+    successors come in later batches.
 
     A Job's successor is the first of its keepers that stands in the earliest batch in which one of them stands and is
     not `gone`: `successor` below, the same at everybody.
@@ -87,6 +90,7 @@
     region: str
     batches: tuple[tuple[str, ...], ...] = ()
     gone: tuple[str, ...] = ()  # successors whose own session has ended since
+    changed: int = 0
 
 
 def successor(ended: Ended, keepers: tuple[str, ...]) -> str:
@@ -105,8 +109,9 @@
     open: bool
     serial: int  # that the asker's session has from now on
     lease_us: int
-    epoch: int
-    ended: tuple[Ended, ...] = ()  # those after what was heard, and all that concern the asker: ENDED_MOST at a time
+    epoch: int  # up to which the asker has heard all with this
+    ended: tuple[Ended, ...] = ()  # those that changed after what was heard, in their order: ENDED_MOST at a time
+    life: int = 0  # of the asker's session: its process's, or a later one where a wall clock was set back
 
 
 ENDED_MOST = 64
--- /dev/null
+++ b/wingbarrow/decide/peers/sessionlog.py
@@ -0,0 +1,152 @@
+"""What voters have decided about sessions: which are open, which have ended, and who succeeds. Deterministic; no I/O.
+
+A session is opened by an entry before it is used, and never again once it has ended: `latest` knows how far each
+placer's sessions have come. Each change of what is told has its own number (`epoch`), so that a placer that has heard
+up to one knows exactly what it has missed, and who takes over later acts under a higher one.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from wingbarrow.decide.peers.leasing import Ended, Session, read_session
+
+OPEN_MOST = 1024  # sessions at a time
+LIVES_MOST = 8  # of them of one placer, the present and those whose reckoning is not over
+LATEST_MOST = 2048  # placers of which it is known how far their sessions have come
+ENDED_KEPT = 256  # ends; those whose last change is the oldest are forgotten first
+SUCCESSORS_MOST = 64  # in one batch
+BATCHES_MOST = 32  # of one end
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """One open session. Its lease stays as it was opened with, whatever a later leader's settings say."""
+
+    region: str
+    lease_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Latest:
+    """How far a placer's sessions have come, and which process of it has the latest."""
+
+    process: int
+    session: Session
+
+
+@dataclass(slots=True)
+class SessionLog:
+    """The replicated state. `by`: for each end, by which session each successor joined."""
+
+    epoch: int = 0
+    open: dict[Session, Open] = field(default_factory=dict)
+    latest: dict[str, Latest] = field(default_factory=dict)
+    ended: dict[Session, Ended] = field(default_factory=dict)
+    by: dict[Session, dict[str, Session]] = field(default_factory=dict)
+
+    def apply(self, kind: str, value: dict[str, Any]) -> None:
+        """Take one entry; ValueError, KeyError or TypeError where it cannot be read: then nothing changed."""
+        session = read_session(str(value["session"]))
+        if kind == "opened":
+            self._opened(session, int(value["process"]), Open(str(value["region"]), int(value["lease_us"])))
+        elif kind in ("ended", "succeed"):
+            successors = [read_session(str(each)) for each in value["successors"]]
+            if kind == "ended":
+                self._ended(session, successors)
+            elif session in self.ended:
+                self._join(session, successors)
+
+    def may_open(self, placer: str) -> bool:
+        """Whether there is room for another session of a placer."""
+        return len(self.open) < OPEN_MOST and self.lives(placer) < LIVES_MOST
+
+    def lives(self, placer: str) -> int:
+        """How many sessions of a placer are open."""
+        return sum(each.placer == placer for each in self.open)
+
+    def _opened(self, session: Session, process: int, terms: Open) -> None:
+        held = self.latest.get(session.placer)
+        # Danger: an end stands for good. What is not later than the latest is open already, or has ended.
+        if (held is not None and session <= held.session) or session in self.open or not self.may_open(session.placer):
+            return
+        if terms.lease_us <= 0:
+            raise ValueError("a lease of no length")
+        self.open[session] = terms
+        self.latest.pop(session.placer, None)  # the last to come stands last
+        self.latest[session.placer] = Latest(process, session)
+        if len(self.latest) > LATEST_MOST:
+            # Whoever is forgotten begins after the serial that it states itself: nothing is opened twice.
+            present = {each.placer for each in self.open}
+            del self.latest[next(name for name in self.latest if name not in present)]
+
+    def _ended(self, session: Session, successors: list[Session]) -> None:
+        terms = self.open.pop(session, None)
+        if terms is None:
+            return
+        self.epoch += 1
+        self.ended[session] = Ended(self.epoch, session, terms.region, changed=self.epoch)
+        self.by[session] = {}
+        for other, by in self.by.items():
+            if by.get(session.placer) == session:
+                held = self.ended[other]
+                self.epoch += 1
+                self.ended[other] = replace(held, gone=tuple(sorted({*held.gone, session.placer})), changed=self.epoch)
+        if successors:
+            self._join(session, successors)
+        while len(self.ended) > ENDED_KEPT:
+            oldest = min(self.ended.values(), key=lambda each: each.changed).session
+            del self.ended[oldest], self.by[oldest]
+
+    def _join(self, session: Session, successors: list[Session]) -> None:
+        held, by = self.ended[session], self.by[session]
+        new = {each.placer: each for each in sorted(successors)[:SUCCESSORS_MOST]
+               if each in self.open and each.placer != session.placer and by.get(each.placer) != each
+               and (each.placer not in by or each.placer in held.gone)}
+        if not new or len(held.batches) >= BATCHES_MOST:
+            return
+        # One that was gone stands in the new batch alone: what fell to others meanwhile stays theirs.
+        batches = [tuple(name for name in batch if name not in new) for batch in held.batches]
+        self.epoch += 1
+        self.ended[session] = replace(
+            held, batches=(*(each for each in batches if each), tuple(sorted(new))),
+            gone=tuple(name for name in held.gone if name not in new), changed=self.epoch)
+        by.update(new)
+
+    def open_by_placer(self) -> Counter[str]:
+        """How many sessions of each placer are open."""
+        return Counter(each.placer for each in self.open)
+
+    # -- snapshots
+
+    def text(self) -> str:
+        """All of it."""
+        return json.dumps({
+            "epoch": self.epoch,
+            "open": [[session.text(), each.region, each.lease_us] for session, each in self.open.items()],
+            "latest": [[each.process, each.session.text()] for each in self.latest.values()],
+            "ended": [[each.epoch, each.session.text(), each.region, each.batches, each.gone, each.changed,
+                       [by.text() for by in self.by[each.session].values()]] for each in self.ended.values()],
+        }, separators=(",", ":"))
+
+
+def from_text(text: str) -> SessionLog:
+    """What `text` gave; an empty one is the state at the beginning."""
+    out = SessionLog()
+    if not text:
+        return out
+    value = json.loads(text)
+    out.epoch = value["epoch"]
+    out.open = {read_session(name): Open(region, lease) for name, region, lease in value["open"]}
+    for process, name in value["latest"]:
+        session = read_session(name)
+        out.latest[session.placer] = Latest(process, session)
+    for epoch, name, region, batches, gone, changed, by in value["ended"]:
+        session = read_session(name)
+        out.ended[session] = Ended(epoch, session, region, tuple(tuple(each) for each in batches), tuple(gone), changed)
+        joined = [read_session(each) for each in by]
+        out.by[session] = {each.placer: each for each in joined}
+    return out
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -17,6 +17,7 @@
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.peers.front import InstancesFront
+from wingbarrow.peers.leasesfront import LeasesFront
 from wingbarrow.peers.limitsfront import LimitsFront
 from wingbarrow.peers.rulesfront import RulesFront
 from wingbarrow.transport import Hub
@@ -44,6 +45,7 @@
                                         placer.base.born_us, log)
         self.rules = RulesFront(hub, placer.peering)
         self.limits = LimitsFront(hub, placer.peering)
+        self.leases = LeasesFront(hub, placer.peering)
         self.drains = DrainsFront(hub, placer.drainer, self.rules)
         placer.peering.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
@@ -88,6 +90,8 @@
             return self.rules.handle(request, parts[4:])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"] and parts[3:] in (["limits"], ["verdicts"]):
             return self.limits.handle(request, parts[3])
+        if parts[:3] == ["apis", "wingbarrow.io", "v1"] and parts[3:] == ["leases"]:
+            return self.leases.handle(request)
         if parts[:3] == ["apis", "wingbarrow.io", "v1"]:
             return self.instances.handle(request, parts[3:], Query(query_text))
         if parts[:3] == ["apis", "batch", "v1"]:
--- /dev/null
+++ b/wingbarrow/peers/agreeing.py
@@ -0,0 +1,36 @@
+"""How a placer's agreement is made from its settings: its store as a voter, the chapters, its own sides of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+from wingbarrow.config.settings import PlacerSettings
+from wingbarrow.decide.peers.agreement import Agreement, Times
+from wingbarrow.decide.peers.log import Disk
+from wingbarrow.decide.peers.sessions import Lease, Sessions
+from wingbarrow.store.votes import StoreFailed, VoteStore, open_if_there
+
+
+def voter_store(settings: PlacerSettings, log: Callable[..., None]) -> tuple[VoteStore | None, Disk | None]:
+    """What this placer has on disk as a voter; None where it has nothing, or where that cannot be read: told."""
+    store, disk = None, None
+    if settings.state is not None:
+        try:
+            store = open_if_there(Path(settings.state) / "rules")
+            disk = store.load() if store is not None else None
+        except StoreFailed as error:
+            log("rules-store-failed", level="error", why=str(error))
+    if disk is None and settings.agree is not None and settings.name in settings.agree.voters:
+        # Danger: a voter that lost its disk may have promised what it does not know; it votes no more.
+        log("rules-voter-without-store", level="error", what="`wingbarrow rules init` makes a new voter's; "
+            "one that lost it is left out and taken in anew (`wingbarrow rules voters`)")
+    return store, disk
+
+
+def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, lease: Lease) -> Agreement:
+    """The agreement of a placer whose settings say `agree`; every voter has all chapters."""
+    agree = settings.agree
+    assert agree is not None
+    return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + life, Times(grant_us=agree.grant_us),
+                     life, chapters=(Sessions(agree.lease_us),), sides=(lease,))
--- /dev/null
+++ b/wingbarrow/peers/bounds.py
@@ -0,0 +1,113 @@
+"""Bounds of what is said about leases and turns: what a letter may hold at most, beside its form."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, get_args
+
+from wingbarrow.decide.peers import asking, leasing
+from wingbarrow.decide.peers.leasing import (
+    EFFECTS, ENDED_MOST, KEEPERS_MOST, KEPT_MOST, PHASES, RECORD_MOST, Ended, Record, Session, SessionsSaid,
+    SessionsTold)
+from wingbarrow.decide.peers.sessionlog import BATCHES_MOST, SUCCESSORS_MOST
+from wingbarrow.decide.peers.turns import TURNS_MOST, TurnsSaid, TurnsTold
+
+NAME_MOST = 253
+KEY_MOST = 2 * NAME_MOST + 1
+WHY_MOST = 500
+RECORDS_MOST, UIDS_MOST = 64, 256  # in one letter
+TASKS_MOST = 1_000  # of a Job
+FIGURE_MOST = 1 << 62
+LEASING = get_args(leasing.Message)
+
+
+def fault(message: Any) -> str:
+    """What is over its bound, in words; "" where nothing is."""
+    if isinstance(message, asking.Ask):
+        said = message.sessions
+        if said is not None and not _said(said):
+            return "sessions: more than can be kept, a name too long or a figure out of range"
+        if message.turns is not None and not _turns_said(message.turns):
+            return "turns: more than there can be, or a number out of range"
+    elif isinstance(message, asking.Grant):
+        if message.sessions is not None and not _told(message.sessions):
+            return "sessions: more ends than go with a grant, a name too long or a figure out of range"
+        if message.turns is not None and not _turns_told(message.turns):
+            return "turns: more than there can be, a name too long or a number out of range"
+    elif isinstance(message, leasing.Keep):
+        if not (_figures(message.number) and _session(message.session) and _uids(message.gone)):
+            return "keep: more uids than go with a letter, a name too long or a figure out of range"
+        if len(message.records) > RECORDS_MOST or not all(map(_record, message.records)):
+            return f"keep: more than {RECORDS_MOST} records, or one with something out of its bounds"
+    elif isinstance(message, LEASING) and not _leasing(message):
+        return f"{type(message).__name__}: a name or list too long, or a figure out of range"
+    return ""
+
+
+def _figures(*values: int) -> bool:
+    return all(0 <= value < FIGURE_MOST for value in values)
+
+
+def _names(*values: str, most: int = NAME_MOST) -> bool:
+    return all(len(value) <= most for value in values)
+
+
+def _session(session: Session) -> bool:
+    return 0 < len(session.placer) <= NAME_MOST and _figures(session.life, session.serial)
+
+
+def _uids(uids: Iterable[str]) -> bool:
+    uids = tuple(uids)
+    return len(uids) <= UIDS_MOST and all(uids) and _names(*uids)
+
+
+def _said(said: SessionsSaid) -> bool:
+    return (_names(said.region) and _figures(said.serial, said.leased, said.heard) and len(said.keeping) <= KEPT_MOST
+            and len({each.session for each in said.keeping}) == len(said.keeping)
+            and all(_session(each.session) and _figures(each.jobs, each.after_us) for each in said.keeping))
+
+
+def _ended(ended: Ended) -> bool:
+    return (_figures(ended.epoch, ended.changed) and _session(ended.session) and _names(ended.region, *ended.gone)
+            and len(ended.batches) <= BATCHES_MOST and len(ended.gone) <= BATCHES_MOST * SUCCESSORS_MOST
+            and all(len(batch) <= SUCCESSORS_MOST and _names(*batch) for batch in ended.batches))
+
+
+def _told(told: SessionsTold) -> bool:
+    return (_figures(told.serial, told.epoch, told.life) and 0 < told.lease_us < FIGURE_MOST
+            and len(told.ended) <= ENDED_MOST and all(map(_ended, told.ended)))
+
+
+def _turns_said(said: TurnsSaid) -> bool:
+    return all(len(numbers) <= TURNS_MOST and _figures(*numbers) for numbers in (said.clear, said.empty, said.tried))
+
+
+def _turns_told(told: TurnsTold) -> bool:
+    return _figures(told.version) and len(told.turns) <= TURNS_MOST and all(
+        _figures(number) and _names(machine, state, who) for number, machine, state, who in told.turns)
+
+
+def _record(record: Record) -> bool:
+    return (_figures(record.form, record.epoch, record.version, record.window_us, record.after_us, record.count,
+                     record.born_age_us)
+            and 0 < len(record.uid) <= NAME_MOST and 0 < len(record.key) <= KEY_MOST and _session(record.session)
+            and _names(record.region, record.spec, record.group, record.answered, *record.keepers)
+            and len(record.keepers) <= KEEPERS_MOST and record.effect in EFFECTS and abs(record.priority) < FIGURE_MOST
+            and 0 <= record.cores < 1e9 and 0 <= record.memory < 1e9 and len(record.manifest) <= RECORD_MOST
+            and len(record.manifest.encode()) <= RECORD_MOST and len(record.tasks) <= TASKS_MOST
+            and all(_figures(each.index, each.age_us) and each.phase in PHASES and _names(each.machine, each.attempt)
+                    for each in record.tasks))
+
+
+def _leasing(message: Any) -> bool:
+    """All but `Keep`."""
+    if isinstance(message, leasing.KeepAnswer):
+        return _figures(message.number) and _session(message.session) and _names(message.why, most=WHY_MOST)
+    if isinstance(message, leasing.Settle):
+        return _figures(message.number) and _session(message.session) and _uids(message.uids)
+    if isinstance(message, leasing.Settled):
+        return (_figures(message.number) and _session(message.session) and _uids(each[0] for each in message.fates)
+                and all(_figures(epoch) and _names(fate) for _, epoch, fate in message.fates))
+    if isinstance(message, leasing.AskMachine):
+        return _figures(message.number, message.epoch) and _names(message.machine, message.uid)
+    return _figures(message.number, message.boot_age_us) and _names(message.machine, message.uid)
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from pathlib import Path
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
@@ -16,15 +15,19 @@
 from wingbarrow.config import SettingsError
 from wingbarrow.config.settings import PlacerSettings
 from wingbarrow.decide.peers import words
-from wingbarrow.decide.peers.agreement import Agreement, Times
+from wingbarrow.decide.peers.agreement import Agreement
 from wingbarrow.decide.peers.effects import Effect, Persist, Send, SetTimer, Tell
+from wingbarrow.decide.peers.leasing import Ended, Session, read_session
 from wingbarrow.decide.peers.membership import Me, Membership, Rules, Seed
+from wingbarrow.decide.peers.sessions import Lease
 from wingbarrow.decide.peers.table import Member
+from wingbarrow.peers.agreeing import agreement_of, voter_store
+from wingbarrow.peers.bounds import LEASING
 from wingbarrow.peers.history import History
 from wingbarrow.peers.message import BadMail, Mail, read_mail, write_letter, write_mail
 from wingbarrow.peers.post import Post
 from wingbarrow.peers.ruleset import rules_of
-from wingbarrow.store.votes import StoreFailed, VoteStore, open_if_there
+from wingbarrow.store.votes import StoreFailed, VoteStore
 from wingbarrow.transport import Hub, Nursery, Timer
 
 LEAVE_US = 300_000
@@ -56,6 +59,9 @@
         self.on = bool(settings.peers) or settings.peers_allowed.size > 0 or settings.agree is not None
         self.membership = self._member()
         self.agreement: Agreement | None = None
+        self.lease = Lease(settings.name, settings.region)
+        self.on_session: Callable[[Session, bool, int], None] = lambda session, may, epoch: None
+        self.on_ended: Callable[[Ended], None] = lambda ended: None
         self.on_rules: Callable[[str, str], None] = lambda label, text: None
         self.on_rights: Callable[[], None] = lambda: None
         self.uses: Callable[[str], int] = lambda key: 0  # of a standing limit, by its key
@@ -63,6 +69,8 @@
         self.on_verdicts: Callable[[frozenset[str]], None] = lambda machines: None
         self.demand: Callable[[str], int] = lambda key: 0  # what would be used beyond that
         self._store: VoteStore | None = None
+        self._hosted: dict[str, Machine] = {}  # by name, beside membership and agreement
+        self._kinds: dict[type[Any], str] = {}  # which of them takes messages of a kind
         self._timers: dict[tuple[str, str], Timer] = {}
         self._nursery: Nursery | None = None
         self._post = Post(hub, f"wingbarrow/{settings.name}", self._pack, self._take, self._spawn, self.counts)
@@ -76,19 +84,34 @@
 
     # -- the placer's side
 
+    def host(self, name: str, machine: Machine, kinds: Iterable[type[Any]]) -> None:
+        """Have a further state machine take part, to which messages of these kinds go; before `run`.
+
+        What it is to begin with, or does in answer to a request, it gives to `act` under the same name.
+        """
+        if name in ("members", "rules") or name in self._hosted:
+            raise ValueError(f"there is a machine named {name}")
+        self._hosted[name] = machine
+        self._kinds |= {kind: name for kind in kinds}
+
     def run(self) -> None:
         """Take part until cancelled; others hear of an end by cancellation as far as one mail goes."""
         if not self.on:
             return
+        settings = self._settings
         self.membership = self._member()  # the address is known by now
-        self.history("start", name=self._settings.name, life=self._life, address=self.address)
-        self.agreement = self._agreement()
+        self.history("start", name=settings.name, life=self._life, address=self.address)
+        if settings.agree is not None:
+            self._store, disk = voter_store(settings, self._log)
+            self.agreement = agreement_of(settings, disk, self._life, self.lease)
+            self.agreement.purse.uses, self.agreement.purse.demand = self.uses, self.demand
+            self.agreement.live_in(settings.region, self.zones)
         try:
             with Nursery(self._hub) as nursery:
                 self._nursery = nursery
-                self._act("members", self.membership.start(self._hub.now_us()))
+                self.act("members", self.membership.start(self._hub.now_us()))
                 if self.agreement is not None:
-                    self._act("rules", self.agreement.start(self._hub.now_us()))
+                    self.act("rules", self.agreement.start(self._hub.now_us()))
                 while True:
                     self._hub.sleep(3_600_000_000)
         finally:
@@ -104,7 +127,7 @@
     def leave(self) -> None:
         """Say to a few others that this placer ends by itself; returns soon, whether they heard it or not."""
         if self._nursery is not None:
-            self._act("members", self.membership.leave(self._hub.now_us()))
+            self.act("members", self.membership.leave(self._hub.now_us()))
             with self._hub.limit(LEAVE_US):
                 while self._post.busy:
                     self._hub.sleep(5_000)
@@ -139,10 +162,17 @@
             self.counts["peers:letters of unknown kinds"] += mail.strange
         for message in mail.messages:
             now = self._hub.now_us()
-            if isinstance(message, words.Message):
-                self._act("members", self.membership.on_message(now, mail.sender, mail.address, message))
+            hosted = self._kinds.get(type(message), "")
+            if hosted:
+                machine = self._hosted[hosted]
+                self.act(hosted, machine.on_message(now, mail.sender, mail.address, message))
+            elif isinstance(message, LEASING):
+                self.counts["peers:letters about custody, which is not kept here"] += 1
+            elif isinstance(message, words.Message):
+                self.act("members", self.membership.on_message(now, mail.sender, mail.address, message))
             elif self.agreement is not None:
-                self._act("rules", self.agreement.on_message(now, mail.sender, mail.address, message))
+                self.act("rules", self.agreement.on_message(now, mail.sender, mail.address, message))
+                self.act("rules", self.lease.look(now))
             else:
                 self.counts["peers:letters about rules, which are not agreed on here"] += 1
 
@@ -151,7 +181,8 @@
 
     # -- effects
 
-    def _act(self, machine: str, effects: Iterable[Effect]) -> None:
+    def act(self, machine: str, effects: Iterable[Effect]) -> None:
+        """Carry out what a machine asked for; only from a task of this placer's own."""
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect)
@@ -197,9 +228,12 @@
     def _on_timer(self, machine: str, key: str) -> None:
         now = self._hub.now_us()
         if machine == "members":
-            self._act(machine, self.membership.on_timer(now, key))
+            self.act(machine, self.membership.on_timer(now, key))
+        elif machine in self._hosted:
+            self.act(machine, self._hosted[machine].on_timer(now, key))
         elif self.agreement is not None:
-            self._act(machine, self.agreement.on_timer(now, key))
+            self.act(machine, self.agreement.on_timer(now, key))
+            self.act(machine, self.lease.look(now))
 
     def _tell(self, machine: str, tell: Tell) -> None:
         if machine == "members":
@@ -208,8 +242,14 @@
             self._log("member-" + tell.what, level=LOUD.get(tell.what, "info"), **tell.fields)
             return
         self.history(tell.what, **tell.fields)
+        if machine in self._hosted:
+            return
         if tell.what == "rules":
             self.on_rules(str(tell.fields["label"]), str(tell.fields["rules"]))
+        elif tell.what == "session":
+            self.on_session(read_session(tell.fields["session"]), bool(tell.fields["open"]), int(tell.fields["epoch"]))
+        elif tell.what == "session-ended":
+            self.on_ended(self.lease.ended[read_session(tell.fields["session"])])
         elif tell.what == "rights":
             self.on_rights()
         elif tell.what == "verdicts":
@@ -221,27 +261,6 @@
 
     # -- rules
 
-    def _agreement(self) -> Agreement | None:
-        settings, agree = self._settings, self._settings.agree
-        if agree is None:
-            return None
-        disk = None
-        if settings.state is not None:
-            try:
-                self._store = open_if_there(Path(settings.state) / "rules")
-                disk = self._store.load() if self._store is not None else None
-            except StoreFailed as error:
-                self._log("rules-store-failed", level="error", why=str(error))
-        if disk is None and settings.name in agree.voters:
-            # Danger: a voter that lost its disk may have promised what it does not know; it votes no more.
-            self._log("rules-voter-without-store", level="error", what="`wingbarrow rules init` makes a new voter's; "
-                      "one that lost it is left out and taken in anew (`wingbarrow rules voters`)")
-        made = Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + self._life,
-                         Times(grant_us=agree.grant_us), self._life)
-        made.purse.uses, made.purse.demand = self.uses, self.demand
-        made.live_in(settings.region, self.zones)
-        return made
-
     def _persist(self, what: Persist) -> bool:
         if self._store is None:
             return False
@@ -272,14 +291,14 @@
     def propose(self, kind: str, value: dict[str, Any]) -> None:
         """At the leader: have something decided."""
         if self.agreement is not None:
-            self._act("rules", self.agreement.propose(self._hub.now_us(), kind, value))
+            self.act("rules", self.agreement.propose(self._hub.now_us(), kind, value))
 
     def change_voters(self, names: tuple[str, ...]) -> bool:
         """At the leader: take one voter in, or leave one out."""
         if self.agreement is None:
             return False
         possible, effects = self.agreement.change_voters(self._hub.now_us(), names)
-        self._act("rules", effects)
+        self.act("rules", effects)
         return possible
 
     def address_of(self, ident: str) -> str:
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -13,9 +13,10 @@
 
 import msgspec
 
-from wingbarrow.decide.peers import asking, log, words
+from wingbarrow.decide.peers import asking, leasing, log, words
 from wingbarrow.decide.peers.limits import LIMITS_MOST
 from wingbarrow.decide.peers.verdicts import EVIDENCE_MOST, VERDICTS_MOST
+from wingbarrow.peers.bounds import fault
 
 FORM = 1
 MAIL_MOST = 1 << 20  # bytes: what a front takes by default
@@ -27,7 +28,9 @@
 KINDS: dict[str, type[Any]] = {
     "probe": words.Probe, "probe-for": words.ProbeFor, "ack": words.Ack, "nack": words.Nack, "sync": words.Sync,
     "vote-ask": log.VoteAsk, "vote-answer": log.VoteAnswer, "append": log.Append, "append-answer": log.AppendAnswer,
-    "install": log.Install, "ask": asking.Ask, "grant": asking.Grant, "not-leader": asking.NotLeader}
+    "install": log.Install, "ask": asking.Ask, "grant": asking.Grant, "not-leader": asking.NotLeader,
+    "keep": leasing.Keep, "keep-answer": leasing.KeepAnswer, "settle": leasing.Settle, "settled": leasing.Settled,
+    "ask-machine": leasing.AskMachine, "machine-says": leasing.MachineSays}
 _NAMES = {kind: name for name, kind in KINDS.items()}
 
 
@@ -129,3 +132,6 @@
     if isinstance(message, words.ProbeFor) and not (0 < len(message.ident) <= NAME_MOST
                                                     and 0 < len(message.address) <= ADDRESS_MOST):
         raise BadMail("a probe for nobody")
+    why = fault(message)
+    if why:
+        raise BadMail(why)
