Custody of leased Jobs: holder's and keeper's side as state machines

Seen by hand so far: a dropped keeper of a never-twice Job holds up its next attempt until it has forgotten or was buried.

--- /dev/null
+++ b/wingbarrow/decide/peers/custody.py
@@ -0,0 +1,378 @@
+"""The holder's side of custody: which record must be where before what leaves; which keeper; when one is replaced.
+
+A Job's record goes to its keepers, placers of other regions that its spec allows, and each change of it again. A
+change has a token; `Tell("kept")` settles each token once, at its deadline at the latest, and only by what keepers
+have acknowledged. Two kinds of tokens: most want one keeper; that of an attempt that must not start twice, about to be
+sent, wants *everybody* who may have the record. Danger: a keeper that was dropped as too slow and was told nothing
+would believe that nothing had left, and start the Job again. So a dropped keeper of such a Job has to say that it
+forgot, or the voters have to end its session, before anything more of the Job leaves.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Collection, Mapping
+from dataclasses import replace
+
+from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
+from wingbarrow.decide.peers.held import Job, Tokens, settled
+from wingbarrow.decide.peers.keepline import Line
+from wingbarrow.decide.peers.leasing import RECORD_MOST, Keep, KeepAnswer, Known, Record, Session
+from wingbarrow.decide.peers.records import Bounds, choose, size_of
+
+TIMER = "custody"
+LACKING_US = 1_000_000  # between two searches for keepers that are not there
+
+
+class Custody:
+    """One placer's, as a holder. The host calls it with mail and the timer `TIMER`, and carries out what it returns."""
+
+    def __init__(self, me: str, life: int, region: str, seed: int,
+                 bounds: Bounds = Bounds()) -> None:  # noqa: B008 - frozen
+        self.session, self.region, self.bounds = Session(me, life, 0), region, bounds
+        self.jobs: dict[str, Job] = {}
+        self.over = False  # this session has ended; nothing is held under it any more
+        self.lines: dict[str, Line] = {}
+        self._alive: dict[str, tuple[str, ...]] = {}  # by region
+        self._living: frozenset[str] = frozenset()
+        self._random = random.Random(seed)
+        self._tokens = Tokens()
+        self._moves: deque[tuple[str, str]] = deque()  # Jobs whose keeper was dropped
+        self._lacking: dict[tuple[str, str], None] = {}  # of those, Jobs that have no other
+        self._move_us: int | None = None
+        self._timer_us: int | None = None
+
+    # -- what the core asks; each returns a token and what is to happen
+
+    def hold(self, now_us: int, record: Record, allowed: Collection[str], copies: int, deadline_us: int,
+             must: Collection[str] = (), alone: bool = False) -> tuple[int, list[Effect]]:
+        """Have a Job's record at its keepers; where the token is not good, `drop` it.
+
+        `must`: others that may have an older one of it (a taken-over Job's). `alone`: hold it where there is no keeper,
+        too, until there is one.
+        """
+        number = self._tokens.next()
+        size = size_of(record)
+        why = ("session over" if self.over else "held already" if record.uid in self.jobs else
+               f"record of {size} bytes, at most {RECORD_MOST}" if size > RECORD_MOST else "")
+        if why:
+            return number, [settled(number, why)]
+        chosen = choose(record.uid, self.region, allowed, self._alive, copies, self._unable(now_us, size))
+        if not chosen and not alone:
+            able = choose(record.uid, self.region, allowed, self._alive, copies, self._unable(now_us, 0))
+            return number, [settled(number, "no room at any keeper" if able else "no keeper")]
+        others = set(must) - {self.session.placer}
+        since = {each.index: now_us - each.age_us for each in record.tasks}
+        job = Job(replace(record, session=self.session, keepers=chosen, others=(), moves=0),
+                  born_us=now_us - record.born_age_us, since_us=since, allowed=tuple(allowed), size=size,
+                  chosen=list(chosen), others=others - set(chosen), heed=others, alone=not chosen, moved=record.version)
+        self.jobs[record.uid] = job
+        self._tokens.open(job, number, deadline_us, bool(must) and record.effect != "safe")
+        for name in (*chosen, *sorted(job.others)):
+            self._line(name).want(now_us, record.uid)
+        for name in chosen:
+            self.lines[name].charge(record.uid, size)
+        if not chosen:
+            self._moves.append((record.uid, ""))
+            self._move_us = self._move_us or now_us + LACKING_US
+        return number, [*self._tokens.met(job), *self._next_effects(now_us)]
+
+    def about(self, now_us: int, uid: str, known: Known, deadline_us: int) -> tuple[int, list[Effect]]:
+        """An attempt is about to be sent: not before the token is good."""
+        return self._task(now_us, uid, replace(known, phase="about"), deadline_us)
+
+    def placed(self, now_us: int, uid: str, known: Known, deadline_us: int) -> tuple[int, list[Effect]]:
+        """A task stands on a machine: the answer `placed` not before the token is good."""
+        return self._task(now_us, uid, replace(known, phase="placed"), deadline_us)
+
+    def back(self, now_us: int, uid: str, index: int, deadline_us: int) -> tuple[int, list[Effect]]:
+        """An attempt is proven not to run: its machine refused it, or never heard of it and never will."""
+        return self._task(now_us, uid, Known(index, "none"), deadline_us)
+
+    def ended(self, now_us: int, uid: str, index: int, deadline_us: int) -> tuple[int, list[Effect]]:
+        """A task is over: it is never to be started again."""
+        return self._task(now_us, uid, Known(index, "over"), deadline_us)
+
+    def answered(self, now_us: int, uid: str, answer: str, deadline_us: int) -> tuple[int, list[Effect]]:
+        """What the owner was told."""
+        job = self.jobs.get(uid)
+        record = replace(job.record, answered=answer) if job is not None else None
+        return self._change(now_us, uid, record, deadline_us)
+
+    def drop(self, now_us: int, uid: str) -> list[Effect]:
+        """A Job needs no keeping any more."""
+        job = self.jobs.pop(uid, None)
+        if job is None:
+            return []
+        out = self._tokens.fail(job, "dropped")
+        for name in (*job.chosen, *sorted(job.others)):
+            self._line(name).free(uid)
+            self._line(name).want(now_us, uid, gone=True)
+        return out + self._next_effects(now_us)
+
+    # -- who is there
+
+    def members(self, now_us: int, alive: Mapping[str, tuple[str, int]]) -> list[Effect]:
+        """Who keeps, by name, with region and life: alive by membership. Who is not in it is dropped as a keeper."""
+        by_region: dict[str, list[str]] = {}
+        for name in sorted(alive):
+            if name != self.session.placer:
+                by_region.setdefault(alive[name][0], []).append(name)
+        self._alive = {region: tuple(names) for region, names in by_region.items()}
+        self._living = frozenset(alive)
+        for name, line in self.lines.items():
+            if name not in alive:
+                self._leave(now_us, line)
+            elif alive[name][1] > line.life:
+                self._renewed(now_us, line, alive[name][1], 0)
+        for name in alive.keys() - self.lines.keys() - {self.session.placer}:
+            self.lines[name] = Line(name, alive[name][1], self._random, self.bounds)
+        return self._next_effects(now_us)
+
+    def buried(self, now_us: int, session: Session, epoch: int) -> list[Effect]:
+        """The voters ended a session; to be said in the order of epochs.
+
+        What was kept under it is no ground for anything any more. Danger: a placer that is to hear of a Job that was
+        taken over may have had the record under a later session; only an end after the Job's own speaks for it.
+        """
+        if session.placer == self.session.placer:
+            return self._finish() if session >= self.session and not self.over else []
+        line = self.lines.get(session.placer)
+        out: list[Effect] = []
+        if line is not None:
+            for job in self.jobs.values():
+                if line.name in job.heed and epoch > job.record.epoch:
+                    job.heed.discard(line.name)
+            if (line.life, line.serial) <= (session.life, session.serial):
+                self._renewed(now_us, line, session.life, session.serial + 1)
+                self._leave(now_us, line)
+            out = self._settle_all()
+        return out + self._next_effects(now_us)
+
+    def begin(self, now_us: int, session: Session) -> list[Effect]:
+        """This placer has a new session, and holds nothing."""
+        out = [] if self.over else self._finish()
+        self.session, self.over = session, False
+        return out + self._next_effects(now_us)
+
+    # -- mail and time
+
+    def on_message(self, now_us: int, ident: str, message: KeepAnswer) -> list[Effect]:
+        """A keeper answered."""
+        line = self.lines.get(ident)
+        if self.over or message.session != self.session or line is None or line.out is None \
+                or line.out.keep.number != message.number:
+            return []
+        if message.over:
+            return self._finish()
+        keep = line.out.keep
+        line.reset()
+        line.due_us = now_us
+        out: list[Effect] = []
+        if (message.life, message.serial) != (keep.life, keep.serial):
+            self._say_again(now_us, line, keep)
+            self._renewed(now_us, line, message.life, message.serial)
+            out = self._settle_all()
+        elif not message.good:
+            self._say_again(now_us, line, keep)
+            line.due_us = now_us + self.bounds.most_us
+            out = [Tell("keeper-refused", {"keeper": ident, "why": message.why})]
+            self._leave(now_us, line)
+        else:
+            out = self._kept(now_us, line, message, keep.records, keep.gone)
+        return out + self._next_effects(now_us)
+
+    def on_timer(self, now_us: int, key: str = TIMER) -> list[Effect]:
+        """Something is due."""
+        self._timer_us = None
+        out: list[Effect] = []
+        out += self._tokens.late(now_us, self.jobs)
+        for line in self.lines.values():
+            if line.out is not None and now_us >= line.out.said_us + self.bounds.slow_us and line.rest_us < now_us:
+                self._leave(now_us, line)
+        if self._move_us is not None and self._move_us <= now_us:
+            for _ in range(min(self.bounds.moves, len(self._moves))):
+                self._move(now_us, *self._moves.popleft())
+            self._move_us = now_us + self.bounds.every_us if self._moves else None
+            if not self._moves and self._lacking:
+                self._moves.extend(self._lacking)
+                self._lacking.clear()
+                self._move_us = now_us + LACKING_US
+        return out + self._next_effects(now_us)
+
+    # -- ends
+
+    def _settle_all(self) -> list[Effect]:
+        """After a keeper was released from all that it had."""
+        return [tell for job in self.jobs.values() if job.tokens for tell in self._tokens.met(job)]
+
+    def _finish(self) -> list[Effect]:
+        """This session is over."""
+        out: list[Effect] = [tell for job in self.jobs.values() for tell in self._tokens.fail(job, "session over")]
+        self.over = True
+        self.jobs.clear()
+        self._moves.clear()
+        self._lacking.clear()
+        self._tokens.clear()
+        for line in self.lines.values():
+            line.clear()
+        return [*out, Tell("session-over", {"session": self.session.text()})]
+
+    # -- changes
+
+    def _task(self, now_us: int, uid: str, known: Known, deadline_us: int) -> tuple[int, list[Effect]]:
+        job = self.jobs.get(uid)
+        if job is None or not 0 <= known.index < job.record.count:
+            number = self._tokens.next()
+            return number, [settled(number, "session over" if self.over else "not held")]
+        tasks = [each for each in job.record.tasks if each.index != known.index]
+        tasks += [known] if known.phase != "none" else []
+        record = replace(job.record, tasks=tuple(sorted(tasks, key=lambda each: each.index)))
+        # Danger: of a Job that may repeat, one keeper is enough; of any other all that may start it have to know.
+        every = known.phase == "about" and record.effect != "safe"
+        return self._change(now_us, uid, record, deadline_us, every, known)
+
+    def _change(self, now_us: int, uid: str, record: Record | None, deadline_us: int, every: bool = False,
+                known: Known | None = None) -> tuple[int, list[Effect]]:
+        number = self._tokens.next()
+        job = self.jobs.get(uid)
+        if job is None or record is None:
+            return number, [settled(number, "session over" if self.over else "not held")]
+        if size_of(record) > RECORD_MOST:
+            return number, [settled(number, f"record of {size_of(record)} bytes, at most {RECORD_MOST}")]
+        if known is not None:
+            job.since_us[known.index] = now_us - known.age_us
+        job.record = replace(record, version=record.version + 1)
+        self._tokens.open(job, number, deadline_us, every)
+        for name in job.chosen:
+            self.lines[name].want(now_us, uid)
+        return number, self._next_effects(now_us)
+
+    def _said(self, now_us: int, uid: str) -> Record:
+        """A record as it is said now."""
+        job = self.jobs[uid]
+        tasks = tuple(replace(each, age_us=now_us - job.since_us[each.index]) for each in job.record.tasks)
+        return replace(job.record, born_age_us=now_us - job.born_us, tasks=tasks, others=tuple(sorted(job.others)))
+
+    # -- keepers
+
+    def _line(self, name: str) -> Line:
+        if name not in self.lines:
+            self.lines[name] = Line(name, 0, self._random, self.bounds)
+        return self.lines[name]
+
+    def _unable(self, now_us: int, size: int) -> set[str]:
+        return {name for name, line in self.lines.items() if line.rest_us > now_us or not line.room(size)}
+
+    def _wanted(self, uid: str, name: str) -> bool:
+        job = self.jobs.get(uid)
+        return job is not None and (name in job.chosen or name in job.heed)
+
+    def _say_again(self, now_us: int, line: Line, keep: Keep) -> None:
+        """A mail was not taken."""
+        for record in keep.records:
+            if self._wanted(record.uid, line.name):
+                line.want(now_us, record.uid)
+        for uid in keep.gone:
+            if uid not in line.dirty:
+                line.want(now_us, uid, gone=True)
+
+    def _kept(self, now_us: int, line: Line, message: KeepAnswer, records: tuple[Record, ...],
+              gone: tuple[str, ...]) -> list[Effect]:
+        out: list[Effect] = [Tell("later", {"record": each}) for each in message.later]
+        for uid in message.taken:
+            if uid in self.jobs:
+                out += self._tokens.fail(self.jobs[uid], "taken")
+                out += [Tell("taken", {"uid": uid, "by": line.name}), *self.drop(now_us, uid)]
+        for uid in gone:
+            if uid in self.jobs and uid not in line.dirty and line.name not in self.jobs[uid].chosen:
+                self.jobs[uid].others.discard(line.name)
+                self.jobs[uid].acked.pop(line.name, None)
+        for uid in (*(each.uid for each in records), *gone):
+            job = self.jobs.get(uid)
+            if job is not None:
+                out += self._tokens.met(job)
+        for record in records:
+            job = self.jobs.get(record.uid)
+            if job is not None:
+                job.acked[line.name] = max(record.version, job.acked.get(line.name, -1))
+                job.heed.discard(line.name)
+                out += self._tokens.met(job)
+                self._tidy(now_us, job)
+        return out
+
+    def _tidy(self, now_us: int, job: Job) -> None:
+        """Have others forget, once a keeper has the record as it is without them."""
+        if any(job.acked.get(name, -1) >= job.moved for name in job.chosen):
+            for name in job.others:
+                if name not in job.heed:
+                    self._line(name).want(now_us, job.record.uid, gone=True)
+
+    def _leave(self, now_us: int, line: Line) -> None:
+        """Drop a keeper: those of its Jobs that somebody waits for are moved first."""
+        line.rest_us = now_us + self.bounds.rest_us
+        waiting = [uid for uid in line.jobs if self.jobs[uid].tokens]
+        self._moves.extendleft((uid, line.name) for uid in waiting)
+        self._moves.extend((uid, line.name) for uid in line.jobs if not self.jobs[uid].tokens)
+        if self._moves and self._move_us is None:
+            self._move_us = now_us
+
+    def _move(self, now_us: int, uid: str, name: str) -> None:
+        """Another keeper in place of one; where there is none, it stays, and counts by its own word alone."""
+        job, line = self.jobs.get(uid), self.lines.get(name)
+        if job is None or (line is None and not job.alone) or (line is not None and (
+                name not in job.chosen or (line.rest_us <= now_us and name in self._living))):
+            return
+        without = self._unable(now_us, job.size) | set(job.chosen) | job.others
+        new = choose(uid, self.region, job.allowed, self._alive, 1, without)
+        if not new:
+            self._lacking[uid, name] = None
+            return
+        if line is None:
+            job.chosen, job.alone = list(new), False
+        else:
+            job.chosen[job.chosen.index(name)] = new[0]
+            job.others.add(name)
+            line.free(uid)
+            if name not in job.heed:
+                line.dirty.pop(uid, None)
+        self.lines[new[0]].charge(uid, job.size)
+        job.record = replace(job.record, keepers=tuple(job.chosen), version=job.record.version + 1,
+                             moves=job.record.moves + 1)
+        job.moved = job.record.version
+        for each in (*job.chosen, *(name for name in job.others if self._wanted(uid, name))):
+            self._line(each).want(now_us, uid)
+
+    def _renewed(self, now_us: int, line: Line, life: int, serial: int) -> None:
+        """A keeper has another session: what it had from this holder it has no more, or doubts."""
+        line.life, line.serial = life, serial
+        line.reset()
+        for uid, job in self.jobs.items():
+            job.acked.pop(line.name, None)
+            if self._wanted(uid, line.name):
+                line.want(now_us, uid)
+            elif line.name in job.others:
+                job.others.discard(line.name)
+                line.want(now_us, uid, gone=True)
+
+    # -- mail
+
+    def _next_effects(self, now_us: int) -> list[Effect]:
+        """What is due to be said, and the timer for what is next."""
+        out: list[Effect] = []
+        due = self._tokens.due()
+        due += [self._move_us] if self._move_us is not None else []
+        for line in self.lines.values():
+            if line.out is None and line.due_us is not None and line.due_us <= now_us:
+                line.due_us = None
+                if line.dirty or line.gone:
+                    records = line.take(lambda uid: self._said(now_us, uid))
+                    out.append(Send(line.name, "", line.mail(now_us, self.session, records)))
+            elif line.out is not None and line.out.again_us <= now_us:
+                out.append(Send(line.name, "", line.again(now_us)))
+            due += line.next_us(now_us, self.bounds.slow_us)
+        if due and (self._timer_us is None or min(due) < self._timer_us):
+            self._timer_us = max(now_us, min(due))
+            out.append(SetTimer(TIMER, self._timer_us))
+        return out
--- /dev/null
+++ b/wingbarrow/decide/peers/keeping.py
@@ -0,0 +1,296 @@
+"""The keeper's side of custody: records of other placers' Jobs, in order, within bounds, and what of them to take over.
+
+A mail is kept whole or refused whole for want of room. A record gives way to a later one: of a later epoch, or of the
+same epoch and a later version; two that took a Job over at the same epoch are told apart by their names, the lesser
+stands. Ages become times of this clock: late mail makes what happened look later than it was, which only makes a
+successor wait longer. Danger: mail of before this placer's own session ended must not pass for new, so that a mail for
+another session than the present one is refused; and what was kept until then is *in doubt*, as its holder may go on
+without telling this placer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from wingbarrow.decide.peers.effects import Effect, Send, Tell
+from wingbarrow.decide.peers.leasing import (
+    EFFECTS,
+    FORM,
+    KEPT_MOST,
+    RECORD_MOST,
+    Ended,
+    Keep,
+    KeepAnswer,
+    Kept,
+    Record,
+    Session,
+    Settle,
+    Settled,
+    successor,
+)
+from wingbarrow.decide.peers.records import Bounds, aged, order, size_of
+
+HOLDERS_MOST = 4096
+UNKNOWN_HERE = "not known here"
+FATES = ("waiting", "asked", "run", "unknown", "stopped", "nothing", UNKNOWN_HERE)
+
+
+@dataclass(slots=True)
+class Entry:
+    """One record kept; `under`: what it took the place of at the same epoch, which stands again if it goes."""
+
+    record: Record
+    said_us: int
+    size: int
+    doubt: bool = False
+    under: Entry | None = None
+
+
+@dataclass(slots=True)
+class Taking:
+    """A Job that this placer takes over. `doubt`: what is kept may not be all. `must`: who else may have it."""
+
+    record: Record
+    epoch: int
+    doubt: bool
+    must: tuple[str, ...]
+
+
+class Keeping:
+    """One placer's, as a keeper."""
+
+    def __init__(self, me: str, life: int, bounds: Bounds = Bounds()) -> None:  # noqa: B008 - frozen
+        self.session, self.bounds = Session(me, life, 0), bounds
+        self.entries: dict[str, Entry] = {}
+        self.sessions: dict[Session, dict[str, None]] = {}  # uids by holder's session
+        self.taken: dict[str, tuple[int, str]] = {}  # what this placer has taken over: epoch and fate
+        self.ends: dict[str, Ended] = {}  # the latest of each placer
+        self._sizes: dict[str, int] = {}  # bytes by holder
+        self._last: dict[str, tuple[Session, int, KeepAnswer]] = {}
+        self._kept: tuple[Kept, ...] | None = None
+
+    # -- mail of holders
+
+    def on_keep(self, now_us: int, ident: str, keep: Keep) -> list[Effect]:
+        """Take it or not, and say so; nothing is said to what is older than what was answered already."""
+        last = self._last.get(ident)
+        if last is not None and last[0] == keep.session and keep.number <= last[1]:
+            return [Send(ident, "", last[2])] if keep.number == last[1] else []
+        out: list[Effect] = []
+        answer = KeepAnswer(keep.number, keep.session, False, life=self.session.life, serial=self.session.serial)
+        why = self._wrong(ident, keep)
+        if why:
+            return [Send(ident, "", replace(answer, why=why))]
+        if self._over(keep.session) or (last is not None and keep.session < last[0]):
+            return [Send(ident, "", replace(answer, why="this session has ended", over=True))]
+        if (keep.life, keep.serial) != (self.session.life, self.session.serial):
+            return [Send(ident, "", replace(answer, why="not to this keeper's session"))]
+        taken = tuple(each.uid for each in keep.records if not self._stands(each))
+        new = [each for each in keep.records if each.uid not in taken]
+        why = self._room(ident, new)
+        if why:
+            return [Send(ident, "", replace(answer, why=why))]
+        later: list[Record] = []
+        for record in new:
+            out += self._put(now_us, record, later)
+        for uid in keep.gone:
+            self._gone(keep.session, uid)
+        answer = replace(answer, good=True, taken=taken, later=tuple(later))
+        self._last[ident] = keep.session, keep.number, answer
+        return [*out, Send(ident, "", answer)]
+
+    def _wrong(self, ident: str, keep: Keep) -> str:
+        if keep.session.placer != ident:
+            return "not the sender's session"
+        if ident not in self._last and len(self._last) >= HOLDERS_MOST:
+            return f"more than {HOLDERS_MOST} holders"
+        for record in keep.records:
+            if record.form != FORM or record.effect not in EFFECTS or record.session != keep.session:
+                return f"record {record.uid[:64]}: a field that this placer does not read"
+            if size_of(record) > RECORD_MOST:
+                return f"record {record.uid[:64]}: {size_of(record)} bytes, at most {RECORD_MOST}"
+        return ""
+
+    def _over(self, session: Session) -> bool:
+        end = self.ends.get(session.placer)
+        return end is not None and session <= end.session
+
+    def _room(self, holder: str, new: Iterable[Record]) -> str:
+        records = sum(len(uids) for session, uids in self.sessions.items() if session.placer == holder)
+        size = self._sizes.get(holder, 0)
+        for record in new:
+            had = self.entries.get(record.uid)
+            mine = had is not None and had.record.session.placer == holder
+            records += not mine
+            size += size_of(record) - (had.size if had is not None and mine else 0)
+        if records > self.bounds.records:
+            return f"no room: {records} records of one holder, at most {self.bounds.records}"
+        return f"no room: {size} bytes of one holder, at most {self.bounds.bytes}" if size > self.bounds.bytes else ""
+
+    # -- which of two records stands
+
+    def _stands(self, record: Record) -> bool:
+        """Whether a record that was said takes the place of what is known here."""
+        own = self.taken.get(record.uid)
+        if own is not None and record.epoch <= own[0]:
+            # Danger: what was started here goes on; the other has not started, as this placer did not agree to it.
+            first = record.session.placer < self.session.placer
+            return record.epoch == own[0] and first and own[1] in ("waiting", "asked")
+        had = self.entries.get(record.uid)
+        if had is None or had.record.session == record.session or record.epoch > had.record.epoch:
+            return True
+        return record.epoch == had.record.epoch and record.session.placer < had.record.session.placer
+
+    def _put(self, now_us: int, record: Record, later: list[Record]) -> list[Effect]:
+        out: list[Effect] = []
+        had = self.entries.get(record.uid)
+        entry = Entry(record, now_us, size_of(record))
+        if record.uid in self.taken:
+            epoch, fate = self.taken.pop(record.uid)
+            out.append(Tell("superseded", {"uid": record.uid, "epoch": record.epoch, "fate": fate,
+                                           "by": record.session.placer, "record": record}))
+        if had is not None and had.record.session == record.session:
+            if order(had.record) > order(record):
+                return out
+            entry.under = had.under
+        elif had is not None:
+            if record.effect != "safe":
+                later.append(replace(self._now(now_us, had), manifest=""))
+            entry.under = had if had.record.epoch == record.epoch else None
+        self._forget(record.uid)
+        self._add(entry)
+        return out
+
+    def _gone(self, session: Session, uid: str) -> None:
+        entry = self.entries.get(uid)
+        if entry is None:
+            return
+        if entry.record.session == session:
+            self._forget(uid)
+            if entry.under is not None:
+                self._add(entry.under)
+        elif entry.under is not None and entry.under.record.session == session:
+            entry.under = None
+
+    def _add(self, entry: Entry) -> None:
+        record = entry.record
+        self.entries[record.uid] = entry
+        self.sessions.setdefault(record.session, {})[record.uid] = None
+        self._sizes[record.session.placer] = self._sizes.get(record.session.placer, 0) + entry.size
+        self._kept = None
+
+    def _forget(self, uid: str) -> None:
+        entry = self.entries.pop(uid, None)
+        if entry is None:
+            return
+        session = entry.record.session
+        self._sizes[session.placer] -= entry.size
+        del self.sessions[session][uid]
+        if not self.sessions[session]:
+            del self.sessions[session]
+        self._kept = None
+
+    @staticmethod
+    def _now(now_us: int, entry: Entry) -> Record:
+        return aged(entry.record, now_us - entry.said_us)
+
+    def record(self, now_us: int, uid: str) -> Record | None:
+        """What is kept of a Job, with the ages of now."""
+        entry = self.entries.get(uid)
+        return self._now(now_us, entry) if entry is not None else None
+
+    # -- what the voters decide
+
+    def kept(self) -> tuple[Kept, ...]:
+        """What is kept of each session, for the next ask; those that this placer has taken over do not count."""
+        if self._kept is None:
+            out = []
+            for session, uids in self.sessions.items():
+                afters = [self.entries[uid].record.after_us for uid in uids if uid not in self.taken]
+                if afters:
+                    out.append(Kept(session, len(afters), min(afters)))
+            out.sort(key=lambda each: (-each.jobs, each.session))
+            self._kept = tuple(out[:KEPT_MOST])
+        return self._kept
+
+    def ended(self, now_us: int, ended: Ended) -> list[Taking]:
+        """A session is over, or has more successors than before: what this placer takes over, each Job once."""
+        former = self.ends.get(ended.session.placer)
+        if former is not None and former.session > ended.session:
+            return []
+        self.ends[ended.session.placer] = ended
+        me = self.session.placer
+        out = []
+        for uid in list(self.sessions.get(ended.session, ())):
+            record = self.entries[uid].record
+            if uid not in self.taken and successor(ended, (*record.keepers, me)) == me:
+                out.append(self._take(now_us, uid, ended))
+        return out
+
+    def take(self, now_us: int, uid: str) -> Taking | None:
+        """Take one over whose successor, as this placer reckons, knows nothing of it, or that has none."""
+        entry = self.entries.get(uid)
+        end = self.ends.get(entry.record.session.placer) if entry is not None else None
+        if entry is None or end is None or entry.record.session != end.session or uid in self.taken:
+            return None
+        return self._take(now_us, uid, end)
+
+    def _take(self, now_us: int, uid: str, ended: Ended) -> Taking:
+        entry, me = self.entries[uid], self.session.placer
+        record = self._now(now_us, entry)
+        names = {*record.keepers, *record.others}
+        names |= {name for batch in ended.batches for name in batch} if record.moves else set()
+        gone = set(ended.gone) - {me}
+        # Danger: one that is gone may have started it and asked those whom it knew of, not this placer.
+        doubt = entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone
+        self.taken[uid] = ended.epoch, "waiting"
+        self._kept = None
+        return Taking(record, ended.epoch, doubt, tuple(sorted(names - gone - {me})))
+
+    def others(self) -> dict[str, list[str]]:
+        """Of sessions that are over: Jobs kept here that another is to take over, by its name ("": nobody)."""
+        out: dict[str, list[str]] = {}
+        for end in self.ends.values():
+            for uid in self.sessions.get(end.session, ()):
+                if uid not in self.taken:
+                    out.setdefault(successor(end, self.entries[uid].record.keepers), []).append(uid)
+        return out
+
+    def own_end(self, session: Session) -> None:
+        """This placer's session was ended, and it has a new one: its holders may have gone on without it."""
+        self.session = session
+        self.taken.clear()
+        self._kept = None
+        for entry in self.entries.values():
+            entry.doubt = entry.doubt or entry.record.effect != "safe"
+
+    # -- what became of Jobs
+
+    def fate(self, uid: str, fate: str) -> None:
+        """What became of a Job that was taken over here; `nothing` and `stopped` need no keeping any more."""
+        if uid in self.taken:
+            self.taken[uid] = self.taken[uid][0], fate
+
+    def let_go(self, uid: str) -> None:
+        """A Job that was taken over here is over, or is another's: nothing of it is kept."""
+        if self.taken.pop(uid, None) is not None:
+            self._forget(uid)
+
+    def settle(self, ident: str, ask: Settle) -> list[Effect]:
+        """What became of Jobs of a session that has ended, to one that came back or that keeps them too."""
+        fates = []
+        for uid in ask.uids[:KEPT_MOST]:
+            entry = self.entries.get(uid)
+            if uid in self.taken:
+                fates.append((uid, *self.taken[uid]))
+            elif entry is not None and entry.record.session != ask.session:
+                fates.append((uid, entry.record.epoch, "waiting"))
+            else:
+                fates.append((uid, 0, UNKNOWN_HERE))
+        return [Send(ident, "", Settled(ask.number, ask.session, tuple(fates)))]
+
+
+def unclaimed(leased: int, kept: Iterable[Kept]) -> int:
+    """How many Jobs of a lost session nobody keeps, as far as all keepers were heard."""
+    return max(0, leased - sum(each.jobs for each in kept))
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -156,6 +156,8 @@
     answered: str  # "", placed, refused, failed: what its owner was told by its first placer
     born_age_us: int  # since it was accepted, when this was said
     tasks: tuple[Known, ...] = field(default=())
+    others: tuple[str, ...] = ()  # placers that may have an older one, and have not forgotten it yet
+    moves: int = 0  # how often its keepers changed in this epoch; 0: nobody but `keepers` and `others` ever had it
 
 
 # -- between holder and keeper, at most once, said again until answered
@@ -163,23 +165,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Keep:
-    """Have these, in place of what you had of them; `gone`: uids that need no keeping any more."""
+    """Have these, in place of what you had of them; `gone`: uids that need no keeping any more.
+
+    `life`, `serial`: of the keeper's session, as the holder knows it; a keeper of another refuses, as it has lost or
+    doubts what it had, and late mail must not pass for new.
+    """
 
     number: int
     session: Session
     records: tuple[Record, ...] = ()
     gone: tuple[str, ...] = ()
+    life: int = 0
+    serial: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class KeepAnswer:
-    """All of that number is kept; or not, and why (bounds, or this session has ended: `over`)."""
+    """All of that number is kept; or not, and why (bounds, or this session has ended: `over`).
+
+    `life`, `serial`: of the keeper's session. `taken`: uids of the mail that another holds by a later word: they were
+    not kept. `later`: what stood at the keeper of uids that were taken over, without manifests: the new holder may
+    have known less.
+    """
 
     number: int
     session: Session
     good: bool
     why: str = ""
     over: bool = False
+    life: int = 0
+    serial: int = 0
+    taken: tuple[str, ...] = ()
+    later: tuple[Record, ...] = ()
 
 
 # -- after an end
