Reissue of a lost region's Jobs: one table, take-overs, healing, joined in a custodian

What a lost placer held has to be started again where that cannot do harm, and only there. decide/peers/reissue.py is the table as data, each row with the danger it guards against; takeover.py holds one ended session's Jobs anew, has their machines asked (inquiry.py) and gives them out in order and at a pace; healing.py settles with one that comes back; custodian.py joins holder, keeper and successor for the core.

--- /dev/null
+++ b/wingbarrow/decide/peers/custodian.py
@@ -0,0 +1,317 @@
+"""One placer's part in custody, whole: holder, keeper, and successor of sessions that ended; what the core talks to.
+
+`hold`, `about`, `placed`, `back`, `ended`, `answered` are called on `custody` itself; all else here, as it concerns
+more than one part. Tells for the core: `kept` (a token), `session-over`, `reissue`, `startable` (call `next`),
+`stop` (a Job that another holds by a later word: `fate` says whether it was started here), `ask-machine` (a machine
+of this region is to be fenced and asked, its answer sent back as `MachineSays`), `settled`, `orphans`.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from wingbarrow.decide.peers.custody import TIMER as CUSTODY
+from wingbarrow.decide.peers.custody import Custody
+from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
+from wingbarrow.decide.peers.healing import Healing, Own
+from wingbarrow.decide.peers.inquiry import NUMBERS
+from wingbarrow.decide.peers.keeping import UNKNOWN_HERE, Keeping, Taking
+from wingbarrow.decide.peers.leasing import (
+    KEPT_MOST,
+    AskMachine,
+    Ended,
+    Keep,
+    KeepAnswer,
+    Message,
+    Record,
+    Session,
+    Settle,
+    Settled,
+)
+from wingbarrow.decide.peers.records import Bounds
+from wingbarrow.decide.peers.reissue import Verdict
+from wingbarrow.decide.peers.takeover import Start, Takeover, rank_of
+
+CLAIM_US = 10_000_000  # until a claim's token is renewed
+WATCH_US = 3_000_000  # between looks at what others are to take over
+LAST_US = 30_000_000  # after it, what nobody takes over is taken over by whoever keeps it
+STARTABLE, WATCH = "startable", "watch"
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """At most so many Jobs are given to the core in one go, every so often."""
+
+    starts: int = 32
+    every_us: int = 100_000
+
+    def within_us(self, jobs: int) -> int:
+        """How long so many take where there is room."""
+        return self.every_us * (1 + (jobs + self.starts - 1) // self.starts)
+
+
+class Custodian:
+    """One placer's. `terms`: the regions that a Job's spec allows now, and how many keepers it wants."""
+
+    def __init__(self, me: str, life: int, region: str, seed: int, bounds: Bounds = Bounds(),  # noqa: B008 - frozen
+                 pace: Pace = Pace()) -> None:  # noqa: B008 - frozen
+        self.me, self.region, self.pace = me, region, pace
+        self.custody = Custody(me, life, region, seed, bounds)
+        self.keeping = Keeping(me, life, bounds)
+        self.terms: Callable[[Record], tuple[tuple[str, ...], int]] = lambda record: ((), 1)
+        self.takeovers: dict[Session, Takeover] = {}
+        self.healings: dict[Session, Healing] = {}
+        self._alive: dict[str, tuple[str, int]] = {}
+        self._claims: dict[int, str] = {}  # tokens of Jobs taken over
+        self._where: dict[str, Takeover] = {}  # by uid
+        self._heap: list[tuple[int, int, str, str]] = []
+        self._next_us = 0  # when the core may have more
+        self._startable_us: int | None = None
+        self._watch_us: int | None = None
+        self._heard: dict[Session, int] = {}  # when an end was heard of
+        self._settles: dict[int, str] = {}
+        self._number = 0
+
+    # -- what is heard
+
+    def members(self, now_us: int, alive: Mapping[str, tuple[str, int]]) -> list[Effect]:
+        """Placers by name that are alive by membership: region and life."""
+        self._alive = dict(alive)
+        out = self._go(now_us, self.custody.members(now_us, alive))
+        for takeover in self.takeovers.values():
+            out += self._go(now_us, takeover.places(now_us, self._askers(takeover)))
+        return out
+
+    def over(self, now_us: int, ended: Ended, jobs: Mapping[str, Own] | None = None) -> list[Effect]:
+        """The voters ended a session, or it has more successors; to be said in the order of epochs.
+
+        `jobs`: where it was this placer's, what it has of it, for healing.
+        """
+        if ended.session.placer == self.me:
+            out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
+            healing = self.healings.get(ended.session)
+            if healing is None and jobs:
+                healing = self.healings[ended.session] = Healing(self.me, ended.session, jobs)
+            return out + (self._go(now_us, healing.ended(now_us, ended)) if healing is not None else [])
+        out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
+        self._heard.setdefault(ended.session, now_us)
+        out += self._take(now_us, ended.session, ended.epoch, self.keeping.ended(now_us, ended))
+        return out + self._watch(now_us)
+
+    def begin(self, now_us: int, session: Session) -> list[Effect]:
+        """This placer's former session was ended, and it has this one: it holds nothing, and succeeds nobody."""
+        out = self._go(now_us, self.custody.begin(now_us, session))
+        self.keeping.own_end(session)
+        self.takeovers.clear()
+        self._where.clear()
+        self._claims.clear()
+        self._heap.clear()
+        return out
+
+    def drop(self, now_us: int, uid: str) -> list[Effect]:
+        """A Job is over, deleted, or was never accepted: nobody needs to keep it."""
+        if uid in self._where:
+            self._where.pop(uid).superseded(uid)
+            self.keeping.let_go(uid)
+        return self._go(now_us, self.custody.drop(now_us, uid))
+
+    def operator(self, now_us: int, uid: str) -> list[Effect]:
+        """An operator answers for it that an unknown Job never ran."""
+        return self._go(now_us, self._where[uid].operator(now_us, uid)) if uid in self._where else []
+
+    def unknown(self) -> list[Record]:
+        """Jobs that are kept as unknown, for the operator's list."""
+        return [case.record for takeover in self.takeovers.values() for case in takeover.cases.values()
+                if case.fate == Verdict.UNKNOWN.value]
+
+    def on_message(self, now_us: int, ident: str, address: str, message: Message) -> list[Effect]:
+        """Mail came."""
+        if isinstance(message, Keep):
+            return self._go(now_us, self.keeping.on_keep(now_us, ident, message))
+        if isinstance(message, KeepAnswer):
+            return self._go(now_us, self.custody.on_message(now_us, ident, message))
+        if isinstance(message, Settle):
+            return self.keeping.settle(ident, message)
+        if isinstance(message, Settled):
+            return self._settled(now_us, ident, message)
+        if isinstance(message, AskMachine):
+            return [Tell("ask-machine", {"to": ident, "number": message.number, "machine": message.machine,
+                                         "uid": message.uid, "epoch": message.epoch})]
+        takeover = next((each for each in self.takeovers.values() if each.epoch == message.number // NUMBERS), None)
+        return self._go(now_us, takeover.on_message(now_us, message)) if takeover is not None else []
+
+    def on_timer(self, now_us: int, key: str) -> list[Effect]:
+        """A timer is due."""
+        if key == CUSTODY:
+            return self._go(now_us, self.custody.on_timer(now_us))
+        if key == STARTABLE:
+            self._startable_us = None
+            return [Tell("startable", {"jobs": len(self._heap)})] if self._heap else []
+        if key == WATCH:
+            self._watch_us = None
+            return self._watch(now_us, ask=True)
+        parts: list[Takeover | Healing] = [*self.takeovers.values(), *self.healings.values()]
+        return [effect for each in parts if each.timer == key
+                for effect in self._go(now_us, each.on_timer(now_us))]
+
+    # -- what the core takes
+
+    def next(self, now_us: int, cores: float, memory: float,
+             may: Callable[[Record], bool] = lambda record: True) -> tuple[list[Start], list[Effect]]:
+        """What may be started now, in order, within that room; `may`: whether its spec allows it here, now."""
+        out: list[Start] = []
+        left: list[tuple[int, int, str, str]] = []
+        while now_us >= self._next_us and self._heap and len(out) < self.pace.starts \
+                and len(left) < 8 * self.pace.starts:
+            entry = heapq.heappop(self._heap)
+            takeover = self._where.get(entry[3])
+            if takeover is None or entry[3] not in takeover.ready:
+                continue
+            record = takeover.cases[entry[3]].record
+            tasks = len(takeover.cases[entry[3]].run)
+            if record.cores * tasks > cores or record.memory * tasks > memory or not may(record):
+                left.append(entry)
+                continue
+            cores, memory = cores - record.cores * tasks, memory - record.memory * tasks
+            out.append(takeover.give(record.uid))
+            self.keeping.fate(record.uid, Verdict.RUN.value)
+        for entry in left:
+            heapq.heappush(self._heap, entry)
+        if out:
+            self._next_us = now_us + self.pace.every_us
+        return out, self._call(now_us)
+
+    def _call(self, now_us: int) -> list[Effect]:
+        """Have the core come for what is ready."""
+        if not self._heap or self._startable_us is not None:
+            return []
+        self._startable_us = max(self._next_us, now_us + self.pace.every_us // 4)
+        return [SetTimer(STARTABLE, self._startable_us)]
+
+    # -- inside
+
+    def _askers(self, takeover: Takeover) -> list[str]:
+        regions = {case.record.region for case in takeover.cases.values()}
+        return [name for name, (region, _) in self._alive.items() if region in regions]
+
+    def _must(self, taking: Taking) -> tuple[str, ...]:
+        """Danger: one that is dead by the voters never answers; one that is there, or stands in a batch, has to."""
+        end = self.keeping.ends[taking.record.session.placer]
+        named = {name for batch in end.batches for name in batch}
+        return tuple(name for name in taking.must if name in self._alive or name in named
+                     or name not in self.keeping.ends)
+
+    def _take(self, now_us: int, session: Session, epoch: int, takings: list[Taking]) -> list[Effect]:
+        if not takings:
+            return []
+        takeover = self.takeovers.get(session)
+        if takeover is None:
+            takeover = self.takeovers[session] = Takeover(session, epoch)
+        out = self._go(now_us, takeover.add(now_us, takings))
+        out += self._go(now_us, takeover.places(now_us, self._askers(takeover)))
+        for taking in takings:
+            record = taking.record
+            self._where[record.uid] = takeover
+            allowed, copies = self.terms(record)
+            record = replace(record, epoch=taking.epoch, version=record.version + 1)
+            must = self._must(taking)
+            token, effects = self.custody.hold(now_us, record, allowed, copies, now_us + CLAIM_US, must, alone=True)
+            self._claims[token] = record.uid
+            out += self._go(now_us, effects)
+        return out
+
+    def _go(self, now_us: int, effects: list[Effect]) -> list[Effect]:
+        """What the parts tell each other is heard here; the rest goes out, in order."""
+        out: list[Effect] = []
+        for effect in effects:
+            if not isinstance(effect, Tell):
+                out.append(effect)
+                continue
+            said = effect.fields
+            uid = said.get("uid", "")
+            if effect.what == "kept" and said["token"] in self._claims:
+                out += self._claim(now_us, self._claims.pop(said["token"]), said)
+            elif effect.what == "later":
+                record: Record = said["record"]
+                if record.uid in self._where:
+                    out += self._go(now_us, self._where[record.uid].later(now_us, record))
+            elif effect.what in ("superseded", "taken"):
+                out += self._lost(now_us, uid, said)
+            elif effect.what == "reissue":
+                self.keeping.fate(uid, said["verdict"])
+                out.append(effect)
+                takeover = self._where.get(uid)
+                if said["verdict"] == Verdict.RUN.value and takeover is not None and uid in takeover.ready:
+                    heapq.heappush(self._heap, (*rank_of(takeover.cases[uid]), uid))
+                    out += self._call(now_us)
+            else:
+                out.append(effect)
+        return out
+
+    def _claim(self, now_us: int, uid: str, said: Mapping[str, Any]) -> list[Effect]:
+        takeover = self._where.get(uid)
+        if takeover is None or said["why"] in ("taken", "dropped", "session over"):
+            return []
+        if said["good"]:
+            return self._go(now_us, takeover.claimed(now_us, uid))
+        every = takeover.cases[uid].record.effect != "safe"
+        token, effects = self.custody.again(now_us, uid, now_us + CLAIM_US, every)
+        if uid in self.custody.jobs:
+            self._claims[token] = uid
+        return self._go(now_us, effects)
+
+    def _lost(self, now_us: int, uid: str, said: Mapping[str, Any]) -> list[Effect]:
+        """Another holds a Job by a later word."""
+        takeover = self._where.pop(uid, None)
+        fate = "run"
+        if takeover is not None and uid in takeover.cases:
+            fate = takeover.cases[uid].fate
+            takeover.superseded(uid)
+            self.keeping.let_go(uid)
+        out = self._go(now_us, self.custody.drop(now_us, uid))
+        return [*out, Tell("stop", {"uid": uid, "fate": fate, "by": said["by"]})]
+
+    def _watch(self, now_us: int, ask: bool = False) -> list[Effect]:
+        """Jobs kept here that others are to take over: whether they do."""
+        out: list[Effect] = []
+        others = self.keeping.others()
+        for name, uids in sorted(others.items()) if ask else ():
+            by_session: dict[Session, list[str]] = {}
+            for uid in uids:
+                by_session.setdefault(self.keeping.entries[uid].record.session, []).append(uid)
+            for session, some in by_session.items():
+                if name and name != self.me:
+                    self._number += 1
+                    self._settles[self._number] = name
+                    out.append(Send(name, "", Settle(self._number, session, tuple(some[:KEPT_MOST]))))
+                elif now_us >= self._heard.get(session, now_us) + LAST_US:
+                    out.append(Tell("orphans", {"session": session.text(), "jobs": len(some)}))
+                    out += self._take_each(now_us, some)
+        while len(self._settles) > 1024:
+            del self._settles[next(iter(self._settles))]
+        if others and self._watch_us is None:
+            self._watch_us = now_us + WATCH_US
+            out.append(SetTimer(WATCH, self._watch_us))
+        return out
+
+    def _take_each(self, now_us: int, uids: list[str]) -> list[Effect]:
+        out: list[Effect] = []
+        for uid in uids:
+            taking = self.keeping.take(now_us, uid)
+            if taking is not None:
+                out += self._take(now_us, taking.record.session, taking.epoch, [taking])
+        return out
+
+    def _settled(self, now_us: int, ident: str, message: Settled) -> list[Effect]:
+        healing = self.healings.get(message.session)
+        if healing is not None:
+            out = self._go(now_us, healing.on_message(now_us, ident, message))
+            if healing.done:
+                del self.healings[message.session]
+            return out
+        if self._settles.pop(message.number, "") != ident:
+            return []
+        return self._take_each(now_us, [uid for uid, _, fate in message.fates if fate == UNKNOWN_HERE])
--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -12,7 +12,7 @@
 
 import random
 from collections import deque
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
@@ -35,7 +35,7 @@
         self.over = False  # this session has ended; nothing is held under it any more
         self.lines: dict[str, Line] = {}
         self._alive: dict[str, tuple[str, ...]] = {}  # by region
-        self._living: frozenset[str] = frozenset()
+        self._where: dict[str, str] = {}  # region of each
         self._random = random.Random(seed)
         self._tokens = Tokens()
         self._moves: deque[tuple[str, str]] = deque()  # Jobs whose keeper was dropped
@@ -100,6 +100,14 @@
         record = replace(job.record, answered=answer) if job is not None else None
         return self._change(now_us, uid, record, deadline_us)
 
+    def again(self, now_us: int, uid: str, deadline_us: int, every: bool) -> tuple[int, list[Effect]]:
+        """Wait once more for what is said of a Job already."""
+        number, job = self._tokens.next(), self.jobs.get(uid)
+        if job is None:
+            return number, [settled(number, "session over" if self.over else "not held")]
+        self._tokens.open(job, number, deadline_us, every)
+        return number, [*self._tokens.met(job), *self._next_effects(now_us)]
+
     def drop(self, now_us: int, uid: str) -> list[Effect]:
         """A Job needs no keeping any more."""
         job = self.jobs.pop(uid, None)
@@ -120,7 +128,7 @@
             if name != self.session.placer:
                 by_region.setdefault(alive[name][0], []).append(name)
         self._alive = {region: tuple(names) for region, names in by_region.items()}
-        self._living = frozenset(alive)
+        self._where = {name: region for name, (region, _) in alive.items()}
         for name, line in self.lines.items():
             if name not in alive:
                 self._leave(now_us, line)
@@ -130,6 +138,17 @@
             self.lines[name] = Line(name, alive[name][1], self._random, self.bounds)
         return self._next_effects(now_us)
 
+    def allow(self, now_us: int, allowed: Callable[[Record], Collection[str]]) -> list[Effect]:
+        """Specs have changed: a keeper in a region that a Job's spec does not allow any more is replaced."""
+        for uid, job in self.jobs.items():
+            job.allowed = tuple(allowed(job.record))
+            for name in job.chosen:
+                if self._where.get(name) not in job.allowed:
+                    self._moves.append((uid, name))
+        if self._moves and self._move_us is None:
+            self._move_us = now_us
+        return self._next_effects(now_us)
+
     def buried(self, now_us: int, session: Session, epoch: int) -> list[Effect]:
         """The voters ended a session; to be said in the order of epochs.
 
@@ -228,7 +247,8 @@
             return number, [settled(number, "session over" if self.over else "not held")]
         tasks = [each for each in job.record.tasks if each.index != known.index]
         tasks += [known] if known.phase != "none" else []
-        record = replace(job.record, tasks=tuple(sorted(tasks, key=lambda each: each.index)))
+        region = self.region if known.phase in ("about", "placed") else job.record.region
+        record = replace(job.record, tasks=tuple(sorted(tasks, key=lambda each: each.index)), region=region)
         # Danger: of a Job that may repeat, one keeper is enough; of any other all that may start it have to know.
         every = known.phase == "about" and record.effect != "safe"
         return self._change(now_us, uid, record, deadline_us, every, known)
@@ -322,7 +342,7 @@
         """Another keeper in place of one; where there is none, it stays, and counts by its own word alone."""
         job, line = self.jobs.get(uid), self.lines.get(name)
         if job is None or (line is None and not job.alone) or (line is not None and (
-                name not in job.chosen or (line.rest_us <= now_us and name in self._living))):
+                name not in job.chosen or (line.rest_us <= now_us and self._where.get(name) in job.allowed))):
             return
         without = self._unable(now_us, job.size) | set(job.chosen) | job.others
         new = choose(uid, self.region, job.allowed, self._alive, 1, without)
--- /dev/null
+++ b/wingbarrow/decide/peers/healing.py
@@ -0,0 +1,105 @@
+"""One that comes back, whose session was ended: what became of its Jobs, asked of their successors before all else.
+
+It has lost its say over all of them. Each is settled by the table of healing (`reissue.settle`): its own copy is
+stopped where a successor's stands, except what must not start twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
+from wingbarrow.decide.peers.keeping import UNKNOWN_HERE
+from wingbarrow.decide.peers.leasing import KEPT_MOST, Ended, Session, Settle, Settled
+from wingbarrow.decide.peers.reissue import Copy, settle
+
+ASK_US = 1_000_000  # between asks of a successor that has not answered
+
+
+@dataclass(frozen=True, slots=True)
+class Own:
+    """A Job as the one that came back has it."""
+
+    effect: str
+    epoch: int
+    runs: bool
+
+
+class Healing:
+    """Of one ended session of this placer; done once each successor has answered, or has gone."""
+
+    def __init__(self, me: str, session: Session, jobs: Mapping[str, Own]) -> None:
+        self.me, self.session = me, session
+        self.timer = f"healing/{session.text()}"
+        self.jobs = dict(jobs)
+        self._asked: dict[str, set[str]] = {}  # by successor: uids that it has not told of
+        self._numbers: dict[int, str] = {}
+        self._number = 0
+        self._said: dict[str, set[str]] = {}  # who knows nothing of a Job
+
+    @property
+    def done(self) -> bool:
+        """Whether nothing is left to be told."""
+        return not self.jobs
+
+    def ended(self, now_us: int, ended: Ended) -> list[Effect]:
+        """Its end, and who succeeds; again where there are more."""
+        names = {name for batch in ended.batches for name in batch if name not in ended.gone} - {self.me}
+        for name in list(self._asked):
+            if name not in names:
+                del self._asked[name]
+        for name in names - self._asked.keys():
+            self._asked[name] = set(self.jobs)
+        return [*self._nobody(), *self.on_timer(now_us)]
+
+    def on_timer(self, now_us: int) -> list[Effect]:
+        """Ask those that have not told."""
+        out: list[Effect] = []
+        for name, uids in sorted(self._asked.items()):
+            if uids:
+                self._number += 1
+                self._numbers[self._number] = name
+                out.append(Send(name, "", Settle(self._number, self.session, tuple(sorted(uids))[:KEPT_MOST])))
+        while len(self._numbers) > 1024:
+            del self._numbers[next(iter(self._numbers))]
+        return [*out, SetTimer(self.timer, now_us + ASK_US)] if out else []
+
+    def on_message(self, now_us: int, ident: str, message: Settled) -> list[Effect]:
+        """A successor told."""
+        if self._numbers.pop(message.number, "") != ident or message.session != self.session:
+            return []
+        out: list[Effect] = []
+        for uid, epoch, fate in message.fates:
+            self._asked.get(ident, set()).discard(uid)
+            own = self.jobs.get(uid)
+            if own is None:
+                continue
+            if fate == UNKNOWN_HERE:
+                self._said.setdefault(uid, set()).add(ident)
+                continue
+            runs = fate == "run"
+            mine, theirs, why = settle(own.effect, Copy(own.epoch, self.me, own.runs), Copy(epoch, ident, runs))
+            out.append(Tell("settled", {"uid": uid, "mine": mine.value, "theirs": theirs.value, "epoch": epoch,
+                                        "by": ident, "fate": fate, "why": why}))
+            self._close(uid)
+        out += self._nobody()
+        return out
+
+    def _close(self, uid: str) -> None:
+        self.jobs.pop(uid, None)
+        self._said.pop(uid, None)
+        for uids in self._asked.values():
+            uids.discard(uid)
+
+    def _nobody(self) -> list[Effect]:
+        """Jobs of which no successor knows: told; their owner's word counts."""
+        out: list[Effect] = []
+        for uid, names in list(self._said.items()):
+            if self._asked and names >= self._asked.keys():
+                own = self.jobs[uid]
+                out.append(Tell("settled", {"uid": uid, "mine": "run" if own.runs else "unknown", "theirs": "nothing",
+                                            "epoch": own.epoch, "by": "", "fate": UNKNOWN_HERE,
+                                            "why": "no successor knows of it"}))
+                self._close(uid)
+        return out
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -33,7 +33,6 @@
 
 HOLDERS_MOST = 4096
 UNKNOWN_HERE = "not known here"
-FATES = ("waiting", "asked", "run", "unknown", "stopped", "nothing", UNKNOWN_HERE)
 
 
 @dataclass(slots=True)
@@ -136,7 +135,7 @@
         if own is not None and record.epoch <= own[0]:
             # Danger: what was started here goes on; the other has not started, as this placer did not agree to it.
             first = record.session.placer < self.session.placer
-            return record.epoch == own[0] and first and own[1] in ("waiting", "asked")
+            return record.epoch == own[0] and first and own[1] != "run"
         had = self.entries.get(record.uid)
         if had is None or had.record.session == record.session or record.epoch > had.record.epoch:
             return True
@@ -258,9 +257,13 @@
         return out
 
     def own_end(self, session: Session) -> None:
-        """This placer's session was ended, and it has a new one: its holders may have gone on without it."""
+        """This placer's session was ended, and it has a new one: its holders may have gone on without it.
+
+        What it had taken over is its own successors' by their records.
+        """
         self.session = session
-        self.taken.clear()
+        for uid in list(self.taken):
+            self.let_go(uid)
         self._kept = None
         for entry in self.entries.values():
             entry.doubt = entry.doubt or entry.record.effect != "safe"
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -141,7 +141,7 @@
     session: Session  # that holds it
     epoch: int  # at which it was taken over; 0 by its first placer
     version: int  # counts changes within an epoch
-    region: str  # where it runs
+    region: str  # where it runs, and the machines are that its tasks name
     spec: str  # name of its federation spec
     effect: str
     group: str  # of a keyed class: machine, cell, zone, all
--- a/wingbarrow/decide/peers/records.py
+++ b/wingbarrow/decide/peers/records.py
@@ -8,7 +8,7 @@
 
 from wingbarrow.decide.peers.leasing import Known, Record
 
-RECORD_BYTES = 640  # of a record beside its manifest, its names and its tasks
+RECORD_BYTES = 1024  # of a record beside its manifest, its own names and its tasks
 TASK_BYTES = 160  # kept free for each task, machine and attempt named
 
 
@@ -39,7 +39,7 @@
 
 def size_of(record: Record) -> int:
     """Bytes that a record counts for: what it has, and no less than what its tasks may come to."""
-    names = sum(len(each) for each in (record.uid, record.key, record.spec, record.session.placer, *record.keepers))
+    names = sum(len(each) for each in (record.uid, record.key, record.spec, record.session.placer))
     tasks = sum(96 + len(each.machine) + len(each.attempt) for each in record.tasks)
     return RECORD_BYTES + names + len(record.manifest.encode()) + max(tasks, record.count * TASK_BYTES)
 
--- /dev/null
+++ b/wingbarrow/decide/peers/reissue.py
@@ -0,0 +1,201 @@
+"""Whether a Job of a lost region is started again: one table, each row with the danger it guards against.
+
+A row is looked up by the class's effect, what this keeper knows of the task, what its machine tells, and the time. The
+voters ended the holder's session before anything is asked here, so that its right to send and its machines' word for
+what runs have lapsed by every clock: no old copy of a leased task runs any more where machines keep their word.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wingbarrow.decide.peers.leasing import Known, MachineSays, Record, reckoned_us
+from wingbarrow.decide.peers.limits import drifted_us
+
+EVERY = ("unsafe", "keyed", "safe")
+KNOWS = ("none", "about", "placed", "over", "doubt")
+SAYS = ("unasked", "unreachable", "holds", "clear", "anew", "operator")
+TIMES = ("window", "past")
+ANY: tuple[str, ...] = ()
+
+
+class Verdict(Enum):
+    """What becomes of a task."""
+
+    RUN = "run"
+    WAIT = "waiting"
+    ASK = "asked"
+    UNKNOWN = "unknown"
+    STOP = "stopped"
+    NOTHING = "nothing"
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """The first row that fits holds; an empty column fits all. `why` names the danger, or the proof."""
+
+    effects: tuple[str, ...]
+    knows: tuple[str, ...]
+    says: tuple[str, ...]
+    times: tuple[str, ...]
+    verdict: Verdict
+    why: str
+
+
+TABLE = (
+    Row(ANY, ("over",), ANY, ANY, Verdict.NOTHING,
+        "it is over: what has ended would be done again"),
+    Row(("safe",), ANY, ANY, ANY, Verdict.RUN,
+        "it may repeat; a copy that a machine has not stopped yet overlaps until its lease has passed there"),
+    Row(("keyed",), ANY, ("operator",), ANY, Verdict.RUN,
+        "the operator answers for it"),
+    Row(("keyed",), ANY, ANY, ("window",), Verdict.WAIT,
+        "the former holder may have sent the same key just before its right lapsed, within the window and the group"),
+    Row(("keyed",), ANY, ANY, ("past",), Verdict.RUN,
+        "no copy runs any more, and the key's window, where its group reaches here, has passed"),
+    Row(("unsafe",), ("none", "about", "placed", "doubt"), ("operator",), ANY, Verdict.RUN,
+        "the operator answers for it that it never ran"),
+    Row(("unsafe",), ANY, ("holds",), ANY, Verdict.UNKNOWN,
+        "its machine took it: it had its effect, or may have"),
+    Row(("unsafe",), ("doubt",), ANY, ANY, Verdict.UNKNOWN,
+        "its holder, or a successor, may have gone on by other keepers than this one"),
+    Row(("unsafe",), ("none",), ANY, ANY, Verdict.RUN,
+        "nothing of it ever left: every keeper hears of an attempt before its first byte"),
+    Row(("unsafe",), ("placed",), ANY, ANY, Verdict.UNKNOWN,
+        "it was started: whether it ended well nobody here can prove"),
+    Row(("unsafe",), ("about",), ("unasked",), ANY, Verdict.ASK,
+        "the attempt may have left, or may still be on its way: its machine has to refuse it first, and say"),
+    Row(("unsafe",), ("about",), ("clear",), ANY, Verdict.RUN,
+        "its machine never had it since before it could be sent, and refuses it from now on by its epoch"),
+    Row(("unsafe",), ("about",), ("anew",), ANY, Verdict.UNKNOWN,
+        "its machine started anew since: what ran there before its start it does not know"),
+    Row(("unsafe",), ("about",), ("unreachable",), ANY, Verdict.UNKNOWN,
+        "a machine that does not answer may have run it, and is asked again"),
+)
+
+
+def decide(effect: str, knows: str, says: str, time: str, table: tuple[Row, ...] = TABLE) -> Row:
+    """The row that holds."""
+    for row in table:
+        if all(not column or figure in column for column, figure in (
+                (row.effects, effect), (row.knows, knows), (row.says, says), (row.times, time))):
+            return row
+    raise ValueError(f"no row for {effect}, {knows}, {says}, {time}")
+
+
+def window_until_us(record: Record, doubt: bool, heard_us: int) -> int:
+    """Until when a keyed Job waits: the last send was before the end of its holder's session was heard of.
+
+    Of a key that holds for all, or where another successor of this region may have started it: the whole window, by
+    any clock. A narrower group ends within the lost region.
+    """
+    if record.effect != "keyed" or not (doubt or record.group == "all"):
+        return heard_us
+    return heard_us + drifted_us(record.window_us)
+
+
+def said_of(says: MachineSays | None, age_us: int) -> str:
+    """What a machine's answer means for an attempt that could leave `age_us` ago at the earliest.
+
+    Danger: "never had it" counts only where the machine remembers all of that time, by any clock.
+    """
+    if says is None:
+        return "unasked"
+    if not says.reached:
+        return "unreachable"
+    if says.holds:
+        return "holds"
+    return "clear" if says.boot_age_us > drifted_us(age_us) else "anew"
+
+
+def merged(mine: Known, theirs: Known) -> Known:
+    """Of two words about one task, the one that says more: a successor goes by the worst that may be."""
+    weight = ("none", "about", "placed", "over")
+    if weight.index(theirs.phase) != weight.index(mine.phase):
+        return theirs if weight.index(theirs.phase) > weight.index(mine.phase) else mine
+    return theirs if theirs.age_us > mine.age_us else mine
+
+
+@dataclass(frozen=True, slots=True)
+class Heal:
+    """What becomes of two copies of one Job that both are believed in: the earlier's and the later's, by epoch."""
+
+    effects: tuple[str, ...]
+    earlier_runs: bool
+    later_runs: bool
+    earlier: Verdict
+    later: Verdict
+    why: str
+
+
+HEALING = (
+    Heal(("unsafe",), True, True, Verdict.RUN, Verdict.RUN,
+         "what must not start twice is never stopped to tidy up; told as a breach"),
+    Heal(("unsafe",), True, False, Verdict.RUN, Verdict.NOTHING,
+         "it runs where it ran: a second start, or a stop in its middle, would do harm"),
+    Heal(("keyed", "safe"), True, True, Verdict.STOP, Verdict.RUN,
+         "one copy is enough: the later epoch's"),
+    Heal(("keyed", "safe"), True, False, Verdict.STOP, Verdict.WAIT,
+         "a holder whose session was ended has no more say; its successor starts it"),
+    Heal(EVERY, False, True, Verdict.NOTHING, Verdict.RUN,
+         "the later epoch's goes on"),
+    Heal(EVERY, False, False, Verdict.NOTHING, Verdict.WAIT,
+         "the later epoch's holder decides"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """One side's view of a Job: at which epoch and by whom it is held, and whether a run of it stands there."""
+
+    epoch: int
+    holder: str
+    runs: bool
+
+
+def settle(effect: str, mine: Copy, theirs: Copy, table: tuple[Heal, ...] = HEALING) -> tuple[Verdict, Verdict, str]:
+    """What becomes of mine, of theirs, and why. The greater epoch is the later; of one epoch the lesser name is."""
+    if (mine.epoch, mine.holder) == (theirs.epoch, theirs.holder):
+        return (Verdict.RUN if mine.runs else Verdict.WAIT), Verdict.NOTHING, "they are the same"
+    later = (mine.epoch, _falling(mine.holder)) > (theirs.epoch, _falling(theirs.holder))
+    first, second = (theirs, mine) if later else (mine, theirs)
+    for row in table:
+        if effect in row.effects and (row.earlier_runs, row.later_runs) == (first.runs, second.runs):
+            return (row.later, row.earlier, row.why) if later else (row.earlier, row.later, row.why)
+    raise ValueError(f"no row for {effect}")
+
+
+def _falling(name: str) -> tuple[int, ...]:
+    """Lesser names sort later; a name sorts before its own beginning."""
+    return (*(-ord(each) for each in name), 1)
+
+
+def rows() -> list[tuple[str, ...]]:
+    """The table as text, for docs: effect, what the keeper knows, what machines tell, time, verdict, why."""
+    return [(*(", ".join(column) or "any" for column in (row.effects, row.knows, row.says, row.times)),
+             row.verdict.value, row.why) for row in TABLE]
+
+
+def healing_rows() -> list[tuple[str, ...]]:
+    """The table of healing as text: effect, earlier runs, later runs, what becomes of each, why."""
+    return [(", ".join(row.effects), "yes" if row.earlier_runs else "no", "yes" if row.later_runs else "no",
+             row.earlier.value, row.later.value, row.why) for row in HEALING]
+
+
+def markdown() -> str:
+    """Both tables, as docs show them."""
+    def table(head: tuple[str, ...], lines: list[tuple[str, ...]]) -> str:
+        return "\n".join("| " + " | ".join(each) + " |" for each in (head, ("---",) * len(head), *lines))
+    first = table(("effect", "the keeper knows", "the machine tells", "time", "verdict", "why"), rows())
+    second = table(("effect", "earlier runs", "later runs", "the earlier", "the later", "why"), healing_rows())
+    return f"{first}\n\n{second}\n"
+
+
+def ended_within_us(lease_us: int, turn_us: int, after_us: int, elect_us: int, ask_us: int) -> int:
+    """From a region's loss until its successors have heard that its sessions are over.
+
+    The last grant may have been given at the loss; the voters reckon with it for `reckoned_us` (a new leader from its
+    election on), decide after `after_us` at the latest, and each successor hears with its next grant.
+    """
+    return elect_us + max(reckoned_us(lease_us, turn_us), after_us) + 2 * ask_us
--- /dev/null
+++ b/wingbarrow/decide/peers/takeover.py
@@ -0,0 +1,208 @@
+"""The Jobs of one ended session at one of its successors: held anew, asked after, and given to the core in order.
+
+    claiming -> (asked ->) waiting -> run, or unknown, or nothing
+
+Each Job is first held under this placer's own session, at its epoch, by keepers of its own; so that a successor that is
+lost in the middle is succeeded like any holder, and all of this is built again from records. Danger: what must not
+repeat freely is started only once everybody else who may have its record has heard of that, and has told what more it
+knew; of a safe Job nobody waits for that longer than `CLAIM_US`.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from wingbarrow.decide.peers.effects import Effect, SetTimer, Tell
+from wingbarrow.decide.peers.inquiry import Inquiry
+from wingbarrow.decide.peers.keeping import Taking
+from wingbarrow.decide.peers.leasing import MachineSays, Record, Session
+from wingbarrow.decide.peers.records import phase_of
+from wingbarrow.decide.peers.reissue import TABLE, Row, Verdict, decide, merged, window_until_us
+
+CLAIM_US = 2_000_000  # a safe Job waits so long for its keepers' word
+CLAIMING, READY = "claiming", "ready"
+
+
+@dataclass(slots=True)
+class Case:
+    """One Job. `fate` is a verdict's word, or `claiming`, or `ready` to be given to the core."""
+
+    record: Record
+    epoch: int
+    doubt: bool
+    must: tuple[str, ...]
+    added_us: int
+    until_us: int  # of a keyed one, its window
+    claimed: bool = False
+    fate: str = CLAIMING
+    run: tuple[int, ...] = ()
+    told: tuple[tuple[str, tuple[int, ...]], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """What the core is to start: these tasks of a Job, at its epoch; the manifest is in the record."""
+
+    record: Record
+    epoch: int
+    indexes: tuple[int, ...]
+
+
+class Takeover:
+    """One ended session's at this placer. The host calls it with time, mail and the word of custody."""
+
+    table: tuple[Row, ...] = TABLE
+
+    def __init__(self, session: Session, epoch: int) -> None:
+        self.session, self.epoch = session, epoch
+        self.timer = f"takeover/{session.text()}"
+        self.cases: dict[str, Case] = {}
+        self.ready: dict[str, None] = {}
+        self.inquiry = Inquiry(epoch)
+        self._due: list[tuple[int, str]] = []
+        self._timer_us: int | None = None
+
+    def add(self, now_us: int, takings: Iterable[Taking]) -> list[Effect]:
+        """Take Jobs over; each is to be held at once, and `claimed` called with what came of it."""
+        for taking in takings:
+            record = taking.record
+            case = Case(record, taking.epoch, taking.doubt, taking.must, now_us,
+                        window_until_us(record, taking.doubt, now_us))
+            self.cases[record.uid] = case
+            self._inquire(now_us, case)
+            for at in (case.until_us, now_us + CLAIM_US):
+                heapq.heappush(self._due, (at, record.uid))
+        return self._go_on(now_us, ())
+
+    def _inquire(self, now_us: int, case: Case) -> None:
+        for known in case.record.tasks if case.record.effect == "unsafe" and not case.doubt else ():
+            if known.phase == "about":
+                self.inquiry.want(case.record.uid, known.index, known.machine, now_us - known.age_us)
+
+    # -- what it hears
+
+    def claimed(self, now_us: int, uid: str) -> list[Effect]:
+        """All that may have a record of this Job have heard that it is held here."""
+        case = self.cases.get(uid)
+        if case is None or case.claimed:
+            return []
+        case.claimed = True
+        return self._go_on(now_us, (uid,))
+
+    def later(self, now_us: int, record: Record) -> list[Effect]:
+        """What another keeper knew. Danger: this placer's own record may be of before an attempt left."""
+        case = self.cases.get(record.uid)
+        if case is None or case.claimed or record.epoch >= case.epoch:
+            return []
+        # It was asked after this case came: what it said is no older than that by its own word.
+        more = {each.index: replace(each, age_us=each.age_us + now_us - case.added_us) for each in record.tasks}
+        tasks = {index: merged(phase_of(case.record, index), known) for index, known in more.items()}
+        tasks = {each.index: each for each in case.record.tasks} | tasks
+        case.record = replace(case.record, tasks=tuple(tasks[index] for index in sorted(tasks)),
+                              answered=case.record.answered or record.answered)
+        self.inquiry.forget(record.uid)
+        self._inquire(now_us, case)
+        return self._go_on(now_us, ())
+
+    def superseded(self, uid: str) -> None:
+        """Another holds it by a later word, or it was deleted."""
+        self.cases.pop(uid, None)
+        self.ready.pop(uid, None)
+        self.inquiry.forget(uid)
+
+    def operator(self, now_us: int, uid: str) -> list[Effect]:
+        """An operator answers for it that no task of this Job ever ran."""
+        case = self.cases.get(uid)
+        if case is None or case.fate != Verdict.UNKNOWN.value:
+            return []
+        for index in range(case.record.count):
+            self.inquiry.answered(uid, index, "operator")
+        return self._go_on(now_us, (uid,))
+
+    def places(self, now_us: int, askers: Iterable[str]) -> list[Effect]:
+        """Placers of the lost region that are there."""
+        return self._go_on(now_us, self.inquiry.places(tuple(sorted(askers))))
+
+    def on_message(self, now_us: int, message: MachineSays) -> list[Effect]:
+        """A machine told, late or twice."""
+        uid = self.inquiry.on_message(now_us, message)
+        return self._go_on(now_us, (uid,) if uid else ())
+
+    def on_timer(self, now_us: int) -> list[Effect]:
+        """Something is due."""
+        self._timer_us = None
+        uids = self.inquiry.on_time(now_us)
+        while self._due and self._due[0][0] <= now_us:
+            uids.add(heapq.heappop(self._due)[1])
+        return self._go_on(now_us, sorted(uids))
+
+    def give(self, uid: str) -> Start:
+        """Start it: the core has it from now on."""
+        del self.ready[uid]
+        case = self.cases[uid]
+        case.fate = Verdict.RUN.value
+        return Start(case.record, case.epoch, case.run)
+
+    # -- inside
+
+    def _judge(self, now_us: int, case: Case) -> dict[int, Row]:
+        record = case.record
+        time = "window" if now_us < case.until_us else "past"
+        out = {}
+        for index in range(record.count):
+            phase = phase_of(record, index).phase
+            knows = "doubt" if case.doubt and phase != "over" else phase
+            out[index] = decide(record.effect, knows, self.inquiry.word(record.uid, index), time, self.table)
+        return out
+
+    def _go_on(self, now_us: int, uids: Iterable[str]) -> list[Effect]:
+        out: list[Effect] = []
+        for uid in uids:
+            case = self.cases.get(uid)
+            if case is None or case.fate in (Verdict.RUN.value, Verdict.NOTHING.value, READY):
+                continue
+            if case.claimed or (case.record.effect == "safe" and now_us >= case.added_us + CLAIM_US):
+                out += self._settle(case, self._judge(now_us, case))
+        out += self.inquiry.mail(now_us)
+        due = [at for at in (self.inquiry.due(), self._due[0][0] if self._due else None) if at is not None]
+        if due and (self._timer_us is None or min(due) < self._timer_us):
+            self._timer_us = max(now_us, min(due))
+            out.append(SetTimer(self.timer, self._timer_us))
+        return out
+
+    def _settle(self, case: Case, found: dict[int, Row]) -> list[Effect]:
+        """What is decided of a Job's tasks becomes its fate, told where it is another than before."""
+        verdicts = {row.verdict for row in found.values()}
+        for verdict in (Verdict.ASK, Verdict.WAIT):
+            if verdict in verdicts:
+                case.fate = verdict.value
+                return self._tell(case, found, (verdict,))
+        case.run = tuple(index for index, row in found.items() if row.verdict is Verdict.RUN)
+        if case.run:
+            case.fate = READY
+            self.ready[case.record.uid] = None
+        else:
+            case.fate = (Verdict.UNKNOWN if Verdict.UNKNOWN in verdicts else Verdict.NOTHING).value
+        return self._tell(case, found, (Verdict.RUN, Verdict.UNKNOWN, Verdict.NOTHING))
+
+    @staticmethod
+    def _tell(case: Case, found: dict[int, Row], which: tuple[Verdict, ...]) -> list[Effect]:
+        out: list[Effect] = []
+        told = []
+        for each in which:
+            indexes = tuple(index for index, row in found.items() if row.verdict is each)
+            if not indexes:
+                continue
+            told.append((each.value, indexes))
+            if (each.value, indexes) not in case.told:
+                out.append(Tell("reissue", {"uid": case.record.uid, "key": case.record.key, "verdict": each.value,
+                                            "epoch": case.epoch, "why": found[indexes[0]].why, "tasks": indexes}))
+        case.told = tuple(told)
+        return out
+
+
+def rank_of(case: Case) -> tuple[int, int, str]:
+    """As work comes, the least first: by priority, by how long its owner has waited for it, by name."""
+    return -case.record.priority, case.added_us - case.record.born_age_us, case.record.key
