--- a/tests/decide/peers/test_rules.py
+++ b/tests/decide/peers/test_rules.py
@@ -11,6 +11,7 @@
 
 from wingbarrow.decide.peers import planned as p
 from wingbarrow.decide.peers import rules as r
+from wingbarrow.decide.peers.differing import differences
 
 CLASSES = st.dictionaries(
     st.sampled_from(["web", "settlement", "batch"]),
@@ -42,9 +43,9 @@
     if r.allows(a, b) and r.allows(b, c):
         assert r.allows(a, c)
     if a == b:
-        assert a.digest == b.digest and not r.contradict(a, b) and not r.differences(a, b)
+        assert a.digest == b.digest and not r.contradict(a, b) and not differences(a, b)
     else:
-        assert a.digest != b.digest and r.differences(a, b)
+        assert a.digest != b.digest and differences(a, b)
 
 
 @given(SETS, SETS)
@@ -81,7 +82,7 @@
     assert r.allows(tight, ONE) and not r.allows(ONE, tight) and not r.contradict(tight, ONE)
     assert r.meet(tight, ONE) == tight
     barred = replace(ONE, barred=("n1",))
-    assert r.allows(barred, ONE) and r.differences(ONE, barred) == ["barred: n1"]
+    assert r.allows(barred, ONE) and differences(ONE, barred) == ["barred: n1"]
 
 
 @given(st.integers(0, 100), st.sets(st.sampled_from("abcdefgh"), min_size=1))
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -16,7 +16,8 @@
 from wingbarrow.decide.peers.agreed import EDITIONS_LEFT, RECOVERED, from_text
 from wingbarrow.decide.peers.planned import DrainPlan
 from wingbarrow.decide.peers.trial import Advice, Trial
-from wingbarrow.decide.peers.rules import RuleSet, allows, contradict, differences, read
+from wingbarrow.decide.peers.differing import differences
+from wingbarrow.decide.peers.rules import RuleSet, allows, contradict, read
 from wingbarrow.peers.ruleset import keeping_drains, rules_of
 from wingbarrow.store.votes import StoreFailed, create
 from wingbarrow.store.votes import recover as recover_store
--- a/wingbarrow/config/calendar.py
+++ b/wingbarrow/config/calendar.py
@@ -15,7 +15,7 @@
 import icalendar
 
 from wingbarrow.config.lines import NodeLines
-from wingbarrow.config.load import (
+from wingbarrow.config.shapes import (
     NEEDED,
     Node,
     Reader,
--- /dev/null
+++ b/wingbarrow/config/federation.py
@@ -0,0 +1,134 @@
+"""The `federation`, `dataset` and `room` nodes: specs, data sets and what regions have; faults go to their lines."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from wingbarrow.config.settings import Agree, ClassSettings
+from wingbarrow.config.shapes import NEEDED, Node, Shape, flag, number, read_duration, read_size, text, word
+from wingbarrow.decide.federation.check import Known, Path, check
+from wingbarrow.decide.federation.spec import (
+    CLASS,
+    COPIES_MOST,
+    CUTS,
+    NEAR,
+    ON,
+    RETURNS,
+    Back,
+    DataSet,
+    Failover,
+    Federation,
+    Need,
+    Spec,
+)
+
+_LEASES_AFTER = 2  # after so many a class's own spec takes a region for lost
+_MIB = 2**20
+_CORES = number(0, 1e7)
+_REGIONS = Shape(rest=text)
+SHAPES = {
+    "federation": Shape((text,), {}, {
+        "prefer": _REGIONS, "allow": _REGIONS, "forbid": _REGIONS,
+        "reads": Shape((text,), {"near": (word(*NEAR), "wanted"), "much": (read_size, 0.0),
+                                 "behind": (read_duration, 0)}, many=True),
+        "failover": Shape((), {
+            "after": (read_duration, NEEDED), "refusing": (read_duration, 0), "room": (number(1, 100, True), 100),
+            "copies": (number(1, COPIES_MOST, True), 1), "cores": (_CORES, 0), "memory": (read_size, 0.0),
+        }, {"to": _REGIONS}, rest=word(*ON)),
+        "back": Shape((word(*RETURNS),), {"after": (read_duration, 0), "pace": (number(1, 1000, True), 1)}),
+        "cut": Shape((word(*CUTS),)),
+        "over": Shape((), {"lower": (number(0, 100, True), 60), "upper": (number(1, 100, True), 90)}),
+    }, many=True),
+    "dataset": Shape((text,), {}, {
+        "copy": Shape((text,), {"behind": (read_duration, 0)}, many=True), "stays": _REGIONS}, many=True),
+    "room": Shape((text,), {"cores": (_CORES, NEEDED), "memory": (read_size, NEEDED)}, many=True),
+}
+CLASS_PROPS: dict[str, tuple[Any, Any]] = {"federation": (text, ""), "failover": (flag, False)}
+
+
+def class_spec(node: Node, problems: list[tuple[int, str]]) -> str:
+    """The name of the spec that a class goes by; "" where it names none."""
+    named, failover = node.props["federation"], node.props["failover"]
+    if named and failover:
+        problems.append((node.line, "class: federation= and failover= at once; a spec says its own failover"))
+    return str(named) or (CLASS + str(node.args[0]) if failover else "")
+
+
+def read_federation(top: Node, classes: Mapping[str, ClassSettings], agree: Agree | None,
+                    problems: list[tuple[int, str]]) -> Federation:
+    """All specs and data sets of a document, checked whole; what is wrong goes to `problems`."""
+    places = {who: region for who, region in agree.regions if who not in agree.bare} if agree is not None else {}
+    regions = tuple(dict.fromkeys(places.values()))
+    lines: dict[Path, int] = {}
+    specs = [_spec(node, regions, ("federation", at), lines)
+             for at, node in enumerate(top.children.get("federation", []))]
+    datasets = tuple(_dataset(node, ("dataset", at), lines) for at, node in enumerate(top.children.get("dataset", [])))
+    for at, node in enumerate(top.children.get("room", [])):
+        lines["room", at] = node.line
+    lease_us = agree.lease_us if agree is not None else 0
+    for node in top.children["class"]:
+        lines["class", node.args[0]] = node.line
+        if node.props["failover"]:
+            lines["federation", len(specs)] = node.line
+            specs.append(Spec(CLASS + node.args[0], regions, ranked=False,
+                              failover=Failover(("lost",), _LEASES_AFTER * lease_us)))
+    uses = tuple((name, each.federation) for name, each in classes.items() if each.federation)
+    federation = Federation(tuple(specs), datasets, uses)
+    known = Known(regions, places, lease_us, {name: each.task_class.effect.name.lower()
+                                              for name, each in classes.items()},
+                  tuple((node.args[0], float(node.props["cores"]), int(node.props["memory"] / _MIB))
+                        for node in top.children.get("room", [])))
+    for fault in check(federation, known):
+        path = fault.path
+        while path and path not in lines:
+            path = path[:-1]
+        problems.append((lines.get(path, 1), fault.words))
+    return federation
+
+
+def _spec(node: Node, regions: tuple[str, ...], path: Path, lines: dict[Path, int]) -> Spec:
+    def names(what: str) -> tuple[str, ...]:
+        child = node.one(what)
+        return tuple(child.args) if child is not None else ()
+    lines[path] = node.line
+    for what, children in node.children.items():
+        lines[*path, what] = children[0].line
+    needs = node.children.get("reads", [])
+    for at, child in enumerate(needs):
+        lines[*path, "reads", at] = child.line
+    prefer, forbidden = names("prefer"), names("forbid")
+    allow = names("allow")
+    if not prefer and not allow:
+        allow = tuple(each for each in regions if each not in forbidden)
+    back, cut = node.one("back"), node.one("cut")
+    return Spec(
+        node.args[0], prefer + allow, forbidden,
+        tuple(Need(each.args[0], each.props["near"], int(each.props["much"] / _MIB), each.props["behind"])
+              for each in needs),
+        _failover(node.one("failover"), path, lines),
+        Back(back.args[0], back.props["after"], back.props["pace"]) if back else Back(),
+        cut.args[0] if cut else "carry-on", node.get("over", "lower", 60), node.get("over", "upper", 90),
+        ranked=bool(prefer))
+
+
+def _failover(node: Node | None, path: Path, lines: dict[Path, int]) -> Failover | None:
+    if node is None:
+        return None
+    to, props = node.one("to"), node.props
+    if to is not None:
+        lines[*path, "failover", "to"] = to.line
+    return Failover(tuple(node.args), props["after"], tuple(to.args) if to else (), props["room"], props["refusing"],
+                    props["copies"], int(props["cores"]), int(props["memory"] / _MIB))
+
+
+def _dataset(node: Node, path: Path, lines: dict[Path, int]) -> DataSet:
+    lines[path] = node.line
+    copies = node.children.get("copy", [])
+    for at, child in enumerate(copies):
+        lines[*path, "copy", at] = child.line
+    stays = node.one("stays")
+    if stays is not None:
+        lines[*path, "stays"] = stays.line
+    return DataSet(node.args[0], tuple((each.args[0], each.props["behind"]) for each in copies),
+                   tuple(stays.args) if stays else ())
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -8,6 +8,7 @@
 from netaddr import IPSet
 
 from wingbarrow import interface as api
+from wingbarrow.decide.federation.spec import Federation
 from wingbarrow.decide.peers.limits import FleetLimit
 
 _DURATION = re.compile(r"(?:(\d+(?:\.\d+)?)(us|ms|s|m|h))")
@@ -44,6 +45,7 @@
     patience_us: int
     priority: int
     restarts: int  # how often a task that was lost or sent away is asked for again
+    federation: str = ""  # the spec by which its Jobs go, where they name none
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +88,7 @@
     limits: tuple[FleetLimit, ...] = ()  # of the whole fleet, shared by `members`
     lease_us: int = 10_000_000
     regions: tuple[tuple[str, str], ...] = ()  # (name, region) of those that say one
+    bare: tuple[str, ...] = ()  # members without machines: they vote, and share in nothing
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,3 +114,5 @@
     agree: Agree | None = None
     barred: tuple[str, ...] = ()  # machines that get nothing
     history: str | None = None  # file of what this placer did, for judges
+    machines: bool = True  # whether it has any; without, it votes and no more, and asks no list source
+    federation: Federation = Federation()
--- /dev/null
+++ b/wingbarrow/decide/federation/compare.py
@@ -0,0 +1,194 @@
+"""How two federations compare: whether whatever one allows the other allows too, what both allow, what differs; no I/O.
+
+What is compared is what may *run* or *move*: regions, data that must be near, residency, failovers, returns, what a cut
+does. The order of regions, thresholds and room asked for say what is better, not what may be; any two of them get on.
+"""
+
+from __future__ import annotations
+
+from dataclasses import fields
+
+from wingbarrow.decide.federation.form import normal
+from wingbarrow.decide.federation.spec import (
+    BOTH,
+    CUTS,
+    ON,
+    RETURNS,
+    Back,
+    DataSet,
+    Failover,
+    Federation,
+    Need,
+    Spec,
+)
+
+
+def named_regions(spec: Spec) -> frozenset[str]:
+    """Where a spec allows work, whatever its data say."""
+    return frozenset(spec.regions) - frozenset(spec.forbidden)
+
+
+def _targets(spec: Spec) -> frozenset[str]:
+    over = spec.failover
+    return named_regions(spec) & frozenset(over.to) if over is not None and over.to else named_regions(spec)
+
+
+# -- specs
+
+
+def spec_within(a: Spec, b: Spec) -> bool:
+    """Whether whatever `a` allows, `b` allows too."""
+    if not named_regions(a):
+        return True
+    needs = {each.dataset: each for each in a.data}
+    return (named_regions(a) <= named_regions(b)
+            and all(each.dataset in needs and _need_within(needs[each.dataset], each) for each in b.data)
+            and _failover_within(a, b) and _back_within(a.back, b.back)
+            and CUTS.index(a.on_cut) <= CUTS.index(b.on_cut))
+
+
+def _need_within(a: Need, b: Need) -> bool:
+    return b.near == "wanted" or (a.near == "required" and a.behind_us <= b.behind_us)
+
+
+def _failover_within(a: Spec, b: Spec) -> bool:
+    one, other = a.failover, b.failover
+    if one is None or other is None:
+        # Without a lease work goes on behind a cut, which leased work may not; leased with nothing to follow is less.
+        return other is None and (one is None or not one.on)
+    if one.copies < other.copies:
+        return False
+    return not one.on or (
+        set(one.on) <= set(other.on) and one.after_us >= other.after_us and one.room <= other.room
+        and _targets(a) <= _targets(b) and ("refusing" not in one.on or one.refusing_us >= other.refusing_us))
+
+
+def _back_within(a: Back, b: Back) -> bool:
+    return a.when == "never" or (RETURNS.index(a.when) <= RETURNS.index(b.when) and a.stable_us >= b.stable_us
+                                 and a.pace <= b.pace)
+
+
+def spec_meet(a: Spec, b: Spec, name: str) -> Spec:
+    """What both allow, under a name; preferences half way between both."""
+    both = named_regions(a) & named_regions(b)
+    needs: dict[str, Need] = {}
+    for each in (*a.data, *b.data):
+        other = needs.get(each.dataset, each)
+        needs[each.dataset] = _need_meet(each, other)
+    ranked = [each for each in (a, b) if each.ranked]
+    return Spec(name, _between([each.regions for each in ranked], both) if ranked else tuple(sorted(both)),
+                tuple(sorted({*a.forbidden, *b.forbidden})), tuple(needs.values()), _failover_meet(a, b),
+                _back_meet(a.back, b.back), CUTS[min(CUTS.index(a.on_cut), CUTS.index(b.on_cut))],
+                min(a.lower, b.lower), min(a.upper, b.upper), ranked=bool(ranked))
+
+
+def _between(orders: list[tuple[str, ...]], names: frozenset[str]) -> tuple[str, ...]:
+    """Names by the sum of their places in some orders; the same whichever order comes first."""
+    return tuple(sorted(names, key=lambda name: (sum(each.index(name) for each in orders), name)))
+
+
+def _need_meet(a: Need, b: Need) -> Need:
+    required = [each for each in (a, b) if each.near == "required"]
+    return Need(a.dataset, "required" if required else "wanted", max(a.mib, b.mib),
+                min(each.behind_us for each in required or (a, b)))
+
+
+def _failover_meet(a: Spec, b: Spec) -> Failover | None:
+    one, other = a.failover, b.failover
+    if one is None or other is None:
+        held = one or other
+        return None if held is None else Failover((), 0, copies=held.copies)
+    copies = max(one.copies, other.copies)
+    on = tuple(each for each in ON if each in one.on and each in other.on)
+    targets = _targets(a) & _targets(b)
+    if not on or not targets:
+        return Failover((), 0, copies=copies)
+    told = [each.to for each in (one, other) if each.to]
+    refusing = [each.refusing_us for each in (one, other) if "refusing" in each.on]
+    return Failover(on, max(one.after_us, other.after_us), _between(told, targets) if told else (),
+                    min(one.room, other.room), max(refusing, default=0), copies, max(one.cores, other.cores),
+                    max(one.mib, other.mib))
+
+
+def _back_meet(a: Back, b: Back) -> Back:
+    when = RETURNS[min(RETURNS.index(a.when), RETURNS.index(b.when))]
+    return Back(when, max(a.stable_us, b.stable_us), min(a.pace, b.pace)) if when != "never" else Back()
+
+
+# -- data sets
+
+
+def dataset_within(a: DataSet, b: DataSet) -> bool:
+    """Whether work may be near `a`, and `a` be taken, only where that holds of `b`."""
+    held = dict(b.copies)
+    return (all(region in held and behind_us >= held[region] for region, behind_us in a.copies)
+            and (not b.stays or (bool(a.stays) and set(a.stays) <= set(b.stays))))
+
+
+def dataset_meet(a: DataSet, b: DataSet) -> DataSet | None:
+    """Copies that both know of, as far behind as either says, and where both let it go; None where that is nowhere."""
+    held = dict(b.copies)
+    stays = tuple(sorted(set(a.stays) & set(b.stays))) if a.stays and b.stays else a.stays or b.stays
+    if a.stays and b.stays and not stays:
+        return None  # what reads it is refused; an empty `stays` would let it go anywhere
+    return DataSet(a.name, tuple((region, max(behind_us, held[region])) for region, behind_us in a.copies
+                                 if region in held), stays)
+
+
+# -- the whole
+
+
+def _nameable(federation: Federation) -> dict[str, Spec]:
+    return {each.name: each for each in federation.specs if not each.name.startswith(BOTH)}
+
+
+def within(a: Federation, b: Federation) -> bool:
+    """Whether whatever `a` allows, `b` allows too: to Jobs that name a spec, and to those of each class."""
+    theirs, sets = _nameable(b), {each.name: each for each in b.datasets}
+    for name, spec in _nameable(a).items():
+        if not spec_within(spec, theirs.get(name, Spec(name, ()))):
+            return False
+    for dataset in a.datasets:
+        if dataset.name not in sets or not dataset_within(dataset, sets[dataset.name]):
+            return False
+    for task_class, _ in b.uses:
+        mine, other = a.spec_for(task_class), b.spec_for(task_class)
+        if mine is None or other is None or not spec_within(mine, other):
+            return False
+    return True
+
+
+def meet(a: Federation, b: Federation) -> Federation:
+    """What both allow. A class whose spec is another in each goes by what both specs allow, under a name of its own."""
+    mine, theirs = _nameable(a), _nameable(b)
+    specs = {name: spec_meet(mine[name], theirs[name], name) for name in mine.keys() & theirs.keys()}
+    sets = {each.name: each for each in b.datasets}
+    datasets = (dataset_meet(each, sets[each.name]) for each in a.datasets if each.name in sets)
+    uses: dict[str, str] = {}
+    for task_class in dict(a.uses).keys() | dict(b.uses).keys():
+        names = {dict(each.uses).get(task_class, "") for each in (a, b)}
+        uses[task_class] = next(iter(names)) if len(names) == 1 else BOTH + task_class
+        if uses[task_class].startswith(BOTH):
+            found = [each for each in (a.spec_for(task_class), b.spec_for(task_class)) if each is not None]
+            specs[uses[task_class]] = spec_meet(found[0], found[-1], uses[task_class])
+    return normal(Federation(tuple(specs.values()), tuple(each for each in datasets if each is not None),
+                             tuple(uses.items())))
+
+
+def differences(a: Federation, b: Federation) -> list[str]:
+    """What is another in `b`, in words, a line each."""
+    out: list[str] = []
+    for what, one, other in (("federation spec", a.specs, b.specs), ("data set", a.datasets, b.datasets)):
+        old: dict[str, Spec | DataSet] = {each.name: each for each in one}
+        new: dict[str, Spec | DataSet] = {each.name: each for each in other}
+        for name in sorted(old.keys() | new.keys()):
+            before, after = old.get(name), new.get(name)
+            if before is None or after is None:
+                out.append(f"{what} {name}: {'new' if before is None else 'gone'}")
+            else:
+                out += [f"{what} {name}, {each.name.removesuffix('_us')}: {getattr(before, each.name)} -> "
+                        f"{getattr(after, each.name)}" for each in fields(before)
+                        if getattr(before, each.name) != getattr(after, each.name)]
+    mine, theirs = dict(a.uses), dict(b.uses)
+    return out + [f"class {each} goes by: {mine.get(each, 'no spec')} -> {theirs.get(each, 'no spec')}"
+                  for each in sorted(mine.keys() | theirs.keys()) if mine.get(each) != theirs.get(each)]
--- a/wingbarrow/decide/federation/spec.py
+++ b/wingbarrow/decide/federation/spec.py
@@ -8,10 +8,13 @@
 from dataclasses import dataclass
 
 SPECS_MOST, DATASETS_MOST, REGIONS_MOST = 256, 1024, 64
+NEEDS_MOST, COPIES_MOST = 16, 3  # data sets that a spec reads; keepers
 ON = ("lost", "refusing", "closed")  # what a failover may follow
-RETURNS = ("never", "idle", "stable")
+RETURNS = ("never", "idle", "stable")  # from what moves least
 CUTS = ("stop", "carry-on")
 NEAR = ("wanted", "required")
+CLASS = "class:"  # begins the name of the spec that a class has by `failover` alone
+BOTH = "both:"  # begins the name of a spec that stands for a class between two versions; no Job may name one
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -26,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Failover:
-    """When, after how long, to where."""
+    """When, after how long, to where. A spec that has one is *leased*; with an empty `on` no more than that."""
 
     on: tuple[str, ...]
     after_us: int
@@ -34,6 +37,8 @@
     room: int = 100  # of what the target has free, at most
     refusing_us: int = 0  # how long a region must have refused
     copies: int = 1  # keepers
+    cores: int = 0  # of its work that must find room elsewhere, at least
+    mib: int = 0
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -47,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Spec:
-    """One spec. Regions by preference; a region that is neither preferred nor forbidden is not allowed."""
+    """One spec. Regions by preference; a region that is not among them is not allowed."""
 
     name: str
     regions: tuple[str, ...]
@@ -58,6 +63,20 @@
     on_cut: str = "carry-on"
     lower: int = 60  # of a region's load: below it work stays, above `upper` it goes over where it can
     upper: int = 90
+    ranked: bool = True  # otherwise all regions are equal, and where it is asked for comes first
+
+    def order(self, here: str) -> tuple[str, ...]:
+        """Its regions for work that is asked for in one, the preferred first."""
+        if self.ranked or here not in self.regions:
+            return self.regions
+        return (here, *(each for each in self.regions if each != here))
+
+    def targets(self, here: str) -> tuple[str, ...]:
+        """Where its work goes from a region that is lost, in order; empty where nothing follows."""
+        if self.failover is None or not self.failover.on:
+            return ()
+        wanted = self.failover.to or self.order(here)
+        return tuple(each for each in wanted if each in self.regions and each != here)
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -71,7 +90,45 @@
 
 @dataclass(frozen=True, slots=True)
 class Federation:
-    """All of it."""
+    """All of it. `uses`: the spec of each class that names one, (class, spec)."""
 
     specs: tuple[Spec, ...] = ()
     datasets: tuple[DataSet, ...] = ()
+    uses: tuple[tuple[str, str], ...] = ()
+
+    def spec(self, name: str) -> Spec | None:
+        """One by its name."""
+        return next((each for each in self.specs if each.name == name), None)
+
+    def dataset(self, name: str) -> DataSet | None:
+        """One by its name."""
+        return next((each for each in self.datasets if each.name == name), None)
+
+    def spec_for(self, task_class: str, named: str = "") -> Spec | None:
+        """What a Job goes by: the spec that it names, else that of its class; None where neither names one.
+
+        One that is named and not there allows nothing.
+        """
+        name = named or dict(self.uses).get(task_class, "")
+        if not name:
+            return None
+        found = None if named.startswith(BOTH) else self.spec(name)
+        return found or Spec(name, ())
+
+
+def allowed(spec: Spec, federation: Federation) -> tuple[str, ...]:
+    """The regions where a spec's work may ever run: what it names, within the residency of the data that it reads.
+
+    A data set that is not there is one of which nobody knows where it may go: nowhere.
+    """
+    out = tuple(each for each in spec.regions if each not in spec.forbidden)
+    for need in spec.data:
+        dataset = federation.dataset(need.dataset)
+        if dataset is None:
+            return ()
+        if dataset.stays:
+            out = tuple(each for each in out if each in dataset.stays)
+        if need.near == "required":
+            fresh = {region for region, behind_us in dataset.copies if behind_us <= need.behind_us}
+            out = tuple(each for each in out if each in fresh)
+    return out
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -13,6 +13,8 @@
 from dataclasses import asdict, dataclass, fields, replace
 from typing import Any
 
+from wingbarrow.decide.federation import compare, form
+from wingbarrow.decide.federation.spec import Federation
 from wingbarrow.decide.peers.limits import FleetLimit, check_limits, limits_meet, limits_within, normal_limits
 from wingbarrow.decide.peers.planned import (
     AskedDrain,
@@ -26,10 +28,11 @@
 )
 
 CLASSES_MOST, NAMES_MOST = 256, 4096
-TEXT_MOST = 32 * 1024  # so that a snapshot with all that is kept fits one mail
+TEXT_MOST = 32 * 1024  # characters without the federation's, so that a snapshot with all that is kept fits one mail
+MAILED_MOST = TEXT_MOST * 3 // 2  # of the same, with what mail puts before each quotation mark
 EFFECTS = ("unsafe", "keyed", "safe")  # from what forbids most
 DRAINS = ("windows", "asked", "cancelled", "plan")  # fields about drains
-FLOORLESS = (*DRAINS, "limits")  # no floor speaks of these; rights to a limit are lost with the grant
+FLOORLESS = (*DRAINS, "limits", "federation")  # no floor speaks of these; rights to a limit are lost with the grant
 
 
 class BadRules(ValueError):
@@ -65,10 +68,12 @@
     cancelled: tuple[str, ...] = ()  # keys of drains that were taken back
     plan: DrainPlan = DrainPlan()
     limits: tuple[FleetLimit, ...] = ()  # of the whole fleet, held in parts
+    federation: Federation = Federation()
 
     def text(self) -> str:
         """The canonical text: the same rules, the same text. What is nothing of drains and limits is left out."""
-        value = asdict(self)
+        value = asdict(replace(self, federation=Federation()))
+        value["federation"] = form.write(self.federation)
         for name in FLOORLESS:
             if getattr(self, name) == _NOTHING[name]:
                 del value[name]
@@ -94,17 +99,19 @@
                    cold_shares=tuple(sorted((name, share) for name, share in rules.cold_shares if share != 0)),
                    barred=tuple(sorted(set(rules.barred))), asked=tuple(sorted(set(rules.asked))),
                    windows=tuple(sorted(rules.windows, key=lambda each: (each.name, repr(each)))),
-                   cancelled=tuple(sorted(set(rules.cancelled))), limits=normal_limits(rules.limits))
+                   cancelled=tuple(sorted(set(rules.cancelled))), limits=normal_limits(rules.limits),
+                   federation=form.normal(rules.federation))
 
 
 def read(text: str) -> RuleSet:
     """A rule set from its text; BadRules says what is wrong."""
-    if len(text) > TEXT_MOST:
-        raise BadRules(f"{len(text)} characters; {TEXT_MOST} are the most")
+    if len(text) > TEXT_MOST + form.FEDERATION_MOST:
+        raise BadRules(f"{len(text)} characters; {TEXT_MOST}, and {form.FEDERATION_MOST} of a federation, are the most")
     try:
         value = json.loads(text)
         if not isinstance(value, dict) or set(value) | set(FLOORLESS) != {each.name for each in fields(RuleSet)}:
             raise BadRules("not the fields of a rule set")
+        value["federation"] = form.read(value.get("federation", ""))
         classes = tuple(ClassRules(**each) for each in value["classes"])
         shares = tuple((name, share) for name, share in value["cold_shares"])
         value |= {"classes": classes, "cold_shares": shares, "barred": tuple(value["barred"]),
@@ -120,12 +127,24 @@
         raise
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         raise BadRules(f"no rule set: {str(error)[:120]}") from None
-    problems = check(rules)
+    problems = check(rules) + too_long(rules)
     if problems:
         raise BadRules("; ".join(problems))
     return rules
 
 
+def too_long(rules: RuleSet) -> list[str]:
+    """What of a rule set's text is more than is kept and mailed, in words."""
+    rest, federation = replace(rules, federation=Federation()).text(), form.write(rules.federation)
+    out = []
+    if len(rest) > TEXT_MOST or len(json.dumps(rest)) > MAILED_MOST:
+        out.append(f"{len(rest)} characters without the federation; {TEXT_MOST} are the most, and {MAILED_MOST} with "
+                   "what mail puts before quotation marks")
+    if len(federation) > form.FEDERATION_MOST:
+        out.append(f"{len(federation)} characters of specs and data sets; {form.FEDERATION_MOST} are the most")
+    return out
+
+
 def check(rules: RuleSet) -> list[str]:
     """What is wrong with a rule set by itself, in words; under one without a fault the five rules can be kept."""
     out: list[str] = []
@@ -154,7 +173,8 @@
     want(len({who for who, _ in rules.cold_shares}) == len(rules.cold_shares), "cold: two shares for one placer")
     want(whole(rules.drain_grace_us, 0, 3_600_000_000), "drain: a grace of at most an hour is wanted")
     want(all(name(machine) for machine in rules.barred), "barred: a machine without a name")
-    return out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan) + check_limits(rules.limits)
+    return (out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan) + check_limits(rules.limits)
+            + form.bounds(rules.federation))
 
 
 def shares(offers: int, placers: tuple[str, ...]) -> tuple[tuple[str, int], ...]:
@@ -247,6 +267,7 @@
     "cancelled": _Order(lambda a, b: set(a) <= set(b), lambda a, b: tuple(set(a) & set(b))),
     "plan": _Order(plan_within, plan_meet),
     "limits": _Order(limits_within, limits_meet),
+    "federation": _Order(compare.within, compare.meet),
 }
 
 
@@ -269,60 +290,3 @@
 def meet(a: RuleSet, b: RuleSet) -> RuleSet:
     """What both allow, and no more."""
     return normal(RuleSet(**{name: order.meet(getattr(a, name), getattr(b, name)) for name, order in _FIELDS.items()}))
-
-
-def differences(a: RuleSet, b: RuleSet) -> list[str]:
-    """What is another in `b`, in words, a line each."""
-    out: list[str] = []
-    for name in _FIELDS:
-        one, other = getattr(a, name), getattr(b, name)
-        if one == other:
-            continue
-        if name == "classes":
-            before, after = ({each.name: each for each in side} for side in (one, other))
-            for key in sorted(before.keys() | after.keys()):
-                if before.get(key) != after.get(key):
-                    out.append(f"class {key}: {_words(before.get(key))} -> {_words(after.get(key))}")
-        elif name == "cold_shares":
-            mine, theirs = dict(one), dict(other)
-            out += [f"cold share of {key}: {mine.get(key, 0)} -> {theirs.get(key, 0)}"
-                    for key in sorted(mine.keys() | theirs.keys()) if mine.get(key, 0) != theirs.get(key, 0)]
-        elif name == "windows":
-            old, new = ({each.name: each for each in side} for side in (one, other))
-            out += [f"window {key}: {'changed' if key in old and key in new else 'new' if key in new else 'gone'}"
-                    for key in sorted(old.keys() | new.keys()) if old.get(key) != new.get(key)]
-        elif name in ("asked", "cancelled"):
-            word = "drain asked for" if name == "asked" else "drain taken back"
-            out += [f"{word}: {_drain(each)}" for each in sorted(set(other) - set(one))]
-            out += [f"no longer a {word}: {_drain(each)}" for each in sorted(set(one) - set(other))]
-        elif name == "limits":
-            told, new = ({each.key: each for each in side} for side in (one, other))
-            out += [f"limit {key}: {_limit(told.get(key))} -> {_limit(new.get(key))}"
-                    for key in sorted(told.keys() | new.keys()) if told.get(key) != new.get(key)]
-        elif name == "plan":
-            out += [f"drains, {field.name.replace('_', ' ')}: {getattr(one, field.name)} -> "
-                    f"{getattr(other, field.name)}" for field in fields(DrainPlan)
-                    if getattr(one, field.name) != getattr(other, field.name)]
-        elif name == "barred":
-            out += [f"barred: {key}" for key in sorted(set(other) - set(one))]
-            out += [f"no longer barred: {key}" for key in sorted(set(one) - set(other))]
-        else:
-            out.append(f"{name.replace('_', ' ')}: {one} -> {other}")
-    return out
-
-
-def _limit(limit: FleetLimit | None) -> str:
-    if limit is None:
-        return "none"
-    return (f"{limit.most}" + (f" in {limit.window_us / 1_000_000:g} s" if limit.window_us else "")
-            + f" among {len(limit.among)}, stranded for {limit.stranded_us / 1_000_000:g} s")
-
-
-def _drain(each: AskedDrain | str) -> str:
-    return each if isinstance(each, str) else f"{each.machine} for {each.lasts_us // 1_000_000} s"
-
-
-def _words(rules: ClassRules | None) -> str:
-    if rules is None:
-        return "not there"
-    return f"{rules.effect}" + (f", {rules.spread_most} by {rules.spread_by}" if rules.spread_by != "none" else "")
--- a/wingbarrow/peers/ruleset.py
+++ b/wingbarrow/peers/ruleset.py
@@ -15,14 +15,14 @@
     """The rule set that a file of settings asks for, with its calendars; SettingsError where one cannot be used."""
     calendar = load_calendar(settings.calendars)
     scheduler, agree = settings.scheduler, settings.agree
-    members = agree.members if agree is not None else (settings.name,)
+    members = (settings.name,) if agree is None else tuple(each for each in agree.members if each not in agree.bare)
     classes = tuple(ClassRules(name, each.task_class.effect.name.lower(), each.task_class.spread.name.lower(),
                                each.task_class.spread_most) for name, each in settings.classes.items())
     return normal(RuleSet(classes, scheduler.attempts_most, scheduler.cold_us, scheduler.fall_us,
                           shares(int(scheduler.fresh_offers), members), settings.drain_grace_us, settings.barred,
                           windows=tuple(window_of(each) for each in calendar.series),
                           plan=plan_of(calendar.rules, calendar.policy),
-                          limits=agree.limits if agree is not None else ()))
+                          limits=agree.limits if agree is not None else (), federation=settings.federation))
 
 
 def calendar_under(rules: RuleSet, kinds_needed: tuple[str, ...]) -> Calendar:
