--- /dev/null
+++ b/tests/config/test_federation_files.py
@@ -0,0 +1,36 @@
+"""Federation specs in files: what is wrong is told with its line and reason, and nothing else; good ones load."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from wingbarrow.config import SettingsError, load_file
+from wingbarrow.decide.peers.rules import read
+from wingbarrow.peers.ruleset import rules_of
+
+FILES = Path(__file__).parent.parent / "data" / "federation"
+BAD, GOOD = (sorted((FILES / kind).glob("*.kdl")) for kind in ("bad", "good"))
+
+
+@pytest.mark.parametrize("path", BAD, ids=lambda path: path.stem)
+def test_each_fault_has_its_line_and_reason(path: Path) -> None:
+    """A file begins with its faults, `// LINE: words`."""
+    wanted = re.findall(r"^// (\d+): (.+)$", path.read_text(), re.M)
+    with pytest.raises(SettingsError) as caught:
+        load_file(path)
+    assert [line for line, _ in caught.value.problems] == [int(line) for line, _ in wanted], caught.value
+    for (_, told), (_, words) in zip(caught.value.problems, wanted, strict=True):
+        assert words in told
+
+
+@pytest.mark.parametrize("path", GOOD, ids=lambda path: path.stem)
+def test_good_files_load_and_read_back_as_rules(path: Path) -> None:
+    rules = rules_of(load_file(path))
+    assert read(rules.text()) == rules
+
+
+def test_there_are_enough_of_both() -> None:
+    assert len(BAD) >= 40 and len(GOOD) >= 20
--- a/wingbarrow/config/federation.py
+++ b/wingbarrow/config/federation.py
@@ -8,6 +8,7 @@
 from wingbarrow.config.settings import Agree, ClassSettings
 from wingbarrow.config.shapes import NEEDED, Node, Shape, flag, number, read_duration, read_size, text, word
 from wingbarrow.decide.federation.check import Known, Path, check
+from wingbarrow.decide.federation.form import normal
 from wingbarrow.decide.federation.spec import (
     CLASS,
     COPIES_MOST,
@@ -61,12 +62,16 @@
     places = {who: region for who, region in agree.regions if who not in agree.bare} if agree is not None else {}
     regions = tuple(dict.fromkeys(places.values()))
     lines: dict[Path, int] = {}
-    specs = [_spec(node, regions, ("federation", at), lines)
-             for at, node in enumerate(top.children.get("federation", []))]
+    nodes = top.children.get("federation", [])
+    specs = [_spec(node, regions, ("federation", at), lines) for at, node in enumerate(nodes)]
+    problems += [(node.line, f"federation: {node.args[0]!r}: {CLASS!r} begins the names of specs that classes have by "
+                  "failover=#true") for node in nodes if node.args[0].startswith(CLASS)]
     datasets = tuple(_dataset(node, ("dataset", at), lines) for at, node in enumerate(top.children.get("dataset", [])))
     for at, node in enumerate(top.children.get("room", [])):
         lines["room", at] = node.line
     lease_us = agree.lease_us if agree is not None else 0
+    if agree is not None:
+        lines[()] = top.children["agree"][0].line
     for node in top.children["class"]:
         lines["class", node.args[0]] = node.line
         if node.props["failover"]:
@@ -78,13 +83,19 @@
     known = Known(regions, places, lease_us, {name: each.task_class.effect.name.lower()
                                               for name, each in classes.items()},
                   tuple((node.args[0], float(node.props["cores"]), int(node.props["memory"] / _MIB))
-                        for node in top.children.get("room", [])))
+                        for node in top.children.get("room", [])),
+                  tuple(sorted({region for _, region in agree.regions} - set(regions))) if agree is not None else ())
     for fault in check(federation, known):
-        path = fault.path
-        while path and path not in lines:
-            path = path[:-1]
-        problems.append((lines.get(path, 1), fault.words))
-    return federation
+        problems.append((_line(fault.path, lines), fault.words + (
+            f" (see line {_line(fault.other, lines)})" if fault.other else "")))
+    return normal(federation)
+
+
+def _line(path: Path, lines: Mapping[Path, int]) -> int:
+    """Of a place, or of what it is a part of."""
+    while path and path not in lines:
+        path = path[:-1]
+    return lines.get(path, 1)
 
 
 def _spec(node: Node, regions: tuple[str, ...], path: Path, lines: dict[Path, int]) -> Spec:
--- a/wingbarrow/config/lines.py
+++ b/wingbarrow/config/lines.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from bisect import bisect_left
 
 _STRING = re.compile(r'"""(?:.|\n)*?"""|"(?:\\(?:.|\n)|[^"\\])*"')
 _RAW = re.compile(r'r?(#+)"(?:.|\n)*?"\1(?!#)|r"[^"]*"')
@@ -20,6 +21,7 @@
     def __init__(self, text: str) -> None:
         self._text = text
         self._at = 0
+        self._ends = [match.start() for match in re.finditer("\n", text)]
         self.lines: list[int] = []
         self.tops: list[tuple[int, int, int]] = []  # line, start and end of each top-level node's text
         try:
@@ -28,7 +30,7 @@
             pass  # unbalanced text; the parser names the trouble
 
     def _line(self) -> int:
-        return self._text.count("\n", 0, self._at) + 1
+        return bisect_left(self._ends, self._at) + 1
 
     def _comment(self) -> bool:
         if not self._text.startswith("/*", self._at):
--- a/wingbarrow/decide/federation/check.py
+++ b/wingbarrow/decide/federation/check.py
@@ -1,46 +1,91 @@
-"""A federation's faults, each with its place and its reason; no I/O.
+"""A whole federation's faults, each with its place and its reason; no I/O.
 
-A place is a path such as ("federation", 2, "reads", 0): the node's kind, its number in the file, the part. What reads
-files maps paths to lines; where a part has no line of its own, the path's beginning has.
+What must hold for any version by itself, whoever proposes it, is told by `form.bounds`, and at a Job by `faults.unfit`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from wingbarrow.decide.federation.checkspec import SpecFaults
+from wingbarrow.decide.federation.faults import Fault, Known, Path, name_faults, near, region_faults, seconds, unfit
+from wingbarrow.decide.federation.form import AFTER_MOST_US, FEDERATION_MOST, NAME, NAME_WORDS, USES_MOST, write
+from wingbarrow.decide.federation.spec import DATASETS_MOST, REGIONS_MOST, SPECS_MOST, DataSet, Federation
+from wingbarrow.decide.federation.together import circles, rooms
 
-from wingbarrow.decide.federation.spec import DATASETS_MOST, SPECS_MOST, Federation
+__all__ = ["Fault", "Known", "Path", "check", "unfit"]
 
-Path = tuple[str | int, ...]
 
+def check(federation: Federation, known: Known) -> list[Fault]:
+    """Everything that is wrong with a whole federation."""
+    out: list[Fault] = []
+    for kind, most, names in (("federation", SPECS_MOST, [each.name for each in federation.specs]),
+                              ("dataset", DATASETS_MOST, [each.name for each in federation.datasets]),
+                              ("room", REGIONS_MOST, [each[0] for each in known.rooms])):
+        if len(names) > most:
+            out.append(Fault((kind, most), f"{kind}: more than {most}"))
+        first: dict[str, int] = {}
+        for at, name in enumerate(names):
+            if name in first:
+                out.append(Fault((kind, at), f"{kind} {name!r} was given before", (kind, first[name])))
+            first.setdefault(name, at)
+    if len(known.regions) > REGIONS_MOST:
+        out.append(Fault((), f"agree: more than {REGIONS_MOST} regions"))
+    for region in known.regions:
+        if not NAME.fullmatch(region):
+            out.append(Fault((), f"agree: region {region[:60]!r}: {NAME_WORDS} are wanted"))
+    for at, dataset in enumerate(federation.datasets):
+        out += _dataset(("dataset", at), dataset, known)
+    for at, spec in enumerate(federation.specs):
+        out += SpecFaults(("federation", at), spec, federation, known).faults()
+    for at, (region, _, _) in enumerate(known.rooms):
+        out += region_faults(("room", at), "room", (region,), known)
+    out += _uses(federation, known)
+    if not out:
+        out = circles(federation) + rooms(federation, known)
+    if not out:
+        size = len(write(federation))
+        if size > FEDERATION_MOST:
+            out.append(Fault((), f"federation: specs and data sets are {size} characters as placers agree on them; "
+                             f"{FEDERATION_MOST} are the most: shorter names, fewer copies told"))
+    return out
 
-@dataclass(frozen=True, slots=True)
-class Known:
-    """What is known beside the specs: regions that have machines, the placers in each, the lease, classes' effects.
 
-    `rooms`: (region, cores, MiB) that each surely has, where that is said.
-    """
+# -- data sets
 
-    regions: tuple[str, ...] = ()
-    places: Mapping[str, str] = field(default_factory=dict)
-    lease_us: int = 0
-    effects: Mapping[str, str] = field(default_factory=dict)
-    rooms: tuple[tuple[str, float, int], ...] = ()
 
+def _dataset(path: Path, dataset: DataSet, known: Known) -> list[Fault]:
+    out = name_faults(path, "dataset", dataset.name)
+    if not dataset.copies:
+        out.append(Fault(path, f"dataset {dataset.name!r}: no copy is told of"))
+    for at, (region, behind_us) in enumerate(dataset.copies):
+        place = (*path, "copy", at)
+        out += region_faults(place, "copy", (region,), known)
+        if region in (each for each, _ in dataset.copies[:at]):
+            out.append(Fault(place, f"copy: region {region!r} is named twice"))
+        if dataset.stays and region not in dataset.stays:
+            out.append(Fault(place, f"copy: {dataset.name!r} stays in {', '.join(dataset.stays)}, and a copy "
+                             f"stands in {region!r}", (*path, "stays")))
+        if behind_us > AFTER_MOST_US:
+            out.append(Fault(place, f"copy: behind by more than {seconds(AFTER_MOST_US)}"))
+    return out + region_faults((*path, "stays"), "stays", dataset.stays, known)
 
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """Where, and what is wrong."""
 
-    path: Path
-    words: str
+# -- all of them together
 
 
-def check(federation: Federation, known: Known) -> list[Fault]:
-    """Everything that is wrong with a whole federation, in the file's order."""
+def _uses(federation: Federation, known: Known) -> list[Fault]:
     out: list[Fault] = []
-    if len(federation.specs) > SPECS_MOST:
-        out.append(Fault(("federation", SPECS_MOST), f"more than {SPECS_MOST} specs"))
-    if len(federation.datasets) > DATASETS_MOST:
-        out.append(Fault(("dataset", DATASETS_MOST), f"more than {DATASETS_MOST} data sets"))
+    names = [each.name for each in federation.specs]
+    if len(federation.uses) > USES_MOST:
+        out.append(Fault((), f"class: more than {USES_MOST} with a spec"))
+    for task_class, name in federation.uses:
+        path: Path = ("class", task_class)
+        out += name_faults(path, "class", task_class)
+        spec = federation.named.get(name)
+        if spec is None:
+            out.append(Fault(path, f"class: no such federation: {name[:60]!r}{near(name, names)}"))
+            continue
+        why_not = unfit(spec, known.effects.get(task_class, ""), known.lease_us)
+        if why_not:
+            out.append(Fault(path, f"class: {task_class!r} must not start twice, and federation {name!r} {why_not}",
+                             ("federation", names.index(name), "back" if "returns" in why_not else "failover")))
     return out
--- a/wingbarrow/decide/federation/compare.py
+++ b/wingbarrow/decide/federation/compare.py
@@ -144,7 +144,7 @@
 
 def within(a: Federation, b: Federation) -> bool:
     """Whether whatever `a` allows, `b` allows too: to Jobs that name a spec, and to those of each class."""
-    theirs, sets = _nameable(b), {each.name: each for each in b.datasets}
+    theirs, sets = _nameable(b), b.sets
     for name, spec in _nameable(a).items():
         if not spec_within(spec, theirs.get(name, Spec(name, ()))):
             return False
@@ -162,11 +162,10 @@
     """What both allow. A class whose spec is another in each goes by what both specs allow, under a name of its own."""
     mine, theirs = _nameable(a), _nameable(b)
     specs = {name: spec_meet(mine[name], theirs[name], name) for name in mine.keys() & theirs.keys()}
-    sets = {each.name: each for each in b.datasets}
-    datasets = (dataset_meet(each, sets[each.name]) for each in a.datasets if each.name in sets)
+    datasets = (dataset_meet(each, b.sets[each.name]) for each in a.datasets if each.name in b.sets)
     uses: dict[str, str] = {}
-    for task_class in dict(a.uses).keys() | dict(b.uses).keys():
-        names = {dict(each.uses).get(task_class, "") for each in (a, b)}
+    for task_class in a.used.keys() | b.used.keys():
+        names = {each.used.get(task_class, "") for each in (a, b)}
         uses[task_class] = next(iter(names)) if len(names) == 1 else BOTH + task_class
         if uses[task_class].startswith(BOTH):
             found = [each for each in (a.spec_for(task_class), b.spec_for(task_class)) if each is not None]
@@ -189,6 +188,6 @@
                 out += [f"{what} {name}, {each.name.removesuffix('_us')}: {getattr(before, each.name)} -> "
                         f"{getattr(after, each.name)}" for each in fields(before)
                         if getattr(before, each.name) != getattr(after, each.name)]
-    mine, theirs = dict(a.uses), dict(b.uses)
+    mine, theirs = a.used, b.used
     return out + [f"class {each} goes by: {mine.get(each, 'no spec')} -> {theirs.get(each, 'no spec')}"
                   for each in sorted(mine.keys() | theirs.keys()) if mine.get(each) != theirs.get(each)]
--- a/wingbarrow/decide/federation/form.py
+++ b/wingbarrow/decide/federation/form.py
@@ -12,6 +12,7 @@
 import re
 from collections.abc import Callable
 from dataclasses import replace
+from functools import lru_cache
 
 from wingbarrow.decide.federation.spec import (
     COPIES_MOST,
@@ -38,6 +39,7 @@
 MIB_MOST = 1 << 40
 CORES_MOST = 10_000_000
 _UNITS = (("h", 3_600_000_000), ("m", 60_000_000), ("s", 1_000_000), ("ms", 1_000), ("us", 1))
+_KEPT = 8  # federations whose text and form are not worked out again: those in force, and those to come
 Some = Callable[[str], tuple[str, ...]]
 _TIME = re.compile(r"(0|[1-9]\d{0,17})(h|ms|us|m|s)")
 
@@ -46,30 +48,38 @@
     """A text that is no federation, or one out of bounds."""
 
 
+@lru_cache(maxsize=_KEPT)
 def normal(federation: Federation) -> Federation:
     """The one form of the same federation: all in order, figures without a meaning left out."""
-    return Federation(tuple(sorted(_normal_spec(each) for each in federation.specs)),
-                      tuple(sorted(replace(each, copies=tuple(sorted(each.copies)), stays=_set(each.stays))
-                                   for each in federation.datasets)),
+    made = Federation(tuple(sorted(_normal_spec(each) for each in federation.specs)),
+                      tuple(sorted(_normal_dataset(each) for each in federation.datasets)),
                       tuple(sorted(federation.uses)))
+    return federation if made == federation else made
 
 
 def _set(names: tuple[str, ...]) -> tuple[str, ...]:
-    return tuple(sorted(set(names)))
+    return tuple(sorted(set(names))) if len(names) > 1 else names
+
+
+def _normal_dataset(dataset: DataSet) -> DataSet:
+    copies, stays = tuple(sorted(dataset.copies)), _set(dataset.stays)
+    return dataset if (copies, stays) == (dataset.copies, dataset.stays) else DataSet(dataset.name, copies, stays)
 
 
 def _normal_spec(spec: Spec) -> Spec:
     failover, back = spec.failover, spec.back
     if failover is not None:
         on = tuple(each for each in ON if each in failover.on)
-        failover = replace(failover, on=on, refusing_us=failover.refusing_us if "refusing" in on else 0)
+        refusing_us = failover.refusing_us if "refusing" in on else 0
         if not on:
             failover = Failover((), 0, copies=failover.copies)
+        elif (on, refusing_us) != (failover.on, failover.refusing_us):
+            failover = replace(failover, on=on, refusing_us=refusing_us)
     if back.when == "never":
         back = Back()
     ranked = spec.ranked or len(spec.regions) < 2
-    return replace(spec, forbidden=_set(spec.forbidden), data=tuple(sorted(spec.data)), failover=failover, back=back,
-                   ranked=ranked, regions=spec.regions if ranked else tuple(sorted(spec.regions)))
+    return Spec(spec.name, spec.regions if ranked else tuple(sorted(spec.regions)), _set(spec.forbidden),
+                tuple(sorted(spec.data)), failover, back, spec.on_cut, spec.lower, spec.upper, ranked)
 
 
 # -- writing
@@ -82,6 +92,7 @@
     return f"{time_us // size}{unit}"
 
 
+@lru_cache(maxsize=_KEPT)
 def write(federation: Federation) -> str:
     """The text of a federation in its normal form; "" for an empty one."""
     regions = sorted({region for each in federation.specs for region in (
@@ -133,6 +144,7 @@
     return found[0]
 
 
+@lru_cache(maxsize=_KEPT)
 def read(text: str) -> Federation:
     """A federation from its text; BadFederation says what is wrong. What it names need not be there."""
     if len(text) > FEDERATION_MOST:
@@ -192,7 +204,8 @@
                 _read_number(lower), _read_number(upper), _letter(ranked, ("ranked", "unranked")) == "ranked")
 
 
-def bounds(federation: Federation) -> list[str]:
+@lru_cache(maxsize=_KEPT)
+def bounds(federation: Federation) -> tuple[str, ...]:
     """Names and figures out of bounds, in words: what no version, nor what two of them both allow, may have."""
     out: list[str] = []
 
@@ -229,7 +242,7 @@
     want(_once(tuple(each.name for each in federation.specs)), "a spec is named twice")
     want(_once(tuple(each.name for each in federation.datasets)), "a data set is named twice")
     want(_once(tuple(task_class for task_class, _ in federation.uses)), "a class has two specs")
-    return out
+    return tuple(out)
 
 
 def _once(names: tuple[str, ...]) -> bool:
--- a/wingbarrow/decide/federation/spec.py
+++ b/wingbarrow/decide/federation/spec.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cached_property
 
 SPECS_MOST, DATASETS_MOST, REGIONS_MOST = 256, 1024, 64
 NEEDS_MOST, COPIES_MOST = 16, 3  # data sets that a spec reads; keepers
@@ -88,7 +90,7 @@
     stays: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Federation:
     """All of it. `uses`: the spec of each class that names one, (class, spec)."""
 
@@ -96,23 +98,37 @@
     datasets: tuple[DataSet, ...] = ()
     uses: tuple[tuple[str, str], ...] = ()
 
-    def spec(self, name: str) -> Spec | None:
-        """One by its name."""
-        return next((each for each in self.specs if each.name == name), None)
+    @cached_property
+    def _hash(self) -> int:
+        return hash((self.specs, self.datasets, self.uses))
 
-    def dataset(self, name: str) -> DataSet | None:
-        """One by its name."""
-        return next((each for each in self.datasets if each.name == name), None)
+    def __hash__(self) -> int:
+        return self._hash
+
+    @cached_property
+    def named(self) -> Mapping[str, Spec]:
+        """Specs by name."""
+        return {each.name: each for each in reversed(self.specs)}
+
+    @cached_property
+    def sets(self) -> Mapping[str, DataSet]:
+        """Data sets by name."""
+        return {each.name: each for each in reversed(self.datasets)}
+
+    @cached_property
+    def used(self) -> Mapping[str, str]:
+        """Names of specs by class."""
+        return dict(self.uses)
 
     def spec_for(self, task_class: str, named: str = "") -> Spec | None:
         """What a Job goes by: the spec that it names, else that of its class; None where neither names one.
 
         One that is named and not there allows nothing.
         """
-        name = named or dict(self.uses).get(task_class, "")
+        name = named or self.used.get(task_class, "")
         if not name:
             return None
-        found = None if named.startswith(BOTH) else self.spec(name)
+        found = None if named.startswith(BOTH) else self.named.get(name)
         return found or Spec(name, ())
 
 
@@ -123,7 +139,7 @@
     """
     out = tuple(each for each in spec.regions if each not in spec.forbidden)
     for need in spec.data:
-        dataset = federation.dataset(need.dataset)
+        dataset = federation.sets.get(need.dataset)
         if dataset is None:
             return ()
         if dataset.stays:
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -174,7 +174,7 @@
     want(whole(rules.drain_grace_us, 0, 3_600_000_000), "drain: a grace of at most an hour is wanted")
     want(all(name(machine) for machine in rules.barred), "barred: a machine without a name")
     return (out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan) + check_limits(rules.limits)
-            + form.bounds(rules.federation))
+            + list(form.bounds(rules.federation)))
 
 
 def shares(offers: int, placers: tuple[str, ...]) -> tuple[tuple[str, int], ...]:
