--- a/benchmarks/change.py
+++ b/benchmarks/change.py
@@ -28,8 +28,10 @@
 
 def contradicting(rig: Rig) -> tuple[str, list[str]]:
     """A smaller spread and more attempts: each of the two versions allows what the other forbids."""
-    text = rig.settings(rig.slots[0])
-    return text.replace('by="cell" most=3', 'by="cell" most=2').replace("attempts most=4", "attempts most=5"), rig.names
+    places = rig.places
+    text = places.settings(places.slots[0])
+    return (text.replace('by="cell" most=3', 'by="cell" most=2').replace("attempts most=4", "attempts most=5"),
+            places.names)
 
 
 def quantile(values: list[float], share: float) -> float:
@@ -51,7 +53,7 @@
         folder, hub = Path(name), Hub()
         change = Fault("propose", int(seconds * 0.4 * SECOND), "placer-1", amount=1.0)
         rig = Rig(hub, Size(placers, 6 * placers, seconds, seed, rate), [change], folder, silent)
-        rig.variant = lambda number: contradicting(rig) if number == 1 else Rig.variant(rig, number)  # type: ignore[method-assign]
+        rig.commands.variant = lambda number: contradicting(rig) if number == 1 else rig.commands.drawn(number)
         hub.run(rig.run)
         verdict = judge(folder)
         records, events = Recorder.read(folder / "recording.jsonl"), [
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -32,7 +32,7 @@
 from wingbarrow.http.watching import call, watch
 from wingbarrow.kube import names
 from wingbarrow.lab.cluster import place, settings_text
-from wingbarrow.lab.load import Want, job_value
+from wingbarrow.lab.wants import Want, job_value
 from wingbarrow.lab.build import Build
 from wingbarrow.lab.machine import Machine
 from wingbarrow.lab.node import node_value
--- a/tests/core/test_promptness.py
+++ b/tests/core/test_promptness.py
@@ -11,7 +11,7 @@
 from wingbarrow.http.watching import call
 from wingbarrow.kube import names
 from wingbarrow.lab.faults import Fault, FaultRule
-from wingbarrow.lab.load import Want, job_value
+from wingbarrow.lab.wants import Want, job_value
 from wingbarrow.lab.build import Build
 from wingbarrow.lab.node import node_value
 from wingbarrow.transport import Nursery, Stream, connect
--- a/tests/lab/direct.py
+++ b/tests/lab/direct.py
@@ -7,7 +7,7 @@
 
 from wingbarrow import interface as api
 from wingbarrow.kube.names import ident
-from wingbarrow.lab.load import PATIENCE_US, Want
+from wingbarrow.lab.wants import PATIENCE_US, Want
 from wingbarrow.lab.machine import Machine
 from wingbarrow.logic import Scheduler
 
--- a/tests/lab/test_days.py
+++ b/tests/lab/test_days.py
@@ -10,7 +10,7 @@
 from wingbarrow.lab.audit import Audit
 from wingbarrow.lab.cluster import settings_text
 from wingbarrow.lab.days import DAYS, Day, Play, play, run_day
-from wingbarrow.lab.load import Mix, draw
+from wingbarrow.lab.wants import Mix, draw
 from wingbarrow.lab.troubles import generate
 from wingbarrow.logic import Scheduler
 from tests.lab.direct import place_directly
--- /dev/null
+++ b/tests/lab/test_links.py
@@ -0,0 +1,144 @@
+"""The rig's links and scripts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from wingbarrow.lab.fleet.link import Network, Proxy
+from wingbarrow.lab.fleet.script import BadScript, Fault, generate, read_script
+from wingbarrow.transport import Hub, PeerGone, Stream, VirtualClock, connect, listen
+
+S = 1_000_000
+NAMES = ["placer-0", "placer-1", "placer-2"]
+
+
+# -- links
+
+
+class Echo:
+    """A server that says again what it hears, and keeps all of it."""
+
+    def __init__(self, hub: Hub) -> None:
+        self.heard: list[bytes] = []
+        self.listener = listen(hub, "127.0.0.1", 0, print)
+        hub.spawn(lambda: self.listener.serve(self._serve))
+
+    def _serve(self, stream: Stream) -> None:
+        while data := stream.receive():
+            self.heard.append(data)
+            stream.send(data)
+
+
+def played(script: Callable[[Hub, Echo, Proxy], None]) -> None:
+    hub = Hub(VirtualClock())
+
+    def main() -> None:
+        echo = Echo(hub)
+        script(hub, echo, Proxy(hub, echo.listener.port, seed=3))
+    hub.run(main)
+
+
+def asked(hub: Hub, port: int, within_us: int = S) -> bytes | None:
+    """One word sent; what comes back in time, None where nothing does."""
+    stream, got = connect(hub, "127.0.0.1", port), None
+    try:
+        stream.send(b"word")
+        with hub.limit(within_us):
+            got = stream.receive()
+    except PeerGone:
+        got = b"reset"
+    stream.close()
+    return got
+
+
+def test_a_whole_link_passes_all_and_a_cut_one_holds_it_without_a_word() -> None:
+    def script(hub: Hub, echo: Echo, proxy: Proxy) -> None:
+        assert asked(hub, proxy.port) == b"word"
+        proxy.forth.cut = True
+        assert asked(hub, proxy.port) is None and echo.heard == [b"word"]
+        proxy.forth.cut, proxy.back.cut = False, True
+        assert asked(hub, proxy.port) is None
+        assert len(echo.heard) == 2, "one way is cut: it was heard, its answer was not"
+        proxy.heal()
+        assert asked(hub, proxy.port) == b"word"
+    played(script)
+
+
+def test_a_link_is_late_slow_resets_and_delivers_twice() -> None:
+    def script(hub: Hub, echo: Echo, proxy: Proxy) -> None:
+        proxy.forth.delay_us, begun = S // 2, hub.now_us()
+        assert asked(hub, proxy.port) == b"word" and hub.now_us() - begun >= S // 2
+        proxy.forth.delay_us, proxy.back.bytes_per_s, begun = 0, 8, hub.now_us()
+        assert asked(hub, proxy.port) == b"word"
+        proxy.heal()
+        proxy.forth.twice_share = 1.0
+        count = len(echo.heard)
+        assert asked(hub, proxy.port) == b"word"
+        hub.sleep(S)
+        assert len(echo.heard) == count + 2 and proxy.doubles == 1
+        proxy.heal()
+        proxy.back.reset_share = 1.0
+        assert asked(hub, proxy.port) == b"reset"
+    played(script)
+
+
+def test_a_fault_from_one_to_the_other_takes_its_requests_and_its_answers() -> None:
+    hub = Hub(VirtualClock())
+
+    def main() -> None:
+        network = Network(hub, NAMES, 1)
+        network.set("placer-0", "placer-1", cut=True)
+        assert network.links["placer-0", "placer-1"].forth.cut and network.links["placer-1", "placer-0"].back.cut
+        assert not network.links["placer-0", "placer-1"].back.cut
+        assert not network.links["placer-1", "placer-0"].forth.cut
+        assert all(way.whole for way in network.ways("placer-0", "placer-2"))
+        network.moved("placer-1", 7)
+        assert {key for key, link in network.links.items() if link.to == 7} == {
+            ("placer-0", "placer-1"), ("placer-2", "placer-1")}
+        network.close()
+    hub.run(main)
+
+
+# -- scripts
+
+
+def test_a_script_says_what_happens_when(tmp_path: Path) -> None:
+    path = tmp_path / "x.kdl"
+    path.write_text('kill "12s" "placer-0" lasts="3s" state=false\n'
+                    'cut "3s" from="placer-0" to="placer-1" lasts="5s" both=false\n'
+                    'late "1s" from="placer-2" to="placer-1" lasts="1s" amount="250ms"\n')
+    assert read_script(path, NAMES) == [
+        Fault("late", S, "placer-2", "placer-1", S, True, 250_000.0),
+        Fault("cut", 3 * S, "placer-0", "placer-1", 5 * S, False),
+        Fault("kill", 12 * S, "placer-0", "", 3 * S, state=False)]
+
+
+@pytest.mark.parametrize("text, words", [
+    ("explode \"1s\" \"placer-0\"", "is wanted"), ("stop \"1s\"", "a placer"), ("stop \"1s\" \"placer-9\"", "no such"),
+    ("cut \"soon\" from=\"placer-0\" to=\"placer-1\"", "duration"), ("cut \"1s\" from=\"placer-0\"", "to"),
+    ("cut \"1s\" from=\"placer-0\" to=\"placer-0\"", "itself"), ("stop \"1s\" \"placer-0\" often=3", "unknown: often"),
+    ("lossy \"1s\" from=\"placer-0\" to=\"placer-1\" amount=3", "share"), ("stop {", "x.kdl"),
+])
+def test_a_script_that_cannot_be_used_is_refused_in_words(tmp_path: Path, text: str, words: str) -> None:
+    path = tmp_path / "x.kdl"
+    path.write_text(text)
+    with pytest.raises(BadScript, match=words):
+        read_script(path, NAMES)
+
+
+def test_generated_faults_are_a_function_of_the_seed_and_leave_time_to_heal() -> None:
+    for seed in range(1, 60):
+        faults = generate(seed, NAMES, 60)
+        assert faults == generate(seed, NAMES, 60) and faults
+        spans: dict[str, int] = {}
+        for fault in faults:
+            assert {fault.who, fault.other} <= {*NAMES, ""} and fault.who != fault.other
+            if fault.kind in ("stop", "kill"):
+                assert fault.at_us >= spans.get(fault.who, 0), "a process suffers one thing at a time"
+                spans[fault.who] = fault.end_us
+    assert {fault.kind for seed in range(1, 60) for fault in generate(seed, NAMES, 60)} == {
+        "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill", "propose", "drain",
+        "faulty"}
--- a/tests/peers/test_limits_path.py
+++ b/tests/peers/test_limits_path.py
@@ -11,7 +11,7 @@
 from wingbarrow.config import SettingsError, load_text
 from wingbarrow.kube import names
 from wingbarrow.lab.cluster import PlacerSlot, settings_text
-from wingbarrow.lab.load import Want, job_value
+from wingbarrow.lab.wants import Want, job_value
 
 LIMITS = "/apis/wingbarrow.io/v1/limits"
 
--- a/tests/peers/test_rules_path.py
+++ b/tests/peers/test_rules_path.py
@@ -11,7 +11,7 @@
 from wingbarrow.config import SettingsError, load_text
 from wingbarrow.kube import names
 from wingbarrow.lab.cluster import settings_text
-from wingbarrow.lab.load import Want, job_value
+from wingbarrow.lab.wants import Want, job_value
 from wingbarrow.peers.ruleset import rules_of, scheduler_under
 
 def test_all_act_on_the_first_leaders_rules_and_on_what_is_proposed_and_offers_carry_it() -> None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -12,7 +12,7 @@
 from wingbarrow.kube.status import ApiError
 from wingbarrow.lab.audit import Audit, audit
 from wingbarrow.lab.cluster import Cluster
-from wingbarrow.lab.load import Want, job_value
+from wingbarrow.lab.wants import Want, job_value
 from wingbarrow.lab.build import Build
 from wingbarrow.lab.record import Record
 from wingbarrow.transport import Hub, VirtualClock
--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -224,7 +224,7 @@
             except (TimeoutError, NotStarted) as error:
                 click.echo(f"the fleet did not start: {error}; logs: {out or 'see --out'}", err=True)
                 sys.exit(2)
-            verdict = judge(rig.folder)
+            verdict = judge(rig.places.folder)
     for note in verdict.notes:
         click.echo(note, err=True)
     click.echo(json.dumps(verdict.line()))
--- a/wingbarrow/lab/days.py
+++ b/wingbarrow/lab/days.py
@@ -15,7 +15,8 @@
 from wingbarrow.lab.audit import Audit, audit
 from wingbarrow.lab.cluster import SECOND, Cluster
 from wingbarrow.lab.faults import Fault, FaultRule
-from wingbarrow.lab.load import Mix, Owners, Want, draw
+from wingbarrow.lab.load import Owners
+from wingbarrow.lab.wants import Mix, Want, draw
 from wingbarrow.lab.troubles import Trouble, arrange, generate
 from wingbarrow.transport import Hub, VirtualClock
 
--- /dev/null
+++ b/wingbarrow/lab/fleet/places.py
@@ -0,0 +1,164 @@
+"""The places of a fleet: a process for each placer, the links between them, the stand-ins, and what is written down.
+
+A run leaves a directory: `fleet.json` (what was asked for), `events.jsonl` (what the rig did to links and processes,
+and when), `recording.jsonl` (what crossed the stand-ins' sockets), `placer-N.history.jsonl` (each process's own record,
+by the same clock), settings and logs. `judge` reads these and nothing else.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from wingbarrow.lab.cluster import Cluster, settings_text
+from wingbarrow.lab.fleet.link import Network, Proxy
+from wingbarrow.lab.fleet.process import SECOND, Process
+from wingbarrow.lab.fleet.script import Fault
+from wingbarrow.store.votes import create
+from wingbarrow.transport import Hub, Nursery
+
+START_US = 60 * SECOND
+SEEDS = 3  # placers that all others name as peers
+LEAVE_US = 20 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """What is played."""
+
+    placers: int = 5
+    machines: int = 10
+    seconds: float = 30.0
+    seed: int = 1
+    rate: float = 8.0  # tasks a second over all owners
+
+    @property
+    def voters(self) -> int:
+        """How many of them decide on rules."""
+        return 5 if self.placers >= 7 else 3 if self.placers >= 3 else 1
+
+
+class Slot:
+    """One placer's place: its process, if it runs, and the link by which owners reach it."""
+
+    def __init__(self, name: str, index: int, front: Proxy) -> None:
+        self.name, self.index, self.front = name, index, front
+        self.process: Process | None = None
+        self.lives = 0
+        self.stopped = self.starting = False
+
+
+class Places:
+    """All of them; to be started and ended once."""
+
+    def __init__(self, hub: Hub, size: Size, folder: Path, log: Callable[..., None]) -> None:
+        self.hub, self.size, self.folder, self._log = hub, size, folder, log
+        folder.mkdir(parents=True, exist_ok=True)
+        self.names = [f"placer-{index}" for index in range(size.placers)]
+        self.voters = self.names[:size.voters]
+        self._events = (folder / "events.jsonl").open("w", encoding="utf-8")
+
+    def event(self, what: str, **fields: Any) -> None:
+        """Write down what the rig did, now."""
+        self._events.write(json.dumps({"at_us": self.hub.now_us(), "what": what, **fields}) + "\n")
+        self._events.flush()
+
+    def open(self, faults: list[Fault]) -> None:
+        """Make stand-ins and links; nothing runs yet."""
+        hub, size = self.hub, self.size
+        (self.folder / "fleet.json").write_text(json.dumps({
+            "size": asdict(size), "names": self.names, "voters": self.voters,
+            "faults": [asdict(fault) for fault in faults]}, indent=1))
+        self.cluster = Cluster(hub, size.machines, 0, size.seed, self._log)
+        self.network = Network(hub, self.names, size.seed)
+        self.slots = [Slot(name, index, Proxy(hub, 1, seed=index)) for index, name in enumerate(self.names)]
+
+    def start_all(self) -> None:
+        """Bring everything up; returns when all processes listen."""
+        self.cluster.start()
+        for name in self.voters:
+            create(self.folder / f"{name}.state" / "rules", tuple(self.voters))
+        with Nursery(self.hub) as nursery:
+            for slot in self.slots:
+                nursery.spawn(lambda slot=slot: self.start(slot), "starts")  # type: ignore[misc]
+
+    def slot(self, name: str) -> Slot:
+        """A placer's place."""
+        return self.slots[self.names.index(name)]
+
+    def running(self) -> list[Slot]:
+        """Those whose process runs and is not stopped."""
+        return [slot for slot in self.slots if slot.process is not None and not slot.stopped]
+
+    def start(self, slot: Slot) -> None:
+        """Start a placer's process; returns when it listens."""
+        path = self.folder / f"{slot.name}.kdl"
+        path.write_text(self.settings(slot))
+        slot.lives += 1
+        self.event("starting", who=slot.name, life=slot.lives)
+        process = Process(self.hub, ["serve", str(path)], self.folder / f"{slot.name}.log")
+        slot.process, slot.starting = process, True
+        port = int(process.line("placer", START_US)["url"].rpartition(":")[2])
+        slot.starting = False
+        slot.front.to = port
+        self.network.moved(slot.name, port)
+        self.event("started", who=slot.name, life=slot.lives, pid=process.pid)
+
+    def kill(self, slot: Slot) -> None:
+        """Kill a placer's process."""
+        process, slot.process = slot.process, None
+        assert process is not None
+        process.send(signal.SIGKILL)
+        self.cluster.record(slot.name, "killed")
+        self.event("killed", who=slot.name, life=slot.lives)
+        process.end(signal.SIGKILL)
+        slot.front.to = 1
+        self.network.moved(slot.name, 1)
+
+    def forget(self, slot: Slot) -> None:
+        """What it saved is gone; a voter's store stays: without it, it would be none (`raft.Raft.empty`)."""
+        for file in (self.folder / f"{slot.name}.state").glob("*"):
+            if file.is_file():
+                file.unlink()
+
+    def settings(self, slot: Slot) -> str:
+        """The file of a placer."""
+        seeds = [name for name in self.names[:SEEDS] if name != slot.name]
+        others = [name for name in self.names if name != slot.name]
+        # All links are named, so that whatever address a placer gives itself, it is reached through its link.
+        peers = "".join(f'peer "127.0.0.1" port={self.network.links[slot.name, name].port} name="{name}"'
+                        f'{"" if name in seeds else " seed=false"}\n' for name in others)
+        state = self.folder / f"{slot.name}.state"
+        state.mkdir(exist_ok=True)
+        return (settings_text(slot.index, self.size.placers, self.size.seed + slot.index, self.cluster.source.port, 0,
+                              str(state)) + f'allow-peer "127.0.0.0/8"\nhistory "{self.folder}/{slot.name}'
+                f'.history.jsonl"\n{peers}{self._agree()}')
+
+    def _agree(self) -> str:
+        rate = self.size.rate
+        limits = (f'    limit "namespace/default" most={int(rate * 9)} stranded="40s"\n'
+                  f'    limit "class/web" most={int(rate * 10)} per="5s"\n    limit "cold"\n')
+        return "".join(["agree {\n", *[f'    voter "{name}"\n' for name in self.voters],
+                        *[f'    member "{name}"\n' for name in self.names if name not in self.voters], limits,
+                        "}\n"])
+
+    def close(self) -> None:
+        """Ask all processes to end, wait, and write the recording."""
+        for slot in self.slots:
+            if slot.process is not None:
+                self.event("ending", who=slot.name, use_s=slot.process.use_s())
+        with Nursery(self.hub) as nursery:
+            for slot in self.slots:
+                if slot.process is not None:
+                    nursery.spawn(lambda slot=slot: self.event(  # type: ignore[misc]
+                        "ended", who=slot.name, status=slot.process.end(signal.SIGTERM, LEAVE_US)), "ends")
+        self.cluster.record.write(self.folder / "recording.jsonl")
+        self._events.close()
+        self.network.close()
+        for slot in self.slots:
+            slot.front.close()
+        self.cluster.close()
--- /dev/null
+++ b/wingbarrow/lab/fleet/suffering.py
@@ -0,0 +1,115 @@
+"""Faults brought about: on links, processes and machines, each for its time; a method a kind."""
+
+from __future__ import annotations
+
+import signal
+
+from wingbarrow.lab.fleet.commands import Commands
+from wingbarrow.lab.fleet.places import Places
+from wingbarrow.lab.fleet.process import SECOND
+from wingbarrow.lab.fleet.script import Fault
+
+
+class Suffering:
+    """Brings faults about, and writes down when each began and ended."""
+
+    def __init__(self, places: Places, commands: Commands) -> None:
+        self._places, self._commands, self._hub = places, commands, places.hub
+
+    def suffer(self, fault: Fault) -> None:
+        """One fault, now; returns when it is over."""
+        fields = {"kind": fault.kind, "who": fault.who, "other": fault.other, "amount": fault.amount,
+                  "both": fault.both}
+        self._places.event("fault", **fields)
+        getattr(self, "_" + fault.kind)(fault)
+        self._places.event("healed", **fields)
+
+    # -- links
+
+    def _between(self, fault: Fault, pairs: list[tuple[str, str]], on: dict[str, object],
+                 off: dict[str, object]) -> None:
+        network = self._places.network
+        for sender, receiver in pairs:
+            network.set(sender, receiver, **on)
+        self._hub.sleep(fault.lasts_us)
+        for sender, receiver in pairs:
+            network.set(sender, receiver, **off)
+
+    def _pairs(self, fault: Fault) -> list[tuple[str, str]]:
+        one = [(fault.who, fault.other)]
+        return [*one, (fault.other, fault.who)] if fault.both else one
+
+    def _cut(self, fault: Fault) -> None:
+        self._between(fault, self._pairs(fault), {"cut": True}, {"cut": False})
+
+    def _late(self, fault: Fault) -> None:
+        self._between(fault, self._pairs(fault), {"delay_us": int(fault.amount)}, {"delay_us": 0})
+
+    def _slow(self, fault: Fault) -> None:
+        self._between(fault, self._pairs(fault), {"bytes_per_s": int(fault.amount)}, {"bytes_per_s": 0})
+
+    def _lossy(self, fault: Fault) -> None:
+        self._between(fault, self._pairs(fault), {"reset_share": fault.amount}, {"reset_share": 0.0})
+
+    def _twice(self, fault: Fault) -> None:
+        self._between(fault, self._pairs(fault), {"twice_share": fault.amount}, {"twice_share": 0.0})
+
+    def _reset(self, fault: Fault) -> None:
+        end = self._hub.now_us() + fault.lasts_us
+        while True:
+            self._places.network.reset(fault.who, fault.other)
+            if self._hub.now_us() >= end:
+                return
+            self._hub.sleep(SECOND // 5)
+
+    def _isolate(self, fault: Fault) -> None:
+        others = [name for name in self._places.names if name != fault.who]
+        pairs = [(fault.who, other) for other in others] + [(other, fault.who) for other in others]
+        self._between(fault, pairs, {"cut": True}, {"cut": False})
+
+    def _deafen(self, fault: Fault) -> None:
+        """It can send and not hear."""
+        self._between(fault, [(other, fault.who) for other in self._places.names if other != fault.who],
+                      {"cut": True}, {"cut": False})
+
+    # -- processes and machines
+
+    def _stop(self, fault: Fault) -> None:
+        slot = self._places.slot(fault.who)
+        if slot.process is None:
+            return
+        self._places.cluster.record(slot.name, "hold", for_us=fault.lasts_us)
+        slot.stopped = True
+        slot.process.send(signal.SIGSTOP)
+        self._places.event("stopped", who=slot.name)
+        self._hub.sleep(fault.lasts_us)
+        slot.process.send(signal.SIGCONT)
+        slot.stopped = False
+        self._places.event("continued", who=slot.name)
+
+    def _kill(self, fault: Fault) -> None:
+        slot = self._places.slot(fault.who)
+        if slot.process is None or slot.starting:
+            return  # on a busy machine a start may last into the next fault
+        self._places.kill(slot)
+        if not fault.state:
+            self._places.forget(slot)
+        self._hub.sleep(fault.lasts_us)
+        self._places.start(slot)
+
+    def _faulty(self, fault: Fault) -> None:
+        """A machine, by number, fails every start."""
+        machines = self._places.cluster.machines
+        machine = machines[int(fault.amount) % len(machines)]
+        machine.faulty = True
+        self._hub.sleep(fault.lasts_us)
+        machine.faulty = False
+
+    # -- an operator's commands
+
+    def _propose(self, fault: Fault) -> None:
+        """Ask a placer to change the rules; whoever leads is asked in the end, as a command would do it."""
+        self._commands.propose(int(fault.amount), self._places.slot(fault.who))
+
+    def _drain(self, fault: Fault) -> None:
+        self._commands.drain(fault)
--- a/wingbarrow/lab/load.py
+++ b/wingbarrow/lab/load.py
@@ -13,71 +13,14 @@
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.lab.record import Recorder
+from wingbarrow.lab.wants import PATIENCE_US, SECOND, Mix, Want, draw, job_value
 from wingbarrow.transport import Domain, Hub, Nursery
 
-SECOND = 1_000_000
-PATIENCE_US = {"web": 5 * SECOND, "settlement": 10 * SECOND}
+__all__ = ["PATIENCE_US", "Mix", "Owners", "PlacerAddress", "Want", "draw", "job_value"]
+
 AGAIN_US = 1_500_000
 TRIES = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Want:
-    """A task that somebody wants, from a time on for so long; memory in GiB."""
-
-    at_us: int
-    ident: str
-    task_class: str
-    service: str
-    cores: float
-    memory: float
-    runs_us: int
-
-
-@dataclass(frozen=True, slots=True)
-class Mix:
-    """What load is made of."""
-
-    rate: float = 14.0  # tasks a second
-    services: int = 40
-    settlement: float = 0.02  # share of it
-    life_s: tuple[float, float] = (4.0, 16.0)
-    burst: tuple[tuple[float, float, float], ...] = ()  # from, until (seconds), times the usual rate
-
-
-def draw(mix: Mix, seconds: float, seed: int, prefix: str = "w") -> list[Want]:
-    """Arrivals of a day, a function of the seed alone."""
-    rng, at = random.Random(seed), 0.0
-    out: list[Want] = []
-    while True:
-        factor = max((times for begin, end, times in mix.burst if begin <= at < end), default=1.0)
-        at += rng.expovariate(mix.rate * factor)
-        if at >= seconds:
-            return out
-        if rng.random() < mix.settlement:
-            task_class, cores, memory = "settlement", *rng.choice(((4.0, 8.0), (6.0, 12.0)))
-            runs = rng.uniform(8, 20)
-        else:
-            task_class, cores, memory = "web", *rng.choice(((0.5, 1.0), (1.0, 2.0), (2.0, 3.0)))
-            runs = rng.uniform(*mix.life_s)
-        service = f"{task_class}-{min(rng.randrange(mix.services), rng.randrange(mix.services))}"
-        out.append(Want(int(at * SECOND), f"{prefix}{len(out)}", task_class, service, cores, memory,
-                        int(runs * SECOND)))
-
-
-def job_value(want: Want, name: str, patience_us: int) -> dict[str, Any]:
-    """The Job that an owner submits."""
-    return {
-        "apiVersion": "batch/v1", "kind": "Job",
-        "metadata": {"name": name, "labels": {names.CLASS: want.task_class, names.SERVICE: want.service},
-                     "annotations": {names.PATIENCE: f"{patience_us // 1000}ms",
-                                     names.EXPECTED: f"{want.runs_us // 1000}ms",
-                                     names.RUNS_FOR: f"{want.runs_us // 1000}ms"}},
-        "spec": {"template": {
-            "metadata": {"annotations": {"lab/task": want.ident}},
-            "spec": {"restartPolicy": "Never", "containers": [{
-                "name": "task", "image": "stand-in", "resources": {"requests": {
-                    "cpu": f"{want.cores * 1000:.0f}m", "memory": f"{want.memory * 1024:.0f}Mi"}}}]}}}}
+WHY_MOST = 200  # characters of a refusal's words that are recorded
 
 
 @dataclass(slots=True)
@@ -161,7 +104,8 @@
                          sent_us + 2 * SECOND)
         except ApiError as error:
             del self._asked[index][name]
-            self._record("owner", "turned-away", placer=placer.name, job=name, code=error.code)
+            self._record("owner", "turned-away", placer=placer.name, job=name, code=error.code,
+                         why=str(error)[:WHY_MOST])
             return error.code == 422
         except CallFailed as error:
             self._record("owner", "submit-failed", placer=placer.name, job=name, why=error.why.name)
--- a/wingbarrow/lab/patching.py
+++ b/wingbarrow/lab/patching.py
@@ -15,7 +15,8 @@
 from wingbarrow.lab.audit import audit
 from wingbarrow.lab.cluster import SECOND, Cluster
 from wingbarrow.lab.figures import over_seeds, write_rows
-from wingbarrow.lab.load import Mix, Owners, Want, draw
+from wingbarrow.lab.load import Owners
+from wingbarrow.lab.wants import Mix, Want, draw
 from wingbarrow.lab.machine import Machine
 from wingbarrow.lab.node import node_value
 from wingbarrow.lab.record import Record
--- /dev/null
+++ b/wingbarrow/lab/wants.py
@@ -0,0 +1,71 @@
+"""What owners want: arrivals drawn from a seed, and the Job that each submits."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from wingbarrow.kube import names
+
+SECOND = 1_000_000
+PATIENCE_US = {"web": 5 * SECOND, "settlement": 10 * SECOND}
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """A task that somebody wants, from a time on for so long; memory in GiB."""
+
+    at_us: int
+    ident: str
+    task_class: str
+    service: str
+    cores: float
+    memory: float
+    runs_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """What load is made of."""
+
+    rate: float = 14.0  # tasks a second
+    services: int = 40
+    settlement: float = 0.02  # share of it
+    life_s: tuple[float, float] = (4.0, 16.0)
+    burst: tuple[tuple[float, float, float], ...] = ()  # from, until (seconds), times the usual rate
+
+
+def draw(mix: Mix, seconds: float, seed: int, prefix: str = "w") -> list[Want]:
+    """Arrivals of a day, a function of the seed alone."""
+    rng, at = random.Random(seed), 0.0
+    out: list[Want] = []
+    while True:
+        factor = max((times for begin, end, times in mix.burst if begin <= at < end), default=1.0)
+        at += rng.expovariate(mix.rate * factor)
+        if at >= seconds:
+            return out
+        if rng.random() < mix.settlement:
+            task_class, cores, memory = "settlement", *rng.choice(((4.0, 8.0), (6.0, 12.0)))
+            runs = rng.uniform(8, 20)
+        else:
+            task_class, cores, memory = "web", *rng.choice(((0.5, 1.0), (1.0, 2.0), (2.0, 3.0)))
+            runs = rng.uniform(*mix.life_s)
+        service = f"{task_class}-{min(rng.randrange(mix.services), rng.randrange(mix.services))}"
+        out.append(Want(int(at * SECOND), f"{prefix}{len(out)}", task_class, service, cores, memory,
+                        int(runs * SECOND)))
+
+
+def job_value(want: Want, name: str, patience_us: int) -> dict[str, Any]:
+    """The Job that an owner submits."""
+    return {
+        "apiVersion": "batch/v1", "kind": "Job",
+        "metadata": {"name": name, "labels": {names.CLASS: want.task_class, names.SERVICE: want.service},
+                     "annotations": {names.PATIENCE: f"{patience_us // 1000}ms",
+                                     names.EXPECTED: f"{want.runs_us // 1000}ms",
+                                     names.RUNS_FOR: f"{want.runs_us // 1000}ms"}},
+        "spec": {"template": {
+            "metadata": {"annotations": {"lab/task": want.ident}},
+            "spec": {"restartPolicy": "Never", "containers": [{
+                "name": "task", "image": "stand-in", "resources": {"requests": {
+                    "cpu": f"{want.cores * 1000:.0f}m", "memory": f"{want.memory * 1024:.0f}Mi"}}}]}}}}
