Machines hold leases in their own clock, stop what is not renewed, and refuse fenced epochs

A region that is out of reach cannot be asked to stop its old copies, so the machine itself must end what nobody renewed. The stand-in tells its clock, renews all tasks of a session by one message, ends them at their time, and fences a Job's earlier epochs; taking offers at the socket moves into a file of its own, and further guards can be hung in at each start.

--- a/wingbarrow/lab/build.py
+++ b/wingbarrow/lab/build.py
@@ -45,7 +45,7 @@
 
     __slots__ = ("name", "namespace", "value", "task_class", "service", "cores", "memory", "priority", "phase",
                  "started_us", "runs_us", "verdict", "use_cores", "use_memory", "ended_us", "task", "gone", "told",
-                 "timer")
+                 "timer", "uid", "session", "epoch", "lease")
 
     def __init__(self, value: dict[str, Any], use: tuple[float, float]) -> None:
         meta, notes = value["metadata"], value["metadata"].get("annotations", {})
@@ -58,6 +58,10 @@
         self.memory = sum(parse_size(str(each["memory"])) for each in requests) / 2**30
         self.priority = int(value["spec"].get("priority", 0))
         self.runs_us = parse_duration(notes.get(names.RUNS_FOR, "10s"))
+        self.uid = str(notes.get(names.PREFIX + "job-uid", ""))
+        self.session, self.lease = str(notes.get(names.SESSION, "")), str(notes.get(names.LEASE_UNTIL, ""))
+        epoch = str(notes.get(names.EPOCH, "0"))
+        self.epoch = int(epoch) if epoch.isdecimal() else 0
         self.phase = "Pending"
         self.started_us = self.ended_us = 0
         self.verdict: ApiError | None = None
--- a/wingbarrow/lab/machine.py
+++ b/wingbarrow/lab/machine.py
@@ -5,28 +5,38 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from wingbarrow.config import parse_duration
 from wingbarrow.http.listwatch import ListWatch, Query, error_answer
 from wingbarrow.http.server import Answer, Server, ServerLimits
 from wingbarrow.http.message import Request
-from wingbarrow.http.write import write_response
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
 from wingbarrow.kube.store import Store
 from wingbarrow.lab.build import SECOND, Build, Pod
-from wingbarrow.lab.faults import Fault, FaultPlan
+from wingbarrow.lab.faults import FaultPlan
+from wingbarrow.lab.leaseguard import LAPSED, LeaseGuard
+from wingbarrow.lab.offering import Offering
 from wingbarrow.lab.ports import PortHold
 from wingbarrow.lab.record import Recorder
 from wingbarrow.lab.use import use_of, used, victims
 from wingbarrow.lab.warmth import Warmth
 from wingbarrow.transport import Channel, Closed, Domain, Full, Hub, PeerGone, Signal
 
-LOOK_US = 1_000_000  # an offer that is left unanswered looks this often whether its client is still there
 KEEP_ENDED_US = 20 * SECOND
 
 
+class Guard(Protocol):
+    """Something beside room that a machine goes by when it is asked to take a task; made anew at each start."""
+
+    def answer(self, method: str, path: str, request: Request) -> Answer | None:
+        """The answer to a call that is about it; None for any other."""
+
+    def refusal(self, pod: Pod) -> ApiError | None:
+        """Why a task may not start, asked when it is admitted and once more before it starts."""
+
+
 class Machine:
     """One machine; its sockets and tasks live in a domain that can be held still or killed."""
 
@@ -34,6 +44,7 @@
                  say: Callable[[str], None]) -> None:
         self.hub, self.name, self.build, self._record, self._say = hub, name, build, record, say
         self._random = random.Random(seed)
+        self._boot_seed = random.Random(f"{name}/{seed}")
         self.faults = FaultPlan(seed + 1)
         self.hold = PortHold()
         self.port = self.hold.port
@@ -46,6 +57,9 @@
         self.changed: Callable[[Machine], None] = lambda _: None
         self.offers_seen = 0
         self.faulty = False  # fails every start
+        self.ppm = 0  # its clock goes so many parts in a million fast
+        self.boots = 0
+        self.more_guards: list[Callable[[Machine], Guard]] = []  # made at each launch
 
     # -- life
 
@@ -65,6 +79,13 @@
         self._waiting: deque[Pod] = deque()
         self._in_line: dict[str, Pod] = {}
         self._line: Channel[tuple[Pod | None, Signal]] = Channel(self.hub, self.build.line)
+        self.boots += 1
+        self.leases = LeaseGuard(self.hub, self.name, f"{self.boots}-{self._boot_seed.getrandbits(48):x}", self.ppm,
+                                 self.domain, self._record, self.present, self._lapsed)
+        self.guards: list[Guard] = [self.leases, *(make(self) for make in self.more_guards)]
+        self._offering = Offering(self.hub, self.name, self._random, self._record, self.faults, self.domain,
+                                  self._changed, self._decide, self.leases.told)
+        self._offering.came = self._came
         self._record(self.name, "launch", cold=cold, zone=self.build.zone, cell=self.build.cell)
         ready = Signal(self.hub)
 
@@ -87,7 +108,7 @@
         self._record(self.name, "die")
         for pod in list(self.pods.values()):
             if pod.phase == "Running":
-                self._record(self.name, "end", pod=pod.name, why="died")
+                self._record(self.name, "end", pod=pod.name, why="died", **self.leases.told(pod))
             if pod.timer is not None:
                 pod.timer.cancel()
         self.pods = {}
@@ -108,6 +129,10 @@
                 if self.build.drain == "paced":
                     self.hub.sleep(400_000)
 
+    def present(self) -> list[Pod]:
+        """Tasks that it holds, and those that it looks at."""
+        return [*self.pods.values(), *self._in_line.values()]
+
     @property
     def asked(self) -> tuple[float, float]:
         """Cores and memory asked by accepted tasks."""
@@ -129,9 +154,13 @@
             if path == "/api/v1/pods" and request.method == "GET":
                 return self._pods_view.list_or_watch(Query(query), "", request.get("user-agent") or "")
             if parts[:3] == ["api", "v1", "namespaces"] and len(parts) == 5 and request.method == "POST":
-                return self._offer(request)
+                return self._offering.offer(request)
             if parts[:3] == ["api", "v1", "namespaces"] and len(parts) == 6 and request.method == "DELETE":
                 return self._delete(parts[5])
+            for guard in self.guards:
+                answer = guard.answer(request.method, path, request)
+                if answer is not None:
+                    return answer
             raise ApiError(404, "the server could not find the requested resource")
         except ApiError as error:
             return error_answer(error)
@@ -163,79 +192,9 @@
             "memory": {"availableBytes": int((self.build.memory - memory) * 2**30),
                        "workingSetBytes": int(memory * 2**30)}}, "pods": []}))
 
-    def _offer(self, request: Request) -> Answer:
-        """Admission as the kubelet does it; the answer comes when the task runs, or is refused."""
-        value = names.decode(request.body)
-        use = (self._random.uniform(0.4, 0.9), self._random.uniform(0.6, 0.95))
-        pod = Pod(value, use)
-        placer = (request.get("user-agent") or "").rpartition("/")[2]
-        gone = request.connection.reader_gone()
-        self._record(self.name, "offer", placer=placer, pod=pod.name, task=pod.task, task_class=pod.task_class,
-                     service=pod.service, late=gone, rules=value["metadata"].get("labels", {}).get(names.RULES, ""),
-                     uid=value["metadata"]["annotations"].get(names.PREFIX + "job-uid", ""))
+    def _came(self) -> None:
         self.offers_seen += 1
         self._count_cold()
-        watcher = self.hub.spawn(lambda: self._notice_gone(request, pod), f"{self.name} looks", self.domain)
-        try:
-            return self._treat(pod, request, value)
-        finally:
-            watcher.cancel()
-
-    def _notice_gone(self, request: Request, pod: Pod) -> None:
-        """Know at once when whoever made an offer has closed: from then on it is not out any more."""
-        request.connection.stream.wait_input()
-        if request.connection.reader_gone():
-            pod.gone = True
-            self._closed(pod, "nobody waits")
-            self._changed.notify()
-
-    def _closed(self, pod: Pod, why: str) -> None:
-        if not pod.told:
-            pod.told = True
-            self._record(self.name, "closed", pod=pod.name, why=why)
-
-    def _treat(self, pod: Pod, request: Request, value: dict[str, Any]) -> Answer:
-        rule = self.faults.draw(self.hub.now_us(), pod.task_class)
-        fault = rule.fault if rule else None
-        if fault is Fault.RESET_BEFORE:
-            self._close(request, pod, "reset")
-        if fault is Fault.SILENT_BEFORE:
-            self._wait_gone(request, pod)
-        if fault is Fault.REFUSE:
-            return self._answer(pod, ApiError(403, "not here", "Forbidden"))
-        verdict = self._decide(pod, request, value)
-        if rule is not None and fault is Fault.DELAY:
-            self.hub.sleep(rule.delay_us)
-        if verdict is None and fault is Fault.RESET_AFTER:
-            self._close(request, pod, "reset")
-        if verdict is None and fault is Fault.SILENT_AFTER:
-            self._wait_gone(request, pod)
-        if verdict is None and fault in (Fault.HALF, Fault.GARBAGE):
-            data = write_response(201, [("Content-Type", "application/json")], names.encode(pod.value), True)
-            request.connection.send(data[:len(data) // 2] if fault is Fault.HALF else b"\x00\x01 no answer\r\n\r\n")
-            self._close(request, pod, "broken answer")
-        return self._answer(pod, verdict)
-
-    def _answer(self, pod: Pod, verdict: ApiError | None) -> Answer:
-        told, pod.told = pod.told, True
-        if verdict is not None:
-            if not told:
-                self._record(self.name, "answer", pod=pod.name, status=verdict.code, reason=verdict.reason)
-            return error_answer(verdict)
-        if not told:
-            self._record(self.name, "answer", pod=pod.name, status=201, reason="")
-        return Answer(201, names.encode(pod.value))
-
-    def _close(self, request: Request, pod: Pod, why: str) -> None:
-        self._closed(pod, why)
-        request.connection.stream.abort()
-        raise PeerGone(why)
-
-    def _wait_gone(self, request: Request, pod: Pod) -> None:
-        while not pod.gone and not request.connection.reader_gone():
-            with self.hub.limit(LOOK_US):
-                self._changed.wait()
-        self._close(request, pod, "nobody waits")
 
     def _count_cold(self) -> None:
         """Fall over under more offers than a cold machine bears (rule 4's own terms)."""
@@ -246,7 +205,7 @@
             self._record(self.name, "fell", offers=offers)
             self.hub.call_at(now, self.die)
 
-    def _decide(self, pod: Pod, request: Request, value: dict[str, Any]) -> ApiError | None:
+    def _decide(self, pod: Pod, value: dict[str, Any]) -> ApiError | None:
         notes = value["metadata"].get("annotations", {})
         until = self.hub.now_us() + parse_duration(notes.get(names.START_WITHIN, "1h"))
         if pod.name in self.pods:
@@ -264,6 +223,9 @@
         if pod.verdict is None and self.hub.now_us() >= until:
             pod.verdict = ApiError(409, "nobody waits for this start any longer", "DeadlineExceeded")
         if pod.verdict is None:
+            pod.verdict = self._guarded(pod)  # time may have passed since it was looked at
+        if pod.verdict is None:
+            self.leases.began(pod)
             self._accept(pod)
         while pod.verdict is None and pod.phase == "Pending" and not pod.gone:
             self._changed.wait()
@@ -291,6 +253,9 @@
             return ApiError(500, "the machine cannot start it", "InternalError")
         if self.draining:
             return ApiError(409, "the machine is shutting down", "NodeShutdown")
+        refused = self._guarded(pod)
+        if refused is not None:
+            return refused
         for which, reason in ((0, "OutOfcpu"), (1, "OutOfmemory")):
             room = ((build.booking_cores * build.cores, build.booking_memory * build.memory)[which]
                     - self.asked[which])
@@ -299,6 +264,16 @@
                 return ApiError(409, f"asked {ask:g}, free {room:g}", reason)
         return None
 
+    def _guarded(self, pod: Pod) -> ApiError | None:
+        return next((refused for guard in self.guards if (refused := guard.refusal(pod)) is not None), None)
+
+    def _lapsed(self, pod: Pod) -> None:
+        """A lease was not renewed: its task ends here, whoever still believes in it."""
+        if pod.name in self._in_line:
+            pod.verdict = pod.verdict or ApiError(409, "its lease has passed", LAPSED)
+        else:
+            self._end(pod, "Failed", LAPSED)
+
     def _push_out(self, pod: Pod, which: int, missing: float) -> bool:
         chosen = victims(self.pods.values(), pod, which, missing) if self.build.pushes_out else None
         for each in chosen or ():
@@ -328,7 +303,8 @@
             self._starting -= 1
         if pod.phase == "Pending" and pod.name in self.pods:
             pod.phase, pod.started_us = "Running", self.hub.now_us()
-            self._record(self.name, "start", pod=pod.name, task=pod.task, task_class=pod.task_class, warm=held)
+            self._record(self.name, "start", pod=pod.name, task=pod.task, task_class=pod.task_class, warm=held,
+                         **self.leases.told(pod))
             self._show(pod)
             self._changed.notify()
             pod.timer = self.hub._at(pod.started_us + pod.runs_us, lambda: self._over(pod), self.domain)
@@ -345,7 +321,8 @@
             pod.timer = None
         pod.phase, pod.ended_us = phase, self.hub.now_us()
         if running:
-            self._record(self.name, "end", pod=pod.name, why=reason or "done")
+            self._record(self.name, "end", pod=pod.name, why="lease" if reason == LAPSED else reason or "done",
+                         **self.leases.told(pod))
             self._programs.append(pod.service)
         else:
             pod.verdict = ApiError(409, "given up before its start", reason or "Terminated")
