Leased Jobs in the core: lease asked at the gate, custody before 201, attempt and answer

A Job whose federation spec has a failover must be known outside its region before anything of it leaves. The core asks the lease right before each first byte (no floor stands in for it), has the manifest, the attempt of a never-twice class and the placing with a keeper first, renews at machines by one message each, and answers LeaseLost where no keeper's word comes in the owner's patience.

--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -92,6 +92,16 @@
         return f"{self.job.uid}/{self.index}"
 
 
+@dataclass(frozen=True, slots=True)
+class Leased:
+    """A Job that runs by its placer's lease: the session under which it was taken, at which epoch, by which spec."""
+
+    spec: str
+    session: str
+    epoch: int = 0
+    former: str = ""  # the session that it was taken over from
+
+
 @dataclass(slots=True, eq=False)
 class JobRecord:
     """A Job and its tasks; `counts` by state is kept, not recomputed."""
@@ -105,6 +115,8 @@
     unanswered: int = 0
     adopted: bool = False
     deleted: bool = False
+    leased: Leased | None = None
+    lease_lost: bool = False  # a task was placed, and no keeper said so in time: its owner was told that it failed
     causes: dict[State, str] = field(default_factory=dict)  # the first task's cause by its end state
 
     @property
--- a/wingbarrow/core/jobstatus.py
+++ b/wingbarrow/core/jobstatus.py
@@ -30,7 +30,7 @@
     failed = next((state for state in (State.FAILED, State.REFUSED) if state in job.causes), None)
     # An adopted Job had its answer in a former life: what becomes of it later is a loss, never another answer.
     if failed is not None and not job.adopted and not _has(status, "Placed"):
-        reason = "Failed" if failed is State.FAILED else "Refused"
+        reason = ("LeaseLost" if job.lease_lost else "Failed") if failed is State.FAILED else "Refused"
         _add(status, "Failed", reason, _words(job, failed), wall_us)
     elif not job.adopted:
         _add(status, "Placed", "AllPlaced", f"{job.asked.count} of {job.asked.count} tasks were placed", wall_us)
--- a/wingbarrow/core/link.py
+++ b/wingbarrow/core/link.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 from urllib.parse import quote
@@ -32,6 +33,16 @@
     WAS_NOT_THERE = "was not there"
 
 
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """What a machine told when a Job was fenced: its tasks that it holds or held since its start, for how long it has
+    been up by its clock, and whether it remembers all of that time."""
+
+    holds: list[str]
+    sure: bool
+    up_us: int
+
+
 class MachineLink:
     """Connections to one machine; `phase` and `launched_us` follow the list."""
 
@@ -49,6 +60,7 @@
         self._pool = Pool(hub, host, port, limits, f"wingbarrow/{placer}")
         # Stops have a way of their own: they never take a connection that an offer waits for.
         self._stop_pool = Pool(hub, host, port, PoolLimits(connections=STOP_CONNECTIONS), f"wingbarrow/{placer}")
+        self._lease_pool = Pool(hub, host, port, PoolLimits(connections=1), f"wingbarrow/{placer}")
         self._pause = Backoff(seed, 200_000, 5 * SECOND)
         self.reachable = False  # the watch on its tasks runs
 
@@ -84,6 +96,39 @@
         except (CallFailed, ApiError, KeyError, TypeError, ValueError):
             return None
 
+    # -- leases: a connection of their own, so that a renewal waits for no offer
+
+    def clock(self) -> str:
+        """The machine's clock, "BOOT:MICROSECONDS"; "" without an answer."""
+        return self._lease("GET", "/leases") or ""
+
+    def renew(self, session: str, until: str) -> str | None:
+        """Have its tasks of a session run until then, by its own clock; its clock, "" without an answer.
+
+        None where it goes by another clock by now.
+        """
+        return self._lease("POST", "/leases", {"session": session, "until": until})
+
+    def _lease(self, method: str, path: str, said: dict[str, Any] | None = None) -> str | None:
+        try:
+            value = call(self._lease_pool, method, path, names.encode(said) if said is not None else None,
+                         self.hub.now_us() + CALL_US)
+            return str(value.get("clock", ""))
+        except ApiError as error:
+            return None if error.code == 409 else ""
+        except CallFailed:
+            return ""
+
+    def fence(self, uid: str, epoch: int) -> Fenced | None:
+        """Have it refuse a Job's tasks of epochs before this one, from now on; None without a readable answer."""
+        try:
+            value = call(self._lease_pool, "POST", "/fence", names.encode({"uid": uid, "epoch": epoch}),
+                         self.hub.now_us() + CALL_US)
+            boot, _, up_us = str(value["clock"]).rpartition(":")
+            return Fenced([str(each) for each in value["holds"]], bool(value.get("sure", False)), int(up_us))
+        except (CallFailed, ApiError, KeyError, TypeError, ValueError):
+            return None
+
     def follow(self, listed: Callable[[list[dict[str, Any]], int], None],
                event: Callable[[str, dict[str, Any]], None], log: Callable[..., None]) -> None:
         """List this placer's tasks on the machine, then watch them; again and again until retired.
@@ -122,3 +167,4 @@
         """Let go of the idle connections."""
         self._pool.close()
         self._stop_pool.close()
+        self._lease_pool.close()
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -6,6 +6,7 @@
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
 from wingbarrow.core.book import Book, State
+from wingbarrow.core.custodian import Custodian
 from wingbarrow.core.host import Host
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.pods import Ended, pod_text
@@ -21,8 +22,8 @@
     """Owns the gate that every offer passes right before its first byte."""
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, machines: Machines, requests: Requests,
-                 strays: Strays, rulebook: Rulebook) -> None:
-        self._rulebook = rulebook
+                 strays: Strays, rulebook: Rulebook, custodian: Custodian | None = None) -> None:
+        self._rulebook, self._custodian = rulebook, custodian
         self._base, self._host, self._book, self._attempts, self._machines = base, host, book, attempts, machines
         self._requests, self._strays = requests, strays
         rules = base.settings.scheduler
@@ -55,7 +56,8 @@
             attempt.stage is Stage.WAITING and not attempt.abandoned and self._attempts.of(attempt.request) is attempt,
             link.phase is api.Phase.RUNNING, link.launched_us,
             self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
-                                   attempt.decided_us)))
+                                   attempt.decided_us), task.job.leased is None or self._custodian is not None
+            and self._custodian.may_send(task.job)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
             return False
@@ -67,11 +69,14 @@
 
         def body() -> bytes:
             return pod_text(task, attempt.key, self._base.settings.name, link.name,
-                            attempt.deadline_us - self._base.hub.now_us(), attempt.rules)
+                            attempt.deadline_us - self._base.hub.now_us(), attempt.rules,
+                            self._custodian.until(attempt) if self._custodian is not None else "")
         ended: Ended | None = Ended(api.Outcome.CANCELLED, api.Reason.UNTOLD, "withdrawn by its owner")
         with CancelScope(self._base.hub) as scope:
             attempt.scope = scope
-            ended = link.offer(task.job.asked.namespace, body, attempt.deadline_us, lambda: self._may_send(attempt))
+            ended = self._custodian.before(attempt) if self._custodian is not None else None
+            if ended is None:
+                ended = link.offer(task.job.asked.namespace, body, attempt.deadline_us, lambda: self._may_send(attempt))
         attempt.scope = None
         if attempt.stage is Stage.PLACED or attempt.stage is Stage.ENDED:
             return  # the machine's news was faster than its answer
@@ -94,7 +99,7 @@
             self._base.counts["answers_late"] += 1
             self._strays.judge(attempt.link, attempt.key, task.job.asked.namespace, task, None)
             return
-        if self._attempts.advance(attempt, Stage.PLACED):
+        if self._requests.confirm(attempt) and self._attempts.advance(attempt, Stage.PLACED):
             attempt.placed_us = now
             self._requests.placed(attempt)
 
@@ -104,4 +109,4 @@
         self._base.log("offer-ended", level="debug", request=attempt.request, attempt=attempt.number,
                        machine=attempt.link.name, outcome=ended.outcome.value, why=ended.words)
         self._requests.attempt_over(attempt, ended.outcome, ended.reason,
-                                    self._base.hub.now_us() - attempt.decided_us)
+                                    self._base.hub.now_us() - attempt.decided_us, ended.words)
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -12,11 +12,13 @@
 from wingbarrow.core.board import Board
 from wingbarrow.core.book import Book, Step
 from wingbarrow.core.closing import Closing
+from wingbarrow.core.custodian import Custodian
 from wingbarrow.core.desk import Desk
 from wingbarrow.core.drainer import Drainer
 from wingbarrow.core.fleet import Fleet
 from wingbarrow.core.host import Host
 from wingbarrow.core.keeper import Keeper
+from wingbarrow.core.leases import Leases
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.offers import Offers
 from wingbarrow.core.requests import Requests
@@ -28,6 +30,7 @@
 from wingbarrow.core.verdicts import Verdicts
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.peers.grants import Acting
+from wingbarrow.peers.custody import CustodyRoom
 from wingbarrow.peers.hearsay import Hearsay
 from wingbarrow.peers.host import Peering
 from wingbarrow.peers.learner import Learner
@@ -76,15 +79,22 @@
         runs = Runs(base, book, attempts, board, requests, stops)
         strays = Strays(base, host, book, attempts, board, requests, runs, stops)
         rulebook = self.rulebook = Rulebook(base, host)
-        offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook)
+        self.peering = Peering(hub, settings, base.born_us, log)
+        self.leases: Leases | None = None
+        self.custodian: Custodian | None = None
+        if settings.agree is not None and settings.region:
+            leases = self.leases = Leases(base, machines, self.peering.lease, settings.agree.lease_us)
+            self.custodian = Custodian(base, host, book, attempts, requests, runs, stops, leases,
+                                       CustodyRoom(hub, settings, base.born_us, self.peering), rulebook.federation)
+            strays.leased = self.custodian.place_late
+        offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook, self.custodian)
         sightings = Sightings(base, host, attempts, offers, runs, strays)
         fleet = self.fleet = Fleet(base, host, board, machines, attempts, runs, sightings)
         self.hearsay = Hearsay(base, host, fleet, machines, sightings)
         closing = Closing(base, host, fleet, attempts, runs, board)
-        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook)
+        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook, self.custodian)
         host.hands = _Hands(offers, requests, runs, fleet, board)
         self._keeper = Keeper(base, fleet)
-        self.peering = Peering(hub, settings, base.born_us, log)
         if settings.agree is not None:
             rulebook.pass_again = lambda names: fleet.take_again(
                 [entry for name, entry in fleet.held.items() if name in names])
@@ -122,6 +132,9 @@
             if base.settings.calendars or self.drainer.agreed:
                 nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.peering.run, "peers")
+            if self.leases is not None and self.custodian is not None:
+                nursery.spawn(self.leases.run, "leases")
+                nursery.spawn(self.custodian.room.run, "custody")
             if base.settings.state:
                 nursery.spawn(self._keeper.run, "saving")
         if self.host.failed is not None:
--- a/wingbarrow/core/pods.py
+++ b/wingbarrow/core/pods.py
@@ -17,7 +17,7 @@
 _NO_ROOM = {"OutOfcpu": api.Reason.NO_CORES, "OutOfmemory": api.Reason.NO_MEMORY,
             "TooManyRequests": api.Reason.OFFERS_WAIT, "NodeShutdown": api.Reason.NOT_HERE,
             "NodeAffinity": api.Reason.NOT_HERE, "DeadlineExceeded": api.Reason.NOT_HERE,
-            "AlreadyHeld": api.Reason.NOT_HERE}
+            "AlreadyHeld": api.Reason.NOT_HERE, "LeaseLapsed": api.Reason.NOT_HERE, "Fenced": api.Reason.NOT_HERE}
 _GIVEN_UP = {"Evicted": api.Reason.EVICTED, "Preempting": api.Reason.PUSHED_OUT,
              "NodeShutdown": api.Reason.SENT_AWAY, "Terminated": api.Reason.SENT_AWAY}
 
@@ -40,8 +40,12 @@
     FAILED = "Failed"
 
 
-def pod_text(task: TaskRecord, pod: str, placer: str, machine: str, within_us: int, rules: str = "") -> bytes:
-    """The Pod of one attempt; `within_us` tells the machine after how long nobody waits for its start."""
+def pod_text(task: TaskRecord, pod: str, placer: str, machine: str, within_us: int, rules: str = "",
+             until: str = "") -> bytes:
+    """The Pod of one attempt; `within_us` tells the machine after how long nobody waits for its start.
+
+    `until`: of a leased Job, until when it may run by the machine's clock.
+    """
     job, asked = task.job, task.job.asked
     template = job.value["spec"]["template"]
     meta = template.get("metadata") or {}
@@ -53,6 +57,8 @@
         told = (job.value["metadata"].get("annotations") or {}).get(key)
         if told:
             notes[key] = told
+    if job.leased is not None:
+        notes |= {names.LEASE_UNTIL: until, names.SESSION: job.leased.session, names.EPOCH: str(job.leased.epoch)}
     labels = {**(meta.get("labels") or {}), names.PLACER: placer,
               names.CLASS: asked.task_class.task_class.name, names.JOB_NAME: asked.name}
     if rules:
@@ -108,6 +114,8 @@
     use: dict[str, float]
     value: dict[str, Any]
     started_us: int | None  # wall clock, to a second; None where it is not told
+    session: str = ""  # whose lease it runs by
+    epoch: int = 0
 
     @property
     def gave_up(self) -> api.Reason:
@@ -135,7 +143,12 @@
     if not 0 <= index < size <= 100_000 or "/" not in key:
         raise ValueError("metadata.annotations")
     return PodSight(str(meta.get("name", "")), str(meta.get("namespace", "")), key, uid, size, index, phase,
-                    str(status.get("reason", "")), _use(notes.get(names.USE)), value, _time(status.get("startTime")))
+                    str(status.get("reason", "")), _use(notes.get(names.USE)), value, _time(status.get("startTime")),
+                    str(notes.get(names.SESSION, "")), _epoch(notes.get(names.EPOCH)))
+
+
+def _epoch(text: object) -> int:
+    return int(text) if isinstance(text, str) and text.isdecimal() and len(text) < 18 else 0
 
 
 def _time(text: object) -> int | None:
--- a/wingbarrow/core/requests.py
+++ b/wingbarrow/core/requests.py
@@ -18,6 +18,12 @@
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, board: Board) -> None:
         self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
         self.came_to: Callable[[str, api.Outcome | None], None] = lambda machine, outcome: None  # None: it runs
+        # Of leased Jobs: whether `placed` may be answered at once, what an attempt came to, whether the failure of a
+        # request with an attempt out is answered by who keeps the lease.
+        self.confirm: Callable[[Attempt], bool] = lambda attempt: True
+        self.attempt_began: Callable[[Attempt], None] = lambda attempt: None
+        self.attempt_ended: Callable[[Attempt, api.Outcome, str], None] = lambda attempt, outcome, words: None
+        self.failing: Callable[[Attempt], bool] = lambda attempt: False
 
     def ask(self, task: TaskRecord, due_us: int | None = None) -> None:
         """Ask for a task; its final answer is due then, without a time after its Job's patience."""
@@ -51,6 +57,18 @@
             self._base.counts["answers_dropped"] += 1
             return
         attempt = self._attempts.of(request)
+        if attempt is not None and self.failing(attempt):
+            return
+        self._answer(task, step, attempt)
+
+    def fail(self, task: TaskRecord) -> None:
+        """The final answer is a failure, whatever the module thinks of it."""
+        request, attempt = task.request, self._attempts.of(task.request)
+        self._answer(task, Step.FAIL, attempt)
+        self._host.feed(api.TaskWithdrawn(request))
+
+    def _answer(self, task: TaskRecord, step: Step, attempt: Attempt | None) -> None:
+        request = task.request
         if not task.last:
             task.last = ("an offer was out when the owner's patience ended" if attempt
                          else "no machine had room, or none was known, before the owner's patience ended")
@@ -77,11 +95,22 @@
         waited = attempt.placed_us - attempt.decided_us
         self._host.feed(api.TaskPlaced(attempt.request, attempt.number, attempt.link.ident, waited))
 
-    def attempt_over(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason, waited_us: int) -> None:
+    def found(self, attempt: Attempt) -> None:
+        """As `placed`, of one that the module has not sent."""
+        task = attempt.task
+        task.machine = attempt.link.name
+        self._book.step(task, Step.PLACE)
+        self._base.counts["placed"] += 1
+        self._board.mark(task.job)
+        self._host.feed(api.TaskFound(self.arrival(task, attempt.request, attempt.left_us), attempt.link.ident))
+
+    def attempt_over(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason, waited_us: int,
+                     words: str = "") -> None:
         """Tell the module that an attempt is over; the request too, unless its answer is still owed."""
         placed = attempt.stage is Stage.PLACED
         if not self._attempts.advance(attempt, Stage.ENDED):
             return
+        self.attempt_ended(attempt, outcome, words)
         if not placed:
             self.came_to(attempt.link.name, outcome)
         closed = placed or attempt.task.request != attempt.request or attempt.task.state is not State.ASKED
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -9,6 +9,7 @@
 from wingbarrow.core.base import Base
 from wingbarrow.core.host import Host
 from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.decide.federation.spec import Federation
 from wingbarrow.decide.gate import Held
 from wingbarrow.decide.peers.grants import Acting
 from wingbarrow.decide.peers.limits import FleetLimit
@@ -36,6 +37,10 @@
         self._barred: frozenset[str] = frozenset()
         self._text, self._by_rights = "", False
 
+    def federation(self) -> Federation:
+        """The specs in force."""
+        return self._rules.federation if self._rules is not None else self._base.settings.federation
+
     def take(self, label: str, text: str) -> None:
         """Other rules are acted on from now on; an empty text: none, and the module keeps those it has."""
         self.label = label
--- a/wingbarrow/core/strays.py
+++ b/wingbarrow/core/strays.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +30,8 @@
                  runs: Runs, stops: Stops) -> None:
         self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
         self._requests, self._runs, self._stops = requests, runs, stops
+        # A leased Job's: whether a keeper's word comes first, and then its answer.
+        self.leased: Callable[[MachineLink, str, TaskRecord, int | None], bool] = lambda link, pod, task, left: False
         state = base.settings.state
         self._former_us = saved.last_alive(Path(state)) if state else None
 
@@ -69,6 +72,9 @@
 
     def _place_late(self, link: MachineLink, pod: str, task: TaskRecord, sight: PodSight | None) -> None:
         """A copy runs that the open request can have as its own: it ends as placed."""
+        left = expected_left_us(sight.value) if sight else task.job.asked.expected_us
+        if self.leased(link, pod, task, left):
+            return
         if task.state is State.AGAIN:
             self._runs.cancel_again(task)
             self._book.step(task, Step.ASK)
@@ -89,6 +95,7 @@
         task.binds, task.machine = 1, link.name
         attempt = Attempt(request, 0, task, link, pod, now, now, Stage.PLACED, now)
         self._attempts.add(attempt)
+        self._requests.attempt_began(attempt)
         self._board.mark(task.job)
         left = expected_left_us(sight.value) if sight else task.job.asked.expected_us
         self._host.feed(api.TaskFound(self._requests.arrival(task, request, left), link.ident))
--- a/wingbarrow/decide/gate.py
+++ b/wingbarrow/decide/gate.py
@@ -21,6 +21,7 @@
     NO_GRANT = "this placer may act on no rules now"
     OTHER_RULES = "it was decided under rules that are not acted on any more"
     FORBIDDEN = "the rules in force allow no such offer"
+    NO_LEASE = "the lease by which its Job runs has lapsed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     machine_runs: bool  # by all that the list has told so far
     launched_us: int  # the machine's last start, 0 for long ago
     granted: Held | None = None  # what the agreed rules say against it at this moment
+    leased: bool = True  # its Job needs no lease, or this placer's holds, by its own clock
 
 
 class SendGate:
@@ -57,6 +59,10 @@
         # Agreed rules. Danger: this placer stood still, or was cut off, while the others went on to other rules.
         if offer.granted is not None:
             return offer.granted
+        # Leases. Danger: this placer stood still, or was cut off, and a successor may start the Job by now. A floor
+        # says nothing about that: it never stands in for a lease.
+        if not offer.leased:
+            return Held.NO_LEASE
         # Rule 3. Danger: the drain was heard while the offer waited; stopped at once, not after the grace.
         if not offer.machine_runs:
             return Held.DRAINING
--- a/wingbarrow/lab/cluster.py
+++ b/wingbarrow/lab/cluster.py
@@ -68,13 +68,17 @@
         self.port = self.hold_port.port
         self.source_port = 0  # another way to the list source, where set
         self.extra = ""  # more settings, in KDL
+        self.region = ""
         self.domain = Domain(cluster.hub, self.name)
         self.service: Service | None = None
         self.settings: PlacerSettings = self._settings()
 
     def _settings(self) -> PlacerSettings:
         source = self.source_port or self.cluster.source.port or 1
-        return load_text(settings_text(self.index, self.of, self.seed, source, self.port, self.state) + self.extra)
+        text = settings_text(self.index, self.of, self.seed, source, self.port, self.state)
+        if self.region:
+            text = text.replace(" index=", f' region="{self.region}" index=', 1)
+        return load_text(text + self.extra)
 
     def start(self) -> None:
         """Start the placer; returns when its front listens."""
--- a/wingbarrow/lab/load.py
+++ b/wingbarrow/lab/load.py
@@ -208,7 +208,7 @@
         conditions = {each["type"]: each for each in status.get("conditions", [])}
         failed = conditions.get("Failed", {}).get("reason", "")
         answer = ("placed" if "Placed" in conditions else
-                  {"Refused": "refused", "Failed": "failed"}.get(failed, ""))
+                  {"Refused": "refused", "Failed": "failed", "LeaseLost": "failed"}.get(failed, ""))
         if not answer:
             return
         self._record("owner", "answer", placer=self._placers[index].name, job=name, uid=value["metadata"]["uid"],
