Jobs of a lost region run elsewhere; a placer that comes back heals; unknown ones are kept

Whoever succeeds an ended session holds its Jobs anew, asks the module for those that the table lets run, within what its region has free, and shows those that must not start twice as unknown. A placer whose session was ended stops its copies, tells owners what became of their Jobs, and starts as holder of nothing.

--- a/tests/peers/regions.py
+++ b/tests/peers/regions.py
@@ -104,7 +104,8 @@
 
     def told(self, slot: PlacerSlot, name: str) -> dict[str, str]:
         status, value = self.ask(slot, path=f"{JOBS}/{name}")
-        return {each["type"]: each["reason"] for each in value.get("status", {}).get("conditions", ())}
+        conditions = value["status"].get("conditions", ()) if status == 200 else ()
+        return {each["type"]: each["reason"] for each in conditions}
 
     def running(self, uid: str) -> list[str]:
         """Machines on which a Job runs."""
--- a/wingbarrow/core/attempts.py
+++ b/wingbarrow/core/attempts.py
@@ -15,6 +15,7 @@
 
     use: tuple[float, ...] = ()
     confirming: bool = False  # a machine runs it, and a keeper is to know that before its owner does
+    session: str = ""  # by whose lease it runs, where its Job is leased
     found: bool = False  # it was found running, and the module knows nothing of it
     left_us: int | None = None  # of its run, where it was found
     rules: str = ""  # the label of the agreed rules that it was decided under; empty where none are
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -44,6 +44,7 @@
     ASK = "ask"
     STOP = "stop"
     ADOPT = "adopt"
+    TAKE = "take over"
 
 
 _TABLE: dict[tuple[State, Step], State] = {
@@ -64,6 +65,9 @@
     (State.FOUND, Step.LOSE): State.LOST,
     (State.FOUND, Step.STOP): State.STOPPED,
     (State.FOUND, Step.WAIT): State.AGAIN,
+    (State.STOPPED, Step.TAKE): State.ASKED,  # a run of another placer's Job; no answer is owed
+    (State.REFUSED, Step.WAIT): State.AGAIN,  # of such a run
+    (State.FAILED, Step.WAIT): State.AGAIN,
 }
 OPEN = (State.ASKED, State.PLACED, State.AGAIN, State.FOUND)
 RUNNING = (State.PLACED, State.FOUND)
@@ -80,6 +84,7 @@
     deadline_us: int = 0
     binds: int = 0  # attempts of the present request so far
     answered: bool = False  # the first final answer was given
+    placed: bool = False  # it was placed at least once
     restarts_left: int = 0
     losses: int = 0
     machine: str = ""
@@ -118,6 +123,7 @@
     leased: Leased | None = None
     lease_lost: bool = False  # a task was placed, and no keeper said so in time: its owner was told that it failed
     causes: dict[State, str] = field(default_factory=dict)  # the first task's cause by its end state
+    notes: dict[str, tuple[str, str]] = field(default_factory=dict)  # more conditions: reason and words by type
 
     @property
     def open(self) -> int:
@@ -139,6 +145,7 @@
         self.odd: Counter[str] = Counter()  # steps that the table lacks
         self.answers: Counter[State] = Counter()
         self.owed = 0  # tasks that wait for a final answer
+        self.on_delete: list[Callable[[JobRecord], None]] = []
         self.on_step: list[Callable[[TaskRecord, State], None]] = []  # called with the state before, after each step
 
     def take_limits(self, jobs_kept: int, tasks_open: int, per_namespace: int) -> None:
@@ -181,6 +188,7 @@
             return False
         job, before = task.job, task.state
         task.state = after
+        task.placed |= after is State.PLACED
         job.counts[before] -= 1
         job.counts[after] += 1
         self.owed += (after is State.ASKED) - (before is State.ASKED)
@@ -209,6 +217,8 @@
         job.deleted = True
         self.jobs.pop(job.key, None)
         self._ended.pop(job.key, None)
+        for call in self.on_delete:
+            call(job)
         if not job.adopted:
             return
         self._tombstones[job.uid] = None
--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -10,7 +10,7 @@
 from wingbarrow.core.board import Board
 from wingbarrow.core.book import OPEN, Book, State, Step, TaskRecord
 from wingbarrow.core.closing import Closing
-from wingbarrow.core.custodian import Custodian
+from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.intake import job_value, read_job
 from wingbarrow.core.requests import Requests
 from wingbarrow.core.rulebook import Rulebook
@@ -31,8 +31,8 @@
     """Owns the door; every limit on what comes in is asked here."""
 
     def __init__(self, base: Base, book: Book, attempts: Attempts, board: Board, requests: Requests, runs: Runs,
-                 stops: Stops, closing: Closing, rulebook: Rulebook, custodian: Custodian | None = None) -> None:
-        self._rulebook, self._custodian = rulebook, custodian
+                 stops: Stops, closing: Closing, rulebook: Rulebook, leaseholder: Leaseholder | None = None) -> None:
+        self._rulebook, self._leaseholder = rulebook, leaseholder
         self._base, self._book, self._attempts, self._board = base, book, attempts, board
         self._requests, self._runs, self._stops, self._closing = requests, runs, stops, closing
         self._door = Door(base.settings.scheduler.tick_us)
@@ -61,7 +61,7 @@
         fresh = f"{base.random.randrange(36 ** 5):05x}"[-5:]
         asked = read_job(value, namespace, base.settings.classes, base.settings.limits, fresh)
         key = f"{namespace}/{asked.name}"
-        if key in self._book.jobs or (self._custodian is not None and key in self._custodian.coming):
+        if key in self._book.jobs or (self._leaseholder is not None and key in self._leaseholder.coming):
             raise ApiError(409, f'jobs.batch "{asked.name}" already exists', "AlreadyExists", name=asked.name,
                            kind="jobs")
         now = base.hub.now_us()
@@ -82,17 +82,18 @@
             raise ApiError(429, f"limit {beyond.key} of the whole fleet: {beyond.most}"
                            + (f" in {beyond.window_us / 1e6:g} s" if beyond.window_us else " at once"),
                            retry_after_s=base.random.randrange(1, 5))
-        spec = self._custodian.spec(asked, _named(value)) if self._custodian is not None else None
+        spec = self._leaseholder.spec(asked, _named(value)) if self._leaseholder is not None else None
         uid = names.uid(base.settings.name, base.life, key, self._board.store.version, base.random.random())
         shown = job_value(value, asked, uid, base.hub.clock.wall_us())
         if dry_run:
             return shown
         leased = None
-        if spec is not None and self._custodian is not None:
+        if spec is not None and self._leaseholder is not None:
             manifest = names.encode({key: part for key, part in shown.items() if key != "status"}).decode()
-            leased = self._custodian.take_in(key, uid, asked, spec, manifest, due)
+            leased = self._leaseholder.take_in(key, uid, asked, spec, manifest, due)
         job = self._book.add(key, uid, asked, shown)
-        job.leased = leased
+        if leased is not None and self._leaseholder is not None:
+            self._leaseholder.hold(job, leased)
         self._board.show_new(job)
         for task in job.tasks:
             self._requests.ask(task, due)
@@ -123,8 +124,8 @@
             if attempt is None:
                 return
             attempt.abandoned = True
-            if attempt.confirming and self._custodian is not None:
-                self._custodian.stop(attempt)
+            if attempt.confirming and self._leaseholder is not None:
+                self._leaseholder.stop(attempt)
             elif attempt.stage is Stage.SENT:
                 # Danger: the offer is on its way; what it starts must not run on without an owner. One stop ends it
                 # on the machine, and the offer is answered by that.
--- a/wingbarrow/core/jobstatus.py
+++ b/wingbarrow/core/jobstatus.py
@@ -20,9 +20,11 @@
     for name, figure in figures.items():
         if figure or name in status:
             status[name] = figure
+    for kind, (reason, words) in job.notes.items():
+        _add(status, kind, reason, words, wall_us)
     if job.unanswered:
         return
-    if job.adopted:
+    if job.adopted and not job.notes:
         _add(status, "wingbarrow.io/Adopted", "FoundRunning", "found running after a restart of the placer", wall_us)
     if counts[State.FOUND] and not job.adopted:
         _add(status, "wingbarrow.io/FoundRunning", "FoundRunning",
@@ -34,8 +36,8 @@
         _add(status, "Failed", reason, _words(job, failed), wall_us)
     elif not job.adopted:
         _add(status, "Placed", "AllPlaced", f"{job.asked.count} of {job.asked.count} tasks were placed", wall_us)
-    if job.open or _has(status, "Failed"):
-        return
+    if job.open or _has(status, "Failed") or (job.leased is not None and not job.leased.session):
+        return  # of a Job whose lease was ended, its notes tell what became of it
     if counts[State.DONE] == job.asked.count:
         _add(status, "SuccessCriteriaMet", "CompletionsReached", "all tasks ended well", wall_us)
         _add(status, "Complete", "CompletionsReached", "all tasks ended well", wall_us)
--- a/wingbarrow/core/custodian.py
+++ b/wingbarrow/core/leaseholder.py
@@ -33,7 +33,7 @@
 ANSWER_US = 20_000  # of the owner's patience, kept for the answer itself
 
 
-class Custodian:
+class Leaseholder:
     """`federation` tells the specs in force."""
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, requests: Requests, runs: Runs,
@@ -42,8 +42,11 @@
         self._requests, self._runs, self._stops, self._leases = requests, runs, stops, leases
         self.room, self.federation = room, federation
         self.coming: set[str] = set()  # keys of Jobs that wait for their keeper
+        self.jobs: dict[str, JobRecord] = {}  # by uid: leased Jobs under this placer's present session, not over
+        self.goes_on: Callable[[TaskRecord], bool] = lambda task: False  # a run that was taken over goes on
         self._told: set[str] = set()  # pods of which a keeper was told that they are about to be sent
         book.on_step.append(self._stepped)
+        book.on_delete.append(self._deleted)
         requests.confirm, requests.failing = self._confirm, self._failing
         requests.attempt_began, requests.attempt_ended = self._attempt_began, self._attempt_ended
 
@@ -90,6 +93,15 @@
             raise self._away("no keeper", why or "this placer's lease does not hold any more")
         return Leased(spec.name, session.text())
 
+    def hold(self, job: JobRecord, leased: Leased) -> None:
+        """A Job that a keeper has is accepted."""
+        job.leased = leased
+        self.jobs[job.uid] = job
+
+    def ended(self, session: str) -> bool:
+        """Whether the voters ended a session, as far as was heard here."""
+        return any(each.text() == session for each in self._leases.lease.ended)
+
     def record(self, key: str, uid: str, asked: JobRequest, spec: Spec, manifest: str) -> Record:
         """A Job as its keeper is to have it."""
         told, session = asked.task_class.task_class, self._leases.session
@@ -137,13 +149,14 @@
 
     def _attempt_began(self, attempt: Attempt) -> None:
         if attempt.task.job.leased is not None:
-            self._leases.began(attempt, attempt.task.job.leased.session)
+            attempt.session = attempt.task.job.leased.session
+            self._leases.began(attempt, attempt.session)
 
     def _attempt_ended(self, attempt: Attempt, outcome: api.Outcome, words: str) -> None:
         job = attempt.task.job
-        if job.leased is None:
+        if not attempt.session:
             return
-        self._leases.over(attempt, job.leased.session)
+        self._leases.over(attempt, attempt.session)
         if words.startswith("LeaseLapsed"):
             self._leases.forget(attempt.link)  # it may have started anew, and goes by another clock
         told = attempt.key in self._told
@@ -238,15 +251,23 @@
 
     # -- what the keeper hears afterwards
 
+    def _deleted(self, job: JobRecord) -> None:
+        if not job.open and (job.leased is not None or job.notes):
+            self.jobs.pop(job.uid, None)
+            self.room.drop(job.uid)
+
     def _stepped(self, task: TaskRecord, before: State) -> None:
         job = task.job
-        if job.leased is None:
+        if job.leased is None or not job.leased.session:
+            return
+        if task.state in (State.REFUSED, State.FAILED) and self.goes_on(task):
             return
         if task.state not in OPEN:
             if not job.open:
+                self.jobs.pop(job.uid, None)
                 self.room.drop(job.uid)
             elif before in OPEN:
-                self.room.ended(job.uid, task.index)
+                self.room.over(job.uid, task.index)
         elif task.state is State.AGAIN:
             self.room.back(job.uid, task.index)
         if before is State.ASKED and not job.unanswered and job.open:
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -6,7 +6,7 @@
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
 from wingbarrow.core.book import Book, State
-from wingbarrow.core.custodian import Custodian
+from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.host import Host
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.pods import Ended, pod_text
@@ -22,8 +22,8 @@
     """Owns the gate that every offer passes right before its first byte."""
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, machines: Machines, requests: Requests,
-                 strays: Strays, rulebook: Rulebook, custodian: Custodian | None = None) -> None:
-        self._rulebook, self._custodian = rulebook, custodian
+                 strays: Strays, rulebook: Rulebook, leaseholder: Leaseholder | None = None) -> None:
+        self._rulebook, self._leaseholder = rulebook, leaseholder
         self._base, self._host, self._book, self._attempts, self._machines = base, host, book, attempts, machines
         self._requests, self._strays = requests, strays
         rules = base.settings.scheduler
@@ -56,8 +56,8 @@
             attempt.stage is Stage.WAITING and not attempt.abandoned and self._attempts.of(attempt.request) is attempt,
             link.phase is api.Phase.RUNNING, link.launched_us,
             self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
-                                   attempt.decided_us), task.job.leased is None or self._custodian is not None
-            and self._custodian.may_send(task.job)))
+                                   attempt.decided_us), task.job.leased is None or self._leaseholder is not None
+            and self._leaseholder.may_send(task.job)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
             return False
@@ -70,11 +70,11 @@
         def body() -> bytes:
             return pod_text(task, attempt.key, self._base.settings.name, link.name,
                             attempt.deadline_us - self._base.hub.now_us(), attempt.rules,
-                            self._custodian.until(attempt) if self._custodian is not None else "")
+                            self._leaseholder.until(attempt) if self._leaseholder is not None else "")
         ended: Ended | None = Ended(api.Outcome.CANCELLED, api.Reason.UNTOLD, "withdrawn by its owner")
         with CancelScope(self._base.hub) as scope:
             attempt.scope = scope
-            ended = self._custodian.before(attempt) if self._custodian is not None else None
+            ended = self._leaseholder.before(attempt) if self._leaseholder is not None else None
             if ended is None:
                 ended = link.offer(task.job.asked.namespace, body, attempt.deadline_us, lambda: self._may_send(attempt))
         attempt.scope = None
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -12,7 +12,7 @@
 from wingbarrow.core.board import Board
 from wingbarrow.core.book import Book, Step
 from wingbarrow.core.closing import Closing
-from wingbarrow.core.custodian import Custodian
+from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.desk import Desk
 from wingbarrow.core.drainer import Drainer
 from wingbarrow.core.fleet import Fleet
@@ -27,6 +27,7 @@
 from wingbarrow.core.sightings import Sightings
 from wingbarrow.core.stops import Stops
 from wingbarrow.core.strays import Strays
+from wingbarrow.core.successor import Successor
 from wingbarrow.core.verdicts import Verdicts
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.peers.grants import Acting
@@ -81,18 +82,23 @@
         rulebook = self.rulebook = Rulebook(base, host)
         self.peering = Peering(hub, settings, base.born_us, log)
         self.leases: Leases | None = None
-        self.custodian: Custodian | None = None
+        self.leaseholder: Leaseholder | None = None
         if settings.agree is not None and settings.region:
             leases = self.leases = Leases(base, machines, self.peering.lease, settings.agree.lease_us)
-            self.custodian = Custodian(base, host, book, attempts, requests, runs, stops, leases,
+            self.leaseholder = Leaseholder(base, host, book, attempts, requests, runs, stops, leases,
                                        CustodyRoom(hub, settings, base.born_us, self.peering), rulebook.federation)
-            strays.leased = self.custodian.place_late
-        offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook, self.custodian)
+            strays.leased = self.leaseholder.place_late
+        offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook, self.leaseholder)
         sightings = Sightings(base, host, attempts, offers, runs, strays)
         fleet = self.fleet = Fleet(base, host, board, machines, attempts, runs, sightings)
         self.hearsay = Hearsay(base, host, fleet, machines, sightings)
+        self.successor: Successor | None = None
+        if self.leaseholder is not None:
+            self.successor = Successor(base, book, attempts, board, machines, fleet, requests, runs, stops,
+                                       self.leaseholder)
+            strays.foreign = self.successor.stray
         closing = Closing(base, host, fleet, attempts, runs, board)
-        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook, self.custodian)
+        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook, self.leaseholder)
         host.hands = _Hands(offers, requests, runs, fleet, board)
         self._keeper = Keeper(base, fleet)
         if settings.agree is not None:
@@ -132,9 +138,9 @@
             if base.settings.calendars or self.drainer.agreed:
                 nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.peering.run, "peers")
-            if self.leases is not None and self.custodian is not None:
+            if self.leases is not None and self.leaseholder is not None:
                 nursery.spawn(self.leases.run, "leases")
-                nursery.spawn(self.custodian.room.run, "custody")
+                nursery.spawn(self.leaseholder.room.run, "custody")
             if base.settings.state:
                 nursery.spawn(self._keeper.run, "saving")
         if self.host.failed is not None:
--- a/wingbarrow/core/runs.py
+++ b/wingbarrow/core/runs.py
@@ -63,13 +63,16 @@
         self._book.step(task, Step.WAIT)
         self._board.tell(task.job, "Normal", "Moved" if end is again.End.MOVED else "Lost",
                          f"task {task.index}: {words}; asked for again")
+        self.wait(task, verdict.after_us)
 
+    def wait(self, task: TaskRecord, after_us: int) -> None:
+        """Ask for a task that waits, after a while."""
         def due() -> None:
             self._again.pop(task.name, None)
             if self._book.step(task, Step.ASK):
                 self._board.mark(task.job)
                 self._requests.ask(task)
-        self._again[task.name] = self._base.hub.call_at(self._base.hub.now_us() + verdict.after_us, due)
+        self._again[task.name] = self._base.hub.call_at(self._base.hub.now_us() + after_us, due)
 
     def cancel_again(self, task: TaskRecord) -> None:
         """It will not be asked for again after all."""
--- a/wingbarrow/core/sightings.py
+++ b/wingbarrow/core/sightings.py
@@ -81,7 +81,8 @@
             self._runs.ended(attempt, again.End.DONE, api.Reason.UNTOLD, "ended well")
         elif sight.phase is Phase.FAILED:
             reason = sight.gave_up
-            end = attempt.stopping or again.end_of(reason)
+            # A machine that stopped it for want of renewal says nothing against another start, by whoever may then.
+            end = attempt.stopping or (again.End.MOVED if sight.reason == "LeaseLapsed" else again.end_of(reason))
             self._runs.ended(attempt, end, reason, f"{link.name}: {sight.reason or 'failed'}")
         elif sight.use:
             self._use(attempt, link, sight)
--- a/wingbarrow/core/strays.py
+++ b/wingbarrow/core/strays.py
@@ -30,6 +30,7 @@
                  runs: Runs, stops: Stops) -> None:
         self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
         self._requests, self._runs, self._stops = requests, runs, stops
+        self.foreign: Callable[[MachineLink, PodSight], bool] = lambda link, sight: False  # not by a present lease
         # A leased Job's: whether a keeper's word comes first, and then its answer.
         self.leased: Callable[[MachineLink, str, TaskRecord, int | None], bool] = lambda link, pod, task, left: False
         state = base.settings.state
@@ -37,7 +38,7 @@
 
     def seen(self, link: MachineLink, sight: PodSight) -> None:
         """A machine tells of a pod that no open attempt accounts for."""
-        if sight.phase is not Phase.RUNNING:
+        if sight.phase is not Phase.RUNNING or self.foreign(link, sight):
             return
         job = self._book.jobs.get(sight.job_key)
         if job is not None and job.uid == sight.job_uid and sight.index < len(job.tasks):
@@ -52,6 +53,8 @@
     def judge(self, link: MachineLink, pod: str, namespace: str, task: TaskRecord, sight: PodSight | None) -> None:
         """Do with a known task's stray what `decide.strays` says."""
         job, state = task.job, task.state
+        if job.leased is not None and not job.leased.session:
+            return  # Danger: this placer has no say over it any more; its machine stops it, or a stop is under way
         verdict = strays.judge(strays.Sight(
             job.asked.task_class.task_class.effect, True, not job.deleted, state in (State.ASKED, State.AGAIN),
             state is State.ASKED and self._attempts.of(task.request) is not None,
--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -191,6 +191,10 @@
         self._startable_us = max(self._next_us, now_us + self.pace.every_us // 4)
         return [SetTimer(STARTABLE, self._startable_us)]
 
+    def carry(self, now_us: int, effects: list[Effect]) -> list[Effect]:
+        """Of a call on `custody` itself: what concerns the other parts is heard there; the rest is to be done."""
+        return self._go(now_us, effects)
+
     # -- inside
 
     def _askers(self, takeover: Takeover) -> list[str]:
