--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -97,8 +97,10 @@
                 healing = self.healings[ended.session] = Healing(self.me, ended.session, jobs)
             return out + (self._go(now_us, healing.ended(now_us, ended)) if healing is not None else [])
         out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
-        self._heard.setdefault(ended.session, now_us)
-        out += self._take(now_us, ended.session, ended.epoch, self.keeping.ended(now_us, ended))
+        takings = self.keeping.ended(now_us, ended)
+        if ended.session in self.keeping.ends:
+            self._heard.setdefault(ended.session, now_us)
+        out += self._take(now_us, ended.session, ended.epoch, takings)
         return out + self._watch(now_us)
 
     def begin(self, now_us: int, session: Session) -> list[Effect]:
@@ -116,6 +118,7 @@
         if uid in self._where:
             self._where.pop(uid).superseded(uid)
             self.keeping.let_go(uid)
+            self._prune()
         return self._go(now_us, self.custody.drop(now_us, uid))
 
     def operator(self, now_us: int, uid: str) -> list[Effect]:
@@ -153,6 +156,7 @@
         if key == WATCH:
             self._watch_us = None
             return self._watch(now_us, ask=True)
+        self.healings = {session: each for session, each in self.healings.items() if not each.done}
         parts: list[Takeover | Healing] = [*self.takeovers.values(), *self.healings.values()]
         return [effect for each in parts if each.timer == key
                 for effect in self._go(now_us, each.on_timer(now_us))]
@@ -203,10 +207,10 @@
 
     def _must(self, taking: Taking) -> tuple[str, ...]:
         """Danger: one that is dead by the voters never answers; one that is there, or stands in a batch, has to."""
-        end = self.keeping.ends[taking.record.session.placer]
+        end = self.keeping.ends[taking.record.session]
         named = {name for batch in end.batches for name in batch}
         return tuple(name for name in taking.must if name in self._alive or name in named
-                     or name not in self.keeping.ends)
+                     or name not in self.keeping.latest)
 
     def _take(self, now_us: int, session: Session, epoch: int, takings: list[Taking]) -> list[Effect]:
         if not takings:
@@ -241,14 +245,18 @@
             elif effect.what == "later":
                 record: Record = said["record"]
                 if record.uid in self._where:
-                    out += self._go(now_us, self._where[record.uid].later(now_us, record))
+                    takeover = self._where[record.uid]
+                    out += self._go(now_us, takeover.later(now_us, record))
+                    if record.uid in takeover.cases:
+                        tasks = takeover.cases[record.uid].record.tasks
+                        out += self.custody.learn(now_us, record.uid, tasks)
             elif effect.what in ("superseded", "taken"):
                 out += self._lost(now_us, uid, said)
             elif effect.what == "reissue":
                 self.keeping.fate(uid, said["verdict"])
                 out.append(effect)
-                takeover = self._where.get(uid)
-                if said["verdict"] == Verdict.RUN.value and takeover is not None and uid in takeover.ready:
+                takeover = self._where[uid]
+                if said["verdict"] == Verdict.RUN.value and uid in takeover.ready:
                     heapq.heappush(self._heap, (*rank_of(takeover.cases[uid]), uid))
                     out += self._call(now_us)
             else:
@@ -275,9 +283,14 @@
             fate = takeover.cases[uid].fate
             takeover.superseded(uid)
             self.keeping.let_go(uid)
+            self._prune()
         out = self._go(now_us, self.custody.drop(now_us, uid))
         return [*out, Tell("stop", {"uid": uid, "fate": fate, "by": said["by"]})]
 
+    def _prune(self) -> None:
+        self.takeovers = {session: each for session, each in self.takeovers.items() if each.cases}
+        self._heard = {session: at for session, at in self._heard.items() if session in self.keeping.ends}
+
     def _watch(self, now_us: int, ask: bool = False) -> list[Effect]:
         """Jobs kept here that others are to take over: whether they do."""
         out: list[Effect] = []
@@ -287,7 +300,7 @@
             for uid in uids:
                 by_session.setdefault(self.keeping.entries[uid].record.session, []).append(uid)
             for session, some in by_session.items():
-                if name and name != self.me:
+                if name:
                     self._number += 1
                     self._settles[self._number] = name
                     out.append(Send(name, "", Settle(self._number, session, tuple(some[:KEPT_MOST]))))
@@ -318,4 +331,11 @@
             return out
         if self._settles.pop(message.number, "") != ident:
             return []
-        return self._take_each(now_us, [uid for uid, _, fate in message.fates if fate == UNKNOWN_HERE])
+        out = []
+        for uid, _, fate in message.fates:
+            entry = self.keeping.entries.get(uid)
+            if fate != UNKNOWN_HERE:
+                self.keeping.known_elsewhere(uid)
+            elif entry is not None and not entry.doubt:
+                out += self._take_each(now_us, [uid])
+        return out
--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -119,6 +119,17 @@
             self._line(name).want(now_us, uid, gone=True)
         return out + self._next_effects(now_us)
 
+    def learn(self, now_us: int, uid: str, tasks: tuple[Known, ...]) -> list[Effect]:
+        """Another keeper knew more of a Job that was taken over: its keepers here are to know it, too."""
+        job = self.jobs.get(uid)
+        if job is None or job.record.tasks == tasks:
+            return []
+        job.record = replace(job.record, tasks=tasks, version=job.record.version + 1)
+        job.since_us |= {each.index: now_us - each.age_us for each in tasks}
+        for name in job.chosen:
+            self.lines[name].want(now_us, uid)
+        return self._next_effects(now_us)
+
     # -- who is there
 
     def members(self, now_us: int, alive: Mapping[str, tuple[str, int]]) -> list[Effect]:
@@ -129,8 +140,10 @@
                 by_region.setdefault(alive[name][0], []).append(name)
         self._alive = {region: tuple(names) for region, names in by_region.items()}
         self._where = {name: region for name, (region, _) in alive.items()}
-        for name, line in self.lines.items():
-            if name not in alive:
+        for name, line in list(self.lines.items()):
+            if name not in alive and not (line.jobs or line.dirty or line.gone or line.out):
+                del self.lines[name]
+            elif name not in alive:
                 self._leave(now_us, line)
             elif alive[name][1] > line.life:
                 self._renewed(now_us, line, alive[name][1], 0)
--- a/wingbarrow/decide/peers/healing.py
+++ b/wingbarrow/decide/peers/healing.py
@@ -1,7 +1,9 @@
 """One that comes back, whose session was ended: what became of its Jobs, asked of their successors before all else.
 
 It has lost its say over all of them. Each is settled by the table of healing (`reissue.settle`): its own copy is
-stopped where a successor's stands, except what must not start twice.
+stopped where a successor's stands, except what must not start twice. What no successor knows of after `NOBODY_US` was
+lost with its keepers, or never had any: told with `by` empty; what may repeat its holder takes up again, at the end's
+epoch; all else is kept as unknown, as a keeper that nobody heard yet may have it.
 """
 
 from __future__ import annotations
@@ -12,9 +14,10 @@
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.keeping import UNKNOWN_HERE
 from wingbarrow.decide.peers.leasing import KEPT_MOST, Ended, Session, Settle, Settled
-from wingbarrow.decide.peers.reissue import Copy, settle
+from wingbarrow.decide.peers.reissue import Copy, Verdict, settle
 
 ASK_US = 1_000_000  # between asks of a successor that has not answered
+NOBODY_US = 10_000_000  # for how long successors are looked for
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +39,8 @@
         self._asked: dict[str, set[str]] = {}  # by successor: uids that it has not told of
         self._numbers: dict[int, str] = {}
         self._number = 0
-        self._said: dict[str, set[str]] = {}  # who knows nothing of a Job
+        self._epoch = 0
+        self._nobody_us: int | None = None
 
     @property
     def done(self) -> bool:
@@ -46,12 +50,14 @@
     def ended(self, now_us: int, ended: Ended) -> list[Effect]:
         """Its end, and who succeeds; again where there are more."""
         names = {name for batch in ended.batches for name in batch if name not in ended.gone} - {self.me}
+        self._epoch = ended.epoch
+        self._nobody_us = self._nobody_us or now_us + NOBODY_US
         for name in list(self._asked):
             if name not in names:
                 del self._asked[name]
         for name in names - self._asked.keys():
             self._asked[name] = set(self.jobs)
-        return [*self._nobody(), *self.on_timer(now_us)]
+        return self.on_timer(now_us)
 
     def on_timer(self, now_us: int) -> list[Effect]:
         """Ask those that have not told."""
@@ -63,7 +69,9 @@
                 out.append(Send(name, "", Settle(self._number, self.session, tuple(sorted(uids))[:KEPT_MOST])))
         while len(self._numbers) > 1024:
             del self._numbers[next(iter(self._numbers))]
-        return [*out, SetTimer(self.timer, now_us + ASK_US)] if out else []
+        if self._nobody_us is not None and now_us >= self._nobody_us:
+            out += self._nobody()
+        return [*out, SetTimer(self.timer, now_us + ASK_US)] if self.jobs else out
 
     def on_message(self, now_us: int, ident: str, message: Settled) -> list[Effect]:
         """A successor told."""
@@ -76,30 +84,25 @@
             if own is None:
                 continue
             if fate == UNKNOWN_HERE:
-                self._said.setdefault(uid, set()).add(ident)
                 continue
             runs = fate == "run"
             mine, theirs, why = settle(own.effect, Copy(own.epoch, self.me, own.runs), Copy(epoch, ident, runs))
             out.append(Tell("settled", {"uid": uid, "mine": mine.value, "theirs": theirs.value, "epoch": epoch,
                                         "by": ident, "fate": fate, "why": why}))
             self._close(uid)
-        out += self._nobody()
         return out
 
     def _close(self, uid: str) -> None:
         self.jobs.pop(uid, None)
-        self._said.pop(uid, None)
         for uids in self._asked.values():
             uids.discard(uid)
 
     def _nobody(self) -> list[Effect]:
-        """Jobs of which no successor knows: told; their owner's word counts."""
+        """Jobs of which no successor knows."""
         out: list[Effect] = []
-        for uid, names in list(self._said.items()):
-            if self._asked and names >= self._asked.keys():
-                own = self.jobs[uid]
-                out.append(Tell("settled", {"uid": uid, "mine": "run" if own.runs else "unknown", "theirs": "nothing",
-                                            "epoch": own.epoch, "by": "", "fate": UNKNOWN_HERE,
-                                            "why": "no successor knows of it"}))
-                self._close(uid)
+        for uid, own in list(self.jobs.items()):
+            mine = Verdict.RUN if own.effect == "safe" else Verdict.UNKNOWN
+            out.append(Tell("settled", {"uid": uid, "mine": mine.value, "theirs": Verdict.NOTHING.value, "by": "",
+                                        "epoch": self._epoch, "fate": UNKNOWN_HERE, "why": "no successor knows of it"}))
+            self._close(uid)
         return out
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -29,7 +29,7 @@
     Settled,
     successor,
 )
-from wingbarrow.decide.peers.records import Bounds, aged, order, size_of
+from wingbarrow.decide.peers.records import Bounds, aged, order, phase_of, size_of
 
 HOLDERS_MOST = 4096
 UNKNOWN_HERE = "not known here"
@@ -48,11 +48,11 @@
 
 @dataclass(slots=True)
 class Taking:
-    """A Job that this placer takes over. `doubt`: what is kept may not be all. `must`: who else may have it."""
+    """A Job that this placer takes over; a task of which more may be true than is kept is in doubt, and stays so at
+    later successors, too. `must`: who else may have it."""
 
     record: Record
     epoch: int
-    doubt: bool
     must: tuple[str, ...]
 
 
@@ -64,7 +64,8 @@
         self.entries: dict[str, Entry] = {}
         self.sessions: dict[Session, dict[str, None]] = {}  # uids by holder's session
         self.taken: dict[str, tuple[int, str]] = {}  # what this placer has taken over: epoch and fate
-        self.ends: dict[str, Ended] = {}  # the latest of each placer
+        self.ends: dict[Session, Ended] = {}  # of sessions of which something is kept
+        self.latest: dict[str, Session] = {}  # of each placer, the last that has ended
         self._sizes: dict[str, int] = {}  # bytes by holder
         self._last: dict[str, tuple[Session, int, KeepAnswer]] = {}
         self._kept: tuple[Kept, ...] | None = None
@@ -112,8 +113,8 @@
         return ""
 
     def _over(self, session: Session) -> bool:
-        end = self.ends.get(session.placer)
-        return end is not None and session <= end.session
+        latest = self.latest.get(session.placer)
+        return latest is not None and session <= latest
 
     def _room(self, holder: str, new: Iterable[Record]) -> str:
         records = sum(len(uids) for session, uids in self.sessions.items() if session.placer == holder)
@@ -188,6 +189,7 @@
         del self.sessions[session][uid]
         if not self.sessions[session]:
             del self.sessions[session]
+            self.ends.pop(session, None)
         self._kept = None
 
     @staticmethod
@@ -215,23 +217,25 @@
 
     def ended(self, now_us: int, ended: Ended) -> list[Taking]:
         """A session is over, or has more successors than before: what this placer takes over, each Job once."""
-        former = self.ends.get(ended.session.placer)
-        if former is not None and former.session > ended.session:
+        if not self._over(ended.session):
+            self.latest[ended.session.placer] = ended.session
+        if ended.session not in self.sessions:
             return []
-        self.ends[ended.session.placer] = ended
+        self.ends[ended.session] = ended
         me = self.session.placer
         out = []
-        for uid in list(self.sessions.get(ended.session, ())):
+        for uid in list(self.sessions[ended.session]):
             record = self.entries[uid].record
-            if uid not in self.taken and successor(ended, (*record.keepers, me)) == me:
+            # What is in doubt is left to one who knows better, while there may be one.
+            if uid not in self.taken and not self.entries[uid].doubt and successor(ended, (*record.keepers, me)) == me:
                 out.append(self._take(now_us, uid, ended))
         return out
 
     def take(self, now_us: int, uid: str) -> Taking | None:
         """Take one over whose successor, as this placer reckons, knows nothing of it, or that has none."""
         entry = self.entries.get(uid)
-        end = self.ends.get(entry.record.session.placer) if entry is not None else None
-        if entry is None or end is None or entry.record.session != end.session or uid in self.taken:
+        end = self.ends.get(entry.record.session) if entry is not None else None
+        if entry is None or end is None or uid in self.taken:
             return None
         return self._take(now_us, uid, end)
 
@@ -242,20 +246,36 @@
         names |= {name for batch in ended.batches for name in batch} if record.moves else set()
         gone = set(ended.gone) - {me}
         # Danger: one that is gone may have started it and asked those whom it knew of, not this placer.
-        doubt = entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone
+        if record.effect != "safe" and (entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone):
+            tasks = (phase_of(record, index) for index in range(record.count))
+            record = replace(record, tasks=tuple(
+                replace(each, phase="doubt") if each.phase in ("none", "about") else each for each in tasks))
         self.taken[uid] = ended.epoch, "waiting"
         self._kept = None
-        return Taking(record, ended.epoch, doubt, tuple(sorted(names - gone - {me})))
+        return Taking(record, ended.epoch, tuple(sorted(names - gone - {me})))
 
     def others(self) -> dict[str, list[str]]:
-        """Of sessions that are over: Jobs kept here that another is to take over, by its name ("": nobody)."""
+        """Of sessions that are over: Jobs kept here that another is to take over, by its name ("": nobody known).
+
+        Of one in doubt here all that succeed are named.
+        """
         out: dict[str, list[str]] = {}
         for end in self.ends.values():
+            every = {name for batch in end.batches for name in batch} - {*end.gone}
             for uid in self.sessions.get(end.session, ()):
-                if uid not in self.taken:
-                    out.setdefault(successor(end, self.entries[uid].record.keepers), []).append(uid)
+                entry = self.entries[uid]
+                first = successor(end, entry.record.keepers)
+                names = {*every, ""} if entry.doubt else {first}
+                for name in names - {self.session.placer} if uid not in self.taken else ():
+                    out.setdefault(name, []).append(uid)
         return out
 
+    def known_elsewhere(self, uid: str) -> None:
+        """What is in doubt here is known to one that succeeds: it is no matter here."""
+        entry = self.entries.get(uid)
+        if entry is not None and entry.doubt and uid not in self.taken and entry.record.session in self.ends:
+            self._forget(uid)
+
     def own_end(self, session: Session) -> None:
         """This placer's session was ended, and it has a new one: its holders may have gone on without it.
 
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -122,13 +122,13 @@
     """What a keeper knows of one task: its phase, at which machine, by which attempt, since when."""
 
     index: int
-    phase: str  # none, about, placed, over
+    phase: str  # none, about, placed, over; doubt: whoever says so took it over and cannot know
     machine: str = ""
     attempt: str = ""  # the pod's name
     age_us: int = 0  # since the phase began, when this was said
 
 
-PHASES = ("none", "about", "placed", "over")
+PHASES = ("none", "about", "doubt", "placed", "over")
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/decide/peers/reissue.py
+++ b/wingbarrow/decide/peers/reissue.py
@@ -10,11 +10,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingbarrow.decide.peers.leasing import Known, MachineSays, Record, reckoned_us
+from wingbarrow.decide.peers.leasing import PHASES, Known, MachineSays, Record, reckoned_us
 from wingbarrow.decide.peers.limits import drifted_us
 
 EVERY = ("unsafe", "keyed", "safe")
-KNOWS = ("none", "about", "placed", "over", "doubt")
 SAYS = ("unasked", "unreachable", "holds", "clear", "anew", "operator")
 TIMES = ("window", "past")
 ANY: tuple[str, ...] = ()
@@ -84,12 +83,13 @@
     raise ValueError(f"no row for {effect}, {knows}, {says}, {time}")
 
 
-def window_until_us(record: Record, doubt: bool, heard_us: int) -> int:
+def window_until_us(record: Record, heard_us: int) -> int:
     """Until when a keyed Job waits: the last send was before the end of its holder's session was heard of.
 
     Of a key that holds for all, or where another successor of this region may have started it: the whole window, by
     any clock. A narrower group ends within the lost region.
     """
+    doubt = any(each.phase == "doubt" for each in record.tasks)
     if record.effect != "keyed" or not (doubt or record.group == "all"):
         return heard_us
     return heard_us + drifted_us(record.window_us)
@@ -111,9 +111,8 @@
 
 def merged(mine: Known, theirs: Known) -> Known:
     """Of two words about one task, the one that says more: a successor goes by the worst that may be."""
-    weight = ("none", "about", "placed", "over")
-    if weight.index(theirs.phase) != weight.index(mine.phase):
-        return theirs if weight.index(theirs.phase) > weight.index(mine.phase) else mine
+    if PHASES.index(theirs.phase) != PHASES.index(mine.phase):
+        return theirs if PHASES.index(theirs.phase) > PHASES.index(mine.phase) else mine
     return theirs if theirs.age_us > mine.age_us else mine
 
 
--- a/wingbarrow/decide/peers/takeover.py
+++ b/wingbarrow/decide/peers/takeover.py
@@ -31,8 +31,6 @@
 
     record: Record
     epoch: int
-    doubt: bool
-    must: tuple[str, ...]
     added_us: int
     until_us: int  # of a keyed one, its window
     claimed: bool = False
@@ -68,8 +66,7 @@
         """Take Jobs over; each is to be held at once, and `claimed` called with what came of it."""
         for taking in takings:
             record = taking.record
-            case = Case(record, taking.epoch, taking.doubt, taking.must, now_us,
-                        window_until_us(record, taking.doubt, now_us))
+            case = Case(record, taking.epoch, now_us, window_until_us(record, now_us))
             self.cases[record.uid] = case
             self._inquire(now_us, case)
             for at in (case.until_us, now_us + CLAIM_US):
@@ -77,7 +74,7 @@
         return self._go_on(now_us, ())
 
     def _inquire(self, now_us: int, case: Case) -> None:
-        for known in case.record.tasks if case.record.effect == "unsafe" and not case.doubt else ():
+        for known in case.record.tasks if case.record.effect == "unsafe" else ():
             if known.phase == "about":
                 self.inquiry.want(case.record.uid, known.index, known.machine, now_us - known.age_us)
 
@@ -152,9 +149,8 @@
         time = "window" if now_us < case.until_us else "past"
         out = {}
         for index in range(record.count):
-            phase = phase_of(record, index).phase
-            knows = "doubt" if case.doubt and phase != "over" else phase
-            out[index] = decide(record.effect, knows, self.inquiry.word(record.uid, index), time, self.table)
+            phase, word = phase_of(record, index).phase, self.inquiry.word(record.uid, index)
+            out[index] = decide(record.effect, phase, word, time, self.table)
         return out
 
     def _go_on(self, now_us: int, uids: Iterable[str]) -> list[Effect]:
