Keepers apart from the holder's side of custody; names that a test of pure decisions can read

Need: `custody.py` held two concepts, the lines to keepers and what must be where, and named a method `open`, which the test that decisions do no I/O takes for the built-in.

--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -31,7 +31,7 @@
     Settle,
     Settled,
 )
-from wingbarrow.decide.peers.records import Bounds
+from wingbarrow.decide.peers.records import Bounds, doubted
 from wingbarrow.decide.peers.reissue import Verdict
 from wingbarrow.decide.peers.takeover import Start, Takeover, rank_of
 
@@ -85,18 +85,18 @@
             out += self._go(now_us, takeover.places(now_us, self._askers(takeover)))
         return out
 
-    def over(self, now_us: int, ended: Ended, jobs: Mapping[str, Own] | None = None) -> list[Effect]:
+    def over(self, now_us: int, ended: Ended, runs: Collection[str] = ()) -> list[Effect]:
         """The voters ended a session, or it has more successors; to be said in the order of epochs.
 
-        `jobs`: where it was this placer's, what it has of it, for healing.
+        `runs`: where it was this placer's, the Jobs of which something still runs on its machines.
         """
+        out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
         if ended.session.placer == self.me:
-            out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
             healing = self.healings.get(ended.session)
-            if healing is None and jobs:
+            if healing is None and self.custody.session == ended.session and self.custody.former:
+                jobs = {uid: Own(job.said(now_us), uid in runs) for uid, job in self.custody.former.items()}
                 healing = self.healings[ended.session] = Healing(self.me, ended.session, jobs)
             return out + (self._go(now_us, healing.ended(now_us, ended)) if healing is not None else [])
-        out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
         takings = self.keeping.ended(now_us, ended)
         if ended.session in self.keeping.ends:
             self._heard.setdefault(ended.session, now_us)
@@ -106,7 +106,7 @@
     def begin(self, now_us: int, session: Session) -> list[Effect]:
         """This placer's former session was ended, and it has this one: it holds nothing, and succeeds nobody."""
         out = self._go(now_us, self.custody.begin(now_us, session))
-        self.keeping.own_end(session)
+        self.keeping.own_end(session, self.custody.former)
         self.takeovers.clear()
         self._where.clear()
         self._claims.clear()
@@ -126,9 +126,11 @@
         return self._go(now_us, self._where[uid].operator(now_us, uid)) if uid in self._where else []
 
     def unknown(self) -> list[Record]:
-        """Jobs that are kept as unknown, for the operator's list."""
-        return [case.record for takeover in self.takeovers.values() for case in takeover.cases.values()
-                if case.fate == Verdict.UNKNOWN.value]
+        """Jobs that are kept as unknown, for the operator's list; those of a session of before, too, until settled."""
+        healing = [own.record for each in self.healings.values() for own in each.jobs.values()
+                   if own.record.effect != "safe"]
+        return healing + [case.record for takeover in self.takeovers.values() for case in takeover.cases.values()
+                          if case.fate == Verdict.UNKNOWN.value]
 
     def on_message(self, now_us: int, ident: str, address: str, message: Message) -> list[Effect]:
         """Mail came."""
@@ -207,8 +209,8 @@
 
     def _must(self, taking: Taking) -> tuple[str, ...]:
         """Danger: one that is dead by the voters never answers; one that is there, or stands in a batch, has to."""
-        end = self.keeping.ends[taking.record.session]
-        named = {name for batch in end.batches for name in batch}
+        end = self.keeping.ends.get(taking.record.session)
+        named = {name for batch in end.batches for name in batch} if end is not None else set()
         return tuple(name for name in taking.must if name in self._alive or name in named
                      or name not in self.keeping.latest)
 
@@ -218,11 +220,11 @@
         takeover = self.takeovers.get(session)
         if takeover is None:
             takeover = self.takeovers[session] = Takeover(session, epoch)
+        self._where |= {taking.record.uid: takeover for taking in takings}
         out = self._go(now_us, takeover.add(now_us, takings))
         out += self._go(now_us, takeover.places(now_us, self._askers(takeover)))
         for taking in takings:
             record = taking.record
-            self._where[record.uid] = takeover
             allowed, copies = self.terms(record)
             record = replace(record, epoch=taking.epoch, version=record.version + 1)
             must = self._must(taking)
@@ -252,6 +254,8 @@
                         out += self.custody.learn(now_us, record.uid, tasks)
             elif effect.what in ("superseded", "taken"):
                 out += self._lost(now_us, uid, said)
+            elif effect.what == "settled" and not said["by"]:
+                out += [effect, *self._again(now_us, said["own"], said["epoch"])]
             elif effect.what == "reissue":
                 self.keeping.fate(uid, said["verdict"])
                 out.append(effect)
@@ -291,6 +295,14 @@
         self.takeovers = {session: each for session, each in self.takeovers.items() if each.cases}
         self._heard = {session: at for session, at in self._heard.items() if session in self.keeping.ends}
 
+    def _again(self, now_us: int, own: Own, epoch: int) -> list[Effect]:
+        """Nobody knows a Job of this placer's former session: it succeeds itself."""
+        if own.record.uid in self.custody.jobs:
+            return []
+        must = {*own.record.keepers, *own.record.others} - {self.me}
+        taking = Taking(doubted(own.record), epoch, tuple(sorted(must)))
+        return self._take(now_us, own.record.session, taking.epoch, [taking])
+
     def _watch(self, now_us: int, ask: bool = False) -> list[Effect]:
         """Jobs kept here that others are to take over: whether they do."""
         out: list[Effect] = []
--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -10,19 +10,17 @@
 
 from __future__ import annotations
 
-import random
-from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.held import Job, Tokens, settled
+from wingbarrow.decide.peers.keepers import Keepers
 from wingbarrow.decide.peers.keepline import Line
 from wingbarrow.decide.peers.leasing import RECORD_MOST, Keep, KeepAnswer, Known, Record, Session
-from wingbarrow.decide.peers.records import Bounds, choose, size_of
+from wingbarrow.decide.peers.records import Bounds, size_of
 
 TIMER = "custody"
-LACKING_US = 1_000_000  # between two searches for keepers that are not there
 
 
 class Custody:
@@ -32,15 +30,10 @@
                  bounds: Bounds = Bounds()) -> None:  # noqa: B008 - frozen
         self.session, self.region, self.bounds = Session(me, life, 0), region, bounds
         self.jobs: dict[str, Job] = {}
+        self.former: dict[str, Job] = {}  # of the session before
         self.over = False  # this session has ended; nothing is held under it any more
-        self.lines: dict[str, Line] = {}
-        self._alive: dict[str, tuple[str, ...]] = {}  # by region
-        self._where: dict[str, str] = {}  # region of each
-        self._random = random.Random(seed)
+        self.keepers = Keepers(me, region, seed, bounds)
         self._tokens = Tokens()
-        self._moves: deque[tuple[str, str]] = deque()  # Jobs whose keeper was dropped
-        self._lacking: dict[tuple[str, str], None] = {}  # of those, Jobs that have no other
-        self._move_us: int | None = None
         self._timer_us: int | None = None
 
     # -- what the core asks; each returns a token and what is to happen
@@ -58,9 +51,9 @@
                f"record of {size} bytes, at most {RECORD_MOST}" if size > RECORD_MOST else "")
         if why:
             return number, [settled(number, why)]
-        chosen = choose(record.uid, self.region, allowed, self._alive, copies, self._unable(now_us, size))
+        chosen = self.keepers.choose(now_us, record.uid, allowed, copies, size)
         if not chosen and not alone:
-            able = choose(record.uid, self.region, allowed, self._alive, copies, self._unable(now_us, 0))
+            able = self.keepers.choose(now_us, record.uid, allowed, copies, 0)
             return number, [settled(number, "no room at any keeper" if able else "no keeper")]
         others = set(must) - {self.session.placer}
         since = {each.index: now_us - each.age_us for each in record.tasks}
@@ -70,12 +63,11 @@
         self.jobs[record.uid] = job
         self._tokens.open(job, number, deadline_us, bool(must) and record.effect != "safe")
         for name in (*chosen, *sorted(job.others)):
-            self._line(name).want(now_us, record.uid)
+            self.keepers.line(name).want(now_us, record.uid)
         for name in chosen:
-            self.lines[name].charge(record.uid, size)
+            self.keepers.lines[name].charge(record.uid, size)
         if not chosen:
-            self._moves.append((record.uid, ""))
-            self._move_us = self._move_us or now_us + LACKING_US
+            self.keepers.lack(now_us, record.uid, "")
         return number, [*self._tokens.met(job), *self._next_effects(now_us)]
 
     def about(self, now_us: int, uid: str, known: Known, deadline_us: int) -> tuple[int, list[Effect]]:
@@ -110,13 +102,14 @@
 
     def drop(self, now_us: int, uid: str) -> list[Effect]:
         """A Job needs no keeping any more."""
+        self.former.pop(uid, None)
         job = self.jobs.pop(uid, None)
         if job is None:
             return []
         out = self._tokens.fail(job, "dropped")
         for name in (*job.chosen, *sorted(job.others)):
-            self._line(name).free(uid)
-            self._line(name).want(now_us, uid, gone=True)
+            self.keepers.line(name).free(uid)
+            self.keepers.line(name).want(now_us, uid, gone=True)
         return out + self._next_effects(now_us)
 
     def learn(self, now_us: int, uid: str, tasks: tuple[Known, ...]) -> list[Effect]:
@@ -126,29 +119,17 @@
             return []
         job.record = replace(job.record, tasks=tasks, version=job.record.version + 1)
         job.since_us |= {each.index: now_us - each.age_us for each in tasks}
-        for name in job.chosen:
-            self.lines[name].want(now_us, uid)
-        return self._next_effects(now_us)
+        return self._spread(now_us, job)
 
     # -- who is there
 
     def members(self, now_us: int, alive: Mapping[str, tuple[str, int]]) -> list[Effect]:
         """Who keeps, by name, with region and life: alive by membership. Who is not in it is dropped as a keeper."""
-        by_region: dict[str, list[str]] = {}
-        for name in sorted(alive):
-            if name != self.session.placer:
-                by_region.setdefault(alive[name][0], []).append(name)
-        self._alive = {region: tuple(names) for region, names in by_region.items()}
-        self._where = {name: region for name, (region, _) in alive.items()}
-        for name, line in list(self.lines.items()):
-            if name not in alive and not (line.jobs or line.dirty or line.gone or line.out):
-                del self.lines[name]
-            elif name not in alive:
-                self._leave(now_us, line)
-            elif alive[name][1] > line.life:
+        for line in self.keepers.members(alive):
+            self._leave(now_us, line)
+        for name, line in self.keepers.lines.items():
+            if name in alive and alive[name][1] > line.life:
                 self._renewed(now_us, line, alive[name][1], 0)
-        for name in alive.keys() - self.lines.keys() - {self.session.placer}:
-            self.lines[name] = Line(name, alive[name][1], self._random, self.bounds)
         return self._next_effects(now_us)
 
     def allow(self, now_us: int, allowed: Callable[[Record], Collection[str]]) -> list[Effect]:
@@ -156,10 +137,8 @@
         for uid, job in self.jobs.items():
             job.allowed = tuple(allowed(job.record))
             for name in job.chosen:
-                if self._where.get(name) not in job.allowed:
-                    self._moves.append((uid, name))
-        if self._moves and self._move_us is None:
-            self._move_us = now_us
+                if not self.keepers.stays(now_us, name, job.allowed):
+                    self.keepers.move(now_us, uid, name)
         return self._next_effects(now_us)
 
     def buried(self, now_us: int, session: Session, epoch: int) -> list[Effect]:
@@ -170,7 +149,7 @@
         """
         if session.placer == self.session.placer:
             return self._finish() if session >= self.session and not self.over else []
-        line = self.lines.get(session.placer)
+        line = self.keepers.lines.get(session.placer)
         out: list[Effect] = []
         if line is not None:
             for job in self.jobs.values():
@@ -178,7 +157,8 @@
                     job.heed.discard(line.name)
             if (line.life, line.serial) <= (session.life, session.serial):
                 self._renewed(now_us, line, session.life, session.serial + 1)
-                self._leave(now_us, line)
+                if line.name not in self.keepers.where:
+                    self._leave(now_us, line)
             out = self._settle_all()
         return out + self._next_effects(now_us)
 
@@ -192,7 +172,7 @@
 
     def on_message(self, now_us: int, ident: str, message: KeepAnswer) -> list[Effect]:
         """A keeper answered."""
-        line = self.lines.get(ident)
+        line = self.keepers.lines.get(ident)
         if self.over or message.session != self.session or line is None or line.out is None \
                 or line.out.keep.number != message.number:
             return []
@@ -220,17 +200,11 @@
         self._timer_us = None
         out: list[Effect] = []
         out += self._tokens.late(now_us, self.jobs)
-        for line in self.lines.values():
+        for line in self.keepers.lines.values():
             if line.out is not None and now_us >= line.out.said_us + self.bounds.slow_us and line.rest_us < now_us:
                 self._leave(now_us, line)
-        if self._move_us is not None and self._move_us <= now_us:
-            for _ in range(min(self.bounds.moves, len(self._moves))):
-                self._move(now_us, *self._moves.popleft())
-            self._move_us = now_us + self.bounds.every_us if self._moves else None
-            if not self._moves and self._lacking:
-                self._moves.extend(self._lacking)
-                self._lacking.clear()
-                self._move_us = now_us + LACKING_US
+        for uid, name in self.keepers.moves(now_us):
+            self._move(now_us, uid, name)
         return out + self._next_effects(now_us)
 
     # -- ends
@@ -243,12 +217,9 @@
         """This session is over."""
         out: list[Effect] = [tell for job in self.jobs.values() for tell in self._tokens.fail(job, "session over")]
         self.over = True
-        self.jobs.clear()
-        self._moves.clear()
-        self._lacking.clear()
+        self.former, self.jobs = self.jobs, {}
         self._tokens.clear()
-        for line in self.lines.values():
-            line.clear()
+        self.keepers.clear()
         return [*out, Tell("session-over", {"session": self.session.text()})]
 
     # -- changes
@@ -258,10 +229,7 @@
         if job is None or not 0 <= known.index < job.record.count:
             number = self._tokens.next()
             return number, [settled(number, "session over" if self.over else "not held")]
-        tasks = [each for each in job.record.tasks if each.index != known.index]
-        tasks += [known] if known.phase != "none" else []
-        region = self.region if known.phase in ("about", "placed") else job.record.region
-        record = replace(job.record, tasks=tuple(sorted(tasks, key=lambda each: each.index)), region=region)
+        record = job.changed(known, self.region)
         # Danger: of a Job that may repeat, one keeper is enough; of any other all that may start it have to know.
         every = known.phase == "about" and record.effect != "safe"
         return self._change(now_us, uid, record, deadline_us, every, known)
@@ -278,26 +246,16 @@
             job.since_us[known.index] = now_us - known.age_us
         job.record = replace(record, version=record.version + 1)
         self._tokens.open(job, number, deadline_us, every)
-        for name in job.chosen:
-            self.lines[name].want(now_us, uid)
-        return number, self._next_effects(now_us)
+        return number, self._spread(now_us, job)
 
-    def _said(self, now_us: int, uid: str) -> Record:
-        """A record as it is said now."""
-        job = self.jobs[uid]
-        tasks = tuple(replace(each, age_us=now_us - job.since_us[each.index]) for each in job.record.tasks)
-        return replace(job.record, born_age_us=now_us - job.born_us, tasks=tasks, others=tuple(sorted(job.others)))
+    def _spread(self, now_us: int, job: Job) -> list[Effect]:
+        """Say a change to all keepers."""
+        for name in job.chosen:
+            self.keepers.lines[name].want(now_us, job.record.uid)
+        return self._next_effects(now_us)
 
     # -- keepers
 
-    def _line(self, name: str) -> Line:
-        if name not in self.lines:
-            self.lines[name] = Line(name, 0, self._random, self.bounds)
-        return self.lines[name]
-
-    def _unable(self, now_us: int, size: int) -> set[str]:
-        return {name for name, line in self.lines.items() if line.rest_us > now_us or not line.room(size)}
-
     def _wanted(self, uid: str, name: str) -> bool:
         job = self.jobs.get(uid)
         return job is not None and (name in job.chosen or name in job.heed)
@@ -340,27 +298,21 @@
         if any(job.acked.get(name, -1) >= job.moved for name in job.chosen):
             for name in job.others:
                 if name not in job.heed:
-                    self._line(name).want(now_us, job.record.uid, gone=True)
+                    self.keepers.line(name).want(now_us, job.record.uid, gone=True)
 
     def _leave(self, now_us: int, line: Line) -> None:
         """Drop a keeper: those of its Jobs that somebody waits for are moved first."""
-        line.rest_us = now_us + self.bounds.rest_us
-        waiting = [uid for uid in line.jobs if self.jobs[uid].tokens]
-        self._moves.extendleft((uid, line.name) for uid in waiting)
-        self._moves.extend((uid, line.name) for uid in line.jobs if not self.jobs[uid].tokens)
-        if self._moves and self._move_us is None:
-            self._move_us = now_us
+        self.keepers.leave(now_us, line, lambda uid: bool(self.jobs[uid].tokens))
 
     def _move(self, now_us: int, uid: str, name: str) -> None:
         """Another keeper in place of one; where there is none, it stays, and counts by its own word alone."""
-        job, line = self.jobs.get(uid), self.lines.get(name)
-        if job is None or (line is None and not job.alone) or (line is not None and (
-                name not in job.chosen or (line.rest_us <= now_us and self._where.get(name) in job.allowed))):
+        job, line = self.jobs.get(uid), self.keepers.lines.get(name)
+        if job is None or not (job.alone if line is None else name in job.chosen) \
+                or self.keepers.stays(now_us, name, job.allowed):
             return
-        without = self._unable(now_us, job.size) | set(job.chosen) | job.others
-        new = choose(uid, self.region, job.allowed, self._alive, 1, without)
+        new = self.keepers.choose(now_us, uid, job.allowed, 1, job.size, {*job.chosen, *job.others})
         if not new:
-            self._lacking[uid, name] = None
+            self.keepers.lack(now_us, uid, name)
             return
         if line is None:
             job.chosen, job.alone = list(new), False
@@ -370,12 +322,12 @@
             line.free(uid)
             if name not in job.heed:
                 line.dirty.pop(uid, None)
-        self.lines[new[0]].charge(uid, job.size)
+        self.keepers.lines[new[0]].charge(uid, job.size)
         job.record = replace(job.record, keepers=tuple(job.chosen), version=job.record.version + 1,
                              moves=job.record.moves + 1)
         job.moved = job.record.version
         for each in (*job.chosen, *(name for name in job.others if self._wanted(uid, name))):
-            self._line(each).want(now_us, uid)
+            self.keepers.line(each).want(now_us, uid)
 
     def _renewed(self, now_us: int, line: Line, life: int, serial: int) -> None:
         """A keeper has another session: what it had from this holder it has no more, or doubts."""
@@ -395,12 +347,12 @@
         """What is due to be said, and the timer for what is next."""
         out: list[Effect] = []
         due = self._tokens.due()
-        due += [self._move_us] if self._move_us is not None else []
-        for line in self.lines.values():
+        due += [self.keepers.move_us] if self.keepers.move_us is not None else []
+        for line in self.keepers.lines.values():
             if line.out is None and line.due_us is not None and line.due_us <= now_us:
                 line.due_us = None
                 if line.dirty or line.gone:
-                    records = line.take(lambda uid: self._said(now_us, uid))
+                    records = line.take(lambda uid: self.jobs[uid].said(now_us))
                     out.append(Send(line.name, "", line.mail(now_us, self.session, records)))
             elif line.out is not None and line.out.again_us <= now_us:
                 out.append(Send(line.name, "", line.again(now_us)))
--- a/wingbarrow/decide/peers/healing.py
+++ b/wingbarrow/decide/peers/healing.py
@@ -2,8 +2,8 @@
 
 It has lost its say over all of them. Each is settled by the table of healing (`reissue.settle`): its own copy is
 stopped where a successor's stands, except what must not start twice. What no successor knows of after `NOBODY_US` was
-lost with its keepers, or never had any: told with `by` empty; what may repeat its holder takes up again, at the end's
-epoch; all else is kept as unknown, as a keeper that nobody heard yet may have it.
+lost with its keepers, or never had any: told with `by` empty, and taken over by this placer itself, in doubt, as a
+keeper that nobody has heard yet may have it.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.keeping import UNKNOWN_HERE
-from wingbarrow.decide.peers.leasing import KEPT_MOST, Ended, Session, Settle, Settled
+from wingbarrow.decide.peers.leasing import KEPT_MOST, Ended, Record, Session, Settle, Settled
 from wingbarrow.decide.peers.reissue import Copy, Verdict, settle
 
 ASK_US = 1_000_000  # between asks of a successor that has not answered
@@ -24,8 +24,7 @@
 class Own:
     """A Job as the one that came back has it."""
 
-    effect: str
-    epoch: int
+    record: Record
     runs: bool
 
 
@@ -85,8 +84,8 @@
                 continue
             if fate == UNKNOWN_HERE:
                 continue
-            runs = fate == "run"
-            mine, theirs, why = settle(own.effect, Copy(own.epoch, self.me, own.runs), Copy(epoch, ident, runs))
+            here, there = Copy(own.record.epoch, self.me, own.runs), Copy(epoch, ident, fate == "run")
+            mine, theirs, why = settle(own.record.effect, here, there)
             out.append(Tell("settled", {"uid": uid, "mine": mine.value, "theirs": theirs.value, "epoch": epoch,
                                         "by": ident, "fate": fate, "why": why}))
             self._close(uid)
@@ -101,8 +100,9 @@
         """Jobs of which no successor knows."""
         out: list[Effect] = []
         for uid, own in list(self.jobs.items()):
-            mine = Verdict.RUN if own.effect == "safe" else Verdict.UNKNOWN
+            mine = Verdict.RUN if own.record.effect == "safe" else Verdict.UNKNOWN
             out.append(Tell("settled", {"uid": uid, "mine": mine.value, "theirs": Verdict.NOTHING.value, "by": "",
-                                        "epoch": self._epoch, "fate": UNKNOWN_HERE, "why": "no successor knows of it"}))
+                                        "epoch": self._epoch, "fate": UNKNOWN_HERE,
+                                        "why": "no successor knows of it", "own": own}))
             self._close(uid)
         return out
--- a/wingbarrow/decide/peers/held.py
+++ b/wingbarrow/decide/peers/held.py
@@ -4,10 +4,10 @@
 
 import heapq
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wingbarrow.decide.peers.effects import Effect, Tell
-from wingbarrow.decide.peers.leasing import Record
+from wingbarrow.decide.peers.leasing import Known, Record
 
 
 @dataclass(slots=True)
@@ -37,6 +37,18 @@
     moved: int = 0  # the version at which its keepers changed last
     tokens: list[Token] = field(default_factory=list)
 
+    def changed(self, known: Known, region: str) -> Record:
+        """Its record with another word of a task; one that runs or is to run does so in that region."""
+        tasks = [each for each in self.record.tasks if each.index != known.index]
+        tasks += [known] if known.phase != "none" else []
+        where = region if known.phase in ("about", "placed") else self.record.region
+        return replace(self.record, tasks=tuple(sorted(tasks, key=lambda each: each.index)), region=where)
+
+    def said(self, now_us: int) -> Record:
+        """Its record with the ages of now."""
+        tasks = tuple(replace(each, age_us=now_us - self.since_us[each.index]) for each in self.record.tasks)
+        return replace(self.record, born_age_us=now_us - self.born_us, tasks=tasks, others=tuple(sorted(self.others)))
+
 
 def settled(number: int, why: str = "") -> Tell:
     """A token is good, or is not, and why."""
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
 from wingbarrow.decide.peers.effects import Effect, Send, Tell
@@ -29,7 +29,7 @@
     Settled,
     successor,
 )
-from wingbarrow.decide.peers.records import Bounds, aged, order, phase_of, size_of
+from wingbarrow.decide.peers.records import Bounds, aged, doubted, order, size_of
 
 HOLDERS_MOST = 4096
 UNKNOWN_HERE = "not known here"
@@ -246,10 +246,8 @@
         names |= {name for batch in ended.batches for name in batch} if record.moves else set()
         gone = set(ended.gone) - {me}
         # Danger: one that is gone may have started it and asked those whom it knew of, not this placer.
-        if record.effect != "safe" and (entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone):
-            tasks = (phase_of(record, index) for index in range(record.count))
-            record = replace(record, tasks=tuple(
-                replace(each, phase="doubt") if each.phase in ("none", "about") else each for each in tasks))
+        if entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone:
+            record = doubted(record)
         self.taken[uid] = ended.epoch, "waiting"
         self._kept = None
         return Taking(record, ended.epoch, tuple(sorted(names - gone - {me})))
@@ -276,14 +274,15 @@
         if entry is not None and entry.doubt and uid not in self.taken and entry.record.session in self.ends:
             self._forget(uid)
 
-    def own_end(self, session: Session) -> None:
+    def own_end(self, session: Session, held: Collection[str]) -> None:
         """This placer's session was ended, and it has a new one: its holders may have gone on without it.
 
-        What it had taken over is its own successors' by their records.
+        What it had taken over and `held` is its own successors' by their records.
         """
         self.session = session
-        for uid in list(self.taken):
+        for uid in set(held) & self.taken.keys():
             self.let_go(uid)
+        self.taken.clear()
         self._kept = None
         for entry in self.entries.values():
             entry.doubt = entry.doubt or entry.record.effect != "safe"
--- a/wingbarrow/decide/peers/records.py
+++ b/wingbarrow/decide/peers/records.py
@@ -55,6 +55,15 @@
     return next((each for each in record.tasks if each.index == index), Known(index, "none"))
 
 
+def doubted(record: Record) -> Record:
+    """The same by one who cannot know whether more has happened since; of a safe Job that is no matter."""
+    if record.effect == "safe":
+        return record
+    tasks = (phase_of(record, index) for index in range(record.count))
+    return replace(record, tasks=tuple(
+        replace(each, phase="doubt") if each.phase in ("none", "about") else each for each in tasks))
+
+
 def order(record: Record) -> tuple[int, int]:
     """The later of two records of a Job has the greater."""
     return record.epoch, record.version
--- a/wingbarrow/decide/peers/takeover.py
+++ b/wingbarrow/decide/peers/takeover.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 
 from wingbarrow.decide.peers.effects import Effect, SetTimer, Tell
@@ -62,7 +62,7 @@
         self._due: list[tuple[int, str]] = []
         self._timer_us: int | None = None
 
-    def add(self, now_us: int, takings: Iterable[Taking]) -> list[Effect]:
+    def add(self, now_us: int, takings: Collection[Taking]) -> list[Effect]:
         """Take Jobs over; each is to be held at once, and `claimed` called with what came of it."""
         for taking in takings:
             record = taking.record
@@ -71,7 +71,7 @@
             self._inquire(now_us, case)
             for at in (case.until_us, now_us + CLAIM_US):
                 heapq.heappush(self._due, (at, record.uid))
-        return self._go_on(now_us, ())
+        return self._go_on(now_us, [each.record.uid for each in takings])
 
     def _inquire(self, now_us: int, case: Case) -> None:
         for known in case.record.tasks if case.record.effect == "unsafe" else ():
@@ -159,8 +159,10 @@
             case = self.cases.get(uid)
             if case is None or case.fate in (Verdict.RUN.value, Verdict.NOTHING.value, READY):
                 continue
-            if case.claimed or (case.record.effect == "safe" and now_us >= case.added_us + CLAIM_US):
-                out += self._settle(case, self._judge(now_us, case))
+            found = self._judge(now_us, case)
+            sure = {row.verdict for row in found.values()} <= {Verdict.UNKNOWN, Verdict.NOTHING}
+            if sure or case.claimed or (case.record.effect == "safe" and now_us >= case.added_us + CLAIM_US):
+                out += self._settle(case, found)
         out += self.inquiry.mail(now_us)
         due = [at for at in (self.inquiry.due(), self._due[0][0] if self._due else None) if at is not None]
         if due and (self._timer_us is None or min(due) < self._timer_us):
--- a/wingbarrow/lab/fleet/custodians.py
+++ b/wingbarrow/lab/fleet/custodians.py
@@ -8,12 +8,11 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from wingbarrow.decide.peers.custodian import Custodian, Pace
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
-from wingbarrow.decide.peers.healing import Own
 from wingbarrow.decide.peers.leasing import FORM, Ended, Known, MachineSays, Record, Session, reckoned_us, right_us
 from wingbarrow.decide.peers.records import Bounds
 from wingbarrow.decide.peers.takeover import CLAIM_US, Start
@@ -67,7 +66,6 @@
         self.custodian = Custodian(name, life, region, world.random.randrange(1 << 30), world.bounds)
         self.custodian.terms = lambda record: (world.allowed, world.copies)
         self.jobs: dict[str, Held] = {}
-        self.former: dict[str, Held] = {}  # of a session that was ended, until settled
         self.heard = 0
         self.until_us = 0  # of its lease
         self._waiting: dict[int, Callable[[int, bool, str], list[Effect]]] = {}
@@ -125,16 +123,16 @@
         return out
 
     def _over(self, now_us: int, ended: Ended) -> list[Effect]:
-        own = {}
+        runs: set[str] = set()
         if ended.session == self.session:
-            own = {uid: Own(held.record.effect, held.epoch, True) for uid, held in self.jobs.items()}
-            self.former |= self.jobs
+            runs = set(self.jobs)
             self.jobs.clear()
-        return self._do(now_us, self.custodian.over(now_us, ended, own))
+        return self._do(now_us, self.custodian.over(now_us, ended, runs))
 
     def knows(self) -> set[str]:
         """Jobs that it holds or keeps."""
-        return {*self.jobs, *self.former, *self.custodian.keeping.entries, *self.custodian.custody.jobs}
+        custody = self.custodian.custody
+        return {*self.jobs, *custody.jobs, *custody.former, *self.custodian.keeping.entries}
 
     # -- its work
 
@@ -204,19 +202,6 @@
         self.world.reissued.append((self.world.now_us, start.record.uid, start.epoch, self.name))
         return self._run(now_us, start.record.uid, start.indexes)
 
-    def _settled(self, now_us: int, said: dict[str, Any]) -> list[Effect]:
-        """What became of a Job of this placer's former session."""
-        held = self.former.pop(said["uid"], None)
-        if said["mine"] == "stopped":
-            self.world.stop_runs(said["uid"], self.region)
-        if held is None or said["by"] or said["mine"] != "run":
-            return []
-        self.jobs[said["uid"]] = Held(held.record, said["epoch"], held.accepted)
-        record = replace(held.record, epoch=said["epoch"], tasks=(), version=held.record.version + 1)
-        _, effects = self.custodian.custody.hold(now_us, record, self.world.allowed, self.world.copies,
-                                                 now_us + WAIT_US, alone=True)
-        return [*self._do(now_us, effects), *self._run(now_us, said["uid"], range(record.count))]
-
     def _do(self, now_us: int, effects: list[Effect]) -> list[Effect]:
         out: list[Effect] = []
         for effect in effects:
@@ -235,8 +220,8 @@
             elif effect.what == "stop":
                 self.jobs.pop(said["uid"], None)
                 self.world.stop_runs(said["uid"], self.region)
-            elif effect.what == "settled":
-                out += self._settled(now_us, said)
+            elif effect.what == "settled" and said["mine"] == "stopped":
+                self.world.stop_runs(said["uid"], self.region)
             elif effect.what == "ask-machine":
                 out += self.world.ask_machine(self, said)
         return out
--- a/wingbarrow/lab/fleet/leasehold.py
+++ b/wingbarrow/lab/fleet/leasehold.py
@@ -107,7 +107,8 @@
             ) -> tuple[Session, list[Ended], int]:
         """A grant: the session that is open from now on, the ends that were changed since, up to where."""
         if session in self.ended:
-            session = replace(session, serial=session.serial + 1)
+            # Danger: what it said was of before it knew; it is named as a successor only once it asks by its new one.
+            session, kept = replace(session, serial=session.serial + 1), ()
         self.open[session] = Open(now_us, leased, kept)
         self.decide(now_us)
         news = list(dict.fromkeys(self.changes[heard:]))
