--- a/wingbarrow/decide/peers/keepers.py
+++ b/wingbarrow/decide/peers/keepers.py
@@ -22,14 +22,20 @@
         self.move_us: int | None = None
         self._alive: dict[str, tuple[str, ...]] = {}  # by region
         self._random = random.Random(seed)
+        self._number = 0
         self._urgent: dict[tuple[str, str], None] = {}  # somebody waits for these
         self._moves: dict[tuple[str, str], None] = {}
         self._lacking: dict[tuple[str, str], None] = {}  # there was no other
 
+    def _next(self) -> int:
+        """Danger: a line that is made anew must not number its mails from the start, or they pass for old."""
+        self._number += 1
+        return self._number
+
     def line(self, name: str) -> Line:
         """The line to a placer, whoever it is."""
         if name not in self.lines:
-            self.lines[name] = Line(name, 0, self._random, self.bounds)
+            self.lines[name] = Line(name, 0, self._random, self.bounds, self._next)
         return self.lines[name]
 
     def members(self, alive: Mapping[str, tuple[str, int]]) -> list[Line]:
@@ -43,7 +49,7 @@
             if name not in alive and not (line.jobs or line.dirty or line.gone or line.out):
                 del self.lines[name]
         for name in alive.keys() - self.lines.keys() - {self.me}:
-            self.lines[name] = Line(name, alive[name][1], self._random, self.bounds)
+            self.lines[name] = Line(name, alive[name][1], self._random, self.bounds, self._next)
         return [line for name, line in self.lines.items() if name not in alive]
 
     def choose(self, now_us: int, uid: str, allowed: Collection[str], copies: int, size: int,
--- a/wingbarrow/decide/peers/keepline.py
+++ b/wingbarrow/decide/peers/keepline.py
@@ -23,7 +23,7 @@
 class Line:
     """`dirty`: uids whose record is to go there; `gone`: those that it need not keep; `jobs`: whose keeper it is."""
 
-    def __init__(self, name: str, life: int, seed: random.Random, bounds: Bounds) -> None:
+    def __init__(self, name: str, life: int, seed: random.Random, bounds: Bounds, number: Callable[[], int]) -> None:
         self.name, self.life, self.serial = name, life, 0
         self.dirty: dict[str, None] = {}
         self.gone: dict[str, None] = {}
@@ -32,7 +32,7 @@
         self.out: Out | None = None
         self.due_us: int | None = None  # when the next mail may go
         self.rest_us = -1  # not chosen before
-        self._number = 0
+        self._number = number
         self._bounds = bounds
         self._backoff = Backoff(seed, bounds.first_us, bounds.most_us)
 
@@ -67,8 +67,7 @@
         gone = tuple(self.gone)[:self._bounds.mail_records]
         for uid in gone:
             del self.gone[uid]
-        self._number += 1
-        keep = Keep(self._number, session, tuple(records), gone, self.life, self.serial)
+        keep = Keep(self._number(), session, tuple(records), gone, self.life, self.serial)
         self._backoff.clear()
         self.out = Out(keep, now_us, now_us + self._backoff.next_us())
         return keep
