--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -5,7 +5,6 @@
 import json
 import signal
 import sys
-import tempfile
 import time
 from multiprocessing import get_context
 from pathlib import Path
@@ -13,17 +12,14 @@
 import click
 
 from wingbarrow.cli.client import need_plots
+from wingbarrow.cli.labfleet import fleet
 from wingbarrow.core.logs import Log, silent
 
 from wingbarrow.lab.cluster import Cluster
 from wingbarrow.lab.days import DAYS, Play, play
 from wingbarrow.lab.days import summary as day_summary
-from wingbarrow.lab.fleet.judge import judge
-from wingbarrow.lab.fleet.process import NotStarted
-from wingbarrow.lab.fleet.rig import Rig, Size
 from wingbarrow.lab.fleet.schedules import shrink as shrink_schedule
 from wingbarrow.lab.fleet.schedules import steps, trial
-from wingbarrow.lab.fleet.script import BadScript, generate, read_script
 from wingbarrow.lab.hunt import Found, plays, shrink
 from wingbarrow.lab.hunt import hunt as run_hunt
 from wingbarrow.lab.hunt import table as hunt_table
@@ -42,6 +38,9 @@
     """Stand-ins for machines and list source on loopback."""
 
 
+lab.add_command(fleet)
+
+
 @lab.command()
 @click.option("--nodes", type=click.IntRange(1, 5000), default=6, show_default=True)
 @click.option("--placers", type=click.IntRange(1, 64), default=1, show_default=True)
@@ -190,47 +189,6 @@
     sys.exit(1 if smallest else 0)
 
 
-@lab.command()
-@click.option("--placers", type=click.IntRange(2, 64), default=5, show_default=True)
-@click.option("--machines", type=click.IntRange(3, 1000), default=10, show_default=True)
-@click.option("--script", type=click.Path(path_type=Path, exists=True), help="Faults in KDL; from the seed without it.")
-@click.option("--seed", type=click.IntRange(0, 1 << 31), default=1, show_default=True)
-@click.option("--seconds", type=click.FloatRange(5, 3600), default=30.0, show_default=True)
-@click.option("--rate", type=click.FloatRange(0.1, 1000), default=8.0, show_default=True, help="Tasks a second.")
-@click.option("--out", type=click.Path(path_type=Path), help="What the run leaves, to be judged again; a temporary "
-              "folder without it.")
-@click.option("--judge", "again", type=click.Path(path_type=Path, exists=True),
-              help="Judge what a run left; play none.")
-def fleet(placers: int, machines: int, script: Path | None, seed: int, seconds: float, rate: float, out: Path | None,
-          again: Path | None) -> None:
-    """Real placers as processes, with faults between them; the last line is the judge's verdict, exit 1 if broken."""
-    if again is not None:
-        verdict = judge(again)
-    else:
-        size = Size(placers, machines, seconds, seed, rate)
-        names = [f"placer-{index}" for index in range(placers)]
-        try:
-            faults = generate(seed, names, seconds) if script is None else read_script(script, names)
-        except BadScript as error:
-            click.echo(str(error), err=True)
-            sys.exit(2)
-        raise_descriptors(machines, placers * 4)
-        with tempfile.TemporaryDirectory(prefix="wingbarrow-fleet-") as folder:
-            hub = Hub()
-            rig = Rig(hub, size, faults, (out or Path(folder)).absolute(), silent)
-            rig.progress = lambda text: click.echo(text, err=True)
-            try:
-                hub.run(rig.run)
-            except (TimeoutError, NotStarted) as error:
-                click.echo(f"the fleet did not start: {error}; logs: {out or 'see --out'}", err=True)
-                sys.exit(2)
-            verdict = judge(rig.places.folder)
-    for note in verdict.notes:
-        click.echo(note, err=True)
-    click.echo(json.dumps(verdict.line()))
-    sys.exit(0 if verdict.clean else 1)
-
-
 @lab.command()
 @click.argument("name", required=False)
 @click.option("--list", "show", is_flag=True, help="Name the days.")
--- a/wingbarrow/lab/audit.py
+++ b/wingbarrow/lab/audit.py
@@ -238,6 +238,8 @@
                     self.audit.breach("spread_overruns", now, f"{key}: {self._spread[key]}")
 
     def _check_ended(self, data: dict[str, Any], now: int) -> None:
+        if data.get("epoch"):
+            return  # a run that a successor starts is no answer: it may come after one, and after its time
         uid = data["task"] if "uid" not in data else data["uid"]
         ended = self._ended_jobs.get(str(uid).partition("/")[0])
         if ended is not None and now > ended:
--- a/wingbarrow/lab/cluster.py
+++ b/wingbarrow/lab/cluster.py
@@ -108,13 +108,15 @@
 
 
 class Cluster:
-    """Machines, list source and placers of one day."""
+    """Machines, list source and placers of one day, or of one region of a fleet that shares a recording."""
 
     def __init__(self, hub: Hub, machines: int, placers: int, seed: int, log: Callable[..., None],
-                 builds: Callable[[int], Build] | None = None) -> None:
+                 builds: Callable[[int], Build] | None = None, region: str = "",
+                 record: Recorder | None = None) -> None:
         self.hub, self.log, self.seed = hub, log, seed
         self.random = random.Random(seed)
-        self.record = Recorder(hub.now_us)
+        self.record = record or Recorder(hub.now_us)
+        self._named = f"node-{region[0]}-" if region else "node-"
         self.source = ListSource(hub, seed + 1, self.record, self._say)
         self.machines: list[Machine] = []
         self._folder = tempfile.TemporaryDirectory(prefix="wingbarrow-lab-")
@@ -124,7 +126,7 @@
         for index in range(machines):
             hall, rack = place(index, machines)
             build = builds(index) if builds else (LARGE if index % 4 == 3 else SMALL)
-            self._add(replace(build, zone=hall, cell=rack))
+            self._add(replace(build, zone=f"{region}-{hall}" if region else hall, cell=rack))
         self.placers = [PlacerSlot(self, index, placers, seed + index, str(Path(self._folder.name) / f"p{index}"))
                         for index in range(placers)]
 
@@ -132,7 +134,8 @@
         self.log("stand-in", text=text)
 
     def _add(self, build: Build) -> Machine:
-        machine = Machine(self.hub, f"node-{self._made}", build, self.seed * 1000 + self._made, self.record, self._say)
+        machine = Machine(self.hub, f"{self._named}{self._made}", build, self.seed * 1000 + self._made, self.record,
+                          self._say)
         machine.changed = self._changed
         self._made += 1
         self.machines.append(machine)
@@ -179,6 +182,18 @@
             self.hub.spawn(call, "trouble")
         self.hub._at(at_us, due, None)
 
+    def dark(self, for_us: int) -> None:
+        """List source and machines go down at once, and come back, the machines cold."""
+        self.source.set_down(True)
+        fell = [machine for machine in self.machines if machine.up]
+        for machine in fell:
+            machine.die()
+        self.hub.sleep(for_us)
+        self.source.set_down(False)
+        for machine in fell:
+            machine.launch(cold=True)
+            self.source.show(machine.name, node_value(machine))
+
     def drain(self, machine: Machine, then_gone_s: float | None = 6.0) -> None:
         """The list says that a machine drains, it sends its tasks away, and goes."""
         if machine.name in self._gone:
--- a/wingbarrow/lab/fleet/commands.py
+++ b/wingbarrow/lab/fleet/commands.py
@@ -48,9 +48,12 @@
 
     def all_listed(self) -> bool:
         """Whether every placer has the whole list."""
-        wanted = self._places.size.machines
-        told = [self.get(slot, "/api/v1/nodes") for slot in self._places.slots]
-        return all(each is not None and len(each["items"]) >= wanted for each in told)
+        counts = self._places.layout.machines()
+        for slot in self._places.placers:
+            told = self.get(slot, "/api/v1/nodes")
+            if told is None or len(told["items"]) < counts[self._places.layout.region(slot.name)]:
+                return False
+        return True
 
     def agreed(self) -> bool:
         """Whether all placers that run act on the same version, with no step to come."""
@@ -83,14 +86,16 @@
     # -- commands
 
     def drawn(self, number: int) -> tuple[str, list[str]]:
-        """Settings with rules that differ from those at the beginning, and who shares the cold budget, by a number."""
+        """Settings with rules unlike those at the beginning, and who shares the cold budget, by a number."""
         places = self._places
         rng, text = random.Random(number), places.settings(places.slots[0])
         text = text.replace('by="cell" most=3', f'by="cell" most={rng.randrange(1, 4)}').replace(
             "offers=20", f"offers={rng.randrange(4, 21)}").replace(
             "attempts most=4", f"attempts most={rng.randrange(2, 5)}")
-        barred = "".join(f'bar "{machine.name}"\n' for machine in places.cluster.machines if rng.random() < 0.15)
-        sharers = rng.sample(places.names, rng.randrange(1, len(places.names) + 1))
+        barred = "".join(f'bar "{machine.name}"\n' for machine in places.machines if rng.random() < 0.15)
+        names = places.layout.names
+        sharers = rng.sample(names, rng.randrange(1, len(names) + 1))
+        text = text.replace("upper=90", f"upper={rng.randrange(70, 96)}")
         return text + barred, sharers
 
     def propose(self, number: int, slot: Slot) -> bool:
@@ -118,7 +123,7 @@
 
     def drain(self, fault: Fault) -> None:
         """Ask a placer to drain a machine for longer than any run, or to take that back."""
-        machines, slot = self._places.cluster.machines, self._places.slot(fault.who)
+        machines, slot = self._places.machines, self._places.slot(fault.who)
         name = machines[int(fault.amount) % len(machines)].name
         key = self._drains.pop(name, None)
         if key is not None:
--- a/wingbarrow/lab/fleet/link.py
+++ b/wingbarrow/lab/fleet/link.py
@@ -48,6 +48,7 @@
         self.cut_after: int | None = None
         self.cuts = self.connections = self.resets = self.doubles = 0
         self.severed = False
+        self.far_us = 0  # that bytes are on their way in either direction, without any fault
         self._random = random.Random(seed)
         self._changed = Signal(hub)
         self._open: dict[Stream, None] = {}
@@ -114,8 +115,8 @@
             while True:
                 data = source.receive()
                 way = self.back if back else self.forth
-                if way.delay_us:
-                    self.hub.sleep(way.delay_us)
+                if way.delay_us or self.far_us:
+                    self.hub.sleep(way.delay_us + self.far_us)
                 while (self.back if back else self.forth).cut:
                     self._changed.wait()
                 if way.reset_share and self._random.random() < way.reset_share:
--- a/wingbarrow/lab/fleet/places.py
+++ b/wingbarrow/lab/fleet/places.py
@@ -10,14 +10,17 @@
 import json
 import signal
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 from wingbarrow.lab.cluster import Cluster, settings_text
+from wingbarrow.lab.fleet.layout import FAR_US, WITNESS, Layout, Size
 from wingbarrow.lab.fleet.link import Network, Proxy
 from wingbarrow.lab.fleet.process import SECOND, Process
 from wingbarrow.lab.fleet.script import Fault
+from wingbarrow.lab.machine import Machine
+from wingbarrow.lab.record import Recorder
 from wingbarrow.store.votes import create
 from wingbarrow.transport import Hub, Nursery
 
@@ -26,22 +29,6 @@
 LEAVE_US = 20 * SECOND
 
 
-@dataclass(frozen=True, slots=True)
-class Size:
-    """What is played."""
-
-    placers: int = 5
-    machines: int = 10
-    seconds: float = 30.0
-    seed: int = 1
-    rate: float = 8.0  # tasks a second over all owners
-
-    @property
-    def voters(self) -> int:
-        """How many of them decide on rules."""
-        return 5 if self.placers >= 7 else 3 if self.placers >= 3 else 1
-
-
 class Slot:
     """One placer's place: its process, if it runs, and the link by which owners reach it."""
 
@@ -58,8 +45,9 @@
     def __init__(self, hub: Hub, size: Size, folder: Path, log: Callable[..., None]) -> None:
         self.hub, self.size, self.folder, self._log = hub, size, folder, log
         folder.mkdir(parents=True, exist_ok=True)
-        self.names = [f"placer-{index}" for index in range(size.placers)]
-        self.voters = self.names[:size.voters]
+        self.layout = Layout(size)
+        self.names, self.voters = self.layout.all, self.layout.voters
+        self.record = Recorder(hub.now_us)
         self._events = (folder / "events.jsonl").open("w", encoding="utf-8")
 
     def event(self, what: str, **fields: Any) -> None:
@@ -69,17 +57,33 @@
 
     def open(self, faults: list[Fault]) -> None:
         """Make stand-ins and links; nothing runs yet."""
-        hub, size = self.hub, self.size
+        hub, layout, seed = self.hub, self.layout, self.size.seed
+        self.clusters = {region: Cluster(hub, count, 0, seed + 1009 * at, self._log, region=region, record=self.record)
+                         for at, (region, count) in enumerate(layout.machines().items())}
+        self.network = Network(hub, self.names, seed)
+        for (one, other), link in self.network.links.items():
+            link.far_us = FAR_US if layout.far(one, other) else 0
+        self.slots = [Slot(name, index, Proxy(hub, 1, seed=index)) for index, name in enumerate(self.names)]
         (self.folder / "fleet.json").write_text(json.dumps({
-            "size": asdict(size), "names": self.names, "voters": self.voters,
+            "size": asdict(self.size), "names": self.names, "voters": self.voters, "regions": layout.places,
+            "machines": {machine.name: [region, machine.build.zone, machine.build.cell]
+                         for region, cluster in self.clusters.items() for machine in cluster.machines},
+            "specs": layout.specs(), "class_specs": layout.class_specs(),
             "faults": [asdict(fault) for fault in faults]}, indent=1))
-        self.cluster = Cluster(hub, size.machines, 0, size.seed, self._log)
-        self.network = Network(hub, self.names, size.seed)
-        self.slots = [Slot(name, index, Proxy(hub, 1, seed=index)) for index, name in enumerate(self.names)]
+
+    @property
+    def machines(self) -> list[Machine]:
+        """All of them, in order of regions."""
+        return [machine for cluster in self.clusters.values() for machine in cluster.machines]
+
+    def cluster(self, name: str) -> Cluster | None:
+        """List source and machines of a placer; None for one without any."""
+        return self.clusters.get(self.layout.region(name))
 
     def start_all(self) -> None:
         """Bring everything up; returns when all processes listen."""
-        self.cluster.start()
+        for cluster in self.clusters.values():
+            cluster.start()
         for name in self.voters:
             create(self.folder / f"{name}.state" / "rules", tuple(self.voters))
         with Nursery(self.hub) as nursery:
@@ -90,6 +94,11 @@
         """A placer's place."""
         return self.slots[self.names.index(name)]
 
+    @property
+    def placers(self) -> list[Slot]:
+        """Those with machines, whom owners ask."""
+        return [slot for slot in self.slots if slot.name != WITNESS]
+
     def running(self) -> list[Slot]:
         """Those whose process runs and is not stopped."""
         return [slot for slot in self.slots if slot.process is not None and not slot.stopped]
@@ -110,11 +119,20 @@
 
     def kill(self, slot: Slot) -> None:
         """Kill a placer's process."""
+        self.strike(slot)
+        self.bury(slot)
+
+    def strike(self, slot: Slot) -> None:
+        """It is killed when this returns, and not yet looked after."""
+        assert slot.process is not None
+        slot.process.send(signal.SIGKILL)
+        self.record(slot.name, "killed")
+        self.event("killed", who=slot.name, life=slot.lives)
+
+    def bury(self, slot: Slot) -> None:
+        """Wait for one that was struck."""
         process, slot.process = slot.process, None
         assert process is not None
-        process.send(signal.SIGKILL)
-        self.cluster.record(slot.name, "killed")
-        self.event("killed", who=slot.name, life=slot.lives)
         process.end(signal.SIGKILL)
         slot.front.to = 1
         self.network.moved(slot.name, 1)
@@ -134,17 +152,11 @@
                         f'{"" if name in seeds else " seed=false"}\n' for name in others)
         state = self.folder / f"{slot.name}.state"
         state.mkdir(exist_ok=True)
-        return (settings_text(slot.index, self.size.placers, self.size.seed + slot.index, self.cluster.source.port, 0,
-                              str(state)) + f'allow-peer "127.0.0.0/8"\nhistory "{self.folder}/{slot.name}'
-                f'.history.jsonl"\n{peers}{self._agree()}')
-
-    def _agree(self) -> str:
-        rate = self.size.rate
-        limits = (f'    limit "namespace/default" most={int(rate * 9)} stranded="40s"\n'
-                  f'    limit "class/web" most={int(rate * 10)} per="5s"\n    limit "cold"\n')
-        return "".join(["agree {\n", *[f'    voter "{name}"\n' for name in self.voters],
-                        *[f'    member "{name}"\n' for name in self.names if name not in self.voters], limits,
-                        "}\n"])
+        mates, cluster = self.layout.mates(slot.name), self.cluster(slot.name)
+        text = settings_text(mates.index(slot.name) if slot.name in mates else 0, len(mates),
+                             self.size.seed + slot.index, cluster.source.port if cluster else 1, 0, str(state))
+        return (self.layout.text(slot.name, text) + f'allow-peer "127.0.0.0/8"\nhistory "{self.folder}/{slot.name}'
+                f'.history.jsonl"\n{peers}{self.layout.agree()}')
 
     def close(self) -> None:
         """Ask all processes to end, wait, and write the recording."""
@@ -156,9 +168,10 @@
                 if slot.process is not None:
                     nursery.spawn(lambda slot=slot: self.event(  # type: ignore[misc]
                         "ended", who=slot.name, status=slot.process.end(signal.SIGTERM, LEAVE_US)), "ends")
-        self.cluster.record.write(self.folder / "recording.jsonl")
+        self.record.write(self.folder / "recording.jsonl")
         self._events.close()
         self.network.close()
         for slot in self.slots:
             slot.front.close()
-        self.cluster.close()
+        for cluster in self.clusters.values():
+            cluster.close()
--- a/wingbarrow/lab/fleet/rig.py
+++ b/wingbarrow/lab/fleet/rig.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 from wingbarrow.decide.peers.membership import Rules
 from wingbarrow.lab.fleet.commands import Commands
-from wingbarrow.lab.fleet.places import START_US, Places, Size
+from wingbarrow.lab.fleet.layout import Size
+from wingbarrow.lab.fleet.places import START_US, Places
 from wingbarrow.lab.fleet.process import SECOND
 from wingbarrow.lab.fleet.script import Fault
 from wingbarrow.lab.fleet.suffering import Suffering
 from wingbarrow.lab.load import Owners, PlacerAddress
-from wingbarrow.lab.wants import Mix, draw
+from wingbarrow.lab.wants import Mix, Want, draw
 from wingbarrow.transport import Hub, Nursery
 
 __all__ = ["Rig", "Size"]
@@ -53,13 +55,13 @@
         hub, places, commands, size = self._hub, self.places, self.commands, self.places.size
         places.event("begin")
         begun = hub.now_us()
-        owners = Owners(hub, [PlacerAddress(slot.name, slot.front.port) for slot in places.slots], size.seed + 77,
-                        places.cluster.record)
-        wants = draw(Mix(rate=size.rate), size.seconds, size.seed + 5)
+        until = begun + int(size.seconds * SECOND) + 60 * SECOND
         with Nursery(hub) as nursery:
             for fault in self._faults:
                 nursery.spawn(lambda fault=fault: self._suffer(fault, begun), "fault")  # type: ignore[misc]
-            nursery.spawn(lambda: owners.run(wants, begun + int(size.seconds * SECOND) + 60 * SECOND), "owners")
+            for owners, wants in self._owners():
+                nursery.spawn(lambda owners=owners, wants=wants: owners.run(wants, until),  # type: ignore[misc]
+                              "owners")
         hub.sleep_until(begun + int(size.seconds * SECOND))
         places.event("quiet")
         hub.sleep(SECOND)
@@ -67,12 +69,27 @@
         self.progress("the last fault is over")
         hub.sleep(TAIL_US // 4)
         # The judge holds the fleet to its stated time: the rig waits that long at most, and less where all is well.
-        end = hub.now_us() + Rules().heal_us(size.placers)
+        end = hub.now_us() + Rules().heal_us(len(places.names))
         while not (commands.whole() and commands.agreed()) and hub.now_us() < end:
             hub.sleep(SECOND // 5)
         hub.sleep(SECOND)
         places.event("over", lag_worst_us=hub.lag.worst_us)
 
+    def _owners(self) -> list[tuple[Owners, list[Want]]]:
+        """Those of each region ask its own placers; without regions all ask all."""
+        places, size, out = self.places, self.places.size, []
+        for at, (region, names) in enumerate(places.layout.regions.items() or [("", places.names)]):
+            addresses = [PlacerAddress(name, places.slot(name).front.port) for name in names]
+            mix = Mix(rate=size.rate)
+            if region:
+                mix = replace(mix, rate=size.rate / size.regions, life_s=(5.0, 25.0))
+            if places.layout.specs():
+                mix = replace(mix, settlement=0.08, classes=(("tracked", 0.35), ("parcel", 0.12)),
+                              federation=("homebound", 0.1))
+            out.append((Owners(self._hub, addresses, size.seed + 77 + 31 * at, places.record),
+                        draw(mix, size.seconds, size.seed + 5 + 31 * at, region[:1] or "w")))
+        return out
+
     def _suffer(self, fault: Fault, begun: int) -> None:
         self._hub.sleep_until(begun + fault.at_us)
         self.progress(f"{fault.kind} {fault.who} {fault.other} for {fault.lasts_us / SECOND:.1f} s")
--- a/wingbarrow/lab/fleet/script.py
+++ b/wingbarrow/lab/fleet/script.py
@@ -9,8 +9,18 @@
     drain "18s" "placer-2" amount=3
     faulty "20s" "placer-0" lasts="8s" amount=1
 
+    cut-region "9s" "north" lasts="20s" to="south" both=false
+    slow-region "9s" "north" lasts="9s" amount="300ms"
+    kill-region "9s" "north" lasts="20s" state=false machines=true
+    work "9s" "placer-1" lasts="6s" amount=203 state=true
+
 `propose` has a placer asked to change the rules, to variant `amount` of them; `drain` to drain a machine, by number,
 or to take that back where it is asked for; `faulty` has a machine, by number, fail every start (no placer concerned).
+With regions: `cut-region` cuts one off from all others, or one other; `slow-region` makes its links to others late;
+`kill-region` kills its placers (and machines), back with or without state; `work` has a worker ask for a machine (by
+the last two digits of `amount`, the hundreds are the urgency), work on it for so long once it is out, and give it back;
+with `state=false` it says nothing while it works.
+
 `late`, `slow`, `lossy` and `twice` take what `cut` takes, and `amount`: a time in words, bytes a second, a share.
 """
 
@@ -28,6 +38,8 @@
 SECOND = 1_000_000
 BETWEEN = ("cut", "late", "slow", "lossy", "twice", "reset")
 TO_ONE = ("isolate", "deafen", "stop", "kill", "propose", "drain", "faulty")
+WORK = "work"
+ON_REGIONS = ("cut-region", "slow-region", "kill-region")
 FAULTS_MOST = 10_000
 
 
@@ -47,6 +59,7 @@
     both: bool = True
     amount: float = 0.0  # microseconds, bytes a second, or a share
     state: bool = True  # a killed placer comes back with its state
+    machines: bool = False  # a killed region's go down too
 
     @property
     def end_us(self) -> int:
@@ -58,7 +71,7 @@
         return name in (self.who, self.other)
 
 
-def read_script(path: Path, names: list[str]) -> list[Fault]:
+def read_script(path: Path, names: list[str], regions: tuple[str, ...] = ()) -> list[Fault]:
     """The faults of a file; BadScript says what is wrong and where."""
     try:
         nodes = ckdl.parse(path.read_text(encoding="utf-8")).nodes
@@ -69,31 +82,35 @@
     out: list[Fault] = []
     for number, node in enumerate(nodes, 1):
         try:
-            out.append(_read(node, names))
+            out.append(_read(node, names, regions))
         except (ValueError, TypeError, KeyError) as error:
             raise BadScript(f"{path}: fault {number} ({node.name}): {error}") from None
     return sorted(out, key=lambda fault: fault.at_us)
 
 
-def _read(node: Any, names: list[str]) -> Fault:
-    props = dict(node.properties)
-    if node.name not in (*BETWEEN, *TO_ONE):
-        raise ValueError(f"one of {', '.join((*BETWEEN, *TO_ONE))} is wanted")
-    args = [str(each) for each in node.args]
-    if len(args) != (2 if node.name in TO_ONE else 1):
-        raise ValueError("a time is wanted" + (", and a placer" if node.name in TO_ONE else ""))
-    who, other = (args[1], "") if node.name in TO_ONE else (str(props.pop("from")), str(props.pop("to")))
+def _read(node: Any, names: list[str], regions: tuple[str, ...]) -> Fault:
+    props, kind = dict(node.properties), node.name
+    known = (*BETWEEN, *TO_ONE, *((WORK, *ON_REGIONS) if regions else ()))
+    if kind not in known:
+        raise ValueError(f"one of {', '.join(known)} is wanted")
+    args, on_region = [str(each) for each in node.args], kind in ON_REGIONS
+    if len(args) != (1 if kind in BETWEEN else 2):
+        what = "" if kind in BETWEEN else ", and a region" if on_region else ", and a placer"
+        raise ValueError("a time is wanted" + what)
+    who, other = ((str(props.pop("from")), str(props.pop("to"))) if kind in BETWEEN else
+                  (args[1], str(props.pop("to", "")) if on_region else ""))
     for name in filter(None, (who, other)):
-        if name not in names:
-            raise ValueError(f"no such placer: {name}")
+        if name not in (regions if on_region else names):
+            raise ValueError(f"no such {'region' if on_region else 'placer'}: {name}")
     if who == other:
         raise ValueError("a placer has no link to itself")
     amount = props.pop("amount", 0)
     figure = float(parse_duration(amount)) if isinstance(amount, str) else float(amount)
-    if node.name in ("lossy", "twice") and not 0 <= figure <= 1:
+    if kind in ("lossy", "twice") and not 0 <= figure <= 1:
         raise ValueError("amount: a share of 0 to 1 is wanted")
-    fault = Fault(node.name, parse_duration(args[0]), who, other, parse_duration(str(props.pop("lasts", "0s"))),
-                  bool(props.pop("both", True)), figure, bool(props.pop("state", True)))
+    fault = Fault(kind, parse_duration(args[0]), who, other, parse_duration(str(props.pop("lasts", "0s"))),
+                  bool(props.pop("both", True)), figure, bool(props.pop("state", True)),
+                  bool(props.pop("machines", False)))
     if props:
         raise ValueError(f"unknown: {', '.join(sorted(props))}")
     return fault
@@ -126,6 +143,32 @@
     return _apart(sorted(out, key=lambda fault: fault.at_us))
 
 
+def generate_regions(seed: int, places: dict[str, list[str]], seconds: float) -> list[Fault]:
+    """Faults of a play with regions (placers of each): what happens to whole regions, one after the other, beside less
+    of all else; and work on machines all along."""
+    rng, names = random.Random(f"regions/{seed}"), [name for some in places.values() for name in some]
+    out = [fault for fault in generate(seed, names, seconds) if rng.random() < 0.4]
+    at = rng.uniform(0.1, 0.2) * min(seconds, 90)
+    while at < 0.7 * seconds:
+        kind = rng.choice(("cut-region", "cut-region", "kill-region", "kill-region", "slow-region"))
+        lasts, who = rng.uniform(0.2, 0.6) * min(seconds, 75), rng.choice(list(places))
+        other = rng.choice([each for each in places if each != who]) if rng.random() < 0.3 else ""
+        lasts = min(lasts, 0.85 * seconds - at)
+        out.append(Fault(kind, int(at * SECOND), who, "" if kind == "kill-region" else other, int(lasts * SECOND),
+                         rng.random() < 0.75, float(rng.randrange(50_000, 1_500_000)) if kind == "slow-region" else 0.0,
+                         rng.random() < 0.7, kind == "kill-region" and rng.random() < 0.5))
+        at += lasts + rng.uniform(0.15, 0.4) * min(seconds, 75)
+    killed = [each for each in out if each.kind == "kill-region"]
+    # While a whole region is down nothing else is killed or stopped: who keeps its Jobs is to be there.
+    out = [each for each in out if each.kind not in ("kill", "stop") or not any(
+        region.at_us - 2 * SECOND <= each.end_us and each.at_us <= region.end_us + 5 * SECOND for region in killed)]
+    for turn in range(max(3, int(seconds / 15))):
+        at_us = int((0.05 + 0.6 * turn / max(3, int(seconds / 15)) + rng.uniform(0, 0.05)) * seconds * SECOND)
+        out.append(Fault(WORK, at_us, rng.choice(names), lasts_us=int(rng.uniform(2, 6) * SECOND),
+                         amount=float(rng.randrange(10) * 100 + rng.randrange(100)), state=rng.random() < 0.9))
+    return _apart(sorted(out, key=lambda fault: fault.at_us))
+
+
 def _apart(faults: list[Fault]) -> list[Fault]:
     """One thing at a time happens to each process; what comes while it is stopped or down is moved behind it."""
     free: dict[str, int] = {}
--- a/wingbarrow/lab/fleet/suffering.py
+++ b/wingbarrow/lab/fleet/suffering.py
@@ -8,6 +8,8 @@
 from wingbarrow.lab.fleet.places import Places
 from wingbarrow.lab.fleet.process import SECOND
 from wingbarrow.lab.fleet.script import Fault
+from wingbarrow.lab.fleet.worker import Worker
+from wingbarrow.transport import Nursery
 
 
 class Suffering:
@@ -15,13 +17,14 @@
 
     def __init__(self, places: Places, commands: Commands) -> None:
         self._places, self._commands, self._hub = places, commands, places.hub
+        self._worker = Worker(places, commands)
 
     def suffer(self, fault: Fault) -> None:
         """One fault, now; returns when it is over."""
         fields = {"kind": fault.kind, "who": fault.who, "other": fault.other, "amount": fault.amount,
                   "both": fault.both}
         self._places.event("fault", **fields)
-        getattr(self, "_" + fault.kind)(fault)
+        getattr(self, "_" + fault.kind.replace("-", "_"))(fault)
         self._places.event("healed", **fields)
 
     # -- links
@@ -76,14 +79,15 @@
 
     def _stop(self, fault: Fault) -> None:
         slot = self._places.slot(fault.who)
-        if slot.process is None:
+        process = slot.process
+        if process is None or slot.starting:
             return
-        self._places.cluster.record(slot.name, "hold", for_us=fault.lasts_us)
+        self._places.record(slot.name, "hold", for_us=fault.lasts_us)
         slot.stopped = True
-        slot.process.send(signal.SIGSTOP)
+        process.send(signal.SIGSTOP)
         self._places.event("stopped", who=slot.name)
         self._hub.sleep(fault.lasts_us)
-        slot.process.send(signal.SIGCONT)
+        process.send(signal.SIGCONT)
         slot.stopped = False
         self._places.event("continued", who=slot.name)
 
@@ -97,9 +101,43 @@
         self._hub.sleep(fault.lasts_us)
         self._places.start(slot)
 
+    # -- regions
+
+    def _across(self, fault: Fault) -> list[tuple[str, str]]:
+        """Each link from a region to another, or all others; the other way too where the fault is on both."""
+        regions = self._places.layout.places
+        others = [fault.other] if fault.other else [region for region in regions if region != fault.who]
+        pairs = [(a, b) for a in regions[fault.who] for region in others for b in regions[region]]
+        return pairs + [(b, a) for a, b in pairs] * fault.both
+
+    def _cut_region(self, fault: Fault) -> None:
+        self._between(fault, self._across(fault), {"cut": True}, {"cut": False})
+
+    def _slow_region(self, fault: Fault) -> None:
+        self._between(fault, self._across(fault), {"delay_us": int(fault.amount)}, {"delay_us": 0})
+
+    def _kill_region(self, fault: Fault) -> None:
+        """All its placers at once, and its list source and machines where that is wanted."""
+        places = self._places
+        slots = [places.slot(name) for name in places.layout.places[fault.who]]
+        slots = [slot for slot in slots if slot.process is not None and not slot.starting]
+        for slot in slots:
+            places.strike(slot)
+        with Nursery(self._hub) as nursery:
+            for slot in slots:
+                nursery.spawn(lambda slot=slot: places.bury(slot), "buries")  # type: ignore[misc]
+            if fault.machines and fault.who in places.clusters:
+                nursery.spawn(lambda: places.clusters[fault.who].dark(fault.lasts_us), "region")
+            self._hub.sleep(fault.lasts_us)
+        with Nursery(self._hub) as nursery:
+            for slot in slots:
+                if not fault.state:
+                    places.forget(slot)
+                nursery.spawn(lambda slot=slot: places.start(slot), "starts")  # type: ignore[misc]
+
     def _faulty(self, fault: Fault) -> None:
         """A machine, by number, fails every start."""
-        machines = self._places.cluster.machines
+        machines = self._places.machines
         machine = machines[int(fault.amount) % len(machines)]
         machine.faulty = True
         self._hub.sleep(fault.lasts_us)
@@ -113,3 +151,6 @@
 
     def _drain(self, fault: Fault) -> None:
         self._commands.drain(fault)
+
+    def _work(self, fault: Fault) -> None:
+        self._worker.work(fault)
--- a/wingbarrow/lab/load.py
+++ b/wingbarrow/lab/load.py
@@ -116,7 +116,8 @@
         asked.until_us = sent_us + patience
         self.open += 1
         self._record("owner", "accepted", placer=placer.name, job=name, uid=value["metadata"]["uid"],
-                     task=want.ident, task_class=want.task_class, patience_us=patience, sent_us=sent_us)
+                     task=want.ident, task_class=want.task_class, patience_us=patience, sent_us=sent_us,
+                     federation=want.federation)
         self._see(index, value)
         self._spawn(lambda: self._give_up(index, asked))
         if self.delete_share and self._deletes.random() < self.delete_share:
--- a/wingbarrow/lab/wants.py
+++ b/wingbarrow/lab/wants.py
@@ -9,7 +9,7 @@
 from wingbarrow.kube import names
 
 SECOND = 1_000_000
-PATIENCE_US = {"web": 5 * SECOND, "settlement": 10 * SECOND}
+PATIENCE_US = {"web": 5 * SECOND, "settlement": 10 * SECOND, "tracked": 5 * SECOND, "parcel": 5 * SECOND}
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +23,7 @@
     cores: float
     memory: float
     runs_us: int
+    federation: str = ""  # the spec that its Job names
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +33,8 @@
     rate: float = 14.0  # tasks a second
     services: int = 40
     settlement: float = 0.02  # share of it
+    classes: tuple[tuple[str, float], ...] = ()  # in place of `web`: so much of it each
+    federation: tuple[str, float] = ("", 0.0)  # a spec that so much of `web` names
     life_s: tuple[float, float] = (4.0, 16.0)
     burst: tuple[tuple[float, float, float], ...] = ()  # from, until (seconds), times the usual rate
 
@@ -51,19 +54,32 @@
         else:
             task_class, cores, memory = "web", *rng.choice(((0.5, 1.0), (1.0, 2.0), (2.0, 3.0)))
             runs = rng.uniform(*mix.life_s)
+            task_class = _other(mix, rng)
         service = f"{task_class}-{min(rng.randrange(mix.services), rng.randrange(mix.services))}"
+        named = mix.federation[1] and task_class == "web" and rng.random() < mix.federation[1]
         out.append(Want(int(at * SECOND), f"{prefix}{len(out)}", task_class, service, cores, memory,
-                        int(runs * SECOND)))
+                        int(runs * SECOND), mix.federation[0] if named else ""))
+
+
+def _other(mix: Mix, rng: random.Random) -> str:
+    """`web`, or a class that takes some of its place; draws nothing where there is none."""
+    drawn = rng.random() if mix.classes else 1.0
+    for name, share in mix.classes:
+        if drawn < share:
+            return name
+        drawn -= share
+    return "web"
 
 
 def job_value(want: Want, name: str, patience_us: int) -> dict[str, Any]:
     """The Job that an owner submits."""
+    named = {names.FEDERATION: want.federation} if want.federation else {}
     return {
         "apiVersion": "batch/v1", "kind": "Job",
         "metadata": {"name": name, "labels": {names.CLASS: want.task_class, names.SERVICE: want.service},
                      "annotations": {names.PATIENCE: f"{patience_us // 1000}ms",
                                      names.EXPECTED: f"{want.runs_us // 1000}ms",
-                                     names.RUNS_FOR: f"{want.runs_us // 1000}ms"}},
+                                     names.RUNS_FOR: f"{want.runs_us // 1000}ms", **named}},
         "spec": {"template": {
             "metadata": {"annotations": {"lab/task": want.ident}},
             "spec": {"restartPolicy": "Never", "containers": [{
