The judge of regions: leases, reissues, specs and turns, from recordings and histories alone

Nothing looked at what a fleet of regions owes: that what must not start twice starts once over all of them, that a lease that cannot have been renewed ends, that lost work runs again in time and not too soon. The judge now counts double starts, sends and runs past their lease, early reissues, lost runs, runs in forbidden regions, answers of two placers, machines out beyond a budget, worked on with a task or out of the settled order. When a session can have been renewed is read from the rig's own events (cuts, stops, kills), beside what machines told; stated times are formulas in one file, the only code that is shared with what is judged.

Plays without regions are judged as before.

--- a/tests/lab/made.py
+++ b/tests/lab/made.py
@@ -29,7 +29,7 @@
         self.folder = folder
         self.names = [f"placer-{index}" for index in range(placers)]
         (folder / "fleet.json").write_text(json.dumps({
-            "size": {"placers": placers}, "names": self.names, "voters": self.names[:3], **fleet}))
+            "size": {"placers": placers}, "faults": [], "names": self.names, "voters": self.names[:3], **fleet}))
         text = settings_text(0, placers, 1, 1, 0, str(folder)) + more
         (folder / "placer-0.kdl").write_text(text)
         self.rules = rules_of(load_text(text)).text()
@@ -37,7 +37,8 @@
         self.events.append({"at_us": seconds * S, "what": "over", "lag_worst_us": 0})
         self.records: list[dict[str, Any]] = []
         self.histories: dict[str, list[dict[str, Any]]] = {
-            name: [{"at_us": 1, "what": "rules", "label": "e1", "edition": 1, "rules": self.rules}]
+            name: [{"at_us": 1, "what": "rules", "label": "e1", "edition": 1, "rules": self.rules},
+                   *({"at_us": 1, "what": "member-joined", "member": other} for other in self.names if other != name)]
             for name in self.names}
 
     def event(self, at_s: float, what: str, **fields: Any) -> None:
--- a/tests/lab/test_refusals.py
+++ b/tests/lab/test_refusals.py
@@ -9,7 +9,7 @@
 from tests.lab.made import Made
 from wingbarrow.decide.peers.asking import Times
 from wingbarrow.lab.fleet.judge import judge
-from wingbarrow.lab.fleet.judging.refusals import needless_us
+from wingbarrow.lab.fleet.judging.formulas import needless_us
 
 LIMIT = "429 limit namespace/default/standing of the whole fleet: 40 at once"
 RATE = "429 limit class/web/rate of the whole fleet: 20 in 5 s"
--- a/wingbarrow/lab/fleet/judge.py
+++ b/wingbarrow/lab/fleet/judge.py
@@ -19,6 +19,20 @@
 - **not on the last**: a placer that runs at the end acts on other rules than those accepted last, or has other machines
   drained than were asked for and not taken back;
 - **not healed**: a stated time after the last fault, one that runs does not hold another that runs for alive.
+
+Over regions:
+
+- **double start**: of a task that must not start twice, anywhere; of a keyed one by a successor, within its window and
+  group;
+- **past lease**: an offer or a run past what its machine was told, or past what its session can have been renewed for:
+  not since its holder last heard a leader with a majority, or ran (by more than the slack);
+- **early reissue**: a start under a later epoch while a machine still holds the lease of the one before, or sooner than
+  the voters' reckoning allows after its holder was surely in touch;
+- **lost run**: leased safe work of a region that was lost, with all others well, that did not run again in time;
+- **forbidden region**: a run where its spec does not allow it;
+- **turn over**, **worked on busy**, **turn disorder**: a machine out beyond a budget, worked on with a task on it, or
+  closed before one of its cell that stood earlier;
+- **double answer**: final answers of two placers for one Job.
 """
 
 from __future__ import annotations
@@ -28,13 +42,16 @@
 from wingbarrow.config import load_file
 from wingbarrow.lab.audit import audit
 from wingbarrow.lab.fleet.judging.burials import judge_burials, judge_end
+from wingbarrow.lab.fleet.judging.leases import judge_leases
 from wingbarrow.lab.fleet.judging.limits import judge_closures, judge_limits
 from wingbarrow.lab.fleet.judging.refusals import judge_refusals
 from wingbarrow.lab.fleet.judging.rules import judge_rules
 from wingbarrow.lab.fleet.judging.run import Run
+from wingbarrow.lab.fleet.judging.turns import judge_turns
 from wingbarrow.lab.fleet.judging.verdict import Verdict
 
-CONCERNS = (judge_rules, judge_limits, judge_refusals, judge_closures, judge_burials, judge_end)
+CONCERNS = (judge_rules, judge_limits, judge_refusals, judge_closures, judge_burials, judge_end, judge_leases,
+            judge_turns)
 
 
 def judge(folder: Path) -> Verdict:
--- /dev/null
+++ b/wingbarrow/lab/fleet/judging/formulas.py
@@ -0,0 +1,41 @@
+"""Stated times, as formulas with their figures: all that the judge shares with what it judges. Microseconds."""
+
+from __future__ import annotations
+
+from wingbarrow.decide.peers.asking import Times
+from wingbarrow.decide.peers.leasing import reckoned_us
+from wingbarrow.decide.peers.limits import drifted_us
+
+TURN_US = 10_000  # the hub's longest turn, between the gate and the write
+LOOKS = 8  # in a lease: how often a leader looks at sessions at least
+CLAIM_US = 2_000_000  # a successor waits so long at most for what else is known of a safe Job
+STARTS, EVERY_US = 32, 100_000  # of Jobs taken over, in one go
+ROUND_US = 250_000  # a decision among the voters
+START_US = 5_000_000  # of the patience in which each is offered to machines and starts
+KNOWN_US = 15_000_000  # until a leader knows that a machine is lost, or is there again
+
+
+def needless_us(times: Times) -> int:
+    """For how long a placer may turn away for want of rules or rights once it is in touch with a majority.
+
+    A grant that somebody lost has to lapse (`grant_us`, by any clock), a leader be elected (twice `election_us` at
+    most, where no vote is split), and three asks go out: who leads, a grant, and rights by the next one.
+    """
+    return drifted_us(times.grant_us) + 2 * times.election_us + 3 * (times.again_us + times.again_us // 2)
+
+
+def reissued_within_us(lease_us: int, after_us: int, jobs: int, times: Times) -> int:
+    """From a region's loss until the last of so many safe runs of it stands elsewhere, where there is room.
+
+    A leader is elected where it went with the region; by it the session lapses (`reckoned_us`, or `after_us`), which
+    it sees at one of its looks and has decided in one round; each successor hears with its next grant, claims, and
+    gives its Jobs to the core in order, which has them started.
+    """
+    ended = max(reckoned_us(lease_us, TURN_US), drifted_us(after_us)) + lease_us // LOOKS + ROUND_US
+    paced = EVERY_US * (1 + (jobs + STARTS - 1) // STARTS)
+    return needless_us(times) + ended + 2 * times.grant_us // 3 + CLAIM_US + paced + START_US
+
+
+def reissued_after_us(lease_us: int, after_us: int, times: Times) -> int:
+    """No sooner than this after a session's holder was surely renewed: the last grant before is at most a grant old."""
+    return max(reckoned_us(lease_us, TURN_US), after_us) - drifted_us(times.grant_us)
--- a/wingbarrow/lab/fleet/judging/refusals.py
+++ b/wingbarrow/lab/fleet/judging/refusals.py
@@ -9,11 +9,12 @@
 
 import re
 from bisect import bisect_left, bisect_right
-from itertools import combinations
 
 from wingbarrow.decide.peers.asking import Times
-from wingbarrow.decide.peers.limits import FleetLimit, drifted_us
+from wingbarrow.decide.peers.limits import FleetLimit
 from wingbarrow.lab.fleet.holding import loosest
+from wingbarrow.lab.fleet.judging.formulas import needless_us
+from wingbarrow.lab.fleet.judging.reach import Touch
 from wingbarrow.lab.fleet.judging.run import NEVER, Run
 from wingbarrow.lab.fleet.judging.verdict import Verdict
 from wingbarrow.lab.record import Record
@@ -23,42 +24,6 @@
 _NO_RULES = "may act on no rules"
 
 
-def needless_us(times: Times) -> int:
-    """For how long a placer may turn away for want of rules or rights once it is in touch with a majority.
-
-    A grant that somebody lost has to lapse (`grant_us`, by any clock), a leader be elected (twice `election_us` at
-    most, where no vote is split), and three asks go out: who leads, a grant, and rights by the next one.
-    """
-    return drifted_us(times.grant_us) + 2 * times.election_us + 3 * (times.again_us + times.again_us // 2)
-
-
-class Touch:
-    """From when to when each placer was in touch with a majority of the voters."""
-
-    def __init__(self, run: Run) -> None:
-        self._run = run
-        self._apart: dict[frozenset[str], list[tuple[int, int]]] = {}
-        self._away: dict[str, list[tuple[int, int]]] = {name: [] for name in run.names}
-        for each in run.apart:
-            self._apart.setdefault(frozenset((each.who, each.other)), []).append((each.begin_us, each.end_us))
-        for name, lives in run.up.items():
-            edges = [0, *(at for life in lives for at in (life.begin_us, life.end_us)), NEVER]
-            self._away[name] += [(edges[i], edges[i + 1]) for i in range(0, len(edges), 2)]
-        for each in run.stops:
-            self._away[each.who].append((each.begin_us, each.end_us))
-
-    def since(self, who: str, begin_us: int, end_us: int) -> bool:
-        """Whether it was in touch with one majority all the time between."""
-        others = [name for name in self._run.voters if name != who]
-        wanted = len(self._run.voters) // 2 + 1 - (who in self._run.voters)
-        return any(self._whole((who, *some), begin_us, end_us) for some in combinations(others, wanted))
-
-    def _whole(self, names: tuple[str, ...], begin_us: int, end_us: int) -> bool:
-        spans = [*(span for name in names for span in self._away[name]),
-                 *(span for pair in combinations(names, 2) for span in self._apart.get(frozenset(pair), ()))]
-        return not any(begin <= end_us and begin_us <= end for begin, end in spans)
-
-
 class Stood:
     """What stood at the stand-ins at a time, of a class or of all."""
 
--- a/wingbarrow/lab/fleet/judging/rules.py
+++ b/wingbarrow/lab/fleet/judging/rules.py
@@ -6,7 +6,8 @@
 
 from wingbarrow.decide.peers.agreement import Times
 from wingbarrow.decide.peers.rules import RuleSet, allows, keeps_floor, read
-from wingbarrow.lab.fleet.judging.run import NEVER, TURN_US, Run
+from wingbarrow.lab.fleet.judging.formulas import TURN_US
+from wingbarrow.lab.fleet.judging.run import NEVER, Run
 from wingbarrow.lab.fleet.judging.verdict import Verdict
 from wingbarrow.lab.record import Record
 
--- a/wingbarrow/lab/fleet/judging/run.py
+++ b/wingbarrow/lab/fleet/judging/run.py
@@ -14,8 +14,8 @@
 
 NEVER = 1 << 62
 SLACK_US = 250_000  # by which the rig itself may read an answer late, beside the worst lag that it saw of itself
-TURN_US = 10_000  # the hub's longest turn, between the gate and the write
 ON_LINKS = ("cut", "late", "slow", "lossy", "reset", "isolate", "deafen", "cut-region", "slow-region")
+CUTS = ("cut", "isolate", "deafen", "cut-region")
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +50,18 @@
     """One run's directory, read.
 
     `up`: lives of each placer; `troubles`: faults of links, stops, and times down; among them `stops`, and `apart`:
-    two placers whose link had a fault by which mail is lost or late, in whatever direction.
+    two placers whose link had a fault by which mail is lost or late, in whatever direction; `cuts`: by which none
+    passes.
     """
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         fleet = json.loads((folder / "fleet.json").read_text())
         self.size: dict[str, Any] = fleet["size"]
+        self.machines: dict[str, list[str]] = fleet.get("machines", {})  # region, zone and cell of each
+        self.specs: dict[str, dict[str, Any]] = fleet.get("specs", {})
+        self.class_specs: dict[str, str] = fleet.get("class_specs", {})
+        self.lease_us = int(self.size.get("lease_s", 10) * 1_000_000)
         self.names: list[str] = fleet.get("names") or [f"placer-{index}" for index in range(self.size["placers"])]
         self.voters: list[str] = fleet.get("voters") or self.names[:3 if len(self.names) < 7 else 5]
         self.events = read_lines(folder / "events.jsonl")
@@ -70,6 +75,7 @@
         self.troubles: list[Span] = []
         self.stops: list[Span] = []
         self.apart: list[Span] = []
+        self.cuts: list[Span] = []
         self._read_events()
 
     def _read_events(self) -> None:
@@ -113,6 +119,8 @@
         spans = [Span(begin_us, end_us, a, b) for a in ones for b in others]
         if kind in ON_LINKS:
             self.apart += spans
+        if kind in CUTS:
+            self.cuts += spans
         self.troubles += spans if who in self.regions else [Span(begin_us, end_us, who, other)]
 
     @cached_property
@@ -130,6 +138,15 @@
         found = [(name, each) for name, lines in self.histories.items() for each in lines if each["what"] == what]
         return sorted(found, key=lambda one: (int(one[1]["at_us"]), one[0]))
 
+    def region(self, placer: str) -> str:
+        """Of a placer; "" without regions."""
+        return next((region for region, names in self.regions.items() if placer in names), "")
+
+    def life(self, placer: str, at_us: int) -> Span | None:
+        """The life of a placer that was on at a time, or the last before it."""
+        lives = [life for life in self.up.get(placer, ()) if life.begin_us <= at_us]
+        return lives[-1] if lives else None
+
     def running(self) -> list[str]:
         """Placers that run at the end."""
         return [name for name in self.names if any(span.end_us == NEVER for span in self.up[name])]
--- /dev/null
+++ b/wingbarrow/lab/fleet/judging/turns.py
@@ -0,0 +1,135 @@
+"""Turns: machines out at once against budgets, work on machines with tasks, and the settled order."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from wingbarrow.decide.drains import Rules, Scope
+from wingbarrow.lab.fleet.judging.formulas import KNOWN_US
+from wingbarrow.lab.fleet.judging.run import NEVER, Run
+from wingbarrow.lab.fleet.judging.verdict import Verdict
+
+AGE_US = 600_000_000  # what has waited for so long counts as one more urgent
+TAKEN = ("closing", "empty", "out", "back")
+
+
+@dataclass(slots=True)
+class Turn:
+    """One that was asked for: when it entered each state first, by any history."""
+
+    number: int
+    machine: str
+    urgency: int
+    asked_us: int
+    entered: dict[str, int] = field(default_factory=dict)
+
+    def since_us(self, *states: str) -> int:
+        """When it entered one of some first."""
+        return min((self.entered[state] for state in states if state in self.entered), default=NEVER)
+
+
+def judge_turns(run: Run, out: Verdict) -> None:
+    """All lines that are about turns."""
+    if not run.machines:
+        return
+    turns = {each["number"]: Turn(each["number"], each["machine"], each["urgency"], each["at_us"])
+             for each in run.events if each["what"] == "turn-asked" and isinstance(each["number"], int)}
+    out.turns = len(turns)
+    for _, each in run.lines("turn"):
+        turn = turns.setdefault(each["number"], Turn(each["number"], each["machine"], 0, each["at_us"]))
+        turn.entered.setdefault("back" if each["state"] == "over" else each["state"], each["at_us"])
+    for record in run.records:
+        if record.what == "work-begin" and record.data["turn"] in turns:
+            turns[record.data["turn"]].entered.setdefault("out", record.at_us)
+    _judge_budgets(run, out, list(turns.values()))
+    _judge_order(run, out, list(turns.values()))
+    _judge_work(run, out)
+
+
+def _judge_budgets(run: Run, out: Verdict, turns: list[Turn]) -> None:
+    """At each `out`: with machines that were lost for so long that any leader knew."""
+    for turn in turns:
+        at = turn.since_us("out")
+        if at == NEVER:
+            continue
+        gone = {each.machine for each in turns if each.since_us("out") <= at < each.since_us("back", "done")}
+        gone |= _lost(run, at)
+        for budget in Rules().budgets:
+            length = {Scope.CELL: 3, Scope.ZONE: 2}.get(budget.scope)
+            if length is None:
+                continue
+            place = run.machines[turn.machine][:length]
+            inside = [name for name, each in run.machines.items() if each[:length] == place]
+            away, most = sum(name in gone for name in inside), budget.most_out(len(inside))
+            if away > most:
+                out.breach("turn_overs", f"{at}: turn {turn.number} took {turn.machine} out, {away} of "
+                           f"{'/'.join(place)} are; {most} may be")
+                break
+
+
+def _lost(run: Run, at_us: int) -> set[str]:
+    """Machines that were down at a time and for long before it."""
+    down: dict[str, int] = {}
+    for each in run.records:
+        if each.at_us > at_us:
+            break
+        if each.what == "die":
+            down[each.where] = each.at_us
+        elif each.what == "launch":
+            down.pop(each.where, None)
+    return {name for name, since in down.items() if since <= at_us - KNOWN_US}
+
+
+def _judge_order(run: Run, out: Verdict, turns: list[Turn]) -> None:
+    """Of two in one cell, which all budgets treat alike, the one that stands earlier is closed first.
+
+    Both have to be in the queue for so long that whoever leads knows how things stand; none of the two lost, nor their
+    region.
+    """
+    for later in turns:
+        at = later.since_us(*TAKEN)
+        for other in turns if at != NEVER else ():
+            if other is later or run.machines[other.machine] != run.machines[later.machine] or other.machine == (
+                    later.machine):
+                continue
+            waited = other.asked_us <= at - KNOWN_US and other.since_us(*TAKEN, "given-back") > at + KNOWN_US
+            if waited and _level(other) < _level(later) and not _shaken(run, other.machine, at):
+                out.breach("turn_disorder", f"{at}: turn {later.number} of {later.machine} was closed before "
+                           f"{other.number} of {other.machine}")
+
+
+def _level(turn: Turn) -> int:
+    """The first part of the settled order: urgency, one more for each period of waiting."""
+    return turn.asked_us // AGE_US - turn.urgency
+
+
+def _shaken(run: Run, machine: str, at_us: int) -> bool:
+    """Whether a machine, or a placer of its region, was away lately."""
+    names = run.regions.get(run.machines[machine][0], run.names)
+    return any(each.where == machine and each.what in ("die", "launch") and at_us - 2 * KNOWN_US <= each.at_us <= at_us
+               for each in run.records) or any(
+        each.meets(at_us - 2 * KNOWN_US, at_us, *names) for each in run.troubles)
+
+
+def _judge_work(run: Run, out: Verdict) -> None:
+    """Work on a machine with a task on it: as its worker saw it, or by the machine's own starts and ends."""
+    running: dict[str, set[str]] = {}
+    worked: dict[str, int] = {}
+    for each in run.records:
+        where, data = each.where, each.data
+        if each.what == "launch":
+            running[where] = set()
+        elif each.what == "start":
+            running.setdefault(where, set()).add(data["pod"])
+            if where in worked:
+                out.breach("worked_on_busy", f"{each.at_us}: {data['pod']} started on {where} in turn {worked[where]}")
+        elif each.what == "end":
+            running.setdefault(where, set()).discard(data["pod"])
+        elif each.what == "work-end":
+            worked.pop(where, None)
+        elif each.what == "work-begin":
+            worked[where] = data["turn"]
+            there = max(int(data["tasks"]), len(running.get(where, ())))
+            if there:
+                out.breach("worked_on_busy", f"{each.at_us}: {where} was worked on in turn {data['turn']} with {there} "
+                           "task(s) on it")
--- a/wingbarrow/lab/fleet/judging/verdict.py
+++ b/wingbarrow/lab/fleet/judging/verdict.py
@@ -8,7 +8,9 @@
 from wingbarrow.lab.audit import Audit
 
 BREACHES = ("unfounded_burials", "late_burials", "not_healed", "contradictions", "forbidden_sends", "limit_overs",
-            "unfounded_closures", "not_on_last", "ended_badly", "needless_refusals")
+            "unfounded_closures", "not_on_last", "ended_badly", "needless_refusals",
+            "double_starts", "past_lease", "early_reissues", "lost_runs", "forbidden_regions", "turn_overs",
+            "worked_on_busy", "turn_disorder", "double_answers")
 NOTES_MOST = 100
 
 
@@ -44,6 +46,21 @@
     heal_stated_ms: int = 0
     heal_longest_ms: int | None = None
     slack_ms: int = 0
+    regions: int = 0  # with machines; all that follows is about them
+    leased: int = 0  # Jobs accepted
+    reissued: int = 0  # Jobs started again by a successor
+    double_starts: int = 0
+    past_lease: int = 0
+    early_reissues: int = 0
+    lost_runs: int = 0
+    forbidden_regions: int = 0
+    turns: int = 0  # asked for and taken into the queue
+    turn_overs: int = 0
+    worked_on_busy: int = 0
+    turn_disorder: int = 0
+    double_answers: int = 0  # by two placers; with the audit's, by one
+    stated_reissue_ms: int = 0
+    longest_reissue_ms: int = 0
     audit: Audit = field(default_factory=Audit)
     notes: list[str] = field(default_factory=list)
 
@@ -66,4 +83,5 @@
     def line(self) -> dict[str, Any]:
         """The last line of a run."""
         own = {key: value for key, value in vars(self).items() if key not in ("audit", "notes")}
-        return {"kind": "verdict", **own, **{key: value for key, value in self.audit.line().items() if key != "kind"}}
+        audit = {key: value for key, value in self.audit.line().items() if key != "kind"}
+        return {"kind": "verdict", **own, **audit, "double_answers": self.double_answers + self.audit.double_answers}
