Tests of sessions, their mail and their whole path; asks that hear nothing renew for a while only

A placer that is heard and does not hear kept its session, and so its work, for good behind a cut that is one way: it says now that no grant comes to it, and is renewed for half a lease more. All on the virtual clock.

--- /dev/null
+++ b/tests/lab/test_leasemodel.py
@@ -0,0 +1,18 @@
+"""The model of leases, explored whole with a lease of two ticks; longer ones by `benchmarks.leases --model`."""
+
+from __future__ import annotations
+
+import pytest
+
+from wingbarrow.lab.fleet.leasemodel import ERRORS, LeasePlan, explore_leases
+
+
+def test_no_way_leads_to_two_copies_or_to_a_send_after_the_end() -> None:
+    explored = explore_leases(LeasePlan(lease=2))
+    print(f"{explored.states} states")
+    assert not explored.way and explored.states > 10_000
+
+
+@pytest.mark.parametrize("planted", ERRORS)
+def test_a_planted_error_is_found_by_its_shortest_way(planted: str) -> None:
+    assert explore_leases(LeasePlan(lease=2, planted=planted)).way
--- a/tests/peers/test_message.py
+++ b/tests/peers/test_message.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wingbarrow.decide.peers.asking import Ask, Grant
+from wingbarrow.decide.peers.leasing import (
+    ENDED_MOST, KEPT_MOST, RECORD_MOST, AskMachine, Ended, Keep, KeepAnswer, Kept, Known, MachineSays, Record, Session,
+    SessionsSaid, SessionsTold, Settle, Settled)
+from wingbarrow.decide.peers.turns import TURNS_MOST, TurnsSaid, TurnsTold
 from wingbarrow.decide.peers.words import Ack, Nack, Probe, ProbeFor, Standing, Sync, Word
+from wingbarrow.peers.bounds import RECORDS_MOST, UIDS_MOST
 from wingbarrow.peers.message import LETTERS_MOST, MAIL_MOST, BadMail, read_mail, write_letter, write_mail
 
 WORD = Word("placer-1", 7, Standing.SUSPECTED, "127.0.0.1:1", "north", 3, "placer-2")
@@ -67,3 +74,48 @@
         read_mail(bytes(raw), "main")
     except BadMail:
         pass
+
+
+# -- leases
+
+OF = Session("p", 1, 2)
+RECORD = Record(1, "u", "default/j", OF, 0, 1, "north", "shop", "unsafe", "none", 0, 5, 3, 1.0, 2.0, 1, "{}", ("k",),
+                "", 0, (Known(0, "about", "m", "pod", 3),))
+ENDED = Ended(1, OF, "north", (("k", "l"), ("m",)), ("k",), 3)
+LEASING = [
+    Ask(1, 0, 0, sessions=SessionsSaid("north", 1, 2, (Kept(OF, 3, 4),), 5, True), turns=TurnsSaid((1,), (2,), (3,))),
+    Grant(1, 0, "", 1, 0, 0, "", 0, sessions=SessionsTold(True, 1, 10, 3, (ENDED,), 9),
+          turns=TurnsTold(1, ((1, "m", "out", ""),))),
+    Keep(1, OF, (RECORD,), ("u",)), KeepAnswer(1, OF, False, "full", True), Settle(1, OF, ("u",)),
+    Settled(1, OF, (("u", 3, "run"),)), AskMachine(1, "m", "u", 3), MachineSays(1, "m", "u", True, False, 9)]
+
+
+def letters(*messages: Any) -> bytes:
+    return write_mail("main", "p", "127.0.0.1:1", [write_letter(each) for each in messages])
+
+
+def test_what_is_said_of_leases_is_read_as_it_was_written() -> None:
+    assert read_mail(letters(*LEASING), "main").messages == LEASING
+
+
+@pytest.mark.parametrize("message", [
+    Ask(1, 0, 0, sessions=SessionsSaid("x" * 254, 1, 2)), Ask(1, 0, 0, sessions=SessionsSaid("r", -1, 2)),
+    Ask(1, 0, 0, sessions=SessionsSaid("r", 1, 2, (Kept(OF, 1, 1),) * 2)),
+    Ask(1, 0, 0, sessions=SessionsSaid("r", 1, 2, tuple(Kept(Session("p", n, 1), 1, 1) for n in range(KEPT_MOST + 1)))),
+    Ask(1, 0, 0, sessions=SessionsSaid("r", 1, 2, (Kept(replace(OF, placer=""), 1, 1),))),
+    Ask(1, 0, 0, turns=TurnsSaid(tuple(range(TURNS_MOST + 1)))),
+    Grant(1, 0, "", 1, 0, 0, "", 0, sessions=SessionsTold(True, 1, 0, 3)),
+    Grant(1, 0, "", 1, 0, 0, "", 0, sessions=SessionsTold(True, 1, 10, 3, (ENDED,) * (ENDED_MOST + 1))),
+    Grant(1, 0, "", 1, 0, 0, "", 0, sessions=SessionsTold(True, 1, 10, 3, (replace(ENDED, epoch=-1),))),
+    Grant(1, 0, "", 1, 0, 0, "", 0, sessions=SessionsTold(True, 1, 10, 3, (replace(ENDED, batches=(("k",) * 65,)),))),
+    Grant(1, 0, "", 1, 0, 0, "", 0, turns=TurnsTold(1, ((-1, "m", "out", ""),))),
+    Keep(1, OF, (RECORD,) * (RECORDS_MOST + 1)), Keep(1, OF, (), ("u",) * (UIDS_MOST + 1)), Keep(-1, OF),
+    *(Keep(1, OF, (replace(RECORD, **change),)) for change in (
+        {"manifest": "x" * (RECORD_MOST + 1)}, {"manifest": "ä" * (RECORD_MOST // 2 + 1)}, {"uid": ""}, {"effect": "x"},
+        {"version": -1}, {"keepers": ("a", "b", "c")}, {"cores": -1.0}, {"tasks": (Known(0, "gone"),)},
+        {"tasks": (Known(-1, "about"),)})),
+    KeepAnswer(1, OF, False, "x" * 501), Settle(1, OF, ("",)), Settled(1, OF, (("u", -3, "run"),)),
+    AskMachine(1, "m" * 254, "u", 3), MachineSays(1, "m", "u", True, False, -9)], ids=lambda each: type(each).__name__)
+def test_what_is_said_of_leases_beyond_its_bounds_is_refused(message: Any) -> None:
+    with pytest.raises(BadMail):
+        read_mail(letters(message), "main")
--- /dev/null
+++ b/tests/peers/test_sessions_path.py
@@ -0,0 +1,141 @@
+"""Sessions on the whole path, on a virtual clock: placers of three regions, their leases as objects, ends told."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from tests.peers.stage import Agreeing
+from tests.stage import S
+from wingbarrow.config.settings import PlacerSettings
+from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
+from wingbarrow.decide.peers.leasing import Ended, Keep, KeepAnswer, Kept, Session
+from wingbarrow.decide.peers.sessions import ended_within_us
+from wingbarrow.lab.cluster import PlacerSlot
+from wingbarrow.peers.host import Peering
+
+LEASES = "/apis/wingbarrow.io/v1/leases"
+LEASE_US = 4 * S
+
+
+def in_region(slot: PlacerSlot, region: str) -> None:
+    """As its settings would say it."""
+    made = slot._settings
+
+    def settings() -> PlacerSettings:
+        told = made()
+        agree = replace(told.agree, lease_us=LEASE_US) if told.agree is not None else None
+        return replace(told, region=region, agree=agree)
+    slot._settings = settings  # type: ignore[method-assign]
+
+
+class Regions(Agreeing):
+    """Five placers in three regions."""
+
+    def join(self) -> None:
+        for slot in self.cluster.placers:
+            in_region(slot, f"region-{slot.index % 3}")
+        super().join()
+
+    def peering(self, index: int) -> Peering:
+        service = self.cluster.placers[index].service
+        assert service is not None
+        return service.placer.peering
+
+    def all_open(self) -> bool:
+        now = self.hub.now_us()
+        return all(slot.service is None or slot.service.placer.peering.lease.may_send(now)
+                   for slot in self.cluster.placers)
+
+    def items(self, slot: PlacerSlot) -> dict[str, dict[str, Any]]:
+        status, value = self.ask(slot, path=LEASES)
+        assert status == 200 and value["kind"] == "LeaseList"
+        return {each["spec"]["holderIdentity"]: each for each in value["items"]}
+
+
+def test_placers_hold_sessions_and_the_end_of_one_reaches_its_keeper_and_the_one_itself() -> None:
+    stage = Regions(machines=1, placers=5)
+    ended: list[tuple[int, Ended]] = []
+    told: list[tuple[int, Session, bool]] = []
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(stage.all_open, 30)
+        lost = stage.cluster.placers[4]
+        session = stage.peering(4).lease.session
+        assert session is not None
+        stage.peering(3).lease.keeping = lambda: (Kept(session, 7, 5 * S),)
+        for index in (3, 4):
+            stage.peering(index).on_ended = lambda each, index=index: ended.append((index, each))
+            stage.peering(index).on_session = (
+                lambda session, may, epoch, index=index: told.append((index, session, may)))
+        stage.hub.sleep(2 * S)
+        leader = stage.leader()
+        held = stage.items(leader)
+        assert len(held) == 5 and {each["status"]["state"] for each in held.values()} == {"open"}
+        assert held[session.text()]["spec"]["leaseDurationSeconds"] == 4
+        keeper = next(each for each in held.values() if each["status"].get("keepsFor"))
+        assert keeper["status"]["keepsFor"] == {session.text(): {"jobs": 7, "afterUs": 5 * S}}
+        assert list(stage.items(lost)) == [session.text()], "its own alone"
+        lost.hold(ended_within_us(LEASE_US, 5 * S) + 5 * S)
+        assert stage.wait(lambda: bool(ended), 30)
+        assert ended[0][0] == 3 and ended[0][1].session == session and ended[0][1].batches == (("placer-3",),)
+        over = stage.items(leader)[session.text()]
+        assert (over["status"]["state"], over["spec"]["leaseTransitions"]) == ("ended", ended[0][1].changed)
+        assert stage.wait(lambda: (4, replace(session, serial=2), True) in told, 30)
+        assert told[0] == (4, session, False) and (4, ended[0][1]) in ended
+        assert stage.items(stage.cluster.placers[3])[session.text()]["status"]["state"] == "ended"
+        assert stage.ask(leader, "DELETE", path=LEASES)[0] == 405
+    stage.play(script)
+
+
+def test_placers_of_no_region_have_no_sessions_and_what_is_not_agreed_on_is_not_found() -> None:
+    stage = Agreeing(machines=1, placers=5)
+
+    def script() -> None:
+        assert stage.ask(stage.cluster.placers[0], path=LEASES)[0] == 404
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        stage.hub.sleep(3 * S)
+        assert stage.ask(stage.leader(), path=LEASES)[1]["items"] == []
+    stage.play(script)
+
+
+class Echo:
+    """A machine that answers each `Keep`, and tells of a timer."""
+
+    def __init__(self) -> None:
+        self.heard: list[tuple[str, Any]] = []
+
+    def on_message(self, now_us: int, ident: str, address: str, message: Any) -> list[Effect]:
+        self.heard.append((ident, message))
+        if not isinstance(message, Keep):
+            return []
+        return [Send(ident, address, KeepAnswer(message.number, message.session, True)), SetTimer("one", now_us + S)]
+
+    def on_timer(self, now_us: int, key: str) -> list[Effect]:
+        self.heard.append(("timer", key))
+        return [Tell("custody-timer", {"key": key})]
+
+
+def test_a_machine_that_is_hosted_gets_its_kinds_and_timers_and_without_one_they_are_counted() -> None:
+    stage = Regions(machines=1, placers=5)
+    keeper, holder, session = Echo(), Echo(), Session("placer-0", 1, 1)
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(stage.all_open, 30)
+        stage.peering(1).host("custody", keeper, (Keep, KeepAnswer))
+        stage.peering(0).host("custody", holder, (Keep, KeepAnswer))
+        for other in (1, 2):
+            stage.peering(0).act("custody", [Send(f"placer-{other}", "", Keep(9, session))])
+        stage.hub.sleep(3 * S)
+        assert keeper.heard == [("placer-0", Keep(9, session)), ("timer", "one")]
+        assert holder.heard == [("placer-1", KeepAnswer(9, session, True))]
+        assert stage.peering(2).counts["peers:letters about custody, which is not kept here"] == 1
+        for name in ("custody", "rules", "members"):
+            with pytest.raises(ValueError, match=name):
+                stage.peering(0).host(name, holder, ())
+    stage.play(script)
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -69,6 +69,7 @@
     leased: int  # Jobs under it
     keeping: tuple[Kept, ...] = ()  # at most KEPT_MOST
     heard: int = 0  # the latest epoch that it has heard of
+    deaf: bool = False  # no grant has come to it for so long that it may send nothing
 
 
 KEPT_MOST = 512
--- a/wingbarrow/decide/peers/sessions.py
+++ b/wingbarrow/decide/peers/sessions.py
@@ -9,6 +9,7 @@
 - a leader proposes an end when its reckoning is over, the least `after` of what keepers say has passed since the last
   renewal (or its election), and keepers have had a lease's time to be heard by it;
 - with no living keeper it waits for `lone_us` instead and names nobody; keepers that come later join in later batches;
+- one that is heard but does not hear (a cut one way) is renewed for a while only (`deaf_us`): it can do nothing;
 - a later process of the same name proves that the one before is over: its session ends without `after`;
 - whoever comes back before its end goes on, whoever comes after it has a new session, and gets it only together with
   all ends that it has not heard of.
@@ -41,10 +42,16 @@
     return LONE * drifted_us(lease_us)
 
 
+def deaf_us(lease_us: int) -> int:
+    """For how long after the last grant that reached it a placer's asks, which go on coming, renew its session."""
+    return right_us(lease_us) + lease_us // 2
+
+
 def ended_within_us(lease_us: int, after_us: int | None, turn_us: int = TURN_US, round_us: int = 250_000) -> int:
     """Within which a session's end is decided, from the later of its last renewal and the election of the leader that
     a majority follows since, without a pause of it longer than a look's; `after_us`: the least that living keepers say,
-    None where there is none. `round_us`: what a decision among the voters takes.
+    None where there is none. `round_us`: what a decision among the voters takes. The last renewal may come `deaf_us`
+    after the last grant that came, where a cut lets asks through alone.
     """
     waits = lone_us(lease_us) if after_us is None else max(reckoned_us(lease_us, turn_us), drifted_us(after_us))
     return waits + lease_us // LOOKS + round_us
@@ -67,6 +74,7 @@
         self.renewed_us: dict[Session, int] = {}
         self._ending: set[Session] = set()
         self._wanted: dict[str, tuple[Session, int, str]] = {}  # by placer: session, process, region
+        self._deaf_us: dict[Session, int] = {}  # since when its asks say that no grant comes
         self.says: dict[str, SessionsSaid] = {}  # by placer whose session is open, what it said last
         self._round: dict[str, tuple[Asker, SessionsSaid, Session | None]] = {}  # who asked, and what that renewed
 
@@ -113,7 +121,7 @@
             if held.session not in self.log.open:
                 serial = max(held.session.serial, said.serial) + 1
                 self._want(asker, Session(asker.ident, held.session.life, serial), said)
-            elif held.session not in self._ending:
+            elif held.session not in self._ending and self._hears(now_us, held.session, said):
                 # Danger: an end that is proposed is decided sooner or later; a renewal would run on beyond it.
                 self.renewed_us[held.session] = now_us
                 renewed = held.session
@@ -126,6 +134,13 @@
             self._want(asker, Session(asker.ident, max(asker.life, held.session.life + 1), 1), said)
         self._round[asker.ident] = asker, said, renewed
 
+    def _hears(self, now_us: int, session: Session, said: SessionsSaid) -> bool:
+        """Danger: one that is heard and does not hear would keep its work from everybody for good."""
+        if not said.deaf:
+            self._deaf_us.pop(session, None)
+            return True
+        return now_us - self._deaf_us.setdefault(session, now_us) < self.log.open[session].lease_us // 2
+
     def _want(self, asker: Asker, session: Session, said: SessionsSaid) -> None:
         if self.log.may_open(asker.ident):
             self._wanted[asker.ident] = session, asker.life, said.region
@@ -184,7 +199,7 @@
         out: dict[Session, tuple[int, list[Session]]] = {}
         for ident, said in self.says.items():
             held = self.log.latest.get(ident)
-            if held is None or held.session not in self.log.open or not self.lives(now_us, held.session):
+            if held is None or said.deaf or held.session not in self.log.open or not self.lives(now_us, held.session):
                 continue
             for each in said.keeping:
                 if each.session.placer != ident and each.jobs > 0:
@@ -239,6 +254,7 @@
                     out.append(_proposal("succeed", session, late))
         self._look_us = following
         self.renewed_us = {each: at for each, at in self.renewed_us.items() if each in self.log.open}
+        self._deaf_us = {each: at for each, at in self._deaf_us.items() if each in self.log.open}
         present = {each.placer for each in self.log.open}
         self.says = {name: said for name, said in self.says.items() if name in present}
         return out
@@ -267,7 +283,7 @@
         self.leased: Callable[[], int] = lambda: 0  # Jobs under it
         self.keeping: Callable[[], tuple[Kept, ...]] = tuple  # for others' sessions
         self.counts: Counter[str] = Counter()
-        self._right_until_us = 0
+        self._right_until_us = self._told_us = 0
 
     def may_send(self, now_us: int) -> bool:
         """Whether a leased Job's first byte may leave at this moment. A floor never stands in for this."""
@@ -280,12 +296,14 @@
         keeping = self.keeping()
         if len(keeping) > KEPT_MOST:
             self.counts["sessions: kept for more than can be said"] += 1
-        return SessionsSaid(self.region, self.serial, self.leased(), keeping[:KEPT_MOST], self.heard)
+        deaf = self.session is not None and now_us - self._told_us >= right_us(self.lease_us)
+        return SessionsSaid(self.region, self.serial, self.leased(), keeping[:KEPT_MOST], self.heard, deaf)
 
     def take(self, now_us: int, asked_us: int, told: SessionsTold | None) -> list[Effect]:
         """What the leader told: ends first, then whether this session goes on, or a new one begins."""
         if told is None:
             return []
+        self._told_us = now_us
         out: list[Effect] = []
         for each in told.ended:
             if each.changed > self.heard:
--- a/wingbarrow/lab/fleet/leaseholders.py
+++ b/wingbarrow/lab/fleet/leaseholders.py
@@ -13,7 +13,7 @@
 from wingbarrow.decide.peers.agreement import Agreement, Times
 from wingbarrow.decide.peers.effects import Effect, Tell
 from wingbarrow.decide.peers.leasing import Kept, Session, read_session
-from wingbarrow.decide.peers.sessions import Lease, Sessions, ended_within_us
+from wingbarrow.decide.peers.sessions import Lease, Sessions, deaf_us, ended_within_us
 from wingbarrow.lab.fleet.assembly import Assembly
 from wingbarrow.lab.fleet.schedules import rules
 from wingbarrow.lab.fleet.swarm import SECOND
@@ -214,13 +214,15 @@
             name = session.placer
             superseded = log.latest[name].session != session
             heard = (name in self.members and self.lives[name] == log.latest[name].process
-                     and name not in self.stopped and not self.cut(name, leader) and not superseded)
+                     and self.in_touch(name, leader) and not superseded)
             kept = any(session in self.kept[each] and self.in_touch(leader, each) for each in self.members)
             held = self._watched.get(session)
             if heard or held is None or held.kept != kept:
                 self._watched[session] = Watched(self.now_us, kept)
                 continue
             most = ended_within_us(self.lease_us, 0 if superseded else self.after_us if kept else None)
+            if name in self.members and not self.cut(name, leader):
+                most += deaf_us(self.lease_us)  # it is heard, and does not hear
             spent = self.now_us - held.since_us
             if spent > most + SLACK_US:
                 self.faults.append(f"{self.now_us}: {session.text()} is open {spent} us after all was still; {most} "
