--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -296,7 +296,7 @@
     def _tidy(self, now_us: int, job: Job) -> None:
         """Have others forget, once a keeper has the record as it is without them."""
         if any(job.acked.get(name, -1) >= job.moved for name in job.chosen):
-            for name in job.others:
+            for name in sorted(job.others):
                 if name not in job.heed:
                     self.keepers.line(name).want(now_us, job.record.uid, gone=True)
 
@@ -326,7 +326,7 @@
         job.record = replace(job.record, keepers=tuple(job.chosen), version=job.record.version + 1,
                              moves=job.record.moves + 1)
         job.moved = job.record.version
-        for each in (*job.chosen, *(name for name in job.others if self._wanted(uid, name))):
+        for each in (*job.chosen, *(name for name in sorted(job.others) if self._wanted(uid, name))):
             self.keepers.line(each).want(now_us, uid)
 
     def _renewed(self, now_us: int, line: Line, life: int, serial: int) -> None:
--- a/wingbarrow/decide/peers/healing.py
+++ b/wingbarrow/decide/peers/healing.py
@@ -54,7 +54,7 @@
         for name in list(self._asked):
             if name not in names:
                 del self._asked[name]
-        for name in names - self._asked.keys():
+        for name in sorted(names - self._asked.keys()):
             self._asked[name] = set(self.jobs)
         return self.on_timer(now_us)
 
--- a/wingbarrow/decide/peers/keepers.py
+++ b/wingbarrow/decide/peers/keepers.py
@@ -48,7 +48,7 @@
         for name, line in list(self.lines.items()):
             if name not in alive and not (line.jobs or line.dirty or line.gone or line.out):
                 del self.lines[name]
-        for name in alive.keys() - self.lines.keys() - {self.me}:
+        for name in sorted(alive.keys() - self.lines.keys() - {self.me}):
             self.lines[name] = Line(name, alive[name][1], self._random, self.bounds, self._next)
         return [line for name, line in self.lines.items() if name not in alive]
 
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -264,7 +264,7 @@
                 entry = self.entries[uid]
                 first = successor(end, entry.record.keepers)
                 names = {*every, ""} if entry.doubt else {first}
-                for name in names - {self.session.placer} if uid not in self.taken else ():
+                for name in sorted(names - {self.session.placer}) if uid not in self.taken else ():
                     out.setdefault(name, []).append(uid)
         return out
 
--- a/wingbarrow/decide/peers/takeover.py
+++ b/wingbarrow/decide/peers/takeover.py
@@ -120,7 +120,7 @@
 
     def places(self, now_us: int, askers: Iterable[str]) -> list[Effect]:
         """Placers of the lost region that are there."""
-        return self._go_on(now_us, self.inquiry.places(tuple(sorted(askers))))
+        return self._go_on(now_us, sorted(self.inquiry.places(tuple(sorted(askers)))))
 
     def on_message(self, now_us: int, message: MachineSays) -> list[Effect]:
         """A machine told, late or twice."""
