Rights of the fleet's limits as blocks in the voters' log: a new leader loses none

A leader kept the account of who holds what of a limit to itself. After a change of leader nobody got more until grant + stranded (62 s) had passed, with a holder down or young, and after a gap in its grants everybody held nothing: a fleet that kept its word by turning nearly all away.

Now the log decides blocks: how much each placer may hold, and how much it may still have in use. Whoever is unheard counts as its block and no more, and whoever comes back has it with the first answer; a block is moved by an entry that lowers the one and another, once that is proven by the holder's word or by time, that raises the other. An ask that the leader does not answer goes to it by way of another voter; elections take 0.5 to 1 s in place of 1 to 2, votes are asked for again, and of two that stand at once one gives way, so that grants mostly do not lapse.

--- /dev/null
+++ b/tests/decide/peers/rightsfleet.py
@@ -0,0 +1,252 @@
+"""Three placers and two leaders that take turns, on one clock, with a log of moves: what tests of rights play on."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from wingbarrow.decide.peers.asking import Ask, Grant, Times
+from wingbarrow.decide.peers.blocks import MOVE_US, Blocks
+from wingbarrow.decide.peers.chapters import Proposal
+from wingbarrow.decide.peers.effects import SetTimer
+from wingbarrow.decide.peers.holding import Holding
+from wingbarrow.decide.peers.limits import FleetLimit
+from wingbarrow.decide.peers.rights import Asker
+from wingbarrow.decide.peers.rules import RuleSet, normal
+from wingbarrow.lab.fleet.schedules import rules
+
+S = 1_000_000
+GRANT, WINDOW, STRANDED, MOST = 2 * S, 3 * S, 5 * S, 6
+NAMES = ("a", "b", "c")
+STANDING = FleetLimit("namespace", "shop", "standing", MOST, 0, STRANDED, NAMES)
+RATE = FleetLimit("class", "web", "rate", MOST, WINDOW, STRANDED, NAMES)
+
+
+def limited(most: int) -> RuleSet:
+    return normal(replace(rules(3), limits=(replace(STANDING, most=most), replace(RATE, most=most))))
+
+
+@dataclass
+class Placer:
+    """One life of a placer: its holding, and what stands of it."""
+
+    holding: Holding
+    standing: int = 0
+    wants: int = 0
+
+    @property
+    def until_us(self) -> int:
+        return self.holding.holder.until_us
+
+
+@dataclass(frozen=True)
+class Letter:
+    """An ask on its way to one leader, or a grant on its way back."""
+
+    name: str
+    life: int
+    leader: int
+    ask: Ask
+    grant: Grant | None = None
+
+
+class Fleet(RuleBasedStateMachine):
+    """Mail is kept, lost, doubled and late at will; an entry that was proposed is decided or lost."""
+
+    blocks: type[Blocks] = Blocks
+    holding: type[Holding] = Holding
+    found: Counter[str] = Counter()
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_us, self.lives, self.edition, self.most, self.reign, self.leader = 100 * S, 0, 1, MOST, 0, 0
+        self.voters = [self.blocks(GRANT), self.blocks(GRANT)]
+        self.proposed: list[Proposal] = []
+        self.placers: dict[str, Placer] = {}
+        self.mail: list[Letter] = []
+        self.orphans: list[tuple[int, int]] = []  # tasks of placers that were killed: until when they run, how many
+        self.starts: list[int] = []
+        for name in NAMES:
+            self.rise(name)
+        self.elect(0, True)
+
+    def rise(self, name: str) -> None:
+        self.lives += 1
+        holding = self.holding(name, ("v",), self.lives, Times(GRANT), self.lives, SetTimer)
+        holding.born_us = self.now_us
+        placer = self.placers[name] = Placer(holding)
+        holding.purse.uses = lambda key: placer.standing
+        holding.purse.demand = lambda key: placer.wants
+
+    @property
+    def bank(self) -> Blocks:
+        return self.voters[self.leader]
+
+    @rule(by=st.integers(1, 1500))
+    def pass_time(self, by: int) -> None:
+        self.now_us += by * 1000
+        self.orphans = [each for each in self.orphans if each[0] > self.now_us]
+        self.starts = [at for at in self.starts if at > self.now_us - WINDOW]
+
+    # -- mail
+
+    @rule(name=st.sampled_from(NAMES), wants=st.integers(0, 20))
+    def ask(self, name: str, wants: int) -> None:
+        placer = self.placers[name]
+        placer.wants = wants
+        ask, _, _ = placer.holding.ask(self.now_us, "v")
+        self.mail.append(Letter(name, placer.holding.life, self.leader, ask))
+
+    @rule(pick=st.integers(0, 99), keep=st.booleans())
+    def arrive(self, pick: int, keep: bool) -> None:
+        if self.mail:
+            at = pick % len(self.mail)
+            letter = self.mail[at] if keep else self.mail.pop(at)
+            self.take_back(letter) if letter.grant is not None else self.hear(letter)
+
+    def hear(self, letter: Letter) -> None:
+        """Only the leader of the day answers: a majority confirms it first."""
+        if letter.leader != self.leader:
+            return
+        ask = letter.ask
+        asker = Asker(letter.name, ask.life, ask.up_us, ask.number, ask.reign)
+        wanted = limited(self.most)
+        rights = self.bank.answers(self.now_us, [(asker, ask.stated)], wanted.limits)[0]
+        grant = Grant(ask.number, self.edition, "" if ask.edition == self.edition else wanted.text(), GRANT, 1, 0, "",
+                      0, rights, reign=self.reign)
+        self.mail.append(replace(letter, grant=grant))
+
+    def take_back(self, letter: Letter) -> None:
+        placer = self.placers[letter.name]
+        if placer.holding.life == letter.life and letter.grant is not None:
+            placer.holding.on_grant(self.now_us, "v", letter.grant)
+            self.found["given"] += sum(placer.holding.purse.shares.values())
+
+    def get(self, name: str, wants: int, moves: bool = True, to_placer: bool = True) -> None:
+        """An ask and its answer without trouble; and what is due is decided."""
+        self.ask(name, wants)
+        self.hear(self.mail.pop())
+        if to_placer and self.mail:
+            self.take_back(self.mail.pop())
+        if moves:
+            self.now_us += MOVE_US
+            self.move()
+            self.decide()
+
+    @rule(name=st.sampled_from(NAMES), wants=st.integers(0, 6))
+    def call(self, name: str, wants: int) -> None:
+        self.get(name, wants)
+        self.get(name, wants)
+
+    # -- the log
+
+    @rule()
+    def move(self) -> None:
+        if not self.proposed:
+            self.proposed, _ = self.bank.due(self.now_us, limited(self.most))
+
+    @rule()
+    def decide(self) -> None:
+        for each in self.proposed:
+            for voter in self.voters:
+                voter.apply(each.kind, each.value)
+            self.found["moves"] += 1
+        self.proposed = []
+
+    @rule(rarely=st.integers(0, 3), same=st.booleans(), lost=st.booleans())
+    def may_be_deposed(self, rarely: int, same: bool, lost: bool) -> None:
+        if not rarely:
+            self.elect(self.leader if same else 1 - self.leader, lost)
+            self.found["leaders"] += 1
+
+    def elect(self, leader: int, lost: bool) -> None:
+        self.bank.elected(self.now_us, False)
+        if lost:
+            self.proposed = []
+        self.decide()
+        self.leader, self.reign = leader, self.reign + 1
+        text = self.bank.text()
+        self.bank.restore(text)
+        assert self.bank.text() == text == self.voters[1 - leader].text()
+        self.bank.elected(self.now_us, True, self.reign)
+
+    @rule(rarely=st.integers(0, 5), most=st.sampled_from((3, MOST)))
+    def may_change(self, rarely: int, most: int) -> None:
+        if not rarely:
+            self.edition, self.most = self.edition + 1, most
+
+    # -- tasks
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(1, 6))
+    def start(self, name: str, count: int) -> None:
+        placer = self.placers[name]
+        purse = placer.holding.purse
+        if self.now_us < placer.until_us and purse.limits:
+            if purse.may(self.now_us, STANDING.key, count):
+                placer.standing += count
+                self.found["standing"] += count
+            if purse.may(self.now_us, RATE.key, count):
+                purse.use(self.now_us, RATE.key, count)
+                self.starts += [self.now_us] * count
+                self.found["starts"] += count
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(1, 6))
+    def end(self, name: str, count: int) -> None:
+        self.placers[name].standing = max(0, self.placers[name].standing - count)
+
+    @rule(name=st.sampled_from(NAMES), wants=st.integers(1, 6), count=st.integers(1, 6))
+    def work(self, name: str, wants: int, count: int) -> None:
+        self.get(name, wants)
+        self.start(name, count)
+
+    @rule(name=st.sampled_from(NAMES), rarely=st.integers(0, 3))
+    def may_die(self, name: str, rarely: int) -> None:
+        if not rarely:
+            self.die(name)
+
+    def die(self, name: str) -> None:
+        """What it ran goes on for as long as tasks of this limit may."""
+        if self.placers[name].standing:
+            self.orphans.append((self.now_us + STRANDED - 1, self.placers[name].standing))
+        self.found["deaths"] += 1
+        self.rise(name)
+
+    @invariant()
+    def nobody_passes_the_whole(self) -> None:
+        # One that is out of touch keeps what it runs, which counts for `stranded` alone.
+        lost = [each for each in self.placers.values() if self.now_us >= each.until_us + STRANDED and each.standing]
+        running = sum(each.standing for each in self.placers.values()) + sum(count for _, count in self.orphans)
+        assert running - sum(each.standing for each in lost) <= MOST, f"{running} stand"
+        assert sum(at > self.now_us - WINDOW for at in self.starts) <= MOST, f"{len(self.starts)} within the window"
+        for block in self.bank.blocks.values():
+            assert sum(size for size, _ in block.parts.values()) <= MOST, "blocks make more than the whole"
+
+
+def has_share(fleet: Fleet) -> None:
+    """`a` holds the whole."""
+    for name, wants in (("a", 6), ("b", 0), ("c", 0)) * 8:
+        fleet.get(name, wants)
+    fleet.get("a", 6)
+
+
+def has_all(fleet: Fleet) -> None:
+    """`a` uses it too."""
+    has_share(fleet)
+    fleet.start("a", 6)
+    assert fleet.placers["a"].standing == 6, fleet.bank.blocks
+
+
+def then_b_takes_what_it_gets(fleet: Fleet) -> None:
+    for _ in range(4):
+        fleet.get("b", 6)
+        fleet.start("b", 1)
+        fleet.start("b", 1)
+    fleet.nobody_passes_the_whole()
+
+
+Story = Callable[[Any], None]
--- a/tests/lab/test_holders.py
+++ b/tests/lab/test_holders.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from wingbarrow.decide.peers import leading
-from wingbarrow.decide.peers.rights import Bank
-from wingbarrow.lab.fleet.holders import Holders, limited, trouble
+from wingbarrow.decide.peers import agreement
+from wingbarrow.decide.peers.blocks import Blocks
+from wingbarrow.lab.fleet.holders import STRANDED_US, Holders, limited, trouble
 from wingbarrow.lab.fleet.swarm import SECOND
 
 MOST, RATE = 30, 36
@@ -33,8 +33,8 @@
 
 
 def test_a_planted_account_that_forgets_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    class Forgetful(Bank):
-        def _in_use(self, now_us, account, limit):  # type: ignore[no-untyped-def]
-            return account.held if now_us < account.until_us - 1_500_000 else 0
-    monkeypatch.setattr(leading, "Bank", Forgetful)
+    class Forgetful(Blocks):
+        def _lapses_us(self, name: str) -> int:
+            return super()._lapses_us(name) - STRANDED_US
+    monkeypatch.setattr(agreement, "Blocks", Forgetful)
     assert any(played(3, seed).over for seed in range(1, 20))
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -9,15 +9,16 @@
 from typing import Any
 
 from wingbarrow.decide.peers import log
-from wingbarrow.decide.peers.agreed import Agreed, from_text
-from wingbarrow.decide.peers.asking import Ask, Grant, Message, NotLeader, Times
+from wingbarrow.decide.peers.agreed import RECOVERED, Agreed, from_text
+from wingbarrow.decide.peers.asking import Ask, AskFor, Grant, GrantFor, Message, NotLeader, Times
+from wingbarrow.decide.peers.blocks import Blocks
 from wingbarrow.decide.peers.chapters import Chapter, Side
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.grants import Acting, Holder
 from wingbarrow.decide.peers.holding import Holding
 from wingbarrow.decide.peers.leading import Leading
 from wingbarrow.decide.peers.raft import Raft
-from wingbarrow.decide.peers.rights import Bank, Purse
+from wingbarrow.decide.peers.rights import Purse
 from wingbarrow.decide.peers.verdicts import Bench, Closures, Experience
 
 __all__ = ["Agreement", "Ask", "Grant", "Message", "NotLeader", "Times"]
@@ -34,10 +35,12 @@
         self.me, self.times, self.named = me, times, voters
         self.raft = Raft(me, disk, seed, times.election_us) if me in voters or disk is not None else None
         self.agreed = Agreed()
-        self.chapters = {each.name: each for each in chapters}
+        self.blocks = Blocks(times.grant_us)
+        self.chapters: dict[str, Chapter] = {each.name: each for each in (self.blocks, *chapters)}
         self._due: dict[str, int] = {}
         self.holding = Holding(me, voters, seed + 1, times, life, self.timer, sides)
-        self.leading = Leading(self, times, chapters, lambda now, grant: self.holding.on_grant(now, me, grant))
+        self.leading = Leading(self, times, self.blocks, chapters,
+                               lambda now, grant: self.holding.on_grant(now, me, grant))
 
     # -- driven by the host
 
@@ -50,6 +53,9 @@
     def on_message(self, now_us: int, ident: str, address: str, message: Any) -> list[Effect]:
         """Mail of another placer."""
         if isinstance(message, Ask):
+            leader = self.raft.leader if self.raft is not None else ""
+            if message.forward and leader not in ("", self.me, ident):
+                return [Send(leader, "", AskFor(ident, message))]
             return self.leading.on_ask(now_us, ident, address, message)
         if isinstance(message, Grant):
             return self.holding.on_grant(now_us, ident, message)
@@ -57,6 +63,10 @@
             return self.holding.on_not_leader(now_us, message)
         if self.raft is None or ident not in (*self.raft.voters, *self.named):
             return []
+        if isinstance(message, AskFor):
+            return self.leading.on_ask(now_us, message.ident, "", message.ask, ident)
+        if isinstance(message, GrantFor):
+            return [Send(message.ident, "", message.grant)]
         return self.of_raft(now_us, self.raft.on_message(now_us, ident, message))
 
     def on_timer(self, now_us: int, key: str) -> list[Effect]:
@@ -111,11 +121,6 @@
         """Which machines verdicts close to it."""
         return self.holding.closures
 
-    @property
-    def bank(self) -> Bank | None:
-        """At the leader: the account of rights."""
-        return self.leading.bank
-
     @property
     def bench(self) -> Bench:
         """At the leader: evidence and verdicts."""
@@ -186,6 +191,8 @@
                 told = self._apply(name, kind, entry.body) or told
             elif entry.kind not in ("", log.VOTERS):
                 self.agreed.apply(entry.kind, entry.body)
+                if entry.kind == RECOVERED:
+                    self.blocks.recovered()
         if self.agreed.edition != before[0]:
             out.append(Tell("edition", {"edition": self.agreed.edition, "version": self.agreed.version}))
         if self.raft is not None and self.raft.wants_fold:
--- a/wingbarrow/decide/peers/asking.py
+++ b/wingbarrow/decide/peers/asking.py
@@ -29,6 +29,8 @@
     sessions: SessionsSaid | None = None
     turns: TurnsSaid | None = None
     regions: RegionsSaid | None = None
+    reign: int = 0  # of the grant that the asker took last
+    forward: bool = False  # the leader does not answer: whoever is asked is to pass this on to it
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +50,8 @@
     sessions: SessionsTold | None = None
     turns: TurnsTold | None = None
     regions: tuple[RegionTold, ...] | None = None
+    reign: int = 0  # the term of the leader that answers
+    leader: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +62,23 @@
     leader: str
 
 
-Message = Ask | Grant | NotLeader | log.Message
+@dataclass(frozen=True, slots=True)
+class AskFor:
+    """A voter passes on what another placer asks."""
+
+    ident: str
+    ask: Ask
+
+
+@dataclass(frozen=True, slots=True)
+class GrantFor:
+    """The answer to it, to be passed back."""
+
+    ident: str
+    grant: Grant
+
+
+Message = Ask | Grant | NotLeader | AskFor | GrantFor | log.Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +86,19 @@
     """Times in microseconds."""
 
     grant_us: int = 2_000_000
-    election_us: int = 1_000_000
+    election_us: int = 500_000  # short, so that another leader answers before grants of the last one lapse
     batch_us: int = 20_000  # asks are answered together, one round of the voters for all
     again_us: int = 200_000  # an ask without an answer is sent again, to another voter
 
+    def needless_us(self) -> int:
+        """Within what time a placer that is in touch with a majority of the voters holds a grant and its rights again.
+
+        A leader that nobody answers steps down after two elections' time at most, followers stand within two, once
+        more where votes are split; then asks find it, at most four in turn, by way of a voter where the leader itself
+        does not answer, and the last one may have been sent right before.
+        """
+        return 6 * self.election_us + 6 * self.again_us + self.grant_us // 3
+
     def stated_us(self, turn_us: int) -> int:
         """For how long after the first act under new rules somebody may act under those before: the stated time.
 
--- a/wingbarrow/decide/peers/holding.py
+++ b/wingbarrow/decide/peers/holding.py
@@ -17,6 +17,11 @@
 from wingbarrow.decide.peers.verdicts import Closures, Experience
 
 
+HOPS_MOST = 2  # from one who does not lead to the one that it names, before the next ask is due by time
+
+RELAYED_MOST = 8  # answers by way of a voter, before the leader itself is asked again
+
+
 class Holding:
     """`timer` sets one of the owner's; `named`: the voters of the settings, who are asked in turn while no leader is
     known."""
@@ -34,9 +39,15 @@
         self._closed: frozenset[str] = frozenset()
         self._random = random.Random(seed)
         self._number = 0
+        self.reign = 0  # of the latest grant taken
         self._asked: dict[int, int] = {}  # own asks without an answer: when each was sent
         self._tried = 0
         self._acting: Acting | None = None
+        self._last, self._failed = "", ""  # whom the last ask went to, as the leader; who did not answer as such
+        self._by, self._relayed = "", 0  # the voter that passes asks on, while the leader does not answer; how many
+        self._forwarded: set[int] = set()  # own asks without an answer that were to be passed on
+        self._hint, self._hops = "", 0  # whom the last one asked named, to be asked now; how often one led to another
+        self._gave_up = False  # by the last answer: some share became less
 
     def ask(self, now_us: int, known: str) -> tuple[Ask, str, list[Effect]]:
         """The next ask, whom to send it to ("" for nobody; `known` leads as far as is known), and what else is to be
@@ -44,28 +55,49 @@
         out: list[Effect] = []
         unanswered = bool(self._asked)
         self._asked = {number: at for number, at in self._asked.items() if now_us - at < self.times.grant_us}
+        hinted = bool(self._hint)
+        self._hops = self._hops if hinted else 0
         self._number += 1
         self._asked[self._number] = now_us
         evidence, bad, tried = self.experience.evidence(now_us, self.closures.mine)
         if now_us >= self.holder.until_us and self.purse.shares:
             self.purse.lapse()
             out.append(Tell("rights", {"shares": {}}))
+        receiver, forward = self._whom(known, unanswered)
         ask = Ask(self._number, self.holder.edition, self.holder.floor, self.life, max(0, now_us - self.born_us),
                   self.purse.stated(now_us), self.region, evidence, bad, tried,
-                  **{side.name: side.say(now_us) for side in self.sides})
-        receiver = known
-        if known != self.me:
-            if unanswered:
-                self.leader = ""  # it did not answer: somebody else may know better
-            receiver = known if not unanswered else ""
-            others = [name for name in self.named if name != self.me]
-            if not receiver and others:
-                self._tried += 1
-                receiver = others[self._tried % len(others)]
+                  reign=self.reign, forward=forward, **{side.name: side.say(now_us) for side in self.sides})
+        self._last = "" if forward else receiver
+        self._forwarded = {each for each in self._forwarded | ({self._number} if forward else set())
+                           if each in self._asked}
+        self._hint = ""
         wait = self.times.again_us + self._random.randrange(self.times.again_us // 2)
         return ask, receiver, [*out, self._timer("ask", now_us + wait), *self.look_at_grant(now_us),
                                *self._look_at_closed(now_us)]
 
+    def _whom(self, known: str, unanswered: bool) -> tuple[str, bool]:
+        """Whom to ask, and whether it is to pass that on to the leader, which did not answer."""
+        if known == self.me:
+            return known, False
+        if unanswered:
+            self._failed = self._failed or self._last  # somebody else may know better, or may reach it
+            self._by = ""
+        elif self._hint:
+            return self._hint, False
+        elif self._by:
+            return self._by, True
+        if known and known != self._failed:
+            return known, False
+        others = [name for name in self.named if name not in (self.me, self._failed)]
+        if not others:
+            self._failed = ""
+            return known, False
+        self._tried += 1
+        receiver, forward = others[self._tried % len(others)], bool(self._failed)
+        if self._tried % len(others) == 0:
+            self._failed = ""  # Danger: it may be the only one that can be reached
+        return receiver, forward
+
     def _look_at_closed(self, now_us: int) -> list[Effect]:
         """Tell which machines verdicts close, where those are others than before; also as they end unrenewed."""
         closed = self.closures.now(now_us)
@@ -80,13 +112,19 @@
         if asked_us is None:
             return []  # given up, or doubled: when it was asked for is not known
         self._asked.clear()
-        self.leader, self._tried = ident, 0
+        self.leader = grant.leader or ident
+        if grant.number in self._forwarded and self._relayed < RELAYED_MOST:
+            self._by, self._relayed, self._failed = ident, self._relayed + 1, self.leader
+        else:
+            self._by, self._relayed, self._failed, self._tried = "", 0, "", 0
+        self._forwarded.clear()
+        self.reign = max(self.reign, grant.reign)
         out: list[Effect] = []
         rules = grant.rules or self.holder.rules
         if grant.edition and (grant.rules or grant.edition == self.holder.edition):
             before, gap = self.holder.edition, now_us >= self.holder.until_us
             if self.holder.take(asked_us, grant.edition, rules, grant.lasts_us):
-                out += self._take_rights(grant, before, gap)
+                out += self._take_rights(now_us, asked_us, grant, before, gap)
         if grant.floor and (grant.floor_rules or grant.floor == self.holder.floor):
             self.holder.take_floor(asked_us, grant.floor, grant.floor_rules or self.holder.floor_rules, grant.floor_us)
         self.version = max(self.version, grant.version)
@@ -96,17 +134,22 @@
             out += side.take(now_us, asked_us, getattr(grant, side.name))
         # A third of the grant between asks: two may be lost before one lapses. Sooner where rights are short: what
         # others give back comes by the answers.
-        wait = self.times.again_us if self.purse.limits and self.purse.short(now_us) else self.times.grant_us // 3
+        # Sooner too where they became less: what is given up here is wanted elsewhere, and free by the next ask.
+        soon = self.purse.limits and (self.purse.short(now_us) or self._gave_up)
+        wait = self.times.again_us if soon else self.times.grant_us // 3
         return [self._timer("ask", now_us + wait), *self.look_at_grant(now_us), *out]
 
-    def _take_rights(self, grant: Grant, before: int, gap: bool) -> list[Effect]:
+    def _take_rights(self, now_us: int, asked_us: int, grant: Grant, before: int, gap: bool) -> list[Effect]:
         shares = dict(self.purse.shares)
         if self.holder.edition != before:
             self.purse.take_limits(read(self.holder.rules).limits)
         if gap:
             self.purse.lapse()
-        elif grant.number == self._number:  # Danger: an earlier ask stated what may have been given back since
+        # Danger: an earlier ask stated what may have been given back since; and what was given is not counted any more
+        # once the grant that it came with is over.
+        if grant.number == self._number and now_us < asked_us + grant.lasts_us:
             self.purse.take(grant.rights)
+        self._gave_up = any(self.purse.shares.get(key, 0) < share for key, share in shares.items())
         return [Tell("rights", {"shares": dict(self.purse.shares)})] if shares != self.purse.shares else []
 
     def on_not_leader(self, now_us: int, message: NotLeader) -> list[Effect]:
@@ -114,7 +157,11 @@
         if self._asked.pop(message.number, None) is None:
             return []
         self.leader = message.leader
-        return [self._timer("ask", now_us + 1)] if message.leader else []
+        # Danger: two that name each other, each behind in its way, would be asked in turn as fast as mail goes.
+        if not message.leader or message.leader in (self.me, self._hint, self._failed) or self._hops >= HOPS_MOST:
+            return []
+        self._hint, self._hops = message.leader, self._hops + 1
+        return [self._timer("ask", now_us + 1)]
 
     def look_at_grant(self, now_us: int) -> list[Effect]:
         """Tell what is acted on, where that is another than before."""
--- a/wingbarrow/decide/peers/leading.py
+++ b/wingbarrow/decide/peers/leading.py
@@ -13,12 +13,13 @@
 
 from wingbarrow.decide.peers import log
 from wingbarrow.decide.peers.agreed import Agreed
-from wingbarrow.decide.peers.asking import Ask, Grant, NotLeader, Times
+from wingbarrow.decide.peers.asking import Ask, Grant, GrantFor, NotLeader, Times
+from wingbarrow.decide.peers.blocks import Blocks
 from wingbarrow.decide.peers.chapters import Chapter
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer
 from wingbarrow.decide.peers.grants import given_until_us
 from wingbarrow.decide.peers.raft import Raft
-from wingbarrow.decide.peers.rights import Asker, Bank, Right
+from wingbarrow.decide.peers.rights import Asker, Right
 from wingbarrow.decide.peers.rules import RuleSet, read
 from wingbarrow.decide.peers.verdicts import Bench
 
@@ -32,10 +33,11 @@
     ident: str
     address: str
     ask: Ask
+    via: str = ""  # the voter that passed it on
 
     @property
     def asker(self) -> Asker:
-        return Asker(self.ident, self.ask.life, self.ask.up_us, self.ask.number)
+        return Asker(self.ident, self.ask.life, self.ask.up_us, self.ask.number, self.ask.reign)
 
 
 class Owner(Protocol):
@@ -64,15 +66,15 @@
 
 
 class Leading:
-    """`take_grant`: what becomes of a grant to this very placer."""
+    """`blocks`: the chapter of rights; `take_grant`: what becomes of a grant to this very placer."""
 
-    def __init__(self, owner: Owner, times: Times, chapters: tuple[Chapter, ...],
+    def __init__(self, owner: Owner, times: Times, blocks: Blocks, chapters: tuple[Chapter, ...],
                  take_grant: Callable[[int, Grant], list[Effect]]) -> None:
         self._owner, self.times, self.chapters, self._take_grant = owner, times, chapters, take_grant
         self.zones: Callable[[], Mapping[str, str]] = dict  # of each machine of this placer's list
-        self.bank: Bank | None = None
+        self.blocks = blocks
         self.bench, self._judged_us = Bench(), -JUDGE_US
-        self._read: tuple[str, int, RuleSet | None, frozenset[str]] = ("", 0, None, frozenset())
+        self._read: tuple[str, RuleSet | None] = ("", None)
         self._waiting: list[_Asked] = []
         self._rounds: dict[int, list[_Asked]] = {}
         self._round = 0
@@ -85,22 +87,23 @@
         self._waiting, self._rounds, self.holders = [], {}, {}
         self._floors_out, self._leaving = {}, {}
         self.bench = Bench()
-        self.bank = Bank(self.times.grant_us, now_us, self._given_before()) if on else None
+        raft = self._owner.raft
+        self.blocks.elected(now_us, on, raft.disk.term if raft is not None else 0)
         for chapter in self.chapters:
             chapter.elected(now_us, on)
         return [self._owner.timer("step", now_us + self.times.batch_us)] if on else []
 
     # -- rounds
 
-    def on_ask(self, now_us: int, ident: str, address: str, ask: Ask) -> list[Effect]:
-        """Somebody asks, this placer itself too."""
+    def on_ask(self, now_us: int, ident: str, address: str, ask: Ask, via: str = "") -> list[Effect]:
+        """Somebody asks, this placer itself too; `via` a voter that passed it on."""
         if not self._owner.leads:
-            return [Send(ident, address, NotLeader(ask.number, self._owner.leader))]
+            return [] if via else [Send(ident, address, NotLeader(ask.number, self._owner.leader))]
         if len(self._waiting) >= ASKS_MOST:
             return []
         waits = bool(self._waiting)
         self._waiting = [each for each in self._waiting if each.ident != ident]
-        self._waiting.append(_Asked(ident, address, ask))
+        self._waiting.append(_Asked(ident, address, ask, via))
         return [] if waits else [self._owner.timer("batch", now_us + self.times.batch_us)]
 
     def begin_round(self, now_us: int) -> list[Effect]:
@@ -137,10 +140,9 @@
 
     def _rights(self, now_us: int, asks: Sequence[_Asked]) -> list[tuple[Right, ...]]:
         """What those that asked together may use of the fleet's limits."""
-        if self.bank is None or not asks:
-            return [() for _ in asks]
-        rules, holders = self._rules()
-        return self.bank.answers(now_us, [(each.asker, each.ask.stated) for each in asks], rules.limits, holders)
+        if not asks:
+            return []
+        return self.blocks.answers(now_us, [(each.asker, each.ask.stated) for each in asks], self._rules().limits)
 
     def _give(self, now_us: int, asked: _Asked, rights: tuple[Right, ...]) -> list[Effect]:
         agreed, ask, lasts = self._owner.agreed, asked.ask, self.times.grant_us
@@ -164,21 +166,21 @@
                       agreed.version, floor.number if floor else 0,
                       floor.rules if floor and ask.floor != floor.number else "", floor.lasts_us if floor else 0,
                       rights, self.bench.told(now_us),
-                      **{chapter.name: chapter.told(now_us, asked.asker) for chapter in self.chapters})
+                      **{chapter.name: chapter.told(now_us, asked.asker) for chapter in self.chapters},
+                      reign=self.blocks.reign, leader=self._owner.me)
         if asked.ident == self._owner.me:
             return self._take_grant(now_us, grant)
-        return [Send(asked.ident, asked.address, grant)]
-
-    def _rules(self) -> tuple[RuleSet, frozenset[str]]:
-        """The rules in force, and who may hold rights under them or any version that is kept."""
-        text, version, rules, holders = self._read
-        agreed = self._owner.agreed
-        if rules is None or (text, version) != (agreed.rules, agreed.version):
-            rules = read(agreed.rules)
-            kept = [rules, *(read(each.rules) for each in agreed.versions)]
-            holders = frozenset(name for each in kept for limit in each.limits for name in limit.among)
-            self._read = agreed.rules, agreed.version, rules, holders
-        return rules, holders
+        return [Send(asked.via, "", GrantFor(asked.ident, grant)) if asked.via
+                else Send(asked.ident, asked.address, grant)]
+
+    def _rules(self) -> RuleSet:
+        """The rules in force."""
+        text, rules = self._read
+        if rules is None or text != self._owner.agreed.rules:
+            text = self._owner.agreed.rules
+            rules = read(text)
+            self._read = text, rules
+        return rules
 
     # -- steps
 
@@ -204,8 +206,8 @@
             if now_us >= max(ends):
                 return owner.propose(now_us, "floor-lapsed", {"number": agreed.floors[-1].number})
             again.append(max(ends))
-        for chapter in self.chapters if agreed.edition else ():
-            proposals, at = chapter.due(now_us, self._rules()[0])
+        for chapter in (self.blocks, *self.chapters) if agreed.edition else ():
+            proposals, at = chapter.due(now_us, self._rules())
             for each in proposals:
                 out += owner.propose(now_us, f"{chapter.name}/{each.kind}", each.value)
             if at is not None:
@@ -219,13 +221,3 @@
         old = [until for each, until in self.holders.values() if each < edition]
         # Grants that an earlier leader gave are not known here: each was asked for before this one was elected.
         return max([given_until_us(raft.began_us, self.times.grant_us), *old, *self._leaving.values()])
-
-    def _given_before(self) -> Callable[[str], bool]:
-        """At an election: to which limits leaders before may have given rights."""
-        raft, agreed = self._owner.raft, self._owner.agreed
-        assert raft is not None
-        if any(entry.kind not in ("", log.VOTERS) for entry in raft.disk.log[raft.commit - raft.disk.base:]):
-            return lambda key: True  # Danger: a version that is decided, and not known to be, may have had any limit
-        texts = [agreed.rules, *(each.rules for each in agreed.versions)]
-        keys = frozenset(limit.key for text in texts if text for limit in read(text).limits)
-        return lambda key: key in keys
--- a/wingbarrow/decide/peers/raft.py
+++ b/wingbarrow/decide/peers/raft.py
@@ -55,6 +55,7 @@
         self._heard_us = -election_us  # of a leader
         self._granted: set[str] = set()
         self._pre = False
+        self._yielded = False  # since it stood last: to another that stands
         self._peers: dict[str, _Peer] = {}
         self._round = 0
         self._confirms: list[tuple[int, int]] = []  # number, the round that must be answered
@@ -130,6 +131,8 @@
             return []
         if key == "beat":
             return self._beat(now_us)
+        if key == "again":
+            return self._ask_votes(now_us) if self.role is Role.CANDIDATE else []
         if self.leads or self.empty or self.me not in self.voters:
             return self._wait_for_leader(now_us)
         return self._stand(now_us, True)
@@ -167,16 +170,19 @@
     def _stand(self, now_us: int, pre: bool) -> Effects:
         """Ask to be elected; first only whether one would be, so that who was cut off raises no term in vain."""
         out: Effects = []
-        self._pre, self._granted, self.leader = pre, {self.me}, ""
+        self._pre, self._granted, self.leader, self._yielded = pre, {self.me}, "", False
         self.role = Role.CANDIDATE
         if not pre:
             self.disk.term, self.disk.vote = self.disk.term + 1, self.me
             out.append(self._persist(None))
-        term = self.disk.term + 1 if pre else self.disk.term
+        return [*out, *self._ask_votes(now_us), *self._wait_for_leader(now_us), *self._count_votes(now_us)]
+
+    def _ask_votes(self, now_us: int) -> Effects:
+        """Of all that have not granted theirs, again and again: an ask or its answer may be lost."""
+        term = self.disk.term + 1 if self._pre else self.disk.term
         last_term = self.disk.term_at(self.disk.last) or 0
-        out += [Send(each, "", VoteAsk(term, self.disk.last, last_term, pre)) for each in self.voters
-                if each != self.me]
-        return [*out, *self._wait_for_leader(now_us), *self._count_votes(now_us)]
+        return [*(Send(each, "", VoteAsk(term, self.disk.last, last_term, self._pre)) for each in self.voters
+                  if each not in self._granted), self._timer("again", now_us + self._beat_us)]
 
     def _on_vote_ask(self, now_us: int, ident: str, asked: VoteAsk) -> Effects:
         disk = self.disk
@@ -189,6 +195,11 @@
         good = (asked.last_term, asked.last_index) >= mine and not stays and ident in self.voters
         if asked.pre:
             granted = good and asked.term > disk.term
+            if granted and not self._yielded and (self.role is Role.FOLLOWER or self._pre and ident < self.me):
+                # Of two that stand at once one gives way, or both get half of the votes. Once: who stands may be deaf.
+                self._yielded, self.role = True, Role.FOLLOWER
+                wait = 2 * self._beat_us + self._random.randrange(2 * self._beat_us)
+                out.append(self._timer("election", now_us + wait))
             return [*out, Send(ident, "", VoteAnswer(asked.term if granted else disk.term, granted, True))]
         granted = good and asked.term == disk.term and disk.vote in ("", ident)
         if granted and not disk.vote:
--- a/wingbarrow/peers/limitsfront.py
+++ b/wingbarrow/peers/limitsfront.py
@@ -38,8 +38,8 @@
                 {"limit": each.key, "most": purse.limits[each.key].most, "windowUs": purse.limits[each.key].window_us,
                  "share": each.share if acting is not None and acting.edition else 0, "uses": each.uses,
                  "wants": each.wants} for each in purse.stated(now)]}
-        if agreement.leads and agreement.bank is not None and agreement.agreed.rules:
-            told["accounts"] = agreement.bank.told(now, read(agreement.agreed.rules).limits)
+        if agreement.leads and agreement.agreed.rules:
+            told["accounts"] = agreement.blocks.accounts(now, read(agreement.agreed.rules).limits)
         return Answer(200, names.encode(told))
 
     def _verdicts(self, agreement: Agreement) -> Answer:
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -30,7 +30,8 @@
     "vote-ask": log.VoteAsk, "vote-answer": log.VoteAnswer, "append": log.Append, "append-answer": log.AppendAnswer,
     "install": log.Install, "ask": asking.Ask, "grant": asking.Grant, "not-leader": asking.NotLeader,
     "keep": leasing.Keep, "keep-answer": leasing.KeepAnswer, "settle": leasing.Settle, "settled": leasing.Settled,
-    "ask-machine": leasing.AskMachine, "machine-says": leasing.MachineSays}
+    "ask-machine": leasing.AskMachine, "machine-says": leasing.MachineSays,
+    "ask-for": asking.AskFor, "grant-for": asking.GrantFor}
 _NAMES = {kind: name for name, kind in KINDS.items()}
 
 
@@ -109,6 +110,10 @@
 
 
 def _check(message: Any) -> None:
+    if isinstance(message, asking.AskFor | asking.GrantFor):
+        if not 0 < len(message.ident) <= NAME_MOST:
+            raise BadMail("an ask, or a grant, for nobody")
+        message = message.ask if isinstance(message, asking.AskFor) else message.grant
     news = getattr(message, "news", ())
     if len(news) > WORDS_MOST:
         raise BadMail(f"{len(news)} words; {WORDS_MOST} are the most")
