News of regions ride on asks and grants; letters of handing over have kinds and bounds

Need: the choice of a region at a placer wants what other regions' placers see. Off without `agree` and a region.

--- a/wingbarrow/peers/agreeing.py
+++ b/wingbarrow/peers/agreeing.py
@@ -7,8 +7,10 @@
 
 from wingbarrow.config.settings import PlacerSettings
 from wingbarrow.decide.peers.agreement import Agreement, Times
+from wingbarrow.decide.peers.chapters import Side
 from wingbarrow.decide.peers.log import Disk
-from wingbarrow.decide.peers.sessions import Lease, Sessions
+from wingbarrow.decide.peers.regionnews import Regions
+from wingbarrow.decide.peers.sessions import Sessions
 from wingbarrow.store.votes import StoreFailed, VoteStore, open_if_there
 
 
@@ -28,9 +30,10 @@
     return store, disk
 
 
-def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, lease: Lease) -> Agreement:
+def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, sides: tuple[Side, ...]) -> Agreement:
     """The agreement of a placer whose settings say `agree`; every voter has all chapters."""
     agree = settings.agree
     assert agree is not None
+    named = tuple(sorted({region for name, region in agree.regions if name not in agree.bare}))
     return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + life, Times(grant_us=agree.grant_us),
-                     life, chapters=(Sessions(agree.lease_us),), sides=(lease,))
+                     life, chapters=(Sessions(agree.lease_us), Regions(agree.lease_us, named)), sides=sides)
--- a/wingbarrow/peers/bounds.py
+++ b/wingbarrow/peers/bounds.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 from typing import Any, get_args
 
-from wingbarrow.decide.peers import asking, leasing
+from wingbarrow.decide.peers import asking, handing, leasing
 from wingbarrow.decide.peers.leasing import (
     EFFECTS, ENDED_MOST, KEEPERS_MOST, KEPT_MOST, PHASES, RECORD_MOST, Ended, Record, Session, SessionsSaid,
     SessionsTold)
+from wingbarrow.decide.peers.regionnews import REGIONS_MOST, RegionsSaid, RegionTold
 from wingbarrow.decide.peers.sessionlog import BATCHES_MOST, SUCCESSORS_MOST
 from wingbarrow.decide.peers.turns import TURNS_MOST, TurnsSaid, TurnsTold
 
@@ -18,7 +19,7 @@
 RECORDS_MOST, UIDS_MOST = 64, 256  # in one letter
 TASKS_MOST = 1_000  # of a Job
 FIGURE_MOST = 1 << 62
-LEASING = get_args(leasing.Message)
+LEASING, HANDING = get_args(leasing.Message), get_args(handing.Message)
 
 
 def fault(message: Any) -> str:
@@ -29,11 +30,18 @@
             return "sessions: more than can be kept, a name too long or a figure out of range"
         if message.turns is not None and not _turns_said(message.turns):
             return "turns: more than there can be, or a number out of range"
+        if message.regions is not None and not _region_said(message.regions):
+            return "regions: a name too long, or a figure out of range"
     elif isinstance(message, asking.Grant):
         if message.sessions is not None and not _told(message.sessions):
             return "sessions: more ends than go with a grant, a name too long or a figure out of range"
         if message.turns is not None and not _turns_told(message.turns):
             return "turns: more than there can be, a name too long or a number out of range"
+        if message.regions is not None and not (len(message.regions) <= REGIONS_MOST
+                                                and all(map(_region_told, message.regions))):
+            return "regions: more than there can be, a name too long or a figure out of range"
+    elif isinstance(message, HANDING):
+        return "" if _handing(message) else f"{type(message).__name__}: a text too long, or a figure out of range"
     elif isinstance(message, leasing.Keep):
         if not (_figures(message.number) and _session(message.session) and _uids(message.gone)):
             return "keep: more uids than go with a letter, a name too long or a figure out of range"
@@ -87,6 +95,28 @@
         _figures(number) and _names(machine, state, who) for number, machine, state, who in told.turns)
 
 
+def _region_said(said: RegionsSaid) -> bool:
+    return (0 < len(said.region) <= NAME_MOST and _figures(said.came, said.refused)
+            and all(0 <= figure < 1e12 for figure in (said.cores, said.memory, said.free_cores, said.free_memory)))
+
+
+def _region_told(told: RegionTold) -> bool:
+    return (_names(told.region, *told.placers) and len(told.placers) <= REGIONS_MOST
+            and _figures(told.age_us, told.refusing_us, told.stable_us)
+            and all(-1e12 < figure < 1e12 for figure in (told.load, told.cores, told.memory)))
+
+
+def _handing(message: handing.Message) -> bool:
+    if not 0 < len(message.ident) <= KEY_MOST:
+        return False
+    if isinstance(message, handing.HandSays):
+        return _names(message.state, message.where) and len(message.words) <= WHY_MOST
+    if isinstance(message, handing.HandStop):
+        return _figures(message.life)
+    return (_figures(message.life, message.hops, message.left_us) and _names(message.spec)
+            and len(message.manifest) <= handing.MANIFEST_MOST)
+
+
 def _record(record: Record) -> bool:
     return (_figures(record.form, record.epoch, record.version, record.window_us, record.after_us, record.count,
                      record.born_age_us)
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -19,6 +19,7 @@
 from wingbarrow.decide.peers.effects import Effect, Persist, Send, SetTimer, Tell
 from wingbarrow.decide.peers.leasing import Ended, Session, read_session
 from wingbarrow.decide.peers.membership import Me, Membership, Rules, Seed
+from wingbarrow.decide.peers.regionnews import RegionsSide
 from wingbarrow.decide.peers.sessions import Lease
 from wingbarrow.decide.peers.table import Member
 from wingbarrow.peers.agreeing import agreement_of, voter_store
@@ -60,6 +61,7 @@
         self.membership = self._member()
         self.agreement: Agreement | None = None
         self.lease = Lease(settings.name, settings.region)
+        self.regions = RegionsSide(lambda now_us: None)
         self.on_session: Callable[[Session, bool, int], None] = lambda session, may, epoch: None
         self.on_ended: Callable[[Ended], None] = lambda ended: None
         self.on_rules: Callable[[str, str], None] = lambda label, text: None
@@ -103,7 +105,7 @@
         self.history("start", name=settings.name, life=self._life, address=self.address)
         if settings.agree is not None:
             self._store, disk = voter_store(settings, self._log)
-            self.agreement = agreement_of(settings, disk, self._life, self.lease)
+            self.agreement = agreement_of(settings, disk, self._life, (self.lease, self.regions))
             self.agreement.purse.uses, self.agreement.purse.demand = self.uses, self.demand
             self.agreement.live_in(settings.region, self.zones)
         try:
--- a/wingbarrow/peers/message.py
+++ b/wingbarrow/peers/message.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from wingbarrow.decide.peers import asking, leasing, log, words
+from wingbarrow.decide.peers import asking, handing, leasing, log, words
 from wingbarrow.decide.peers.limits import LIMITS_MOST
 from wingbarrow.decide.peers.verdicts import EVIDENCE_MOST, VERDICTS_MOST
 from wingbarrow.peers.bounds import fault
@@ -31,6 +31,7 @@
     "install": log.Install, "ask": asking.Ask, "grant": asking.Grant, "not-leader": asking.NotLeader,
     "keep": leasing.Keep, "keep-answer": leasing.KeepAnswer, "settle": leasing.Settle, "settled": leasing.Settled,
     "ask-machine": leasing.AskMachine, "machine-says": leasing.MachineSays,
+    "hand": handing.Hand, "hand-stop": handing.HandStop, "hand-says": handing.HandSays,
     "ask-for": asking.AskFor, "grant-for": asking.GrantFor}
 _NAMES = {kind: name for name, kind in KINDS.items()}
 
