--- /dev/null
+++ b/tests/decide/federation/made.py
@@ -0,0 +1,84 @@
+"""Federations made by hypothesis, and what they allow told plainly, one question at a time."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+
+from wingbarrow.decide.federation import form
+from wingbarrow.decide.federation import spec as s
+
+REGIONS, SETS, NAMES, CLASSES = ("north", "south", "east"), ("d1", "d2"), ("orders", "mail"), ("web", "pay")
+_SOME = st.lists(st.sampled_from(REGIONS), unique=True, max_size=3).map(tuple)
+_NEEDS = st.lists(st.builds(s.Need, st.sampled_from(SETS), st.sampled_from(s.NEAR), st.integers(0, 1),
+                            st.integers(0, 2)), unique_by=lambda each: each.dataset, max_size=2).map(tuple)
+_FAILOVERS = st.builds(s.Failover, st.lists(st.sampled_from(s.ON), unique=True, max_size=3).map(tuple),
+                       st.integers(10, 11), _SOME, st.sampled_from([50, 100]), st.integers(0, 2), st.integers(1, 2),
+                       st.integers(0, 1), st.integers(0, 1))
+_BACKS = st.builds(s.Back, st.sampled_from(s.RETURNS), st.integers(0, 2), st.integers(1, 2))
+_SPECS = st.builds(s.Spec, st.just(""), _SOME, _SOME, _NEEDS, st.none() | _FAILOVERS, _BACKS, st.sampled_from(s.CUTS),
+                   st.sampled_from([50, 60]), st.sampled_from([80, 90]), st.booleans())
+
+
+def _named(parts: tuple[dict[str, s.Spec], dict[str, s.DataSet], dict[str, str]]) -> s.Federation:
+    specs, sets, uses = parts
+    return form.normal(s.Federation(
+        tuple(s.Spec(name, *(getattr(each, part) for part in s.Spec.__slots__[1:])) for name, each in specs.items()),
+        tuple(s.DataSet(name, each.copies, each.stays) for name, each in sets.items()), tuple(uses.items())))
+
+
+_DATASETS = st.builds(s.DataSet, st.just(""), st.dictionaries(st.sampled_from(REGIONS), st.integers(0, 2)).map(
+    lambda found: tuple(found.items())), _SOME)
+FEDERATIONS = st.tuples(st.dictionaries(st.sampled_from(NAMES), _SPECS),
+                        st.dictionaries(st.sampled_from(SETS), _DATASETS),
+                        st.dictionaries(st.sampled_from(CLASSES), st.sampled_from(NAMES))).map(_named)
+
+
+# A leased run does nothing that one without a lease may not do; the other way round it may not go on for ever.
+_UNLEASED = (("runs without a lease",), *(("runs with keepers", copies) for copies in range(1, 4)))
+
+
+def allowed_acts(federation: s.Federation) -> set[tuple[object, ...]]:
+    """Everything that Jobs of each class, by each name or none, may come to, as plain facts."""
+    out: set[tuple[object, ...]] = set()
+    for task_class in CLASSES:
+        for named in ("", *NAMES, *(each.name for each in federation.specs)):
+            spec = federation.spec_for(task_class, named)
+            who = (task_class, named)
+            if spec is None:
+                out |= {(*who, "runs", region) for region in REGIONS}
+                out |= {(*who, *each) for each in (*_UNLEASED, ("goes on behind a cut",))}
+                continue
+            can = [region for region in REGIONS if _may_run(spec, federation, region)]
+            out |= {(*who, "runs", region) for region in can}
+            if not can:
+                continue
+            if spec.on_cut == "carry-on":
+                out.add((*who, "goes on behind a cut"))
+            over = spec.failover
+            if over is None:
+                out |= {(*who, *each) for each in _UNLEASED}
+            else:
+                out |= {(*who, "runs with keepers", copies) for copies in range(over.copies, 4)}
+                for on in over.on:
+                    for after in range(over.after_us, 13):
+                        for home in REGIONS:
+                            out |= {(*who, "goes over on", on, "after", after, home, region)
+                                    for region in spec.targets(home) if region in can}
+            if spec.back.when != "never":
+                for when in s.RETURNS[1:s.RETURNS.index(spec.back.when) + 1]:
+                    out |= {(*who, "returns", when, stable, pace) for stable in range(spec.back.stable_us, 4)
+                            for pace in range(1, spec.back.pace + 1)}
+    return out
+
+
+def _may_run(spec: s.Spec, federation: s.Federation, region: str) -> bool:
+    if region not in spec.regions or region in spec.forbidden:
+        return False
+    for need in spec.data:
+        found = [each for each in federation.datasets if each.name == need.dataset]
+        if not found or (found[0].stays and region not in found[0].stays):
+            return False
+        behind = dict(found[0].copies).get(region)
+        if need.near == "required" and (behind is None or behind > need.behind_us):
+            return False
+    return True
--- /dev/null
+++ b/tests/decide/federation/test_compare.py
@@ -0,0 +1,133 @@
+"""Federations compare by what may run or move: an order with a meet that allows nothing that either forbids."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+
+from tests.decide.federation.made import FEDERATIONS, allowed_acts
+from wingbarrow.decide.federation import compare, form
+from wingbarrow.decide.federation import spec as s
+from wingbarrow.decide.peers import rules as r
+
+_NORTH, _SOUTH = s.Spec("orders", ("north",)), s.Spec("orders", ("south",))
+
+
+@given(FEDERATIONS, FEDERATIONS)
+def test_the_meet_allows_no_run_and_no_move_that_either_forbids(a: s.Federation, b: s.Federation) -> None:
+    met = compare.meet(a, b)
+    assert allowed_acts(met) <= allowed_acts(a) & allowed_acts(b)
+    assert compare.within(met, a) and compare.within(met, b)
+    assert compare.meet(b, a) == met
+    assert compare.meet(met, a) == met or compare.within(compare.meet(met, a), met)
+
+
+@given(FEDERATIONS, FEDERATIONS, FEDERATIONS)
+def test_it_is_an_order_and_the_meet_is_the_most_that_both_allow(a: s.Federation, b: s.Federation,
+                                                                 c: s.Federation) -> None:
+    assert compare.within(a, a)
+    met = compare.meet(a, b)
+    if compare.within(a, b):
+        assert allowed_acts(a) <= allowed_acts(b)
+        assert compare.within(a, met), "nothing is lost where one is within the other"
+        if compare.within(b, c):
+            assert compare.within(a, c)
+        if compare.within(b, a):
+            assert allowed_acts(a) == allowed_acts(b)
+    if compare.within(c, a) and compare.within(c, b):
+        assert compare.within(c, met)
+
+
+@given(FEDERATIONS, FEDERATIONS)
+@settings(max_examples=50)
+def test_a_text_reads_back_and_says_all(a: s.Federation, b: s.Federation) -> None:
+    text = form.write(a)
+    assert form.read(text) == a and form.write(form.read(text)) == text
+    assert (text == form.write(b)) == (a == b) == (not compare.differences(a, b))
+    assert not set(text) & set('"\\') and text.isascii()
+
+
+def _rules(federation: s.Federation) -> r.RuleSet:
+    return r.normal(r.RuleSet((r.ClassRules("web", "safe", "none", 0), r.ClassRules("pay", "unsafe", "none", 0)), 4, 18,
+                              2, (), 250, (), federation=federation))
+
+
+@given(FEDERATIONS, FEDERATIONS)
+@settings(max_examples=50)
+def test_rule_sets_have_it_as_a_part(a: s.Federation, b: s.Federation) -> None:
+    one, other = _rules(a), _rules(b)
+    assert r.read(one.text()) == one
+    assert r.read(r.meet(one, other).text()).federation == compare.meet(a, b)
+    assert r.allows(one, other) == compare.within(a, b)
+    assert r.keeps_floor(one, other), "no floor speaks of it"
+    rest, federation = r.apart(one)
+    assert r.joined(rest, federation) == one.text()
+
+
+def test_where_two_versions_leave_no_region_jobs_are_refused_and_nobody_can_name_the_step() -> None:
+    a, b = (s.Federation((each,), (), (("web", "orders"),)) for each in (_NORTH, _SOUTH))
+    met = compare.meet(a, b)
+    found = met.spec_for("web")
+    assert found is not None and found.regions == () and met.spec_for("pay") is None
+    other = replace(b, specs=(replace(_SOUTH, name="mail"),), uses=(("web", "mail"),))
+    step = compare.meet(a, other)
+    between = step.spec_for("web")
+    assert between is not None and between.name == s.BOTH + "web" and between.regions == ()
+    named = step.spec_for("pay", s.BOTH + "web")
+    assert named is not None and named.regions == (), "a Job that names what stands between versions is refused"
+    unnamed = met.spec_for("web", "nobody")
+    assert unnamed is not None and unnamed.regions == ()
+
+
+def _keeps(part: str) -> Callable[[s.Spec, s.Spec, str], s.Spec]:
+    """A wrong meet: one part as the first has it."""
+    right = compare.spec_meet
+    return lambda a, b, name: replace(right(a, b, name), **{part: getattr(a, part)})
+
+
+@pytest.mark.parametrize("part", ["regions", "data", "failover", "back", "on_cut"])
+def test_a_meet_that_leaves_out_a_part_is_found(part: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    found = _sample()
+    monkeypatch.setattr(compare, "spec_meet", _keeps(part))
+    assert any(not allowed_acts(compare.meet(a, b)) <= allowed_acts(a) & allowed_acts(b)
+               for a, b in zip(found, found[1:], strict=False))
+
+
+def test_a_residency_that_is_lost_in_the_meet_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    right = compare.dataset_meet
+    monkeypatch.setattr(compare, "dataset_meet", lambda a, b: replace(right(a, b) or a, stays=()))
+    found = _sample()
+    assert any(not allowed_acts(compare.meet(a, b)) <= allowed_acts(a) & allowed_acts(b)
+               for a, b in zip(found, found[1:], strict=False))
+
+
+def _sample() -> list[s.Federation]:
+    """Plain federations that differ in one way each, and some at random (seed 41)."""
+    rng = random.Random(41)
+    over = s.Failover(("lost", "refusing"), 10, refusing_us=1)
+    out = []
+    for _ in range(400):
+        regions = tuple(rng.sample(("north", "south", "east"), rng.randint(1, 3)))
+        needs = tuple(s.Need(name, rng.choice(s.NEAR)) for name in ("d1", "d2") if rng.random() < 0.3)
+        spec = s.Spec("orders", regions, (), needs, rng.choice([None, over, replace(over, on=("lost",), after_us=11)]),
+                      s.Back(rng.choice(s.RETURNS)), rng.choice(s.CUTS))
+        sets = tuple(s.DataSet(name, tuple((region, 0) for region in ("north", "south", "east")),
+                               tuple(rng.sample(("east", "north"), rng.randint(0, 2)))) for name in ("d1", "d2"))
+        out.append(form.normal(s.Federation((spec,), sets, (("web", "orders"),))))
+    return out
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("S orders 0 - - - n/0/1 c 60 90 r;", "no federation"), ("X;", "kind X"), ("R north", "cut off"),
+    ("R north;S a 0 - - - n/0/1 c 90 60 r;", "spec a"), ("R north;S a 0 - - - z/0/1 c 60 90 r;", "none of never"),
+    ("R north;D a 0=2x -;", "no time"), ("R no\"rth;D a 0=0 -;", "is wanted"), ("D a 0=0 -;", "no federation"),
+    ("R north;D a 0=0 -;D a 0=0 -;", "twice"),
+    ("U web a;U web b;", "two specs"), ("R north;S a 0,0 - - - n/0/1 c 60 90 r;", "spec a"), ("D a;", "no federation"),
+    ("R north;S a 0 - - l/1s/-/0/0/1/0/0 n/0/1 c 60 90 r;", "spec a"), ("x" * (form.FEDERATION_MOST + 1), "the most")])
+def test_texts_that_are_none_are_refused_with_words(text: str, words: str) -> None:
+    with pytest.raises(form.BadFederation, match=words):
+        form.read(text)
--- a/wingbarrow/cli/rules.py
+++ b/wingbarrow/cli/rules.py
@@ -66,10 +66,10 @@
 
 def _version(state: dict[str, Any], number: int) -> RuleSet:
     for each in state["versions"]:
-        if each["number"] == number:
+        if each["number"] == number and each["rules"] is not None:
             return read(json.dumps(each["rules"]))
-    raise CommandFailed(f"version {number} is not kept; there are "
-                        f"{', '.join(str(each['number']) for each in state['versions']) or 'none'}")
+    kept = [str(each["number"]) for each in state["versions"] if each["rules"] is not None]
+    raise CommandFailed(f"version {number} is not kept; there are {', '.join(kept) or 'none'}")
 
 
 def _back(state: dict[str, Any], number: int) -> RuleSet:
--- a/wingbarrow/decide/federation/compare.py
+++ b/wingbarrow/decide/federation/compare.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import fields
+from dataclasses import fields, replace
 
 from wingbarrow.decide.federation.form import normal
 from wingbarrow.decide.federation.spec import (
@@ -33,6 +33,11 @@
     return named_regions(spec) & frozenset(over.to) if over is not None and over.to else named_regions(spec)
 
 
+def _follows(spec: Spec) -> bool:
+    """Whether work may go over at all."""
+    return spec.failover is not None and bool(spec.failover.on) and bool(_targets(spec))
+
+
 # -- specs
 
 
@@ -55,10 +60,10 @@
     one, other = a.failover, b.failover
     if one is None or other is None:
         # Without a lease work goes on behind a cut, which leased work may not; leased with nothing to follow is less.
-        return other is None and (one is None or not one.on)
+        return other is None and not _follows(a)
     if one.copies < other.copies:
         return False
-    return not one.on or (
+    return not _follows(a) or (
         set(one.on) <= set(other.on) and one.after_us >= other.after_us and one.room <= other.room
         and _targets(a) <= _targets(b) and ("refusing" not in one.on or one.refusing_us >= other.refusing_us))
 
@@ -151,13 +156,18 @@
     for dataset in a.datasets:
         if dataset.name not in sets or not dataset_within(dataset, sets[dataset.name]):
             return False
-    for task_class, _ in b.uses:
+    for task_class in a.used.keys() | b.used.keys():
         mine, other = a.spec_for(task_class), b.spec_for(task_class)
-        if mine is None or other is None or not spec_within(mine, other):
+        if mine is None or not (_stays(mine) if other is None else spec_within(mine, other)):
             return False
     return True
 
 
+def _stays(spec: Spec) -> bool:
+    """Whether work that goes by a spec moves no more than work without any, which runs anywhere and never moves."""
+    return not named_regions(spec) or (spec.back.when == "never" and not _follows(spec))
+
+
 def meet(a: Federation, b: Federation) -> Federation:
     """What both allow. A class whose spec is another in each goes by what both specs allow, under a name of its own."""
     mine, theirs = _nameable(a), _nameable(b)
@@ -168,12 +178,18 @@
         names = {each.used.get(task_class, "") for each in (a, b)}
         uses[task_class] = next(iter(names)) if len(names) == 1 else BOTH + task_class
         if uses[task_class].startswith(BOTH):
-            found = [each for each in (a.spec_for(task_class), b.spec_for(task_class)) if each is not None]
-            specs[uses[task_class]] = spec_meet(found[0], found[-1], uses[task_class])
+            specs[uses[task_class]] = _class_meet(a.spec_for(task_class), b.spec_for(task_class), uses[task_class])
     return normal(Federation(tuple(specs.values()), tuple(each for each in datasets if each is not None),
                              tuple(uses.items())))
 
 
+def _class_meet(a: Spec | None, b: Spec | None, name: str) -> Spec:
+    if a is not None and b is not None:
+        return spec_meet(a, b, name)
+    one = a or b or Spec(name, ())
+    return replace(one, name=name, back=Back(), failover=one.failover and Failover((), 0, copies=one.failover.copies))
+
+
 def differences(a: Federation, b: Federation) -> list[str]:
     """What is another in `b`, in words, a line each."""
     out: list[str] = []
--- a/wingbarrow/decide/peers/agreed.py
+++ b/wingbarrow/decide/peers/agreed.py
@@ -8,14 +8,36 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Any
 
-from wingbarrow.decide.peers.rules import BadRules, RuleSet, contradict, keeps_floor, meet, read
+from wingbarrow.decide.federation.form import FEDERATION_MOST
+from wingbarrow.decide.federation.spec import Federation
+from wingbarrow.decide.peers.rules import (
+    MAILED_MOST,
+    BadRules,
+    RuleSet,
+    apart,
+    check,
+    contradict,
+    joined,
+    keeps_floor,
+    meet,
+    read,
+    too_long,
+)
 
-VERSIONS_MOST, VERSIONS_CHARS = 64, 128 * 1024  # kept whole; older ones are known by number alone
-IDENTS_MOST = 256  # proposals whose outcome is remembered, for those that are sent again
+# A snapshot goes in one mail of 1 MiB. Counted as mailed: in force and two steps, versions, floors, federations (each
+# once, whoever names it), outcomes; what is left is for `chapters`.
+VERSIONS_MOST, VERSIONS_MAILED = 64, 160 * 1024  # kept; older ones are known by number alone
+FEDERATIONS_MOST = 3 * FEDERATION_MOST + 64 * 1024  # in force, two steps, and those of versions before
+FLOORS_MAILED = 96 * 1024
+IDENTS_MOST, OUTCOME_MOST = 256, 200  # proposals whose outcome is remembered, for those that are sent again
+OUTCOMES_MAILED = IDENTS_MOST * (OUTCOME_MOST + 120)
+SNAPSHOT_MOST = 3 * MAILED_MOST + VERSIONS_MAILED + FEDERATIONS_MOST + FLOORS_MAILED + OUTCOMES_MAILED
+CHAPTERS_MAILED = 128 * 1024  # all chapters' texts together, as mailed: what their own bounds come to must stay below
 RECOVERED = "recovered"  # the kind of the entry by which one voter went on alone
 EDITIONS_LEFT = 1000  # for those that may have been decided by voters that were lost
 FLOORS_MOST = 4  # that may be out at a time
@@ -24,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Version:
-    """One accepted version."""
+    """One accepted version. `rules` is the text without the federation, which `Agreed.whole` adds."""
 
     number: int
     rules: str
@@ -32,6 +54,11 @@
     by: str
     why: str
     digest: str
+    federation: str = ""  # the digest of its text
+
+    def mailed(self) -> int:
+        """Its size in a snapshot."""
+        return len(json.dumps(self.rules)) + len(json.dumps(json.dumps(self.by + self.why))) + 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +82,7 @@
     floors: list[Floor] = field(default_factory=list)  # the latest last; those before may still be out
     outcomes: dict[str, str] = field(default_factory=dict)  # by proposal: "" where it was accepted, else why not
     chapters: dict[str, str] = field(default_factory=dict)  # each one's text as of the last snapshot
+    federations: dict[str, str] = field(default_factory=dict)  # texts of versions' by digest, the latest last
 
     def apply(self, kind: str, body: str) -> None:
         """Take one decided entry; what cannot be read changes nothing (it was checked before it was proposed)."""
@@ -78,6 +106,13 @@
         """The rules of the latest version; "" before there is one."""
         return self.steps[-1] if self.steps else self.rules
 
+    def whole(self, version: Version) -> str | None:
+        """The text of a version's rules; None where its federation is no longer kept."""
+        if not version.federation:
+            return version.rules
+        federation = self.federations.get(version.federation)
+        return None if federation is None else joined(version.rules, federation)
+
     # -- proposals
 
     def objection(self, base: int, text: str) -> str:
@@ -94,7 +129,18 @@
             if not keeps_floor(read(floor.rules), rules):
                 return f"it forbids what floor {floor.number} allows: lower the floor first"
         moved = self._moved(rules)
-        return f"what a class is spread by cannot change while placers run: {', '.join(moved)}" if moved else ""
+        if moved:
+            return f"what a class is spread by cannot change while placers run: {', '.join(moved)}"
+        return self._no_way(rules)
+
+    def _no_way(self, rules: RuleSet) -> str:
+        """Why the fleet cannot go to these rules by what both allow; "" where it can."""
+        now = read(self.rules) if self.edition else rules
+        if not contradict(now, rules):
+            return ""
+        between = meet(now, rules)
+        problems = too_long(between) + check(between)
+        return f"what both allow cannot be said, go in smaller steps: {'; '.join(problems)}" if problems else ""
 
     def _moved(self, rules: RuleSet) -> list[str]:
         """Classes whose spread would be counted by other places than tasks already are."""
@@ -115,11 +161,16 @@
             return
         rules = read(text)
         self.version += 1
-        self.versions.append(Version(self.version, rules.text(), int(value["base"]), str(value["by"])[:253],
-                                     str(value["why"])[:500], rules.digest))
-        self.versions = self.versions[-VERSIONS_MOST:]
-        while sum(len(each.rules) for each in self.versions) > VERSIONS_CHARS:
-            del self.versions[0]
+        rest, federation = apart(rules)
+        self.versions.append(Version(self.version, rest, int(value["base"]), str(value["by"])[:253],
+                                     str(value["why"])[:500], rules.digest, _digest(federation)))
+        if federation:
+            self.federations.pop(_digest(federation), None)
+            self.federations[_digest(federation)] = federation
+        self._go_to(rules)
+        self._drop_old()
+
+    def _go_to(self, rules: RuleSet) -> None:
         if not self.edition:
             self.edition, self.rules = 1, rules.text()
             return
@@ -128,8 +179,19 @@
         now = read(self.rules)
         self.steps = [meet(now, rules).text(), rules.text()] if contradict(now, rules) else [rules.text()]
 
+    def _drop_old(self) -> None:
+        """Versions, and federations that only they have, beyond what fits a snapshot."""
+        self.versions = self.versions[-VERSIONS_MOST:]
+        while sum(each.mailed() for each in self.versions) > VERSIONS_MAILED:
+            del self.versions[0]
+        named = {each.federation for each in self.versions}
+        self.federations = {digest: text for digest, text in self.federations.items() if digest in named}
+        used = [apart(read(text))[1] for text in (self.rules, *self.steps)]
+        while len(self.federations) > 1 and sum(map(len, {*used, *self.federations.values()})) > FEDERATIONS_MOST:
+            del self.federations[next(iter(self.federations))]
+
     def _remember(self, ident: str, outcome: str) -> None:
-        self.outcomes[ident] = outcome
+        self.outcomes[ident] = outcome[:OUTCOME_MOST]
         while len(self.outcomes) > IDENTS_MOST:
             del self.outcomes[next(iter(self.outcomes))]
 
@@ -147,6 +209,9 @@
             return "too many floors may still be out: wait for the oldest to lapse"
         if not self.edition:
             return "nothing is agreed on yet"
+        held = [*(each.rules for each in self.floors), _of_floor(floor)]
+        if sum(len(json.dumps(each)) + 200 for each in held) > FLOORS_MAILED:
+            return f"more than {FLOORS_MAILED} characters of floors that may still be out: wait for the oldest to lapse"
         for each in [self.rules, *self.steps]:
             if not keeps_floor(floor, read(each)):
                 return "it allows what the rules in force, or still to come, forbid"
@@ -160,13 +225,37 @@
         self._remember(ident, why_not)
         if not why_not:
             number = self.floors[-1].number + 1 if self.floors else 1
-            self.floors.append(Floor(number, read(str(value["rules"])).text(), int(value["lasts_us"])))
+            self.floors.append(Floor(number, _of_floor(read(str(value["rules"]))), int(value["lasts_us"])))
 
     # -- snapshots
 
     def text(self) -> str:
-        """All of it."""
-        return json.dumps(asdict(self), sort_keys=True, separators=(",", ":"))
+        """All of it. Rules stand in it as objects, so that mail puts fewer marks before theirs; a federation once."""
+        parts = [apart(read(text)) if text else ("", "") for text in (self.rules, *self.steps)]
+        federations = dict(self.federations)
+        for _, federation in parts:
+            if federation:
+                federations.setdefault(_digest(federation), federation)
+        named = [[json.loads(rest) if rest else "", _digest(federation)] for rest, federation in parts]
+        value = asdict(self) | {"rules": named[0], "steps": named[1:], "federations": federations,
+                                "kept": list(self.federations)}
+        for each in (*value["versions"], *value["floors"]):
+            each["rules"] = json.loads(each["rules"])
+        return json.dumps(value, separators=(",", ":"))
+
+
+def _digest(federation: str) -> str:
+    return hashlib.blake2b(federation.encode(), digest_size=8).hexdigest() if federation else ""
+
+
+def _of_floor(rules: RuleSet) -> str:
+    """The text of a floor, which speaks of no federation: who goes by it keeps to the one that it knew."""
+    return replace(rules, federation=Federation()).text()
+
+
+def _text(value: Any) -> str:
+    """Rules of a snapshot; those of before 2026-12 are texts already."""
+    return value if isinstance(value, str) else json.dumps(value, sort_keys=True, separators=(",", ":"))
 
 
 def from_text(text: str) -> Agreed:
@@ -174,6 +263,12 @@
     if not text:
         return Agreed()
     value = json.loads(text)
-    return Agreed(value["edition"], value["rules"], value["version"], list(value["steps"]),
-                  [Version(**each) for each in value["versions"]], [Floor(**each) for each in value["floors"]],
-                  dict(value["outcomes"]), dict(value.get("chapters", {})))
+    federations = dict(value.get("federations", {}))
+
+    def whole(named: Any) -> str:
+        return named if isinstance(named, str) else joined(_text(named[0]), federations[named[1]] if named[1] else "")
+    return Agreed(value["edition"], whole(value["rules"]), value["version"], [whole(each) for each in value["steps"]],
+                  [Version(**{**each, "rules": _text(each["rules"])}) for each in value["versions"]],
+                  [Floor(**{**each, "rules": _text(each["rules"])}) for each in value["floors"]],
+                  dict(value["outcomes"]), dict(value.get("chapters", {})),
+                  {digest: federations[digest] for digest in value.get("kept", ())})
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -133,9 +133,21 @@
     return rules
 
 
+def apart(rules: RuleSet) -> tuple[str, str]:
+    """The text without the federation, and the federation's."""
+    return replace(rules, federation=Federation()).text(), form.write(rules.federation)
+
+
+def joined(rest: str, federation: str) -> str:
+    """The text of both, as canonical as they are."""
+    if not federation:
+        return rest
+    return json.dumps({**json.loads(rest), "federation": federation}, sort_keys=True, separators=(",", ":"))
+
+
 def too_long(rules: RuleSet) -> list[str]:
     """What of a rule set's text is more than is kept and mailed, in words."""
-    rest, federation = replace(rules, federation=Federation()).text(), form.write(rules.federation)
+    rest, federation = apart(rules)
     out = []
     if len(rest) > TEXT_MOST or len(json.dumps(rest)) > MAILED_MOST:
         out.append(f"{len(rest)} characters without the federation; {TEXT_MOST} are the most, and {MAILED_MOST} with "
--- a/wingbarrow/peers/rulesfront.py
+++ b/wingbarrow/peers/rulesfront.py
@@ -110,7 +110,8 @@
                 "voters": list(raft.voters), "term": raft.disk.term, "edition": agreed.edition,
                 "steps": len(agreed.steps),
                 "versions": [{"number": each.number, "by": each.by, "why": each.why, "base": each.base,
-                              "digest": each.digest, "rules": json.loads(each.rules)} for each in agreed.versions],
+                              "digest": each.digest, "rules": json.loads(agreed.whole(each) or "null")}
+                             for each in agreed.versions],
                 "floors": [{"number": each.number, "lastsUs": each.lasts_us, "rules": json.loads(each.rules)}
                            for each in agreed.floors]}
         if agreement.leads:
