Turns: the agreed queue of machines to be taken out, its leader's part and each placer's side

A machine that is to be worked on must be empty and stay so, whoever was cut off or lost meanwhile, and no budget may be passed. The chapter `turns` of the voters' log holds one queue with one total order (urgency and age, latest time, waiting time, tasks, name) that depends on entries alone; `out` is proposed only where every placer that may act by a grant has confirmed under the turn's number and the machine itself has said that it refuses new work and is empty, all of it known anew after an election. Budgets by cell, zone, region and fleet count lost and closed machines as out. Windows become turns by a pure function of rules, machines and time; a worker's renewal counts once a majority has followed the leader since.

A hypothesis machine compares the queue with a plain reference.

--- /dev/null
+++ b/tests/decide/peers/test_turns.py
@@ -0,0 +1,416 @@
+"""Turns: the leader's part by itself, hard cases and generated plays on the virtual clock, and their judge."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import UTC, datetime
+from typing import Any
+
+import pytest
+
+from wingbarrow.decide.drains import MachineState
+from wingbarrow.decide.peers.planned import DrainPlan, WindowRules
+from wingbarrow.decide.peers.rights import Asker
+from wingbarrow.decide.peers.rules import RuleSet
+from wingbarrow.decide.peers.turnbudgets import Room
+from wingbarrow.decide.peers.turncalendar import wanted
+from wingbarrow.decide.peers.turning import Turns, TurnTimes
+from wingbarrow.decide.peers.turns import AGE_US, TURNS_MOST, Queue, Turn, TurnsSaid, View
+from wingbarrow.decide.peers.turnside import Blind, TurnSide
+from wingbarrow.lab.fleet import workplay
+from wingbarrow.lab.fleet.schedules import FLOOR, rules
+from wingbarrow.lab.fleet.swarm import SECOND
+from wingbarrow.lab.fleet.workplay import Size, budgeted, judged, opened, play
+from wingbarrow.lab.fleet.workshop import WALL_US, Workshop
+
+TIMES = TurnTimes()
+
+
+def request(machine: str, region: str = "r", cell: str = "c", **more: Any) -> dict[str, Any]:
+    return {"ident": f"of-{machine}", "machine": machine, "region": region, "zone": "z", "cell": cell,
+            "why": "operator", "urgency": 5, "latest_us": 0, "lasts_us": 60 * SECOND, "worker": "w",
+            "at_us": WALL_US, **more}
+
+
+class Led:
+    """A leader by itself: one placer for each region speaks, and what it proposes is decided at once."""
+
+    def __init__(self, cells: dict[str, int], budgets: tuple[tuple[str, str, float], ...], *regions: str) -> None:
+        self.now_us, self.number, self.cells = 100 * SECOND, 0, cells
+        self.turns = Turns("of-r", lambda now: WALL_US + now)
+        self.rules = replace(rules(), plan=DrainPlan(budgets=budgets))
+        self.speak = {region: TurnsSaid(region=region) for region in (regions or ("r",))}
+        self.lost: dict[str, tuple[tuple[str, str, str], ...]] = {}
+        self.used = 0.0
+        self.turns.elected(self.now_us, True)
+        self.run(3)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds * 2)):
+            self.now_us += SECOND // 2
+            self.number += 1
+            for region, said in self.speak.items():
+                asker = Asker(f"of-{region}", 1, 0, self.number)
+                told = self.turns.told(self.now_us, asker)
+                numbers = tuple(number for number, _, state, _ in told.turns if state in ("closing", "empty", "out"))
+                self.turns.hear(self.now_us, asker, replace(
+                    said, clear=numbers, empty=numbers, at_us=self.now_us,
+                    tasks=tuple((number, 0) for number, _, state, _ in told.turns if state == "asked"),
+                    view=View(tuple(("z", cell, count) for cell, count in self.cells.items()),
+                              self.lost.get(region, ()), self.used)))
+            for each in self.turns.due(self.now_us, self.rules)[0]:
+                self.turns.apply(each.kind, each.value)
+
+    def ask(self, *machines: str, region: str = "r", **more: Any) -> None:
+        for machine in machines:
+            cell = machine.partition("-")[0]
+            self.turns.apply("ask", request(machine, region, cell, **more))
+
+    def states(self) -> dict[str, str]:
+        return {each.machine: each.state for each in self.turns.queue.turns.values()}
+
+    def where(self, state: str) -> list[str]:
+        return sorted(machine for machine, each in self.states().items() if each == state)
+
+
+def test_two_ask_for_the_last_turn_of_a_budget_and_the_second_follows_the_first() -> None:
+    led = Led({"a": 4, "b": 4}, (("cell", "max", 1.0),))
+    led.ask("a-1", urgency=3)
+    led.ask("a-2", urgency=4)
+    led.run(5)
+    assert led.states() == {"a-1": "queued", "a-2": "out"}
+    assert "1 may be" in led.turns.blocked[1]
+    led.turns.apply("back", {"number": 2, "at_us": WALL_US})
+    led.run(5)
+    assert led.states() == {"a-1": "queued", "a-2": "back"}, "one that is not tried yet counts as out"
+    led.speak["r"] = TurnsSaid(region="r", tried=(2,))
+    led.run(5)
+    assert led.states() == {"a-1": "out", "a-2": "done"}
+
+
+def test_machines_lost_while_others_are_out_spend_the_budget() -> None:
+    led = Led({"a": 4, "b": 4}, (("all", "max", 2.0),))
+    led.ask("a-1")
+    led.lost["r"] = (("b-1", "z", "b"),)
+    led.run(5)
+    led.ask("a-2")
+    led.run(5)
+    assert led.states() == {"a-1": "out", "a-2": "queued"}
+    led.lost["r"] = (("a-1", "z", "a"),)
+    led.run(5)
+    assert led.states() == {"a-1": "out", "a-2": "out"}, "one that is out and lost counts once"
+
+
+def test_a_loss_between_closing_and_out_makes_the_machine_wait() -> None:
+    led = Led({"a": 4}, (("all", "max", 1.0),))
+    led.ask("a-1", from_us=WALL_US + 110 * SECOND)
+    led.run(4)
+    assert led.states() == {"a-1": "empty"}
+    led.lost["r"] = (("a-2", "z", "a"),)
+    led.run(20)
+    assert led.states() == {"a-1": "empty"} and "1 of them lost" in led.turns.blocked[1]
+    led.lost.clear()
+    led.run(2)
+    assert led.states() == {"a-1": "out"}
+
+
+def test_a_region_out_of_reach_waits_and_holds_nobody_up() -> None:
+    led = Led({"a": 4}, (("all", "max", 4.0),), "r", "s")
+    del led.speak["s"]
+    led.run(10)
+    led.ask("a-1", region="s", urgency=9)
+    led.ask("a-2", "a-3")
+    led.run(5)
+    assert led.states() == {"a-1": "queued", "a-2": "out", "a-3": "out"}
+    assert "out of reach" in led.turns.blocked[1]
+    led.speak["s"] = TurnsSaid(region="s")
+    led.run(5)
+    assert led.states()["a-1"] == "out"
+
+
+def test_room_for_what_is_asked_and_for_another_regions_loss_is_kept() -> None:
+    led = Led({"a": 4, "b": 4}, (("region", "max", 4.0),))
+    led.used, led.turns.held_back = 3.5, lambda region: 2.0
+    led.ask("a-1", "a-2", "b-1", "b-2")
+    led.run(5)
+    assert len(led.where("out")) == 2, "8 machines, 3.5 worth of work, 2 held back"
+    assert any("2 of them for another region's loss" in each for each in led.turns.blocked.values())
+
+
+def test_two_hundred_ask_at_once_and_all_have_their_turn_within_the_budgets_and_in_order() -> None:
+    led = Led({f"c{index}": 10 for index in range(20)}, (("cell", "max", 1.0), ("all", "max", 8.0)))
+    led.ask(*(f"c{index % 20}-{index}" for index in range(200)))
+    order: list[int] = []
+    for _ in range(600):
+        led.run(0.5)
+        queue = led.turns.queue
+        out = [each for each in queue.turns.values() if each.state == "out"]
+        assert len(queue.active()) <= 8
+        order += [each.number for each in out if each.number not in order]
+        for each in out:
+            queue.apply("back", {"number": each.number, "at_us": WALL_US + led.now_us})
+        led.speak["r"] = TurnsSaid(region="r", tried=tuple(each.number for each in queue.active()))
+        if not queue.live():
+            break
+    assert sorted(order) == list(range(1, 201)) and not led.turns.queue.live()
+    assert led.turns.queue.queued() == []
+
+
+def test_past_the_bound_a_request_is_refused_with_the_reason() -> None:
+    queue = Queue()
+    for index in range(TURNS_MOST):
+        queue.apply("ask", request(f"m{index}"))
+    assert f"{TURNS_MOST} turns are asked for" in queue.refusal(request("one-more"))
+    queue.apply("ask", request("one-more"))
+    assert queue.outcomes["of-one-more"][0] == 0 and len(queue.live()) == TURNS_MOST
+    assert "has turn 1 already" in Queue.refusal(queue, request("m0"))
+    long = Queue()
+    for index in range(TURNS_MOST):
+        names = {"region": "r" * 63, "zone": "z" * 63, "cell": "c" * 63, "worker": "w" * 63}
+        long.apply("ask", request(f"{index}".rjust(253, "m"), ident=f"{index}".rjust(320, "i"), **names))
+    assert len(long.live()) == TURNS_MOST and len(long.text()) < TURNS_MOST * 1400 + 256 * 400
+    again = Queue()
+    again.restore(long.text())
+    assert again.text() == long.text()
+
+
+@pytest.mark.parametrize("wrong", [{"urgency": 10}, {"machine": ""}, {"why": "x"}, {"lasts_us": -1}, {"unsafe": "x"},
+                                   {"latest_us": True}, {"worker": None}, {"ident": "i" * 321}])
+def test_a_request_that_cannot_be_is_refused(wrong: dict[str, Any]) -> None:
+    queue = Queue()
+    queue.apply("ask", request("m") | wrong)
+    assert not queue.turns
+
+
+def test_entries_that_cannot_be_read_change_nothing() -> None:
+    queue = Queue()
+    queue.apply("ask", request("m"))
+    text = queue.text()
+    for kind, value in (("close", {"number": "x", "at_us": 1}), ("close", {"number": 1}), ("nothing", {"at_us": 1}),
+                        ("queue", {"turns": [1], "at_us": 1}), ("out", {"number": 1, "at_us": -1})):
+        with pytest.raises((ValueError, KeyError, TypeError)):
+            queue.apply(kind, value)
+    queue.apply("out", {"number": 1, "at_us": 1})
+    assert queue.text() == text
+
+
+def test_a_worker_is_heard_only_once_a_majority_has_followed_since_and_only_while_out() -> None:
+    led = Led({"a": 4}, (("all", "max", 1.0),))
+    led.ask("a-1")
+    led.run(5)
+    asked = led.now_us
+    led.turns.renew(asked, 1)
+    assert led.turns.renewed_us(1) < asked, "a deposed leader would hear no confirmed ask of its own"
+    led.run(0.5)
+    assert led.turns.renewed_us(1) == asked
+    led.run(TIMES.lease_us / SECOND - 2)
+    assert not [*led.turns.silent(led.now_us)]
+    led.run(4)
+    assert [*led.turns.silent(led.now_us)] == [1] and led.states() == {"a-1": "out"}, "it stays shut, and is told"
+    led.turns.apply("give-back", {"number": 1, "at_us": WALL_US})
+    led.turns.renew(led.now_us, 1)
+    led.run(1)
+    assert led.turns.renewed_us(1) == 0
+    led.speak["r"] = TurnsSaid(region="r", open=(1,))
+    led.run(TIMES.try_us / SECOND + 1)
+    assert led.states() == {"a-1": "given-back"}
+
+
+def test_who_was_told_of_an_earlier_turn_does_not_confirm_a_later_one() -> None:
+    side = TurnSide("p", "r", Blind())
+    turns = Turns("p", lambda now: WALL_US + now)
+    turns.apply("ask", request("m"))
+    turns.apply("queue", {"turns": [[1, 0]], "at_us": WALL_US})
+    turns.apply("close", {"number": 1, "at_us": WALL_US})
+    first = turns.told(0, Asker("p", 1, 0, 1))
+    assert side.take(0, 0, first)[0].fields["state"] == "closing" and side.say(0).clear == (1,)  # type: ignore[union-attr]
+    for kind in ("give-back", "done"):
+        turns.apply(kind, {"number": 1, "at_us": WALL_US})
+    turns.apply("ask", request("m", ident="again"))
+    turns.apply("queue", {"turns": [[2, 0]], "at_us": WALL_US})
+    turns.apply("close", {"number": 2, "at_us": WALL_US})
+    assert 2 not in side.say(0).clear and side.closes("m")
+    side.take(0, 0, turns.told(0, Asker("p", 1, 0, 2)))
+    assert side.say(0).clear == (2,)
+    assert not side.take(0, 0, first) and side.say(0).clear == (2,), "a grant that was late changes nothing"
+
+
+# -- windows
+
+
+def at(text: str) -> int:
+    return int(datetime.fromisoformat(text).replace(tzinfo=UTC).timestamp() * SECOND)
+
+
+def test_windows_ask_for_turns_as_they_begin_and_not_for_what_was_taken_back() -> None:
+    window = WindowRules("patch", "2027-01-01T02:00:00+00:00", "", 3600 * SECOND, 1200 * SECOND, "", (), (),
+                         (("", "", "", "os=old"),), 150, "shorten")
+    machines = [MachineState(f"m{index}", "c", "z", "k", {"os": "old" if index < 3 else "new"}, (1, 1), (0, 0),
+                             index != 2) for index in range(5)]
+    of = replace(rules(), windows=(window,))
+
+    def machines_at(text: str, of: RuleSet = of) -> list[str]:
+        return [each.machine for each in wanted(of, machines, at(text))]
+    assert machines_at("2027-01-01T01:58:59") == []
+    assert machines_at("2027-01-01T01:59:30") == ["m0", "m1"], "m2 does not run, m3 is not meant"
+    assert machines_at("2027-01-01T02:39:00") == ["m0", "m1"] and machines_at("2027-01-01T02:40:00") == []
+    one = wanted(of, machines, at("2027-01-01T02:00:00"))[0]
+    assert (one.urgency, one.unsafe, one.ends_us) == (6, "shorten", at("2027-01-01T03:00:00"))
+    assert one.from_us == at("2027-01-01T02:00:00") and one.latest_us == at("2027-01-01T02:40:00")
+    assert machines_at("2027-01-01T02:00:00", replace(of, cancelled=(one.ident,))) == ["m1"]
+    black = replace(of, plan=DrainPlan(blackouts=(("no", at("2027-01-01T01:00:00"), at("2027-01-01T02:00:01")),)))
+    assert machines_at("2027-01-01T02:00:00", black) == []
+
+
+def test_a_calendars_turn_ends_by_its_time_and_with_its_window() -> None:
+    led = Led({"a": 4}, (("all", "max", 9.0),))
+    window = WindowRules("patch", "2027-01-01T02:00:00+00:00", "", 3600 * SECOND, 3600 * SECOND, "", (), (),
+                         (("*", "", "", ""),), 0, "wait")
+    led.rules = replace(led.rules, windows=(window,))
+    for index in (1, 2, 3):
+        led.ask(f"a-{index}", why="calendar", ident=f"patch@0/a-{index}", worker="", lasts_us=8 * SECOND)
+    led.ask("a-4", why="calendar", ident="gone@0/a-4", worker="")
+    led.run(5)
+    assert led.states() == {"a-1": "out", "a-2": "out", "a-3": "out", "a-4": "given-back"}
+    led.rules = replace(led.rules, cancelled=("patch@0/a-2",))
+    led.run(1)
+    assert led.states()["a-2"] == "back", "opened again, and tried first"
+    led.run(8)
+    assert led.states()["a-1"] == "back" and led.turns.queue.turns[1].note == "its time is over"
+
+
+# -- on the virtual clock
+
+
+def wait(shop: Workshop, number: int, *states: str, seconds: int = 30) -> Turn:
+    assert shop.run_until(lambda: (turn := shop.turn(number)) is not None and turn.state in states, seconds * SECOND,
+                          SECOND // 20), shop.turn(number)
+    turn = shop.turn(number)
+    assert turn is not None
+    return turn
+
+
+def ask(shop: Workshop, machine: str, **more: Any) -> None:
+    leader, bench = shop.leader(), shop.benches[machine]
+    assert leader is not None
+    shop.decide(leader, "ask", request(machine, bench.region, bench.cell, zone=bench.zone, **more))
+
+
+def test_a_leader_lost_between_empty_and_out_has_a_successor_that_proves_it_anew() -> None:
+    shop = opened(Size(), 3)
+    ask(shop, "r0-m1", from_us=WALL_US + shop.now_us + 8 * SECOND)
+    wait(shop, 1, "empty")
+    old = shop.leader()
+    assert old is not None
+    shop.kill(old)
+    shop.benches["r0-m1"].tasks[10**9] = "somebody", shop.now_us + 15 * SECOND
+    shop.run(shop.now_us + 12 * SECOND)
+    assert wait(shop, 1, "empty").state == "empty" and shop.leader() not in (None, old)
+    wait(shop, 1, "out")
+    assert not shop.benches["r0-m1"].tasks
+    shop.work(1, SECOND)
+    wait(shop, 1, "done")
+    assert judged(shop).clean
+
+
+def test_a_placer_cut_off_on_a_floor_with_tasks_on_the_machine_keeps_it_from_going_out() -> None:
+    shop = opened(Size(), 5)
+    shop.lower_floor(FLOOR, 60 * SECOND, "floor")
+    shop.run(shop.now_us + 3 * SECOND)
+    shop.cut = lambda a, b: "p004" in (a, b)
+    shop.run(shop.now_us + 3 * SECOND)
+    acting = shop.members["p004"].acting(shop.clock_us("p004"))
+    assert acting is not None and not acting.edition
+    bench = shop.benches["r0-m2"]
+    for number in range(10**9, 10**9 + 5):
+        bench.tasks[number] = "p004", shop.now_us + 10 * SECOND
+    ask(shop, "r0-m2")
+    wait(shop, 1, "closing")
+    shop.run(shop.now_us + 5 * SECOND)
+    turn = shop.turn(1)
+    assert turn is not None and turn.state == "closing", "all in reach are clear; the machine is not empty"
+    wait(shop, 1, "out")
+    assert not bench.tasks and not shop.sides["p004"].closes("r0-m2")
+    shop.work(1, 3 * SECOND)
+    wait(shop, 1, "back")
+    assert judged(shop).clean
+
+
+def test_a_silent_worker_is_told_and_works_no_more_once_its_turn_was_given_back() -> None:
+    shop = opened(Size(), 6)
+    ask(shop, "r0-m1")
+    wait(shop, 1, "out")
+    shop.work(1, 3 * SECOND, silent=True)
+    assert shop.run_until(lambda: any(each.fields["state"] == "silent" for each in shop.tells("turn")), 20 * SECOND)
+    assert shop.benches["r0-m1"].guard.refuses()
+    ask(shop, "r0-m5")
+    wait(shop, 2, "out")
+    leader = shop.leader()
+    assert leader is not None
+    shop.decide(leader, "give-back", {"number": 1, "note": "nobody there"})
+    works = len(shop.works)
+    assert wait(shop, 1, "given-back").note == "nobody there"
+    shop.run(shop.now_us + 10 * SECOND)
+    assert len(shop.works) == works > 0 and judged(shop).clean
+
+
+def test_one_placer_tries_a_machine_first_that_is_back() -> None:
+    shop = opened(Size(), 8)
+    ask(shop, "r0-m3")
+    wait(shop, 1, "out")
+    shop.work(1, SECOND)
+    wait(shop, 1, "back")
+    shop.run(shop.now_us + SECOND // 5)
+    open_to = [name for name, side in shop.sides.items() if not side.closes("r0-m3")]
+    assert len(open_to) <= 1
+    wait(shop, 1, "done")
+    assert shop.run_until(lambda: not any(each.closes("r0-m3") for each in shop.sides.values()), 5 * SECOND)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("size", [Size(seconds=40), Size(9, 5, 3, 4, 40)])
+def test_generated_trouble_breaks_nothing(size: Size, seed: int) -> None:
+    shop, verdict = play(seed, size)
+    assert verdict.clean and verdict.done > 3 and verdict.works > 10, verdict
+    assert not [each for each in shop.chapters[shop.leader() or ""].queue.live() if each.region != "r0"
+                and each.state != "out"], "all that began has ended"
+
+
+def no_word(self: Turns, now_us: int, turn: Turn) -> bool:
+    return now_us >= self._began_us + self.times.lapse_us() and all(
+        (held := self._placers.get(name)) is not None and turn.number in held.said.clear
+        for name in self.may_act(now_us))
+
+
+def no_losses(real: Callable[..., None]) -> Callable[..., None]:
+    def made(self: Room, budgets: Any, views: dict[str, View], *rest: Any) -> None:
+        real(self, budgets, {region: replace(view, lost=()) for region, view in views.items()}, *rest)
+    return made
+
+
+@pytest.mark.parametrize("planted", ["busy", "over", "disorder"])
+def test_the_judge_finds_what_is_planted(planted: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    if planted == "busy":
+        monkeypatch.setattr(Turns, "proved", no_word)
+    elif planted == "over":
+        monkeypatch.setattr(Room, "__init__", no_losses(Room.__init__))
+    else:
+        real = Queue.queued
+        monkeypatch.setattr(Queue, "queued", lambda self: real(self)[::-1])
+    found = 0
+    for seed in range(12):
+        found += getattr(play(seed, Size(seconds=40))[1], planted)
+        if found:
+            break
+    assert found
+
+
+def test_the_order_ages_so_that_nobody_starves() -> None:
+    queue, at_us = Queue(), WALL_US // AGE_US * AGE_US
+    queue.apply("ask", request("old", urgency=0, at_us=at_us))
+    queue.apply("ask", request("new", urgency=9, at_us=at_us + 8 * AGE_US))
+    queue.apply("ask", request("late", urgency=9, at_us=at_us + 10 * AGE_US))
+    queue.apply("queue", {"turns": [[1, 0], [2, 0], [3, 0]], "at_us": at_us})
+    assert [each.machine for each in queue.queued()] == ["new", "old", "late"]
+    assert workplay.MOST_CELL == 1 and budgeted().plan.budgets
--- /dev/null
+++ b/tests/decide/peers/test_turns_machine.py
@@ -0,0 +1,111 @@
+"""The queue against a plain reference: entries in any order, snapshots, and who may close next."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from wingbarrow.decide.drains import Budget, Scope
+from wingbarrow.decide.peers.turnbudgets import Room
+from wingbarrow.decide.peers.turns import AGE_US, Queue, View
+from wingbarrow.lab.fleet.swarm import SECOND
+
+CELLS = {"a": 3, "b": 3}
+MACHINES = [f"{cell}{index}" for cell in CELLS for index in range(3)]
+STEPS = {"close": "queued", "empty": "closing", "out": "empty", "back": "out", "done": "back"}
+AFTER = {"close": "closing", "empty": "empty", "out": "out", "back": "back"}
+
+
+class QueueMachine(RuleBasedStateMachine):
+    """The reference: a list of plain requests, and the time as it was told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = Queue()
+        self.plain: list[dict[str, Any]] = []
+        self.clock = 0
+        self.asked = 0
+
+    def apply(self, kind: str, at: int, **value: Any) -> None:
+        self.queue.apply(kind, {**value, "at_us": at})
+
+    def moved(self, at: int) -> int:
+        self.clock = max(self.clock, at)
+        return self.clock
+
+    @rule(machine=st.sampled_from(MACHINES), urgency=st.integers(0, 9), latest=st.sampled_from([0, 5, 7]),
+          at=st.integers(0, 20), again=st.booleans())
+    def ask(self, machine: str, urgency: int, latest: int, at: int, again: bool) -> None:
+        self.asked += not (again and self.asked)
+        ident = f"i{self.asked}"
+        known = ident in self.queue.outcomes
+        self.apply("ask", at * AGE_US // 2, ident=ident, machine=machine, region="r", zone="z", cell=machine[0],
+                   why="operator", urgency=urgency, latest_us=latest, lasts_us=1, worker="")
+        if known:
+            return
+        now = self.moved(at * AGE_US // 2)
+        if not any(each["machine"] == machine and each["state"] not in ("done", "given-back") for each in self.plain):
+            self.plain.append({"number": len(self.plain) + 1, "machine": machine, "urgency": urgency, "tasks": 0,
+                               "latest": latest, "asked": now, "state": "asked", "given": False})
+
+    @precondition(lambda self: self.plain)
+    @rule(data=st.data(), tasks=st.integers(0, 3), at=st.integers(0, 20))
+    def count(self, data: st.DataObject, tasks: int, at: int) -> None:
+        chosen = data.draw(st.sampled_from(self.plain))
+        self.apply("queue", at * SECOND, turns=[[chosen["number"], tasks], [999, 1]])
+        if chosen["state"] == "asked":
+            chosen["state"], chosen["tasks"] = "queued", tasks
+            self.moved(at * SECOND)
+
+    @precondition(lambda self: self.plain)
+    @rule(data=st.data(), kind=st.sampled_from([*STEPS, "give-back"]), at=st.integers(0, 20))
+    def step(self, data: st.DataObject, kind: str, at: int) -> None:
+        chosen = data.draw(st.sampled_from(self.plain))
+        self.apply(kind, at * SECOND, number=chosen["number"])
+        if kind == "give-back" and chosen["state"] in ("asked", "queued", "closing", "empty", "out"):
+            chosen["given"] = True
+            chosen["state"] = "given-back" if chosen["state"] in ("asked", "queued") else "back"
+        elif STEPS.get(kind) == chosen["state"]:
+            chosen["state"] = AFTER.get(kind) or ("given-back" if chosen["given"] else "done")
+        else:
+            return
+        self.moved(at * SECOND)
+
+    @rule()
+    def another_voter(self) -> None:
+        text = self.queue.text()
+        self.queue = Queue()
+        self.queue.restore(text)
+        assert self.queue.text() == text
+
+    @invariant()
+    def same_states(self) -> None:
+        assert {each.number: (each.machine, each.state) for each in self.queue.turns.values()} == {
+            each["number"]: (each["machine"], each["state"]) for each in self.plain}
+
+    @invariant()
+    def same_order(self) -> None:
+        waiting = [each for each in self.plain if each["state"] == "queued"]
+        waiting.sort(key=lambda each: each["number"])
+        for figure in ("machine", "tasks", "asked"):
+            waiting.sort(key=lambda each: each[figure])
+        waiting.sort(key=lambda each: each["latest"] or 10**20)
+        waiting.sort(key=lambda each: each["asked"] // AGE_US - each["urgency"])
+        assert [each.number for each in self.queue.queued()] == [each["number"] for each in waiting]
+
+    @invariant()
+    def same_room(self) -> None:
+        """Whoever has room by the queue's account has it by a plain count, and the other way round."""
+        view = View(tuple(("z", cell, count) for cell, count in CELLS.items()), (("a0", "z", "a"),))
+        room = Room([Budget(Scope.CELL, 1), Budget(Scope.ALL, 0.5, None, True)], {"r": view}, self.queue.active())
+        out = {each["machine"] for each in self.plain if each["state"] in ("closing", "empty", "out", "back")} | {"a0"}
+        for turn in self.queue.queued():
+            after = out | {turn.machine}
+            fits = sum(each[0] == turn.cell for each in after) <= 1 and len(after) <= 3
+            assert (room.full(turn) == "") is fits, (turn.machine, sorted(out))
+
+
+TestQueue = QueueMachine.TestCase
+TestQueue.settings = settings(max_examples=150, stateful_step_count=30, deadline=None, derandomize=True)
--- a/wingbarrow/config/calendar.py
+++ b/wingbarrow/config/calendar.py
@@ -66,7 +66,7 @@
     }, {"machines": _MACHINES_SHAPE, "except": Shape((text,), many=True), "also": Shape((text,), many=True)},
         many=True),
     "blackout": Shape((text,), {"start": (text, NEEDED), "end": (text, NEEDED), "zone": (text, "")}, many=True),
-    "budget": Shape((), {"by": (word("cell", "zone", "all"), NEEDED), "max-unavailable": (_share, None),
+    "budget": Shape((), {"by": (word("cell", "zone", "region", "all"), NEEDED), "max-unavailable": (_share, None),
                          "min-available": (_share, None)}, many=True),
     "fill": Shape((number(0.05, 1.0),)),
     "lead": Shape((read_duration,)),
--- a/wingbarrow/decide/drains.py
+++ b/wingbarrow/decide/drains.py
@@ -21,6 +21,7 @@
 
     CELL = "cell"
     ZONE = "zone"
+    REGION = "region"  # where placers agree, in turns alone
     ALL = "all"
 
 
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -193,6 +193,8 @@
                 self.agreed.apply(entry.kind, entry.body)
                 if entry.kind == RECOVERED:
                     self.blocks.recovered()
+                    for each in self.chapters:
+                        self._apply(each, RECOVERED, "{}")
         if self.agreed.edition != before[0]:
             out.append(Tell("edition", {"edition": self.agreed.edition, "version": self.agreed.version}))
         if self.raft is not None and self.raft.wants_fold:
--- a/wingbarrow/peers/bounds.py
+++ b/wingbarrow/peers/bounds.py
@@ -11,7 +11,8 @@
     SessionsTold)
 from wingbarrow.decide.peers.regionnews import REGIONS_MOST, RegionsSaid, RegionTold
 from wingbarrow.decide.peers.sessionlog import BATCHES_MOST, SUCCESSORS_MOST
-from wingbarrow.decide.peers.turns import TURNS_MOST, TurnsSaid, TurnsTold
+from wingbarrow.decide.peers.turns import (
+    CELLS_MOST, IDENT_MOST, LOST_MOST, TURNS_MOST, WANTS_MOST, TurnsSaid, TurnsTold, View)
 
 NAME_MOST = 253
 KEY_MOST = 2 * NAME_MOST + 1
@@ -87,12 +88,24 @@
 
 
 def _turns_said(said: TurnsSaid) -> bool:
-    return all(len(numbers) <= TURNS_MOST and _figures(*numbers) for numbers in (said.clear, said.empty, said.tried))
+    numbers = (said.clear, said.empty, said.tried, said.bad, said.open, said.gone,
+               tuple(number for number, _ in said.tasks), tuple(count for _, count in said.tasks))
+    return (all(len(each) <= TURNS_MOST and _figures(*each) for each in numbers) and _figures(said.at_us)
+            and _names(said.region) and (said.view is None or _view(said.view)) and len(said.wants) <= WANTS_MOST
+            and all(_names(each.ident, most=IDENT_MOST) and _names(
+                each.machine, each.zone, each.cell, each.why, each.unsafe) and _figures(
+                    each.urgency, each.latest_us, each.lasts_us, each.ends_us, each.from_us) for each in said.wants))
+
+
+def _view(view: View) -> bool:
+    return (len(view.cells) <= CELLS_MOST and len(view.lost) <= LOST_MOST and 0 <= view.used < 1e9
+            and all(_names(zone, cell) and 0 <= count < 1 << 31 for zone, cell, count in view.cells)
+            and all(_names(*each) for each in view.lost))
 
 
 def _turns_told(told: TurnsTold) -> bool:
-    return _figures(told.version) and len(told.turns) <= TURNS_MOST and all(
-        _figures(number) and _names(machine, state, who) for number, machine, state, who in told.turns)
+    return (_figures(told.version, *told.silent) and len(told.turns) <= TURNS_MOST and len(told.silent) <= TURNS_MOST
+            and all(_figures(number) and _names(machine, state, who) for number, machine, state, who in told.turns))
 
 
 def _region_said(said: RegionsSaid) -> bool:
