Jobs go to the region that their spec and the news choose: routed at the desk, handed over, answered here

Need: a spec says in which regions work may run, but a Job that came to a placer of another region was refused (422), and nothing acted on a region's load. Change: the desk asks where a Job with a spec goes; in this region it is taken as before (leased where the spec has a failover), in another it is handed over to a placer there that lives, and answered from here; what was handed over goes no further. Deleting it stops it there. Only where `agree` and a region are set.

--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -10,6 +10,7 @@
 from wingbarrow.core.board import Board
 from wingbarrow.core.book import OPEN, Book, State, Step, TaskRecord
 from wingbarrow.core.closing import Closing
+from wingbarrow.core.elsewhere import Elsewhere
 from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.intake import job_value, read_job
 from wingbarrow.core.requests import Requests
@@ -31,8 +32,9 @@
     """Owns the door; every limit on what comes in is asked here."""
 
     def __init__(self, base: Base, book: Book, attempts: Attempts, board: Board, requests: Requests, runs: Runs,
-                 stops: Stops, closing: Closing, rulebook: Rulebook, leaseholder: Leaseholder | None = None) -> None:
-        self._rulebook, self._leaseholder = rulebook, leaseholder
+                 stops: Stops, closing: Closing, rulebook: Rulebook, leaseholder: Leaseholder | None = None,
+                 elsewhere: Elsewhere | None = None) -> None:
+        self._rulebook, self._leaseholder, self._elsewhere = rulebook, leaseholder, elsewhere
         self._base, self._book, self._attempts, self._board = base, book, attempts, board
         self._requests, self._runs, self._stops, self._closing = requests, runs, stops, closing
         self._door = Door(base.settings.scheduler.tick_us)
@@ -50,11 +52,12 @@
             self._base.log("job-turned-away", level="warning", why=away.why.value, so_far=self._base.counts[what])
         return ApiError(429, away.why.value, retry_after_s=away.retry_after_s)
 
-    def submit(self, value: dict[str, Any], namespace: str, dry_run: bool,
-               came_us: int | None = None) -> dict[str, Any]:
+    def submit(self, value: dict[str, Any], namespace: str, dry_run: bool, came_us: int | None = None,
+               handed: bool = False) -> dict[str, Any]:
         """Accept a Job; ApiError says why not, and then nothing of it is kept.
 
-        Its owner's patience runs from `came_us`, when it had not come yet; without that from now.
+        Its owner's patience runs from `came_us`, when it had not come yet; without that from now. `handed`: by another
+        placer, so that it goes no further.
         """
         base = self._base
         self._rulebook.look()
@@ -83,18 +86,24 @@
                            + (f" in {beyond.window_us / 1e6:g} s" if beyond.window_us else " at once"),
                            retry_after_s=base.random.randrange(1, 5))
         spec = self._leaseholder.spec(asked, _named(value)) if self._leaseholder is not None else None
+        here = region = base.settings.region
+        if spec is not None and self._elsewhere is not None and not dry_run:
+            region = self._elsewhere.route(asked, spec, handed)
         uid = names.uid(base.settings.name, base.life, key, self._board.store.version, base.random.random())
         shown = job_value(value, asked, uid, base.hub.clock.wall_us())
         if dry_run:
             return shown
         leased = None
-        if spec is not None and self._leaseholder is not None:
+        if spec is not None and spec.failover is not None and region == here and self._leaseholder is not None:
             manifest = names.encode({key: part for key, part in shown.items() if key != "status"}).decode()
             leased = self._leaseholder.take_in(key, uid, asked, spec, manifest, due)
         job = self._book.add(key, uid, asked, shown)
         if leased is not None and self._leaseholder is not None:
             self._leaseholder.hold(job, leased)
         self._board.show_new(job)
+        if region != here and spec is not None and self._elsewhere is not None:
+            self._elsewhere.give(job, due, region, spec.name)
+            return shown
         for task in job.tasks:
             self._requests.ask(task, due)
         return shown
@@ -117,6 +126,8 @@
             return
         attempt = self._attempts.of(task.request)
         self._book.step(task, Step.STOP)
+        if self._elsewhere is not None and self._elsewhere.withdraw(task):
+            return
         if state is State.AGAIN:
             self._runs.cancel_again(task)
         elif state is State.ASKED:
--- a/wingbarrow/core/elsewhere.py
+++ b/wingbarrow/core/elsewhere.py
@@ -16,7 +16,7 @@
 from wingbarrow.core.intake import JobRequest
 from wingbarrow.core.requests import Requests
 from wingbarrow.decide.federation.route import Choice, RegionNews, Wanted, choose
-from wingbarrow.decide.federation.spec import Federation, Spec
+from wingbarrow.decide.federation.spec import Federation, Spec, allowed
 from wingbarrow.decide.peers import handing
 from wingbarrow.decide.peers.effects import Effect, Tell
 from wingbarrow.kube import names
@@ -35,9 +35,10 @@
         self.budget = handing.Budget()
         self.news: Callable[[int], Mapping[str, RegionNews]] = lambda now_us: {}
         self.targets: Callable[[tuple[str, ...]], list[handing.Target]] = lambda names: []  # those that live
+        self.federation: Callable[[], Federation] = Federation
         self.act: Callable[[list[Effect]], None] = lambda effects: None
-        self.submit: Callable[[dict[str, Any], str], str] = lambda value, namespace: ""  # its key
-        self.delete: Callable[[str], None] = lambda key: None
+        self.submit: Callable[[dict[str, Any], str], object] = lambda value, namespace: None
+        self.delete: Callable[[str], object] = lambda key: None
         self._given: dict[str, TaskRecord] = {}  # by ident
         self._idents: dict[str, str] = {}  # by the task's name
         self._taken: dict[str, str] = {}  # the ident by the key of the Job that was made of it
@@ -47,10 +48,17 @@
 
     # -- from here to another region
 
-    def route(self, asked: JobRequest, spec: Spec, federation: Federation) -> str:
-        """The region for a new Job; ApiError 503 with the reason where its spec leaves none now."""
-        base = self._base
+    def route(self, asked: JobRequest, spec: Spec, handed: bool = False) -> str:
+        """The region for a new Job; ApiError 503 with the reason where its spec leaves none now.
+
+        One that was handed over (`handed`) stays here, or is refused.
+        """
+        base, federation = self._base, self.federation()
         here = base.settings.region
+        if handed:
+            if here not in allowed(spec, federation):
+                raise ApiError(503, f"federation {spec.name!r} does not allow region {here}", "ServiceUnavailable")
+            return here
         self.budget.tried()
         choice: Choice = choose(spec, federation, Wanted(
             asked.cores, asked.memory, asked.task_class.task_class.effect.value, here), self.news(base.hub.now_us()),
@@ -61,7 +69,7 @@
                            "ServiceUnavailable", retry_after_s=base.random.randrange(1, 5))
         if choice.region != here and not self.budget.take():
             base.counts["handing:over the budget"] += 1
-            if here in spec.regions and here not in spec.forbidden:
+            if here in allowed(spec, federation):
                 return here
             raise ApiError(503, "too many Jobs are handed over to other regions now", "ServiceUnavailable",
                            retry_after_s=base.random.randrange(1, 5))
--- a/wingbarrow/core/leaseholder.py
+++ b/wingbarrow/core/leaseholder.py
@@ -53,18 +53,14 @@
     # -- intake
 
     def spec(self, asked: JobRequest, named: str) -> Spec | None:
-        """What a new Job goes by, None for none; ApiError 422 where that lets it run nowhere in this region."""
+        """What a new Job goes by, None for none; ApiError 422 where that lets it run nowhere."""
         federation = self.federation()
         found = federation.spec_for(asked.task_class.task_class.name, named)
-        if found is None:
-            return None
-        where, here = allowed(found, federation), self._base.settings.region
-        if here not in where:
-            words = (f"spec {found.name!r} allows no region" if not where else
-                     f"spec {found.name!r} allows {', '.join(where)}; this is {here or 'a placer without a region'}")
-            raise invalid("Job", asked.name, [Cause(f"metadata.annotations[{names.FEDERATION}]",
-                                                    "FieldValueNotSupported", words)])
-        return found if found.failover is not None else None
+        if found is None and named:
+            raise _unfit(asked, f"there is no federation {named[:80]!r}")
+        if found is not None and not allowed(found, federation):
+            raise _unfit(asked, f"spec {found.name!r} allows no region")
+        return found
 
     def take_in(self, key: str, uid: str, asked: JobRequest, spec: Spec, manifest: str, due_us: int) -> Leased:
         """Have a Job with a keeper; waits. ApiError 503 where that cannot be, and then no keeper keeps it."""
@@ -273,3 +269,8 @@
         if before is State.ASKED and not job.unanswered and job.open:
             failed = job.counts[State.FAILED] or job.counts[State.REFUSED]
             self.room.answered(job.uid, "failed" if failed else "placed")
+
+
+def _unfit(asked: JobRequest, words: str) -> ApiError:
+    return invalid("Job", asked.name, [Cause(f"metadata.annotations[{names.FEDERATION}]", "FieldValueNotSupported",
+                                             words)])
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -15,12 +15,14 @@
 from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.desk import Desk
 from wingbarrow.core.drainer import Drainer
+from wingbarrow.core.elsewhere import Elsewhere
 from wingbarrow.core.fleet import Fleet
 from wingbarrow.core.host import Host
 from wingbarrow.core.keeper import Keeper
 from wingbarrow.core.leases import Leases
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.offers import Offers
+from wingbarrow.core.ownregion import OwnRegion
 from wingbarrow.core.requests import Requests
 from wingbarrow.core.rulebook import Rulebook
 from wingbarrow.core.runs import Runs
@@ -32,6 +34,7 @@
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.peers.grants import Acting
 from wingbarrow.peers.custody import CustodyRoom
+from wingbarrow.peers.bounds import HANDING
 from wingbarrow.peers.hearsay import Hearsay
 from wingbarrow.peers.host import Peering
 from wingbarrow.peers.learner import Learner
@@ -98,7 +101,12 @@
                                        self.leaseholder)
             strays.foreign = self.successor.stray
         closing = Closing(base, host, fleet, attempts, runs, board)
-        self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook, self.leaseholder)
+        elsewhere = self._elsewhere(fleet, requests) if self.leaseholder is not None else None
+        desk = self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook,
+                                self.leaseholder, elsewhere)
+        if elsewhere is not None:
+            elsewhere.submit = lambda value, namespace: desk.submit(value, namespace, False, handed=True)
+            elsewhere.delete = desk.delete_job
         host.hands = _Hands(offers, requests, runs, fleet, board)
         self._keeper = Keeper(base, fleet)
         if settings.agree is not None:
@@ -146,6 +154,18 @@
         if self.host.failed is not None:
             raise self.host.failed
 
+    def _elsewhere(self, fleet: Fleet, requests: Requests) -> Elsewhere:
+        """The room for what crosses regions."""
+        peering, base = self.peering, self.base
+        made = Elsewhere(base, self.book, self.board, requests, base.born_us)
+        made.federation = self.rulebook.federation
+        made.news = peering.regions.news
+        made.targets = peering.targets
+        made.act = lambda effects: peering.act("handing", effects)
+        peering.host("handing", made, HANDING)
+        peering.regions.own = OwnRegion(base, self.book, fleet).say
+        return made
+
     def _uses(self, key: str) -> int:
         """Open tasks under a standing limit, for what is told to the voters' leader."""
         about, _, rest = key.partition("/")
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -17,6 +17,7 @@
 from wingbarrow.decide.peers import words
 from wingbarrow.decide.peers.agreement import Agreement
 from wingbarrow.decide.peers.effects import Effect, Persist, Send, SetTimer, Tell
+from wingbarrow.decide.peers.handing import Target
 from wingbarrow.decide.peers.leasing import Ended, Session, read_session
 from wingbarrow.decide.peers.membership import Me, Membership, Rules, Seed
 from wingbarrow.decide.peers.regionnews import RegionsSide
@@ -139,6 +140,11 @@
         """All other placers that are known, by name."""
         return self.membership.table.members
 
+    def targets(self, names: Iterable[str]) -> list[Target]:
+        """Those of some other placers that live, in the life in which they are known."""
+        living = {each.word.ident: each.word.life for each in self.membership.table.living()}
+        return [Target(name, living[name]) for name in names if name in living]
+
     # -- mail
 
     def mail(self, raw: bytes) -> bytes:
