--- a/wingbarrow/decide/federation/spec.py
+++ b/wingbarrow/decide/federation/spec.py
@@ -120,6 +120,11 @@
         """Names of specs by class."""
         return dict(self.uses)
 
+    def spec(self, name: str) -> Spec | None:
+        """One by its name; a name that stood for a class between two versions is what the class has now."""
+        found = self.named.get(name)
+        return self.spec_for(name[len(BOTH):]) if found is None and name.startswith(BOTH) else found
+
     def spec_for(self, task_class: str, named: str = "") -> Spec | None:
         """What a Job goes by: the spec that it names, else that of its class; None where neither names one.
 
