--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -139,7 +139,7 @@
         if isinstance(message, KeepAnswer):
             return self._go(now_us, self.custody.on_message(now_us, ident, message))
         if isinstance(message, Settle):
-            return self.keeping.settle(ident, message)
+            return self.keeping.settle(ident, message, self._held(message))
         if isinstance(message, Settled):
             return self._settled(now_us, ident, message)
         if isinstance(message, AskMachine):
@@ -334,6 +334,19 @@
                 out += self._take(now_us, taking.record.session, taking.epoch, [taking])
         return out
 
+    def _held(self, ask: Settle) -> dict[str, tuple[int, str]]:
+        """Of these Jobs, those that this placer holds, or held under a session that is being healed."""
+        out = {}
+        for uid in ask.uids:
+            job = self.custody.jobs.get(uid)
+            if job is not None and ask.session != self.custody.session:
+                out[uid] = job.record.epoch, Verdict.RUN.value
+            for healing in self.healings.values():
+                own = healing.jobs.get(uid)
+                if own is not None and healing.session != ask.session:
+                    out[uid] = own.record.epoch, Verdict.WAIT.value
+        return out
+
     def _settled(self, now_us: int, ident: str, message: Settled) -> list[Effect]:
         healing = self.healings.get(message.session)
         if healing is not None:
@@ -344,10 +357,10 @@
         if self._settles.pop(message.number, "") != ident:
             return []
         out = []
-        for uid, _, fate in message.fates:
+        for uid, epoch, fate in message.fates:
             entry = self.keeping.entries.get(uid)
-            if fate != UNKNOWN_HERE:
+            if entry is not None and fate != UNKNOWN_HERE and epoch > entry.record.epoch:
                 self.keeping.known_elsewhere(uid)
-            elif entry is not None and not entry.doubt:
+            elif entry is not None and fate == UNKNOWN_HERE and not entry.doubt:
                 out += self._take_each(now_us, [uid])
         return out
--- a/wingbarrow/decide/peers/healing.py
+++ b/wingbarrow/decide/peers/healing.py
@@ -48,12 +48,10 @@
 
     def ended(self, now_us: int, ended: Ended) -> list[Effect]:
         """Its end, and who succeeds; again where there are more."""
-        names = {name for batch in ended.batches for name in batch if name not in ended.gone} - {self.me}
+        # One whose session ended since may be there, and know who has what it had.
+        names = {name for batch in ended.batches for name in batch} - {self.me}
         self._epoch = ended.epoch
         self._nobody_us = self._nobody_us or now_us + NOBODY_US
-        for name in list(self._asked):
-            if name not in names:
-                del self._asked[name]
         for name in sorted(names - self._asked.keys()):
             self._asked[name] = set(self.jobs)
         return self.on_timer(now_us)
@@ -82,8 +80,8 @@
             own = self.jobs.get(uid)
             if own is None:
                 continue
-            if fate == UNKNOWN_HERE:
-                continue
+            if fate == UNKNOWN_HERE or epoch <= own.record.epoch:
+                continue  # who has it at an earlier epoch, or at this, is no successor of it
             here, there = Copy(own.record.epoch, self.me, own.runs), Copy(epoch, ident, fate == "run")
             mine, theirs, why = settle(own.record.effect, here, there)
             out.append(Tell("settled", {"uid": uid, "mine": mine.value, "theirs": theirs.value, "epoch": epoch,
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from wingbarrow.decide.peers.effects import Effect, Send, Tell
@@ -299,13 +299,18 @@
         if self.taken.pop(uid, None) is not None:
             self._forget(uid)
 
-    def settle(self, ident: str, ask: Settle) -> list[Effect]:
-        """What became of Jobs of a session that has ended, to one that came back or that keeps them too."""
+    def settle(self, ident: str, ask: Settle, held: Mapping[str, tuple[int, str]]) -> list[Effect]:
+        """What became of Jobs of a session that has ended, to one that came back or that keeps them too.
+
+        `held`: what this placer holds itself, by uid: epoch and fate.
+        """
         fates = []
         for uid in ask.uids[:KEPT_MOST]:
             entry = self.entries.get(uid)
             if uid in self.taken:
                 fates.append((uid, *self.taken[uid]))
+            elif uid in held:
+                fates.append((uid, *held[uid]))
             elif entry is not None and entry.record.session != ask.session:
                 fates.append((uid, entry.record.epoch, "waiting"))
             else:
