--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -61,6 +61,7 @@
         self.me, self.region, self.pace = me, region, pace
         self.custody = Custody(me, life, region, seed, bounds)
         self.keeping = Keeping(me, life, bounds)
+        self.custody.started = lambda uid: self.keeping.taken.get(uid, (0, ""))[1] == Verdict.RUN.value
         self.terms: Callable[[Record], tuple[tuple[str, ...], int]] = lambda record: ((), 1)
         self.takeovers: dict[Session, Takeover] = {}
         self.healings: dict[Session, Healing] = {}
@@ -254,8 +255,9 @@
                         out += self.custody.learn(now_us, record.uid, tasks)
             elif effect.what in ("superseded", "taken"):
                 out += self._lost(now_us, uid, said)
-            elif effect.what == "settled" and not said["by"]:
-                out += [effect, *self._again(now_us, said["own"], said["epoch"])]
+            elif effect.what == "settled":
+                self.custody.former.pop(uid, None)
+                out += [effect, *(self._again(now_us, said["own"], said["epoch"]) if not said["by"] else [])]
             elif effect.what == "reissue":
                 self.keeping.fate(uid, said["verdict"])
                 out.append(effect)
--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -32,6 +32,7 @@
         self.jobs: dict[str, Job] = {}
         self.former: dict[str, Job] = {}  # of the session before
         self.over = False  # this session has ended; nothing is held under it any more
+        self.started: Callable[[str], bool] = lambda uid: False  # whether a Job that was taken over runs
         self.keepers = Keepers(me, region, seed, bounds)
         self._tokens = Tokens()
         self._timer_us: int | None = None
@@ -61,7 +62,7 @@
                   born_us=now_us - record.born_age_us, since_us=since, allowed=tuple(allowed), size=size,
                   chosen=list(chosen), others=others - set(chosen), heed=others, alone=not chosen, moved=record.version)
         self.jobs[record.uid] = job
-        self._tokens.open(job, number, deadline_us, bool(must) and record.effect != "safe")
+        self._tokens.wait(job, number, deadline_us, bool(must) and record.effect != "safe")
         for name in (*chosen, *sorted(job.others)):
             self.keepers.line(name).want(now_us, record.uid)
         for name in chosen:
@@ -97,7 +98,7 @@
         number, job = self._tokens.next(), self.jobs.get(uid)
         if job is None:
             return number, [settled(number, "session over" if self.over else "not held")]
-        self._tokens.open(job, number, deadline_us, every)
+        self._tokens.wait(job, number, deadline_us, every)
         return number, [*self._tokens.met(job), *self._next_effects(now_us)]
 
     def drop(self, now_us: int, uid: str) -> list[Effect]:
@@ -245,7 +246,7 @@
         if known is not None:
             job.since_us[known.index] = now_us - known.age_us
         job.record = replace(record, version=record.version + 1)
-        self._tokens.open(job, number, deadline_us, every)
+        self._tokens.wait(job, number, deadline_us, every)
         return number, self._spread(now_us, job)
 
     def _spread(self, now_us: int, job: Job) -> list[Effect]:
@@ -272,20 +273,28 @@
     def _kept(self, now_us: int, line: Line, message: KeepAnswer, records: tuple[Record, ...],
               gone: tuple[str, ...]) -> list[Effect]:
         out: list[Effect] = [Tell("later", {"record": each}) for each in message.later]
-        for uid in message.taken:
-            if uid in self.jobs:
-                out += self._tokens.fail(self.jobs[uid], "taken")
-                out += [Tell("taken", {"uid": uid, "by": line.name}), *self.drop(now_us, uid)]
+        for uid, epoch, holder in message.taken:
+            job = self.jobs.get(uid)
+            if job is None:
+                continue
+            # Danger: of two at one epoch each may be refused by the other's keepers, and both let go. One that has
+            # started it goes by a later epoch, or by the other's own word.
+            if epoch <= job.record.epoch and holder != line.name and self.started(uid):
+                job.contested.add(line.name)
+                self.keepers.lack(now_us, uid, line.name)
+                continue
+            out += self._tokens.fail(job, "taken")
+            out += [Tell("taken", {"uid": uid, "by": holder}), *self.drop(now_us, uid)]
+        refused = {uid for uid, _, _ in message.taken}
         for uid in gone:
             if uid in self.jobs and uid not in line.dirty and line.name not in self.jobs[uid].chosen:
                 self.jobs[uid].others.discard(line.name)
                 self.jobs[uid].acked.pop(line.name, None)
-        for uid in (*(each.uid for each in records), *gone):
-            job = self.jobs.get(uid)
-            if job is not None:
-                out += self._tokens.met(job)
+        for uid in gone:
+            if uid in self.jobs:
+                out += self._tokens.met(self.jobs[uid])
         for record in records:
-            job = self.jobs.get(record.uid)
+            job = self.jobs.get(record.uid) if record.uid not in refused else None
             if job is not None:
                 job.acked[line.name] = max(record.version, job.acked.get(line.name, -1))
                 job.heed.discard(line.name)
@@ -307,6 +316,11 @@
     def _move(self, now_us: int, uid: str, name: str) -> None:
         """Another keeper in place of one; where there is none, it stays, and counts by its own word alone."""
         job, line = self.jobs.get(uid), self.keepers.lines.get(name)
+        if job is not None and name in job.contested:
+            job.contested.discard(name)
+            if self._wanted(uid, name):
+                self.keepers.line(name).want(now_us, uid)
+            return
         if job is None or not (job.alone if line is None else name in job.chosen) \
                 or self.keepers.stays(now_us, name, job.allowed):
             return
--- a/wingbarrow/decide/peers/held.py
+++ b/wingbarrow/decide/peers/held.py
@@ -34,6 +34,7 @@
     heed: set[str] = field(default_factory=set)  # have to hear of this holder before they may forget
     acked: dict[str, int] = field(default_factory=dict)
     alone: bool = False  # there is no keeper
+    contested: set[str] = field(default_factory=set)  # keepers that have it from another at the same epoch
     moved: int = 0  # the version at which its keepers changed last
     tokens: list[Token] = field(default_factory=list)
 
@@ -67,7 +68,7 @@
         self._number += 1
         return self._number
 
-    def open(self, job: Job, number: int, deadline_us: int, every: bool) -> None:
+    def wait(self, job: Job, number: int, deadline_us: int, every: bool) -> None:
         """A token for the Job's record as it is now."""
         job.tokens.append(Token(number, job.record.version, deadline_us, every))
         heapq.heappush(self._deadlines, (deadline_us, number, job.record.uid))
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -86,8 +86,9 @@
             return [Send(ident, "", replace(answer, why="this session has ended", over=True))]
         if (keep.life, keep.serial) != (self.session.life, self.session.serial):
             return [Send(ident, "", replace(answer, why="not to this keeper's session"))]
-        taken = tuple(each.uid for each in keep.records if not self._stands(each))
-        new = [each for each in keep.records if each.uid not in taken]
+        taken = tuple((each.uid, *self._holder(each.uid)) for each in keep.records if not self._stands(each))
+        refused = {uid for uid, _, _ in taken}
+        new = [each for each in keep.records if each.uid not in refused]
         why = self._room(ident, new)
         if why:
             return [Send(ident, "", replace(answer, why=why))]
@@ -142,6 +143,13 @@
             return True
         return record.epoch == had.record.epoch and record.session.placer < had.record.session.placer
 
+    def _holder(self, uid: str) -> tuple[int, str]:
+        """At which epoch a Job is held, and by whom, as far as this placer knows."""
+        if uid in self.taken:
+            return self.taken[uid][0], self.session.placer
+        record = self.entries[uid].record
+        return record.epoch, record.session.placer
+
     def _put(self, now_us: int, record: Record, later: list[Record]) -> list[Effect]:
         out: list[Effect] = []
         had = self.entries.get(record.uid)
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -184,9 +184,9 @@
 class KeepAnswer:
     """All of that number is kept; or not, and why (bounds, or this session has ended: `over`).
 
-    `life`, `serial`: of the keeper's session. `taken`: uids of the mail that another holds by a later word: they were
-    not kept. `later`: what stood at the keeper of uids that were taken over, without manifests: the new holder may
-    have known less.
+    `life`, `serial`: of the keeper's session. `taken`: uids of the mail that another holds by a later word, at which
+    epoch and who: they were not kept. `later`: what stood at the keeper of uids that were taken over, without
+    manifests: the new holder may have known less.
     """
 
     number: int
@@ -196,7 +196,7 @@
     over: bool = False
     life: int = 0
     serial: int = 0
-    taken: tuple[str, ...] = ()
+    taken: tuple[tuple[str, int, str], ...] = ()
     later: tuple[Record, ...] = ()
 
 
