--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -7,12 +7,16 @@
 
 import pytest
 
+from wingbarrow.config import load_text
+from wingbarrow.lab.cluster import settings_text
 from wingbarrow.lab.fleet.link import Network, Proxy
-from wingbarrow.lab.fleet.script import BadScript, Fault, generate, read_script
+from wingbarrow.lab.fleet.layout import THIRD, WITNESS, Layout, Size
+from wingbarrow.lab.fleet.script import BadScript, Fault, generate, generate_regions, read_script
 from wingbarrow.transport import Hub, PeerGone, Stream, VirtualClock, connect, listen
 
 S = 1_000_000
 NAMES = ["placer-0", "placer-1", "placer-2"]
+REGIONS = ("north", "south")
 
 
 # -- links
@@ -85,6 +89,17 @@
     played(script)
 
 
+def test_a_far_link_is_late_both_ways_and_a_fault_adds_to_it() -> None:
+    def script(hub: Hub, echo: Echo, proxy: Proxy) -> None:
+        proxy.far_us, begun = S // 50, hub.now_us()
+        assert asked(hub, proxy.port) == b"word" and S // 25 <= hub.now_us() - begun < S // 20
+        proxy.forth.delay_us, begun = S // 2, hub.now_us()
+        assert asked(hub, proxy.port) == b"word" and hub.now_us() - begun >= S // 2 + S // 25
+        proxy.heal()
+        assert proxy.far_us, "what is far stays so"
+    played(script)
+
+
 def test_a_fault_from_one_to_the_other_takes_its_requests_and_its_answers() -> None:
     hub = Hub(VirtualClock())
 
@@ -121,14 +136,71 @@
     ("cut \"soon\" from=\"placer-0\" to=\"placer-1\"", "duration"), ("cut \"1s\" from=\"placer-0\"", "to"),
     ("cut \"1s\" from=\"placer-0\" to=\"placer-0\"", "itself"), ("stop \"1s\" \"placer-0\" often=3", "unknown: often"),
     ("lossy \"1s\" from=\"placer-0\" to=\"placer-1\" amount=3", "share"), ("stop {", "x.kdl"),
+    ("cut-region \"1s\" \"east\"", "no such region"), ("kill-region \"1s\"", "a region"),
+    ("cut-region \"1s\" \"north\" to=\"north\"", "itself"), ("work \"1s\" \"north\"", "no such placer"),
 ])
 def test_a_script_that_cannot_be_used_is_refused_in_words(tmp_path: Path, text: str, words: str) -> None:
     path = tmp_path / "x.kdl"
     path.write_text(text)
     with pytest.raises(BadScript, match=words):
+        read_script(path, NAMES, REGIONS)
+
+
+def test_a_script_of_regions_needs_them(tmp_path: Path) -> None:
+    path = tmp_path / "x.kdl"
+    path.write_text('kill-region "9s" "south" lasts="20s" state=false machines=true\n'
+                    'cut-region "2s" "north" to="south" lasts="5s" both=false\n'
+                    'work "3s" "placer-1" lasts="6s" amount=203\n')
+    assert read_script(path, NAMES, REGIONS) == [
+        Fault("cut-region", 2 * S, "north", "south", 5 * S, False),
+        Fault("work", 3 * S, "placer-1", "", 6 * S, True, 203),
+        Fault("kill-region", 9 * S, "south", "", 20 * S, state=False, machines=True)]
+    with pytest.raises(BadScript, match="is wanted"):
         read_script(path, NAMES)
 
 
+def test_generated_faults_of_regions_leave_time_to_heal_and_keepers_alive() -> None:
+    layout, kinds = Layout(Size(9, 12, regions=3)), set()
+    for seed in range(1, 60):
+        faults = generate_regions(seed, layout.regions, 60)
+        assert faults == generate_regions(seed, layout.regions, 60)
+        regional = [each for each in faults if each.kind.endswith("-region")]
+        assert regional and all(each.end_us < 54 * S for each in regional)
+        assert sum(each.kind == "work" for each in faults) >= 3
+        for region in regional:
+            assert region.kind != "kill-region" or not any(
+                each.kind in ("kill", "stop") and each.at_us < region.end_us and region.at_us < each.end_us
+                for each in faults)
+        kinds |= {each.kind for each in faults}
+    assert {"cut-region", "slow-region", "kill-region", "work", "cut", "propose"} <= kinds
+
+
+# -- who is where
+
+
+@pytest.mark.parametrize("placers, regions", [(3, 3), (6, 3), (9, 3), (16, 5), (8, 4), (2, 2), (6, 2), (16, 2)])
+def test_no_region_has_a_majority_of_the_voters(placers: int, regions: int) -> None:
+    layout = Layout(Size(placers, 3 * regions, regions=regions))
+    assert sorted(name for some in layout.places.values() for name in some) == sorted(layout.all)
+    assert len(layout.voters) in (3, 5) and set(layout.voters) <= set(layout.all)
+    assert all(2 * sum(voter in names for voter in layout.voters) < len(layout.voters)
+               for names in layout.places.values())
+    assert (layout.places.get(THIRD) == [WITNESS]) == (regions == 2)
+    sizes = [len(names) for names in layout.regions.values()]
+    assert len(sizes) == regions and max(sizes) - min(sizes) <= 1
+    assert sum(layout.machines().values()) == 3 * regions
+
+
+@pytest.mark.parametrize("regions, lease_s, after_s", [(0, 10, 12), (2, 10, 12), (3, 6, 8), (5, 10, 30)])
+def test_settings_of_every_placer_can_be_used(regions: int, lease_s: float, after_s: float) -> None:
+    layout = Layout(Size(max(6, regions), 10, regions=regions, lease_s=lease_s, after_s=after_s))
+    for index, name in enumerate(layout.all):
+        text = layout.text(name, settings_text(index, 7, 1, 1, 0, "/x")) + layout.agree()
+        settings = load_text(text)
+        assert (settings.name, settings.region) == (name, layout.region(name))
+        assert {each.name for each in settings.federation.specs} == set(layout.specs())
+
+
 def test_generated_faults_are_a_function_of_the_seed_and_leave_time_to_heal() -> None:
     for seed in range(1, 60):
         faults = generate(seed, NAMES, 60)
--- a/tests/lab/test_refusals.py
+++ b/tests/lab/test_refusals.py
@@ -9,12 +9,11 @@
 from tests.lab.made import Made
 from wingbarrow.decide.peers.asking import Times
 from wingbarrow.lab.fleet.judge import judge
-from wingbarrow.lab.fleet.judging.formulas import needless_us
 
 LIMIT = "429 limit namespace/default/standing of the whole fleet: 40 at once"
 RATE = "429 limit class/web/rate of the whole fleet: 20 in 5 s"
 NONE = "503 this placer is out of touch with the others and may act on no rules now"
-STATED_S = needless_us(Times()) / 1e6
+STATED_S = Times().needless_us() / 1e6
 
 
 @pytest.fixture
--- a/wingbarrow/lab/fleet/judging/formulas.py
+++ b/wingbarrow/lab/fleet/judging/formulas.py
@@ -15,15 +15,6 @@
 KNOWN_US = 15_000_000  # until a leader knows that a machine is lost, or is there again
 
 
-def needless_us(times: Times) -> int:
-    """For how long a placer may turn away for want of rules or rights once it is in touch with a majority.
-
-    A grant that somebody lost has to lapse (`grant_us`, by any clock), a leader be elected (twice `election_us` at
-    most, where no vote is split), and three asks go out: who leads, a grant, and rights by the next one.
-    """
-    return drifted_us(times.grant_us) + 2 * times.election_us + 3 * (times.again_us + times.again_us // 2)
-
-
 def reissued_within_us(lease_us: int, after_us: int, jobs: int, times: Times) -> int:
     """From a region's loss until the last of so many safe runs of it stands elsewhere, where there is room.
 
@@ -33,7 +24,7 @@
     """
     ended = max(reckoned_us(lease_us, TURN_US), drifted_us(after_us)) + lease_us // LOOKS + ROUND_US
     paced = EVERY_US * (1 + (jobs + STARTS - 1) // STARTS)
-    return needless_us(times) + ended + 2 * times.grant_us // 3 + CLAIM_US + paced + START_US
+    return times.needless_us() + ended + 2 * times.grant_us // 3 + CLAIM_US + paced + START_US
 
 
 def reissued_after_us(lease_us: int, after_us: int, times: Times) -> int:
--- a/wingbarrow/lab/fleet/judging/leases.py
+++ b/wingbarrow/lab/fleet/judging/leases.py
@@ -6,7 +6,7 @@
 from wingbarrow.decide.peers.asking import Times
 from wingbarrow.decide.peers.leasing import right_us
 from wingbarrow.interface import Effect, Place
-from wingbarrow.lab.fleet.judging.formulas import needless_us, reissued_after_us
+from wingbarrow.lab.fleet.judging.formulas import reissued_after_us
 from wingbarrow.lab.fleet.judging.jobs import Begun, Job, Jobs
 from wingbarrow.lab.fleet.judging.losses import judge_losses
 from wingbarrow.lab.fleet.judging.reach import Reach, Touch
@@ -118,7 +118,7 @@
 
 def _judge_early(run: Run, out: Verdict, jobs: Jobs) -> None:
     """A start under a later epoch while a machine still holds the former one's lease, or before it can have ended."""
-    touch, grants = Touch(run), needless_us(Times())
+    touch, grants = Touch(run), Times().needless_us()
     ended: dict[str, int] = {}
     for _, each in run.lines("session-ended"):
         ended.setdefault(each["session"], each["at_us"])
--- a/wingbarrow/lab/fleet/judging/reach.py
+++ b/wingbarrow/lab/fleet/judging/reach.py
@@ -47,7 +47,9 @@
 
 
 class Reach:
-    """At which times a placer could be granted anything: some voter that hears it, and a majority, both ways."""
+    """At which times a placer could be granted anything: by a voter that hears a majority and, itself or by way of
+    another voter, the placer; each both ways.
+    """
 
     def __init__(self, run: Run) -> None:
         self._run, self._cuts = run, run.cuts
@@ -73,9 +75,10 @@
     def _could(self, who: str, at_us: int) -> bool:
         here = [name for name in self._run.voters if self._up(name, at_us)]
         wanted = len(self._run.voters) // 2 + 1
+        near = {voter for voter in here if self._linked(who, voter, at_us)}
         return self._up(who, at_us) and any(
-            self._linked(who, voter, at_us) and sum(self._linked(voter, other, at_us) for other in here) >= wanted
-            for voter in here)
+            sum(self._linked(leader, other, at_us) for other in here) >= wanted and (
+                leader in near or any(self._linked(voter, leader, at_us) for voter in near)) for leader in here)
 
     def _up(self, name: str, at_us: int) -> bool:
         return any(life.begin_us <= at_us < life.end_us for life in self._run.up[name]) and not any(
--- a/wingbarrow/lab/fleet/judging/refusals.py
+++ b/wingbarrow/lab/fleet/judging/refusals.py
@@ -13,7 +13,6 @@
 from wingbarrow.decide.peers.asking import Times
 from wingbarrow.decide.peers.limits import FleetLimit
 from wingbarrow.lab.fleet.holding import loosest
-from wingbarrow.lab.fleet.judging.formulas import needless_us
 from wingbarrow.lab.fleet.judging.reach import Touch
 from wingbarrow.lab.fleet.judging.run import NEVER, Run
 from wingbarrow.lab.fleet.judging.verdict import Verdict
@@ -67,8 +66,8 @@
 
 def judge_refusals(run: Run, out: Verdict) -> None:
     """Count them."""
-    out.needless_stated_ms = needless_us(Times()) // 1000
-    stated_us = needless_us(Times()) + run.slack_us
+    out.needless_stated_ms = Times().needless_us() // 1000
+    stated_us = Times().needless_us() + run.slack_us
     limits, touch, stood = loosest(run.texts.values()), Touch(run), Stood(run.records)
     for each in run.records:
         if each.what != "turned-away" or each.at_us > (run.end_us or NEVER):
