Handing over on the whole path; unknown Jobs are shown and released by an operator's word

Need: nothing showed a handed Job on real sockets, and what a successor keeps as unknown could be neither seen nor decided. GET and POST /apis/wingbarrow.io/v1/unknown. A placer that comes back settles by the records its keepers had.

--- a/wingbarrow/core/successor.py
+++ b/wingbarrow/core/successor.py
@@ -26,7 +26,7 @@
 from wingbarrow.core.requests import Requests
 from wingbarrow.core.runs import Runs
 from wingbarrow.core.stops import Stops
-from wingbarrow.decide.federation.spec import allowed
+from wingbarrow.decide.federation.spec import Federation, Spec, allowed
 from wingbarrow.decide.peers.healing import Own
 from wingbarrow.decide.peers.leasing import MachineSays, Record, Session, read_session
 from wingbarrow.decide.peers.takeover import Start
@@ -61,9 +61,21 @@
 
     # -- others' Jobs
 
+    def _spec(self, record: Record, federation: Federation) -> Spec | None:
+        """As it stands now; a name that stood between two versions only gives way to what its Job and class name."""
+        found = federation.named.get(record.spec)
+        if found is None:
+            try:
+                meta = names.decode(record.manifest)["metadata"]
+                named = str((meta.get("annotations") or {}).get(names.FEDERATION, ""))
+                found = federation.spec_for(str((meta.get("labels") or {}).get(names.CLASS, "")), named)
+            except (ValueError, KeyError, TypeError, AttributeError):
+                return None
+        return found
+
     def _terms(self, record: Record) -> tuple[tuple[str, ...], int]:
         federation = self._holder.federation()
-        spec = federation.spec(record.spec)
+        spec = self._spec(record, federation)
         if spec is None or spec.failover is None:
             return (), 1
         return allowed(spec, federation), spec.failover.copies
@@ -71,7 +83,7 @@
     def _may(self, record: Record) -> bool:
         """Whether its spec has it run here after its region's loss, as specs stand now."""
         federation, here = self._holder.federation(), self._base.settings.region
-        spec = federation.spec(record.spec)
+        spec = self._spec(record, federation)
         if spec is None or spec.failover is None or "lost" not in spec.failover.on:
             return False
         if here not in spec.targets(record.region) or here not in allowed(spec, federation):
@@ -231,17 +243,13 @@
         text = session.text()
         had = self._given_up.setdefault(text, {})
         for job in self._holder.jobs.values():
-            if job.leased is not None and job.leased.session == text:
-                had[job.uid] = self._state(job)
+            held = self._room.custodian.custody.jobs.get(job.uid)
+            if job.leased is not None and job.leased.session == text and held is not None:
+                had[job.uid] = Own(held.record, any(task.state in RUNNING for task in job.tasks))
         while len(self._given_up) > ENDED_MOST:
             del self._given_up[next(iter(self._given_up))]
         return had
 
-    def _state(self, job: JobRecord) -> Own:
-        epoch = job.leased.epoch if job.leased is not None else 0
-        return Own(job.asked.task_class.task_class.effect.value, epoch,
-                   any(task.state in RUNNING for task in job.tasks))
-
     def _over(self, told: Fields) -> None:
         """This session has ended: all that was held under it is a successor's to decide."""
         self._own(read_session(str(told["session"])))
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -11,6 +11,7 @@
 from wingbarrow.core.placer import Placer
 from wingbarrow.fronts.discovery import DOCUMENTS
 from wingbarrow.fronts.drains import DrainsFront
+from wingbarrow.fronts.unknown import UnknownFront
 from wingbarrow.http.listwatch import ListWatch, Query, error_answer
 from wingbarrow.http.server import Answer, Server, ServerLimits
 from wingbarrow.http.message import Limits, Request
@@ -47,6 +48,7 @@
         self.limits = LimitsFront(hub, placer.peering)
         self.leases = LeasesFront(hub, placer.peering)
         self.drains = DrainsFront(hub, placer.drainer, self.rules)
+        self.unknown = UnknownFront(placer)
         placer.peering.address = f"{placer.base.settings.host}:{self.port}"
         self._registry = CollectorRegistry()
         self._registry.register(self)
@@ -88,6 +90,8 @@
             return self.drains.handle(request, parts[4:])
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "rules"]:
             return self.rules.handle(request, parts[4:])
+        if parts[:4] == ["apis", "wingbarrow.io", "v1", "unknown"]:
+            return self.unknown.handle(request, parts[4:])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"] and parts[3:] in (["limits"], ["verdicts"]):
             return self.limits.handle(request, parts[3])
         if parts[:3] == ["apis", "wingbarrow.io", "v1"] and parts[3:] == ["leases"]:
--- /dev/null
+++ b/wingbarrow/fronts/unknown.py
@@ -0,0 +1,42 @@
+"""Jobs kept as unknown: GET /apis/wingbarrow.io/v1/unknown lists those that this placer is to decide on.
+
+They must not start twice, their placer's session has ended, and nobody can prove that they never ran. POST
+/unknown/NAMESPACE/NAME {"ran": false} is the operator's word that one never did: it is started. {"ran": true}: it did.
+"""
+
+from __future__ import annotations
+
+from wingbarrow.core.placer import Placer
+from wingbarrow.http.message import Request
+from wingbarrow.http.server import Answer
+from wingbarrow.kube import names
+from wingbarrow.kube.status import ApiError
+
+API = "wingbarrow.io/v1"
+
+
+class UnknownFront:
+    """Routes below /apis/wingbarrow.io/v1/unknown."""
+
+    def __init__(self, placer: Placer) -> None:
+        self._placer = placer
+
+    def handle(self, request: Request, parts: list[str]) -> Answer:
+        """Answer one request; ApiError for what is refused."""
+        successor = self._placer.successor
+        if successor is None:
+            raise ApiError(404, "no leases are held here: `agree` and a region in its settings", "NotFound")
+        if not parts:
+            if request.method != "GET":
+                raise ApiError(405, "GET is allowed here")
+            return Answer(200, names.encode({"kind": "UnknownList", "apiVersion": API, "items": successor.unknown()}))
+        if request.method != "POST" or len(parts) != 2:
+            raise ApiError(405, "POST to NAMESPACE/NAME is allowed here")
+        try:
+            ran = names.decode(request.body).get("ran")
+        except ValueError as error:
+            raise ApiError(400, f"the body is no JSON object: {error}", "BadRequest") from None
+        if not isinstance(ran, bool):
+            raise ApiError(422, 'a word is wanted: {"ran": true} or {"ran": false}', "Invalid")
+        successor.release("/".join(parts), ran)
+        return Answer(200, names.encode({"kind": "Status", "apiVersion": "v1", "status": "Success"}))
