A Job waits shortly for rights that others may spare, before it is turned away

Need: three regions of nine processes turned Jobs away by a rate of which 18 of 80 were in use: each placer's part is small, and what lies with the others comes only by the next ask, up to 0.7 s later, while the owner had its 429 at once. Change: a Job beyond the rights held here has them asked for at once (every 100 ms at most, none while an answer is out) and waits for a second, and a third of its patience at the most; 256 Jobs at a time, further ones hear 429 at once. The safety is untouched: rights are still only what the leader gave.

--- a/wingbarrow/core/desk.py
+++ b/wingbarrow/core/desk.py
@@ -64,27 +64,24 @@
         fresh = f"{base.random.randrange(36 ** 5):05x}"[-5:]
         asked = read_job(value, namespace, base.settings.classes, base.settings.limits, fresh)
         key = f"{namespace}/{asked.name}"
-        if key in self._book.jobs or (self._leaseholder is not None and key in self._leaseholder.coming):
-            raise ApiError(409, f'jobs.batch "{asked.name}" already exists', "AlreadyExists", name=asked.name,
-                           kind="jobs")
+        self._look_at_name(key, asked.name)
         now = base.hub.now_us()
         due = self._door.due_us(now, now if came_us is None else came_us, asked.patience_us, base.hub.lag_us(),
                                 self._book.owed, self._book.answers.total())
         if isinstance(due, TurnedAway):
             raise self._turned_away(due)
-        too_many = self._book.admission.check(namespace, asked.count, self._stops.owed)
-        if too_many is not None:
-            base.counts["turned_away"] += 1
-            base.log("job-turned-away", level="warning", what=too_many.what, most=too_many.most)
-            raise ApiError(429, f"more than {too_many.most} {too_many.what}", retry_after_s=too_many.retry_after_s)
-        beyond = None if dry_run else self._rulebook.beyond(
-            namespace, asked.task_class.task_class.name, asked.count)
+        self._look_at_room(namespace, asked.count)
+        beyond = None if dry_run else self._rulebook.beyond_after(
+            namespace, asked.task_class.task_class.name, asked.count, now + max(0, due - now) // 3)
         if beyond is not None:
             base.counts["turned_away:limit"] += 1
             # Spread, so that those turned away together do not come back together.
             raise ApiError(429, f"limit {beyond.key} of the whole fleet: {beyond.most}"
                            + (f" in {beyond.window_us / 1e6:g} s" if beyond.window_us else " at once"),
                            retry_after_s=base.random.randrange(1, 5))
+        if base.hub.now_us() > now:  # it has waited for rights: others may have come meanwhile
+            self._look_at_name(key, asked.name)
+            self._look_at_room(namespace, asked.count)
         spec = self._leaseholder.spec(asked, _named(value)) if self._leaseholder is not None else None
         here = region = base.settings.region
         if spec is not None and self._elsewhere is not None and not dry_run:
@@ -108,6 +105,17 @@
             self._requests.ask(task, due)
         return shown
 
+    def _look_at_name(self, key: str, name: str) -> None:
+        if key in self._book.jobs or (self._leaseholder is not None and key in self._leaseholder.coming):
+            raise ApiError(409, f'jobs.batch "{name}" already exists', "AlreadyExists", name=name, kind="jobs")
+
+    def _look_at_room(self, namespace: str, count: int) -> None:
+        too_many = self._book.admission.check(namespace, count, self._stops.owed)
+        if too_many is not None:
+            self._base.counts["turned_away"] += 1
+            self._base.log("job-turned-away", level="warning", what=too_many.what, most=too_many.most)
+            raise ApiError(429, f"more than {too_many.most} {too_many.what}", retry_after_s=too_many.retry_after_s)
+
     def delete_job(self, key: str) -> dict[str, Any]:
         """Delete a Job and stop what of it runs or is on its way; the Job as it last was."""
         job = self._book.jobs.get(key)
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -116,6 +116,7 @@
             rulebook.acting = self._acting
             self.peering.on_rules = rulebook.take
             self.peering.on_rights = rulebook.take_rights
+            rulebook.hurry = self.peering.hurry
             self.peering.uses = self._uses
             # Of the cold budget a placer wants as much as waits; how much of that is for cold machines nobody knows.
             self.peering.demand = lambda key: book.owed if key == "cold" else 0
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -17,6 +17,11 @@
 from wingbarrow.decide.peers.rules import RuleSet, read
 from wingbarrow.kube.status import ApiError
 from wingbarrow.peers.ruleset import scheduler_under
+from wingbarrow.transport import Signal
+
+RIGHTS_US = 1_000_000  # a Job waits for rights that others may spare for so long, and a third of its patience
+WAITING_MOST = 256  # Jobs that do
+LOOK_US = 100_000  # they look again so often, as tasks that end free rights too
 
 
 class Rulebook:
@@ -36,6 +41,9 @@
         self._classes: frozenset[str] = frozenset()
         self._barred: frozenset[str] = frozenset()
         self._text, self._by_rights = "", False
+        self._changed = Signal(base.hub)  # other rules or rights
+        self._waiting = 0  # Jobs that wait for those
+        self.hurry: Callable[[], None] = lambda: None  # has rights asked for soon
 
     def federation(self) -> Federation:
         """The specs in force."""
@@ -44,6 +52,7 @@
     def take(self, label: str, text: str) -> None:
         """Other rules are acted on from now on; an empty text: none, and the module keeps those it has."""
         self.label = label
+        self._changed.notify()
         self._base.log("rules", label=label or "none")
         if not text:
             return
@@ -64,6 +73,7 @@
 
     def take_rights(self) -> None:
         """Another part of the fleet's limits is held now."""
+        self._changed.notify()
         purse = self.purse()
         if not self._by_rights or purse is None:
             return
@@ -74,7 +84,29 @@
             self._cold = share
             self._host.feed(scheduler_under(self._base.settings, self._text, share))
 
-    def beyond(self, namespace: str, task_class: str, count: int) -> FleetLimit | None:
+    def beyond_after(self, namespace: str, task_class: str, count: int, until_us: int) -> FleetLimit | None:
+        """As `beyond`, but rights that others may spare are waited for, until then at the latest.
+
+        Danger: a part that is short here for a moment, while most of the limit lies idle elsewhere, would have a fleet
+        turn work away that it has room for.
+        """
+        hub = self._base.hub
+        until_us = min(until_us, hub.now_us() + RIGHTS_US)
+        found = self.beyond(namespace, task_class, count)
+        if found is None or self._waiting >= WAITING_MOST:
+            return found
+        self._waiting += 1
+        try:
+            while found is not None and hub.now_us() < until_us and count <= found.most:
+                self.hurry()
+                with hub.limit(min(LOOK_US, until_us - hub.now_us())):
+                    self._changed.wait()
+                found = self.beyond(namespace, task_class, count, again=True)
+        finally:
+            self._waiting -= 1
+        return found
+
+    def beyond(self, namespace: str, task_class: str, count: int, again: bool = False) -> FleetLimit | None:
         """The limit of the whole fleet that so many more tasks would pass, by what is held here; else they count."""
         purse = self.purse()
         if self.acting is None or purse is None or self._rules is None:
@@ -85,7 +117,7 @@
         if asked and (acting is None or not acting.edition):
             return asked[0]  # Danger: on a floor, rights have lapsed: others may hold them by now
         for each in asked:
-            if not purse.may(now, each.key, count):
+            if not purse.may(now, each.key, count, again):
                 return each
         for each in asked:
             purse.use(now, each.key, count)
--- a/wingbarrow/decide/peers/agreement.py
+++ b/wingbarrow/decide/peers/agreement.py
@@ -90,6 +90,10 @@
             return [*self.leading.on_ask(now_us, self.me, "", ask), *out]
         return [Send(receiver, "", ask), *out] if receiver else out
 
+    def hurry(self, now_us: int) -> list[Effect]:
+        """Somebody waits for rights that may be with others."""
+        return self.holding.hurry(now_us)
+
     # -- the placer's questions
 
     def acting(self, now_us: int) -> Acting | None:
--- a/wingbarrow/decide/peers/holding.py
+++ b/wingbarrow/decide/peers/holding.py
@@ -20,6 +20,7 @@
 HOPS_MOST = 2  # from one who does not lead to the one that it names, before the next ask is due by time
 
 RELAYED_MOST = 8  # answers by way of a voter, before the leader itself is asked again
+HURRY_US = 100_000  # between asks for which somebody waits
 
 
 class Holding:
@@ -48,6 +49,7 @@
         self._forwarded: set[int] = set()  # own asks without an answer that were to be passed on
         self._hint, self._hops = "", 0  # whom the last one asked named, to be asked now; how often one led to another
         self._gave_up = False  # by the last answer: some share became less
+        self._sent_us = -times.grant_us  # when the last ask was sent
 
     def ask(self, now_us: int, known: str) -> tuple[Ask, str, list[Effect]]:
         """The next ask, whom to send it to ("" for nobody; `known` leads as far as is known), and what else is to be
@@ -58,7 +60,7 @@
         hinted = bool(self._hint)
         self._hops = self._hops if hinted else 0
         self._number += 1
-        self._asked[self._number] = now_us
+        self._asked[self._number] = self._sent_us = now_us
         evidence, bad, tried = self.experience.evidence(now_us, self.closures.mine)
         if now_us >= self.holder.until_us and self.purse.shares:
             self.purse.lapse()
@@ -75,6 +77,12 @@
         return ask, receiver, [*out, self._timer("ask", now_us + wait), *self.look_at_grant(now_us),
                                *self._look_at_closed(now_us)]
 
+    def hurry(self, now_us: int) -> list[Effect]:
+        """Somebody waits for rights: ask soon, unless an answer is on its way; at a bounded pace."""
+        if self._asked:
+            return []
+        return [self._timer("ask", max(now_us + 1, self._sent_us + HURRY_US))]
+
     def _whom(self, known: str, unanswered: bool) -> tuple[str, bool]:
         """Whom to ask, and whether it is to pass that on to the leader, which did not answer."""
         if known == self.me:
--- a/wingbarrow/decide/peers/rights.py
+++ b/wingbarrow/decide/peers/rights.py
@@ -152,10 +152,13 @@
             if each.key in self.limits:
                 self.shares[each.key] = max(0, each.share)
 
-    def may(self, now_us: int, key: str, count: int) -> bool:
-        """Whether so many more are within what is held; the caller has a grant. What is not is counted as wanted."""
+    def may(self, now_us: int, key: str, count: int, again: bool = False) -> bool:
+        """Whether so many more are within what is held; the caller has a grant. What is not is counted as wanted, once
+        (`again`: it was asked for before)."""
         if self.used(now_us, key) + count <= self.shares.get(key, 0):
             return True
+        if again:
+            return False
         away, at = self._turned_away.get(key, (0, 0))
         self._turned_away[key] = (away + count if now_us - at < 2_000_000 else count), now_us
         return False
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -140,6 +140,11 @@
         """All other placers that are known, by name."""
         return self.membership.table.members
 
+    def hurry(self) -> None:
+        """Somebody waits for rights: have them asked for soon."""
+        if self.agreement is not None:
+            self.act("rules", self.agreement.hurry(self._hub.now_us()))
+
     def targets(self, names: Iterable[str]) -> list[Target]:
         """Those of some other placers that live, in the life in which they are known."""
         living = {each.word.ident: each.word.life for each in self.membership.table.living()}
