--- a/tests/decide/peers/test_sessions.py
+++ b/tests/decide/peers/test_sessions.py
@@ -13,7 +13,7 @@
     ENDED_MOST, Kept, Session, reckoned_us, right_us, successor)
 from wingbarrow.decide.peers.rights import Asker
 from wingbarrow.decide.peers.rules import RuleSet
-from wingbarrow.decide.peers.sessionlog import ENDED_KEPT, LIVES_MOST, SessionLog, from_text
+from wingbarrow.decide.peers.sessionlog import ENDED_CHARS, ENDED_KEPT, LIVES_MOST, SessionLog, from_text
 from wingbarrow.decide.peers.sessions import TURN_US, Lease, Sessions, deaf_us, ended_within_us, lone_us
 from wingbarrow.lab.fleet.schedules import rules
 from wingbarrow.lab.fleet.swarm import SECOND
@@ -297,6 +297,18 @@
     assert log.ended and from_text(log.text()) == log and from_text("") == SessionLog()
 
 
+def test_what_is_kept_of_ends_has_a_bound_by_count_and_by_length() -> None:
+    log = SessionLog()
+    keepers = [Session("k" * 240 + f"{number:03d}", 1, 1) for number in range(64)]
+    for keeper in keepers:
+        log.apply("opened", {"session": keeper.text(), "process": 1, "region": "r", "lease_us": LEASE})
+    for number in range(20):
+        lost = Session(f"x{number}", 1, 1)
+        log.apply("opened", {"session": lost.text(), "process": 1, "region": "r", "lease_us": LEASE})
+        log.apply("ended", {"session": lost.text(), "successors": [each.text() for each in keepers]})
+    assert 1 < len(log.ended) < 20 and len(log.text()) < 2 * ENDED_CHARS and Session("x19", 1, 1) in log.ended
+
+
 @pytest.mark.parametrize("kind, value", [
     ("opened", {}), ("opened", {"session": "x", "process": 1, "region": "", "lease_us": 1}),
     ("opened", {"session": "a/1/1", "process": 1, "region": "", "lease_us": 0}),
--- a/wingbarrow/decide/peers/sessionlog.py
+++ b/wingbarrow/decide/peers/sessionlog.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import json
-from collections import Counter
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -18,6 +17,7 @@
 LIVES_MOST = 8  # of them of one placer, the present and those whose reckoning is not over
 LATEST_MOST = 2048  # placers of which it is known how far their sessions have come
 ENDED_KEPT = 256  # ends; those whose last change is the oldest are forgotten first
+ENDED_CHARS = 96 * 1024  # of all their successors' names and sessions: a snapshot goes with one mail
 SUCCESSORS_MOST = 64  # in one batch
 BATCHES_MOST = 32  # of one end
 
@@ -97,9 +97,7 @@
                 self.ended[other] = replace(held, gone=tuple(sorted({*held.gone, session.placer})), changed=self.epoch)
         if successors:
             self._join(session, successors)
-        while len(self.ended) > ENDED_KEPT:
-            oldest = min(self.ended.values(), key=lambda each: each.changed).session
-            del self.ended[oldest], self.by[oldest]
+        self._forget()
 
     def _join(self, session: Session, successors: list[Session]) -> None:
         held, by = self.ended[session], self.by[session]
@@ -115,10 +113,15 @@
             held, batches=(*(each for each in batches if each), tuple(sorted(new))),
             gone=tuple(name for name in held.gone if name not in new), changed=self.epoch)
         by.update(new)
+        self._forget()
 
-    def open_by_placer(self) -> Counter[str]:
-        """How many sessions of each placer are open."""
-        return Counter(each.placer for each in self.open)
+    def _forget(self) -> None:
+        chars = {session: sum(2 * len(name) + 40 for name in by) for session, by in self.by.items()}
+        total = sum(chars.values())
+        while len(self.ended) > ENDED_KEPT or (total > ENDED_CHARS and len(self.ended) > 1):
+            oldest = min(self.ended.values(), key=lambda each: each.changed).session
+            total -= chars[oldest]
+            del self.ended[oldest], self.by[oldest]
 
     # -- snapshots
 
--- a/wingbarrow/lab/fleet/leaseholders.py
+++ b/wingbarrow/lab/fleet/leaseholders.py
@@ -112,6 +112,10 @@
         return len(self.members) == len(self.names) and all(
             lease.may_send(self.clock_us(name)) for name, lease in self.leases.items())
 
+    def one_log(self) -> bool:
+        """Whether all voters have the same state."""
+        return len({self._cores[name].text() for name in self.voters}) == 1
+
     def log(self) -> Sessions:
         """The leader's part."""
         return self._cores[self.leader() or self.voters[0]]
@@ -279,6 +283,8 @@
     holders.run(holders.now_us + span + 10 * SECOND)
     if not holders.run_until(holders.all_open, 30 * SECOND):
         holders.faults.append(f"{holders.now_us}: not all have a session after all healed")
+    if not holders.run_until(holders.one_log, 5 * SECOND):
+        holders.faults.append(f"{holders.now_us}: voters have decided different things")
     yield "healed"
 
 
--- a/wingbarrow/peers/agreeing.py
+++ b/wingbarrow/peers/agreeing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
@@ -30,10 +31,13 @@
     return store, disk
 
 
-def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, sides: tuple[Side, ...]) -> Agreement:
-    """The agreement of a placer whose settings say `agree`; every voter has all chapters."""
+def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, sides: tuple[Side, ...],
+                 counts: Counter[str]) -> Agreement:
+    """The agreement of a placer whose settings say `agree`; every voter has all chapters. `counts` takes refusals."""
     agree = settings.agree
     assert agree is not None
     named = tuple(sorted({region for name, region in agree.regions if name not in agree.bare}))
+    sessions = Sessions(agree.lease_us)
+    sessions.counts = counts
     return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + life, Times(grant_us=agree.grant_us),
-                     life, chapters=(Sessions(agree.lease_us), Regions(agree.lease_us, named)), sides=sides)
+                     life, chapters=(sessions, Regions(agree.lease_us, named)), sides=sides)
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -62,6 +62,7 @@
         self.membership = self._member()
         self.agreement: Agreement | None = None
         self.lease = Lease(settings.name, settings.region)
+        self.lease.counts = self.counts
         self.regions = RegionsSide(lambda now_us: None)
         self.on_session: Callable[[Session, bool, int], None] = lambda session, may, epoch: None
         self.on_ended: Callable[[Ended], None] = lambda ended: None
@@ -106,7 +107,7 @@
         self.history("start", name=settings.name, life=self._life, address=self.address)
         if settings.agree is not None:
             self._store, disk = voter_store(settings, self._log)
-            self.agreement = agreement_of(settings, disk, self._life, (self.lease, self.regions))
+            self.agreement = agreement_of(settings, disk, self._life, (self.lease, self.regions), self.counts)
             self.agreement.purse.uses, self.agreement.purse.demand = self.uses, self.demand
             self.agreement.live_in(settings.region, self.zones)
         try:
