--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -278,8 +278,9 @@
             if job is None:
                 continue
             # Danger: of two at one epoch each may be refused by the other's keepers, and both let go. One that has
-            # started it goes by a later epoch, or by the other's own word.
-            if epoch <= job.record.epoch and holder != line.name and self.started(uid):
+            # started it goes by a later epoch, or by the word of a lesser name's own.
+            first = holder != line.name or self.session.placer < holder
+            if epoch <= job.record.epoch and first and self.started(uid):
                 job.contested.add(line.name)
                 self.keepers.lack(now_us, uid, line.name)
                 continue
--- a/wingbarrow/decide/peers/records.py
+++ b/wingbarrow/decide/peers/records.py
@@ -61,7 +61,7 @@
         return record
     tasks = (phase_of(record, index) for index in range(record.count))
     return replace(record, tasks=tuple(
-        replace(each, phase="doubt") if each.phase in ("none", "about") else each for each in tasks))
+        each if each.phase == "over" else replace(each, phase="doubt") for each in tasks))
 
 
 def order(record: Record) -> tuple[int, int]:
--- a/wingbarrow/decide/peers/reissue.py
+++ b/wingbarrow/decide/peers/reissue.py
@@ -15,7 +15,7 @@
 
 EVERY = ("unsafe", "keyed", "safe")
 SAYS = ("unasked", "unreachable", "holds", "clear", "anew", "operator")
-TIMES = ("window", "past")
+TIMES = ("window", "past", "open")  # of a key: its window runs, has passed, or nobody here knows since when it runs
 ANY: tuple[str, ...] = ()
 
 
@@ -51,6 +51,8 @@
         "the operator answers for it"),
     Row(("keyed",), ANY, ANY, ("window",), Verdict.WAIT,
         "the former holder may have sent the same key just before its right lapsed, within the window and the group"),
+    Row(("keyed",), ANY, ANY, ("open",), Verdict.UNKNOWN,
+        "another may have started it since, or may yet, within the window of a key that holds everywhere"),
     Row(("keyed",), ANY, ANY, ("past",), Verdict.RUN,
         "no copy runs any more, and the key's window, where its group reaches here, has passed"),
     Row(("unsafe",), ("none", "about", "placed", "doubt"), ("operator",), ANY, Verdict.RUN,
@@ -89,12 +91,22 @@
     Of a key that holds for all, or where another successor of this region may have started it: the whole window, by
     any clock. A narrower group ends within the lost region.
     """
-    doubt = any(each.phase == "doubt" for each in record.tasks)
-    if record.effect != "keyed" or not (doubt or record.group == "all"):
+    if record.effect != "keyed" or not (record.group == "all" or _doubt(record)):
         return heard_us
     return heard_us + drifted_us(record.window_us)
 
 
+def time_of(record: Record, now_us: int, until_us: int) -> str:
+    """As the table takes it."""
+    if record.effect == "keyed" and record.group == "all" and _doubt(record):
+        return "open"
+    return "window" if now_us < until_us else "past"
+
+
+def _doubt(record: Record) -> bool:
+    return any(each.phase == "doubt" for each in record.tasks)
+
+
 def said_of(says: MachineSays | None, age_us: int) -> str:
     """What a machine's answer means for an attempt that could leave `age_us` ago at the earliest.
 
--- a/wingbarrow/decide/peers/takeover.py
+++ b/wingbarrow/decide/peers/takeover.py
@@ -19,7 +19,7 @@
 from wingbarrow.decide.peers.keeping import Taking
 from wingbarrow.decide.peers.leasing import MachineSays, Record, Session
 from wingbarrow.decide.peers.records import phase_of
-from wingbarrow.decide.peers.reissue import TABLE, Row, Verdict, decide, merged, window_until_us
+from wingbarrow.decide.peers.reissue import TABLE, Row, Verdict, decide, merged, time_of, window_until_us
 
 CLAIM_US = 2_000_000  # a safe Job waits so long for its keepers' word
 CLAIMING, READY = "claiming", "ready"
@@ -146,7 +146,7 @@
 
     def _judge(self, now_us: int, case: Case) -> dict[int, Row]:
         record = case.record
-        time = "window" if now_us < case.until_us else "past"
+        time = time_of(record, now_us, case.until_us)
         out = {}
         for index in range(record.count):
             phase, word = phase_of(record, index).phase, self.inquiry.word(record.uid, index)
