--- a/tests/config/test_federation_files.py
+++ b/tests/config/test_federation_files.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
+from wingbarrow.cli.main import main
 from wingbarrow.config import SettingsError, load_file
 from wingbarrow.decide.peers.rules import read
 from wingbarrow.peers.ruleset import rules_of
@@ -32,5 +34,12 @@
     assert read(rules.text()) == rules
 
 
+def test_the_command_says_file_line_and_what_is_wrong() -> None:
+    path = FILES / "bad" / "residency-against-failover.kdl"
+    told = CliRunner().invoke(main, ["check", str(path)])
+    assert told.exit_code == 2 and f"{path}:16: failover: to 'east', and 'patients'" in told.output
+    assert CliRunner().invoke(main, ["check", str(GOOD[0])]).exit_code == 0
+
+
 def test_there_are_enough_of_both() -> None:
     assert len(BAD) >= 40 and len(GOOD) >= 20
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -44,10 +44,11 @@
         self._changed = Signal(base.hub)  # other rules or rights
         self._waiting = 0  # Jobs that wait for those
         self.hurry: Callable[[], None] = lambda: None  # has rights asked for soon
+        self._federation = base.settings.federation
 
     def federation(self) -> Federation:
-        """The specs in force."""
-        return self._rules.federation if self._rules is not None else self._base.settings.federation
+        """The specs in force. A floor speaks of none: those known last go on, so that residency holds behind a cut."""
+        return self._federation
 
     def take(self, label: str, text: str) -> None:
         """Other rules are acted on from now on; an empty text: none, and the module keeps those it has."""
@@ -69,6 +70,7 @@
         if changed:
             self.pass_again(changed)
         if label.startswith("e"):  # a floor speaks of no drains: those known last go on
+            self._federation = self._rules.federation
             self.on_drains(self._rules)
 
     def take_rights(self) -> None:
