Proposals are asked, too, whether never-twice work would go over on a suspicion, or be moved

A file was checked for it, a proposal by REST was not: rules read from a text took any spec for any class. Rule sets now tell it of themselves, with the class and the reason, so that each voter refuses such a version.

--- a/tests/decide/federation/test_compare.py
+++ b/tests/decide/federation/test_compare.py
@@ -8,6 +8,7 @@
 
 import pytest
 from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.decide.federation.made import FEDERATIONS, allowed_acts
 from wingbarrow.decide.federation import compare, form
@@ -51,11 +52,33 @@
     assert not set(text) & set('"\\') and text.isascii()
 
 
-def _rules(federation: s.Federation) -> r.RuleSet:
-    return r.normal(r.RuleSet((r.ClassRules("web", "safe", "none", 0), r.ClassRules("pay", "unsafe", "none", 0)), 4, 18,
+def _rules(federation: s.Federation, effect: str = "safe") -> r.RuleSet:
+    return r.normal(r.RuleSet((r.ClassRules("web", "safe", "none", 0), r.ClassRules("pay", effect, "none", 0)), 4, 18,
                               2, (), 250, (), federation=federation))
 
 
+@given(FEDERATIONS, FEDERATIONS, st.sampled_from(r.EFFECTS), st.sampled_from(r.EFFECTS))
+def test_between_two_that_keep_never_twice_work_so_does_the_meet(a: s.Federation, b: s.Federation, one: str,
+                                                                 other: str) -> None:
+    both = [_rules(_slow(a), one), _rules(_slow(b), other)]
+    if not any(r.check(each) for each in both):
+        assert not r.check(r.meet(*both))
+
+
+def _slow(federation: s.Federation) -> s.Federation:
+    """With times after which a lease is proved to be over."""
+    return replace(federation, specs=tuple(replace(each, failover=each.failover and replace(
+        each.failover, after_us=each.failover.after_us * 1_000_000)) for each in federation.specs))
+
+
+def test_a_proposal_by_which_never_twice_work_goes_over_on_a_suspicion_is_refused() -> None:
+    over = s.Failover(("refusing",), 30_000_000, refusing_us=20_000_000)
+    federation = s.Federation((s.Spec("orders", ("north", "south"), failover=over),), (), (("pay", "orders"),))
+    assert r.read(_rules(federation, "keyed").text())
+    with pytest.raises(r.BadRules, match="pay: federation orders fails over on \"refusing\", a suspicion"):
+        r.read(_rules(federation, "unsafe").text())
+
+
 @given(FEDERATIONS, FEDERATIONS)
 @settings(max_examples=50)
 def test_rule_sets_have_it_as_a_part(a: s.Federation, b: s.Federation) -> None:
--- a/wingbarrow/decide/peers/rules.py
+++ b/wingbarrow/decide/peers/rules.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from wingbarrow.decide.federation import compare, form
+from wingbarrow.decide.federation.faults import unfit
 from wingbarrow.decide.federation.spec import Federation
 from wingbarrow.decide.peers.limits import FleetLimit, check_limits, limits_meet, limits_within, normal_limits
 from wingbarrow.decide.peers.planned import (
@@ -185,6 +186,11 @@
     want(len({who for who, _ in rules.cold_shares}) == len(rules.cold_shares), "cold: two shares for one placer")
     want(whole(rules.drain_grace_us, 0, 3_600_000_000), "drain: a grace of at most an hour is wanted")
     want(all(name(machine) for machine in rules.barred), "barred: a machine without a name")
+    effects = {each.name: each.effect for each in rules.classes}
+    for task_class, named in rules.federation.uses:
+        spec = rules.federation.named.get(named)
+        why_not = unfit(spec, effects.get(task_class, ""), 0) if spec is not None else ""
+        want(not why_not, f"{task_class}: federation {named} {why_not}")
     return (out + check_planned(rules.windows, rules.asked, rules.cancelled, rules.plan) + check_limits(rules.limits)
             + list(form.bounds(rules.federation)))
 
