Turns carried out by placers: machines asked, own tasks moved, windows as turns; REST and commands

`turns` over REST and `wingbarrow turns` ask for, renew, give and take back; a renewal is answered only once a majority has followed the leader since it was asked. Where placers agree, windows are foreseen by each placer as before, and closed in turns alone; a machine is found by whoever's list has it.

Seen on the virtual clock with whole placers: one turn from request to done with load going on, the machine empty whenever it was held, one placer alone sending to it first; a leader killed in the middle has a successor that proves anew; drains asked for, windows taken back in their last second and given again go on as before.

--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -15,6 +15,7 @@
 from wingbarrow.cli.drains import drains
 from wingbarrow.cli.fleet import fleet
 from wingbarrow.cli.rules import rules
+from wingbarrow.cli.turns import turns
 from wingbarrow.config import SettingsError, load_file
 from wingbarrow.config.calendar import load_calendar
 from wingbarrow.core.logs import Log
@@ -31,6 +32,7 @@
 main.add_command(lab)
 main.add_command(drains)
 main.add_command(rules)
+main.add_command(turns)
 main.add_command(fleet)
 
 
--- a/wingbarrow/core/closing.py
+++ b/wingbarrow/core/closing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from wingbarrow import interface as api
@@ -25,15 +26,16 @@
         self._runs, self._board = runs, board
         self._closing: dict[str, int] = {}  # machines that close for long tasks: when, on the module's clock
         self._closed: frozenset[str] = frozenset()
+        self.turned: Callable[[str], bool] = lambda name: False  # closed by a turn
         fleet.guards.append(self._guard)
         fleet.drained = self._is_closed
 
     def _is_closed(self, name: str) -> bool:
-        return name in self._closed
+        return name in self._closed or self.turned(name)
 
     def _guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
         """The calendar can only take from what the list says (rule 3)."""
-        if entry.name in self._closed and listed.phase is api.Phase.RUNNING:
+        if self._is_closed(entry.name) and listed.phase is api.Phase.RUNNING:
             return replace(listed, phase=api.Phase.DRAINING)
         return listed
 
@@ -80,7 +82,16 @@
             held = self._fleet.held
             entries = [held[name] for name in sorted(touched) if name in held]
             for entry in entries:
-                self._board.show_node(entry, entry.name in closed)
+                self._board.show_node(entry, self._is_closed(entry.name))
+            self._fleet.take_again(entries)
+
+    def pass_again(self, machines: Iterable[str]) -> None:
+        """Turns closed, or opened, machines: show that, to the module too."""
+        held = self._fleet.held
+        entries = [held[name] for name in sorted(machines) if name in held]
+        for entry in entries:
+            self._board.show_node(entry, self._is_closed(entry.name))
+        if entries:
             self._fleet.take_again(entries)
 
     def move_task(self, request: int, why: str) -> None:
@@ -107,6 +118,6 @@
             "lastHeartbeatTime": names.short_time(wall)})
         entry = self._fleet.held.get(name)
         if entry is not None:
-            self._board.show_node(entry, name in self._closed)
+            self._board.show_node(entry, self._is_closed(name))
         self._base.log("drain", window=held.drain.window, machine=held.drain.machine, phase=held.phase.value,
                        why=held.reason, moved=held.moved)
--- a/wingbarrow/core/drainer.py
+++ b/wingbarrow/core/drainer.py
@@ -119,6 +119,7 @@
         now = self._hub.clock.wall_us()
         self.calendar, self._asked = calendar, [each.series() for each in asked]
         self.drains.take_policy(calendar.policy)
+        self.drains.by_turns = frozenset(each.name for each in calendar.series)
         windows = frozenset(each.name for each in (*calendar.series, *self._asked))
         for each in self.drains.agree(windows, frozenset(cancelled), now):
             self._host.tell_drain(each)
--- a/wingbarrow/core/link.py
+++ b/wingbarrow/core/link.py
@@ -129,6 +129,20 @@
         except (CallFailed, ApiError, KeyError, TypeError, ValueError):
             return None
 
+    def turn(self, number: int, shut: bool) -> str:
+        """Have it refuse new work, or take it again, under a turn's number: shut, empty (and shut), or open.
+
+        "" without a readable answer, and where it goes by a later number.
+        """
+        try:
+            value = call(self._lease_pool, "POST", "/turn", names.encode({"number": number, "shut": shut}),
+                         self.hub.now_us() + CALL_US)
+            if value["number"] != number:
+                return ""
+            return "open" if value["shut"] is False else "empty" if value["empty"] is True else "shut"
+        except (CallFailed, ApiError, KeyError, TypeError, ValueError):
+            return ""
+
     def follow(self, listed: Callable[[list[dict[str, Any]], int], None],
                event: Callable[[str, dict[str, Any]], None], log: Callable[..., None]) -> None:
         """List this placer's tasks on the machine, then watch them; again and again until retired.
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -30,6 +30,7 @@
 from wingbarrow.core.stops import Stops
 from wingbarrow.core.strays import Strays
 from wingbarrow.core.successor import Successor
+from wingbarrow.core.turns import TurnsRoom
 from wingbarrow.core.verdicts import Verdicts
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.peers.grants import Acting
@@ -85,6 +86,7 @@
         rulebook = self.rulebook = Rulebook(base, host)
         self.peering = Peering(hub, settings, base.born_us, log)
         self.leases: Leases | None = None
+        self.turns: TurnsRoom | None = None
         self.leaseholder: Leaseholder | None = None
         if settings.agree is not None and settings.region:
             leases = self.leases = Leases(base, machines, self.peering.lease, settings.agree.lease_us)
@@ -121,7 +123,10 @@
             # Of the cold budget a placer wants as much as waits; how much of that is for cold machines nobody knows.
             self.peering.demand = lambda key: book.owed if key == "cold" else 0
             verdicts = Verdicts(base, fleet, lambda: self.peering.agreement)
-            requests.came_to = verdicts.note
+            turns = self.turns = TurnsRoom(base, fleet, machines, attempts, stops, closing, self.peering.turn_side,
+                                           lambda: self.peering.agreement, rulebook.in_force)
+            self.peering.on_turns = turns.changed
+            requests.came_to = turns.noting(verdicts.note)
             self.peering.zones, self.peering.on_verdicts = verdicts.zones, verdicts.take
             rulebook.purse = lambda: self.peering.agreement.purse if self.peering.agreement is not None else None
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
@@ -131,7 +136,7 @@
         if settings.agree is not None:
             rulebook.on_drains = lambda rules: self.drainer.take(calendar_under(rules, needed), rules.asked,
                                                                  rules.cancelled)
-            rulebook.drained = self.drainer.closes
+            rulebook.drained = lambda machine: self.drainer.closes(machine) or self.peering.turn_side.closes(machine)
             self.drainer.may_move = lambda: self._acting(hub.now_us()) is not None
             self.drainer.on_closed = lambda machines: self.peering.history("closed", machines=sorted(machines))
 
@@ -147,6 +152,8 @@
             if base.settings.calendars or self.drainer.agreed:
                 nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.peering.run, "peers")
+            if self.turns is not None:
+                nursery.spawn(self.turns.run, "turns")
             if self.leases is not None and self.leaseholder is not None:
                 nursery.spawn(self.leases.run, "leases")
                 nursery.spawn(self.leaseholder.room.run, "custody")
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -125,6 +125,10 @@
             purse.use(now, each.key, count)
         return None
 
+    def in_force(self) -> RuleSet | None:
+        """The rules that were acted on last; None before there are any."""
+        return self._rules
+
     def guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
         """A barred machine, or one that is to be drained, gets nothing."""
         if not (entry.name in self._barred or self.drained(entry.name)) or listed.phase is not api.Phase.RUNNING:
--- a/wingbarrow/core/stops.py
+++ b/wingbarrow/core/stops.py
@@ -91,6 +91,11 @@
         machine = self._machines.get(link)
         return machine is not None and pod in machine.pods
 
+    def owed_on(self, link: MachineLink) -> int:
+        """How many are owed on one machine."""
+        machine = self._machines.get(link)
+        return len(machine.pods) if machine is not None else 0
+
     def _work(self, link: MachineLink, machine: _Machine) -> None:
         while machine.fresh or machine.later:
             now = self._hub.now_us()
--- a/wingbarrow/decide/draining.py
+++ b/wingbarrow/decide/draining.py
@@ -103,6 +103,7 @@
         self._allowance = 0.0
         self._last_us: int | None = None
         self._calls = frozenset[str]()  # drains cancelled by an operator
+        self.by_turns = frozenset[str]()  # windows whose machines are closed in turns: here they are but foreseen
         self._barred = frozenset[str]()  # keys that placers agree to have taken back
 
     def take_policy(self, policy: Policy) -> None:
@@ -175,6 +176,10 @@
             held = self.held[key]
             if held.phase in OVER:
                 continue
+            if held.phase is Phase.PLANNED and held.drain.window in self.by_turns:
+                if now_us >= held.drain.end_us:
+                    del self.held[key]
+                continue
             machine = held.drain.machine
             after = self._judge(held, now_us, running.get(machine, []), zones.get(machine, ""), failed,
                                 room.get(machine, True))
--- a/wingbarrow/decide/peers/turning.py
+++ b/wingbarrow/decide/peers/turning.py
@@ -133,7 +133,7 @@
         placer = self._placers.get(asker.ident)
         region = placer.said.region if placer is not None else ""
         active = sorted(self.queue.active(), key=lambda each: each.number)
-        asked = [each for each in self.queue.turns.values() if each.state == "asked" and each.region == region]
+        asked = [each for each in self.queue.turns.values() if each.state == "asked" and each.region in ("", region)]
         turns = tuple((each.number, each.machine, each.state, self.hand(now_us, each) if each.state != "asked" else "")
                       for each in (*active, *asked[:TOLD_MOST]))
         return TurnsTold(self.queue.version, turns, tuple(self.silent(now_us)),
@@ -207,14 +207,14 @@
                if not self.queue.knows(ident) and not self.queue.refusal({**value, "at_us": wall})]
         self._wants = {}
         room = Room(rules.plan.rules(()).budgets, self._in_reach(now_us), self.queue.active(), self.held_back)
-        counted: list[tuple[int, int]] = []
+        counted: list[tuple[object, ...]] = []
         for turn in sorted(self.queue.live(), key=lambda each: each.number):
             watch = self._watch(now_us, turn.number)
             assert watch is not None
             self._look_gone(now_us, turn, watch)
             if turn.state == "asked":
-                tasks = self._tasks(now_us, turn, watch)
-                counted += [(turn.number, tasks)] if tasks is not None else []
+                found = self._found(now_us, turn, watch)
+                counted += [found] if found is not None else []
             step = self._step(now_us, wall, turn, watch, rules, room)
             if step is not None:
                 again = turn.ident if step[1] == TAKEN_BACK else ""
@@ -229,17 +229,28 @@
         """Whether its machine is on no list of its region, by its teller's word."""
         told = self._views.get(turn.region)
         teller = self._placers.get(told[1]) if told is not None and turn.region in self._in_reach(now_us) else None
-        if teller is None or turn.number not in teller.said.gone:
+        nowhere = not turn.region and turn.state == "asked"
+        if not nowhere and (teller is None or turn.number not in teller.said.gone):
             watch.gone_us = None
         elif watch.gone_us is None:
             watch.gone_us = now_us
 
-    def _tasks(self, now_us: int, turn: Turn, watch: _Watch) -> int | None:
-        """Tasks at its machine, once all placers of its region have counted theirs, or had the time to."""
-        found = [dict(self._placers[name].said.tasks).get(turn.number) for name in self._live(now_us, turn.region)]
+    def _found(self, now_us: int, turn: Turn, watch: _Watch) -> tuple[object, ...] | None:
+        """For the queue: tasks at its machine, once all placers of its region have counted theirs, or had the time to;
+        and where it is, if that was not said."""
+        region, place = turn.region, tuple[str, ...]()
+        if not region:
+            self.blocked[turn.number] = "no list that is heard of has such a machine"
+            told = ((each.said.region, *where) for name, each in self._placers.items()
+                    if now_us - each.heard_us < self.times.view_us for where in each.said.places)
+            place = next(((region, zone, cell) for region, number, zone, cell in told if number == turn.number), ())
+            if not place:
+                return None
+            region = place[0]
+        found = [dict(self._placers[name].said.tasks).get(turn.number) for name in self._live(now_us, region)]
         if now_us < watch.since_us + self.times.count_us and (not found or None in found):
             return None
-        return sum(each for each in found if each is not None)
+        return (turn.number, sum(each for each in found if each is not None), *place)
 
     def _step(self, now_us: int, wall: int, turn: Turn, watch: _Watch, rules: RuleSet,
               room: Room) -> tuple[str, str] | None:
@@ -279,6 +290,8 @@
         if any(turn.number in each.tried for each in said):
             return "done", ""
         opened = any(turn.number in each.open for each in said)
+        if opened and not turn.out_us:
+            return "done", ""  # it was closed in vain, and nothing was done to it
         if opened and not any(turn.number in each.bad for each in said) and (
                 now_us >= watch.since_us + self.times.try_us):
             return "done", "nothing was there to try it with"
@@ -290,15 +303,21 @@
 
     def proved(self, now_us: int, turn: Turn) -> bool:
         """Whether nothing is at a turn's machine, and nothing can come."""
+        return not self.unproved(now_us, turn)
+
+    def unproved(self, now_us: int, turn: Turn) -> str:
+        """What the proof for a turn lacks, in words; "" where it is whole."""
         if now_us < self._began_us + self.times.lapse_us():
-            return False  # Danger: who was not heard of yet may act by a grant of an earlier leader's
+            # Danger: who was not heard of yet may act by a grant of an earlier leader's.
+            return "grants of an earlier leader may not have lapsed"
         for name in self.may_act(now_us):
             placer = self._placers.get(name)
             if placer is None or turn.number not in placer.said.clear:
-                return False
+                return f"placer {name} has not confirmed"
         # Danger: a floor knows of no turns. Its holder may send at any time; it is the machine that refuses.
-        return any(turn.number in each.said.empty for each in self._placers.values()
-                   if now_us - each.heard_us < self.times.lapse_us())
+        heard = any(turn.number in each.said.empty for each in self._placers.values()
+                    if now_us - each.heard_us < self.times.lapse_us())
+        return "" if heard else "the machine has not said that it refuses new work and is empty"
 
     def _closing(self, now_us: int, wall: int, room: Room) -> Iterator[int]:
         """Who closes now, in order. Who cannot, holds nobody up; but one that has waited long, and could go if no turn
@@ -306,7 +325,7 @@
         reach = self._in_reach(now_us)
         left = PROPOSED_MOST
         self.blocked = {number: why for number, why in self.blocked.items()
-                        if number in self.queue.turns and self.queue.turns[number].state == "empty"}
+                        if number in self.queue.turns and self.queue.turns[number].state in ("asked", "empty")}
         for turn in self.queue.queued():
             if turn.region not in reach or not self.hand(now_us, turn):
                 self.blocked[turn.number] = f"region {turn.region!r} is out of reach"
--- a/wingbarrow/decide/peers/turns.py
+++ b/wingbarrow/decide/peers/turns.py
@@ -58,6 +58,7 @@
     given: bool = False  # it ends as given-back
     note: str = ""  # why, in words
     from_us: int = 0  # not out before
+    out_us: int = 0  # when it went out; 0: not yet, or never
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +102,8 @@
     `clear`: numbers of turns; `empty`: turns whose machine told that it refuses new work under this very number, and
     holds nothing; `tried`: turns in `back` whose machine took a start of this placer's well, `bad`: or failed one;
     `open`: turns in `back` whose machine told that it takes work again; `gone`: turns whose machine this placer's list
-    does not have; `tasks`: own tasks at machines of turns that are asked for; `at_us`: when this was said, by the
+    does not have; `tasks`: own tasks at machines of turns that are asked for, `places`: zone and cell of those that its
+    list has; `at_us`: when this was said, by the
     sayer's clock. `view` and `wants` come from who was told to tell them.
     """
 
@@ -112,6 +114,7 @@
     open: tuple[int, ...] = ()
     gone: tuple[int, ...] = ()
     tasks: tuple[tuple[int, int], ...] = ()
+    places: tuple[tuple[int, str, str], ...] = ()
     region: str = ""
     at_us: int = 0
     view: View | None = None
@@ -243,7 +246,8 @@
         if kind == "ask":
             changed = self._ask(value, at)
         elif kind == "queue":
-            changed = self._queue([(int(number), max(0, int(tasks))) for number, tasks in value["turns"]], at)
+            changed = self._queue([(int(number), max(0, int(tasks)), *map(str, place))
+                                   for number, tasks, *place in value["turns"]], at)
         elif kind == "recovered":
             # Danger: of what was decided last, some may be lost, and machines know its numbers.
             self.last, self.version, changed = self.last + NUMBERS_LEFT, self.version + NUMBERS_LEFT, True
@@ -279,12 +283,16 @@
         while len(self.outcomes) > IDENTS_MOST:
             del self.outcomes[next(iter(self.outcomes))]
 
-    def _queue(self, counted: Iterable[tuple[int, int]], at: int) -> bool:
+    def _queue(self, counted: Iterable[tuple[Any, ...]], at: int) -> bool:
         changed = False
-        for number, tasks in counted:
+        for number, tasks, *place in counted:
             turn = self.turns.get(number)
             if turn is not None and turn.state == "asked":
-                self.turns[number] = replace(turn, state="queued", tasks=tasks, since_us=at)
+                turn = replace(turn, state="queued", tasks=tasks, since_us=at)
+                if len(place) == 3:
+                    region, zone, cell = (each[:LABEL_MOST] for each in place)
+                    turn = replace(turn, region=region, zone=zone, cell=cell)
+                self.turns[number] = turn
                 changed = True
         return changed
 
@@ -298,7 +306,7 @@
         if kind == "done" and turn.given:
             state = "given-back"
         self.turns[number] = replace(turn, state=state, since_us=at, given=turn.given or kind == "give-back",
-                                     note=note or turn.note)
+                                     note=note or turn.note, out_us=at if state == "out" else turn.out_us)
         if state in OVER:
             self._forget()
         return True
--- a/wingbarrow/decide/peers/turnside.py
+++ b/wingbarrow/decide/peers/turnside.py
@@ -21,6 +21,9 @@
     def listed(self, machine: str) -> bool:
         """Whether its list has it; True while it has no list yet."""
 
+    def place(self, machine: str) -> tuple[str, str] | None:
+        """Its zone and cell; None where the list does not have it."""
+
     def tasks(self, machine: str) -> int:
         """Own tasks there or on their way: placed, offered, or to be stopped; -1 where that is not known (yet)."""
 
@@ -44,6 +47,10 @@
         """None is."""
         return False
 
+    def place(self, machine: str) -> tuple[str, str] | None:
+        """Nowhere."""
+        return None
+
     def tasks(self, machine: str) -> int:
         """None."""
         return 0
@@ -102,12 +109,15 @@
         """What is confirmed as of now."""
         clear, gone, empty, opened, tried, bad = (list[int]() for _ in range(6))
         tasks: list[tuple[int, int]] = []
+        places: list[tuple[int, str, str]] = []
         for number, turn in self.turns.items():
             there = self.eyes.tasks(turn.machine)
             if not self.eyes.listed(turn.machine):
                 gone.append(number)
             if turn.state == "asked":
+                place = self.eyes.place(turn.machine)
                 tasks.append((number, max(0, there)))
+                places += [(number, *place)] if place is not None else []
                 continue
             if there == 0 and turn.state != "back":
                 clear.append(number)
@@ -120,7 +130,7 @@
                 tried += [number] if came_to == "well" else []
                 bad += [number] if came_to == "bad" else []
         return TurnsSaid(tuple(clear), tuple(empty), tuple(tried), tuple(bad), tuple(opened), tuple(gone),
-                         tuple(tasks), self.region, now_us, self._view(), self._wants())
+                         tuple(tasks), tuple(places), self.region, now_us, self._view(), self._wants())
 
     def _view(self) -> View | None:
         view = self.eyes.view() if self.tells else None
--- a/wingbarrow/decide/peers/verdicts.py
+++ b/wingbarrow/decide/peers/verdicts.py
@@ -225,6 +225,11 @@
         return frozenset(machine for machine, until in self._until_us.items()
                          if until > now_us and machine not in self.mine)
 
+    def again_and_again(self, now_us: int, strikes: int, terms: Terms = Terms()) -> list[str]:  # noqa: B008 - frozen
+        """Machines whose verdict is so long that as many came before it."""
+        return sorted(machine for machine, until in self._until_us.items() if until > now_us
+                      and until - self._since_us[machine] >= terms.lasts_us << strikes)
+
     def age_us(self, now_us: int, machine: str) -> int:
         """How old a verdict is: a machine that was launched since then is another."""
         return now_us - self._since_us.get(machine, now_us)
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -21,6 +21,7 @@
 from wingbarrow.peers.leasesfront import LeasesFront
 from wingbarrow.peers.limitsfront import LimitsFront
 from wingbarrow.peers.rulesfront import RulesFront
+from wingbarrow.peers.turnsfront import TurnsFront
 from wingbarrow.transport import Hub
 
 _COLLECTIONS = {("batch/v1", "jobs"), ("v1", "nodes"), ("v1", "events")}
@@ -47,6 +48,7 @@
         self.rules = RulesFront(hub, placer.peering)
         self.limits = LimitsFront(hub, placer.peering)
         self.leases = LeasesFront(hub, placer.peering)
+        self.turns = TurnsFront(hub, placer.peering, self.rules)
         self.drains = DrainsFront(hub, placer.drainer, self.rules)
         self.unknown = UnknownFront(placer)
         placer.peering.address = f"{placer.base.settings.host}:{self.port}"
@@ -88,6 +90,8 @@
             return self._resource(request, "v1", parts[2:], Query(query_text))
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "drains"]:
             return self.drains.handle(request, parts[4:])
+        if parts[:4] == ["apis", "wingbarrow.io", "v1", "turns"]:
+            return self.turns.handle(request, parts[4:])
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "rules"]:
             return self.rules.handle(request, parts[4:])
         if parts[:4] == ["apis", "wingbarrow.io", "v1", "unknown"]:
--- a/wingbarrow/lab/fleet/workshop.py
+++ b/wingbarrow/lab/fleet/workshop.py
@@ -78,6 +78,10 @@
         bench = self._shop.benches.get(machine)
         return bench is not None and bench.region == self._region
 
+    def place(self, machine: str) -> tuple[str, str] | None:
+        bench = self._shop.benches.get(machine)
+        return (bench.zone, bench.cell) if bench is not None and bench.region == self._region else None
+
     def tasks(self, machine: str) -> int:
         return self.out.get(machine, 0) + sum(each == machine for each in self.known.values())
 
--- a/wingbarrow/peers/agreeing.py
+++ b/wingbarrow/peers/agreeing.py
@@ -12,6 +12,8 @@
 from wingbarrow.decide.peers.log import Disk
 from wingbarrow.decide.peers.regionnews import Regions
 from wingbarrow.decide.peers.sessions import Sessions
+from wingbarrow.decide.peers.turning import Turns, TurnTimes
+from wingbarrow.decide.peers.turnside import Blind, TurnSide
 from wingbarrow.store.votes import StoreFailed, VoteStore, open_if_there
 
 
@@ -31,7 +33,14 @@
     return store, disk
 
 
-def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, sides: tuple[Side, ...],
+def turns_of(settings: PlacerSettings, wall_us: Callable[[int], int]) -> tuple[Turns, TurnSide]:
+    """The chapter of turns and this placer's side of it, which has no eyes yet."""
+    grant_us = settings.agree.grant_us if settings.agree is not None else TurnTimes().grant_us
+    times = TurnTimes(grant_us, view_us=3 * grant_us, count_us=grant_us * 3 // 2)
+    return Turns(settings.name, wall_us, times), TurnSide(settings.name, settings.region, Blind())
+
+
+def agreement_of(settings: PlacerSettings, disk: Disk | None, life: int, turns: Turns, sides: tuple[Side, ...],
                  counts: Counter[str]) -> Agreement:
     """The agreement of a placer whose settings say `agree`; every voter has all chapters. `counts` takes refusals."""
     agree = settings.agree
@@ -40,4 +49,4 @@
     sessions = Sessions(agree.lease_us)
     sessions.counts = counts
     return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + life, Times(grant_us=agree.grant_us),
-                     life, chapters=(sessions, Regions(agree.lease_us, named)), sides=sides)
+                     life, chapters=(sessions, Regions(agree.lease_us, named), turns), sides=sides)
--- a/wingbarrow/peers/bounds.py
+++ b/wingbarrow/peers/bounds.py
@@ -91,6 +91,8 @@
     numbers = (said.clear, said.empty, said.tried, said.bad, said.open, said.gone,
                tuple(number for number, _ in said.tasks), tuple(count for _, count in said.tasks))
     return (all(len(each) <= TURNS_MOST and _figures(*each) for each in numbers) and _figures(said.at_us)
+            and len(said.places) <= TURNS_MOST and all(
+                _figures(number) and _names(zone, cell) for number, zone, cell in said.places)
             and _names(said.region) and (said.view is None or _view(said.view)) and len(said.wants) <= WANTS_MOST
             and all(_names(each.ident, most=IDENT_MOST) and _names(
                 each.machine, each.zone, each.cell, each.why, each.unsafe) and _figures(
--- a/wingbarrow/peers/host.py
+++ b/wingbarrow/peers/host.py
@@ -23,7 +23,7 @@
 from wingbarrow.decide.peers.regionnews import RegionsSide
 from wingbarrow.decide.peers.sessions import Lease
 from wingbarrow.decide.peers.table import Member
-from wingbarrow.peers.agreeing import agreement_of, voter_store
+from wingbarrow.peers.agreeing import agreement_of, turns_of, voter_store
 from wingbarrow.peers.bounds import LEASING
 from wingbarrow.peers.history import History
 from wingbarrow.peers.message import BadMail, Mail, read_mail, write_letter, write_mail
@@ -64,6 +64,8 @@
         self.lease = Lease(settings.name, settings.region)
         self.lease.counts = self.counts
         self.regions = RegionsSide(lambda now_us: None)
+        self.turns, self.turn_side = turns_of(settings, lambda now: now + hub.clock.wall_us() - hub.now_us())
+        self.on_turns: Callable[[], None] = lambda: None
         self.on_session: Callable[[Session, bool, int], None] = lambda session, may, epoch: None
         self.on_ended: Callable[[Ended], None] = lambda ended: None
         self.on_rules: Callable[[str, str], None] = lambda label, text: None
@@ -107,7 +109,8 @@
         self.history("start", name=settings.name, life=self._life, address=self.address)
         if settings.agree is not None:
             self._store, disk = voter_store(settings, self._log)
-            self.agreement = agreement_of(settings, disk, self._life, (self.lease, self.regions), self.counts)
+            self.agreement = agreement_of(settings, disk, self._life, self.turns,
+                                          (self.lease, self.regions, self.turn_side), self.counts)
             self.agreement.purse.uses, self.agreement.purse.demand = self.uses, self.demand
             self.agreement.live_in(settings.region, self.zones)
         try:
@@ -268,6 +271,9 @@
             self.on_rights()
         elif tell.what == "verdicts":
             self.on_verdicts(frozenset(tell.fields["machines"]))
+        elif tell.what == "turn":
+            self.on_turns()
+            self._log("turn", **tell.fields)
         else:
             self._log("rules-" + tell.what, **tell.fields)
         if tell.what == "leads":
