--- /dev/null
+++ b/tests/peers/test_reissue_path.py
@@ -0,0 +1,141 @@
+"""Jobs of a lost placer or region on the whole path, on a virtual clock: what starts elsewhere, and what must not."""
+
+from __future__ import annotations
+
+from tests.peers.regions import Regions
+from tests.stage import S
+from wingbarrow.lab.cluster import PlacerSlot
+
+UNKNOWN = "/apis/wingbarrow.io/v1/unknown"
+
+
+class Lost(Regions):
+    """The first placer of the first region is lost, one way or another."""
+
+    @property
+    def north(self) -> PlacerSlot:
+        return self.cluster.placers[0]
+
+    def late_words(self, delay_us: int) -> None:
+        """What other regions say to the first placer comes late."""
+        for slot in self.cluster.placers:
+            if slot.index % 3:
+                self.network.set(slot.name, self.north.name, delay_us=delay_us)
+
+    def offered(self, uid: str, region: int) -> int:
+        names = {machine.name for machine in self.machines_of(region)}
+        return sum(each.where in names for each in self.seen("offer", uid=uid))
+
+    def unknown(self) -> dict[str, int]:
+        """Jobs on operators' lists, and at which placer."""
+        return {each["job"]: slot.index for slot in self.cluster.placers if slot.service is not None
+                for each in self.ask(slot, path=UNKNOWN)[1]["items"]}
+
+
+def test_what_must_not_start_twice_starts_elsewhere_once_its_machine_proves_that_it_never_came() -> None:
+    stage = Lost()
+
+    def script() -> None:
+        stage.join()
+        stage.late_words(3 * S // 10)
+        status, value = stage.give(stage.north, "about", "settlement")
+        assert status == 201
+        uid = value["metadata"]["uid"]
+        stage.hub.sleep(S // 10)
+        stage.north.kill()
+        assert not stage.offered(uid, 0), "its keeper knows that it was about to leave, and it never did"
+        assert stage.wait(lambda: stage.starts(uid) == 1, 25)
+        assert len(stage.seen("fence", uid=uid)) >= 1, "its region's other placer asked the machine"
+        assert not stage.offered(uid, 0)
+        stage.hub.sleep(10 * S)
+        assert stage.starts(uid) == 1 and not stage.unknown()
+    stage.play(script)
+
+
+def test_a_placer_held_still_past_its_lease_sends_nothing_when_it_wakes_with_an_offer_in_its_hand() -> None:
+    stage = Lost()
+
+    def script() -> None:
+        stage.join()
+        stage.late_words(3 * S // 10)
+        status, value = stage.give(stage.north, "held", "settlement", patience_s=60)
+        assert status == 201
+        uid = value["metadata"]["uid"]
+        stage.hub.sleep(S // 10)
+        stage.north.hold(25 * S)
+        stage.late_words(0)
+        assert stage.wait(lambda: stage.starts(uid) == 1, 24), "its successor had proof, and started it"
+        stage.hub.sleep(25 * S)
+        assert not stage.offered(uid, 0) and stage.starts(uid) == 1
+        assert stage.north.service is not None
+        counts = stage.north.service.placer.base.counts
+        assert counts["held:no_lease"] >= 1, counts
+        assert stage.told(stage.north, "held")["Failed"] == "LeaseLost", "its owner is answered by who took it"
+        assert stage.may_send(stage.north) and stage.give(stage.north, "fresh")[0] == 201
+    stage.play(script)
+
+
+def test_what_may_have_run_is_kept_until_an_operator_says_what_became_of_it() -> None:
+    stage = Lost()
+
+    def script() -> None:
+        stage.join()
+        uids = {name: stage.taken(stage.north, name, "settlement") for name in ("ran", "never")}
+        stage.north.kill()
+        assert stage.wait(lambda: len(stage.unknown()) == 2, 25)
+        stage.hub.sleep(10 * S)
+        assert all(stage.starts(uid) == 1 for uid in uids.values())
+        at = {key.rpartition("/")[2]: stage.cluster.placers[index] for key, index in stage.unknown().items()}
+        assert "wingbarrow.io/Unknown" in stage.told(at["ran"], "ran")
+        for name in uids:
+            assert stage.ask(at[name], "POST", {}, f"{UNKNOWN}/default/{name}")[0] == 422
+            assert stage.ask(at[name], "POST", {"ran": name == "ran"}, f"{UNKNOWN}/default/{name}")[0] == 200
+        assert stage.wait(lambda: stage.starts(uids["never"]) == 2, 5), "on the operator's word"
+        stage.hub.sleep(5 * S)
+        assert stage.starts(uids["ran"]) == 1 and not stage.unknown()
+        assert stage.ask(at["ran"], "POST", {"ran": True}, f"{UNKNOWN}/default/ran")[0] == 404
+    stage.play(script)
+
+
+def test_successors_killed_in_the_middle_are_succeeded_and_every_safe_job_runs_once() -> None:
+    stage = Lost()
+
+    def script() -> None:
+        stage.join()
+        uids = [stage.taken(stage.north, f"safe-{index}") for index in range(16)]
+        stage.cut(0)
+        for index in (4, 5):
+            victim = stage.cluster.placers[index]
+            assert stage.wait(lambda victim=victim: any(
+                each.data["session"].startswith(victim.name + "/") for each in stage.seen("start")), 30)
+            stage.hub.sleep(4 * S)  # each is held anew, by keepers that are reached
+            victim.kill()
+            stage.hub.sleep(20 * S)  # two at once could be a holder and its keeper: then nobody knows the Job
+        assert stage.wait(lambda: all(len(stage.running(uid)) == 1 for uid in uids), 60), [
+            stage.running(uid) for uid in uids]
+        stage.hub.sleep(10 * S)
+        assert all(len(stage.running(uid)) == 1 for uid in uids)
+        north = {machine.name for machine in stage.machines_of(0)}
+        assert not any(set(stage.running(uid)) & north for uid in uids), "its machines stopped their copies themselves"
+        stage.cut(0, False)
+        stage.hub.sleep(20 * S)
+        assert all(len(stage.running(uid)) == 1 for uid in uids), "and healing starts and stops nothing more"
+    stage.play(script)
+
+
+def test_a_former_lifes_leased_tasks_are_not_adopted_and_their_jobs_go_elsewhere() -> None:
+    stage = Lost()
+
+    def script() -> None:
+        stage.join()
+        uid = stage.taken(stage.north, "former")
+        stage.north.kill()
+        stage.hub.sleep(S // 2)
+        stage.north.start()
+        assert stage.wait(lambda: stage.starts(uid) == 2, 25)
+        assert stage.north.service is not None
+        assert stage.north.service.placer.base.counts["jobs_adopted"] == 0
+        first, second = stage.seen("start", uid=uid)
+        assert second.at_us >= first.data["until_us"] and len(stage.running(uid)) == 1
+        assert stage.may_send(stage.north) and stage.give(stage.north, "fresh")[0] == 201
+    stage.play(script)
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -85,6 +85,7 @@
     binds: int = 0  # attempts of the present request so far
     answered: bool = False  # the first final answer was given
     placed: bool = False  # it was placed at least once
+    left: bool = False  # an attempt left, and is not proven unrun
     restarts_left: int = 0
     losses: int = 0
     machine: str = ""
--- a/wingbarrow/core/leaseholder.py
+++ b/wingbarrow/core/leaseholder.py
@@ -157,8 +157,10 @@
             self._leases.forget(attempt.link)  # it may have started anew, and goes by another clock
         told = attempt.key in self._told
         self._told.discard(attempt.key)
-        if told and outcome in (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT):
-            self.room.back(job.uid, attempt.task.index)
+        if outcome in (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT):
+            attempt.task.left = False
+            if told:
+                self.room.back(job.uid, attempt.task.index)
 
     # -- before an answer is given
 
@@ -169,8 +171,12 @@
             return True
         if attempt.confirming:
             return False
-        attempt.confirming = True
         known = Known(task.index, "placed", attempt.link.name, attempt.key)
+        if task.answered:
+            # A run, of which nobody is owed an answer: it is not stopped for want of a keeper's word.
+            self.room.placed(task.job.uid, known, task.deadline_us, lambda why: None)
+            return True
+        attempt.confirming = True
         until = max(self._base.hub.now_us(), task.deadline_us - ANSWER_US)
 
         def then(why: str) -> None:
@@ -186,6 +192,9 @@
             self.lose(attempt, f"no keeper knows that it was placed: {why}")
             return
         attempt.confirming = False
+        self._stands(attempt)
+
+    def _stands(self, attempt: Attempt) -> None:
         if self._attempts.advance(attempt, Stage.PLACED):
             attempt.placed_us = self._base.hub.now_us()
             if attempt.found:
@@ -242,7 +251,8 @@
         task.binds = 1
         self._attempts.add(attempt)
         self._attempt_began(attempt)
-        self._confirm(attempt)
+        if self._confirm(attempt):
+            self._stands(attempt)
         return True
 
     # -- what the keeper hears afterwards
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -62,6 +62,7 @@
             self._base.counts["held:" + held.name.lower()] += 1
             return False
         self._attempts.advance(attempt, Stage.SENT)
+        task.left = True
         return True
 
     def _offer(self, attempt: Attempt) -> None:
--- a/wingbarrow/core/successor.py
+++ b/wingbarrow/core/successor.py
@@ -160,12 +160,14 @@
         if leased is None or not (leased.former or (task.placed and not self._holder.may_send(task.job))):
             return False
         effect = task.job.asked.task_class.task_class.effect
-        if task.state is State.FAILED and effect is api.Effect.UNSAFE:
-            return False  # Danger: it may have started
+        if task.state is State.FAILED and effect is api.Effect.UNSAFE and task.left:
+            # Danger: it may have started.
+            task.job.notes[UNKNOWN] = "InDoubt", f"it may have started, and is not tried again: {task.last}"
+            return False
         after = min(AGAIN_MOST_US, AGAIN_US << min(task.losses, 10))
         task.losses += 1
         after = after // 2 + self._base.random.randrange(after // 2 + 1)
-        if task.state is State.FAILED and effect is api.Effect.KEYED:
+        if task.state is State.FAILED and effect is api.Effect.KEYED and task.left:
             after += task.job.asked.task_class.task_class.window_us
         if not self._book.step(task, Step.WAIT):
             return False
--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -160,6 +160,9 @@
                 self._renewed(now_us, line, session.life, session.serial + 1)
                 if line.name not in self.keepers.where:
                     self._leave(now_us, line)
+                else:
+                    # Danger: it may be gone, and not be known to be: an attempt that waits for its word waits in vain.
+                    line.rest_us = max(line.rest_us, now_us + self.bounds.rest_us)
             out = self._settle_all()
         return out + self._next_effects(now_us)
 
--- a/wingbarrow/peers/custody.py
+++ b/wingbarrow/peers/custody.py
@@ -15,7 +15,6 @@
 from wingbarrow.decide.peers.healing import Own
 from wingbarrow.decide.peers.leasing import (
     AskMachine, Ended, Keep, KeepAnswer, Known, MachineSays, Record, Session, Settle, Settled)
-from wingbarrow.decide.peers.records import Bounds
 from wingbarrow.decide.peers.takeover import Start
 from wingbarrow.peers.host import Peering
 from wingbarrow.transport import Hub, Signal
@@ -23,7 +22,6 @@
 NAME = "custody"
 KINDS = (Keep, KeepAnswer, Settle, Settled, AskMachine, MachineSays)
 LOOK_US = 200_000  # between two looks at who lives
-REST_US = 5_000_000  # a keeper that was too slow is not chosen for so long: where it is the only one, Jobs hear 503
 OVERDUE_US = 2_000_000  # after its deadline a token counts as not good, whatever holds its word up
 Then = Callable[[str], None]
 Fields = Mapping[str, Any]
@@ -37,8 +35,7 @@
 
     def __init__(self, hub: Hub, settings: PlacerSettings, life: int, peering: Peering) -> None:
         self._hub, self._peering = hub, peering
-        self.custodian = Custodian(settings.name, life, settings.region, settings.seed * 31 + life,
-                                    Bounds(rest_us=REST_US))
+        self.custodian = Custodian(settings.name, life, settings.region, settings.seed * 31 + life)
         self._then: dict[int, Then] = {}
         self._alive: dict[str, tuple[str, int]] = {}
         self.on: dict[str, Callable[[Fields], None]] = {}
