Estimated use of a region is never told as less than nothing: such an ask was refused whole

Cause: a placer that came back after a cut got no grant any more (path test of a lost region, failing since turns were joined). Seen: 81 of its mails answered 422, all for `turns: a number out of range`, `used=-0.03`. Where a list tells of more room than the machines' size (booked beyond it), what is asked for by estimate is negative; mail bounds figures at 0 and refuses the whole ask. At fault: `TurnsRoom._used`. Change: it is at least 0. Measured: the test passes again.

--- a/wingbarrow/core/turns.py
+++ b/wingbarrow/core/turns.py
@@ -131,7 +131,7 @@
         for which in (0, 1):
             size = sum(each.size[which] for each in states)
             shares.append(sum(each.asked[which] for each in states) / (fill * size) if size else 0.0)
-        return max(shares) * len(states)
+        return max(0.0, *shares) * len(states)  # by estimate: a list may tell of more room than there is
 
     def wants(self) -> Sequence[Wanted]:
         """What windows want by now, and machines that verdicts closed again and again."""
