--- a/wingbarrow/cli/labfleet.py
+++ b/wingbarrow/cli/labfleet.py
@@ -44,6 +44,8 @@
     if again is not None:
         verdict = judge(again)
     else:
+        if out is not None and (out / "fleet.json").exists():
+            raise click.BadParameter(f"--out: {out} holds a run already; --judge judges it")
         if min(placers, machines) < (regions or 0):
             raise click.BadParameter("--regions: each needs a placer and a machine of its own")
         size = Size(placers, machines, seconds, seed, rate, regions or 0, leases, lease, after)
