--- a/wingbarrow/decide/federation/checkspec.py
+++ b/wingbarrow/decide/federation/checkspec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from wingbarrow.decide.federation.faults import Fault, Known, Path, name_faults, near, region_faults, seconds
 from wingbarrow.decide.federation.form import AFTER_MOST_US, CORES_MOST, MIB_MOST
 from wingbarrow.decide.federation.room import homes
@@ -118,8 +120,9 @@
             if not set(spec.targets(home)) & set(can):
                 self.bad("failover", f"from {home!r} there is nowhere to go: allowed are {', '.join(can)}", "to")
                 return
+        there = Counter(known.places.values())
         for region in can:
-            keepers = sum(place in can and place != region for place in known.places.values())
+            keepers = sum(there[each] for each in can if each != region)
             if keepers < over.copies:
                 self.bad("failover", f"copies={over.copies}, and outside {region!r} the regions that are allowed have "
                          f"{keepers} placer(s) that could keep one")
--- a/wingbarrow/decide/federation/room.py
+++ b/wingbarrow/decide/federation/room.py
@@ -44,8 +44,14 @@
 
 def deal(loads: Sequence[Load], free: Mapping[str, int]) -> dict[tuple[str, str], int]:
     """How much of each load goes where, (load, place) -> amount; as much as can be had of all, the first ones first."""
-    flow: dict[tuple[str, str], int] = {}
     taken = dict.fromkeys(free, 0)
+    flow = {(load.name, load.most[0][0]): load.need for load in loads if load.need and load.most}
+    for (_, place), amount in flow.items():
+        taken[place] = taken.get(place, 0) + amount
+    if all(not load.need or load.most and load.need <= load.most[0][1] for load in loads) and all(
+            taken[place] <= free.get(place, 0) for place in taken):
+        return flow  # each in its first place, as mostly
+    flow, taken = {}, dict.fromkeys(free, 0)
     most = {(load.name, place): amount for load in loads for place, amount in load.most if free.get(place, 0) > 0}
     at: dict[str, list[str]] = {place: [] for place in free}  # loads that may be there
     places = {load.name: [place for place, _ in load.most if (load.name, place) in most] for load in loads}
--- a/wingbarrow/decide/federation/spec.py
+++ b/wingbarrow/decide/federation/spec.py
@@ -77,8 +77,9 @@
         """Where its work goes from a region that is lost, in order; empty where nothing follows."""
         if self.failover is None or not self.failover.on:
             return ()
-        wanted = self.failover.to or self.order(here)
-        return tuple(each for each in wanted if each in self.regions and each != here)
+        if not self.failover.to:
+            return tuple(each for each in self.order(here) if each != here)
+        return tuple(each for each in self.failover.to if each in self.regions and each != here)
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/wingbarrow/decide/federation/together.py
+++ b/wingbarrow/decide/federation/together.py
@@ -57,23 +57,27 @@
         ("MiB", lambda over: over.mib, {region: mib for region, _, mib in known.rooms}))
     out: dict[int, Fault] = {}
     home = {spec.name: homes(spec, federation) for spec in federation.specs}
+    can = {spec.name: frozenset(allowed(spec, federation)) for spec in federation.specs}
     for unit, need, has in parts:
         free = dict(has)
         for spec in federation.specs:
             if spec.failover is not None and spec.ranked and home[spec.name][0] in free:
                 free[home[spec.name][0]] -= need(spec.failover)
+        parts_of = {spec.failover.room: {region: max(0, amount) * spec.failover.room // 100
+                                         for region, amount in free.items()}
+                    for spec in federation.specs if spec.failover is not None}
         for lost in known.regions:
             loads, names = [], {}
             for at, spec in enumerate(federation.specs):
-                over, can = spec.failover, allowed(spec, federation)
+                over = spec.failover
                 if over is None or not need(over) or lost not in home[spec.name]:
                     continue
-                targets = [each for each in spec.targets(lost) if each in can]
-                if any(each not in free for each in targets):
+                targets = [each for each in spec.targets(lost) if each in can[spec.name]]
+                if not free.keys() >= set(targets):
                     continue  # a region of which nothing is said may have all the room there is
                 names[spec.name] = at
-                loads.append(Load(spec.name, need(over), tuple(
-                    (each, max(0, free[each]) * over.room // 100) for each in targets)))
+                part = parts_of[over.room]
+                loads.append(Load(spec.name, need(over), tuple((each, part[each]) for each in targets)))
             dealt = deal(loads, {region: max(0, amount) for region, amount in free.items() if region != lost})
             for load in loads:
                 found = sum(amount for (name, _), amount in dealt.items() if name == load.name)
