--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -38,19 +38,21 @@
 CLAIM_US = 10_000_000  # until a claim's token is renewed
 WATCH_US = 3_000_000  # between looks at what others are to take over
 LAST_US = 30_000_000  # after it, what nobody takes over is taken over by whoever keeps it
-STARTABLE, WATCH = "startable", "watch"
+STARTABLE, WATCH, TAKING = "startable", "watch", "taking"
 
 
 @dataclass(frozen=True, slots=True)
 class Pace:
-    """At most so many Jobs are given to the core in one go, every so often."""
+    """At most so many Jobs are taken over in one turn, and given to the core in one go, every so often."""
 
     starts: int = 32
     every_us: int = 100_000
+    takes: int = 64
+    take_us: int = 5_000
 
     def within_us(self, jobs: int) -> int:
         """How long so many take where there is room."""
-        return self.every_us * (1 + (jobs + self.starts - 1) // self.starts)
+        return self.every_us * (1 + -(-jobs // self.starts)) + self.take_us * (1 + jobs // self.takes)
 
 
 class Custodian:
@@ -72,6 +74,7 @@
         self._next_us = 0  # when the core may have more
         self._startable_us: int | None = None
         self._watch_us: int | None = None
+        self._taking: dict[Session, Ended] = {}  # ends of which more is to be taken over
         self._heard: dict[Session, int] = {}  # when an end was heard of
         self._settles: dict[int, str] = {}
         self._number = 0
@@ -98,17 +101,27 @@
                 jobs = {uid: Own(job.said(now_us), uid in runs) for uid, job in self.custody.former.items()}
                 healing = self.healings[ended.session] = Healing(self.me, ended.session, jobs)
             return out + (self._go(now_us, healing.ended(now_us, ended)) if healing is not None else [])
-        takings = self.keeping.ended(now_us, ended)
+        out += self._succeed(now_us, ended)
         if ended.session in self.keeping.ends:
             self._heard.setdefault(ended.session, now_us)
-        out += self._take(now_us, ended.session, ended.epoch, takings)
         return out + self._watch(now_us)
 
+    def _succeed(self, now_us: int, ended: Ended) -> list[Effect]:
+        """Take over so many, and the rest in later turns."""
+        takings = self.keeping.ended(now_us, ended, self.pace.takes)
+        if len(takings) < self.pace.takes:
+            self._taking.pop(ended.session, None)
+        else:
+            self._taking[ended.session] = ended
+        out = self._take(now_us, ended.session, ended.epoch, takings)
+        return [*out, SetTimer(TAKING, now_us + self.pace.take_us)] if self._taking else out
+
     def begin(self, now_us: int, session: Session) -> list[Effect]:
         """This placer's former session was ended, and it has this one: it holds nothing, and succeeds nobody."""
         out = self._go(now_us, self.custody.begin(now_us, session))
         self.keeping.own_end(session, self.custody.former)
         self.takeovers.clear()
+        self._taking.clear()
         self._where.clear()
         self._claims.clear()
         self._heap.clear()
@@ -156,6 +169,8 @@
         if key == STARTABLE:
             self._startable_us = None
             return [Tell("startable", {"jobs": len(self._heap)})] if self._heap else []
+        if key == TAKING:
+            return [effect for ended in list(self._taking.values()) for effect in self._succeed(now_us, ended)]
         if key == WATCH:
             self._watch_us = None
             return self._watch(now_us, ask=True)
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
+from heapq import nsmallest
 
 from wingbarrow.decide.peers.effects import Effect, Send, Tell
 from wingbarrow.decide.peers.leasing import (
@@ -223,21 +224,24 @@
             self._kept = tuple(out[:KEPT_MOST])
         return self._kept
 
-    def ended(self, now_us: int, ended: Ended) -> list[Taking]:
-        """A session is over, or has more successors than before: what this placer takes over, each Job once."""
+    def ended(self, now_us: int, ended: Ended, most: int = 1 << 30) -> list[Taking]:
+        """A session is over, or has more successors than before: what this placer takes over, each Job once.
+
+        The first `most` of them, by priority and age: to be called again while it returns so many.
+        """
         if not self._over(ended.session):
             self.latest[ended.session.placer] = ended.session
         if ended.session not in self.sessions:
             return []
         self.ends[ended.session] = ended
         me = self.session.placer
-        out = []
-        for uid in list(self.sessions[ended.session]):
-            record = self.entries[uid].record
+        mine = []
+        for uid in self.sessions[ended.session]:
+            entry = self.entries[uid]
             # What is in doubt is left to one who knows better, while there may be one.
-            if uid not in self.taken and not self.entries[uid].doubt and successor(ended, (*record.keepers, me)) == me:
-                out.append(self._take(now_us, uid, ended))
-        return out
+            if uid not in self.taken and not entry.doubt and successor(ended, (*entry.record.keepers, me)) == me:
+                mine.append((-entry.record.priority, entry.said_us - entry.record.born_age_us, uid))
+        return [self._take(now_us, uid, ended) for _, _, uid in nsmallest(most, mine)]
 
     def take(self, now_us: int, uid: str) -> Taking | None:
         """Take one over whose successor, as this placer reckons, knows nothing of it, or that has none."""
--- a/wingbarrow/lab/fleet/leasehold.py
+++ b/wingbarrow/lab/fleet/leasehold.py
@@ -44,11 +44,15 @@
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     ran: set[str] = field(default_factory=set)
     fences: dict[str, int] = field(default_factory=dict)
+    first_us: int = 0  # nothing ends before
 
     def tidy(self, now_us: int) -> None:
         """End what was not renewed."""
+        if now_us < self.first_us:
+            return
         for key in [key for key, run in self.runs.items() if run.until_us <= now_us]:
             del self.runs[key]
+        self.first_us = min((run.until_us for run in self.runs.values()), default=now_us)
 
     def take(self, now_us: int, begin: Begin, until_us: int) -> str:
         """Start a task, or say why not."""
@@ -59,6 +63,7 @@
             return "LeaseLapsed"
         if (begin.uid, begin.index) not in self.runs:
             self.runs[begin.uid, begin.index] = Run(begin, until_us)
+            self.first_us = min(self.first_us, until_us)
             self.ran.add(begin.uid)
         return ""
 
