--- a/tests/decide/peers/test_reissue.py
+++ b/tests/decide/peers/test_reissue.py
@@ -11,11 +11,12 @@
 from hypothesis import strategies as st
 
 from wingbarrow.decide.peers import reissue
-from wingbarrow.decide.peers.custodian import Custodian, Pace
+from wingbarrow.decide.peers.custodian import Custodian
 from wingbarrow.decide.peers.effects import Effect, Send, Tell
 from wingbarrow.decide.peers.inquiry import AGAIN_US, ASK_US, ASKS_MOST, UNREACHED
 from wingbarrow.decide.peers.keeping import Taking
 from wingbarrow.decide.peers.leasing import PHASES, AskMachine, Known, MachineSays, Record, Session
+from wingbarrow.decide.peers.pace import Pace
 from wingbarrow.decide.peers.reissue import EVERY, SAYS, TABLE, TIMES, Copy, Row, Verdict, decide, said_of, settle
 from wingbarrow.decide.peers.takeover import CLAIM_US, Takeover
 from wingbarrow.lab.fleet.custodians import Custodians, stated_us
--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -10,7 +10,7 @@
 
 import heapq
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from wingbarrow.decide.peers.custody import TIMER as CUSTODY
@@ -31,30 +31,18 @@
     Settle,
     Settled,
 )
+from wingbarrow.decide.peers.pace import Pace
 from wingbarrow.decide.peers.records import Bounds, doubted
 from wingbarrow.decide.peers.reissue import Verdict
 from wingbarrow.decide.peers.takeover import Start, Takeover, rank_of
 
 CLAIM_US = 10_000_000  # until a claim's token is renewed
 WATCH_US = 3_000_000  # between looks at what others are to take over
+IDLE_US = 1_000_000  # until the core is asked again that took nothing of what is ready
 LAST_US = 30_000_000  # after it, what nobody takes over is taken over by whoever keeps it
 STARTABLE, WATCH, TAKING = "startable", "watch", "taking"
 
 
-@dataclass(frozen=True, slots=True)
-class Pace:
-    """At most so many Jobs are taken over in one turn, and given to the core in one go, every so often."""
-
-    starts: int = 32
-    every_us: int = 100_000
-    takes: int = 64
-    take_us: int = 5_000
-
-    def within_us(self, jobs: int) -> int:
-        """How long so many take where there is room."""
-        return self.every_us * (1 + -(-jobs // self.starts)) + self.take_us * (1 + jobs // self.takes)
-
-
 class Custodian:
     """One placer's. `terms`: the regions that a Job's spec allows now, and how many keepers it wants."""
 
@@ -170,7 +158,7 @@
             self._startable_us = None
             return [Tell("startable", {"jobs": len(self._heap)})] if self._heap else []
         if key == TAKING:
-            return [effect for ended in list(self._taking.values()) for effect in self._succeed(now_us, ended)]
+            return self._succeed(now_us, next(iter(self._taking.values()))) if self._taking else []
         if key == WATCH:
             self._watch_us = None
             return self._watch(now_us, ask=True)
@@ -204,13 +192,13 @@
             heapq.heappush(self._heap, entry)
         if out:
             self._next_us = now_us + self.pace.every_us
-        return out, self._call(now_us)
+        return out, self._call(now_us, 0 if out else IDLE_US)
 
-    def _call(self, now_us: int) -> list[Effect]:
+    def _call(self, now_us: int, after_us: int = 0) -> list[Effect]:
         """Have the core come for what is ready."""
         if not self._heap or self._startable_us is not None:
             return []
-        self._startable_us = max(self._next_us, now_us + self.pace.every_us // 4)
+        self._startable_us = max(self._next_us, now_us + max(after_us, self.pace.every_us // 4))
         return [SetTimer(STARTABLE, self._startable_us)]
 
     def carry(self, now_us: int, effects: list[Effect]) -> list[Effect]:
--- a/wingbarrow/decide/peers/reissue.py
+++ b/wingbarrow/decide/peers/reissue.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wingbarrow.decide.peers.leasing import PHASES, Known, MachineSays, Record, reckoned_us
+from wingbarrow.decide.peers.leasing import PHASES, Known, MachineSays, Record
 from wingbarrow.decide.peers.limits import drifted_us
 
 EVERY = ("unsafe", "keyed", "safe")
@@ -201,12 +201,3 @@
     first = table(("effect", "the keeper knows", "the machine tells", "time", "verdict", "why"), rows())
     second = table(("effect", "earlier runs", "later runs", "the earlier", "the later", "why"), healing_rows())
     return f"{first}\n\n{second}\n"
-
-
-def ended_within_us(lease_us: int, turn_us: int, after_us: int, elect_us: int, ask_us: int) -> int:
-    """From a region's loss until its successors have heard that its sessions are over.
-
-    The last grant may have been given at the loss; the voters reckon with it for `reckoned_us` (a new leader from its
-    election on), decide after `after_us` at the latest, and each successor hears with its next grant.
-    """
-    return elect_us + max(reckoned_us(lease_us, turn_us), after_us) + 2 * ask_us
--- a/wingbarrow/lab/fleet/custodians.py
+++ b/wingbarrow/lab/fleet/custodians.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from wingbarrow.decide.peers.custodian import Custodian, Pace
+from wingbarrow.decide.peers.custodian import Custodian
 from wingbarrow.decide.peers.effects import Effect, Send, SetTimer, Tell
 from wingbarrow.decide.peers.leasing import FORM, Ended, Known, MachineSays, Record, Session, reckoned_us, right_us
+from wingbarrow.decide.peers.pace import Pace, reissue_within_us
 from wingbarrow.decide.peers.records import Bounds
-from wingbarrow.decide.peers.takeover import CLAIM_US, Start
+from wingbarrow.decide.peers.takeover import Start
 from wingbarrow.lab.fleet.leasehold import Begin, Standin, Voters
 from wingbarrow.lab.fleet.swarm import SECOND, Virtual
 
@@ -29,13 +30,9 @@
 UNSEEN_US = 3 * SECOND  # until one that is cut off is not seen any more
 
 
-def stated_us(jobs: int, pace: Pace = Pace(), mails: int = 4) -> int:  # noqa: B008 - frozen
-    """From a region's loss to the last start of its safe Jobs elsewhere, where there is room, at one successor.
-
-    The voters' reckoning or `after`; a grant for the keepers' word to be heard by the leader and one for the word of
-    the end to come to them, of which one may be lost; the wait for keepers' words; the pace; a send and its answer.
-    """
-    return max(RECKONED_US, AFTER_US) + 3 * ASK_US + CLAIM_US + pace.within_us(jobs) + mails * (TURN_US + 2 * FAR_US)
+def stated_us(jobs: int) -> int:
+    """From a region's loss to the last start of its safe Jobs elsewhere, where there is room, all at one successor."""
+    return reissue_within_us(LEASE_US, TURN_US, AFTER_US, ASK_US, 0, jobs, Pace(), 2 * FAR_US)
 
 
 @dataclass(slots=True)
