--- a/tests/decide/peers/test_custody.py
+++ b/tests/decide/peers/test_custody.py
@@ -92,6 +92,24 @@
     assert kept(effects) == {third: (False, "not held")}
 
 
+def test_a_holder_hears_once_that_its_session_is_over_and_holds_nothing_until_it_has_another() -> None:
+    made, keepers = holder(), {name: Keeping(name, 1) for name in WHERE}
+    made.hold(0, record("u"), ALLOWED, 1, S)
+    exchange(made, keepers, 2_000)
+    for keeper in keepers.values():
+        keeper.ended(S, Ended(1, ME, "north"))
+    token, _ = made.answered(S, "u", "placed", 3 * S)
+    told = exchange(made, keepers, S + 2_000)
+    assert kept(told) == {token: (False, "session over")}
+    assert [each.what for each in told if isinstance(each, Tell)] == ["kept", "session-over"]
+    late, effects = made.hold(2 * S, record("v"), ALLOWED, 1, 3 * S)
+    assert kept(effects) == {late: (False, "session over")} and not made.jobs and set(made.former) == {"u"}
+    assert not made.buried(2 * S, ME, 1)
+    made.begin(3 * S, Session("a", 1, 1))
+    token, _ = made.hold(3 * S, record("w"), ALLOWED, 1, 4 * S)
+    assert kept(exchange(made, keepers, 3 * S + 2_000)) == {token: (True, "")}
+
+
 def test_a_silent_keeper_is_replaced_in_the_stated_time_and_holds_up_nobody_else() -> None:
     bounds = Bounds()
     made, keepers = holder(bounds), {name: Keeping(name, 1) for name in WHERE}
--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -85,7 +85,7 @@
         out = self._go(now_us, self.custody.buried(now_us, ended.session, ended.epoch))
         if ended.session.placer == self.me:
             healing = self.healings.get(ended.session)
-            if healing is None and self.custody.session == ended.session and self.custody.former:
+            if healing is None and self.custody.former_session == ended.session and self.custody.former:
                 jobs = {uid: Own(job.said(now_us), uid in runs) for uid, job in self.custody.former.items()}
                 healing = self.healings[ended.session] = Healing(self.me, ended.session, jobs)
             return out + (self._go(now_us, healing.ended(now_us, ended)) if healing is not None else [])
--- a/wingbarrow/decide/peers/custody.py
+++ b/wingbarrow/decide/peers/custody.py
@@ -30,7 +30,8 @@
                  bounds: Bounds = Bounds()) -> None:  # noqa: B008 - frozen
         self.session, self.region, self.bounds = Session(me, life, 0), region, bounds
         self.jobs: dict[str, Job] = {}
-        self.former: dict[str, Job] = {}  # of the session before
+        self.former: dict[str, Job] = {}  # of the session before, `former_session`
+        self.former_session = self.session
         self.over = False  # this session has ended; nothing is held under it any more
         self.started: Callable[[str], bool] = lambda uid: False  # whether a Job that was taken over runs
         self.keepers = Keepers(me, region, seed, bounds)
@@ -221,7 +222,7 @@
         """This session is over."""
         out: list[Effect] = [tell for job in self.jobs.values() for tell in self._tokens.fail(job, "session over")]
         self.over = True
-        self.former, self.jobs = self.jobs, {}
+        self.former, self.former_session, self.jobs = self.jobs, self.session, {}
         self._tokens.clear()
         self.keepers.clear()
         return [*out, Tell("session-over", {"session": self.session.text()})]
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -68,6 +68,7 @@
         self.ends: dict[Session, Ended] = {}  # of sessions of which something is kept
         self.latest: dict[str, Session] = {}  # of each placer, the last that has ended
         self._sizes: dict[str, int] = {}  # bytes by holder
+        self._size = 0  # of all
         self._last: dict[str, tuple[Session, int, KeepAnswer]] = {}
         self._kept: tuple[Kept, ...] | None = None
 
@@ -128,7 +129,10 @@
             size += size_of(record) - (had.size if had is not None and mine else 0)
         if records > self.bounds.records:
             return f"no room: {records} records of one holder, at most {self.bounds.records}"
-        return f"no room: {size} bytes of one holder, at most {self.bounds.bytes}" if size > self.bounds.bytes else ""
+        if size > self.bounds.bytes:
+            return f"no room: {size} bytes of one holder, at most {self.bounds.bytes}"
+        total = self._size + size - self._sizes.get(holder, 0)
+        return f"no room: {total} bytes, at most {self.bounds.all_bytes}" if total > self.bounds.all_bytes else ""
 
     # -- which of two records stands
 
@@ -187,6 +191,7 @@
         self.entries[record.uid] = entry
         self.sessions.setdefault(record.session, {})[record.uid] = None
         self._sizes[record.session.placer] = self._sizes.get(record.session.placer, 0) + entry.size
+        self._size += entry.size
         self._kept = None
 
     def _forget(self, uid: str) -> None:
@@ -195,6 +200,7 @@
             return
         session = entry.record.session
         self._sizes[session.placer] -= entry.size
+        self._size -= entry.size
         del self.sessions[session][uid]
         if not self.sessions[session]:
             del self.sessions[session]
--- a/wingbarrow/decide/peers/records.py
+++ b/wingbarrow/decide/peers/records.py
@@ -22,6 +22,7 @@
 
     records: int = 20_000
     bytes: int = 64 << 20
+    all_bytes: int = 512 << 20  # that a keeper has of all
     mail_records: int = 64
     mail_bytes: int = 256 << 10
     wait_us: int = 2_000  # a turn of the hub: what comes within it goes in one mail
