A Job that its former holder takes up again counts as taken over at its keepers' side, too

Two former holders of one Job, each of which found nobody who knew of it, ran it side by side for good: each kept the other's record, and did not see that it held the Job itself.

--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -306,6 +306,7 @@
             return []
         must = {*own.record.keepers, *own.record.others} - {self.me}
         taking = Taking(doubted(own.record), epoch, tuple(sorted(must)))
+        self.keeping.taken[own.record.uid] = epoch, Verdict.WAIT.value
         return self._take(now_us, own.record.session, taking.epoch, [taking])
 
     def _watch(self, now_us: int, ask: bool = False) -> list[Effect]:
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -314,7 +314,8 @@
 
     def let_go(self, uid: str) -> None:
         """A Job that was taken over here is over, or is another's: nothing of it is kept."""
-        if self.taken.pop(uid, None) is not None:
+        if self.taken.pop(uid, None) is not None and uid in self.entries \
+                and self.entries[uid].record.session in self.ends:
             self._forget(uid)
 
     def settle(self, ident: str, ask: Settle, held: Mapping[str, tuple[int, str]]) -> list[Effect]:
