Healing hears which Jobs of an ended session still run at its former holder

The holder's side has put its Jobs aside by the time that the end of its session is told, so that the core found none of them, and all counted as not running. They are looked for there, too, and only those whose tasks run are said to run: of a never-twice one that runs on, its successor is told so.

--- a/wingbarrow/core/successor.py
+++ b/wingbarrow/core/successor.py
@@ -244,8 +244,9 @@
             return {}
         text = session.text()
         had = self._given_up.setdefault(text, {})
+        custody = self._room.custodian.custody
         for job in self._holder.jobs.values():
-            held = self._room.custodian.custody.jobs.get(job.uid)
+            held = custody.jobs.get(job.uid) or custody.former.get(job.uid)
             if job.leased is not None and job.leased.session == text and held is not None:
                 had[job.uid] = Own(held.record, any(task.state in RUNNING for task in job.tasks))
         while len(self._given_up) > ENDED_MOST:
--- a/wingbarrow/peers/custody.py
+++ b/wingbarrow/peers/custody.py
@@ -171,4 +171,5 @@
             self.give(self.custodian.begin(self._hub.now_us(), session))
 
     def _ended(self, ended: Ended) -> None:
-        self.give(self.custodian.over(self._hub.now_us(), ended, self.own(ended.session)))
+        runs = {uid for uid, own in self.own(ended.session).items() if own.runs}
+        self.give(self.custodian.over(self._hub.now_us(), ended, runs))
