What is taken over and what is healed cost a step a Job; notes of a Job follow its fate

With thousands of leased Jobs each word about one went through all of them, a bound on pending runs could leave the rest unstarted, and a Job's condition stood as it was told first. Runs that are not placed yet, Jobs of ended sessions and records are found by name now, conditions follow what became of a Job, and one whose end a keeper told first is healed too.

--- a/wingbarrow/core/jobstatus.py
+++ b/wingbarrow/core/jobstatus.py
@@ -21,6 +21,9 @@
         if figure or name in status:
             status[name] = figure
     for kind, (reason, words) in job.notes.items():
+        held = next((each for each in status.get("conditions", ()) if each["type"] == kind), None)
+        if held is not None and (held["reason"], held["message"]) != (reason, words):
+            status["conditions"].remove(held)
         _add(status, kind, reason, words, wall_us)
     if job.unanswered:
         return
--- a/wingbarrow/core/successor.py
+++ b/wingbarrow/core/successor.py
@@ -37,6 +37,7 @@
 ASKS_MOST = 64  # machines that are asked about a Job at a time
 ENDED_MOST = 8  # sessions of its own that a placer remembers the Jobs of
 AGAIN_US, AGAIN_MOST_US = 500_000, 30_000_000  # a run that found no room is asked for again: doubles, spread by half
+SHOWN_US = 20_000  # what became of Jobs is shown for all that are told of in that time
 TAKEN, ENDED, UNKNOWN = (names.PREFIX + each for each in ("TakenOver", "LeaseEnded", "Unknown"))
 FROM = names.PREFIX + "taken-over-from"
 Fields = Mapping[str, Any]
@@ -51,13 +52,16 @@
         self._machines, self._fleet, self._requests, self._runs, self._stops = machines, fleet, requests, runs, stops
         self._holder, self._room = holder, holder.room
         self._asking = 0
-        self._given_up: dict[str, dict[str, Own]] = {}  # by session: what this placer had of it when it ended
+        self._showing = False
+        self._given_up: dict[str, dict[str, tuple[Own, JobRecord]]] = {}  # by session: what it had when that ended
+        self._pending: dict[str, TaskRecord] = {}  # runs that were taken over and do not stand yet
         self._told: set[tuple[str, str]] = set()  # strays that were told of
         holder.goes_on = self.goes_on
         room = self._room
         room.on = {"startable": self._startable, "reissue": self._decided, "ask-machine": self._ask_machine,
                    "stop": self._lost, "settled": self._settled, "session-over": self._over}
         room.own, room.custodian.terms = self._own, self._terms
+        book.on_step.append(self._stepped)
 
     # -- others' Jobs
 
@@ -80,7 +84,7 @@
             return (), 1
         return allowed(spec, federation), spec.failover.copies
 
-    def _may(self, record: Record) -> bool:
+    def _may(self, record: Record, free: tuple[float, float]) -> bool:
         """Whether its spec has it run here after its region's loss, as specs stand now."""
         federation, here = self._holder.federation(), self._base.settings.region
         spec = self._spec(record, federation)
@@ -88,9 +92,8 @@
             return False
         if here not in spec.targets(record.region) or here not in allowed(spec, federation):
             return False
-        cores, memory = self._room_here()
         part = spec.failover.room / 100
-        return (record.cores * record.count <= cores * part and record.memory * record.count <= memory * part
+        return (record.cores * record.count <= free[0] * part and record.memory * record.count <= free[1] * part
                 and self._book.admission.check(record.key.partition("/")[0], record.count) is None)
 
     def _room_here(self) -> tuple[float, float]:
@@ -103,15 +106,21 @@
         return cores, memory
 
     def _startable(self, told: Fields) -> None:
-        pending = [task for job in self._holder.jobs.values() if job.leased is not None and job.leased.former
-                   for task in job.tasks if task.state in (State.ASKED, State.AGAIN)]
-        if len(pending) >= PENDING_MOST:
-            return
-        cores, memory = self._room_here()
-        cores -= sum(task.job.asked.cores for task in pending)
-        memory -= sum(task.job.asked.memory for task in pending)
-        for start in self._room.next(cores, memory, self._may):
+        free = cores, memory = self._room_here()
+        for task in self._pending.values():
+            cores, memory = cores - task.job.asked.cores, memory - task.job.asked.memory
+        if len(self._pending) >= PENDING_MOST:
+            cores = memory = 0.0  # what is ready is told of again
+        for start in self._room.next(cores, memory, lambda record: self._may(record, free)):
             self._start(start)
+        self._board.flush()
+
+    def _stepped(self, task: TaskRecord, before: State) -> None:
+        if task.job.leased is not None and task.job.leased.former:
+            if task.state in (State.ASKED, State.AGAIN):
+                self._pending[task.name] = task
+            else:
+                self._pending.pop(task.name, None)
 
     def _start(self, start: Start) -> None:
         record, session = start.record, self._room.custodian.custody.session
@@ -119,7 +128,8 @@
         if job is None:
             return
         job.leased = Leased(record.spec, session.text(), start.epoch, record.session.text())
-        job.notes.pop(UNKNOWN, None)
+        if UNKNOWN in job.notes:
+            job.notes[UNKNOWN] = "Released", "an operator said that it never ran"
         job.notes[TAKEN] = "Run", f"run here at epoch {start.epoch}; {record.session.text()} held it"
         self._holder.jobs[record.uid] = job
         self._base.counts["taken over"] += 1
@@ -129,7 +139,6 @@
             if self._book.step(task, Step.TAKE):
                 self._requests.ask(task)
         self._board.mark(job)
-        self._board.flush()
 
     def _shown(self, record: Record) -> JobRecord | None:
         """A Job in the book, as its record says; None, and told, where it cannot be read here."""
@@ -180,16 +189,14 @@
         self._base.log("reissue", job=told["key"], uid=uid, verdict=verdict, epoch=told["epoch"], why=told["why"])
         self._base.counts["reissue:" + verdict] += 1
         if verdict == "unknown":
-            record = next((each for each in self._room.custodian.unknown() if each.uid == uid), None)
+            record = self._room.custodian.record(uid)
             job = self._shown(record) if record is not None else None
             if job is not None and record is not None:
                 job.notes[UNKNOWN] = "Unknown", (f"{told['why']}; {record.session.text()} held it; neither started nor "
                                                  "given up until an operator says that it never ran, or did")
                 self._board.mark(job)
                 self._board.flush()
-        elif verdict == "nothing" and not any(
-                each.fate in ("ready", "run", "unknown") for takeover in self._room.custodian.takeovers.values()
-                for each in [takeover.cases.get(uid)] if each is not None):
+        elif verdict == "nothing" and self._room.custodian.fate(uid) == verdict:
             self._base.spawn(lambda: self._room.drop(uid), "lets a Job go that is over")
 
     # -- the operator's list
@@ -248,22 +255,24 @@
         for job in self._holder.jobs.values():
             held = custody.jobs.get(job.uid) or custody.former.get(job.uid)
             if job.leased is not None and job.leased.session == text and held is not None:
-                had[job.uid] = Own(held.record, any(task.state in RUNNING for task in job.tasks))
+                had[job.uid] = Own(held.record, any(task.state in RUNNING for task in job.tasks)), job
         while len(self._given_up) > ENDED_MOST:
             del self._given_up[next(iter(self._given_up))]
-        return had
+        return {uid: own for uid, (own, _) in had.items()}
 
     def _over(self, told: Fields) -> None:
         """This session has ended: all that was held under it is a successor's to decide."""
         self._own(read_session(str(told["session"])))
         for job in list(self._holder.jobs.values()):
             self.give_up(job, ENDED, "SessionEnded", f"the lease {told['session']} was ended, others may run it by now")
+        self._board.flush()
 
     def _lost(self, told: Fields) -> None:
         """Another holds a Job by a later word."""
         job = self._holder.jobs.get(str(told["uid"]))
         if job is not None:
             self.give_up(job, TAKEN, "TakenOver", f"{told['by']} holds it by now")
+            self._board.flush()
 
     def give_up(self, job: JobRecord, kind: str, reason: str, words: str) -> None:
         """Nothing more of a Job leaves. Its copies are stopped, but what must not start twice runs on.
@@ -297,17 +306,28 @@
                     self._book.step(task, Step.LOSE)
                     self._holder.stop(attempt)
         self._board.mark(job)
-        self._board.flush()
 
     def _settled(self, told: Fields) -> None:
         """A successor said what became of a Job of this placer's ended session."""
         uid = str(told["uid"])
         self._base.counts["healed:" + str(told["fate"])] += 1
-        for job in [each for each in self._book.jobs.values() if each.uid == uid]:
-            by = f"{told['by']} has it at epoch {told['epoch']}" if told["by"] else "nobody has it"
-            job.notes[TAKEN] = str(told["fate"]).title().replace(" ", ""), f"{by}; {told['why']}"
-            self._board.mark(job)
-        self._board.flush()
+        for had in self._given_up.values():
+            if uid in had and not had[uid][1].deleted:
+                by = f"{told['by']} has it at epoch {told['epoch']}" if told["by"] else "nobody has it"
+                job = had[uid][1]
+                job.notes[TAKEN] = str(told["fate"]).title().replace(" ", ""), f"{by}; {told['why']}"
+                self._board.mark(job)
+        self._show_soon()
+
+    def _show_soon(self) -> None:
+        """Many are told of at a time."""
+        if not self._showing:
+            self._showing = True
+
+            def due() -> None:
+                self._showing = False
+                self._board.flush()
+            self._base.hub.call_at(self._base.hub.now_us() + SHOWN_US, due)
 
     # -- what is found running
 
--- a/wingbarrow/decide/peers/custodian.py
+++ b/wingbarrow/decide/peers/custodian.py
@@ -127,6 +127,14 @@
         """An operator answers for it that an unknown Job never ran."""
         return self._go(now_us, self._where[uid].operator(now_us, uid)) if uid in self._where else []
 
+    def record(self, uid: str) -> Record | None:
+        """What is known here of a Job that is being taken over."""
+        return self._where[uid].cases[uid].record if uid in self._where else None
+
+    def fate(self, uid: str) -> str:
+        """Of a Job that is being taken over; "" of any other."""
+        return self._where[uid].cases[uid].fate if uid in self._where else ""
+
     def unknown(self) -> list[Record]:
         """Jobs that are kept as unknown, for the operator's list; those of a session of before, too, until settled."""
         healing = [own.record for each in self.healings.values() for own in each.jobs.values()
--- a/wingbarrow/lab/leaseguard.py
+++ b/wingbarrow/lab/leaseguard.py
@@ -81,6 +81,9 @@
         if not isinstance(session, str) or not isinstance(until, str):
             raise ApiError(400, "session and until are wanted", "BadRequest")
         self._hold(session, self._read(until))
+        for pod in self._pods():
+            if pod.session == session:  # shown with its next news
+                pod.value["metadata"]["annotations"][names.LEASE_UNTIL] = f"{self._boot}:{self._until[session]}"
         return self._say({})
 
     def _fence(self, said: dict[str, Any]) -> Answer:
--- a/wingbarrow/peers/custody.py
+++ b/wingbarrow/peers/custody.py
@@ -134,6 +134,8 @@
 
     def on_message(self, now_us: int, ident: str, address: str, message: Any) -> list[Effect]:
         """A letter."""
+        if isinstance(message, KeepAnswer) and message.over:
+            self.own(self.custodian.custody.session)  # what it has of it is gone with that answer
         return self._sift(self.custodian.on_message(now_us, ident, address, message))
 
     def on_timer(self, now_us: int, key: str) -> list[Effect]:
