Runs go back to the region that they prefer; regions hold room back; specs asked at intake

Need: a spec says when work returns and that it leaves a region that closes or refuses, but nobody acted on it; room held back for a region's loss was worked out and told to nobody; a Job that named a spec unfit for its class was accepted. Change: which runs move (decide/federation/moving.py), the room that stops and hands them over at the spec's pace (core/mover.py), what nobody takes is asked for here again; leased work rides on the news of regions, the leader tells what each holds back, turns count it; a never-twice Job by a spec that could move it is refused (422).

--- a/tests/decide/peers/test_turns.py
+++ b/tests/decide/peers/test_turns.py
@@ -131,7 +131,7 @@
 
 def test_room_for_what_is_asked_and_for_another_regions_loss_is_kept() -> None:
     led = Led({"a": 4, "b": 4}, (("region", "max", 4.0),))
-    led.used, led.turns.held_back = 3.5, lambda region: 2.0
+    led.used, led.turns.held_back = 3.5, lambda now, region: 2.0
     led.ask("a-1", "a-2", "b-1", "b-2")
     led.run(5)
     assert len(led.where("out")) == 2, "8 machines, 3.5 worth of work, 2 held back"
--- a/wingbarrow/core/elsewhere.py
+++ b/wingbarrow/core/elsewhere.py
@@ -77,20 +77,33 @@
 
     def give(self, job: JobRecord, due_us: int, region: str, spec: str) -> None:
         """Hand all tasks of a Job over; each is answered by this placer, whatever comes of it."""
-        news = self.news(self._base.hub.now_us()).get(region)
+        for task in job.tasks:
+            if not self.give_task(task, due_us, region, spec):
+                task.last = f"no placer of region {region} is known"
+                self._requests.answer(self._book.open_request(task, due_us), Step.REFUSE)
+
+    def give_task(self, task: TaskRecord, due_us: int, region: str, spec: str) -> bool:
+        """Hand one over that is asked for; False where nobody there can be asked."""
+        news, job = self.news(self._base.hub.now_us()).get(region), task.job
         targets = self.targets(news.placers if news is not None else ())
         self._base.random.shuffle(targets)
         harmless = job.asked.task_class.task_class.effect.value == "safe"
-        for task in job.tasks:
-            request = self._book.open_request(task, due_us)
-            ident, effects = self.giving.begin(self._base.hub.now_us(), _manifest(job), spec, harmless,
-                                               due_us - ANSWER_US, list(targets))
-            if not ident:
-                task.last = f"no placer of region {region} is known"
-                self._requests.answer(request, Step.REFUSE)
-                continue
-            self._given[ident], self._idents[task.name] = task, ident
-            self.act(effects)
+        ident, effects = self.giving.begin(self._base.hub.now_us(), _manifest(job), spec, harmless,
+                                           due_us - ANSWER_US, targets)
+        if not ident:
+            return False
+        self._book.open_request(task, due_us)
+        self._given[ident], self._idents[task.name] = task, ident
+        self.act(effects)
+        return True
+
+    def has(self, task: TaskRecord) -> bool:
+        """Whether another region has a task, or is asked for it."""
+        return task.name in self._idents
+
+    def came_from_afar(self, key: str) -> bool:
+        """Whether a Job was handed over to this placer."""
+        return key in self._taken
 
     def withdraw(self, task: TaskRecord) -> bool:
         """Its owner deleted it; False where it was not handed over."""
@@ -112,6 +125,13 @@
             self._book.close_request(task)
             self._book.step(task, Step.PLACE)
             self._base.counts["placed_elsewhere"] += 1
+        elif state in (handing.REFUSED, handing.FAILED) and task.answered:
+            # A run that was to move, and nobody took: its owner has had its answer, and wants it still.
+            del self._given[ident]
+            del self._idents[task.name]
+            self._book.close_request(task)
+            self._requests.ask(task, self._base.hub.now_us() + task.job.asked.patience_us)
+            return
         elif state in (handing.REFUSED, handing.FAILED):
             self._requests.answer(task.request, Step.REFUSE if state == handing.REFUSED else Step.FAIL)
         elif state in handing.RAN:
--- a/wingbarrow/core/leaseholder.py
+++ b/wingbarrow/core/leaseholder.py
@@ -22,8 +22,10 @@
 from wingbarrow.core.runs import Runs
 from wingbarrow.core.stops import Stops
 from wingbarrow.decide import again
+from wingbarrow.decide.federation.faults import unfit
 from wingbarrow.decide.federation.spec import Federation, Spec, allowed
 from wingbarrow.decide.peers.leasing import FORM, Known, Record
+from wingbarrow.decide.peers.regionnews import LEASED_MOST
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, Cause, invalid
 from wingbarrow.peers.custody import CustodyRoom
@@ -60,8 +62,23 @@
             raise _unfit(asked, f"there is no federation {named[:80]!r}")
         if found is not None and not allowed(found, federation):
             raise _unfit(asked, f"spec {found.name!r} allows no region")
+        if found is not None:
+            why = unfit(found, asked.task_class.task_class.effect.value, self._leases.lease_us)
+            if why:
+                raise _unfit(asked, f"spec {found.name!r} {why}")
         return found
 
+    def held(self) -> tuple[tuple[str, float, float], ...]:
+        """What is leased here by each spec, cores and GiB, the largest first."""
+        sums: dict[str, list[float]] = {}
+        for job in self.jobs.values():
+            if job.leased is not None:
+                found = sums.setdefault(job.leased.spec, [0.0, 0.0])
+                found[0] += job.asked.cores * job.open
+                found[1] += job.asked.memory * job.open
+        return tuple(sorted(((name, round(cores, 3), round(memory, 3)) for name, (cores, memory) in sums.items()),
+                            key=lambda each: (-each[1], each[0]))[:LEASED_MOST])
+
     def take_in(self, key: str, uid: str, asked: JobRequest, spec: Spec, manifest: str, due_us: int) -> Leased:
         """Have a Job with a keeper; waits. ApiError 503 where that cannot be, and then no keeper keeps it."""
         base, session = self._base, self._leases.session
@@ -94,6 +111,12 @@
         job.leased = leased
         self.jobs[job.uid] = job
 
+    def release(self, job: JobRecord) -> None:
+        """Another placer holds it by a lease of its own."""
+        job.leased = None
+        self.jobs.pop(job.uid, None)
+        self.room.drop(job.uid)
+
     def ended(self, session: str) -> bool:
         """Whether the voters ended a session, as far as was heard here."""
         return any(each.text() == session for each in self._leases.lease.ended)
--- a/wingbarrow/core/leases.py
+++ b/wingbarrow/core/leases.py
@@ -39,7 +39,7 @@
     """Owns what is known of machines' clocks, and which machines hold leased tasks."""
 
     def __init__(self, base: Base, machines: Machines, lease: Lease, lease_us: int) -> None:
-        self._base, self._machines, self.lease, self._lease_us = base, machines, lease, lease_us
+        self._base, self._machines, self.lease, self.lease_us = base, machines, lease, lease_us
         self._clocks: dict[MachineLink, Clock] = {}
         self._held: dict[str, Counter[str]] = {}  # by session: leased attempts on each machine
         self._renewed: dict[str, tuple[int, int]] = {}  # by machine: the lease's end it was told last, and when
@@ -60,7 +60,7 @@
     def knows(self, link: MachineLink) -> bool:
         """Whether its clock was told within the last lease. Danger: two clocks drift apart for as long as that."""
         clock = self._clocks.get(link)
-        return clock is not None and self._base.hub.now_us() - clock.came_us <= self._lease_us
+        return clock is not None and self._base.hub.now_us() - clock.came_us <= self.lease_us
 
     def ask(self, link: MachineLink) -> bool:
         """Have a machine tell its clock; waits for its answer."""
@@ -103,7 +103,7 @@
     def run(self) -> None:
         """Renew until cancelled."""
         while True:
-            self._base.hub.sleep(self._lease_us // (PARTS * LOOKS))
+            self._base.hub.sleep(self.lease_us // (PARTS * LOOKS))
             self._look()
 
     def _look(self) -> None:
@@ -118,7 +118,7 @@
             link, (until, when) = self._machines.links.get(name), self._renewed.get(name, (0, 0))
             if link is None or name in self._out or len(self._out) >= OUT_MOST:
                 continue
-            if until < self.lease.runs_until_us and now >= when + self._lease_us // PARTS:
+            if until < self.lease.runs_until_us and now >= when + self.lease_us // PARTS:
                 self._out.add(name)
                 self._base.spawn(lambda link=link: self._renew(link, session.text()),  # type: ignore[misc]
                                  f"renews on {name}")
--- /dev/null
+++ b/wingbarrow/core/mover.py
@@ -0,0 +1,87 @@
+"""Runs that go to another region: stopped here first, then handed over; what nobody takes is asked for here again."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from wingbarrow.core.attempts import Attempts, Stage
+from wingbarrow.core.base import Base
+from wingbarrow.core.book import OPEN, Book, State, TaskRecord
+from wingbarrow.core.elsewhere import Elsewhere
+from wingbarrow.core.leaseholder import Leaseholder
+from wingbarrow.core.requests import Requests
+from wingbarrow.core.runs import Runs
+from wingbarrow.decide.federation.moving import Run, moves
+
+LOOK_US = 1_000_000
+LOOKED_MOST = 512  # runs that are looked at in one turn
+GIVEN_UP_US = 30_000_000  # a move that has come to nothing for so long is forgotten
+
+
+class Mover:
+    """Owns which tasks are on their way, by name."""
+
+    def __init__(self, base: Base, book: Book, attempts: Attempts, requests: Requests, runs: Runs,
+                 holder: Leaseholder, elsewhere: Elsewhere) -> None:
+        self._base, self._attempts, self._requests, self._runs = base, attempts, requests, runs
+        self._holder, self._elsewhere = holder, elsewhere
+        self._bound: dict[str, tuple[TaskRecord, str, str, int]] = {}  # task, spec, region, since when
+        self._from = 0  # where the next look at all runs begins
+        requests.elsewhere = self._asked
+        book.on_step.append(self._stepped)
+
+    def run(self) -> None:
+        """Look again and again, until cancelled."""
+        while True:
+            self._base.hub.sleep(LOOK_US)
+            self.look()
+
+    def look(self) -> None:
+        """Have go what is to go now."""
+        now, federation = self._base.hub.now_us(), self._holder.federation()
+        self._bound = {name: each for name, each in self._bound.items() if now - each[3] < GIVEN_UP_US}
+        jobs = list(self._holder.jobs.values())
+        if not jobs or not any(each.back.when != "never" or (each.failover is not None and (
+                {"closed", "refusing"} & set(each.failover.on))) for each in federation.specs):
+            return
+        begin = self._from % len(jobs)
+        some = (jobs[begin:] + jobs[:begin])[:LOOKED_MOST]
+        self._from = begin + len(some)
+        standing: list[tuple[TaskRecord, Run]] = []
+        for job in some:
+            if job.leased is None:
+                continue
+            afar = self._elsewhere.came_from_afar(job.key)
+            for task in job.tasks:
+                if task.state in (State.PLACED, State.FOUND) and task.name not in self._bound and not task.doubtful:
+                    standing.append((task, Run(task.request, job.leased.spec, job.asked.cores, job.asked.memory,
+                                               job.asked.task_class.task_class.effect.value, afar)))
+        by_number = {run.number: task for task, run in standing}
+        under_way = Counter(spec for _, spec, _, _ in self._bound.values())
+        for move in moves((run for _, run in standing), federation, self._base.settings.region,
+                          self._elsewhere.news(now), under_way):
+            task, attempt = by_number[move.number], self._attempts.of(move.number)
+            if attempt is None or attempt.stage is not Stage.PLACED or attempt.stopping is not None:
+                continue
+            leased = task.job.leased
+            self._bound[task.name] = task, leased.spec if leased is not None else "", move.region, now
+            self._base.counts[f"moved to another region: {move.why}"] += 1
+            self._base.log("moves-region", job=task.job.key, task=task.index, region=move.region, why=move.why)
+            self._runs.move(move.number)
+
+    def _asked(self, task: TaskRecord) -> bool:
+        """A task is asked for again: whether it is handed over instead."""
+        bound = self._bound.get(task.name)
+        if bound is None or task.state is not State.ASKED:
+            return False
+        _, spec, region, _ = bound
+        due = self._base.hub.now_us() + task.job.asked.patience_us
+        return self._elsewhere.give_task(task, due, region, spec)
+
+    def _stepped(self, task: TaskRecord, before: State) -> None:
+        if task.name in self._bound and (task.state not in OPEN or (
+                task.state is State.PLACED and before is State.ASKED)):
+            del self._bound[task.name]
+            if task.state is State.PLACED and self._elsewhere.has(task) and all(
+                    self._elsewhere.has(each) or each.state not in OPEN for each in task.job.tasks):
+                self._holder.release(task.job)  # who took it leases it by itself
--- a/wingbarrow/core/ownregion.py
+++ b/wingbarrow/core/ownregion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from wingbarrow.core.base import Base
 from wingbarrow.core.book import Book, State
@@ -23,6 +24,7 @@
         self._seen: deque[tuple[int, int, int]] = deque()  # when, what came in all, what of it was refused
         self._said: RegionsSaid | None = None
         self._at_us = -EVERY_US
+        self.leased: Callable[[], tuple[tuple[str, float, float], ...]] = tuple
 
     def say(self, now_us: int) -> RegionsSaid | None:
         """With an ask; None without a region, machines, or a list of them."""
@@ -35,7 +37,7 @@
 
     def _sum(self, now_us: int) -> RegionsSaid:
         scheduler, sizes = self._base.settings.scheduler, self._base.sizes
-        whole = [0.0, 0.0]
+        whole, machines = [0.0, 0.0], 0
         free = [0.0, 0.0]
         for entry in self._fleet.held.values():
             if entry.listed.phase is not Phase.RUNNING:
@@ -45,9 +47,10 @@
             whole[1] += memory * scheduler.booking_memory
             free[0] += max(0.0, entry.listed.free_cores)
             free[1] += max(0.0, entry.listed.free_memory)
+            machines += 1
         came, refused = self._lately(now_us)
         return RegionsSaid(self._base.settings.region, round(whole[0], 3), round(whole[1], 3), round(free[0], 3),
-                           round(free[1], 3), whole[0] <= 0, came, refused)
+                           round(free[1], 3), whole[0] <= 0, came, refused, machines, self.leased())
 
     def _lately(self, now_us: int) -> tuple[int, int]:
         away = sum(count for what, count in self._base.counts.items() if what.startswith(TURNED_AWAY))
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -21,6 +21,7 @@
 from wingbarrow.core.keeper import Keeper
 from wingbarrow.core.leases import Leases
 from wingbarrow.core.machines import Machines
+from wingbarrow.core.mover import Mover
 from wingbarrow.core.offers import Offers
 from wingbarrow.core.ownregion import OwnRegion
 from wingbarrow.core.requests import Requests
@@ -103,12 +104,15 @@
                                        self.leaseholder)
             strays.foreign = self.successor.stray
         closing = Closing(base, host, fleet, attempts, runs, board)
+        self.mover: Mover | None = None
         elsewhere = self._elsewhere(fleet, requests) if self.leaseholder is not None else None
         desk = self.desk = Desk(base, book, attempts, board, requests, runs, stops, closing, rulebook,
                                 self.leaseholder, elsewhere)
         if elsewhere is not None:
             elsewhere.submit = lambda value, namespace: desk.submit(value, namespace, False, handed=True)
             elsewhere.delete = desk.delete_job
+            if self.leaseholder is not None:
+                self.mover = Mover(base, book, attempts, requests, runs, self.leaseholder, elsewhere)
         host.hands = _Hands(offers, requests, runs, fleet, board)
         self._keeper = Keeper(base, fleet)
         if settings.agree is not None:
@@ -154,6 +158,8 @@
             nursery.spawn(self.peering.run, "peers")
             if self.turns is not None:
                 nursery.spawn(self.turns.run, "turns")
+            if self.mover is not None:
+                nursery.spawn(self.mover.run, "mover")
             if self.leases is not None and self.leaseholder is not None:
                 nursery.spawn(self.leases.run, "leases")
                 nursery.spawn(self.leaseholder.room.run, "custody")
@@ -171,7 +177,10 @@
         made.targets = peering.targets
         made.act = lambda effects: peering.act("handing", effects)
         peering.host("handing", made, HANDING)
-        peering.regions.own = OwnRegion(base, self.book, fleet).say
+        own = OwnRegion(base, self.book, fleet)
+        peering.regions.own = own.say
+        if self.leaseholder is not None:
+            own.leased = self.leaseholder.held
         return made
 
     def _uses(self, key: str) -> int:
--- a/wingbarrow/core/requests.py
+++ b/wingbarrow/core/requests.py
@@ -24,9 +24,12 @@
         self.attempt_began: Callable[[Attempt], None] = lambda attempt: None
         self.attempt_ended: Callable[[Attempt, api.Outcome, str], None] = lambda attempt, outcome, words: None
         self.failing: Callable[[Attempt], bool] = lambda attempt: False
+        self.elsewhere: Callable[[TaskRecord], bool] = lambda task: False  # whether another region is asked instead
 
     def ask(self, task: TaskRecord, due_us: int | None = None) -> None:
         """Ask for a task; its final answer is due then, without a time after its Job's patience."""
+        if due_us is None and self.elsewhere(task):
+            return
         asked = task.job.asked
         if due_us is None:
             due_us = self._base.hub.now_us() + asked.patience_us
--- /dev/null
+++ b/wingbarrow/decide/federation/moving.py
@@ -0,0 +1,69 @@
+"""Which runs are moved to another region now: back to one that their spec prefers, or away from one that must give way.
+
+Only what may start twice is moved: it is stopped here first, and its spec's `pace` bounds how many are on their way at
+a time. What must not start twice, and what is keyed, ends where it runs. No I/O.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from wingbarrow.decide.federation.route import RegionNews, Wanted, choose, due
+from wingbarrow.decide.federation.spec import Federation
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One that stands here, longest first in a list: its number with the caller, its spec's name, what it takes."""
+
+    number: int
+    spec: str
+    cores: float
+    memory: float
+    effect: str
+    afar: bool = False  # it was handed over to here
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """One that is to go, where to, and why: back, closed, refusing."""
+
+    number: int
+    region: str
+    why: str
+
+
+def moves(runs: Iterable[Run], federation: Federation, here: str, news: Mapping[str, RegionNews],
+          under_way: Mapping[str, int]) -> list[Move]:
+    """What goes now; `under_way` counts by spec those that were told to go and do not stand elsewhere yet.
+
+    Room that a move will take counts as taken for the next one: news is older than that.
+    """
+    out: list[Move] = []
+    on_way = Counter(under_way)
+    left = dict(news)
+    own = news.get(here)
+    for run in runs:
+        spec = federation.named.get(run.spec)
+        if spec is None or run.effect != "safe" or on_way[spec.name] >= spec.back.pace:
+            continue
+        why = "back"
+        if own is not None and own.closed and due(spec, "closed", spec.failover.after_us if spec.failover else 0):
+            why = "closed"  # closing is planned: it has been told, and waits for nothing
+        elif own is not None and due(spec, "refusing", own.refusing_us):
+            why = "refusing"
+        elif spec.back.when == "never":
+            continue
+        wanted = Wanted(run.cores, run.memory, run.effect, here, "back" if why == "back" else "failover")
+        region = choose(spec, federation, wanted, left, 1.0).region
+        if not region or region == here:
+            continue
+        if run.afar and (why != "back" or region != spec.order(here)[0]):
+            continue  # Danger: each hand-over leaves one that answers for it; only a way home ends that chain
+        out.append(Move(run.number, region, why))
+        on_way[spec.name] += 1
+        there = left[region]
+        left[region] = replace(there, cores=there.cores - run.cores, memory=there.memory - run.memory)
+    return out
--- a/wingbarrow/decide/peers/regionnews.py
+++ b/wingbarrow/decide/peers/regionnews.py
@@ -13,7 +13,9 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from wingbarrow.decide.federation.room import held_back
 from wingbarrow.decide.federation.route import RegionNews
+from wingbarrow.decide.federation.spec import Federation
 from wingbarrow.decide.peers.chapters import Proposal
 from wingbarrow.decide.peers.effects import Effect
 from wingbarrow.decide.peers.rights import Asker
@@ -21,6 +23,8 @@
 
 OLD_US = 15_000_000  # news beyond this age counts for nothing
 REGIONS_MOST, PLACERS_MOST = 64, 4096
+LEASED_MOST = 256
+HELD_US = 500_000  # what is held back is worked out no more often
 REFUSED_SHARE = 0.5  # of what came lately: from then on a placer counts as refusing
 
 
@@ -41,6 +45,8 @@
     closed: bool = False
     came: int = 0  # Jobs lately, and of them turned away
     refused: int = 0
+    machines: int = 0
+    leased: tuple[tuple[str, float, float], ...] = ()  # by spec: what of it this placer holds here; at most LEASED_MOST
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +63,8 @@
     refusing_us: int
     stable_us: int
     placers: tuple[str, ...]
+    held_cores: float = 0.0  # of what is free, kept for the loss of other regions
+    held_memory: float = 0.0
 
 
 @dataclass(slots=True)
@@ -76,6 +84,9 @@
         self._well: dict[str, int] = {}  # since when each region has been heard of without a gap
         self._refusing: dict[str, int] = {}
         self._began_us = 0
+        self._federation = Federation()
+        self._held: dict[str, tuple[float, float]] = {}
+        self._held_us = -HELD_US
 
     def apply(self, kind: str, value: dict[str, Any]) -> None:
         """It has no entries."""
@@ -110,10 +121,43 @@
 
     def told(self, now_us: int, asker: Asker) -> tuple[RegionTold, ...]:
         """All regions, by name."""
-        by_region: dict[str, dict[str, _Heard]] = {name: {} for name in self._named}
+        held = self._held_back(now_us)
+        return tuple(replace(self._one(now_us, region, heard), held_cores=held.get(region, (0.0, 0.0))[0],
+                             held_memory=held.get(region, (0.0, 0.0))[1])
+                     for region, heard in self._by_region().items())
+
+    def _by_region(self) -> dict[str, dict[str, _Heard]]:
+        out: dict[str, dict[str, _Heard]] = {name: {} for name in self._named}
         for name, heard in self._heard.items():
-            by_region.setdefault(heard.said.region, {})[name] = heard
-        return tuple(self._one(now_us, region, heard) for region, heard in sorted(by_region.items())[:REGIONS_MOST])
+            out.setdefault(heard.said.region, {})[name] = heard
+        return dict(sorted(out.items())[:REGIONS_MOST])
+
+    def _held_back(self, now_us: int) -> dict[str, tuple[float, float]]:
+        """What each region in touch keeps free for the loss of another, in cores and GiB."""
+        if now_us - self._held_us < HELD_US:
+            return self._held
+        self._held_us = now_us
+        rooms: dict[str, tuple[float, float]] = {}
+        leased: dict[tuple[str, str], tuple[float, float]] = {}
+        for region, heard in self._by_region().items():
+            live = [each for each in heard.values() if now_us - each.at_us <= self._lost_us]
+            if live:
+                newest = max(live, key=lambda each: each.at_us).said
+                rooms[region] = newest.free_cores, newest.free_memory
+            for spec, cores, memory in (part for each in live for part in each.said.leased):
+                before = leased.get((spec, region), (0.0, 0.0))
+                leased[spec, region] = before[0] + cores, before[1] + memory
+        self._held = held_back(self._federation, rooms, leased).room if self._federation.specs else {}
+        return self._held
+
+    def held_machines(self, now_us: int, region: str) -> float:
+        """The same in machines' worth, for what counts machines."""
+        held = self._held_back(now_us).get(region, (0.0, 0.0))
+        said = max((each for each in self._heard.values() if each.said.region == region),
+                   key=lambda each: each.at_us, default=None)
+        if said is None or said.said.cores <= 0 or said.said.memory <= 0:
+            return 0.0
+        return max(held[0] / said.said.cores, held[1] / said.said.memory) * said.said.machines
 
     def _one(self, now_us: int, region: str, heard: dict[str, _Heard]) -> RegionTold:
         live = {name: each for name, each in heard.items() if now_us - each.at_us <= self._lost_us}
@@ -132,7 +176,8 @@
                           tuple(sorted(live))[:64])
 
     def due(self, now_us: int, rules: RuleSet) -> tuple[list[Proposal], int | None]:
-        """Nothing is decided."""
+        """Nothing is decided; the specs in force are taken in."""
+        self._federation = rules.federation
         return [], None
 
 
@@ -162,7 +207,8 @@
         out = {}
         for each in self._told:
             news = RegionNews(each.region, each.age_us + since, each.load, each.cores, each.memory, each.lost,
-                              each.closed, each.refusing_us, each.stable_us, each.placers)
+                              each.closed, each.refusing_us, each.stable_us, each.placers, each.held_cores,
+                              each.held_memory)
             if news.age_us <= OLD_US or each.lost and since <= OLD_US:
                 out[each.region] = replace(news, age_us=min(news.age_us, since) if each.lost else news.age_us)
         return out
--- a/wingbarrow/decide/peers/turning.py
+++ b/wingbarrow/decide/peers/turning.py
@@ -73,7 +73,7 @@
                  times: TurnTimes = TurnTimes()) -> None:  # noqa: B008 - frozen
         self.me, self._wall_us, self.times = me, wall_us, times
         self.queue = Queue()
-        self.held_back: Callable[[str], float] = lambda region: 0.0
+        self.held_back: Callable[[int, str], float] = lambda now_us, region: 0.0  # in machines' worth
         self.leads = False
         self._began_us = 0
         self._placers: dict[str, _Placer] = {}
@@ -206,7 +206,8 @@
         out = [Proposal("ask", {**value, "at_us": wall}) for ident, value in self._wants.items()
                if not self.queue.knows(ident) and not self.queue.refusal({**value, "at_us": wall})]
         self._wants = {}
-        room = Room(rules.plan.rules(()).budgets, self._in_reach(now_us), self.queue.active(), self.held_back)
+        room = Room(rules.plan.rules(()).budgets, self._in_reach(now_us), self.queue.active(),
+                    lambda region: self.held_back(now_us, region))
         counted: list[tuple[object, ...]] = []
         for turn in sorted(self.queue.live(), key=lambda each: each.number):
             watch = self._watch(now_us, turn.number)
--- a/wingbarrow/peers/agreeing.py
+++ b/wingbarrow/peers/agreeing.py
@@ -46,7 +46,8 @@
     agree = settings.agree
     assert agree is not None
     named = tuple(sorted({region for name, region in agree.regions if name not in agree.bare}))
-    sessions = Sessions(agree.lease_us)
+    sessions, regions = Sessions(agree.lease_us), Regions(agree.lease_us, named)
+    turns.held_back = regions.held_machines
     sessions.counts = counts
     return Agreement(settings.name, agree.voters, disk, settings.seed * 104_729 + life, Times(grant_us=agree.grant_us),
-                     life, chapters=(sessions, Regions(agree.lease_us, named), turns), sides=sides)
+                     life, chapters=(sessions, regions, turns), sides=sides)
--- a/wingbarrow/peers/bounds.py
+++ b/wingbarrow/peers/bounds.py
@@ -9,7 +9,7 @@
 from wingbarrow.decide.peers.leasing import (
     EFFECTS, ENDED_MOST, KEEPERS_MOST, KEPT_MOST, PHASES, RECORD_MOST, Ended, Record, Session, SessionsSaid,
     SessionsTold)
-from wingbarrow.decide.peers.regionnews import REGIONS_MOST, RegionsSaid, RegionTold
+from wingbarrow.decide.peers.regionnews import LEASED_MOST, REGIONS_MOST, RegionsSaid, RegionTold
 from wingbarrow.decide.peers.sessionlog import BATCHES_MOST, SUCCESSORS_MOST
 from wingbarrow.decide.peers.turns import (
     CELLS_MOST, IDENT_MOST, LOST_MOST, TURNS_MOST, WANTS_MOST, TurnsSaid, TurnsTold, View)
@@ -111,14 +111,17 @@
 
 
 def _region_said(said: RegionsSaid) -> bool:
-    return (0 < len(said.region) <= NAME_MOST and _figures(said.came, said.refused)
+    return (0 < len(said.region) <= NAME_MOST and _figures(said.came, said.refused, said.machines)
+            and len(said.leased) <= LEASED_MOST and all(
+                _names(spec) and 0 <= cores < 1e12 and 0 <= memory < 1e12 for spec, cores, memory in said.leased)
             and all(0 <= figure < 1e12 for figure in (said.cores, said.memory, said.free_cores, said.free_memory)))
 
 
 def _region_told(told: RegionTold) -> bool:
     return (_names(told.region, *told.placers) and len(told.placers) <= REGIONS_MOST
             and _figures(told.age_us, told.refusing_us, told.stable_us)
-            and all(-1e12 < figure < 1e12 for figure in (told.load, told.cores, told.memory)))
+            and all(-1e12 < figure < 1e12 for figure in (
+                told.load, told.cores, told.memory, told.held_cores, told.held_memory)))
 
 
 def _handing(message: handing.Message) -> bool:
