A process that gets no processor is not in touch: needless refusals are the fleet's, not the machine's

On a machine with a load of 30 on 8 cores a play of three regions counted 42 needless refusals: a leader that got no processor for a second lost its followers. The rig now asks the system every half second how long each process was ready to run and waited (`/proc/PID/schedstat`), writes down where that is a fifth, and the judge takes it as time out of touch; `starved` in the verdict tells how often, so that nobody takes an excused run for a calm one.

--- a/tests/lab/test_refusals.py
+++ b/tests/lab/test_refusals.py
@@ -88,6 +88,12 @@
     assert turned(made, LIMIT, 58) == 1
 
 
+def test_a_machine_that_gave_a_process_no_processor_is_a_reason(made: Made) -> None:
+    made.event(46, "starved", who="placer-1", for_us=500_000)
+    assert turned(made, NONE) == 0
+    assert turned(made, NONE, placer="placer-0") == 1, "the two others are a majority"
+
+
 def test_a_link_that_delivers_twice_is_no_reason(made: Made) -> None:
     for other in ("placer-0", "placer-2"):
         made.fault(40, 60, "twice", "placer-1", other)
--- a/wingbarrow/lab/fleet/judging/refusals.py
+++ b/wingbarrow/lab/fleet/judging/refusals.py
@@ -66,6 +66,7 @@
 
 def judge_refusals(run: Run, out: Verdict) -> None:
     """Count them."""
+    out.starved = len(run.starved)
     out.needless_stated_ms = Times().needless_us() // 1000
     stated_us = Times().needless_us() + run.slack_us
     limits, touch, stood = loosest(run.texts.values()), Touch(run), Stood(run.records)
--- a/wingbarrow/lab/fleet/judging/run.py
+++ b/wingbarrow/lab/fleet/judging/run.py
@@ -74,6 +74,7 @@
         self.regions: dict[str, list[str]] = fleet.get("regions", {})  # placers of each
         self.troubles: list[Span] = []
         self.stops: list[Span] = []
+        self.starved: list[Span] = []  # ready to run, and the machine gave them no processor
         self.apart: list[Span] = []
         self.cuts: list[Span] = []
         self._read_events()
@@ -101,6 +102,8 @@
                 open_["stopped", who] = at
             elif what == "continued" and ("stopped", who) in open_:
                 self.stops.append(Span(open_.pop(("stopped", who)), at, who))
+            elif what == "starved":
+                self.starved.append(Span(at - each["for_us"], at, who))
         for who, at in begun.items():
             self.up[who].append(Span(at, NEVER, who))
         self.troubles += [Span(at, NEVER, who) for who, at in down.items()]
--- a/wingbarrow/lab/fleet/judging/verdict.py
+++ b/wingbarrow/lab/fleet/judging/verdict.py
@@ -36,6 +36,7 @@
     turned_away: int = 0  # by a limit of the whole fleet
     needless_refusals: int = 0
     needless_stated_ms: int = 0
+    starved: int = 0  # half seconds in which a process got no processor for a fifth: no refusal is needless then
     closures: int = 0  # of a machine to a placer, by a verdict
     unfounded_closures: int = 0
     not_on_last: int = 0
--- a/wingbarrow/lab/fleet/places.py
+++ b/wingbarrow/lab/fleet/places.py
@@ -27,6 +27,7 @@
 START_US = 60 * SECOND
 SEEDS = 3  # placers that all others name as peers
 LEAVE_US = 20 * SECOND
+STARVED_US, STARVED = SECOND // 2, 0.2  # looked at so often; waited for a processor for such a share of it
 
 
 class Slot:
@@ -158,6 +159,18 @@
         return (self.layout.text(slot.name, text) + f'allow-peer "127.0.0.0/8"\nhistory "{self.folder}/{slot.name}'
                 f'.history.jsonl"\n{peers}{self.layout.agree()}')
 
+    def watch(self) -> None:
+        """Write down, for good, when a process was ready to run and the machine gave it no processor."""
+        before: dict[int, int] = {}
+        while True:
+            self.hub.sleep(STARVED_US)
+            for slot in self.running():
+                assert slot.process is not None
+                waited, pid = slot.process.waited_us(), slot.process.pid
+                if waited - before.get(pid, waited) > STARVED_US * STARVED:
+                    self.event("starved", who=slot.name, for_us=STARVED_US)
+                before[pid] = waited
+
     def close(self) -> None:
         """Ask all processes to end, wait, and write the recording."""
         for slot in self.slots:
--- a/wingbarrow/lab/fleet/process.py
+++ b/wingbarrow/lab/fleet/process.py
@@ -97,3 +97,10 @@
         except OSError:
             return 0.0
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def waited_us(self) -> int:
+        """For how long it was ready to run and got no processor, so far; 0 where the system does not tell."""
+        try:
+            return int(Path(f"/proc/{self.pid}/schedstat").read_text().split()[1]) // 1000
+        except (OSError, ValueError, IndexError):
+            return 0
