A voter that passes asks on and loses the leader is left for another; nobody far under its part

Found in plays of processes. A placer whose asks went by way of a voter asked that voter again and again after it had lost the leader itself, and acted on no rules for two seconds though another one reached the leader: a word that it does not lead now ends that way. And where each of many had a little more of a limit than its fair part, less than is worth a move, one was left with half of its own: who is far below is raised now, and all that are above give a little.

In the suite a block of 4 among four of 19 grows to its part.

--- a/tests/decide/peers/test_blocks.py
+++ b/tests/decide/peers/test_blocks.py
@@ -11,7 +11,7 @@
 from tests.decide.peers.rightsfleet import GRANT, MOST, NAMES, RATE, STANDING, STRANDED, Fleet, S, has_all, limited
 from wingbarrow.decide.peers import blocks
 from wingbarrow.decide.peers.asking import Times
-from wingbarrow.decide.peers.blocks import Blocks
+from wingbarrow.decide.peers.blocks import Block, Blocks
 from wingbarrow.decide.peers.limits import HOUR_US
 from wingbarrow.decide.peers.rights import Asker, Stated
 from wingbarrow.decide.peers.rules import normal
@@ -196,5 +196,38 @@
     assert assembly.members[member].holding._by == "", "the leader itself is asked again"
 
 
+def test_one_is_not_left_with_far_too_little_where_each_other_has_a_little_too_much() -> None:
+    names = tuple("abcde")
+    limit, bank, at = replace(STANDING, most=80, among=names), Blocks(GRANT), S
+    bank.blocks = {limit.key: Block({"a": (4, 4), **{name: (19, 19) for name in "bcde"}})}
+    bank.lives = {name: 1 for name in names}
+    bank.elected(0, True, 1)
+    for number in range(1, 6):
+        at += S
+        parts = bank.blocks[limit.key].parts
+        bank.answers(at, [(Asker(name, 1, at, number, 1), (Stated(limit.key, parts[name][0], 3, 3),))
+                          for name in names], [limit])
+        for each in bank.due(at, normal(replace(rules(3), limits=(limit,))))[0]:
+            bank.apply(each.kind, each.value)
+    assert min(size for size, _ in bank.blocks[limit.key].parts.values()) >= 13
+
+
+def test_when_the_voter_that_passes_asks_on_loses_the_leader_another_does() -> None:
+    for seed in (2, 10, 13):
+        assembly = founded(5, 3, seed=seed)
+        leader = assembly.leader()
+        others = [name for name in assembly.voters if name != leader]
+        assert leader is not None
+        cuts = {("p004", leader)}
+        assembly.cut = lambda a, b, cuts=cuts: (a, b) in cuts
+        assembly.run(assembly.now_us + 4 * SECOND)
+        by = assembly.members["p004"].holding._by
+        assert by in others, f"seed {seed}"
+        cuts.add((leader, by))
+        assembly.refused = 0
+        assembly.run(assembly.now_us + 15 * SECOND)
+        assert assembly.refused == 0, f"seed {seed}"
+
+
 def test_the_stated_time_is_under_five_seconds() -> None:
     assert Times().needless_us() == 4_866_666
--- a/wingbarrow/decide/peers/blocks.py
+++ b/wingbarrow/decide/peers/blocks.py
@@ -305,12 +305,15 @@
             held[name] = size, count
         targets = self._targets(limit, sum(each[2] for each in debts), held, live)
         room = limit.most - sum(each[2] for each in debts) - sum(count for _, count in held.values())
-        over = room < 0
+        near = {name for name, (size, _) in held.items() if name in limit.among
+                and abs(targets.get(name, size) - size) * STEADY <= max(size, targets.get(name, size))}
+        short = {name for name, said in live.items() if said.wants > held[name][0]}
+        # Danger: where each of many has a little too much, one could be left with far too little.
+        tight = room < sum(max(0, target - held[name][0]) for name, target in targets.items() if name not in near)
         out: dict[str, tuple[int, int]] = {}
         for name, (size, count) in sorted(held.items(), key=lambda each: each[1][0]):
             target = targets.get(name, size)
-            steady = abs(target - size) * STEADY <= max(size, target) and name in limit.among
-            if steady and not over and not (target > size and name in live and live[name].wants > size):
+            if name in near and not (name in short if target > size else tight):
                 target = size
             if target > size:
                 more = min(target - size, count - size + max(0, room))
--- a/wingbarrow/decide/peers/holding.py
+++ b/wingbarrow/decide/peers/holding.py
@@ -164,7 +164,7 @@
         """Whoever was asked does not lead."""
         if self._asked.pop(message.number, None) is None:
             return []
-        self.leader = message.leader
+        self.leader, self._by = message.leader, ""  # who passed asks on does not know the leader any more
         # Danger: two that name each other, each behind in its way, would be asked in turn as fast as mail goes.
         if not message.leader or message.leader in (self.me, self._hint, self._failed) or self._hops >= HOPS_MOST:
             return []
