--- a/tests/lab/test_rightsmodel.py
+++ b/tests/lab/test_rightsmodel.py
@@ -1,4 +1,4 @@
-"""The model of rights as far as it is small: one placer, its lives and leaders; two are explored by hand."""
+"""The model of rights as far as it is small: one placer, its lives and leaders; two are not explored to the end."""
 
 from __future__ import annotations
 
