--- a/tests/decide/peers/test_turns.py
+++ b/tests/decide/peers/test_turns.py
@@ -1,8 +1,7 @@
-"""Turns: the leader's part by itself, hard cases and generated plays on the virtual clock, and their judge."""
+"""Turns: the leader's part by itself, the queue's bounds, windows as requests."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 from datetime import UTC, datetime
 from typing import Any
@@ -13,16 +12,13 @@
 from wingbarrow.decide.peers.planned import DrainPlan, WindowRules
 from wingbarrow.decide.peers.rights import Asker
 from wingbarrow.decide.peers.rules import RuleSet
-from wingbarrow.decide.peers.turnbudgets import Room
 from wingbarrow.decide.peers.turncalendar import wanted
 from wingbarrow.decide.peers.turning import Turns, TurnTimes
-from wingbarrow.decide.peers.turns import AGE_US, TURNS_MOST, Queue, Turn, TurnsSaid, View
+from wingbarrow.decide.peers.turns import AGE_US, TURNS_MOST, Queue, TurnsSaid, View
 from wingbarrow.decide.peers.turnside import Blind, TurnSide
-from wingbarrow.lab.fleet import workplay
-from wingbarrow.lab.fleet.schedules import FLOOR, rules
+from wingbarrow.lab.fleet.schedules import rules
 from wingbarrow.lab.fleet.swarm import SECOND
-from wingbarrow.lab.fleet.workplay import Size, budgeted, judged, opened, play
-from wingbarrow.lab.fleet.workshop import WALL_US, Workshop
+from wingbarrow.lab.fleet.workshop import WALL_US
 
 TIMES = TurnTimes()
 
@@ -42,7 +38,8 @@
         self.rules = replace(rules(), plan=DrainPlan(budgets=budgets))
         self.speak = {region: TurnsSaid(region=region) for region in (regions or ("r",))}
         self.lost: dict[str, tuple[tuple[str, str, str], ...]] = {}
-        self.used = 0.0
+        self.used, self.deaf = 0.0, False  # deaf: machines say nothing
+        self.view: View | None = None
         self.turns.elected(self.now_us, True)
         self.run(3)
 
@@ -55,9 +52,9 @@
                 told = self.turns.told(self.now_us, asker)
                 numbers = tuple(number for number, _, state, _ in told.turns if state in ("closing", "empty", "out"))
                 self.turns.hear(self.now_us, asker, replace(
-                    said, clear=numbers, empty=numbers, at_us=self.now_us,
+                    said, clear=numbers, empty=() if self.deaf else numbers, at_us=self.now_us,
                     tasks=tuple((number, 0) for number, _, state, _ in told.turns if state == "asked"),
-                    view=View(tuple(("z", cell, count) for cell, count in self.cells.items()),
+                    view=self.view or View(tuple(("z", cell, count) for cell, count in self.cells.items()),
                               self.lost.get(region, ()), self.used)))
             for each in self.turns.due(self.now_us, self.rules)[0]:
                 self.turns.apply(each.kind, each.value)
@@ -138,6 +135,22 @@
     assert any("2 of them for another region's loss" in each for each in led.turns.blocked.values())
 
 
+def test_while_a_hall_has_failed_nothing_closes_elsewhere_and_windows_are_taken_back() -> None:
+    led = Led({"a": 4, "b": 4}, (("all", "max", 9.0),))
+    window = WindowRules("patch", "2027-01-01T02:00:00+00:00", "", 3600 * SECOND, 3600 * SECOND, "", (), (),
+                         (("*", "", "", ""),), 0, "wait")
+    led.rules, led.view = replace(led.rules, windows=(window,)), View((("y", "x", 2), ("z", "a", 4), ("z", "b", 4)))
+    led.ask("a-1", why="calendar", ident="patch@0/a-1", worker="")
+    led.deaf = True
+    led.run(4)
+    assert led.states() == {"a-1": "closing"}
+    led.view = replace(led.view, lost=(("x-1", "y", "x"),))
+    led.ask("b-1")
+    led.run(4)
+    assert led.states() == {"a-1": "back", "b-1": "queued"} and "r/y has failed" in led.turns.blocked[2]
+    assert led.turns.queue.turns[1].note == "r/y has failed"
+
+
 def test_two_hundred_ask_at_once_and_all_have_their_turn_within_the_budgets_and_in_order() -> None:
     led = Led({f"c{index}": 10 for index in range(20)}, (("cell", "max", 1.0), ("all", "max", 8.0)))
     led.ask(*(f"c{index % 20}-{index}" for index in range(200)))
@@ -280,132 +293,6 @@
     assert led.states()["a-1"] == "back" and led.turns.queue.turns[1].note == "its time is over"
 
 
-# -- on the virtual clock
-
-
-def wait(shop: Workshop, number: int, *states: str, seconds: int = 30) -> Turn:
-    assert shop.run_until(lambda: (turn := shop.turn(number)) is not None and turn.state in states, seconds * SECOND,
-                          SECOND // 20), shop.turn(number)
-    turn = shop.turn(number)
-    assert turn is not None
-    return turn
-
-
-def ask(shop: Workshop, machine: str, **more: Any) -> None:
-    leader, bench = shop.leader(), shop.benches[machine]
-    assert leader is not None
-    shop.decide(leader, "ask", request(machine, bench.region, bench.cell, zone=bench.zone, **more))
-
-
-def test_a_leader_lost_between_empty_and_out_has_a_successor_that_proves_it_anew() -> None:
-    shop = opened(Size(), 3)
-    ask(shop, "r0-m1", from_us=WALL_US + shop.now_us + 8 * SECOND)
-    wait(shop, 1, "empty")
-    old = shop.leader()
-    assert old is not None
-    shop.kill(old)
-    shop.benches["r0-m1"].tasks[10**9] = "somebody", shop.now_us + 15 * SECOND
-    shop.run(shop.now_us + 12 * SECOND)
-    assert wait(shop, 1, "empty").state == "empty" and shop.leader() not in (None, old)
-    wait(shop, 1, "out")
-    assert not shop.benches["r0-m1"].tasks
-    shop.work(1, SECOND)
-    wait(shop, 1, "done")
-    assert judged(shop).clean
-
-
-def test_a_placer_cut_off_on_a_floor_with_tasks_on_the_machine_keeps_it_from_going_out() -> None:
-    shop = opened(Size(), 5)
-    shop.lower_floor(FLOOR, 60 * SECOND, "floor")
-    shop.run(shop.now_us + 3 * SECOND)
-    shop.cut = lambda a, b: "p004" in (a, b)
-    shop.run(shop.now_us + 3 * SECOND)
-    acting = shop.members["p004"].acting(shop.clock_us("p004"))
-    assert acting is not None and not acting.edition
-    bench = shop.benches["r0-m2"]
-    for number in range(10**9, 10**9 + 5):
-        bench.tasks[number] = "p004", shop.now_us + 10 * SECOND
-    ask(shop, "r0-m2")
-    wait(shop, 1, "closing")
-    shop.run(shop.now_us + 5 * SECOND)
-    turn = shop.turn(1)
-    assert turn is not None and turn.state == "closing", "all in reach are clear; the machine is not empty"
-    wait(shop, 1, "out")
-    assert not bench.tasks and not shop.sides["p004"].closes("r0-m2")
-    shop.work(1, 3 * SECOND)
-    wait(shop, 1, "back")
-    assert judged(shop).clean
-
-
-def test_a_silent_worker_is_told_and_works_no_more_once_its_turn_was_given_back() -> None:
-    shop = opened(Size(), 6)
-    ask(shop, "r0-m1")
-    wait(shop, 1, "out")
-    shop.work(1, 3 * SECOND, silent=True)
-    assert shop.run_until(lambda: any(each.fields["state"] == "silent" for each in shop.tells("turn")), 20 * SECOND)
-    assert shop.benches["r0-m1"].guard.refuses()
-    ask(shop, "r0-m5")
-    wait(shop, 2, "out")
-    leader = shop.leader()
-    assert leader is not None
-    shop.decide(leader, "give-back", {"number": 1, "note": "nobody there"})
-    works = len(shop.works)
-    assert wait(shop, 1, "given-back").note == "nobody there"
-    shop.run(shop.now_us + 10 * SECOND)
-    assert len(shop.works) == works > 0 and judged(shop).clean
-
-
-def test_one_placer_tries_a_machine_first_that_is_back() -> None:
-    shop = opened(Size(), 8)
-    ask(shop, "r0-m3")
-    wait(shop, 1, "out")
-    shop.work(1, SECOND)
-    wait(shop, 1, "back")
-    shop.run(shop.now_us + SECOND // 5)
-    open_to = [name for name, side in shop.sides.items() if not side.closes("r0-m3")]
-    assert len(open_to) <= 1
-    wait(shop, 1, "done")
-    assert shop.run_until(lambda: not any(each.closes("r0-m3") for each in shop.sides.values()), 5 * SECOND)
-
-
-@pytest.mark.parametrize("seed", range(3))
-@pytest.mark.parametrize("size", [Size(seconds=40), Size(9, 5, 3, 4, 40)])
-def test_generated_trouble_breaks_nothing(size: Size, seed: int) -> None:
-    shop, verdict = play(seed, size)
-    assert verdict.clean and verdict.done > 3 and verdict.works > 10, verdict
-    assert not [each for each in shop.chapters[shop.leader() or ""].queue.live() if each.region != "r0"
-                and each.state != "out"], "all that began has ended"
-
-
-def no_word(self: Turns, now_us: int, turn: Turn) -> bool:
-    return now_us >= self._began_us + self.times.lapse_us() and all(
-        (held := self._placers.get(name)) is not None and turn.number in held.said.clear
-        for name in self.may_act(now_us))
-
-
-def no_losses(real: Callable[..., None]) -> Callable[..., None]:
-    def made(self: Room, budgets: Any, views: dict[str, View], *rest: Any) -> None:
-        real(self, budgets, {region: replace(view, lost=()) for region, view in views.items()}, *rest)
-    return made
-
-
-@pytest.mark.parametrize("planted", ["busy", "over", "disorder"])
-def test_the_judge_finds_what_is_planted(planted: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    if planted == "busy":
-        monkeypatch.setattr(Turns, "proved", no_word)
-    elif planted == "over":
-        monkeypatch.setattr(Room, "__init__", no_losses(Room.__init__))
-    else:
-        real = Queue.queued
-        monkeypatch.setattr(Queue, "queued", lambda self: real(self)[::-1])
-    found = 0
-    for seed in range(12):
-        found += getattr(play(seed, Size(seconds=40))[1], planted)
-        if found:
-            break
-    assert found
-
-
 def test_the_order_ages_so_that_nobody_starves() -> None:
     queue, at_us = Queue(), WALL_US // AGE_US * AGE_US
     queue.apply("ask", request("old", urgency=0, at_us=at_us))
@@ -413,4 +300,3 @@
     queue.apply("ask", request("late", urgency=9, at_us=at_us + 10 * AGE_US))
     queue.apply("queue", {"turns": [[1, 0], [2, 0], [3, 0]], "at_us": at_us})
     assert [each.machine for each in queue.queued()] == ["new", "old", "late"]
-    assert workplay.MOST_CELL == 1 and budgeted().plan.budgets
--- /dev/null
+++ b/tests/decide/peers/test_turns_play.py
@@ -0,0 +1,136 @@
+"""Turns on the virtual clock: hard cases, generated plays, and the judge that finds what is planted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from tests.decide.peers.test_turns import request
+from wingbarrow.decide.peers.turnbudgets import Room
+from wingbarrow.decide.peers.turning import Turns
+from wingbarrow.decide.peers.turns import Queue, Turn, View
+from wingbarrow.lab.fleet.schedules import FLOOR
+from wingbarrow.lab.fleet.swarm import SECOND
+from wingbarrow.lab.fleet.workplay import Size, judged, opened, play
+from wingbarrow.lab.fleet.workshop import WALL_US, Workshop
+
+
+def wait(shop: Workshop, number: int, *states: str, seconds: int = 30) -> Turn:
+    assert shop.run_until(lambda: (turn := shop.turn(number)) is not None and turn.state in states, seconds * SECOND,
+                          SECOND // 20), shop.turn(number)
+    turn = shop.turn(number)
+    assert turn is not None
+    return turn
+
+
+def ask(shop: Workshop, machine: str, **more: Any) -> None:
+    leader, bench = shop.leader(), shop.benches[machine]
+    assert leader is not None
+    shop.decide(leader, "ask", request(machine, bench.region, bench.cell, zone=bench.zone, **more))
+
+
+def test_a_leader_lost_between_empty_and_out_has_a_successor_that_proves_it_anew() -> None:
+    shop = opened(Size(), 3)
+    ask(shop, "r0-m1", from_us=WALL_US + shop.now_us + 8 * SECOND)
+    wait(shop, 1, "empty")
+    old = shop.leader()
+    assert old is not None
+    shop.kill(old)
+    shop.benches["r0-m1"].tasks[10**9] = "somebody", shop.now_us + 15 * SECOND
+    shop.run(shop.now_us + 12 * SECOND)
+    assert wait(shop, 1, "empty").state == "empty" and shop.leader() not in (None, old)
+    wait(shop, 1, "out")
+    assert not shop.benches["r0-m1"].tasks
+    shop.work(1, SECOND)
+    wait(shop, 1, "done")
+    assert judged(shop).clean
+
+
+def test_a_placer_cut_off_on_a_floor_with_tasks_on_the_machine_keeps_it_from_going_out() -> None:
+    shop = opened(Size(), 5)
+    shop.lower_floor(FLOOR, 60 * SECOND, "floor")
+    shop.run(shop.now_us + 3 * SECOND)
+    shop.cut = lambda a, b: "p004" in (a, b)
+    shop.run(shop.now_us + 3 * SECOND)
+    acting = shop.members["p004"].acting(shop.clock_us("p004"))
+    assert acting is not None and not acting.edition
+    bench = shop.benches["r0-m2"]
+    for number in range(10**9, 10**9 + 5):
+        bench.tasks[number] = "p004", shop.now_us + 10 * SECOND
+    ask(shop, "r0-m2")
+    wait(shop, 1, "closing")
+    shop.run(shop.now_us + 5 * SECOND)
+    turn = shop.turn(1)
+    assert turn is not None and turn.state == "closing", "all in reach are clear; the machine is not empty"
+    wait(shop, 1, "out")
+    assert not bench.tasks and not shop.sides["p004"].closes("r0-m2")
+    shop.work(1, 3 * SECOND)
+    wait(shop, 1, "back")
+    assert judged(shop).clean
+
+
+def test_a_silent_worker_is_told_and_works_no_more_once_its_turn_was_given_back() -> None:
+    shop = opened(Size(), 6)
+    ask(shop, "r0-m1")
+    wait(shop, 1, "out")
+    shop.work(1, 3 * SECOND, silent=True)
+    assert shop.run_until(lambda: any(each.fields["state"] == "silent" for each in shop.tells("turn")), 20 * SECOND)
+    assert shop.benches["r0-m1"].guard.refuses()
+    ask(shop, "r0-m5")
+    wait(shop, 2, "out")
+    leader = shop.leader()
+    assert leader is not None
+    shop.decide(leader, "give-back", {"number": 1, "note": "nobody there"})
+    works = len(shop.works)
+    assert wait(shop, 1, "given-back").note == "nobody there"
+    shop.run(shop.now_us + 10 * SECOND)
+    assert len(shop.works) == works > 0 and judged(shop).clean
+
+
+def test_one_placer_tries_a_machine_first_that_is_back() -> None:
+    shop = opened(Size(), 8)
+    ask(shop, "r0-m3")
+    wait(shop, 1, "out")
+    shop.work(1, SECOND)
+    wait(shop, 1, "back")
+    shop.run(shop.now_us + SECOND // 5)
+    open_to = [name for name, side in shop.sides.items() if not side.closes("r0-m3")]
+    assert len(open_to) <= 1
+    wait(shop, 1, "done")
+    assert shop.run_until(lambda: not any(each.closes("r0-m3") for each in shop.sides.values()), 5 * SECOND)
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("size", [Size(seconds=30), Size(9, 5, 3, 4, 30)])
+def test_generated_trouble_breaks_nothing(size: Size, seed: int) -> None:
+    shop, verdict = play(seed, size)
+    assert verdict.clean and verdict.done > 3 and verdict.works > 10, verdict
+    assert shop.run_until(lambda: not shop.chapters[shop.leader() or ""].queue.live(), 120 * SECOND), "all end"
+    assert judged(shop).clean
+
+
+def no_word(self: Turns, now_us: int, turn: Turn) -> bool:
+    return now_us >= self._began_us + self.times.lapse_us() and all(
+        (held := self._placers.get(name)) is not None and turn.number in held.said.clear
+        for name in self.may_act(now_us))
+
+
+def no_losses(real: Callable[..., None]) -> Callable[..., None]:
+    def made(self: Room, budgets: Any, views: dict[str, View], *rest: Any) -> None:
+        real(self, budgets, {region: replace(view, lost=()) for region, view in views.items()}, *rest)
+    return made
+
+
+@pytest.mark.parametrize("planted, seed", [("busy", 4), ("over", 1), ("disorder", 2)])
+def test_the_judge_finds_what_is_planted(planted: str, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    if planted == "busy":
+        monkeypatch.setattr(Turns, "proved", no_word)
+    elif planted == "over":
+        monkeypatch.setattr(Room, "__init__", no_losses(Room.__init__))
+    else:
+        real = Queue.queued
+        monkeypatch.setattr(Queue, "queued", lambda self: real(self)[::-1])
+    assert getattr(play(seed, Size(seconds=25))[1], planted)
--- a/tests/peers/test_turns_path.py
+++ b/tests/peers/test_turns_path.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
+from dataclasses import asdict
 from typing import Any
 
 from tests.peers.stage import Agreeing
 from tests.peers.test_drains_agreed import Draining
 from tests.stage import S
+from wingbarrow.decide.peers.rules import read
 from wingbarrow.lab.cluster import PlacerSlot
 from wingbarrow.lab.turnguard import TurnGuard
 
@@ -82,6 +85,36 @@
     stage.play(script)
 
 
+def test_a_window_has_its_turns_one_after_another_and_asks_for_none_twice() -> None:
+    stage = Turning(machines=8, placers=3)
+
+    def script() -> None:
+        stage.ready()
+        machines = [["node-1", "", "", ""], ["node-3", "", "", ""]]
+        window = {**stage.window(8, 100), "each_us": 20 * S, "machines": machines}
+        budgets = {**read_plan(stage.changed()), "budgets": [["all", "max", 1.0]], "lead_us": 5 * S}
+        assert stage.propose("w", windows=[window], plan=budgets)[0] == 201
+        seen: dict[str, set[str]] = {"node-1": set(), "node-3": set()}
+        for step in range(110):
+            stage.hub.sleep(S)
+            if step % 6 == 0:
+                stage.work(0.3, f"load-{step}")
+            items = stage.ask(stage.leader(), path=TURNS)[1]["items"]
+            out = [each for each in items if each["state"] == "out"]
+            assert len(out) <= 1 and all(stage.holds(each["machine"]) == 0 for each in out)
+            for each in items:
+                seen[each["machine"]].add(each["state"])
+        assert len(items) == 2 and {each["state"] for each in items} == {"done"}, items
+        assert all("out" in states for states in seen.values())
+        assert stage.everywhere("node-1", "running") and stage.everywhere("node-3", "running")
+    stage.play(script)
+
+
+def read_plan(rules: dict[str, Any]) -> dict[str, Any]:
+    plan = asdict(read(json.dumps(rules)).plan)
+    return {**plan, "budgets": [list(each) for each in plan["budgets"]], "blackouts": []}
+
+
 def test_a_leader_killed_in_the_middle_and_a_machine_nobody_knows() -> None:
     stage = Turning(machines=8, placers=5)
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -178,6 +178,9 @@
     assert "given up" in run("drains", "status", *url).output
     assert run("drains", "cancel", key, *url).exit_code == 1
     assert run("drains", "now", "none", *url).exit_code == 1
+    for words in (("list",), ("ask", "node-1", "--latest", "2h"), ("renew", "1"), ("back", "1"), ("give-back", "1")):
+        alone = run("turns", *words, *url)
+        assert alone.exit_code == 1 and "agrees on turns with nobody" in alone.output, alone.output
 
 
 def test_check_names_file_and_line(tmp_path: Path) -> None:
--- a/wingbarrow/decide/peers/turnbudgets.py
+++ b/wingbarrow/decide/peers/turnbudgets.py
@@ -32,6 +32,7 @@
                  held_back: Callable[[str], float] = lambda region: 0.0) -> None:
         self._views, self._held_back = views, held_back
         self.totals, self.lost, self.by_turns = Counter[Place](), Counter[Place](), Counter[Place]()
+        self._failed: list[str] | None = None
         self._gone: set[tuple[str, str]] = set()
         for region, view in views.items():
             for zone, cell, count in view.cells:
@@ -70,6 +71,14 @@
                         f"{self.most(place)} may be")
         return self._crowded(turn.region, turns_too, more)
 
+    def failed(self, turn: Turn, share: float) -> list[str]:
+        """Halls of its region, other than its own, of whose machines at least a share is gone without a turn."""
+        if self._failed is None:
+            self._failed = sorted(name for (scope, name), total in self.totals.items() if scope is Scope.ZONE
+                                  and self.lost[scope, name] and self.lost[scope, name] >= share * total)
+        own = f"{turn.region}/{turn.zone}"
+        return [name for name in self._failed if name != own and name.startswith(f"{turn.region}/")]
+
     def _crowded(self, region: str, turns_too: bool, more: int) -> str:
         place, view = (Scope.REGION, region), self._views[region]
         stay = self.totals[place] - self.lost[place] - (self.by_turns[place] if turns_too else 0) - more
--- a/wingbarrow/decide/peers/turning.py
+++ b/wingbarrow/decide/peers/turning.py
@@ -25,6 +25,7 @@
 PLACERS_MOST = 4096
 TOLD_MOST = 64  # turns that are asked for, in one grant, beside all that are active
 PROPOSED_MOST = 16  # entries at a time
+LOOK_US = SECOND // 4  # between looks at all turns
 TAKEN_BACK = "its window was taken back"
 
 
@@ -81,6 +82,8 @@
         self._watches: dict[int, _Watch] = {}
         self._views: dict[str, tuple[int, str, View]] = {}  # by region: when, who, what
         self._wants: dict[str, dict[str, object]] = {}  # requests to be proposed, by ident
+        self._hands: dict[int, tuple[int, str]] = {}  # as of when, by turn
+        self._looked_us = -LOOK_US
         self.blocked: dict[int, str] = {}  # why a turn that waits is not closing, as of the last look
 
     # -- the voters' side
@@ -103,7 +106,7 @@
         """Begin anew: nothing that an earlier leader was told counts."""
         self.leads, self._began_us = on, now_us
         self._placers, self._given, self._watches, self._views, self._wants = {}, {}, {}, {}, {}
-        self.blocked = {}
+        self.blocked, self._hands, self._looked_us = {}, {}, now_us - LOOK_US
 
     def hear(self, now_us: int, asker: Asker, said: TurnsSaid | None) -> None:
         """What a placer says, in place of what it said before."""
@@ -147,8 +150,13 @@
 
     def hand(self, now_us: int, turn: Turn) -> str:
         """Which placer speaks with a turn's machine, and tries it: one of its region; "" where none is in reach."""
+        at, held = self._hands.get(turn.number, (now_us - LOOK_US, ""))
+        if now_us - at < LOOK_US:
+            return held
         able = [name for name in self._live(now_us, turn.region) if turn.number not in self._placers[name].said.gone]
-        return max(able, key=lambda name: _weight(f"{turn.number}/{turn.machine}", name), default="")
+        name = max(able, key=lambda name: _weight(f"{turn.number}/{turn.machine}", name), default="")
+        self._hands[turn.number] = now_us, name
+        return name
 
     def _teller(self, now_us: int, region: str) -> str:
         able = self._live(now_us, region)
@@ -200,9 +208,15 @@
 
     def due(self, now_us: int, rules: RuleSet) -> tuple[list[Proposal], int | None]:
         """Requests that tellers brought, then each turn's next step, then who closes, in the queue's order."""
+        if not self._wants and not self.queue.live():
+            return [], None
+        if now_us - self._looked_us < LOOK_US:
+            return [], self._looked_us + LOOK_US
+        self._looked_us = now_us
         wall = max(0, self._wall_us(now_us))
-        for number in [each for each in self._watches if each not in self.queue.turns]:
-            del self._watches[number]
+        for held in (self._watches, self._hands):
+            for number in held.keys() - self.queue.turns.keys():
+                del held[number]
         out = [Proposal("ask", {**value, "at_us": wall}) for ident, value in self._wants.items()
                if not self.queue.knows(ident) and not self.queue.refusal({**value, "at_us": wall})]
         self._wants = {}
@@ -223,8 +237,9 @@
         if counted:
             out.append(Proposal("queue", {"turns": counted, "at_us": wall}))
         if not out:  # what closes is chosen once all else is decided: it goes by states as they are
-            out += [Proposal("close", {"number": each, "at_us": wall}) for each in self._closing(now_us, wall, room)]
-        return out[:PROPOSED_MOST], now_us + self.times.grant_us // 4 if self.queue.live() or out else None
+            out += [Proposal("close", {"number": each, "at_us": wall})
+                    for each in self._closing(now_us, wall, room, rules.plan.failed_share)]
+        return out[:PROPOSED_MOST], now_us + LOOK_US
 
     def _look_gone(self, now_us: int, turn: Turn, watch: _Watch) -> None:
         """Whether its machine is on no list of its region, by its teller's word."""
@@ -273,6 +288,10 @@
                 return "give-back", "tasks that must not start twice still run"
             if 0 < turn.ends_us <= wall:
                 return "give-back", "its window is over"
+            # Danger: the halls that are left carry everything.
+            failed = room.failed(turn, rules.plan.failed_share) if rules.plan.take_back else []
+            if failed and turn.state == "closing":
+                return "give-back", f"{', '.join(failed)} has failed"
         if turn.state == "closing" and self.proved(now_us, turn):
             return "empty", ""
         if turn.state == "empty" and self.proved(now_us, turn) and turn.region in self._in_reach(now_us):
@@ -320,7 +339,7 @@
                     if now_us - each.heard_us < self.times.lapse_us())
         return "" if heard else "the machine has not said that it refuses new work and is empty"
 
-    def _closing(self, now_us: int, wall: int, room: Room) -> Iterator[int]:
+    def _closing(self, now_us: int, wall: int, room: Room, failed_share: float) -> Iterator[int]:
         """Who closes now, in order. Who cannot, holds nobody up; but one that has waited long, and could go if no turn
         were out, keeps its room."""
         reach = self._in_reach(now_us)
@@ -328,10 +347,13 @@
         self.blocked = {number: why for number, why in self.blocked.items()
                         if number in self.queue.turns and self.queue.turns[number].state in ("asked", "empty")}
         for turn in self.queue.queued():
-            if turn.region not in reach or not self.hand(now_us, turn):
-                self.blocked[turn.number] = f"region {turn.region!r} is out of reach"
+            watch = self._watch(now_us, turn.number)
+            if turn.region not in reach or (watch is not None and watch.gone_us is not None):
+                self.blocked[turn.number] = ("no list has its machine now" if turn.region in reach
+                                             else f"region {turn.region!r} is out of reach")
                 continue
-            why = room.full(turn)
+            failed = room.failed(turn, failed_share)
+            why = f"{', '.join(failed)} has failed" if failed else room.full(turn)
             if not why and left > 0:
                 left -= 1
                 room.take(turn)
--- a/wingbarrow/decide/peers/turns.py
+++ b/wingbarrow/decide/peers/turns.py
@@ -305,6 +305,8 @@
             return False  # Danger: one that did not fit into a grant would be opened by whoever hears that grant
         if kind == "done" and turn.given:
             state = "given-back"
+        if kind == "done" and turn.given:
+            note = turn.note or note  # why it was taken back, not how it came back
         self.turns[number] = replace(turn, state=state, since_us=at, given=turn.given or kind == "give-back",
                                      note=note or turn.note, out_us=at if state == "out" else turn.out_us)
         if state in OVER:
