--- a/tests/lab/test_audit.py
+++ b/tests/lab/test_audit.py
@@ -245,3 +245,17 @@
     tape.add(3, "owner", "deleted", uid="v", job="v", placer="p0")
     found = tape.audit()
     assert found.clean and found.deleted_unanswered == 1 and found.left_to_owners == 0
+
+
+def test_an_answer_or_a_kill_read_just_before_the_acceptance_counts_for_its_job() -> None:
+    def accepted(at: int, uid: str) -> Record:
+        return Record(at, "owner", "accepted", {"placer": "p", "job": uid, "uid": uid, "task": uid, "task_class": "web",
+                                                "patience_us": 5_000_000, "sent_us": 1_000})
+    early = Record(2_000, "owner", "answer", {"placer": "p", "job": "a", "uid": "a", "answer": "refused", "failed": ""})
+    records = [early, accepted(2_100, "a"), Record(2_200, "p", "killed", {}), accepted(2_300, "b"),
+               accepted(9_000_000, "c"), Record(30_000_000, "p", "end", {"pod": "x", "why": "done"})]
+    settings = load_text(settings_text(0, 1, 1, 1))
+    found = audit([*records[:4], *records[5:]], settings)
+    assert (found.refused, found.left_to_owners, found.unanswered) == (1, 1, 0)
+    late = Record(9_000_000, "owner", "accepted", {**accepted(0, "c").data, "sent_us": 8_999_000})
+    assert audit([*records[:4], late, records[5]], settings).unanswered == 1, "one that was sent after the kill is owed"
