Faults that overlap end with the last of them; an answer read before its 201 is recorded after it

Faults of one kind on one direction are counted now, and owners keep what a watch told of a Job until its 201 is there. A test of two cuts that overlap shows the first.

--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -10,6 +10,10 @@
 from wingbarrow.config import load_text
 from wingbarrow.lab.cluster import settings_text
 from wingbarrow.lab.fleet.link import Network, Proxy
+from wingbarrow.core.logs import silent
+from wingbarrow.lab.fleet.commands import Commands
+from wingbarrow.lab.fleet.places import Places
+from wingbarrow.lab.fleet.suffering import Suffering
 from wingbarrow.lab.fleet.layout import THIRD, WITNESS, Layout, Size
 from wingbarrow.lab.fleet.script import BadScript, Fault, generate, generate_regions, read_script
 from wingbarrow.transport import Hub, PeerGone, Stream, VirtualClock, connect, listen
@@ -214,3 +218,21 @@
     assert {fault.kind for seed in range(1, 60) for fault in generate(seed, NAMES, 60)} == {
         "cut", "late", "slow", "lossy", "twice", "reset", "isolate", "deafen", "stop", "kill", "propose", "drain",
         "faulty"}
+
+
+def test_of_two_cuts_that_overlap_the_last_one_heals(tmp_path: Path) -> None:
+    hub = Hub(VirtualClock())
+
+    def main() -> None:
+        places = Places(hub, Size(3, 3, regions=3), tmp_path, silent)
+        places.open([])
+        suffering = Suffering(places, Commands(places))
+        hub.spawn(lambda: suffering.suffer(Fault("cut-region", 0, "south", lasts_us=10 * S)))
+        hub.spawn(lambda: suffering.suffer(Fault("isolate", 0, "placer-0", lasts_us=2 * S)))
+        hub.sleep(5 * S)
+        assert places.network.links["placer-0", "placer-1"].forth.cut, "south is cut off still"
+        assert not places.network.links["placer-0", "placer-2"].forth.cut
+        hub.sleep(6 * S)
+        assert all(way.whole for way in places.network.ways("placer-0", "placer-1"))
+        places.close()
+    hub.run(main)
--- a/wingbarrow/lab/fleet/suffering.py
+++ b/wingbarrow/lab/fleet/suffering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections import Counter
 
 from wingbarrow.lab.fleet.commands import Commands
 from wingbarrow.lab.fleet.places import Places
@@ -18,6 +19,7 @@
     def __init__(self, places: Places, commands: Commands) -> None:
         self._places, self._commands, self._hub = places, commands, places.hub
         self._worker = Worker(places, commands)
+        self._on: Counter[tuple[str, str, str]] = Counter()  # faults of one kind, by direction
 
     def suffer(self, fault: Fault) -> None:
         """One fault, now; returns when it is over."""
@@ -31,12 +33,16 @@
 
     def _between(self, fault: Fault, pairs: list[tuple[str, str]], on: dict[str, object],
                  off: dict[str, object]) -> None:
-        network = self._places.network
+        """A fault that another one of its kind overlaps is taken back with the last of them."""
+        network, kind = self._places.network, next(iter(on))
         for sender, receiver in pairs:
+            self._on[sender, receiver, kind] += 1
             network.set(sender, receiver, **on)
         self._hub.sleep(fault.lasts_us)
         for sender, receiver in pairs:
-            network.set(sender, receiver, **off)
+            self._on[sender, receiver, kind] -= 1
+            if not self._on[sender, receiver, kind]:
+                network.set(sender, receiver, **off)
 
     def _pairs(self, fault: Fault) -> list[tuple[str, str]]:
         one = [(fault.who, fault.other)]
--- a/wingbarrow/lab/load.py
+++ b/wingbarrow/lab/load.py
@@ -29,7 +29,8 @@
     name: str
     tries: int
     answered: bool = False
-    until_us: int = 0
+    until_us: int = 0  # once it was accepted
+    early: dict[str, Any] | None = None  # what a watch told of it before that
 
 
 @dataclass(slots=True)
@@ -118,7 +119,7 @@
         self._record("owner", "accepted", placer=placer.name, job=name, uid=value["metadata"]["uid"],
                      task=want.ident, task_class=want.task_class, patience_us=patience, sent_us=sent_us,
                      federation=want.federation)
-        self._see(index, value)
+        self._see(index, asked.early or value)
         self._spawn(lambda: self._give_up(index, asked))
         if self.delete_share and self._deletes.random() < self.delete_share:
             uid, after = value["metadata"]["uid"], int(self._deletes.expovariate(2.0) * SECOND)
@@ -205,6 +206,10 @@
     def _see(self, index: int, value: dict[str, Any]) -> None:
         """What one watch event, or answer, says of a Job."""
         name = value["metadata"]["name"]
+        asked = self._asked[index].get(name)
+        if asked is not None and not asked.until_us:
+            asked.early = value
+            return
         status = value.get("status", {})
         conditions = {each["type"]: each for each in status.get("conditions", [])}
         failed = conditions.get("Failed", {}).get("reason", "")
@@ -214,7 +219,6 @@
             return
         self._record("owner", "answer", placer=self._placers[index].name, job=name, uid=value["metadata"]["uid"],
                      answer=answer, failed=failed)
-        asked = self._asked[index].get(name)
         if asked is None:
             return
         over = "Complete" in conditions or failed
