A never-twice Job that was refused for want of a keeper's word is not started from its record

Cause: a Job is with its keeper before its 201; where the keeper's answer does not come, its owner hears 503 and asks elsewhere, but the keeper has the record, and a cut holds up the word that it is not wanted. At fault: nothing in the record said whether it was accepted (`Keeping._take`). Change: a record is `offered` until the 201 leaves; what must not repeat and was only offered is in doubt, kept as unknown and told.

--- a/tests/peers/test_reissue_path.py
+++ b/tests/peers/test_reissue_path.py
@@ -175,3 +175,26 @@
         assert second.at_us >= first.data["until_us"] and len(stage.running(uid)) == 1
         assert stage.may_send(stage.north) and stage.give(stage.north, "fresh")[0] == 201
     stage.play(script)
+
+
+def test_what_was_refused_for_want_of_a_keepers_word_is_not_started_from_its_record() -> None:
+    stage = Lost()
+
+    def script() -> None:
+        stage.join()
+        south = stage.cluster.placers[1]
+        stage.taken(south, "before", spec="home", runs_s=1)
+        others = [slot.name for slot in stage.cluster.placers if slot is not south]
+        for name in others:  # what they say does not come
+            stage.network.set(name, south.name, cut=True)
+
+        def silence() -> None:
+            for name in others:  # and then nothing passes: nor do they hear that it was not accepted
+                stage.network.set(south.name, name, cut=True)
+        stage.hub.call_at(stage.hub.now_us() + S // 5, silence)
+        status, value = stage.give(south, "refused", "settlement", "home")
+        assert status == 503 and "keeper" in value["message"], value
+        stage.hub.sleep(30 * S)
+        assert not [each for each in stage.seen("start") if each.data["task"] == "refused"], "its owner asks elsewhere"
+        assert stage.wait(lambda: "default/refused" in stage.unknown(), 90), "an operator is told of it"
+    stage.play(script)
--- a/wingbarrow/core/leaseholder.py
+++ b/wingbarrow/core/leaseholder.py
@@ -24,7 +24,7 @@
 from wingbarrow.decide import again
 from wingbarrow.decide.federation.faults import unfit
 from wingbarrow.decide.federation.spec import Federation, Spec, allowed
-from wingbarrow.decide.peers.leasing import FORM, Known, Record
+from wingbarrow.decide.peers.leasing import FORM, OFFERED, Known, Record
 from wingbarrow.decide.peers.regionnews import LEASED_MOST
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, Cause, invalid
@@ -110,6 +110,7 @@
         """A Job that a keeper has is accepted."""
         job.leased = leased
         self.jobs[job.uid] = job
+        self.room.answered(job.uid, "")  # it is accepted from now on
 
     def release(self, job: JobRecord) -> None:
         """Another placer holds it by a lease of its own."""
@@ -127,7 +128,7 @@
         assert session is not None and spec.failover is not None
         return Record(FORM, uid, key, session, 0, 0, self._base.settings.region, spec.name, told.effect.value,
                       told.group.value, told.window_us, spec.failover.after_us, asked.task_class.priority, asked.cores,
-                      asked.memory, asked.count, manifest, (), "", 0)
+                      asked.memory, asked.count, manifest, (), OFFERED, 0)
 
     def _away(self, what: str, why: str) -> ApiError:
         self._base.counts["turned_away:" + what] += 1
--- a/wingbarrow/decide/peers/keeping.py
+++ b/wingbarrow/decide/peers/keeping.py
@@ -19,6 +19,7 @@
     EFFECTS,
     FORM,
     KEPT_MOST,
+    OFFERED,
     RECORD_MOST,
     Ended,
     Keep,
@@ -264,7 +265,8 @@
         names |= {name for batch in ended.batches for name in batch} if record.moves else set()
         gone = set(ended.gone) - {me}
         # Danger: one that is gone may have started it and asked those whom it knew of, not this placer.
-        if entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone:
+        # Or it was never accepted, for want of this very answer, and its owner asked elsewhere.
+        if entry.doubt or (record.moves > 0 and bool(gone)) or me in ended.gone or record.answered == OFFERED:
             record = doubted(record)
         self.taken[uid] = ended.epoch, "waiting"
         self._kept = None
--- a/wingbarrow/decide/peers/leasing.py
+++ b/wingbarrow/decide/peers/leasing.py
@@ -18,6 +18,7 @@
 RECORD_MOST = 16 * 1024  # bytes of a Job's record, its manifest included
 KEEPERS_MOST = 2
 EFFECTS = ("unsafe", "keyed", "safe")
+OFFERED = "offered"  # to its keepers; its owner may yet be told that it is not accepted
 
 
 def right_us(lease_us: int) -> int:
@@ -154,7 +155,7 @@
     count: int
     manifest: str  # the Job's JSON
     keepers: tuple[str, ...]
-    answered: str  # "", placed, refused, failed: what its owner was told by its first placer
+    answered: str  # by its first placer: OFFERED before its 201, then "", placed, refused or failed
     born_age_us: int  # since it was accepted, when this was said
     tasks: tuple[Known, ...] = field(default=())
     others: tuple[str, ...] = ()  # placers that may have an older one, and have not forgotten it yet
