Path tests end what they started, so that later ones find descriptors left

Cause: the whole suite ran out of its 20,000 descriptors at 91%: 18 tests of the relay and of the root folder failed with "Too many open files", each of which passes by itself. Seen: every path test left its hub's sockets open, some 200 with six placers in three regions, as a hub that has ended is not collected. Change: a stage kills its placers, machines and source before its hub ends, and regions close their links.

--- a/tests/peers/regions.py
+++ b/tests/peers/regions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -115,5 +116,10 @@
     def starts(self, uid: str) -> int:
         return len(self.seen("start", uid=uid))
 
-    def close(self) -> None:
-        self.network.close()
+    def play(self, script: Callable[[], Any], start: bool = True) -> Any:
+        def whole() -> Any:
+            try:
+                return script()
+            finally:
+                self.network.close()
+        return super().play(whole, start)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -35,7 +35,12 @@
             if start:
                 self.cluster.start()
                 self.hub.sleep(S)
-            return script()
+            try:
+                return script()
+            finally:
+                # Danger: what stands still at the end would hold its sockets, and later tests find none left.
+                for each in (*self.cluster.placers, *self.cluster.machines, self.cluster.source):
+                    each.domain.kill()
         try:
             return self.hub.run(main)
         finally:
