--- a/wingbarrow/cli/main.py
+++ b/wingbarrow/cli/main.py
@@ -66,8 +66,6 @@
 
     def run() -> None:
         service = Service(hub, settings, log)
-        click.echo(json.dumps({"kind": "placer", "name": settings.name, "url": service.url}))
-        sys.stdout.flush()
         with Nursery(hub) as nursery:
             def reload() -> None:
                 fresh = reload_file(file, service.placer.base.settings, log)
@@ -82,6 +80,9 @@
                 nursery.spawn(end, "end")
             nursery.spawn(on_signals(hub, {signal.SIGINT: ask_to_end, signal.SIGTERM: ask_to_end,
                                            signal.SIGHUP: reload}), "signals")
+            # Danger: who reads this may send a signal at once, which would end a process that hears none yet.
+            click.echo(json.dumps({"kind": "placer", "name": settings.name, "url": service.url}))
+            sys.stdout.flush()
             service.run()
             nursery.cancel()
     try:
