--- a/tests/stage.py
+++ b/tests/stage.py
@@ -39,8 +39,9 @@
                 return script()
             finally:
                 # Danger: what stands still at the end would hold its sockets, and later tests find none left.
-                for each in (*self.cluster.placers, *self.cluster.machines, self.cluster.source):
-                    each.domain.kill()
+                for domain in [*(slot.domain for slot in self.cluster.placers),
+                               *(machine.domain for machine in self.cluster.machines), self.cluster.source.domain]:
+                    domain.kill()
         try:
             return self.hub.run(main)
         finally:
