Settings of any customer: each key read by its full path, units and names as the site says

Cause: the reader took the first customer's figures for granted. Change: a value of the document knows its path and says in one line what is wrong; absent or zero bounds get stated defaults; the tick kept back is at most a twentieth of the shortest deadline; a set-up's figures are bounded by what the site's machines have.

--- a/wingbarrow/reader.py
+++ b/wingbarrow/reader.py
@@ -1,8 +1,14 @@
-"""The platform's settings object and load reports as the scheduler's types, for all who are handed them."""
+"""The platform's settings object and load reports as the scheduler's types, for all who are handed them.
+
+Figures, names, counts and orders are whatever the site says; what cannot be used is a ValueError of one line
+that names its key in full, as `lanes[2].effect`. What the page on settings does not name is passed over.
+"""
 
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
+from math import inf, isfinite
 from typing import Any, TypeVar
 
 from wingbarrow import interface as api
@@ -15,65 +21,100 @@
     "zone": api.Place.ZONE,
     "all": api.Place.ALL,
 }
+# Danger (rule 2): machines that discard no repeats at all ("off") would be taken for all machines.
+GROUPS = {name: place for name, place in PLACES.items() if place is not api.Place.NONE}
 DISCOVERY = {"push": api.Discovery.PUSH, "ask": api.Discovery.ASK}
 REPORTS = {"inline": api.Reports.IN_ANSWERS, "on_probe": api.Reports.ON_PROBES, "off": api.Reports.NONE}
+COUNTED = {"asked": False, "used": True}
+# Discovery is asked again after half of `rules.ask_every_us`: were that 0, a placer would do nothing else.
+ASK_LEAST_US = 100_000
+SHOWN_MOST = 60
 T = TypeVar("T")
 
 
-def need(source: Any, path: str) -> Any:
-    """The value at a dotted path of the settings; ValueError names the path where it is missing."""
-    value = source
-    for part in path.split("."):
-        if not isinstance(value, dict) or part not in value:
-            raise ValueError(f"{path}: missing")
-        value = value[part]
-    return value
-
-
-def number(source: Any, path: str) -> float:
-    """The number at a path; ValueError names it otherwise."""
-    value = need(source, path)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise ValueError(f"{path}: not a number: {value!r}")
-    return float(value)
-
-
-def whole(source: Any, path: str) -> int:
-    """The number at a path as a whole one; ValueError names it otherwise."""
-    value = number(source, path)
-    if value != value or value in (float("inf"), float("-inf")):
-        raise ValueError(f"{path}: out of range: {value}")
-    return int(value)
-
-
-def flag(source: Any, path: str) -> bool:
-    """The truth value at a path; ValueError names it otherwise."""
-    value = need(source, path)
-    if not isinstance(value, bool):
-        raise ValueError(f"{path}: neither true nor false: {value!r}")
-    return value
-
-
-def _choice(table: dict[str, T], source: Any, path: str) -> T:
-    value = need(source, path)
-    if value not in table:
-        raise ValueError(f"{path}: unknown: {value!r}")
-    return table[value]
-
-
-def _list(source: Any, path: str) -> list[Any]:
-    value = need(source, path)
-    if not isinstance(value, list):
-        raise ValueError(f"{path}: not a list: {value!r}")
-    return value
-
-
-def _per_item(source: Any, path: str, count: int) -> list[dict[str, Any]]:
-    """A list of the settings that runs parallel to another, wrapped so that each value can be named."""
-    values = _list(source, path)
-    if len(values) < count:
-        raise ValueError(f"{path}: {len(values)} values for {count}")
-    return [{path.rpartition(".")[2]: value} for value in values]
+def shown(value: object) -> str:
+    """A value in a message: on one line, and short. Danger: `repr` of what is nested deeply fails."""
+    if isinstance(value, (dict, list)):
+        return "an object" if isinstance(value, dict) else "a list"
+    text = repr(value)
+    return text if len(text) <= SHOWN_MOST else text[:SHOWN_MOST] + "..."
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A value of a JSON document and its path there; ValueError names the path of what is wrong."""
+
+    value: Any
+    path: str = ""
+
+    def find(self, path: str) -> Part | None:
+        """The value at a dotted path below this one; None where it is absent."""
+        part = self
+        for key in path.split("."):
+            if not isinstance(part.value, dict) or key not in part.value:
+                return None
+            part = Part(part.value[key], f"{part.path}.{key}" if part.path else key)
+        return part
+
+    def at(self, path: str) -> Part:
+        """The value at a dotted path below this one."""
+        found = self.find(path)
+        if found is None:
+            raise ValueError(f"{self.path}.{path}: missing" if self.path else f"{path}: missing")
+        return found
+
+    def wrong(self, why: str) -> ValueError:
+        """What is said of this value."""
+        return ValueError(f"{self.path}: {why}: {shown(self.value)}")
+
+    def items(self, least: int = 0) -> list[Part]:
+        """The values of a list; one that runs parallel to another holds at `least` as many."""
+        if not isinstance(self.value, list):
+            raise self.wrong("not a list")
+        if len(self.value) < least:
+            raise ValueError(f"{self.path}: {len(self.value)} values for {least}")
+        return [Part(value, f"{self.path}[{i}]") for i, value in enumerate(self.value)]
+
+    def number(self, least: float = 0.0, above: bool = False) -> float:
+        """A finite number, no less than `least`, or `above` it."""
+        if isinstance(self.value, bool) or not isinstance(self.value, (int, float)):
+            raise self.wrong("not a number")
+        try:
+            number = float(self.value)
+        except OverflowError:
+            number = inf
+        if not isfinite(number) or number < least or (above and number == least):
+            raise self.wrong("out of range")
+        return number
+
+    def whole(self, least: int = 0) -> int:
+        """A time in microseconds; a part of one is dropped. Also from 2000.0."""
+        return int(self.number(least))
+
+    def count(self, least: int = 0) -> int:
+        """A number of things, or a position; ValueError where it is none, such as 2.5."""
+        number = self.number(least)
+        if number != int(number):
+            raise self.wrong("not a whole number")
+        return int(number)
+
+    def flag(self) -> bool:
+        """A truth value."""
+        if not isinstance(self.value, bool):
+            raise self.wrong("neither true nor false")
+        return self.value
+
+    def name(self) -> str:
+        """Text that is not empty."""
+        if not isinstance(self.value, str) or not self.value:
+            raise self.wrong("not a name")
+        return self.value
+
+    def choice(self, table: dict[str, T]) -> T:
+        """What a table holds for this word."""
+        if not isinstance(self.value, str) or self.value not in table:
+            raise self.wrong("unknown")
+        return table[self.value]
 
 
 def read_settings(text: str) -> api.Settings:
@@ -81,63 +122,96 @@
     return settings_of(json.loads(text))
 
 
-def settings_of(setup: Any) -> api.Settings:
-    """Settings from the object; ValueError names what is missing or out of range."""
-    names = _list(setup, "kinds")
-    cores, memory = (
-        _per_item(setup, f"family_info.{key}", len(names)) for key in ("cores_by_kind", "memory_by_kind")
-    )
-    kinds = tuple(
-        api.MachineKind(str(name), number(cores[i], "cores_by_kind"), number(memory[i], "memory_by_kind"))
+def _names(parts: list[Part]) -> list[str]:
+    names: list[str] = []
+    for part in parts:
+        if part.name() in names:
+            raise part.wrong("a second one of this name")
+        names.append(part.name())
+    return names
+
+
+def _kinds(setup: Part) -> tuple[api.MachineKind, ...]:
+    """The kinds of machines; none at all is no fault, but of such a site no machine's size is known."""
+    names = _names(setup.at("kinds").items())
+    cores = setup.at("family_info.cores_by_kind").items(len(names))
+    memory = setup.at("family_info.memory_by_kind").items(len(names))
+    return tuple(
+        api.MachineKind(name, cores[i].number(above=True), memory[i].number(above=True))
         for i, name in enumerate(names)
     )
-    lanes = _list(setup, "lanes")
+
+
+def _classes(setup: Part, kinds: tuple[api.MachineKind, ...]) -> tuple[api.TaskClass, ...]:
+    lanes = setup.at("lanes").items()
+    if not lanes:
+        # Each set-up names its class: without one nothing can ever be placed, and every task would be failed.
+        # The fault is better seen at the start.
+        raise ValueError(f"{setup.at('lanes').path}: at least one is needed")
+    names = _names([lane.at("name") for lane in lanes])
     columns = {
-        key: _per_item(setup, f"family_info.{key}", len(lanes))
+        key: setup.at(f"family_info.{key}").items(len(lanes))
         for key in ("class_kind", "class_most", "easy_until", "lost_after", "spread_by")
     }
     classes = []
     for i, lane in enumerate(lanes):
-        row = {key: column[i][key] for key, column in columns.items()}
-        needs = whole(row, "class_kind")
+        row = {key: column[i] for key, column in columns.items()}
+        needs = row["class_kind"].count(least=-1)
         if needs >= len(kinds):
-            raise ValueError(f"class_kind: no such kind: {needs}")
-        effect = _choice(EFFECTS, lane, "effect")
+            raise row["class_kind"].wrong("no such kind")
+        effect = lane.at("effect").choice(EFFECTS)
         keyed = effect is api.Effect.KEYED
+        spread = row["spread_by"].choice(PLACES)
+        bounded = spread is not api.Place.NONE  # else the figure says nothing, and may be 0 or -1
         classes.append(
             api.TaskClass(
-                name=str(need(lane, "name")),
+                name=names[i],
                 effect=effect,
-                group=_choice(PLACES, lane, "dedup_scope") if keyed else api.Place.ALL,
-                window_us=whole(lane, "dedup_window_us") if keyed else 0,
-                worth=number(lane, "importance"),
-                spread=_choice(PLACES, row, "spread_by"),
-                spread_most=whole(row, "class_most"),
+                group=lane.at("dedup_scope").choice(GROUPS) if keyed else api.Place.ALL,
+                window_us=lane.at("dedup_window_us").whole() if keyed else 0,
+                worth=lane.at("importance").number(),
+                spread=spread,
+                spread_most=row["class_most"].count(least=1) if bounded else 0,
                 kind=kinds[needs].name if needs >= 0 else None,
-                calm=number(row, "easy_until"),
-                fade=number(row, "lost_after"),
+                calm=row["easy_until"].number(),
+                fade=row["lost_after"].number(),
             )
         )
+    return tuple(classes)
+
+
+def settings_of(value: Any, path: str = "") -> api.Settings:
+    """Settings from the object, found at `path` of its document; ValueError names what is missing or wrong.
+
+    Only `costs.fleet` may be absent: no such cost. An interval of 0 counts as the shortest, 1 us.
+    """
+    setup = Part(value, path)
+    kinds = _kinds(setup)
+    placers = setup.at("balancers").count(least=1)
+    me = setup.at("me")
+    if me.count() >= placers:
+        raise me.wrong(f"no such one of {placers}")
+    fleet = setup.find("costs.fleet")
     return api.Settings(
-        placers=whole(setup, "balancers"),
-        index=whole(setup, "me"),
-        classes=tuple(classes),
+        placers=placers,
+        index=me.count(),
+        classes=_classes(setup, kinds),
         kinds=kinds,
-        booking_cores=number(setup, "family_info.cpu_booking"),
-        booking_memory=number(setup, "family_info.admit_memory"),
-        attempts_most=whole(setup, "bounds.send_cap"),
-        discovery=_choice(DISCOVERY, setup, "discovery"),
-        may_probe=flag(setup, "bounds.probes"),
-        reports=_choice(REPORTS, setup, "report.how"),
-        reports_use=need(setup, "family_info.report_counts") == "used",
-        room_in_list=flag(setup, "family_info.free_in_list"),
-        tick_us=whole(setup, "quantum_us"),
-        ask_every_us=whole(setup, "rules.ask_every_us"),
-        cold_us=whole(setup, "rules.cold_us"),
-        fall_us=whole(setup, "rules.fall_us"),
-        fresh_offers=number(setup, "family_info.fresh_offers"),
+        booking_cores=setup.at("family_info.cpu_booking").number(above=True),
+        booking_memory=setup.at("family_info.admit_memory").number(above=True),
+        attempts_most=setup.at("bounds.send_cap").count(least=1),
+        discovery=setup.at("discovery").choice(DISCOVERY),
+        may_probe=setup.at("bounds.probes").flag(),
+        reports=setup.at("report.how").choice(REPORTS),
+        reports_use=setup.at("family_info.report_counts").choice(COUNTED),
+        room_in_list=setup.at("family_info.free_in_list").flag(),
+        tick_us=max(1, setup.at("quantum_us").whole()),
+        ask_every_us=max(ASK_LEAST_US, setup.at("rules.ask_every_us").whole()),
+        cold_us=setup.at("rules.cold_us").whole(),
+        fall_us=max(1, setup.at("rules.fall_us").whole()),
+        fresh_offers=setup.at("family_info.fresh_offers").number(),
         prices=api.Prices(
-            fleet=float(setup.get("costs", {}).get("fleet", 0.0)), probe=number(setup, "costs.probe")
+            fleet=fleet.number() if fleet is not None else 0.0, probe=setup.at("costs.probe").number()
         ),
     )
 
--- a/wingbarrow/relay/configuration.py
+++ b/wingbarrow/relay/configuration.py
@@ -5,16 +5,22 @@
 import json
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from wingbarrow import interface as api
 from wingbarrow.decide.descriptors import LEAST
-from wingbarrow.reader import need, settings_of, whole
+from wingbarrow.reader import Part, settings_of, shown
 
 FILE_MOST = 16 << 20
+# Bounds that are absent or 0: nothing is told, and these hold. Below the shortest, nothing could be done in time.
 DIAL_US = 250_000
+STAY_AWAY_MOST_US = 1_000_000
+CONN_IDLE_US = 30_000_000
+BOUND_LEAST_US = 1_000
+TICK_PART = 20  # of the shortest deadline: no more than this part is kept back before a deadline
+DIGITS_MOST = 300  # of a whole number; a longer one is no float, and counts as infinite
 
 
 class BadConfiguration(Exception):
@@ -46,21 +52,26 @@
     dial_us: int
     stay_away_most_us: int
     patience_us: int  # the longest of any class
+    conn_idle_us: int = CONN_IDLE_US  # idle connections are closed after this interval
 
 
 def read_address(text: object, what: str) -> Address:
     """HOST:PORT; BadConfiguration with `what` otherwise."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not (host and colon and port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
-        raise BadConfiguration(f"{what}: not an address: {text!r}")
+    if not (host and colon and port.isascii() and port.isdigit() and len(port) <= 5 and int(port) < 65536):
+        raise BadConfiguration(f"{what}: not an address: {shown(text)}")
     host = host.strip("[]")
     try:
         socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
     except (OSError, ValueError):
-        raise BadConfiguration(f"{what}: not a host by number: {text!r}") from None
+        raise BadConfiguration(f"{what}: not a host by number: {shown(text)}") from None
     return Address(host, int(port))
 
 
+def _whole_number(digits: str) -> int | float:
+    return int(digits) if len(digits) <= DIGITS_MOST else float(digits)
+
+
 def _load(path: str) -> dict[str, Any]:
     try:
         with Path(path).open("rb") as file:
@@ -70,7 +81,7 @@
     if len(raw) > FILE_MOST:
         raise BadConfiguration(f"{path}: longer than {FILE_MOST} bytes")
     try:
-        value = json.loads(raw)
+        value = json.loads(raw, parse_int=_whole_number)
     except (ValueError, RecursionError) as error:
         raise BadConfiguration(f"{path}: {error}") from None
     if not isinstance(value, dict):
@@ -78,33 +89,69 @@
     return value
 
 
+def _seed(part: Part) -> int:
+    try:
+        return int(str(part.value), 16)
+    except ValueError:
+        raise part.wrong("not hex digits") from None
+
+
+def _known(part: Part) -> Any:
+    """The journal service's form; what its events hold is judged where they are read."""
+    position = part.at("pos")
+    if isinstance(position.value, bool) or not isinstance(position.value, int):
+        raise position.wrong("not a position")
+    part.at("entries").items()
+    return part.value
+
+
+def _bound(settings: Part, key: str, usual: int) -> int:
+    """A time of the site's bounds, in microseconds; `usual` where it is absent or 0."""
+    part = settings.find(f"bounds.{key}")
+    told = 0 if part is None else part.whole()
+    return max(BOUND_LEAST_US, told) if told else usual
+
+
+def _deadlines(settings: Part) -> list[int]:
+    return [lane.at("deadline_us").whole() for lane in settings.at("lanes").items()]
+
+
+def _scheduler(part: Part) -> api.Settings:
+    """The scheduler's settings, with a tick that leaves time before the shortest deadline.
+
+    Danger (rule 1): `quantum_us` is the interval between the simulator's batches, which do not exist here; one as
+    long as a deadline would have every set-up of its class turned away, as out of time.
+    """
+    settings = settings_of(part.value, part.path)
+    return replace(settings, tick_us=max(1, min(settings.tick_us, min(_deadlines(part)) // TICK_PART)))
+
+
 def load(environment: Mapping[str, str]) -> Configuration:
-    """Read the environment and the file it names; BadConfiguration says what is wrong."""
+    """Read the environment and the file it names; BadConfiguration says in one line what is wrong, by its key."""
     path = environment.get("RELAY_CONFIG", "")
     if not path:
         raise BadConfiguration("RELAY_CONFIG is not set")
-    value = _load(path)
-    listen = read_address(environment.get("RELAY_LISTEN") or value.get("listen"), "RELAY_LISTEN")
-    name = environment.get("RELAY_NAME") or value.get("name")
-    if not isinstance(name, str) or not name:
-        raise BadConfiguration("RELAY_NAME: not a name")
+    whole = Part(_load(path))
+    listen = environment.get("RELAY_LISTEN")
+    name = environment.get("RELAY_NAME")
     try:
-        settings = need(value, "settings")
-        bounds = settings.get("bounds", {}) if isinstance(settings, dict) else {}
-
-        sockets = whole(value, "limits.sockets")
-        if sockets < LEAST:
-            raise ValueError(f"limits.sockets: {sockets}, and no fewer than {LEAST} will do")
-
-        def bound(key: str, usual: int) -> int:
-            return max(1_000, whole(bounds, key)) if key in bounds else usual
+        settings, sockets = whole.at("settings"), whole.at("limits.sockets")
+        if sockets.count() < LEAST:
+            raise sockets.wrong(f"no fewer than {LEAST} will do")
         return Configuration(
-            name=name, listen=listen, seed=int(str(need(value, "seed")), 16),
-            sockets=sockets, journal=read_address(value.get("journal"), "journal"),
-            known=need(value, "known"), settings=settings_of(settings), dial_us=bound("dial_timeout_us", DIAL_US),
-            patience_us=max(whole(lane, "deadline_us") for lane in settings["lanes"]),
-            stay_away_most_us=bound("max_retry_after_us", 1_000_000))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+            name=name or whole.at("name").name(),
+            listen=read_address(listen or whole.at("listen").value, "RELAY_LISTEN" if listen else "listen"),
+            seed=_seed(whole.at("seed")),
+            sockets=sockets.count(),
+            journal=read_address(whole.at("journal").value, "journal"),
+            known=_known(whole.at("known")),
+            settings=_scheduler(settings),
+            dial_us=_bound(settings, "dial_timeout_us", DIAL_US),
+            stay_away_most_us=_bound(settings, "max_retry_after_us", STAY_AWAY_MOST_US),
+            patience_us=max(_deadlines(settings)),
+            conn_idle_us=_bound(settings, "conn_idle_us", CONN_IDLE_US),
+        )
+    except (BadConfiguration, ValueError) as error:
         raise BadConfiguration(f"{path}: {error}") from None
 
 
--- a/wingbarrow/relay/setup.py
+++ b/wingbarrow/relay/setup.py
@@ -9,13 +9,37 @@
 from wingbarrow import interface as api
 from wingbarrow.relay.message import BadMessage, Code, Message
 
-PATIENCE_MOST_MS = 3_600_000
-SIZE_MOST = 1e6
-_NAME = re.compile(r"[0-9a-f]{16}")
-_SERVICE = re.compile(r"[!-~]{1,64}")
+FAR_MS = 1e12  # some thirty years: no owner waits so long, and no task has so long to go
+FAR_TIMES = 100  # what the settings tell, for a bound
+PATIENCE_LEAST_MS = 3_600_000  # of patience, as a bound
+SIZE_MOST = 1e18  # in whatever unit the site counts cores and memory, bytes too
+SIZE_LEAST = 1e-12  # of cores
+TOKEN_MOST = 64  # bytes
+_NAME = re.compile(r"[0-9a-fA-F]{16}")
 _PASSED_ON = (Code.CLASS, Code.NAME, Code.DESCRIPTION)
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a figure may be at most; patience in milliseconds."""
+
+    cores: float = SIZE_MOST
+    memory: float = SIZE_MOST
+    patience_ms: float = FAR_MS
+
+    @classmethod
+    def of(cls, settings: api.Settings, deadline_us: int) -> Bounds:
+        """Some way over what the site's largest machine has, and over its longest deadline.
+
+        What is over could never be placed: held until its patience ends, it would wait for nothing.
+        """
+        def most(sizes: list[float], booking: float) -> float:
+            return FAR_TIMES * max(1.0, booking) * max(sizes) if sizes else SIZE_MOST
+        return cls(most([kind.cores for kind in settings.kinds], settings.booking_cores),
+                   most([kind.memory for kind in settings.kinds], settings.booking_memory),
+                   max(PATIENCE_LEAST_MS, FAR_TIMES * deadline_us / 1000))
+
+
 class BadSetUp(Exception):
     """The set-up can be read, but not be placed."""
 
@@ -42,6 +66,10 @@
                                self.hint_us)
 
 
+def _is_token(text: str) -> bool:
+    return text.split() == [text] and len(text.encode()) <= TOKEN_MOST
+
+
 def _figure(text: str | None, what: str, least: float, most: float) -> float:
     try:
         value = float(text or "")
@@ -52,7 +80,7 @@
     return value
 
 
-def read(message: Message, classes: dict[str, api.TaskClass]) -> SetUp:
+def read(message: Message, classes: dict[str, api.TaskClass], bounds: Bounds = Bounds()) -> SetUp:  # noqa: B008 - frozen
     """A set-up from its message; BadSetUp says what is wrong."""
     try:
         cls = classes.get(message.text(Code.CLASS) or "")
@@ -71,13 +99,13 @@
     if not message.task:
         raise BadSetUp("no id")
     service, at = figures.get("service", ""), figures.get("at")
-    if not _SERVICE.fullmatch(service):
+    if not _is_token(service):
         raise BadSetUp("no service")
-    if at is not None and not _SERVICE.fullmatch(at):
+    if at == "":  # the list holds machines of any name
         raise BadSetUp("at names no machine")
     # What a machine holds already wants no answer: its patience may be long over.
-    patience_ms = 0.0 if at is not None else _figure(patience, "patience", 0, PATIENCE_MOST_MS)
-    return SetUp(message.task, cls, name, service, _figure(figures.get("cores"), "cores", 1e-6, SIZE_MOST),
-                 _figure(figures.get("memory"), "memory", 0, SIZE_MOST), int(patience_ms * 1000),
-                 None if hint is None else int(_figure(hint, "hint", 0, 1e9) * 1000), again, at,
+    patience_ms = 0.0 if at is not None else _figure(patience, "patience", 0, bounds.patience_ms)
+    return SetUp(message.task, cls, name, service, _figure(figures.get("cores"), "cores", SIZE_LEAST, bounds.cores),
+                 _figure(figures.get("memory"), "memory", 0, bounds.memory), int(patience_ms * 1000),
+                 None if hint is None else int(_figure(hint, "hint", 0, FAR_MS) * 1000), again, at,
                  {int(code): message.values[code] for code in _PASSED_ON})
