A client that left is not sent for; window, restart, idle close and end of life asked once more

Ruled out: SIGTERM before ready and a second one (one task, harmless), readers throttled by full outboxes (they are not).

--- a/tests/relay/stage.py
+++ b/tests/relay/stage.py
@@ -196,6 +196,7 @@
     machines_wanted: int = 2
     settings: dict[str, Any] = field(default_factory=lambda: SETTINGS)
     sockets: int = 256
+    deadline_ms: int = 5000  # the longest of any class
     ended_us: int | None = None  # when the placer ended by itself
 
     def run(self, play: Callable[[Stage], None]) -> None:
@@ -226,7 +227,7 @@
             name="n0", listen=Address("127.0.0.1", 0), seed=5, sockets=self.sockets,
             journal=Address("127.0.0.1", self.journal.server.port), known=self.journal.known(),
             settings=settings_of(self.settings), dial_us=250 * MS, stay_away_most_us=3 * S,
-            patience_us=5 * S)
+            patience_us=self.deadline_ms * MS, conn_idle_us=self.settings["bounds"].get("conn_idle_us", 30 * S))
         return Placer(self.hub, configuration, log)
 
     def client(self) -> Client:
--- /dev/null
+++ b/tests/relay/test_crossings.py
@@ -0,0 +1,234 @@
+"""Two events that cross: between the module's choice and the first byte, at the close of a connection, at the end."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from tests.relay.stage import DESCRIPTION, MS, S, SETTINGS, Machine, Stage
+
+from wingbarrow.decide.crowd import IDLE_US, SILENT_US
+from wingbarrow.decide.gate import Held
+from wingbarrow.relay import links
+from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
+from wingbarrow.transport import PeerGone, Stream, connect
+
+
+def settings(**classes: Any) -> dict[str, Any]:
+    """The settings with the first class changed."""
+    changed = copy.deepcopy(SETTINGS)
+    changed["lanes"][0].update(classes)
+    return changed
+
+
+def late_dials(monkeypatch: pytest.MonkeyPatch, by_ms: int, when: Callable[[], bool] = lambda: True) -> None:
+    """Connections to machines come up so much later."""
+    def late(hub: Any, host: str, port: int) -> Stream:
+        if when():
+            hub.sleep(by_ms * MS)
+        return connect(hub, host, port)
+    monkeypatch.setattr(links, "connect", late)
+
+
+# -- between the module's choice and the first byte
+
+@pytest.mark.parametrize(("window_ms", "sends"), [(150, 1), (5000, 2)])
+def test_a_repeat_whose_window_closes_while_its_connection_comes_up_is_not_sent(
+        window_ms: int, sends: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first attempt may have run at 0; the second is decided soon after, and its connection takes 200 ms."""
+    def play(stage: Stage) -> None:
+        first: list[Machine] = []
+
+        def break_first(machine: Machine) -> Callable[[Stream, Message], None]:
+            def on_set_up(stream: Stream, message: Message) -> None:
+                if first:
+                    machine.take(stream, message)
+                else:
+                    first.append(machine)
+                    late_dials(monkeypatch, 200)
+                    stream.abort()
+            return on_set_up
+        for machine in stage.machines:
+            machine.on_set_up = break_first(machine)
+        stage.owner.ask(1)
+        stage.sleep(1000)
+        sent = stage.set_ups(1)
+        assert len(sent) == sends
+        if sends == 1:
+            assert stage.placer.life.counts["held:repeat"] >= 1
+            stage.sleep(1000)
+            (refused,) = stage.owner.of(1)
+            assert refused.kind == Kind.RELEASE and refused.cause in (34, 42, 102), "harmless: the group is all"
+        else:
+            assert sent[1][1].at_us - sent[0][1].at_us >= 200 * MS
+            assert stage.owner.kinds(1) == [Kind.ANSWER]
+    Stage(2, settings=settings(effect="dedup", dedup_scope="all", dedup_window_us=window_ms * MS)).run(play)
+
+
+def test_an_offer_that_waits_while_its_machine_starts_anew_is_not_sent_to_the_cold_process(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.sleep(3000)  # past the span after the placer's own start
+        owner = stage.client()
+        late_dials(monkeypatch, 200)
+        for task in range(1, 4):
+            owner.ask(task, name=f"{task:016x}", patience_ms=1500)
+        stage.sleep(50)
+        stage.journal.add(machine.entry(started_ms=stage.hub.clock.wall_us() // 1000))
+        stage.sleep(170)
+        monkeypatch.undo()
+        assert stage.placer.life.counts["held:restarted"] == 3 and Held.RESTARTED.name == "RESTARTED"
+        stage.sleep(300)
+        # They go all the same, decided anew and counted in the cold machine's share.
+        assert [owner.kinds(task) for task in (1, 2, 3)] == [[Kind.ANSWER]] * 3
+    Stage(1).run(play)
+
+
+def test_an_offer_takes_no_connection_that_its_machine_may_be_closing_as_idle() -> None:
+    """The settings close idle connections after 2 s; the machine does, just as an offer could be written."""
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.owner.ask(1, name="1" * 16)
+        stage.sleep(1950)
+        assert len(machine.streams) == 1 and machine.streams[0].open
+        other = stage.client()
+        other.ask(2, "settlement", name="2" * 16)
+        machine.streams[0].end_writing()  # its end crosses the offer
+        stage.sleep(100)
+        assert other.kinds(2) == [Kind.ANSWER] and len(machine.streams) == 2
+    Stage(1, settings=copy.deepcopy(SETTINGS) | {"bounds": {**SETTINGS["bounds"], "conn_idle_us": 2 * S}}).run(play)
+
+
+# -- the close of a connection
+
+def proven_and_idle(stage: Stage) -> None:
+    stage.owner.ask(1, name="1" * 16)
+    stage.sleep(20)
+    stage.machines[0].tell(with_cause(Kind.RELEASE, 1, Cause.OVER))
+    stage.sleep(20)
+
+
+def test_a_set_up_that_lies_unread_as_its_connection_is_swept_is_answered() -> None:
+    def play(stage: Stage) -> None:
+        proven_and_idle(stage)
+        stage.sleep((IDLE_US - 300 * MS) // MS)
+
+        def at_once() -> None:
+            # All that is due runs before what came is read: the sweep finds the connection idle for too long.
+            stage.owner.ask(2, name="2" * 16)
+            stage.hub.clock.jump(stage.hub.now_us() + 700 * MS)
+        stage.hub.spawn(at_once, "stall")
+        stage.sleep(1200)
+        assert Kind.ANSWER in stage.owner.kinds(2) and stage.owner.ended_us is None
+    Stage(1).run(play)
+
+
+def test_a_release_that_crosses_the_close_of_an_idle_connection_is_heard() -> None:
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.owner.ask(1, name="1" * 16)
+        stage.sleep(20)
+        while stage.owner.ended_us is None:
+            stage.sleep(20)  # idle: closed here
+        stage.owner.stream.send(with_cause(Kind.RELEASE, 1, Cause.CANCELLED))
+        stage.sleep(50)
+        assert [each.message.task for each in machine.heard if each.message.kind == Kind.RELEASE] == [1]
+    Stage(1).run(play)
+
+
+def test_a_set_up_that_crosses_the_close_is_neither_taken_nor_reset_and_can_go_again() -> None:
+    def play(stage: Stage) -> None:
+        proven_and_idle(stage)
+        while stage.owner.ended_us is None:
+            stage.sleep(20)
+        stage.owner.ask(2, name="2" * 16)
+        stage.sleep(30)
+        assert stage.set_ups(2) == [] and stage.owner.of(2) == []
+        again = stage.client()
+        again.ask(2, name="2" * 16)
+        stage.sleep(50)
+        assert again.kinds(2) == [Kind.ANSWER] and len(stage.set_ups(2)) == 1
+        assert stage.placer.life.counts["crossed_a_close"] == 1
+    Stage(1).run(play)
+
+
+def test_where_room_is_wanted_a_connection_with_something_unread_is_not_the_one_that_goes() -> None:
+    def play(stage: Stage) -> None:
+        owners = stage.placer.owners
+        stage.sleep(20)
+        clients = [stage.client() for _ in range(owners._crowd.most - 1)]
+        stage.sleep(20)
+        assert len(owners) == owners._crowd.most and stage.placer.life.counts["owners:crowded"] == 0
+        make_room = owners._make_room
+
+        def ask_first() -> None:
+            stage.owner.ask(1)  # the oldest silent one, which would go: unread as the next one is counted
+            make_room()
+        owners._make_room = ask_first  # type: ignore[method-assign]
+        one_more = stage.client()
+        stage.sleep(50)
+        assert stage.owner.kinds(1) == [Kind.ANSWER] and one_more.ended_us is None
+        assert stage.placer.life.counts["owners:crowded"] == 1
+        assert [client.ended_us is not None for client in clients].count(True) == 1
+    Stage(1, sockets=96).run(play)
+
+
+def test_silent_connections_are_closed_within_their_time_and_their_descriptors_come_back() -> None:
+    def play(stage: Stage) -> None:
+        clients = [stage.client() for _ in range(8)]
+        clients[0].stream.send(encode(Kind.SET_UP, 5, {Code.DESCRIPTION: DESCRIPTION})[:9])  # half a message
+        stage.sleep((SILENT_US + 300 * MS) // MS)
+        assert all(client.ended_us is not None for client in clients)
+        stage.sleep(600)
+        assert len(stage.placer.owners) == 0
+    Stage(1).run(play)
+
+
+# -- the end of a restart
+
+@pytest.mark.parametrize("deadline_ms", [50, 300, 5000])
+def test_what_comes_within_its_time_after_sigterm_is_answered_whatever_the_longest_deadline(deadline_ms: int) -> None:
+    """New connections come until 0.4 s and requests 0.2 s more; SIGKILL no sooner than the deadline and 0.7 s."""
+    def play(stage: Stage) -> None:
+        told = stage.hub.now_us()
+        stage.placer.finish()
+        stage.placer.finish()  # a second SIGTERM
+        stage.sleep(400)
+        late = stage.client()
+        stage.sleep(195)
+        late.ask(1, name="1" * 16, patience_ms=deadline_ms)
+        stage.sleep(40)
+        assert late.kinds(1) == [Kind.ANSWER]
+        while stage.ended_us is None:
+            stage.sleep(10)
+        assert (stage.ended_us - told) // MS <= min(3000, deadline_ms) + 700
+    Stage(1, deadline_ms=deadline_ms).run(play)
+
+
+def test_at_its_end_a_placer_resets_no_answer_away() -> None:
+    """A client that talks on as the placer ends reads its answer and then an end, not a reset."""
+    def play(stage: Stage) -> None:
+        ends: list[int] = []
+        client = stage.client()
+
+        def talk() -> None:
+            try:
+                while True:
+                    client.stream.send(encode(Kind.PROGRESS, 1, {}))
+                    stage.hub.sleep(5 * MS)
+            except PeerGone:
+                ends.append(stage.hub.now_us())
+        client.ask(1, name="1" * 16)
+        stage.sleep(20)
+        stage.hub.spawn(talk, "talker")
+        stage.placer.finish()
+        for _ in range(1000):
+            stage.sleep(5)
+            if client.ended_us is not None:
+                break
+        assert client.ended_us is not None and client.kinds(1) == [Kind.ANSWER]
+        assert not ends or ends[0] > client.ended_us, "its end was read before any reset"
+    Stage(1).run(play)
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -43,7 +43,7 @@
         number, task.binds = task.binds, task.binds + 1
         pod = f"t{self._base.life}-{bind.request}-{number}"
         attempt = Attempt(bind.request, number, task, link, pod, self._base.hub.now_us(), bind.give_up_us)
-        attempt.rules = self._rulebook.label
+        attempt.rules, attempt.launched_us = self._rulebook.label, link.launched_us
         self._attempts.add(attempt)
         self._base.counts["binds"] += 1
         self._base.spawn(lambda: self._offer(attempt), "offer")
@@ -57,7 +57,7 @@
             link.phase is api.Phase.RUNNING, link.launched_us,
             self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
                                    attempt.decided_us), task.job.leased is None or self._leaseholder is not None
-            and self._leaseholder.may_send(task.job)))
+            and self._leaseholder.may_send(task.job), chosen_launched_us=attempt.launched_us))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
             return False
--- a/wingbarrow/core/stages.py
+++ b/wingbarrow/core/stages.py
@@ -61,6 +61,7 @@
     scope: CancelScope | None = None
     stopping: End | None = None  # why it is being stopped
     abandoned: bool = False  # nobody waits for its answer any longer
+    launched_us: int | None = None  # the machine's last start as known when it was chosen
 
 
 class Ledger(Generic[AttemptT]):
--- a/wingbarrow/decide/gate.py
+++ b/wingbarrow/decide/gate.py
@@ -16,8 +16,10 @@
     ENDED = "the request has ended"
     LATE = "the owner's patience has ended"
     NOT_OUT = "another attempt is out"
+    REPEAT = "an earlier attempt may have run, and a repeat now could have its effect twice"
     DRAINING = "the machine drains or is gone"
     STALE_COLD = "the offer to a cold machine waited too long"
+    RESTARTED = "the machine has started anew since it was chosen, and is cold"
     NO_GRANT = "this placer may act on no rules now"
     OTHER_RULES = "it was decided under rules that are not acted on any more"
     FORBIDDEN = "the rules in force allow no such offer"
@@ -36,6 +38,8 @@
     launched_us: int  # the machine's last start, 0 for long ago
     granted: Held | None = None  # what the agreed rules say against it at this moment
     leased: bool = True  # its Job needs no lease, or this placer's holds, by its own clock
+    may_repeat: bool = True  # no earlier attempt may have run, or `decide.repeats` allows one more now
+    chosen_launched_us: int | None = None  # the machine's last start as known when it was chosen; None: as now
 
 
 class SendGate:
@@ -56,6 +60,9 @@
         # Rule 2. Danger: two attempts out, when this one was given up while it waited for its connection.
         if not offer.attempt_out:
             return Held.NOT_OUT
+        # Rule 2. Danger: the window in which machines discard a repeat closed while this one waited.
+        if not offer.may_repeat:
+            return Held.REPEAT
         # Agreed rules. Danger: this placer stood still, or was cut off, while the others went on to other rules.
         if offer.granted is not None:
             return offer.granted
@@ -68,6 +75,9 @@
             return Held.DRAINING
         # Rule 4. Danger: offers that waited go out in one burst, more in a span than the module counted.
         cold = offer.launched_us > 0 and now_us < offer.launched_us + self._cold_us
+        # Danger: chosen while its former process was warm, so that the module counted it in no cold machine's share.
+        if cold and offer.chosen_launched_us not in (None, offer.launched_us):
+            return Held.RESTARTED
         if cold and now_us - offer.decided_us > self._cold_wait_us:
             return Held.STALE_COLD
         return None
--- a/wingbarrow/relay/desk.py
+++ b/wingbarrow/relay/desk.py
@@ -23,10 +23,11 @@
     """What owners ask; `ready` is what a test is answered."""
 
     def __init__(self, life: Life, host: Host, book: Book, attempts: Attempts, links: Links, offers: Offers,
-                 crowd: Crowd, settings: api.Settings, stay_away_most_us: int) -> None:
+                 crowd: Crowd, settings: api.Settings, stay_away_most_us: int, deadline_us: int) -> None:
         self._life, self._host, self._book, self._attempts = life, host, book, attempts
         self._links, self._offers, self._crowd = links, offers, crowd
         self._classes = {each.name: each for each in settings.classes}
+        self._bounds = setup.Bounds.of(settings, deadline_us)
         self._door = Door(settings.tick_us)
         self._stay_away = b"%d" % max(1, min(stay_away_most_us, 1_000_000) // 1000)
         self.ready = False
@@ -35,7 +36,9 @@
     def take(self, owner: Owner, message: Message, came_us: int) -> None:
         """One message of an owner."""
         kind = message.kind
-        if kind == Kind.SET_UP:
+        if owner.retired and kind != Kind.RELEASE:
+            self._life.counts["crossed_a_close"] += 1  # nothing can be answered there: its client asks elsewhere
+        elif kind == Kind.SET_UP:
             self._set_up(owner, message, came_us)
         elif kind == Kind.RELEASE:
             self._released(owner, message)
@@ -46,7 +49,7 @@
     def _set_up(self, owner: Owner, message: Message, came_us: int) -> None:
         held = self._book.by_ident.get(message.task)
         try:
-            asked = setup.read(message, self._classes)
+            asked = setup.read(message, self._classes, self._bounds)
         except setup.BadSetUp as error:
             self._turn_away(owner, message.task, Cause.ERROR, f"bad: {error}", held)
             return
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -26,6 +26,7 @@
 SWEEP_US = 100_000
 REDIAL_US = 100_000
 REDIAL_MOST_US = 500_000  # doubled up to this while connections are refused and old ones stand
+IDLE_MARGIN_US = 1_000_000  # before the settings' idle time; a quarter of it where that is less
 RETIRE_US = 1_000_000  # for the machine to end its side of a connection that is closed here
 VISIT_US = 3_000_000  # after a connection had to go, the machine is asked on a new one for what it may have said
 LINES_MOST = 6  # connections to one machine
@@ -93,6 +94,7 @@
                  news: News) -> None:
         self.name, self.ident = name, listed.machine
         self.address = address
+        self.listed = listed  # its place is the same for as long as it is listed
         self.phase, self.launched_us = listed.phase, listed.launched_us
         self.lines: list[Line] = []
         self.standing: dict[int, Attempt] = {}
@@ -112,7 +114,11 @@
 
     def free_line(self) -> Line | None:
         """One on which no set-up is open."""
-        return next((line for line in self.lines if line.stream.open and not line.out), None)
+        # Danger: near the time at which idle connections are closed there, an offer crosses the close, and a task that
+        # must never start twice is in doubt. What waits to be sent before it would put its first byte off, too.
+        since_us = self._life.hub.now_us() - self._links.fresh_us
+        return next((line for line in self.lines if line.stream.open and not line.out
+                     and line.used_us > since_us and not line.outbox.waiting), None)
 
     def shared_line(self) -> Line | None:
         """The one with the fewest set-ups open."""
@@ -322,8 +328,9 @@
     Together with owners' connections, theirs stay within the budget of `decide.descriptors`.
     """
 
-    def __init__(self, table: Table, owners: Callable[[], int]) -> None:
+    def __init__(self, table: Table, owners: Callable[[], int], idle_us: int) -> None:
         self._table, self._owners = table, owners
+        self.fresh_us = idle_us - min(IDLE_MARGIN_US, idle_us // 4)  # an offer uses no connection idle for longer
         self.lines: dict[Line, None] = {}  # all that hold a descriptor, also those that are being read to their end
         self.dials = 0  # connections asked for that have not come up
         self.by_name: dict[str, Link] = {}
--- a/wingbarrow/relay/message.py
+++ b/wingbarrow/relay/message.py
@@ -141,6 +141,12 @@
         """Bytes fed and not yet given out."""
         return len(self._buffer)
 
+    @property
+    def ready(self) -> bool:
+        """Whether a whole message, or an error, waits to be given out."""
+        buffer = self._buffer
+        return len(buffer) >= 2 and len(buffer) >= 2 + int.from_bytes(buffer[:2], "big")
+
     def feed(self, data: bytes) -> None:
         """Take in bytes; the caller reads no more while `next` has messages to give."""
         self._buffer += data
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -9,6 +9,7 @@
 from wingbarrow.decide import strays
 from wingbarrow.decide.again import End
 from wingbarrow.decide.gate import Held, Offer, SendGate
+from wingbarrow.decide.repeats import Earlier, may_repeat
 from wingbarrow.reader import read_report
 from wingbarrow.relay.links import Attempt, Attempts, Line, Link, Links
 from wingbarrow.relay.message import BadMessage, Cause, Code, Kind, Message, encode, with_cause
@@ -24,6 +25,7 @@
          "s": api.NoteKind.SERVED, "p": api.NoteKind.MACHINE_MEMORY}
 BEFORE: dict[int, api.Outcome] = {
     Cause.FULL: api.Outcome.REFUSED, Cause.ERROR: api.Outcome.ERROR, Cause.MOOT: api.Outcome.NOT_SENT}
+UNRUN = (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT)  # what surely never ran
 AFTER: dict[int, api.Outcome] = {Cause.OVER: api.Outcome.DONE, Cause.CANCELLED: api.Outcome.CANCELLED}
 
 
@@ -34,7 +36,7 @@
                  settings: api.Settings) -> None:
         self._life, self._host, self._book, self._attempts = life, host, book, attempts
         self._links, self._owners = links, owners
-        self._gate = SendGate(settings.cold_us, settings.fall_us)
+        self._gate, self._slack_us = SendGate(settings.cold_us, settings.fall_us), settings.tick_us
         self._probes: dict[int, tuple[Link, int]] = {}
         self._tests = 0
 
@@ -54,9 +56,15 @@
             return
         task.binds += 1
         attempt = Attempt(bind.request, number, task, link, f"{task.ident:016x}/{number}", self._life.hub.now_us(),
-                          bind.give_up_us)
+                          bind.give_up_us, launched_us=link.launched_us)
         self._attempts.add(attempt)
         self._life.counts["binds"] += 1
+        self._begin(attempt)
+
+    def _begin(self, attempt: Attempt) -> None:
+        link = attempt.link
+        if attempt.stage is not Stage.WAITING:
+            return
         line = None if link.liveness.doubtful else link.free_line()
         if line is not None:
             self._send(attempt, line)
@@ -79,13 +87,20 @@
         held: Held | None = self._gate.check(now, Offer(
             attempt.decided_us, attempt.deadline_us, task.state is State.ASKED,
             attempt.stage is Stage.WAITING and self._attempts.of(attempt.request) is attempt,
-            link.phase is api.Phase.RUNNING and not link.closed, link.launched_us))
+            link.phase is api.Phase.RUNNING and not link.closed, link.launched_us,
+            may_repeat=may_repeat(now, task.cls, task.earlier, link.listed, self._slack_us),
+            chosen_launched_us=attempt.launched_us))
         if held is not None:
             self._life.counts["held:" + held.name.lower()] += 1
         return held is None
 
     def _send(self, attempt: Attempt, line: Line) -> None:
         task, link = attempt.task, attempt.link
+        if task.owner is not None and task.owner.is_behind(self._life.hub.now_us()):
+            # Danger: its owner may have gone or given up, unread here; the attempt begins once that is known.
+            self._life.counts["sends_behind"] += 1
+            task.owner.when_read(lambda: self._begin(attempt))
+            return
         if not self._may_send(attempt):
             self._over(attempt, api.Outcome.NOT_SENT)
             return
@@ -137,6 +152,8 @@
         if not self._attempts.advance(attempt, Stage.ENDED):
             return
         attempt.link.standing.pop(attempt.task.ident, None)
+        if not placed and outcome not in UNRUN and attempt.task.earlier is None:
+            attempt.task.earlier = Earlier(attempt.decided_us, attempt.link.listed)
         if outcome is api.Outcome.ERROR and attempt.task.owner is not None:
             attempt.task.owner.guest.errors += 1
         self._life.counts[("run:" if placed else "offer:") + outcome.value] += 1
@@ -195,19 +212,29 @@
         self._attempts.advance(attempt, Stage.PLACED)
         attempt.placed_us = line.used_us
         attempt.link.standing[task.ident] = attempt
-        self._pass_on(attempt, description)
+        reached = self._pass_on(attempt, description)
         self._host.feed(api.TaskPlaced(task.request, attempt.number, attempt.link.ident,
                                        attempt.placed_us - attempt.decided_us))
+        if not reached and self._book.step(task, Step.WITHDRAW):
+            # Its owner's connection broke in this very turn: nobody was told that it stands, and nobody would end it.
+            self._life.counts["answers_unheard"] += 1
+            self._host.feed(api.TaskWithdrawn(task.request))
+            self.stop(attempt, End.STOPPED, Cause.GIVEN_UP)
+
+    def _pass_on(self, attempt: Attempt, description: bytes) -> bool:
+        """The final answer: the machine's description goes to the owner in the turn in which it came.
 
-    def _pass_on(self, attempt: Attempt, description: bytes) -> None:
-        """The final answer: the machine's description goes to the owner in the turn in which it came."""
+        False where it cannot have come whole to its owner.
+        """
         task, owner = attempt.task, attempt.task.owner
         self._book.step(task, Step.STAND)
         self._host.cancel_timer(task.request)
         if owner is not None:
             owner.tasks.pop(task.ident, None)
-            owner.write(encode(Kind.ANSWER, task.ident, {Code.DESCRIPTION: description}))
+            if not owner.write(encode(Kind.ANSWER, task.ident, {Code.DESCRIPTION: description})):
+                return False
             self._owners.proven(owner)
+        return True
 
     def _released(self, attempt: Attempt, message: Message) -> None:
         cause = message.cause
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -18,23 +18,48 @@
 BURST = 32  # messages of one connection before others get a turn
 HEARD_US = 2_000_000  # a release is sent again where its connection ends so soon without a word that it was heard
 OWED_US, OWED_MOST = 8_500_000, 8192  # releases that wait for a connection: how long, how many
+# Danger: a client that has closed or given up is gone, though its word lies unread here after a stall or behind other
+# work. The platform bears sends for it up to 100 ms later; half of that may pass before this side looks once more.
+UNREAD_US = 50_000
+RETIRE_US = 500_000  # for a client to end its side of a connection that is closed here
+CROWDED_TRIES = 8  # connections looked at for one that is empty, where room is wanted
 
 
 class Owner:
     """One connection from an owner, the front, or anybody."""
 
-    __slots__ = ("stream", "outbox", "framer", "guest", "tasks", "foreign")
+    __slots__ = ("stream", "outbox", "framer", "guest", "tasks", "foreign", "retired", "_waiting")
 
     def __init__(self, stream: Stream, outbox: Outbox, guest: Guest) -> None:
         self.stream, self.outbox, self.guest = stream, outbox, guest
         self.framer = Framer()
         self.tasks: dict[int, Task] = {}  # open set-ups, by id
         self.foreign: deque[int] = deque(maxlen=FOREIGN_MOST)  # ids it asked for that were another's
+        self.retired = False  # closed here; what its client still says is read, and set-ups go elsewhere
+        self._waiting: list[Callable[[], None]] = []  # at most one for each open set-up
 
     def write(self, data: bytes) -> bool:
         """Send; False where the connection is of no use any more."""
         self.guest.told = True
-        return self.stream.open and self.outbox.write(data) == len(data)
+        return self.stream.open and not self.retired and self.outbox.write(data) == len(data)
+
+    def is_behind(self, now_us: int) -> bool:
+        """Whether something that came over UNREAD_US ago may not have been read, the client's end among it."""
+        if not self.stream.open:
+            return False  # its end has been read; what was open on it is being taken back
+        return self.stream.has_unread(now_us, UNREAD_US) or (
+            self.framer.ready and now_us - self.stream.silent_us > UNREAD_US)
+
+    def when_read(self, call: Callable[[], None]) -> None:
+        """Call once what has come is read."""
+        self._waiting.append(call)
+
+    def go_on(self, now_us: int) -> None:
+        """All that was read has been taken: what waited for that goes on, unless more has come."""
+        if self._waiting and not self.is_behind(now_us):
+            waiting, self._waiting = self._waiting, []
+            for call in waiting:
+                call()
 
 
 class Owners:
@@ -63,6 +88,7 @@
         try:
             taken = 0
             while True:
+                owner.go_on(hub.now_us())
                 data = stream.receive()
                 if not data:
                     return
@@ -93,17 +119,46 @@
 
     def close(self, owner: Owner, why: str) -> None:
         """End a connection that cannot go on."""
+        self._tell_closed(why)
+        owner.stream.close()
+
+    def _tell_closed(self, why: str) -> None:
         self._life.counts["owners:" + why] += 1
         self._life.log("owner-closed", why=why)
-        owner.stream.close()
+
+    def retire(self, owner: Owner, why: str) -> None:
+        """Close an empty connection: its client reads the end; what it says until it has ended its side is read.
+
+        Danger: closed outright, a release that crosses the close is lost and its task stands on; the reset that
+        answers it also throws away what is on its way to the client.
+        """
+        self._tell_closed(why)
+        owner.retired = True
+        owner.stream.end_writing()
+        self._life.hub.call_at(self._life.hub.now_us() + RETIRE_US, owner.stream.close)
+
+    def say_farewell(self) -> None:
+        """The placer ends: each connection is closed once what was written on it has left and its client has ended."""
+        for owner in list(self._owners):
+            if owner.stream.open and not owner.retired and not owner.outbox.waiting:
+                self.retire(owner, "farewell")
 
     def _make_room(self) -> None:
         if len(self._owners) <= self._crowd.most and self._fits():
             return
         guests = {owner.guest: owner for owner in self._owners if owner.stream.open}
-        chosen = self._crowd.whom_to_close([(each.guest, len(each.tasks)) for each in guests.values()])
-        if chosen is not None:
-            self.close(guests[chosen], "crowded")
+        first: Owner | None = None
+        for _ in range(CROWDED_TRIES):
+            chosen = self._crowd.whom_to_close([(each.guest, len(each.tasks)) for each in guests.values()])
+            if chosen is None:
+                break
+            owner = guests.pop(chosen)
+            if owner.stream.is_quiet() and not owner.framer.ready:
+                self.close(owner, "crowded")
+                return
+            first = first or owner
+        if first is not None:  # each that was looked at has something unread: its client hears of a reset
+            self.close(first, "crowded")
 
     def sweep(self) -> None:
         """Close those that say nothing; send what is owed where there is a connection. Goes on for ever."""
@@ -112,8 +167,10 @@
             hub.sleep(SWEEP_US)
             now = hub.now_us()
             for owner in list(self._owners):
-                if owner.stream.open and self._crowd.is_idle(now, owner.guest, len(owner.tasks)):
-                    self.close(owner, "idle" if owner.guest.proven else "silent")
+                if (owner.stream.open and not owner.retired
+                        and self._crowd.is_idle(now, owner.guest, len(owner.tasks))
+                        and owner.stream.is_quiet() and not owner.framer.ready):
+                    self.retire(owner, "idle" if owner.guest.proven else "silent")
             self._send_owed()
 
     def release(self, ident: int, cause: int) -> None:
@@ -155,7 +212,8 @@
     def tell(self, data: bytes) -> Owner | None:
         """Send on any connection that has proven to be an owner's: on which; None without one."""
         # Those with an open set-up first: their owner does not close them now. Then the latest heard of.
-        known = [each for each in reversed(self._owners) if each.guest.proven and each.stream.open]
+        known = [each for each in reversed(self._owners)
+                 if each.guest.proven and each.stream.open and not each.retired]
         known.sort(key=lambda each: not each.tasks)
         return next((each for each in known if each.write(data)), None)
 
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -22,6 +22,9 @@
 # The platform ends a placer no sooner than so long after SIGTERM: the longest deadline, counted as 3 s where it is
 # longer, and 0.7 s. Until shortly before, what stands is looked after: nobody else tells its owners that it is over.
 PATIENCE_MOST_US, LINGER_US = 3_000_000, 300_000
+# Connections come until 0.4 s after SIGTERM and their requests 0.2 s more; each of them is owed an answer.
+ARRIVALS_US = 620_000
+FAREWELL_US = 80_000  # at most, for what is written to leave, and for clients to hear that this side has ended
 FORGET_US = 30_000_000  # a machine that is gone is forgotten so long after
 COUNTS_US = 10_000_000
 
@@ -35,12 +38,13 @@
         life = self.life = Life(hub, log, configuration.seed)
         self._host = Host(life, settings)
         table = self._table = Table(configuration.sockets)
-        self._book, self._attempts, self._links = Book(), Attempts(), Links(table, lambda: len(self.owners))
+        self._book, self._attempts, self._links = Book(), Attempts(), Links(
+            table, lambda: len(self.owners), configuration.conn_idle_us)
         crowd = Crowd(table.owners_most)
         self.owners = Owners(life, crowd, self._take, self._left, lambda: self._links.make_room(0))
         self._offers = Offers(life, self._host, self._book, self._attempts, self._links, self.owners, settings)
         self.desk = Desk(life, self._host, self._book, self._attempts, self._links, self._offers, crowd, settings,
-                         configuration.stay_away_most_us)
+                         configuration.stay_away_most_us, configuration.patience_us)
         self.desk.owners = self.owners
         self._host.hands = self
         self._shift_us = hub.clock.now_us() - hub.clock.wall_us()
@@ -214,8 +218,13 @@
     def _wind_up(self) -> None:
         hub = self.life.hub
         patience_us = min(PATIENCE_MOST_US, self._configuration.patience_us)
-        end_us = hub.now_us() + patience_us + LINGER_US
+        end_us = hub.now_us() + max(patience_us + LINGER_US, ARRIVALS_US)
         while self._book.owed or hub.now_us() < end_us:
             hub.sleep(20_000)
         self.tell_counts()
+        # Danger: a connection that is closed with something unread is reset, and an answer on its way is thrown away.
+        self.owners.say_farewell()
+        end_us = hub.now_us() + FAREWELL_US
+        while len(self.owners) and hub.now_us() < end_us:
+            hub.sleep(10_000)
         self.life.end()
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 from wingbarrow import interface as api
 from wingbarrow.decide.crowd import Guest
+from wingbarrow.decide.repeats import Earlier
 
 
 class State(Enum):
@@ -54,6 +56,12 @@
     def write(self, data: bytes) -> bool:
         """Send; False where the connection is of no use any more."""
 
+    def is_behind(self, now_us: int) -> bool:
+        """Whether something that came a while ago may not have been read: its owner may have gone."""
+
+    def when_read(self, call: Callable[[], None]) -> None:
+        """Call once that has been read."""
+
 
 @dataclass(slots=True, eq=False)
 class Task:
@@ -67,6 +75,7 @@
     passed_on: dict[int, bytes]  # parameters that go to machines unchanged; empty once no answer is owed
     state: State = State.ASKED
     binds: int = 0
+    earlier: Earlier | None = None  # its first attempt that may have run
 
 
 class Book:
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -252,6 +252,10 @@
             del self._waiting[fd]
             self._poll.unregister(fd)
 
+    def heard_out_us(self, fd: int) -> int | None:
+        """When the latest poll began that found nothing to read, where a reader waits; None where none does."""
+        return self._looked_us if READ in self._waiting.get(fd, ()) else None
+
     def forget(self, fd: int) -> None:
         """A descriptor is about to be closed: wake whoever waits for it."""
         for task in list(self._waiting.get(fd, {}).values()):
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -134,6 +134,14 @@
             return error.errno in _AGAIN
         return False
 
+    def has_unread(self, now_us: int, most_us: int) -> bool:
+        """Whether something may lie unread that came more than `most_us` ago, an end or a reset among it.
+
+        The system is asked only where neither the reader nor a poll has looked so lately.
+        """
+        looked_us = self.hub.heard_out_us(self._fd)
+        return now_us - (self.silent_us if looked_us is None else looked_us) > most_us and not self.is_quiet()
+
     def end_writing(self) -> None:
         """Half-close: the peer reads an end of stream."""
         if self.open:
