--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -18,7 +18,7 @@
 from tests.relay.stage import MS, S, SETTINGS, Client, Journal, Machine
 
 from wingbarrow.relay.message import Kind, encode, with_cause
-from wingbarrow.transport import Hub, PeerGone, connect
+from wingbarrow.transport import Hub, PeerGone
 
 ROOT = Path(__file__).parents[2]
 SOCKETS = 128
