The list is heard through missing events, damaged entries and numbers that begin anew

Change: entries are states, so what comes after a gap counts at once and the missing event is asked for three times; a damaged entry of a known machine counts by its lifecycle, an unreadable lifecycle as a drain; told once, counted.

--- a/tests/relay/test_journal.py
+++ b/tests/relay/test_journal.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import errno
+import os
+import resource
+from collections.abc import Callable
+
 import pytest
 from tests.relay.stage import MS, S, Journal, Machine, Stage, over
+from tests.relay.test_list import Trouble, deliveries, event, move, phase, say, tails, tell, until
 
 from wingbarrow import interface as api
+from wingbarrow.http.message import Request
 from wingbarrow.relay import journal
 from wingbarrow.relay.configuration import Address
 from wingbarrow.relay.message import Cause, Kind
@@ -175,3 +182,167 @@
         second.life.end()
     Stage().run(play)
 
+
+def before_its_turn(stage: Stage, answer: Trouble, call: Callable[[], None]) -> Trouble:
+    """A trouble: this answer, and the call once the follower was woken by it and before it runs."""
+    def trouble(request: Request) -> None:
+        (task,) = (each for each in stage.hub._tasks.values() if each.name == "journal")
+        with pytest.raises(PeerGone):
+            answer(request)
+        for _ in range(1000):
+            if task.blocked is None:
+                call()
+                raise PeerGone("said")
+            stage.hub.checkpoint()
+        pytest.fail("the follower was never woken")
+    return trouble
+
+
+# -- SIGHUP
+
+
+def test_a_move_during_the_pause_after_failures_is_followed_at_once() -> None:
+    def play(stage: Stage) -> None:
+        counts = stage.placer.life.counts
+        stage.journal.troubles += [say(b"", b"500 Broken")] * 50
+        stage.journal.add(stage.machines[1].entry())
+        until(stage, lambda: counts["journal_failures"] == 7)  # the pause is now 250 ms at least
+        fresh = Journal(stage.hub)
+        fresh.events = list(stage.journal.events)
+        fresh.add(stage.machines[0].entry("Terminating"))
+        move(stage, fresh)
+        assert until(stage, lambda: phase(stage, stage.machines[0]) is api.Phase.DRAINING) <= 10 * MS
+        assert counts["journal_failures"] == 7
+    Stage().run(play)
+
+
+def test_a_move_between_an_answer_and_its_delivery_loses_nothing() -> None:
+    def play(stage: Stage) -> None:
+        told, moved = deliveries(stage), []
+        first, second = stage.machines
+        fresh = Journal(stage.hub)
+        fresh.events = [*stage.journal.events, event(2, second.entry()), event(3, first.entry("Terminating"))]
+
+        def now() -> None:
+            moved.append(len(told))
+            move(stage, fresh)
+        stage.journal.troubles.append(before_its_turn(stage, tell(3, *fresh.events[1:]), now))
+        stage.journal.add(second.entry())
+        until(stage, lambda: bool(fresh.calls))
+        assert tails(fresh)[0] == 3 and moved == [1], "event 2 was told before, 3 is at hand"
+        fresh.add(second.entry("Terminating"))
+        stage.sleep(50)
+        assert [each.position for each in told] == [2, 3, 4]
+        assert [phase(stage, each) for each in stage.machines] == [api.Phase.DRAINING] * 2
+        assert not stage.placer.life.counts["journal_failures"]
+    Stage().run(play)
+
+
+@pytest.mark.parametrize("end", [say(b"", b"500 Broken"), say(b"{")])
+def test_the_old_services_end_at_a_move_is_no_failure_of_the_new_one(end: Trouble) -> None:
+    def play(stage: Stage) -> None:
+        moved: list[int] = []
+        fresh = Journal(stage.hub)
+        fresh.events = list(stage.journal.events)
+
+        def now() -> None:
+            moved.append(stage.hub.now_us())
+            move(stage, fresh)
+        stage.journal.troubles.append(before_its_turn(stage, end, now))
+        until(stage, lambda: bool(fresh.calls))
+        assert fresh.calls[0][0] - moved[0] <= 2 * MS
+        assert not stage.placer.life.counts["journal_failures"]
+    Stage().run(play)
+
+
+def test_two_moves_at_once_end_at_the_latter_and_none_to_the_same_address_breaks_the_call() -> None:
+    def play(stage: Stage) -> None:
+        between, last = Journal(stage.hub), Journal(stage.hub)
+        between.events = last.events = list(stage.journal.events)
+        calls = len(stage.journal.calls)
+        move(stage, stage.journal)
+        stage.sleep(50)
+        assert len(stage.journal.calls) == calls, "the call goes on"
+        move(stage, between)
+        move(stage, last)
+        stage.sleep(50)
+        assert not between.calls and tails(last) == [1]
+        move(stage, between)
+        move(stage, last)  # there and back
+        stage.sleep(50)
+        last.add(stage.machines[0].entry("Terminating"))
+        stage.sleep(20)
+        assert phase(stage, stage.machines[0]) is api.Phase.DRAINING and len(last.calls) <= 3
+        assert not stage.placer.life.counts["journal_failures"]
+    Stage().run(play)
+
+
+def test_what_the_old_service_would_still_tell_is_not_heard() -> None:
+    def play(stage: Stage) -> None:
+        first, _ = stage.machines
+        fresh = Journal(stage.hub)
+        fresh.events = list(stage.journal.events)
+        fresh.add(first.entry("Terminating"))
+        move(stage, fresh)
+        stage.journal.add(first.entry())
+        stage.journal.add(first.entry())
+        stage.sleep(1500)
+        assert phase(stage, first) is api.Phase.DRAINING and tails(fresh)[-1] == 2
+        assert not stage.placer.life.counts["journal_failures"]
+    Stage().run(play)
+
+
+# -- descriptors, and bodies that are no list
+
+
+def test_a_full_descriptor_table_is_waited_out_for_half_a_second_at_most() -> None:
+    def play(stage: Stage) -> None:
+        counts = stage.placer.life.counts
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        held: list[int] = []
+
+        def fill() -> bool:
+            try:
+                while True:
+                    held.append(os.dup(0))
+            except OSError as error:
+                assert error.errno == errno.EMFILE
+            return counts["journal_failures"] >= 8
+        stage.journal.troubles.append(say(b"", b"500 Broken"))  # its descriptors are free then, and filled at once
+        stage.journal.add(stage.machines[1].entry())
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 3, hard))
+            until(stage, fill)
+            calls = len(stage.journal.calls)
+            stage.sleep(4000)
+            assert 14 <= counts["journal_failures"] <= 30 and len(stage.journal.calls) == calls
+            stage.journal.add(stage.machines[0].entry("Terminating"))
+        finally:
+            for each in held:
+                os.close(each)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        assert until(stage, lambda: phase(stage, stage.machines[0]) is api.Phase.DRAINING) <= 510 * MS
+    Stage().run(play)
+
+
+@pytest.mark.parametrize("body, status", [
+    (b"{", b"200 OK"), (b"\xff\xfe", b"200 OK"), (b"[" * 200_000, b"200 OK"), (b'{"pos":', b"200 OK"),
+    (b" " * (5 << 20), b"200 OK"), (b"", b"500 Broken"), (b"{}", b"404 Not Found"),
+    (b'{"pos":2,"entries":7}', b"200 OK"),
+    (b'{"pos":NaN,"entries":[]}', b"200 OK"), (b'{"pos":"2","entries":[]}', b"200 OK"), (b"7" * 5000, b"200 OK"),
+    (b'{"pos":2,"entries":[7,null,[],{"pos":2}]}', b"200 OK"),
+    (b'{"pos":2,"entries":[{"pos":NaN,"hosts":{}}]}', b"200 OK"),
+    (b'{"pos":1e400,"entries":[]}', b"200 OK")],
+    ids=["cut", "no-text", "deep", "ended", "over-the-bound", "500", "404", "entries", "nan", "text", "digits",
+         "events", "event-nan", "infinite"])
+def test_a_body_that_is_no_list_is_counted_and_the_next_one_heard(body: bytes, status: bytes) -> None:
+    def play(stage: Stage) -> None:
+        stage.journal.troubles += [say(body, status)] * 2
+        stage.journal.add(stage.machines[1].entry())
+        stage.sleep(20)
+        stage.journal.add(stage.machines[0].entry("Terminating"))
+        assert until(stage, lambda: phase(stage, stage.machines[0]) is api.Phase.DRAINING) <= 500 * MS
+        counts = stage.placer.life.counts
+        assert counts["journal_failures"] + counts["journal_bad_entries"] >= 2
+        assert stage.ended_us is None
+    Stage().run(play)
--- a/wingbarrow/relay/journal.py
+++ b/wingbarrow/relay/journal.py
@@ -1,21 +1,18 @@
-"""The follower of the machine list: long poll from the last whole event, and what it makes of the entries."""
+"""The follower of the machine list: long poll from the last whole event, and what is done about missing ones."""
 
 from __future__ import annotations
 
 import json
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
-from hashlib import blake2b
-from math import isfinite
-from typing import Any
+from collections import OrderedDict, deque
+from collections.abc import Callable, Sequence
 
-from wingbarrow import interface as api
 from wingbarrow.core.life import Life
 from wingbarrow.decide.backoff import Backoff
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
 from wingbarrow.http.message import Limits
-from wingbarrow.relay.configuration import Address, BadConfiguration, read_address
+from wingbarrow.relay.configuration import Address
+from wingbarrow.relay.entries import Entry, Event, News, Roster, ident, merge, parse, read
 from wingbarrow.transport import CancelScope
 
 # Danger (rule 3): what a service that fell silent would have told counts as told soon after the wait that was asked
@@ -24,87 +21,32 @@
 GRACE_US = 400_000  # beyond the wait asked for, until it counts as silent
 CONNECT_US = 500_000
 BODY_MOST = 4 << 20
-PHASES = {"Ready": api.Phase.RUNNING, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
-
-
-def ident(name: str) -> int:
-    """The number by which the module knows a machine: the same at every placer, without talk."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """A machine of the list, where it listens, and as the module hears of it."""
-
-    name: str
-    address: Address
-    listed: api.ListedMachine
-
-
-@dataclass(frozen=True, slots=True)
-class News:
-    """One numbered event; `whole` where it holds the complete list."""
-
-    position: int
-    whole: bool
-    entries: tuple[Entry, ...]
-
-
-def _entry(value: Any, shift_us: int) -> Entry:
-    """One machine; ValueError says what is wrong. `shift_us`: the hub's clock less the Unix clock."""
-    if not isinstance(value, dict):
-        raise ValueError("an entry is no object")
-    name, zone, kind, cell = (value.get(key) for key in ("instanceId", "zone", "machineType", "cell"))
-    if not (isinstance(name, str) and name and isinstance(zone, str) and isinstance(kind, str)):
-        raise ValueError("an entry without id, zone or kind")
-    if not isinstance(cell, int):
-        raise ValueError(f"{name}: cell")
-    phase, started, room = PHASES.get(value.get("lifecycle", "")), value.get("startedAtMs", 0), value.get("room")
-    if phase is None:
-        raise ValueError(f"{name}: lifecycle")
-    if isinstance(started, bool) or not isinstance(started, (int, float)) or not isfinite(started):
-        raise ValueError(f"{name}: startedAtMs")
-    free = [float(figure) for figure in room] if isinstance(room, list) and len(room) == 2 else [float("nan")] * 2
-    try:
-        address = read_address(value.get("hostPort"), name)
-    except BadConfiguration as error:
-        raise ValueError(str(error)) from None
-    launched_us = max(1, int(started * 1000) + shift_us) if started > 0 else 0
-    return Entry(name, address,
-                 api.ListedMachine(ident(name), kind, cell, zone, phase, launched_us, free[0], free[1]))
-
-
-def read(value: Any, shift_us: int, complain: Callable[[str], None]) -> tuple[int, list[News]]:
-    """The last position and the events of the service's form; ValueError where it is not of that form."""
-    if not isinstance(value, dict) or not isinstance(value.get("entries"), list):
-        raise ValueError("no list of events")
-    last = value.get("pos")
-    if isinstance(last, bool) or not isinstance(last, int):
-        raise ValueError("no position")
-    out: list[News] = []
-    for event in value["entries"]:
-        position = event.get("pos") if isinstance(event, dict) else None
-        hosts = event.get("hosts") if isinstance(event, dict) else None
-        if not isinstance(position, int) or not isinstance(hosts, dict) or not isinstance(hosts.get("instances"), list):
-            raise ValueError("an event without position or list")
-        entries: list[Entry] = []
-        for each in hosts["instances"]:
-            try:
-                entries.append(_entry(each, shift_us))
-            except (ValueError, TypeError) as error:
-                complain(str(error))
-        out.append(News(position, hosts.get("reset") is True, tuple(entries)))
-    return last, out
+EARLY_US = WAIT_MS * 500  # an answer without news before that is not the wait that was asked for
+ASKS_MOST = 3  # for missing events, until they are given up
+MARKS_MOST = 1024  # events remembered, to tell a service that lags from one that numbers anew
+TOLD_MOST = 64  # texts remembered, so that one fault is not logged over and over
 
 
 class Follower:
-    """Tells `deliver(news)` each event once, in order; `failed()` when the service breaks off or falls silent."""
+    """Tells `deliver(news)` each event once; `failed()` when the service breaks off or
+    falls silent. `known`: the events of the start, to which `position` belongs.
+
+    Entries are states, not differences: what comes after a missing event is told at once, and of the missing one, when
+    it comes, what no later event has told of.
+    """
 
     def __init__(self, life: Life, address: Address, position: int, shift_us: int, deliver: Callable[[News], None],
-                 failed: Callable[[], None]) -> None:
+                 failed: Callable[[], None], known: Sequence[News] = ()) -> None:
         self._shift_us = shift_us  # the same for a whole life: a start is never two times
         self._life, self._address, self._deliver, self._failed = life, address, deliver, failed
-        self.position = position
+        self.position = position  # up to it nothing is missing
+        self._ahead: dict[int, tuple[str, ...]] = {}  # events taken in beyond a missing one, and their machines
+        self._asks = 0  # in a row that left events missing
+        self._from_start = False  # the numbers went back: all events are asked for once
+        self._behind: int | None = None  # the last number of a service that lags
+        self._roster = Roster(known)
+        self._marks = OrderedDict((each.position, each.mark) for each in known)
+        self._told: deque[str] = deque(maxlen=TOLD_MOST)
         self._scope: CancelScope | None = None
         self._pause = Backoff(random.Random(life.random.random()), 20_000, 500_000)
 
@@ -118,42 +60,148 @@
 
     def run(self) -> None:
         """Follow for ever."""
-        life = self._life
-        life.hub.current().first = True  # Danger (rule 3): offers that are ready must not go before drains are read
+        hub = self._life.hub
+        hub.current().first = True  # Danger (rule 3): offers that are ready must not go before drains are read
         while True:
             address = self._address
-            pool = Pool(life.hub, address.host, address.port,
+            pool = Pool(hub, address.host, address.port,
                         PoolLimits(connections=1, connect_us=CONNECT_US, message=Limits(body=BODY_MOST)))
             try:
-                with CancelScope(life.hub) as scope:
-                    self._scope = scope
-                    while True:
-                        self._ask(pool)
-            except (CallFailed, ValueError, RecursionError) as error:
-                life.counts["journal_failures"] += 1
-                life.log("journal-failed", level="warning", address=str(address), why=str(error)[:200])
-                self._failed()
-                life.hub.sleep(self._pause.next_us())
+                while address == self._address:
+                    if not self._turn(pool, address) and address == self._address:
+                        with CancelScope(hub) as self._scope:  # a move ends the pause too
+                            hub.sleep(self._pause.next_us())
             finally:
-                self._scope = None
                 pool.close()
 
-    def _ask(self, pool: Pool) -> None:
-        life = self._life
-        until_us = life.hub.now_us() + WAIT_MS * 1000 + GRACE_US
-        response = pool.request("GET", f"/journal?tail={self.position}&max_wait={WAIT_MS}", until_us=until_us)
+    def _turn(self, pool: Pool, address: Address) -> bool:
+        """One call and what it tells; whether the next may follow at once."""
+        life, begun_us = self._life, self._life.hub.now_us()
+        tail = 0 if self._from_start or self._asks == ASKS_MOST - 1 else self.position
+        answer: tuple[int, list[Event]] | None = None
+        why = ""
+        # The scope ends before anything is delivered: a move never cuts a delivery short.
+        with CancelScope(life.hub) as scope:
+            self._scope = scope
+            try:
+                answer = self._ask(pool, tail)
+            except (CallFailed, ValueError, RecursionError) as error:
+                why = str(error)[:200]
+        if answer is None and scope.cancelled:
+            return True  # the old service's failure is not the new one's
+        if answer is None:
+            life.counts["journal_failures"] += 1
+            life.log("journal-failed", level="warning", address=str(address), why=why)
+            self._failed()
+            return False
+        if self._take_in(tail, *answer) or life.hub.now_us() - begun_us >= EARLY_US:
+            self._pause.clear()
+            return True
+        life.counts["journal_early"] += 1
+        self._tell("journal-early", "an answer without news before its time")
+        return False
+
+    def _ask(self, pool: Pool, tail: int) -> tuple[int, list[Event]]:
+        until_us = self._life.hub.now_us() + WAIT_MS * 1000 + GRACE_US
+        response = pool.request("GET", f"/journal?tail={tail}&max_wait={WAIT_MS}", until_us=until_us)
         if response.status != 200:
             raise ValueError(f"status {response.status}")
-        _, news = read(json.loads(response.body), self._shift_us, self._complain)
+        return parse(json.loads(response.body), self._shift_us)
+
+    # -- what an answer tells
+
+    def _take_in(self, tail: int, last: int, events: list[Event]) -> bool:
+        """Deliver what is new; whether there was anything."""
+        self._from_start = False
+        highest = max([last, *(event.position for event in events)])
+        if highest < self.position:
+            news = self._gone_back(tail, highest, events)
+        else:
+            self._behind = None
+            news = self._new_of(events)
         for each in news:
-            if each.position <= self.position:
-                continue  # told before
-            if each.position != self.position + 1 and not each.whole:
-                raise ValueError(f"event {each.position} after {self.position}")
-            self.position = each.position
             self._deliver(each)
-        self._pause.clear()
+        return bool(news)
+
+    def _new_of(self, events: list[Event]) -> list[News]:
+        news: list[News] = []
+        top = 0
+        for event in events:
+            number = event.position
+            if event.why:
+                self._complain(event.why)
+                top = max(top, number)
+            elif number > self.position and (number not in self._ahead or event.whole):
+                newer = {name for later, names in self._ahead.items() if later > number for name in names}
+                news.append(self._take(event, newer))
+                self._ahead[number] = tuple(entry.name for entry in news[-1].entries)
+                if event.whole:
+                    self._pass(number)
+                while self.position + 1 in self._ahead:
+                    self._pass(self.position + 1)
+        self._look_for_missing(max([top, *self._ahead]))
+        return news
+
+    def _take(self, event: Event, newer: set[str]) -> News:
+        self._marks[event.position] = event.mark
+        if len(self._marks) > MARKS_MOST:
+            self._marks.popitem(last=False)
+        return self._roster.take(event, self._complain, newer)
+
+    def _pass(self, number: int) -> None:
+        """Up to this number nothing is missing, or nothing is waited for any more."""
+        self.position = number
+        self._ahead = {ahead: names for ahead, names in self._ahead.items() if ahead > number}
+
+    def _look_for_missing(self, top: int) -> None:
+        """Where an event up to `top` is missing: ask again, the last time for all, and then go on without it."""
+        if top <= self.position:
+            self._asks = 0
+            return
+        self._asks += 1
+        if self._asks == 1:
+            self._life.counts["journal_gaps"] += 1
+            self._life.log("journal-gap", level="warning", after=self.position, before=top)
+        if self._asks > ASKS_MOST - 1:
+            self._asks = 0
+            self._life.counts["journal_gaps_given_up"] += 1
+            self._life.log("journal-gap-given-up", level="error", after=self.position, before=top)
+            self._pass(top)
+
+    def _gone_back(self, tail: int, highest: int, events: list[Event]) -> list[News]:
+        """The service's numbers end before ours: it lags, or it numbers anew and then all that it has is new."""
+        if highest == self._behind:
+            return []
+        if tail > 0:
+            self._life.counts["journal_went_back"] += 1
+            self._tell("journal-went-back", f"to {highest}")
+            self._from_start = True
+            return []
+        good = [event for event in events if not event.why]
+        # Danger (rule 3): a list that lags would have machines running that were told to drain since.
+        same = all(self._marks.get(event.position, event.mark) == event.mark for event in good)
+        if not good or (same and good[-1].position in self._marks):
+            self._behind = highest
+            return []
+        self._life.log("journal-anew", level="warning", ours=self.position, theirs=highest)
+        self._marks.clear()
+        self._asks = 0
+        # As one: a machine that comes after the first event has not gone in between.
+        news = merge([self._take(event, set()) for event in good])
+        self._ahead.clear()
+        self.position = news.position
+        return [news]
+
+    # -- telling
+
+    def _tell(self, what: str, why: str) -> None:
+        if f"{what} {why}" not in self._told:
+            self._told.append(f"{what} {why}")
+            self._life.log(what, level="warning", why=why)
 
     def _complain(self, why: str) -> None:
         self._life.counts["journal_bad_entries"] += 1
-        self._life.log("bad-list-entry", level="warning", why=why)
+        self._tell("bad-list-entry", why)
+
+
+__all__ = ["Entry", "Follower", "News", "ident", "read"]
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -54,7 +54,7 @@
         position, known = journal.read(configuration.known, self._shift_us,
                                        lambda why: log("bad-list-entry", level="warning", why=why))
         self._follower = journal.Follower(life, configuration.journal, position, self._shift_us, self._on_news,
-                                          self._on_failed)
+                                          self._on_failed, known)
         self._begin(known)
 
     # -- the module's hands
