Cold machines under the sum of all placers: a model with the real module, four faults of the count

Need: cold machines fall under what all processes send; beyond N offers 2 x root of N + 2 are put down to chance, at 20 and 30 placers too. Seen by a model of real schedulers around machines that start (hypothesis; its judge counts arrivals and shares no code): a restart dropped the offers without an answer from the count (logic_machines.py `on_list`); a machine off the list was forgotten after 15 s whatever the span (same); the end of another attempt freed offers that lie unread (`came`); on the REST side each reading of a node's start was another time, 66 of 999 later than the one before, which dropped everything known of the machine (core/reflector.py). Change: the count survives a restart, forgetting waits two spans more, only the machine's word frees, one shift of clocks a life. Bound as a formula: share(i) = floor(N)//P + [(i+m) mod P < floor(N) mod P]; sum floor(N) in any span, from all that were told. Open: a machine that stands still takes what lay unread at once where no note tells of arrivals (P = 16, N = 20: 40 after 6 s).

--- a/wingbarrow/core/base.py
+++ b/wingbarrow/core/base.py
@@ -15,6 +15,8 @@
 
     def __init__(self, hub: Hub, settings: PlacerSettings, log: Callable[..., None]) -> None:
         self.born_us = hub.clock.wall_us()
+        # The module's clock less the Unix clock, the same for a whole life: a start is never two times.
+        self.shift_us = hub.clock.now_us() - self.born_us
         super().__init__(hub, log, settings.seed * 1_000_003 + self.born_us)
         self.settings = settings
         # Part of every pod name: two placers, and two lives of one, must never share a name.
--- a/wingbarrow/core/fleet.py
+++ b/wingbarrow/core/fleet.py
@@ -43,7 +43,7 @@
         settings = base.settings
         self.reflector = Reflector(
             base.hub, settings.source_host, settings.source_port, f"wingbarrow/{settings.name}",
-            random.Random(base.random.random()), settings.limits.machines, self.take, base.log)
+            random.Random(base.random.random()), settings.limits.machines, base.shift_us, self.take, base.log)
         self.ready = False  # a list of machines has come
         self.guards: list[Guard] = []
         self.gone: Callable[[str], None] = lambda name: None
@@ -112,8 +112,7 @@
         link.phase = api.Phase.GONE
         if stored is None:
             return api.ListedMachine(link.ident, "", 0, "", api.Phase.GONE, link.launched_us, 0.0, 0.0)
-        clock = self._base.hub.clock
-        entry = read_node(stored.value, clock.now_us() - clock.wall_us()).listed
+        entry = read_node(stored.value, self._base.shift_us).listed
         return replace(entry, phase=api.Phase.GONE, launched_us=link.launched_us)
 
     # -- after a start
--- a/wingbarrow/core/keeper.py
+++ b/wingbarrow/core/keeper.py
@@ -23,9 +23,8 @@
         """Give the fleet the saved list; an empty one where there is none, or it cannot be used (which is told)."""
         entries = []
         if self._base.settings.state:
-            clock = self._base.hub.clock
             try:
-                entries = saved_entries(saved.load(Path(self._base.settings.state)), clock.now_us() - clock.wall_us())
+                entries = saved_entries(saved.load(Path(self._base.settings.state)), self._base.shift_us)
             except ValueError as error:
                 self._base.log("saved-list-unusable", level="error", why=str(error))
         self._fleet.take(ListForm.SAVED, entries, [])
--- a/wingbarrow/core/reflector.py
+++ b/wingbarrow/core/reflector.py
@@ -31,9 +31,9 @@
     """Tells `deliver(form, entries, gone names)` what the source says; `run` goes on until cancelled."""
 
     def __init__(self, hub: Hub, host: str, port: int, agent: str, seed: random.Random, machines_most: int,
-                 deliver: Callable[[ListForm, list[NodeEntry], list[str]], None],
+                 shift_us: int, deliver: Callable[[ListForm, list[NodeEntry], list[str]], None],
                  log: Callable[..., None]) -> None:
-        self._hub = hub
+        self._hub, self._shift_us = hub, shift_us
         self._pool = Pool(hub, host, port, PoolLimits(connections=4, message=Limits(body=256 << 20)), agent)
         self._deliver = deliver
         self._log = log
@@ -107,9 +107,8 @@
         self._told_failed = False
 
     def _read(self, value: dict[str, Any]) -> NodeEntry | None:
-        clock = self._hub.clock
         try:
-            return read_node(value, clock.now_us() - clock.wall_us())
+            return read_node(value, self._shift_us)
         except ValueError as error:
             self.bad_entries += 1
             self._log("bad-list-entry", level="warning", field=str(error),
--- a/wingbarrow/logic_machines.py
+++ b/wingbarrow/logic_machines.py
@@ -80,12 +80,12 @@
         """A word of the machine, or the end of an offer: what came, or may yet come, of those while cold."""
         if outcome in (api.Outcome.NOT_SENT, api.Outcome.UNREACHABLE):
             self.unsure = {each: known for each, known in self.unsure.items() if each != key}
-        elif key in self.unsure and outcome in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED):
-            self.unsure[key] = True  # nobody waits for it, but it may come: until the machine speaks
+        elif outcome in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED):  # may come until the machine speaks
+            self.unsure = {each: given_up or each == key for each, given_up in self.unsure.items()}
         else:
-            for each in [each for each, given_up in self.unsure.items() if given_up or each == key]:
-                del self.unsure[each]
-                self.offers.append(now_us)
+            came = [k for k, up in self.unsure.items() if up and outcome != api.Outcome.BROKEN or k == key]
+            self.unsure = {each: known for each, known in self.unsure.items() if each not in came}
+            self.offers.extend([now_us] * len(came))
 
 
 def _rank(name: str, machine: Machine) -> float:
@@ -190,7 +190,7 @@
             if machine is None:
                 heapq.heappush(self._oldest, (-1, entry.machine))
             if machine is None or entry.launched_us > machine.listed.launched_us:
-                offers = machine.offers if machine else deque[int]()
+                offers = deque([*machine.offers, *[self.now] * len(machine.unsure)] if machine else ())
                 machine = Machine(entry, self._sizes.get(entry.kind, (1.0, 1.0)), offers=offers)
                 self.machines[entry.machine] = machine
                 self._ranks.clear()
@@ -200,7 +200,7 @@
                 self._hear(machine, entry.free_cores, entry.free_memory, self.now - VIEW_LAG_US)
         # What left the list is forgotten with its last task, once no offer counts any more should it return.
         for ident, known in list(self.machines.items()):
-            if known.off_us and not known.own and not known.starts and self.now - known.off_us > FORGET_US:
+            if not known.own and 0 < (known.off_us or 0) < self.now - FORGET_US - 2 * self.settings.fall_us:
                 del self.machines[ident]
                 self._ranks.clear()
         self._plan()
