Parameters that the page does not name go on to machines: keyed classes bring one, and lost it

All messages logged in one trial: set-ups of keyed classes come with a parameter 42, 32 hex digits, that the protocol page does not list; what went out had 3, 6, 15 and 48 alone (relay/setup.py `_PASSED_ON`, relay/offers.py `_send`). 511 of 988 set-ups had it. Ruled out: class names, patience, description. Change: what is the placer's own (patience, retry mark, hint, figures) stays; all else goes on as it came. A path test fails without.

--- a/tests/relay/test_offers.py
+++ b/tests/relay/test_offers.py
@@ -26,6 +26,24 @@
     Stage().run(play)
 
 
+def test_parameters_that_the_page_does_not_name_go_on_as_they_came() -> None:
+    """Keyed classes bring one by which machines know a repeat; what is the placer's own stays here."""
+    def play(stage: Stage) -> None:
+        client, key = stage.client(), b"19ec28eaa14f2143824331079fb2de33"
+        values = {Code.CLASS: b"web", Code.PATIENCE: b"1500", Code.HINT: b"14967.4", 42: key, Code.RETRY: b"1",
+                  200: b"", Code.NAME: b"000cd763bdabd81b", Code.FIGURES: b"cores:0.250;memory:0.500;service:0001c9e2b3fe8a71",
+                  Code.DESCRIPTION: DESCRIPTION}
+        client.stream.send(encode(Kind.SET_UP, 7, values))
+        stage.sleep(50)
+        ((_, heard),) = stage.set_ups(7)
+        passed_on = dict(heard.message.values)
+        assert int(passed_on.pop(Code.PATIENCE)) <= 1500
+        assert passed_on == {Code.CLASS: b"web", 42: key, 200: b"", Code.NAME: b"000cd763bdabd81b",
+                             Code.DESCRIPTION: DESCRIPTION}
+        assert client.kinds(7) == [Kind.ANSWER]
+    Stage().run(play)
+
+
 def test_what_was_refused_goes_elsewhere_and_the_reason_reaches_the_module() -> None:
     def play(stage: Stage) -> None:
         def full(stream: Stream, message: Message) -> None:
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -105,8 +105,7 @@
             self._over(attempt, api.Outcome.NOT_SENT)
             return
         left_ms = max(1, (attempt.deadline_us - self._life.hub.now_us()) // 1000)
-        values = {int(Code.CLASS): task.passed_on[Code.CLASS], int(Code.PATIENCE): b"%d" % left_ms,
-                  int(Code.NAME): task.passed_on[Code.NAME], int(Code.DESCRIPTION): task.passed_on[Code.DESCRIPTION]}
+        values = {**task.passed_on, int(Code.PATIENCE): b"%d" % left_ms}
         self._attempts.advance(attempt, Stage.SENT)
         link.strays.pop(task.ident, None)
         line.out[task.ident] = attempt
--- a/wingbarrow/relay/setup.py
+++ b/wingbarrow/relay/setup.py
@@ -16,7 +16,9 @@
 SIZE_LEAST = 1e-12  # of cores
 TOKEN_MOST = 64  # bytes
 _NAME = re.compile(r"[0-9a-fA-F]{16}")
-_PASSED_ON = (Code.CLASS, Code.NAME, Code.DESCRIPTION)
+# What an owner tells its placer; the rest goes on to the machine as it came, also what this program has no name for:
+# keyed classes bring a parameter by which machines know a repeat, and the page does not list it.
+_OWN = frozenset({Code.PATIENCE, Code.RETRY, Code.HINT, Code.FIGURES})
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,4 +110,4 @@
     return SetUp(message.task, cls, name, service, _figure(figures.get("cores"), "cores", SIZE_LEAST, bounds.cores),
                  _figure(figures.get("memory"), "memory", 0, bounds.memory), int(patience_ms * 1000),
                  None if hint is None else int(_figure(hint, "hint", 0, FAR_MS) * 1000), again, at,
-                 {int(code): message.values[code] for code in _PASSED_ON})
+                 {code: value for code, value in message.values.items() if code not in _OWN})
