--- a/tests/relay/test_offers.py
+++ b/tests/relay/test_offers.py
@@ -31,7 +31,8 @@
     def play(stage: Stage) -> None:
         client, key = stage.client(), b"19ec28eaa14f2143824331079fb2de33"
         values = {Code.CLASS: b"web", Code.PATIENCE: b"1500", Code.HINT: b"14967.4", 42: key, Code.RETRY: b"1",
-                  200: b"", Code.NAME: b"000cd763bdabd81b", Code.FIGURES: b"cores:0.250;memory:0.500;service:0001c9e2b3fe8a71",
+                  200: b"", Code.NAME: b"000cd763bdabd81b",
+                  Code.FIGURES: b"cores:0.250;memory:0.500;service:0001c9e2b3fe8a71",
                   Code.DESCRIPTION: DESCRIPTION}
         client.stream.send(encode(Kind.SET_UP, 7, values))
         stage.sleep(50)
