--- a/tests/relay/test_gone_owners.py
+++ b/tests/relay/test_gone_owners.py
@@ -86,6 +86,20 @@
     Stage(1).run(play)
 
 
+def test_a_held_request_whose_connection_was_closed_here_is_not_sent_before_it_is_taken_back() -> None:
+    def play(stage: Stage) -> None:
+        hold_then_free(stage)
+        client = stage.client()
+        client.ask(1, patience_ms=4900)
+        stage.sleep(2150)
+        owners = stage.placer.owners
+        (owner,) = [each for each in owners._owners if 1 in each.tasks]
+        stall(stage, lambda: owners.close(owner, "id twice"))
+        stage.sleep(1500)
+        assert len(stage.machines[0].set_ups()) == 1 and stage.placer.life.counts["withdrawn"] == 1
+    Stage(1).run(play)
+
+
 @pytest.mark.parametrize("leaves", [close, reset, give_up])
 def test_a_further_attempt_does_not_begin_where_the_refusal_and_the_clients_end_come_together(
         leaves: Callable[[Client, list[int]], None]) -> None:
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -46,7 +46,7 @@
     def is_behind(self, now_us: int) -> bool:
         """Whether something that came over UNREAD_US ago may not have been read, the client's end among it."""
         if not self.stream.open:
-            return False  # its end has been read; what was open on it is being taken back
+            return True  # closed here: what was open on it is taken back as soon as its reader runs
         return self.stream.has_unread(now_us, UNREAD_US) or (
             self.framer.ready and now_us - self.stream.silent_us > UNREAD_US)
 
