A cold machine that stands still gets one share: offers count there until it speaks

Cause: the fleet's model showed 40 offers unread at a cold machine of N = 20 that stood still for 6 s (16 placers; 120 of 64 at 30), read at once when it goes on: the relay had the module count an offer from when it was sent (`arrivals_told` false), so each span gave a new share. A path test fails without (8 of 4 within two spans).

--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -102,6 +102,30 @@
     Stage(1, settings=copy.deepcopy(SETTINGS) | {"bounds": {**SETTINGS["bounds"], "conn_idle_us": 2 * S}}).run(play)
 
 
+def test_a_cold_machine_that_stands_still_gets_one_share_and_more_once_it_speaks() -> None:
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.sleep(3000)  # past the span after the placer's own start
+        stage.journal.add(machine.entry(started_ms=stage.hub.clock.wall_us() // 1000))
+        stage.sleep(50)
+        waiting: list[tuple[Stream, Message]] = []
+        machine.on_set_up = lambda stream, message: waiting.append((stream, message))
+        owner = stage.client()
+        for task in range(1, 13):
+            owner.ask(task, name=f"{task:016x}", figures=f"cores:0.1;memory:0.1;service:s{task}", patience_ms=15_000)
+        stage.sleep(6000)  # more than two spans: nothing of it has come yet
+        assert len(waiting) == 4
+        machine.on_set_up = machine.take
+        for stream, message in waiting:
+            machine.take(stream, message)
+        stage.sleep(2600)
+        assert len(machine.set_ups()) == 8
+        stage.sleep(2600)
+        assert all(owner.kinds(task) == [Kind.ANSWER] for task in range(1, 13))
+    family = {**SETTINGS["family_info"], "fresh_offers": 4}
+    Stage(1, settings=SETTINGS | {"family_info": family}).run(play)
+
+
 # -- the close of a connection
 
 def proven_and_idle(stage: Stage) -> None:
--- a/wingbarrow/interface_settings.py
+++ b/wingbarrow/interface_settings.py
@@ -101,7 +101,7 @@
     fall_us: int
     fresh_offers: float
     prices: Prices
-    arrivals_told: bool = False  # a note says when an offer has reached its machine
+    arrivals_told: bool = False  # an offer has come once its machine says so, by a note, an answer or its end
 
     def __post_init__(self) -> None:
         """Reject figures that no deployment can mean."""
