--- a/tests/relay/test_journal.py
+++ b/tests/relay/test_journal.py
@@ -40,7 +40,8 @@
 
 
 @pytest.mark.parametrize("change", [
-    {"cell": 2.5}, {"cell": float("inf")}, {"instanceId": 7}, {"hostPort": "nowhere"}, {"cell": "x"}, {"lifecycle": "Dancing"}, {"startedAtMs": "soon"},
+    {"cell": 2.5}, {"cell": float("inf")},
+    {"instanceId": 7}, {"hostPort": "nowhere"}, {"cell": "x"}, {"lifecycle": "Dancing"}, {"startedAtMs": "soon"},
     {"startedAtMs": float("nan")}, {"zone": None}])
 def test_a_bad_entry_is_passed_over_and_told(change: dict[str, object]) -> None:
     told: list[str] = []
--- a/wingbarrow/relay/configuration.py
+++ b/wingbarrow/relay/configuration.py
@@ -125,7 +125,8 @@
     share: only what the machine says shows that it has come.
     """
     settings = settings_of(part.value, part.path)
-    return replace(settings, arrivals_told=True, tick_us=max(1, min(settings.tick_us, min(_deadlines(part)) // TICK_PART)))
+    tick_us = max(1, min(settings.tick_us, min(_deadlines(part)) // TICK_PART))
+    return replace(settings, arrivals_told=True, tick_us=tick_us)
 
 
 def load(environment: Mapping[str, str]) -> Configuration:
