--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -36,7 +36,7 @@
         self.tasks: dict[int, Task] = {}  # open set-ups, by id
         self.foreign: deque[int] = deque(maxlen=FOREIGN_MOST)  # ids it asked for that were another's
         self.retired = False  # closed here; what its client still says is read, and set-ups go elsewhere
-        self._waiting: list[Callable[[], None]] = []  # at most one for each open set-up
+        self._waiting: list[Callable[[], None]] = []  # one for each attempt that is put off
 
     def write(self, data: bytes) -> bool:
         """Send; False where the connection is of no use any more."""
