--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -6,6 +6,7 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -25,6 +26,18 @@
 PATIENCE_S = 30.0  # for a condition, on a machine that is busy
 
 
+@contextmanager
+def reserved() -> Iterator[int]:
+    """A port that the system chose, refused until somebody listens there.
+
+    It stays bound: freed, it may become the own port of any connection that is dialled meanwhile.
+    """
+    with socket.socket() as held:
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # others that say so may bind it, and listen
+        held.bind(("127.0.0.1", 0))
+        yield int(held.getsockname()[1])
+
+
 class Site:
     """Stand-ins on a hub of this process, and one placer as a process of its own."""
 
@@ -52,18 +65,18 @@
     @contextmanager
     def run(self, journal_port: int | None = None) -> Iterator[subprocess.Popen[bytes]]:
         """The process, with the descriptors that its configuration names and no more."""
-        taken = connect_free()
-        self.port = taken
-        path = self.write(journal_port or self.journal.server.port)
-        process = subprocess.Popen(
-            [sys.executable, "-m", "wingbarrow.relay"], cwd=ROOT, stderr=(self.folder / "log").open("wb"),
-            env={**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": f"127.0.0.1:{taken}", "RELAY_CONFIG": str(path)},
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)))
-        try:
-            yield process
-        finally:
-            process.kill()
-            process.wait(10)
+        with reserved() as self.port, (self.folder / "log").open("wb") as log:
+            path = self.write(journal_port or self.journal.server.port)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "wingbarrow.relay"], cwd=ROOT, stderr=log,
+                env={**os.environ, "RELAY_NAME": "n0", "RELAY_LISTEN": f"127.0.0.1:{self.port}",
+                     "RELAY_CONFIG": str(path)},
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)))
+            try:
+                yield process
+            finally:
+                process.kill()
+                process.wait(10)
 
     def until(self, holds: Callable[[], Any], what: str) -> None:
         """Wait for a condition, in real time."""
@@ -86,14 +99,6 @@
         return found[0]
 
 
-def connect_free() -> int:
-    """A port that the system chose and nobody holds now."""
-    import socket
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return int(free.getsockname()[1])
-
-
 def play(call: Callable[[Hub], None]) -> None:
     hub = Hub()
     hub.run(lambda: call(hub))
@@ -109,8 +114,7 @@
         tmp_path: Path) -> None:
     def call(hub: Hub) -> None:
         site = Site(hub, tmp_path, machines=SOCKETS)
-        away = connect_free()
-        with site.run(away) as process:
+        with reserved() as away, site.run(away) as process:
             owner = site.client()
             idle = [site.client() for _ in range(SOCKETS // 3)]  # as many as owners may hold
             for each in idle:
@@ -142,7 +146,7 @@
     time, here with 400 machines listed, discovery away and a flood of set-ups at the door."""
     def call(hub: Hub) -> None:
         site = Site(hub, tmp_path, machines=2, absent=398)
-        with site.run(connect_free()) as process:
+        with reserved() as away, site.run(away) as process:
             ready: list[bool] = []
 
             def pour() -> None:
