After a stall nothing is believed that lies unread: drains, dials, releases, stops and looks

The list's connection is looked at first, as the owner's is. - Rule 2: a stop, by its owner or by a move, whose connection was reset unread was never said again, so the first copy ran on beside the next (links.py `dial`, offers.py `lost`). Said again on each connection until the machine says that it is over. - A move, a release that waited and one said again were lost with their connection (owners.py `tell`); a machine's release just before the set-up that names its task (`_stray`, desk.py `_found`); set-ups with `at` had no bound. - What stands was written off after one dial that did not come up and 4 s without another (liveness.py `judge`); two dials at once that ran out of time dropped whole connections; a dial that came up during our own stall counted as silent (net.py `connect`); what came on a retired connection in its time was thrown away unread (links.py `retire`). Change: as said; four failed looks in a row write off, dials within 50 ms are one look. Ruled out: counts of dials, descriptors left registered, figures that end the placer, the count of what is owed.

--- a/tests/relay/stage.py
+++ b/tests/relay/stage.py
@@ -210,7 +210,7 @@
         self.machines = [Machine(hub, f"s-{i:08x}") for i in range(self.machines_wanted)]
         self.journal.add(*(machine.entry() for machine in self.machines), reset=True)
         with Nursery(hub) as nursery:
-            self.placer = self.make()
+            self.placer, self.placer_born_us = self.make(), hub.now_us()
             nursery.spawn(self._serve, "placer")
             hub.sleep(10 * MS)
             self.owner = self.client()
--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import json
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from wingbarrow.decide.crowd import IDLE_US, SILENT_US
 from wingbarrow.decide.gate import Held
+from wingbarrow.http.message import Request
 from wingbarrow.relay import links
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.transport import PeerGone, Stream, connect
@@ -102,6 +104,37 @@
     Stage(1, settings=copy.deepcopy(SETTINGS) | {"bounds": {**SETTINGS["bounds"], "conn_idle_us": 2 * S}}).run(play)
 
 
+def test_a_drain_that_lies_unread_after_a_stall_is_read_before_anything_is_sent() -> None:
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.owner.ask(50, name="5" * 16)  # leaves a connection to it that is free
+        stage.sleep(20)
+        stage.journal.add(machine.entry(started_ms=stage.hub.clock.wall_us() // 1000))
+        client = stage.client()
+        client.ask(1, patience_ms=4900)  # held until 2.5 s after the placer's start
+        now_is_the_time: list[bool] = []
+
+        def told_and_stands_still(request: Request) -> None:
+            while not now_is_the_time:
+                stage.hub.sleep(5 * MS)
+            stage.journal.add(machine.entry("Terminating"))
+            body = json.dumps(stage.journal.known(2)).encode()
+            request.connection.stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            stage.hub.clock.jump(stage.hub.now_us() + 400 * MS)  # longer than the grace
+            raise PeerGone("said")
+        stage.sleep(1500)
+        stage.journal.troubles.append(told_and_stands_still)
+        while stage.journal.troubles:
+            stage.sleep(5)
+        while stage.hub.now_us() - stage.placer_born_us < 2250 * MS:
+            stage.sleep(5)
+        assert len(machine.set_ups()) == 1
+        now_is_the_time.append(True)
+        stage.sleep(1500)
+        assert len(machine.set_ups()) == 1 and stage.placer.life.counts["sends_behind_list"] > 0
+    Stage(1).run(play)
+
+
 def test_a_cold_machine_that_stands_still_gets_one_share_and_more_once_it_speaks() -> None:
     def play(stage: Stage) -> None:
         (machine,) = stage.machines
--- a/wingbarrow/decide/liveness.py
+++ b/wingbarrow/decide/liveness.py
@@ -14,7 +14,9 @@
 LOOK_US = 1_500_000  # silence with tasks standing before a look
 AGAIN_US = 2_000_000  # looks that went well are repeated no sooner
 CUT_LOOKS = 2  # looks in a row that did not come up: offers are given up
-LOST_US = 4_000_000  # and so long after the first of them, what stands is written off
+LOST_US = 4_000_000  # and so long after the first of them, what stands is written off,
+LOST_LOOKS = 4  # by so many looks in a row: one that did not come up, and a long time without another, prove nothing
+APART_US = 50_000  # dials that began within it count as one look
 RETRY_US = 300_000  # between looks while none comes up
 
 
@@ -30,12 +32,13 @@
 class Liveness:
     """One machine, as its connections show it; all times in microseconds of one clock."""
 
-    __slots__ = ("heard_us", "_looked_us", "_failed_since_us", "_fails")
+    __slots__ = ("heard_us", "_looked_us", "_failed_since_us", "_began_us", "_fails")
 
     def __init__(self, now_us: int) -> None:
         self.heard_us = now_us
         self._looked_us = now_us - AGAIN_US
         self._failed_since_us: int | None = None
+        self._began_us = now_us  # the latest look that failed
         self._fails = 0
 
     def on_heard(self, now_us: int) -> None:
@@ -57,6 +60,9 @@
         self._looked_us = now_us
         if self._failed_since_us is None:
             self._failed_since_us = began_us
+        elif began_us - self._began_us < APART_US:
+            return  # Danger: dials asked for together, as offers ask, are one look and not several in a row
+        self._began_us = began_us
         self._fails += 1
 
     @property
@@ -71,7 +77,8 @@
     def judge(self, now_us: int, offers: bool, standing: bool) -> Verdict:
         """Asked now and then, as often as it may matter."""
         if self._fails:
-            if self._failed_since_us is not None and now_us - self._failed_since_us >= LOST_US:
+            since_us = self._failed_since_us
+            if since_us is not None and now_us - since_us >= LOST_US and self._fails >= LOST_LOOKS:
                 return Verdict.LOST
             if offers and self._fails >= CUT_LOOKS:
                 return Verdict.CUT
--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -81,6 +81,7 @@
         self._idle: deque[_Line] = deque()
         self._open = 0
         self._waiting = 0
+        self._asking: dict[_Line, None] = {}  # whose answer is being read whole
         self._freed = Signal(hub)
 
     def request(self, method: str, target: str, body: bytes | Callable[[], bytes] | None = None,
@@ -92,6 +93,7 @@
         body that is a call is made then.
         """
         line = self._take(until_us, may_send)
+        self._asking[line] = None
         kept = False
         try:
             response = self._exchange(line, method, target, body, fields, until_us)
@@ -108,8 +110,13 @@
             kept = response.keep_alive
             return response
         finally:
+            del self._asking[line]
             self._give(line, kept)
 
+    def has_unread(self, now_us: int, most_us: int) -> bool:
+        """Whether part of an answer that `request` waits for may lie unread that came more than `most_us` ago."""
+        return any(line.stream.has_unread(now_us, most_us) for line in self._asking if line.stream.open)
+
     def stream(self, method: str, target: str, fields: list[tuple[str, str]] | None = None,
                until_us: int | None = None, silence_us: int | None = None) -> tuple[Response, Iterator[bytes]]:
         """Start an exchange whose body is read as it comes; the iterator raises MaybeDone when it breaks.
--- a/wingbarrow/relay/desk.py
+++ b/wingbarrow/relay/desk.py
@@ -17,6 +17,7 @@
 from wingbarrow.relay.tasks import Book, State, Step, Task
 
 OPEN_IN_ALL = 2048  # set-ups that may wait for their final answer
+HELD_MOST = 8192  # attempts at machines, beyond which no task is taken in as standing already
 
 
 class Desk:
@@ -98,6 +99,15 @@
             if link is None or link.closed:
                 owner.write(refusal(asked.ident, Cause.RESET))
             return
+        if len(self._attempts) >= HELD_MOST:
+            # Danger: nobody else bounds them, and only its machine knows whether a task is there at all.
+            self._turn_away(owner, asked.ident, Cause.RESET, "too many held", None)
+            return
+        cause = self._offers.ended_early(link, asked.ident)
+        if cause is not None:
+            self.owners.proven(owner)
+            self.owners.release(asked.ident, cause)
+            return
         task = Task(request, asked.ident, asked.cls, asked.arrival(request, now), None, {}, State.STANDING, 1)
         self._book.add(task)
         attempt = Attempt(request, 0, task, link, f"{task.ident:016x}/0", now, now, Stage.PLACED, now)
--- a/wingbarrow/relay/journal.py
+++ b/wingbarrow/relay/journal.py
@@ -23,6 +23,8 @@
 BODY_MOST = 4 << 20
 EARLY_US = WAIT_MS * 500  # an answer without news before that is not the wait that was asked for
 ASKS_MOST = 3  # for missing events, until they are given up
+# Danger (rule 3): a drain that lies unread after a stall counts as told. Of a grace of 250 ms a fifth may pass.
+UNREAD_US = 50_000
 MARKS_MOST = 1024  # events remembered, to tell a service that lags from one that numbers anew
 TOLD_MOST = 64  # texts remembered, so that one fault is not logged over and over
 
@@ -48,6 +50,7 @@
         self._marks = OrderedDict((each.position, each.mark) for each in known)
         self._told: deque[str] = deque(maxlen=TOLD_MOST)
         self._scope: CancelScope | None = None
+        self._pool: Pool | None = None
         self._pause = Backoff(random.Random(life.random.random()), 20_000, 500_000)
 
     def move_to(self, address: Address) -> None:
@@ -58,14 +61,18 @@
             if self._scope is not None:
                 self._scope.cancel()
 
+    def is_behind(self, now_us: int) -> bool:
+        """Whether something that the service told over UNREAD_US ago may lie unread here."""
+        return self._pool is not None and self._pool.has_unread(now_us, UNREAD_US)
+
     def run(self) -> None:
         """Follow for ever."""
         hub = self._life.hub
         hub.current().first = True  # Danger (rule 3): offers that are ready must not go before drains are read
         while True:
             address = self._address
-            pool = Pool(hub, address.host, address.port,
-                        PoolLimits(connections=1, connect_us=CONNECT_US, message=Limits(body=BODY_MOST)))
+            limits = PoolLimits(connections=1, connect_us=CONNECT_US, message=Limits(body=BODY_MOST))
+            pool = self._pool = Pool(hub, address.host, address.port, limits)
             try:
                 while address == self._address:
                     if not self._turn(pool, address) and address == self._address:
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -16,7 +16,7 @@
 from wingbarrow.decide.liveness import Liveness, Verdict
 from wingbarrow.interface import ListedMachine, Phase
 from wingbarrow.relay.configuration import Address
-from wingbarrow.relay.message import BadMessage, Framer, Kind, Message, with_cause
+from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
 from wingbarrow.relay.tasks import Task
 from wingbarrow.transport import Outbox, PeerGone, Signal, Stream, connect
 
@@ -201,6 +201,10 @@
         while self._releases and line.stream.open:
             ident, cause = self._releases.popitem(last=False)
             line.write(with_cause(Kind.RELEASE, ident, cause))
+        for ident, attempt in self.standing.items():
+            if attempt.stopping is not None:
+                # Danger: a stop that was lost with its connection would let a task run on that its owner has ended.
+                line.write(with_cause(Kind.RELEASE, ident, Cause.CANCELLED))
         return line
 
     def _read(self, line: Line) -> None:
@@ -242,7 +246,15 @@
         """Close a connection that is not in use: what the machine has sent on it is read to its end."""
         self.lines.remove(line)
         line.stream.end_writing()
-        self._life.hub.call_at(self._life.hub.now_us() + RETIRE_US, lambda: self._close(line))
+        self._close_later(line)
+
+    def _close_later(self, line: Line) -> None:
+        def close() -> None:
+            if line.stream.open and not line.stream.is_quiet():
+                self._close_later(line)  # Danger: after a stall, what came in its time lies unread and would be lost
+            else:
+                self._close(line)
+        self._life.hub.call_at(self._life.hub.now_us() + RETIRE_US, close)
 
     def give_up(self, line: Line) -> None:
         """Close a connection on which nothing is open, to make room for another; what it missed is asked for soon."""
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from collections.abc import Callable
+
 from wingbarrow import interface as api
 from wingbarrow.core.host import Host
 from wingbarrow.core.life import Life
@@ -17,6 +20,8 @@
 from wingbarrow.relay.tasks import Book, State, Step, Task
 
 PROBE_US = 1_000_000
+# After a start a machine may release a task before its owner has named it here.
+EARLY_US, EARLY_MOST = 8_500_000, 1024
 TEST = 1 << 63  # ids of own tests have the highest bit, and a count below
 REASONS = {"nc": api.Reason.NO_CORES, "nm": api.Reason.NO_MEMORY, "nq": api.Reason.OFFERS_WAIT,
            "nh": api.Reason.NOT_HERE, "ev": api.Reason.EVICTED, "pre": api.Reason.PUSHED_OUT,
@@ -39,6 +44,9 @@
         self._gate, self._slack_us = SendGate(settings.cold_us, settings.fall_us), settings.tick_us
         self._probes: dict[int, tuple[Link, int]] = {}
         self._tests = 0
+        self.list_behind: Callable[[int], bool] = lambda now_us: False  # whether news of machines may lie unread
+        # Releases of what nobody here knew, by machine and id: their cause, and until when they are remembered.
+        self._early: OrderedDict[tuple[int, int], tuple[int, int]] = OrderedDict()
 
     # -- what the module decides
 
@@ -96,6 +104,11 @@
 
     def _send(self, attempt: Attempt, line: Line) -> None:
         task, link = attempt.task, attempt.link
+        if self.list_behind(self._life.hub.now_us()):
+            # Danger (rule 3): a drain may lie unread; it is read before whatever is ready in the next turn.
+            self._life.counts["sends_behind_list"] += 1
+            self._life.spawn(lambda: self._begin(attempt), "offer")
+            return
         if task.owner is not None and task.owner.is_behind(self._life.hub.now_us()):
             # Danger: its owner may have gone or given up, unread here; the attempt begins once that is known.
             self._life.counts["sends_behind"] += 1
@@ -285,10 +298,20 @@
         ident = message.task
         if message.kind == Kind.RELEASE:
             link.strays.pop(ident, None)
+            now = self._life.hub.now_us()
+            cause = (message.values.get(Code.CAUSE) or bytes((Cause.RESET,)))[0]
+            self._early[link.ident, ident] = cause, now + EARLY_US
+            while len(self._early) > EARLY_MOST or next(iter(self._early.values()))[1] <= now:
+                self._early.popitem(last=False)
         elif message.kind in (Kind.ANSWER, Kind.NOTE) and link.strays.pop(ident, False) is None:
             self._life.counts["strays_stopped"] += 1
             link.release(ident, Cause.CANCELLED)
 
+    def ended_early(self, link: Link, ident: int) -> int | None:
+        """The cause with which a machine released a task before this placer heard of it; None where it did not."""
+        cause, until_us = self._early.pop((link.ident, ident), (0, 0))
+        return cause if self._life.hub.now_us() < until_us else None
+
     # -- what connections tell
 
     def unanswered(self, attempt: Attempt, why: str) -> None:
@@ -311,7 +334,7 @@
             link.drop(line, "lost")
         for attempt in list(link.standing.values()):
             self._ended(attempt, api.Outcome.BROKEN, api.Reason.UNTOLD, Cause.RESET)
-            if may_return and self._is_stopped(attempt):
+            if may_return and (attempt.stopping is not None or self._is_stopped(attempt)):
                 link.release(attempt.task.ident, Cause.CANCELLED)
 
     def restarted(self, link: Link, launched_us: int) -> None:
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -175,14 +175,11 @@
 
     def release(self, ident: int, cause: int) -> None:
         """Tell that a task that stood is over, on any owner's connection, now or as soon as there is one."""
-        data = with_cause(Kind.RELEASE, ident, cause)
-        owner = self.tell(data)
-        if owner is None:
+        self._tell_or_owe(with_cause(Kind.RELEASE, ident, cause))
+
+    def _tell_or_owe(self, data: bytes) -> None:
+        if not self.tell(data):
             self._owe(data)
-            return
-        self._unheard[ident] = self._life.hub.now_us() + HEARD_US, owner, data
-        if len(self._unheard) > OWED_MOST:
-            self._unheard.popitem(last=False)
 
     def _send_again(self, gone: Owner) -> None:
         """Releases that crossed the end of their connection go on another; an owner that heard one passes it over."""
@@ -191,16 +188,14 @@
             self._unheard.popitem(last=False)
         if gone.guest.proven:
             for ident in [ident for ident, (_, owner, _) in self._unheard.items() if owner is gone]:
-                _, _, data = self._unheard.pop(ident)
+                until_us, _, data = self._unheard.pop(ident)
                 self._life.counts["releases_again"] += 1
-                if self.tell(data) is None:
+                if not self.tell(data, until_us):
                     self._owe(data)
 
     def told_to_move(self, ident: int) -> None:
         """Tell that a task was stopped and is to come again."""
-        data = encode(Kind.MOVE, ident, {})
-        if self.tell(data) is None:
-            self._owe(data)
+        self._tell_or_owe(encode(Kind.MOVE, ident, {}))
 
     def _owe(self, data: bytes) -> None:
         if len(self._owed) >= OWED_MOST:
@@ -209,13 +204,23 @@
         self._owed.append((self._life.hub.now_us() + OWED_US, data))
         self._life.counts["releases_waited"] += 1
 
-    def tell(self, data: bytes) -> Owner | None:
-        """Send on any connection that has proven to be an owner's: on which; None without one."""
+    def tell(self, data: bytes, until_us: int | None = None) -> bool:
+        """Send the end of a task on any connection that has proven to be an owner's; False without one.
+
+        Until then, else for HEARD_US, it goes again where that connection ends before it was heard.
+        """
         # Those with an open set-up first: their owner does not close them now. Then the latest heard of.
         known = [each for each in reversed(self._owners)
                  if each.guest.proven and each.stream.open and not each.retired]
         known.sort(key=lambda each: not each.tasks)
-        return next((each for each in known if each.write(data)), None)
+        owner = next((each for each in known if each.write(data)), None)
+        if owner is None:
+            return False
+        ident = int.from_bytes(data[3:11], "big")
+        self._unheard[ident] = until_us or self._life.hub.now_us() + HEARD_US, owner, data
+        if len(self._unheard) > OWED_MOST:
+            self._unheard.popitem(last=False)
+        return True
 
     def proven(self, owner: Asker) -> None:
         """A task of this connection was answered: it is a usual owner's."""
@@ -227,7 +232,7 @@
         now = self._life.hub.now_us()
         for _ in range(len(self._owed)):
             until_us, data = self._owed.popleft()
-            if now < until_us and self.tell(data) is None:
+            if now < until_us and not self.tell(data):
                 self._owed.append((until_us, data))
 
 
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -55,6 +55,7 @@
                                        lambda why: log("bad-list-entry", level="warning", why=why))
         self._follower = journal.Follower(life, configuration.journal, position, self._shift_us, self._on_news,
                                           self._on_failed, known)
+        self._offers.list_behind = self._follower.is_behind
         self._begin(known)
 
     # -- the module's hands
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -252,6 +252,12 @@
             del self._waiting[fd]
             self._poll.unregister(fd)
 
+    def is_ready(self, fd: int, what: int) -> bool:
+        """Whether the descriptor can be read (READ) or written (WRITE), or is broken, at this moment."""
+        poll = select.poll()
+        poll.register(fd, what)
+        return bool(poll.poll(0))
+
     def heard_out_us(self, fd: int) -> int | None:
         """When the latest poll began that found nothing to read, where a reader waits; None where none does."""
         return self._looked_us if READ in self._waiting.get(fd, ()) else None
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -255,7 +255,13 @@
     try:
         code = sock.connect_ex((host, port))
         if code == errno.EINPROGRESS:
-            hub.wait(sock.fileno(), WRITE)
+            try:
+                hub.wait(sock.fileno(), WRITE)
+            except Cancelled:
+                # Danger: after a stall, time runs out before a poll has seen that it came up. Where the whole task
+                # was cancelled, its next wait tells it again.
+                if not hub.is_ready(sock.fileno(), WRITE):
+                    raise
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     except BaseException:
         sock.close()
