--- a/wingbarrow/relay/configuration.py
+++ b/wingbarrow/relay/configuration.py
@@ -121,12 +121,10 @@
 
     Danger (rule 1): `quantum_us` is the interval between the simulator's batches, which do not exist here; one as
     long as a deadline would have every set-up of its class turned away, as out of time.
-    Danger (rule 4): on sockets an offer may lie unread at a cold machine that stands still, and come with the next
-    share: only what the machine says shows that it has come.
     """
     settings = settings_of(part.value, part.path)
     tick_us = max(1, min(settings.tick_us, min(_deadlines(part)) // TICK_PART))
-    return replace(settings, arrivals_told=True, tick_us=tick_us)
+    return replace(settings, tick_us=tick_us)
 
 
 def load(environment: Mapping[str, str]) -> Configuration:
