A part of an assertion that could not fail is taken out of the crossings' tests

Need: it compared an enum member's name with itself; the count beside it is what holds. Change: the part goes, and its import.

--- a/tests/relay/test_crossings.py
+++ b/tests/relay/test_crossings.py
@@ -11,7 +11,6 @@
 from tests.relay.stage import DESCRIPTION, MS, S, SETTINGS, Machine, Stage
 
 from wingbarrow.decide.crowd import IDLE_US, SILENT_US
-from wingbarrow.decide.gate import Held
 from wingbarrow.http.message import Request
 from wingbarrow.relay import links
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
@@ -82,7 +81,7 @@
         stage.journal.add(machine.entry(started_ms=stage.hub.clock.wall_us() // 1000))
         stage.sleep(170)
         monkeypatch.undo()
-        assert stage.placer.life.counts["held:restarted"] == 3 and Held.RESTARTED.name == "RESTARTED"
+        assert stage.placer.life.counts["held:restarted"] == 3
         stage.sleep(300)
         # They go all the same, decided anew and counted in the cold machine's share.
         assert [owner.kinds(task) for task in (1, 2, 3)] == [[Kind.ANSWER]] * 3
