A machine's release that overtakes its answer ends the task; releases are traced by id

At fault: relay/offers.py `_released`, the last `else`: any release but 16 with a description was taken for "before the answer".

Change. relay/outcomes.py says what a release before the answer means: one with a reason that only a running task has ends the task; it is passed on to the owner at once and nothing is sent after. An end (16) whose answer was overtaken may still be confirmed by another machine, but its owner is told after 0.8 s at the latest (1 s is allowed).

--- a/wingbarrow/core/lines.py
+++ b/wingbarrow/core/lines.py
@@ -48,6 +48,10 @@
             return
         if left_out:
             fields["left_out"] = left_out
+        self.write(event, level, fields)
+
+    def write(self, event: str, level: str, fields: dict[str, Any]) -> None:
+        """Write a line whatever the ration says; the caller bounds how many."""
         now = time.time()
         stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now)) + f".{int(now % 1 * 1000):03d}Z"
         line = json.dumps({"event": event, "level": level, "timestamp": stamp, **fields}, default=str)
--- a/wingbarrow/relay/__main__.py
+++ b/wingbarrow/relay/__main__.py
@@ -9,6 +9,7 @@
 
 from wingbarrow.core.lines import LineLog
 from wingbarrow.relay.configuration import BadConfiguration, load
+from wingbarrow.relay import trace
 from wingbarrow.relay.placer import Placer
 from wingbarrow.transport import Hub, PeerGone
 from wingbarrow.transport.signals import on_signals
@@ -20,7 +21,7 @@
     log = LineLog(hub.now_us)
     try:
         configuration = load(os.environ)
-        placer = Placer(hub, configuration, log)
+        placer = Placer(hub, configuration, log, trace.from_environment(os.environ, log.write))
     except (BadConfiguration, ValueError) as error:
         print(f"wingbarrow: {error}", file=sys.stderr, flush=True)
         return 2
--- a/wingbarrow/relay/desk.py
+++ b/wingbarrow/relay/desk.py
@@ -15,6 +15,7 @@
 from wingbarrow.relay.offers import Offers
 from wingbarrow.relay.owners import Owner, Owners, refusal
 from wingbarrow.relay.tasks import Book, State, Step, Task
+from wingbarrow.relay.trace import Trace
 
 OPEN_IN_ALL = 2048  # set-ups that may wait for their final answer
 HELD_MOST = 8192  # attempts at machines, beyond which no task is taken in as standing already
@@ -24,9 +25,10 @@
     """What owners ask; `ready` is what a test is answered."""
 
     def __init__(self, life: Life, host: Host, book: Book, attempts: Attempts, links: Links, offers: Offers,
-                 crowd: Crowd, settings: api.Settings, stay_away_most_us: int, deadline_us: int) -> None:
+                 crowd: Crowd, settings: api.Settings, stay_away_most_us: int, deadline_us: int, trace: Trace) -> None:
         self._life, self._host, self._book, self._attempts = life, host, book, attempts
         self._links, self._offers, self._crowd = links, offers, crowd
+        self._trace = trace
         self._classes = {each.name: each for each in settings.classes}
         self._bounds = setup.Bounds.of(settings, deadline_us)
         self._door = Door(settings.tick_us)
@@ -74,6 +76,7 @@
             self._book.add(task)
             owner.tasks[task.ident] = task
             self._life.counts["set_ups"] += 1
+            self._trace(task.ident, "asked", owner=owner.number, effect=task.cls.effect.value)
             self._host.feed(task.arrival)
 
     def _turn_away(self, owner: Owner, ident: int, cause: int, why: str, held: Task | None) -> None:
@@ -105,6 +108,7 @@
             return
         cause = self._offers.ended_early(link, asked.ident)
         if cause is not None:
+            self._trace(asked.ident, "found ended", owner=owner.number, machine=at)
             self.owners.proven(owner)
             self.owners.release(asked.ident, cause)
             return
@@ -115,6 +119,7 @@
         link.strays.pop(task.ident, None)
         link.standing[task.ident] = attempt
         self.owners.proven(owner)
+        self._trace(task.ident, "found", owner=owner.number, machine=at)
         self._host.feed(api.TaskFound(task.arrival, link.ident))
 
     def _released(self, owner: Owner, message: Message) -> None:
@@ -122,7 +127,9 @@
         # Danger: who was turned away under another's id may take it back, and would end the other's task.
         if task is None or (task.state is State.ASKED and task.owner is not owner) or task.ident in owner.foreign:
             self._life.counts["releases_unknown"] += 1
+            self._trace(message.task, "release unknown", owner=owner.number, cause=message.cause)
             return
+        self._trace(message.task, "released by its owner", owner=owner.number, cause=message.cause)
         self._withdraw(task, message.cause)
 
     def _withdraw(self, task: Task, cause: int) -> None:
@@ -145,6 +152,7 @@
     def left(self, owner: Owner) -> None:
         """Its connection has ended: nobody waits for what was open on it."""
         for task in list(owner.tasks.values()):
+            self._trace(task.ident, "its connection ended", owner=owner.number)
             self._withdraw(task, Cause.GIVEN_UP)
 
     def refuse(self, request: int) -> None:
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -47,10 +47,11 @@
 class Line:
     """One connection to a machine and the set-ups open on it."""
 
-    __slots__ = ("link", "stream", "outbox", "framer", "out", "used_us")
+    __slots__ = ("link", "stream", "outbox", "framer", "out", "used_us", "number")
 
     def __init__(self, link: Link, stream: Stream, outbox: Outbox, now_us: int) -> None:
         self.link, self.stream, self.outbox, self.used_us = link, stream, outbox, now_us
+        self.number = link.next_line_number()
         self.framer = Framer()
         self.out: dict[int, Attempt] = {}
 
@@ -108,10 +109,16 @@
         self._redial_us = 0
         self._refusals = 0  # in a row, while old connections stood
         self._releases: OrderedDict[int, int] = OrderedDict()  # to send on the next connection, with their cause
+        self._line_numbers = 0
         self.closed = False
 
     # -- connections
 
+    def next_line_number(self) -> int:
+        """For logs: a number that no connection to this machine had."""
+        self._line_numbers += 1
+        return self._line_numbers
+
     def free_line(self) -> Line | None:
         """One on which no set-up is open."""
         # Danger: near the time at which idle connections are closed there, an offer crosses the close, and a task that
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -16,34 +16,29 @@
 from wingbarrow.reader import read_report
 from wingbarrow.relay.links import Attempt, Attempts, Line, Link, Links
 from wingbarrow.relay.message import BadMessage, Cause, Code, Kind, Message, encode, with_cause
+from wingbarrow.relay.outcomes import AFTER_ANSWER, BEFORE_ANSWER, NOTES, Unanswered, reason_of, unanswered
 from wingbarrow.relay.owners import Owners, refusal
+from wingbarrow.relay.probes import Probes
 from wingbarrow.relay.tasks import Book, State, Step, Task
+from wingbarrow.relay.trace import Trace
 
-PROBE_US = 1_000_000
 # After a start a machine may release a task before its owner has named it here.
 EARLY_US, EARLY_MOST = 8_500_000, 1024
-TEST = 1 << 63  # ids of own tests have the highest bit, and a count below
-REASONS = {"nc": api.Reason.NO_CORES, "nm": api.Reason.NO_MEMORY, "nq": api.Reason.OFFERS_WAIT,
-           "nh": api.Reason.NOT_HERE, "ev": api.Reason.EVICTED, "pre": api.Reason.PUSHED_OUT,
-           "dr": api.Reason.SENT_AWAY}
-NOTES = {"live": api.NoteKind.RUNS, "c": api.NoteKind.CORES_USED, "m": api.NoteKind.MEMORY_USED,
-         "s": api.NoteKind.SERVED, "p": api.NoteKind.MACHINE_MEMORY}
-BEFORE: dict[int, api.Outcome] = {
-    Cause.FULL: api.Outcome.REFUSED, Cause.ERROR: api.Outcome.ERROR, Cause.MOOT: api.Outcome.NOT_SENT}
+# What has stood and is over is told to its owner within 1 s of the machine's release ("The rules on sockets").
+TOLD_US = 800_000
 UNRUN = (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT)  # what surely never ran
-AFTER: dict[int, api.Outcome] = {Cause.OVER: api.Outcome.DONE, Cause.CANCELLED: api.Outcome.CANCELLED}
 
 
 class Offers:
-    """Owns the gate that every set-up passes right before its first byte, and the probes."""
+    """Owns the gate that every set-up passes right before its first byte."""
 
     def __init__(self, life: Life, host: Host, book: Book, attempts: Attempts, links: Links, owners: Owners,
-                 settings: api.Settings) -> None:
+                 settings: api.Settings, trace: Trace) -> None:
+        self._trace = trace
         self._life, self._host, self._book, self._attempts = life, host, book, attempts
         self._links, self._owners = links, owners
         self._gate, self._slack_us = SendGate(settings.cold_us, settings.fall_us), settings.tick_us
-        self._probes: dict[int, tuple[Link, int]] = {}
-        self._tests = 0
+        self.probes = Probes(life, host, links)
         self.list_behind: Callable[[int], bool] = lambda now_us: False  # whether news of machines may lie unread
         # Releases of what nobody here knew, by machine and id: their cause, and until when they are remembered.
         self._early: OrderedDict[tuple[int, int], tuple[int, int]] = OrderedDict()
@@ -123,6 +118,7 @@
         link.strays.pop(task.ident, None)
         line.out[task.ident] = attempt
         line.used_us = self._life.hub.now_us()
+        self._trace(task.ident, "sent", attempt=attempt.number, machine=link.name, line=line.number)
         if not line.write(encode(Kind.SET_UP, task.ident, values)):
             # Not wholly written: it cannot have come whole to the machine.
             line.out.pop(task.ident, None)
@@ -163,6 +159,7 @@
             line.used_us = now
         if not self._attempts.advance(attempt, Stage.ENDED):
             return
+        self._trace(attempt.task.ident, "attempt over", attempt=attempt.number, outcome=outcome.value, placed=placed)
         attempt.link.standing.pop(attempt.task.ident, None)
         if not placed and outcome not in UNRUN and attempt.task.earlier is None:
             attempt.task.earlier = Earlier(attempt.decided_us, attempt.link.listed)
@@ -174,35 +171,18 @@
         self._host.feed(api.AttemptEnded(attempt.request, attempt.number, attempt.link.ident, outcome, reason, closed,
                                          waited_us, report))
 
-    def probe(self, machine: int) -> None:
-        """Ask a machine for its report."""
-        link = self._links.of(machine)
-        if link is None or link.closed:
-            self._host.feed(api.Probed(machine, api.Outcome.UNREACHABLE, None))
-            return
-        self._life.counts["probes"] += 1
-        self._life.spawn(lambda: self._probe(link), "probe")
-
-    def _probe(self, link: Link) -> None:
-        line = (None if link.liveness.doubtful else link.shared_line()) or link.line_for_offer()
-        self._tests += 1
-        ident = TEST + self._tests
-        if line is None or not line.write(with_cause(Kind.TEST, ident, 1)):
-            self._host.feed(api.Probed(link.ident, api.Outcome.UNREACHABLE, None))
-            return
-        self._probes[ident] = link, self._life.hub.now_us()
-        self._life.hub.sleep(PROBE_US)
-        if self._probes.pop(ident, None) is not None:
-            self._host.feed(api.Probed(link.ident, api.Outcome.TIMED_OUT, None))
-
     # -- what machines say
 
     def message(self, link: Link, line: Line, message: Message) -> None:
         """A machine's message; what is not expected changes nothing."""
         kind, ident = message.kind, message.task
+        if kind in (Kind.ANSWER, Kind.RELEASE):
+            self._trace(ident, "machine said", kind=int(kind), machine=link.name, line=line.number,
+                        cause=int.from_bytes(message.values.get(Code.CAUSE, b""), "big"),
+                        codes=sorted(message.values))
         attempt = line.out.get(ident) or link.standing.get(ident)
         if kind == Kind.TESTED:
-            self._tested(link, message)
+            self.probes.answered(link, message)
         elif attempt is None:
             self._stray(link, message)
         elif kind == Kind.ANSWER:
@@ -243,6 +223,7 @@
         self._host.cancel_timer(task.request)
         if owner is not None:
             owner.tasks.pop(task.ident, None)
+            self._trace(task.ident, "answer passed on", owner=owner.number)
             if not owner.write(encode(Kind.ANSWER, task.ident, {Code.DESCRIPTION: description})):
                 return False
             self._owners.proven(owner)
@@ -250,21 +231,40 @@
 
     def _released(self, attempt: Attempt, message: Message) -> None:
         cause = message.cause
-        reason = REASONS.get(message.text(Code.REMARK) or "", api.Reason.UNTOLD)
+        reason = reason_of(message)
         report = read_report(message.text(Code.REPORT) or "-", ";")
         self._life.counts[f"release:{attempt.stage.name.lower()}:{cause}"] += 1
         if attempt.stage is Stage.PLACED:
-            self._ended(attempt, AFTER.get(cause, api.Outcome.BROKEN), reason, cause, report)
-        elif cause == Cause.OVER and Code.DESCRIPTION in message.values:
-            # The task came to its end before it stood: the release holds the description that an answer would. It
-            # is the simulator's outcome "the task has ended", which closes the request.
-            if attempt.task.state is State.ASKED:
+            self._ended(attempt, AFTER_ANSWER.get(cause, api.Outcome.BROKEN), reason, cause, report)
+            return
+        task, meaning = attempt.task, unanswered(message)
+        if meaning is Unanswered.ENDED_WITH_ANSWER:
+            # It is the simulator's outcome "the task has ended", which closes the request.
+            if task.state is State.ASKED:
                 self._pass_on(attempt, message.values[Code.DESCRIPTION])
-                self._book.step(attempt.task, Step.END)
-                self._owners.release(attempt.task.ident, cause)
+                self._book.step(task, Step.END)
+                self._owners.release(task.ident, cause)
             self._over(attempt, api.Outcome.DONE, reason, report)
-        else:
-            self._over(attempt, BEFORE.get(cause, api.Outcome.BROKEN), reason, report)
+            return
+        if meaning is Unanswered.CUT:
+            self._life.counts["answers_overtaken"] += 1
+            self._close(task, Step.FAIL, cause)
+        elif meaning is Unanswered.ENDED:
+            self._life.counts["answers_overtaken"] += 1
+            self._tell_end_in_time(task)
+        self._over(attempt, BEFORE_ANSWER.get(cause, api.Outcome.BROKEN), reason, report)
+
+    def _tell_end_in_time(self, task: Task) -> None:
+        """Another machine may say that the task has come to its end, until the owner has to be told of it."""
+        def due() -> None:
+            attempt = self._attempts.of(task.request)
+            if task.state is not State.ASKED:
+                return
+            self._close(task, Step.FAIL, Cause.RESET)
+            self._host.feed(api.TaskWithdrawn(task.request))
+            if attempt is not None:
+                self.abandon(attempt, api.Outcome.CANCELLED)
+        self._life.hub.call_at(self._life.hub.now_us() + TOLD_US, due)
 
     def _ended(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason, cause: int,
                report: api.Report | None = None) -> None:
@@ -285,14 +285,6 @@
         if kind is not None:
             self._host.feed(api.TaskNote(attempt.request, attempt.number, attempt.link.ident, kind, level))
 
-    def _tested(self, link: Link, message: Message) -> None:
-        known = self._probes.pop(message.task, None)
-        if known is None or known[0] is not link:
-            return
-        report = read_report(message.text(Code.REPORT) or "-", ";")
-        outcome = api.Outcome.DONE if message.values.get(Code.CAUSE) != b"\0" else api.Outcome.ERROR
-        self._host.feed(api.Probed(link.ident, outcome, report))
-
     def _stray(self, link: Link, message: Message) -> None:
         """News of what nobody here waits for: a safe task that was given up only takes room."""
         ident = message.task
@@ -346,19 +338,26 @@
     def stop(self, attempt: Attempt, end: End, cause: int = Cause.CANCELLED) -> None:
         """Have a standing task cut; its attempt is over once the machine says so."""
         attempt.stopping = end
+        self._trace(attempt.task.ident, "stopped", machine=attempt.link.name, end=end.value)
         attempt.link.release(attempt.task.ident, cause)
 
     def answer(self, task: Task, step: Step, cause: int) -> None:
         """The final answer to a set-up that does not stand, at once."""
-        owner, attempt = task.owner, self._attempts.of(task.request)
+        attempt = self._attempts.of(task.request)
+        if self._close(task, step, cause) and attempt is not None:
+            self.abandon(attempt, api.Outcome.TIMED_OUT)
+
+    def _close(self, task: Task, step: Step, cause: int) -> bool:
+        """Give the final answer to a set-up that does not stand; False where it has had one."""
+        owner = task.owner
         if not self._book.step(task, step):
-            return
+            return False
         self._host.cancel_timer(task.request)
         if owner is not None:
             owner.tasks.pop(task.ident, None)
             owner.write(refusal(task.ident, cause))
         self._life.counts["answer:" + step.value] += 1
-        if attempt is not None:
-            self.abandon(attempt, api.Outcome.TIMED_OUT)
+        self._trace(task.ident, "answer", step=step.value)
+        return True
 
 
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -9,6 +9,7 @@
 from wingbarrow.decide.crowd import Crowd, Guest
 from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, encode, with_cause
 from wingbarrow.relay.tasks import Asker, Task
+from wingbarrow.relay.trace import Trace
 from wingbarrow.transport import Listener, Outbox, PeerGone, Stream
 
 OUT_MOST = 256 * 1024  # bytes that may wait for an owner that reads slowly
@@ -28,10 +29,10 @@
 class Owner:
     """One connection from an owner, the front, or anybody."""
 
-    __slots__ = ("stream", "outbox", "framer", "guest", "tasks", "foreign", "retired", "_waiting")
+    __slots__ = ("stream", "outbox", "framer", "guest", "tasks", "foreign", "retired", "number", "_waiting")
 
-    def __init__(self, stream: Stream, outbox: Outbox, guest: Guest) -> None:
-        self.stream, self.outbox, self.guest = stream, outbox, guest
+    def __init__(self, stream: Stream, outbox: Outbox, guest: Guest, number: int) -> None:
+        self.stream, self.outbox, self.guest, self.number = stream, outbox, guest, number
         self.framer = Framer()
         self.tasks: dict[int, Task] = {}  # open set-ups, by id
         self.foreign: deque[int] = deque(maxlen=FOREIGN_MOST)  # ids it asked for that were another's
@@ -66,8 +67,9 @@
     """All connections of owners; `take` gets each message and when it had surely not come yet."""
 
     def __init__(self, life: Life, crowd: Crowd, take: Callable[[Owner, Message, int], None],
-                 left: Callable[[Owner], None], fits: Callable[[], bool]) -> None:
+                 left: Callable[[Owner], None], fits: Callable[[], bool], trace: Trace) -> None:
         self._life, self._crowd, self._take, self._left = life, crowd, take, left
+        self._trace, self._accepted = trace, 0
         self._fits = fits  # makes room for one that has come; whether there is
         self._owners: OrderedDict[Owner, None] = OrderedDict()  # least lately heard of first
         self._owed: deque[tuple[int, bytes]] = deque()  # releases without a connection, with their end
@@ -82,7 +84,8 @@
 
     def _serve(self, stream: Stream) -> None:
         hub = self._life.hub
-        owner = Owner(stream, Outbox(hub, stream, OUT_MOST), Guest(hub.now_us()))
+        self._accepted += 1
+        owner = Owner(stream, Outbox(hub, stream, OUT_MOST), Guest(hub.now_us()), self._accepted)
         self._owners[owner] = None
         self._make_room()
         try:
@@ -102,6 +105,7 @@
                     self._owners.move_to_end(owner)
                     if message.kind == Kind.RELEASE_HEARD:
                         self._unheard.pop(message.task, None)
+                        self._trace(message.task, "release heard", owner=owner.number)
                     self._take(owner, message, min(now, stream.silent_us))
                     taken += 1
                     if taken % BURST == 0:
@@ -190,6 +194,7 @@
             for ident in [ident for ident, (_, owner, _) in self._unheard.items() if owner is gone]:
                 until_us, _, data = self._unheard.pop(ident)
                 self._life.counts["releases_again"] += 1
+                self._trace(ident, "release again", gone=gone.number)
                 if not self.tell(data, until_us):
                     self._owe(data)
 
@@ -199,10 +204,12 @@
 
     def _owe(self, data: bytes) -> None:
         if len(self._owed) >= OWED_MOST:
-            self._owed.popleft()
+            _, lost = self._owed.popleft()
+            self._trace(int.from_bytes(lost[3:11], "big"), "release dropped")
             self._life.counts["releases_dropped"] += 1
         self._owed.append((self._life.hub.now_us() + OWED_US, data))
         self._life.counts["releases_waited"] += 1
+        self._trace(int.from_bytes(data[3:11], "big"), "release pending")
 
     def tell(self, data: bytes, until_us: int | None = None) -> bool:
         """Send the end of a task on any connection that has proven to be an owner's; False without one.
@@ -217,6 +224,7 @@
         if owner is None:
             return False
         ident = int.from_bytes(data[3:11], "big")
+        self._trace(ident, "release told", owner=owner.number)
         self._unheard[ident] = until_us or self._life.hub.now_us() + HEARD_US, owner, data
         if len(self._unheard) > OWED_MOST:
             self._unheard.popitem(last=False)
@@ -232,7 +240,9 @@
         now = self._life.hub.now_us()
         for _ in range(len(self._owed)):
             until_us, data = self._owed.popleft()
-            if now < until_us and not self.tell(data):
+            if now >= until_us:
+                self._trace(int.from_bytes(data[3:11], "big"), "release expired")
+            elif not self.tell(data):
                 self._owed.append((until_us, data))
 
 
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -17,6 +17,7 @@
 from wingbarrow.relay.offers import Offers
 from wingbarrow.relay.owners import Owner, Owners
 from wingbarrow.relay.tasks import Book
+from wingbarrow.relay.trace import Trace
 from wingbarrow.transport import Hub, Nursery, listen
 
 # The platform ends a placer no sooner than so long after SIGTERM: the longest deadline, counted as 3 s where it is
@@ -32,8 +33,9 @@
 class Placer:
     """Serves until cancelled, or until it was told to end and nothing is owed."""
 
-    def __init__(self, hub: Hub, configuration: Configuration, log: Callable[..., None]) -> None:
-        self._configuration = configuration
+    def __init__(self, hub: Hub, configuration: Configuration, log: Callable[..., None],
+                 trace: Trace | None = None) -> None:
+        self._configuration, trace = configuration, trace or Trace()
         settings = configuration.settings
         life = self.life = Life(hub, log, configuration.seed)
         self._host = Host(life, settings)
@@ -41,10 +43,12 @@
         self._book, self._attempts, self._links = Book(), Attempts(), Links(
             table, lambda: len(self.owners), configuration.conn_idle_us)
         crowd = Crowd(table.owners_most)
-        self.owners = Owners(life, crowd, self._take, self._left, lambda: self._links.make_room(0))
-        self._offers = Offers(life, self._host, self._book, self._attempts, self._links, self.owners, settings)
+        self.owners = Owners(life, crowd, self._take, self._left, lambda: self._links.make_room(0),
+                             trace)
+        self._offers = Offers(life, self._host, self._book, self._attempts, self._links, self.owners, settings,
+                              trace)
         self.desk = Desk(life, self._host, self._book, self._attempts, self._links, self._offers, crowd, settings,
-                         configuration.stay_away_most_us, configuration.patience_us)
+                         configuration.stay_away_most_us, configuration.patience_us, trace)
         self.desk.owners = self.owners
         self._host.hands = self
         self._shift_us = hub.clock.now_us() - hub.clock.wall_us()
@@ -78,7 +82,7 @@
 
     def probe(self, machine: int) -> None:
         """Ask a machine for its report."""
-        self._offers.probe(machine)
+        self._offers.probes.ask(machine)
 
     def flush(self) -> None:
         """Everything has been written already."""
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -51,6 +51,7 @@
     """The connection that a set-up came on, as far as the task needs it."""
 
     guest: Guest
+    number: int  # of the connection, for logs
     tasks: dict[int, Task]  # open set-ups, by id
 
     def write(self, data: bytes) -> bool:
