--- a/wingbarrow/decide/subsets.py
+++ b/wingbarrow/decide/subsets.py
@@ -61,7 +61,7 @@
         return tuple(self._names[index] for index in self._ranked(machine))
 
     def holders(self, machine: str, living: frozenset[str]) -> tuple[str, ...]:
-        """The first `replicas` of its order that live; fewer where fewer live. Names outside the roster do not count."""
+        """The first `replicas` of its order that live; fewer where fewer live. Others of `living` do not count."""
         found: list[str] = []
         for index in self._ranked(machine):
             name = self._names[index]
