--- /dev/null
+++ b/tests/decide/test_subset_view.py
@@ -0,0 +1,261 @@
+"""The living set: flaps, deaths of many, cuts and healing, and how often it may change."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from wingbarrow.decide.subset_view import LEAVE_AFTER_US, SETTLE_US, LivingView
+from wingbarrow.decide.subsets import SubsetRules, Subsets
+
+S = 1_000_000
+TICK_US = 100_000
+ROSTER = tuple(f"placer-{index:02}" for index in range(24))
+ALL = frozenset(ROSTER)
+ME = ROSTER[0]
+MACHINES = tuple(f"node-{index:04}" for index in range(400))
+LEAVE_US, SPAN_US = 10 * S, 2 * S
+
+
+def view_of(name: str = ME) -> LivingView:
+    return LivingView(name, ROSTER, LEAVE_US, SPAN_US)
+
+
+# -- one view
+
+def test_at_the_start_everybody_lives() -> None:
+    view = view_of()
+    assert view.living(0) == ALL and view.next_us() is None
+
+
+@pytest.mark.parametrize("nobody", [frozenset(), frozenset({"stranger"})])
+def test_where_nobody_is_known_everybody_lives(nobody: frozenset[str]) -> None:
+    view = view_of()
+    view.on_members(0, nobody)
+    assert view.next_us() is None and view.living(100 * S) == ALL
+    view.on_members(100 * S, ALL - {ROSTER[1]})
+    assert view.living(110 * S) == ALL - {ROSTER[1]}
+    view.on_members(120 * S, nobody)
+    assert view.next_us() == 112 * S and view.living(120 * S) == ALL
+
+
+def test_one_that_is_dead_leaves_after_its_time_and_is_back_at_once() -> None:
+    view = view_of()
+    view.on_members(5 * S, ALL - {ROSTER[1]})
+    assert view.next_us() == 15 * S
+    assert view.living(15 * S - 1) == ALL
+    assert view.living(15 * S) == ALL - {ROSTER[1]} and view.next_us() is None
+    view.on_members(60 * S, ALL)
+    assert view.living(60 * S) == ALL and view.next_us() is None
+
+
+def test_news_that_repeats_itself_puts_nothing_off() -> None:
+    view = view_of()
+    for now_us in range(0, 10 * S, S):
+        view.on_members(now_us, ALL - {ROSTER[1]})
+    assert view.next_us() == 10 * S and view.living(10 * S) == ALL - {ROSTER[1]}
+
+
+def test_a_flap_shorter_than_its_time_moves_nothing() -> None:
+    view = view_of()
+    for now_us in range(0, 300 * S, 12 * S):
+        view.on_members(now_us, ALL - {ROSTER[1]})
+        assert view.living(now_us + 9 * S) == ALL
+        view.on_members(now_us + 10 * S, ALL)  # told before the change that is due was made
+        assert view.living(now_us + 10 * S) == ALL and view.next_us() is None
+
+
+def test_changes_of_one_span_are_made_together() -> None:
+    view = view_of()
+    gone = set[str]()
+    for index in range(1, 9):
+        gone.add(ROSTER[index])
+        view.on_members(index * S // 4, ALL - gone)
+    assert view.next_us() == S // 4 + LEAVE_US
+    first = view.living(S // 4 + LEAVE_US)
+    assert first == ALL - {ROSTER[1]}
+    assert view.next_us() == S // 4 + LEAVE_US + SPAN_US, "the others wait for the span's end"
+    assert view.living(S // 4 + LEAVE_US + SPAN_US - 1) == first
+    assert view.living(S // 4 + LEAVE_US + SPAN_US) == ALL - gone
+    assert view.next_us() is None
+
+
+def test_one_that_comes_back_waits_for_the_spans_end_only() -> None:
+    view = view_of()
+    view.on_members(0, ALL - {ROSTER[1]})
+    without = view.living(10 * S)
+    view.on_members(11 * S, ALL)
+    assert view.next_us() == 12 * S
+    assert view.living(12 * S - 1) == without and view.living(12 * S) == ALL
+
+
+def test_one_that_came_back_and_went_again_before_the_spans_end_stays_out() -> None:
+    view = view_of()
+    view.on_members(0, ALL - {ROSTER[1]})
+    without = view.living(10 * S)
+    view.on_members(10 * S + 1, ALL)
+    view.on_members(10 * S + 2, ALL - {ROSTER[1]})
+    assert view.next_us() is None
+    assert view.living(12 * S) == without and view.living(60 * S) == without
+
+
+def test_ones_own_name_is_always_in() -> None:
+    view = view_of()
+    view.on_members(0, ALL - {ME})
+    assert view.living(60 * S) == ALL
+    view.on_members(60 * S, frozenset({ME}))
+    assert view.living(100 * S) == {ME}, "one that knows that it is alone"
+
+
+def test_strangers_are_passed_over() -> None:
+    view = view_of()
+    view.on_members(0, ALL | {"stranger"})
+    assert view.living(60 * S) == ALL and view.next_us() is None
+
+
+def test_state_grows_with_the_roster_alone() -> None:
+    view = view_of()
+    rng = random.Random(3)
+    for turn in range(2000):
+        strangers = {f"stranger-{turn}-{index}" for index in range(5)}
+        view.on_members(turn * S, frozenset(rng.sample(ROSTER, 12)) | strangers)
+        assert view.living(turn * S) <= ALL
+    assert len(view._missing_us) <= len(ROSTER) and set(view._missing_us) <= ALL
+
+
+@pytest.mark.parametrize("me, leave_us, span_us, key", [
+    ("stranger", 0, 0, "roster"), (ME, -1, 0, "leave-after"), (ME, 0, -1, "settle")])
+def test_what_cannot_be_is_refused(me: str, leave_us: int, span_us: int, key: str) -> None:
+    with pytest.raises(ValueError, match=key):
+        LivingView(me, ROSTER, leave_us, span_us)
+
+
+def test_the_usual_times() -> None:
+    view = LivingView(ME, ROSTER)
+    view.on_members(0, ALL - {ROSTER[1]})
+    assert view.next_us() == LEAVE_AFTER_US == 10 * S and SETTLE_US == 2 * S
+
+
+News = list[tuple[int, frozenset[str]]]  # how long after the one before, in ticks, and who is told of
+news = st.lists(st.tuples(st.integers(0, 60), st.frozensets(st.sampled_from(ROSTER[:6] + ("stranger",)))), max_size=25)
+
+
+@hypothesis_settings(max_examples=200)
+@given(news)
+def test_any_news(events: News) -> None:
+    """Asked at each tick: changes at most once a span, in the stated time, and never but as `next_us` said."""
+    roster = ROSTER[:6]
+    view = LivingView(ME, roster, LEAVE_US, SPAN_US)
+    now_us, changed_us, held, told = 0, -SPAN_US, frozenset(roster), frozenset(roster)
+    told_us = dict.fromkeys(roster, 0)  # since when each has been told of as it is now
+    for ticks, members in [*events, (0, frozenset(roster)), (400, frozenset(roster))]:
+        for _ in range(ticks):
+            due_us = view.next_us()
+            living = view.living(now_us)
+            assert ME in living and living <= frozenset(roster)
+            if living != held:
+                assert due_us is not None and due_us <= now_us and now_us - changed_us >= SPAN_US
+                assert all(now_us - told_us[name] >= LEAVE_US for name in held - living)
+                held, changed_us = living, now_us
+            else:
+                assert due_us is None or due_us > now_us
+            for name in roster:
+                wait_us = SPAN_US + (0 if name in told else LEAVE_US)
+                assert now_us - told_us[name] <= wait_us or (name in held) == (name in told)
+            now_us += TICK_US
+        present = (members & frozenset(roster) | {ME}) if members & frozenset(roster) else frozenset(roster)
+        told_us.update(dict.fromkeys(present ^ told, now_us))
+        told = present
+        view.on_members(now_us, members)
+    assert held == frozenset(roster)
+
+
+# -- many views: who holds what
+
+class Region:
+    """Placers with a view each. `sees`: whom each would be told of as living, as soon as it is detected."""
+
+    DETECTED_US = 3 * S
+
+    def __init__(self) -> None:
+        self.now_us = 0
+        self.subsets = Subsets(SubsetRules(ROSTER, 3))
+        self.views = {name: view_of(name) for name in ROSTER}
+        self.changes = dict.fromkeys(ROSTER, 0)
+        self.held = dict.fromkeys(ROSTER, ALL)
+
+    def play(self, lasts_us: int, sees: dict[str, frozenset[str]], check: Callable[[], None] | None = None) -> None:
+        """Placers that `sees` does not name are dead. News comes to each a little apart. `check`: at each tick."""
+        for at_us in range(0, lasts_us, TICK_US):
+            for index, name in enumerate(sees):
+                if at_us == self.DETECTED_US + index % 5 * TICK_US:
+                    self.views[name].on_members(self.now_us, sees[name])
+                living = self.views[name].living(self.now_us)
+                self.changes[name] += living != self.held[name]
+                self.held[name] = living
+            if check is not None:
+                check()
+            self.now_us += TICK_US
+
+    def holders(self, machine: str, among: frozenset[str]) -> set[str]:
+        return {name for name in among if self.subsets.holds(name, machine, self.held[name])}
+
+
+def all_see(living: frozenset[str]) -> dict[str, frozenset[str]]:
+    return dict.fromkeys(sorted(living), living)
+
+
+def test_a_third_killed_at_once_and_back() -> None:
+    region, rest = Region(), ALL - set(ROSTER[8:16])
+    before = {machine: region.holders(machine, ALL) for machine in MACHINES}
+    region.play(5 * S, all_see(rest))  # declared dead, and still in the set
+    assert all(region.holders(machine, rest) == before[machine] - set(ROSTER[8:16]) for machine in MACHINES)
+    region.play(Region.DETECTED_US + S + LEAVE_US + SPAN_US - 5 * S, all_see(rest))
+    assert all(len(region.holders(machine, rest)) == 3 for machine in MACHINES), "r again in the stated time"
+    assert set(region.changes[name] for name in rest) == {1}, "one change for eight deaths"
+    region.play(30 * S, all_see(ALL))
+    assert all(region.holders(machine, ALL) == before[machine] for machine in MACHINES)
+
+
+def test_while_some_holders_are_dead_the_others_hold() -> None:
+    region, dead = Region(), frozenset(ROSTER[8:16])
+    before = {machine: region.holders(machine, ALL) for machine in MACHINES}
+
+    def enough() -> None:
+        for machine in MACHINES[::5]:
+            assert len(region.holders(machine, ALL - dead)) >= 3 - len(before[machine] & dead)
+
+    region.play(20 * S, all_see(ALL - dead), enough)
+    assert all(region.held[name] == ALL - dead for name in ALL - dead)
+
+
+@pytest.mark.parametrize("size", [1, 2, 5, 12])
+def test_a_cut_and_its_healing(size: int) -> None:
+    region, one, other = Region(), frozenset(ROSTER[:size]), frozenset(ROSTER[size:])
+    before = {machine: region.holders(machine, ALL) for machine in MACHINES}
+    region.play(Region.DETECTED_US + S + LEAVE_US + SPAN_US, all_see(one) | all_see(other))
+    for machine in MACHINES:
+        assert len(region.holders(machine, one)) == min(3, size)
+        assert len(region.holders(machine, other)) == 3
+        assert before[machine] <= region.holders(machine, ALL), "the first ranks hold on either side"
+
+    def first_ranks_hold() -> None:
+        for machine in MACHINES[::10]:
+            assert before[machine] <= region.holders(machine, ALL)
+
+    region.play(Region.DETECTED_US + S + SPAN_US, all_see(ALL), first_ranks_hold)
+    assert all(region.holders(machine, ALL) == before[machine] for machine in MACHINES)
+
+
+def test_views_that_differ_anyhow_never_leave_a_machine_of_living_first_ranks_unheld() -> None:
+    region, rng = Region(), random.Random(11)
+    for _ in range(40):
+        up = frozenset(rng.sample(ROSTER, rng.randrange(1, 25)))
+        region.play(5 * S, {name: frozenset(rng.sample(ROSTER, rng.randrange(24))) | {name} for name in sorted(up)})
+        for machine in MACHINES[:40]:
+            assert set(region.subsets.order(machine)[:3]) & up <= region.holders(machine, up)
