--- a/tests/decide/test_subset_view.py
+++ b/tests/decide/test_subset_view.py
@@ -85,6 +85,12 @@
     assert view.next_us() is None
 
 
+def test_the_first_change_waits_for_no_span() -> None:
+    view = LivingView(ME, ROSTER, 0, SPAN_US)
+    view.on_members(S, ALL - {ROSTER[1]})
+    assert view.next_us() == S and view.living(S) == ALL - {ROSTER[1]}
+
+
 def test_one_that_comes_back_waits_for_the_spans_end_only() -> None:
     view = view_of()
     view.on_members(0, ALL - {ROSTER[1]})
--- a/tests/decide/test_subsets.py
+++ b/tests/decide/test_subsets.py
@@ -89,6 +89,12 @@
             assert other.cold_most(placer, machine, 20.0) == subsets.cold_most(placer, machine, 20.0)
 
 
+def test_nor_does_it_where_scores_are_equal(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "SCORE_BYTES", 1)  # 48 scores of 256: most machines have two that are equal
+    one, other = Subsets(SubsetRules(ROSTER, 3)), Subsets(SubsetRules(ROSTER[::-1], 3))
+    assert all(one.order(machine) == other.order(machine) for machine in MACHINES[:100])
+
+
 def test_what_was_asked_before_changes_no_answer() -> None:
     asked = Subsets(SubsetRules(ROSTER, 3))
     for machine in reversed(MACHINES[:50]):
