Relay: request table, admission, running and pending in place of the earlier names

Need: names of the field (shared table of names); a reader of relay/ met a book, a desk, tasks that stand and releases owed.

--- a/benchmarks/relay_soak.py
+++ b/benchmarks/relay_soak.py
@@ -63,7 +63,7 @@
             print(json.dumps({
                 "second": second + 1, "tasks": task, "memory_mb": round(memory_mb(), 1),
                 "descriptors": len(os.listdir("/proc/self/fd")), "links": len(placer._links.by_name),
-                "book": len(placer._book.by_ident), "cpu_s": round(time.process_time() - began, 1),
+                "book": len(placer._requests.by_ident), "cpu_s": round(time.process_time() - began, 1),
                 "module_s": round(placer._host.module_ns / 1e9, 1)}), flush=True)
 
 
--- a/tests/relay/test_descriptors.py
+++ b/tests/relay/test_descriptors.py
@@ -45,7 +45,7 @@
     a_machine = 3.0
 
     def fill(self, count: int) -> list[Telling]:
-        """So many machines, and a task standing on each."""
+        """So many machines, and a task running on each."""
         machines = [Telling(self.hub, f"m-{i:08x}") for i in range(count)]
         self.journal.add(*(each.entry() for each in machines))
         self.sleep(200)
--- a/tests/relay/test_gone_owners.py
+++ b/tests/relay/test_gone_owners.py
@@ -186,7 +186,7 @@
         assert len(machine.heard) == before + 1
         assert [each.message.task for each in machine.heard if each.message.kind == Kind.RELEASE] == [1]
         assert stage.placer.life.counts["answers_unheard"] == 1
-        assert stage.placer._book.by_ident.get(1) is None
+        assert stage.placer._requests.by_ident.get(1) is None
     Stage(1).run(play)
 
 
--- a/tests/relay/test_machine_crossings.py
+++ b/tests/relay/test_machine_races.py
@@ -70,7 +70,7 @@
         stage.sleep(20)
         stage.owner.stream.send(with_cause(Kind.RELEASE, 1, Cause.CANCELLED))
         stage.sleep(9000)
-        assert not stage.placer._links.by_name[machine.name].standing, "written off"
+        assert not stage.placer._links.by_name[machine.name].running, "written off"
         for filler in fillers:
             filler.close()
         back = type(machine)(stage.hub, machine.name, machine.port)
--- a/tests/relay/test_machines.py
+++ b/tests/relay/test_machines.py
@@ -195,7 +195,7 @@
         stage.journal.add(stage.machines[0].entry())
         stage.sleep(1500)
         placer = stage.placer
-        assert len(placer._links.by_name) == 2 and len(placer._attempts) == 0 and not placer._book.by_ident
+        assert len(placer._links.by_name) == 2 and len(placer._attempts) == 0 and not placer._requests.by_ident
         scheduler = placer._host._scheduler
         assert len(scheduler._fleet.machines) == 2 and not scheduler._tasks and not scheduler._choice._spread
     Stage().run(play)
--- a/tests/relay/test_owner_crossings.py
+++ b/tests/relay/test_owner_races.py
@@ -23,7 +23,7 @@
 
 
 def move(stage: Stage) -> None:
-    stage.placer.move(stage.placer._book.by_ident[1].request)  # as the module's hands are asked to
+    stage.placer.move(stage.placer._requests.by_ident[1].request)  # as the module's hands are asked to
 
 
 @pytest.mark.parametrize("ends", [release, move])
@@ -38,7 +38,7 @@
         machine.silent = True  # what comes now is never read
         ends(stage)
         stage.sleep(20)
-        assert stage.placer._book.by_ident.get(1) is None and releases(machine, 1) == 0
+        assert stage.placer._requests.by_ident.get(1) is None and releases(machine, 1) == 0
         for stream in machine.streams:
             stream.abort()
         machine.silent = False
@@ -112,7 +112,7 @@
         assert stage.placer.life.counts["releases_waited"] == 1
         fresh = stage.client()
         fresh.ask(2, name="2" * 16)
-        turns_until(stage, lambda: stage.placer._book.answered == 2)
+        turns_until(stage, lambda: stage.placer._requests.answered == 2)
         fresh.stream.abort()  # the answer, and with it what waited, had been written
         stage.sleep(50)
         last = stage.client()
@@ -134,7 +134,7 @@
         stage.sleep(1000)
         assert [each.kind for each in stage.owner.of(5)] == [Kind.RELEASE]
         assert stage.owner.heard[-1].at_us - began <= S
-        assert stage.placer._book.by_ident.get(5) is None
+        assert stage.placer._requests.by_ident.get(5) is None
     Stage(1).run(play)
 
 
@@ -147,7 +147,7 @@
             if task % 100 == 0:
                 stage.hub.checkpoint()
         stage.sleep(1000)
-        assert len(stage.placer._attempts) < MANY and len(stage.placer._book.by_ident) < MANY
+        assert len(stage.placer._attempts) < MANY and len(stage.placer._requests.by_ident) < MANY
         usual = stage.client()  # the placer goes on
         prove(usual, 1)
     Stage(1).run(play)
--- a/tests/relay/test_tasks.py
+++ b/tests/relay/test_tasks.py
@@ -1,4 +1,4 @@
-"""The request book's table, and what is wrong with a set-up."""
+"""The request requests's table, and what is wrong with a set-up."""
 
 from __future__ import annotations
 
@@ -8,46 +8,46 @@
 from wingbarrow import interface as api
 from wingbarrow.relay import setup
 from wingbarrow.relay.message import Code, Kind, Message
-from wingbarrow.relay.tasks import Book, State, Step, Task
+from wingbarrow.relay.tasks import RequestTable, State, Step, Task
 
 WEB = task_class("web")
 
 
-def task(book: Book, ident: int = 7, state: State = State.ASKED) -> Task:
-    request = book.next_request()
+def task(requests: RequestTable, ident: int = 7, state: State = State.ASKED) -> Task:
+    request = requests.next_request()
     arrival = api.TaskArrived(request, "web", "s", "t", 1, 1, 0, None)
     made = Task(request, ident, WEB, arrival, None, {3: b"web"}, state)
-    book.add(made)
+    requests.add(made)
     return made
 
 
-@pytest.mark.parametrize("final", [Step.STAND, Step.REFUSE, Step.FAIL, Step.WITHDRAW])
+@pytest.mark.parametrize("final", [Step.START, Step.REFUSE, Step.FAIL, Step.WITHDRAW])
 @pytest.mark.parametrize("late", list(Step))
 def test_a_final_answer_is_given_once_whatever_comes_late(final: Step, late: Step) -> None:
-    book = Book()
-    asked = task(book)
-    assert book.owed == 1 and book.step(asked, final) and book.owed == 0
-    again = book.step(asked, late)
-    assert again is (final is Step.STAND and late in (Step.WITHDRAW, Step.END, Step.MOVE))
-    assert book.owed == 0 and bool(book.odd) is not again
+    requests = RequestTable()
+    asked = task(requests)
+    assert requests.pending == 1 and requests.step(asked, final) and requests.pending == 0
+    again = requests.step(asked, late)
+    assert again is (final is Step.START and late in (Step.WITHDRAW, Step.END, Step.MOVE))
+    assert requests.pending == 0 and bool(requests.odd) is not again
     assert not asked.passed_on  # what was only for machines is not kept
 
 
 @pytest.mark.parametrize("end", [Step.END, Step.MOVE, Step.WITHDRAW])
 def test_a_task_that_stands_ends_once_and_is_forgotten(end: Step) -> None:
-    book = Book()
-    stands = task(book, state=State.STANDING)
-    assert book.owed == 0 and book.step(stands, end) and not book.step(stands, Step.END)
-    assert not book.by_ident and not book.by_request
+    requests = RequestTable()
+    stands = task(requests, state=State.RUNNING)
+    assert requests.pending == 0 and requests.step(stands, end) and not requests.step(stands, Step.END)
+    assert not requests.by_ident and not requests.by_request
 
 
 def test_an_id_that_is_used_again_is_another_task() -> None:
-    book = Book()
-    first = task(book)
-    book.step(first, Step.FAIL)
-    second = task(book)
-    assert book.by_ident[7] is second and first.request != second.request
-    assert not book.step(first, Step.REFUSE) and book.by_ident[7] is second
+    requests = RequestTable()
+    first = task(requests)
+    requests.step(first, Step.FAIL)
+    second = task(requests)
+    assert requests.by_ident[7] is second and first.request != second.request
+    assert not requests.step(first, Step.REFUSE) and requests.by_ident[7] is second
 
 
 GOOD = {Code.CLASS: b"web", Code.PATIENCE: b"1500", Code.NAME: b"7f3a9c21e0b4d655", Code.HINT: b"8200.0",
--- a/wingbarrow/relay/desk.py
+++ b/wingbarrow/relay/admission.py
@@ -14,19 +14,19 @@
 from wingbarrow.relay.message import Cause, Code, Kind, Message, with_cause
 from wingbarrow.relay.offers import Offers
 from wingbarrow.relay.owners import Owner, Owners, refusal
-from wingbarrow.relay.tasks import Book, State, Step, Task
+from wingbarrow.relay.tasks import RequestTable, State, Step, Task
 from wingbarrow.relay.trace import Trace
 
 OPEN_IN_ALL = 2048  # set-ups that may wait for their final answer
-HELD_MOST = 8192  # attempts at machines, beyond which no task is taken in as standing already
+HELD_MOST = 8192  # attempts at machines, beyond which no task is taken in as running already
 
 
-class Desk:
+class Admission:
     """What owners ask; `ready` is what a test is answered."""
 
-    def __init__(self, life: Life, host: Host, book: Book, attempts: Attempts, links: Links, offers: Offers,
+    def __init__(self, life: Life, host: Host, requests: RequestTable, attempts: Attempts, links: Links, offers: Offers,
                  crowd: Crowd, settings: api.Settings, stay_away_most_us: int, deadline_us: int, trace: Trace) -> None:
-        self._life, self._host, self._book, self._attempts = life, host, book, attempts
+        self._life, self._host, self._requests, self._attempts = life, host, requests, attempts
         self._links, self._offers, self._crowd = links, offers, crowd
         self._trace = trace
         self._classes = {each.name: each for each in settings.classes}
@@ -50,7 +50,7 @@
         # All else wants no answer and means nothing here.
 
     def _set_up(self, owner: Owner, message: Message, came_us: int) -> None:
-        held = self._book.by_ident.get(message.task)
+        held = self._requests.by_ident.get(message.task)
         try:
             asked = setup.read(message, self._classes, self._bounds)
         except setup.BadSetUp as error:
@@ -63,17 +63,17 @@
         if held is not None:
             self._turn_away(owner, message.task, Cause.ERROR, "id in use", held)
             return
-        now, lag, owed = self._life.hub.now_us(), self._life.hub.lag_us(), self._book.owed
-        due = self._door.on_wait(now, came_us, lag, owed)
-        due_us = due or self._door.due_us(now, came_us, asked.patience_us, lag, owed, self._book.answered)
+        now, lag, pending = self._life.hub.now_us(), self._life.hub.lag_us(), self._requests.pending
+        due = self._door.on_wait(now, came_us, lag, pending)
+        due_us = due or self._door.due_us(now, came_us, asked.patience_us, lag, pending, self._requests.answered)
         if isinstance(due_us, TurnedAway):
             self._turn_away(owner, message.task, Cause.BUSY, due_us.why.name.lower(), held)
-        elif owed >= OPEN_IN_ALL or not self._crowd.may_open(owner.guest, len(owner.tasks)):
+        elif pending >= OPEN_IN_ALL or not self._crowd.may_open(owner.guest, len(owner.tasks)):
             self._turn_away(owner, message.task, Cause.BUSY, "too many open", held)
         else:
-            request = self._book.next_request()
+            request = self._requests.next_request()
             task = Task(request, asked.ident, asked.cls, asked.arrival(request, due_us), owner, asked.passed_on)
-            self._book.add(task)
+            self._requests.add(task)
             owner.tasks[task.ident] = task
             self._life.counts["set_ups"] += 1
             self._trace(task.ident, "asked", owner=owner.number, effect=task.cls.effect.value)
@@ -94,10 +94,10 @@
 
     def _found(self, owner: Owner, asked: setup.SetUp, at: str) -> None:
         """A task that a machine holds already comes under this placer's care."""
-        request, now = self._book.next_request(), self._life.hub.now_us()
+        request, now = self._requests.next_request(), self._life.hub.now_us()
         link = self._links.by_name.get(at)
         self._life.counts["found" if link else "found_nowhere"] += 1
-        if link is None or link.closed or asked.ident in link.standing:
+        if link is None or link.closed or asked.ident in link.running:
             self._life.log("found-nowhere", level="warning", machine=at)
             if link is None or link.closed:
                 owner.write(refusal(asked.ident, Cause.RESET))
@@ -112,18 +112,18 @@
             self.owners.proven(owner)
             self.owners.release(asked.ident, cause)
             return
-        task = Task(request, asked.ident, asked.cls, asked.arrival(request, now), None, {}, State.STANDING, 1)
-        self._book.add(task)
+        task = Task(request, asked.ident, asked.cls, asked.arrival(request, now), None, {}, State.RUNNING, 1)
+        self._requests.add(task)
         attempt = Attempt(request, 0, task, link, f"{task.ident:016x}/0", now, now, Stage.PLACED, now)
         self._attempts.add(attempt)
         link.strays.pop(task.ident, None)
-        link.standing[task.ident] = attempt
+        link.running[task.ident] = attempt
         self.owners.proven(owner)
         self._trace(task.ident, "found", owner=owner.number, machine=at)
         self._host.feed(api.TaskFound(task.arrival, link.ident))
 
     def _released(self, owner: Owner, message: Message) -> None:
-        task = self._book.by_ident.get(message.task)
+        task = self._requests.by_ident.get(message.task)
         # Danger: who was turned away under another's id may take it back, and would end the other's task.
         if task is None or (task.state is State.ASKED and task.owner is not owner) or task.ident in owner.foreign:
             self._life.counts["releases_unknown"] += 1
@@ -133,9 +133,9 @@
         self._withdraw(task, message.cause)
 
     def _withdraw(self, task: Task, cause: int) -> None:
-        attempt, stood = self._attempts.of(task.request), task.state is State.STANDING
+        attempt, stood = self._attempts.of(task.request), task.state is State.RUNNING
         owner = task.owner
-        if not self._book.step(task, Step.WITHDRAW):
+        if not self._requests.step(task, Step.WITHDRAW):
             return
         if owner is not None:
             owner.tasks.pop(task.ident, None)
@@ -164,16 +164,16 @@
         self._answer(request, Step.FAIL, Cause.ERROR)
 
     def _answer(self, request: int, step: Step, cause: int) -> None:
-        task = self._book.by_request.get(request)
+        task = self._requests.by_request.get(request)
         if task is None:
             self._life.counts["answers_dropped"] += 1
         else:
             self._offers.answer(task, step, cause)
 
     def move(self, request: int) -> None:
-        """Stop a standing task; its owner comes again."""
-        task, attempt = self._book.by_request.get(request), self._attempts.of(request)
-        if task is None or attempt is None or attempt.stopping is not None or not self._book.step(task, Step.MOVE):
+        """Stop a running task; its owner comes again."""
+        task, attempt = self._requests.by_request.get(request), self._attempts.of(request)
+        if task is None or attempt is None or attempt.stopping is not None or not self._requests.step(task, Step.MOVE):
             self._life.counts["moves_dropped"] += 1
             return
         self._life.counts["moves"] += 1
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -65,7 +65,7 @@
             return Rank.BUSY
         if len(lines) > 1:
             return Rank.SPARE
-        return Rank.NEWS if self.link.standing else Rank.IDLE
+        return Rank.NEWS if self.link.running else Rank.IDLE
 
     def write(self, data: bytes) -> bool:
         """Send; False where not all of it can have left."""
@@ -98,7 +98,7 @@
         self.listed = listed  # its place is the same for as long as it is listed
         self.phase, self.launched_us = listed.phase, listed.launched_us
         self.lines: list[Line] = []
-        self.standing: dict[int, Attempt] = {}
+        self.running: dict[int, Attempt] = {}
         self.strays: OrderedDict[int, None] = OrderedDict()  # ids whose offers were given up and may run
         self.liveness = Liveness(life.hub.now_us())
         self._life, self._news, self._links, self._dial_us = life, news, links, dial_us
@@ -208,7 +208,7 @@
         while self._releases and line.stream.open:
             ident, cause = self._releases.popitem(last=False)
             line.write(with_cause(Kind.RELEASE, ident, cause))
-        for ident, attempt in self.standing.items():
+        for ident, attempt in self.running.items():
             if attempt.stopping is not None:
                 # Danger: a stop that was lost with its connection would let a task run on that its owner has ended.
                 line.write(with_cause(Kind.RELEASE, ident, Cause.CANCELLED))
@@ -244,7 +244,7 @@
         for attempt in list(line.out.values()):
             self._news.unanswered(attempt, why)
         line.out.clear()
-        if broke and self.standing and not self.closed:
+        if broke and self.running and not self.closed:
             # Danger: a release that was on its way there is lost, and said again only on the next connection.
             self._missed = True
             self._life.spawn(self._renew, f"news of {self.name}")
@@ -269,7 +269,7 @@
         if line in self.lines:
             self.lines.remove(line)
         self._close(line)
-        if self.standing and self._visit_us is None:
+        if self.running and self._visit_us is None:
             # Danger: what the machine had sent on it, or would have, comes again only on the next connection.
             self._visit_us = self._life.hub.now_us() + VISIT_US
 
@@ -322,7 +322,7 @@
     def look_after(self, now_us: int) -> None:
         """Judge silence, close what is not in use, keep a connection where tasks stand."""
         offers = any(line.out for line in self.lines)
-        verdict = self.liveness.judge(now_us, offers, bool(self.standing))
+        verdict = self.liveness.judge(now_us, offers, bool(self.running))
         if verdict is Verdict.LOOK:
             if self._dials < DIALS_MOST and (not self.liveness.doubtful or self._links.may_look()):
                 self._life.spawn(self._look, f"look at {self.name}")
@@ -330,12 +330,12 @@
             self._news.cut(self)
         elif verdict is Verdict.LOST:
             self._news.lost(self, may_return=True)
-        if (self.standing or self._releases) and self._wants_news(now_us):
+        if (self.running or self._releases) and self._wants_news(now_us):
             self._life.spawn(self._renew, f"news of {self.name}")
         idle = [line for line in self.lines if not line.out]
         for line in idle:
             last = len(self.lines) == 1
-            if last and (self.standing or self._releases):
+            if last and (self.running or self._releases):
                 break
             if now_us - line.used_us >= (LAST_US if last else SPARE_US):
                 self.retire(line)
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -19,7 +19,7 @@
 from wingbarrow.relay.outcomes import AFTER_ANSWER, BEFORE_ANSWER, NOTES, Unanswered, reason_of, unanswered
 from wingbarrow.relay.owners import Owners, refusal
 from wingbarrow.relay.probes import Probes
-from wingbarrow.relay.tasks import Book, State, Step, Task
+from wingbarrow.relay.tasks import RequestTable, State, Step, Task
 from wingbarrow.relay.trace import Trace
 
 # After a start a machine may release a task before its owner has named it here.
@@ -32,10 +32,10 @@
 class Offers:
     """Owns the gate that every set-up passes right before its first byte."""
 
-    def __init__(self, life: Life, host: Host, book: Book, attempts: Attempts, links: Links, owners: Owners,
+    def __init__(self, life: Life, host: Host, requests: RequestTable, attempts: Attempts, links: Links, owners: Owners,
                  settings: api.Settings, trace: Trace) -> None:
         self._trace = trace
-        self._life, self._host, self._book, self._attempts = life, host, book, attempts
+        self._life, self._host, self._requests, self._attempts = life, host, requests, attempts
         self._links, self._owners = links, owners
         self._gate, self._slack_us = SendGate(settings.cold_us, settings.fall_us), settings.tick_us
         self.probes = Probes(life, host, links)
@@ -47,7 +47,7 @@
 
     def bind(self, bind: api.Bind) -> None:
         """The module chose a machine: an attempt begins."""
-        task, link = self._book.by_request.get(bind.request), self._links.of(bind.machine)
+        task, link = self._requests.by_request.get(bind.request), self._links.of(bind.machine)
         number = task.binds if task else 0
         if task is None or link is None or link.closed:
             self._life.counts["binds_dropped"] += 1
@@ -151,7 +151,7 @@
 
     def _over(self, attempt: Attempt, outcome: api.Outcome, reason: api.Reason = api.Reason.UNTOLD,
               report: api.Report | None = None) -> None:
-        """Tell the module that an attempt is over; the request too, unless its answer is still owed."""
+        """Tell the module that an attempt is over; the request too, unless its answer is still pending."""
         placed, now = attempt.stage is Stage.PLACED, self._life.hub.now_us()
         line = self._line_of(attempt)
         if line is not None:
@@ -160,7 +160,7 @@
         if not self._attempts.advance(attempt, Stage.ENDED):
             return
         self._trace(attempt.task.ident, "attempt over", attempt=attempt.number, outcome=outcome.value, placed=placed)
-        attempt.link.standing.pop(attempt.task.ident, None)
+        attempt.link.running.pop(attempt.task.ident, None)
         if not placed and outcome not in UNRUN and attempt.task.earlier is None:
             attempt.task.earlier = Earlier(attempt.decided_us, attempt.link.listed)
         if outcome is api.Outcome.ERROR and attempt.task.owner is not None:
@@ -180,7 +180,7 @@
             self._trace(ident, "machine said", kind=int(kind), machine=link.name, line=line.number,
                         cause=int.from_bytes(message.values.get(Code.CAUSE, b""), "big"),
                         codes=sorted(message.values))
-        attempt = line.out.get(ident) or link.standing.get(ident)
+        attempt = line.out.get(ident) or link.running.get(ident)
         if kind == Kind.TESTED:
             self.probes.answered(link, message)
         elif attempt is None:
@@ -203,11 +203,11 @@
         line.used_us = self._life.hub.now_us()
         self._attempts.advance(attempt, Stage.PLACED)
         attempt.placed_us = line.used_us
-        attempt.link.standing[task.ident] = attempt
+        attempt.link.running[task.ident] = attempt
         reached = self._pass_on(attempt, description)
         self._host.feed(api.TaskPlaced(task.request, attempt.number, attempt.link.ident,
                                        attempt.placed_us - attempt.decided_us))
-        if not reached and self._book.step(task, Step.WITHDRAW):
+        if not reached and self._requests.step(task, Step.WITHDRAW):
             # Its owner's connection broke in this very turn: nobody was told that it stands, and nobody would end it.
             self._life.counts["answers_unheard"] += 1
             self._host.feed(api.TaskWithdrawn(task.request))
@@ -219,7 +219,7 @@
         False where it cannot have come whole to its owner.
         """
         task, owner = attempt.task, attempt.task.owner
-        self._book.step(task, Step.STAND)
+        self._requests.step(task, Step.START)
         self._host.cancel_timer(task.request)
         if owner is not None:
             owner.tasks.pop(task.ident, None)
@@ -242,7 +242,7 @@
             # It is the simulator's outcome "the task has ended", which closes the request.
             if task.state is State.ASKED:
                 self._pass_on(attempt, message.values[Code.DESCRIPTION])
-                self._book.step(task, Step.END)
+                self._requests.step(task, Step.END)
                 self._owners.release(task.ident, cause)
             self._over(attempt, api.Outcome.DONE, reason, report)
             return
@@ -272,7 +272,7 @@
         task = attempt.task
         if attempt.stopping is not None:
             outcome = api.Outcome.CANCELLED
-        elif self._book.step(task, Step.END):
+        elif self._requests.step(task, Step.END):
             self._owners.release(task.ident, cause)
         self._over(attempt, outcome, reason, report)
 
@@ -320,23 +320,23 @@
 
     def lost(self, link: Link, may_return: bool = False) -> None:
         """What stood there is over; where the machine may come back, safe tasks are cut then."""
-        if link.standing:
-            self._life.log("machine-lost", level="warning", machine=link.name, standing=len(link.standing))
+        if link.running:
+            self._life.log("machine-lost", level="warning", machine=link.name, running=len(link.running))
         for line in list(link.lines):
             link.drop(line, "lost")
-        for attempt in list(link.standing.values()):
+        for attempt in list(link.running.values()):
             self._ended(attempt, api.Outcome.BROKEN, api.Reason.UNTOLD, Cause.RESET)
             if may_return and (attempt.stopping is not None or self._is_stopped(attempt)):
                 link.release(attempt.task.ident, Cause.CANCELLED)
 
     def restarted(self, link: Link, launched_us: int) -> None:
         """The machine has started anew: what stood there before is over."""
-        for attempt in list(link.standing.values()):
+        for attempt in list(link.running.values()):
             if attempt.placed_us < launched_us:
                 self._ended(attempt, api.Outcome.BROKEN, api.Reason.UNTOLD, Cause.RESET)
 
     def stop(self, attempt: Attempt, end: End, cause: int = Cause.CANCELLED) -> None:
-        """Have a standing task cut; its attempt is over once the machine says so."""
+        """Have a running task cut; its attempt is over once the machine says so."""
         attempt.stopping = end
         self._trace(attempt.task.ident, "stopped", machine=attempt.link.name, end=end.value)
         attempt.link.release(attempt.task.ident, cause)
@@ -350,7 +350,7 @@
     def _close(self, task: Task, step: Step, cause: int) -> bool:
         """Give the final answer to a set-up that does not stand; False where it has had one."""
         owner = task.owner
-        if not self._book.step(task, step):
+        if not self._requests.step(task, step):
             return False
         self._host.cancel_timer(task.request)
         if owner is not None:
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -18,7 +18,7 @@
 FOREIGN_MOST = 64  # remembered for one connection
 BURST = 32  # messages of one connection before others get a turn
 HEARD_US = 2_000_000  # a release is sent again where its connection ends so soon without a word that it was heard
-OWED_US, OWED_MOST = 8_500_000, 8192  # releases that wait for a connection: how long, how many
+PENDING_US, PENDING_MOST = 8_500_000, 8192  # releases that wait for a connection: how long, how many
 # Danger: a client that has closed or given up is gone, though its word lies unread here after a stall or behind other
 # work. The platform bears sends for it up to 100 ms later; half of that may pass before this side looks once more.
 UNREAD_US = 50_000
@@ -72,7 +72,7 @@
         self._trace, self._accepted = trace, 0
         self._fits = fits  # makes room for one that has come; whether there is
         self._owners: OrderedDict[Owner, None] = OrderedDict()  # least lately heard of first
-        self._owed: deque[tuple[int, bytes]] = deque()  # releases without a connection, with their end
+        self._pending: deque[tuple[int, bytes]] = deque()  # releases without a connection, with their end
         self._unheard: OrderedDict[int, tuple[int, Owner, bytes]] = OrderedDict()  # sent, with their end, by id
 
     def __len__(self) -> int:
@@ -165,7 +165,7 @@
             self.close(first, "crowded")
 
     def sweep(self) -> None:
-        """Close those that say nothing; send what is owed where there is a connection. Goes on for ever."""
+        """Close those that say nothing; send what is pending where there is a connection. Goes on for ever."""
         hub = self._life.hub
         while True:
             hub.sleep(SWEEP_US)
@@ -175,15 +175,15 @@
                         and self._crowd.is_idle(now, owner.guest, len(owner.tasks))
                         and owner.stream.is_quiet() and not owner.framer.ready):
                     self.retire(owner, "idle" if owner.guest.proven else "silent")
-            self._send_owed()
+            self._send_pending()
 
     def release(self, ident: int, cause: int) -> None:
         """Tell that a task that stood is over, on any owner's connection, now or as soon as there is one."""
-        self._tell_or_owe(with_cause(Kind.RELEASE, ident, cause))
+        self._tell_or_defer(with_cause(Kind.RELEASE, ident, cause))
 
-    def _tell_or_owe(self, data: bytes) -> None:
+    def _tell_or_defer(self, data: bytes) -> None:
         if not self.tell(data):
-            self._owe(data)
+            self._defer(data)
 
     def _send_again(self, gone: Owner) -> None:
         """Releases that crossed the end of their connection go on another; an owner that heard one passes it over."""
@@ -196,18 +196,18 @@
                 self._life.counts["releases_again"] += 1
                 self._trace(ident, "release again", gone=gone.number)
                 if not self.tell(data, until_us):
-                    self._owe(data)
+                    self._defer(data)
 
     def told_to_move(self, ident: int) -> None:
         """Tell that a task was stopped and is to come again."""
-        self._tell_or_owe(encode(Kind.MOVE, ident, {}))
+        self._tell_or_defer(encode(Kind.MOVE, ident, {}))
 
-    def _owe(self, data: bytes) -> None:
-        if len(self._owed) >= OWED_MOST:
-            _, lost = self._owed.popleft()
+    def _defer(self, data: bytes) -> None:
+        if len(self._pending) >= PENDING_MOST:
+            _, lost = self._pending.popleft()
             self._trace(int.from_bytes(lost[3:11], "big"), "release dropped")
             self._life.counts["releases_dropped"] += 1
-        self._owed.append((self._life.hub.now_us() + OWED_US, data))
+        self._pending.append((self._life.hub.now_us() + PENDING_US, data))
         self._life.counts["releases_waited"] += 1
         self._trace(int.from_bytes(data[3:11], "big"), "release pending")
 
@@ -226,7 +226,7 @@
         ident = int.from_bytes(data[3:11], "big")
         self._trace(ident, "release told", owner=owner.number)
         self._unheard[ident] = until_us or self._life.hub.now_us() + HEARD_US, owner, data
-        if len(self._unheard) > OWED_MOST:
+        if len(self._unheard) > PENDING_MOST:
             self._unheard.popitem(last=False)
         return True
 
@@ -234,16 +234,16 @@
         """A task of this connection was answered: it is a usual owner's."""
         if not owner.guest.proven:
             owner.guest.proven = True
-            self._send_owed()
+            self._send_pending()
 
-    def _send_owed(self) -> None:
+    def _send_pending(self) -> None:
         now = self._life.hub.now_us()
-        for _ in range(len(self._owed)):
-            until_us, data = self._owed.popleft()
+        for _ in range(len(self._pending)):
+            until_us, data = self._pending.popleft()
             if now >= until_us:
                 self._trace(int.from_bytes(data[3:11], "big"), "release expired")
             elif not self.tell(data):
-                self._owed.append((until_us, data))
+                self._pending.append((until_us, data))
 
 
 def refusal(ident: int, cause: int = Cause.BUSY, more: dict[int, bytes] | None = None) -> bytes:
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -1,4 +1,4 @@
-"""One placer on the platform's protocol: its rooms put together, the list's news, its signals, its end."""
+"""One placer on the platform's protocol: its components put together, the list's news, its signals, its end."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from wingbarrow.decide.descriptors import Table
 from wingbarrow.relay import journal
 from wingbarrow.relay.configuration import BadConfiguration, Configuration, load_journal
-from wingbarrow.relay.desk import Desk
+from wingbarrow.relay.admission import Admission
 from wingbarrow.relay.links import SWEEP_US, Attempts, Link, Links
 from wingbarrow.relay.message import Message
 from wingbarrow.relay.offers import Offers
 from wingbarrow.relay.owners import Owner, Owners
-from wingbarrow.relay.tasks import Book
+from wingbarrow.relay.tasks import RequestTable
 from wingbarrow.relay.trace import Trace
 from wingbarrow.transport import Hub, Nursery, listen
 
@@ -40,16 +40,16 @@
         life = self.life = Life(hub, log, configuration.seed)
         self._host = Host(life, settings)
         table = self._table = Table(configuration.sockets)
-        self._book, self._attempts, self._links = Book(), Attempts(), Links(
+        self._requests, self._attempts, self._links = RequestTable(), Attempts(), Links(
             table, lambda: len(self.owners), configuration.conn_idle_us)
         crowd = Crowd(table.owners_most)
         self.owners = Owners(life, crowd, self._take, self._left, lambda: self._links.make_room(0),
                              trace)
-        self._offers = Offers(life, self._host, self._book, self._attempts, self._links, self.owners, settings,
+        self._offers = Offers(life, self._host, self._requests, self._attempts, self._links, self.owners, settings,
                               trace)
-        self.desk = Desk(life, self._host, self._book, self._attempts, self._links, self._offers, crowd, settings,
-                         configuration.stay_away_most_us, configuration.patience_us, trace)
-        self.desk.owners = self.owners
+        self.admission = Admission(life, self._host, self._requests, self._attempts, self._links, self._offers, crowd,
+                                   settings, configuration.stay_away_most_us, configuration.patience_us, trace)
+        self.admission.owners = self.owners
         self._host.hands = self
         self._shift_us = hub.clock.now_us() - hub.clock.wall_us()
         self._gone: dict[str, int] = {}
@@ -70,15 +70,15 @@
 
     def refuse(self, request: int) -> None:
         """Final answer: refused."""
-        self.desk.refuse(request)
+        self.admission.refuse(request)
 
     def fail(self, request: int) -> None:
         """Final answer: failed."""
-        self.desk.fail(request)
+        self.admission.fail(request)
 
     def move(self, request: int) -> None:
         """Stop a placed task."""
-        self.desk.move(request)
+        self.admission.move(request)
 
     def probe(self, machine: int) -> None:
         """Ask a machine for its report."""
@@ -90,10 +90,10 @@
     # -- what connections tell
 
     def _take(self, owner: Owner, message: Message, came_us: int) -> None:
-        self.desk.take(owner, message, came_us)
+        self.admission.take(owner, message, came_us)
 
     def _left(self, owner: Owner) -> None:
-        self.desk.left(owner)
+        self.admission.left(owner)
 
     # -- the list of machines
 
@@ -170,7 +170,7 @@
             nursery.spawn(self._look_after_links, "links")
             nursery.spawn(self._follower.run, "journal")
             nursery.spawn(self._tell_counts, "counts")
-            self.desk.ready = True
+            self.admission.ready = True
             self.life.log("ready", name=configuration.name, listen=str(configuration.listen),
                           machines=len(self._links.by_name))
         if self._host.failed is not None:
@@ -199,9 +199,9 @@
     def tell_counts(self) -> None:
         """A line with all counters."""
         self.life.log("counts", owners=len(self.owners), machines=self._links.held, descriptors_most=self._table.most,
-                      standing=len(self._attempts), owed=self._book.owed,
+                      running=len(self._attempts), pending=self._requests.pending,
                       module_ms=self._host.module_ns // 1_000_000, lag_worst_us=self.life.hub.lag.worst_us,
-                      odd=dict(self._book.odd + self._attempts.odd), **self.life.counts)
+                      odd=dict(self._requests.odd + self._attempts.odd), **self.life.counts)
 
     def reload(self, path: str) -> None:
         """SIGHUP: use the journal service's address in the file; what cannot be read leaves the old one in force."""
@@ -216,15 +216,15 @@
     def finish(self) -> None:
         """SIGTERM: tests fail from now on; the end comes when nothing more arrives and nothing is owed."""
         if not self._ending:
-            self._ending, self.desk.ready = True, False
-            self.life.log("ending", owed=self._book.owed, standing=len(self._attempts))
+            self._ending, self.admission.ready = True, False
+            self.life.log("ending", pending=self._requests.pending, running=len(self._attempts))
             self.life.spawn(self._wind_up, "end")
 
     def _wind_up(self) -> None:
         hub = self.life.hub
         patience_us = min(PATIENCE_MOST_US, self._configuration.patience_us)
         end_us = hub.now_us() + max(patience_us + LINGER_US, ARRIVALS_US)
-        while self._book.owed or hub.now_us() < end_us:
+        while self._requests.pending or hub.now_us() < end_us:
             hub.sleep(20_000)
         self.tell_counts()
         # Danger: a connection that is closed with something unread is reset, and an answer on its way is thrown away.
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -1,4 +1,4 @@
-"""The request book: every task that owners sent, its one state, its one final answer, the release it is owed.
+"""The request table: every task that owners sent, its one state, its one final answer, the release it is owed.
 
 States change only by the table; a step that the table lacks is counted and changes nothing, so that late or doubled
 news can do no harm. No sockets.
@@ -21,14 +21,14 @@
     """Where a task stands."""
 
     ASKED = "asked"  # a final answer is owed
-    STANDING = "standing"  # a release is owed once it is over
+    RUNNING = "running"  # a release is owed once it is over
     OVER = "over"
 
 
 class Step(Enum):
     """What may happen to a task."""
 
-    STAND = "stand"  # the machine's answer is passed on
+    START = "start"  # the machine's answer is passed on
     REFUSE = "refuse"
     FAIL = "fail"
     WITHDRAW = "withdraw"  # its owner gave it up, or released it
@@ -37,13 +37,13 @@
 
 
 _TABLE: dict[tuple[State, Step], State] = {
-    (State.ASKED, Step.STAND): State.STANDING,
+    (State.ASKED, Step.START): State.RUNNING,
     (State.ASKED, Step.REFUSE): State.OVER,
     (State.ASKED, Step.FAIL): State.OVER,
     (State.ASKED, Step.WITHDRAW): State.OVER,
-    (State.STANDING, Step.WITHDRAW): State.OVER,
-    (State.STANDING, Step.END): State.OVER,
-    (State.STANDING, Step.MOVE): State.OVER,
+    (State.RUNNING, Step.WITHDRAW): State.OVER,
+    (State.RUNNING, Step.END): State.OVER,
+    (State.RUNNING, Step.MOVE): State.OVER,
 }
 
 
@@ -79,14 +79,14 @@
     earlier: Earlier | None = None  # its first attempt that may have run
 
 
-class Book:
+class RequestTable:
     """All tasks of one placer that are not over, by id and by request."""
 
     def __init__(self) -> None:
         self.by_ident: dict[int, Task] = {}
         self.by_request: dict[int, Task] = {}
         self._next = 1
-        self.owed = 0  # tasks that wait for a final answer
+        self.pending = 0  # tasks that wait for a final answer
         self.answered = 0  # final answers so far
         self.odd: Counter[str] = Counter()
 
@@ -98,7 +98,7 @@
     def add(self, task: Task) -> None:
         """Take a task in; the caller has seen that its id is not open."""
         self.by_ident[task.ident] = self.by_request[task.request] = task
-        self.owed += task.state is State.ASKED
+        self.pending += task.state is State.ASKED
 
     def step(self, task: Task, step: Step) -> bool:
         """Change a task's state; False, and counted, where the table lacks the step."""
@@ -107,7 +107,7 @@
             self.odd[f"{step.value} while {task.state.value}"] += 1
             return False
         if task.state is State.ASKED:
-            self.owed -= 1
+            self.pending -= 1
             self.answered += step is not Step.WITHDRAW
             task.passed_on, task.owner = {}, None
         task.state = after
