--- /dev/null
+++ b/benchmarks/capacity/roles_control.py
@@ -0,0 +1,186 @@
+"""What the page says of the roles of agreement: member, voter, leader, replica holder, a region's link."""
+
+from __future__ import annotations
+
+from benchmarks.capacity.estimate import Key
+from benchmarks.capacity.rows import Budget, Mechanism, Missing, Role, Row, State
+
+NOT_TAKEN = "no measurement of it was made"
+CONTROL_BYTES = Budget("control_bytes", "all control of a placer")
+CONTROL_CORE = Budget("control_core * 1000", "all control of a placer")
+CONTROL_MEMORY = Budget("control_memory", "all control of a placer")
+
+MEMBER = Role(
+    "member",
+    "Member",
+    "What a placer spends to know the others and to act on agreed rules: this is what the target calls control.",
+    ("member",),
+    (
+        State("members", "placers", Key("member", "placers", "resident memory")),
+        State("rights that it holds", "teams", Key("member", "teams", "resident memory")),
+    ),
+    (
+        Row(Key("member", "placers", "messages sent"), NOT_TAKEN),
+        Row(Key("member", "placers", "bytes sent"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "bytes received"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "processor"), NOT_TAKEN, CONTROL_CORE),
+        Row(Key("member", "placers", "resident memory"), NOT_TAKEN, CONTROL_MEMORY),
+        Row(Key("member", "teams", "bytes received"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "changes", "bytes received"), NOT_TAKEN, CONTROL_BYTES),
+    ),
+    (
+        Mechanism("wingbarrow/decide/peers/membership.py", "SWIM with Lifeguard: cost for each member does not grow"),
+        Mechanism("wingbarrow/decide/peers/news.py", "gossip that rides on other messages"),
+        Mechanism("wingbarrow/decide/peers/holding.py", "asks for grants, holds what they bring"),
+        Mechanism("wingbarrow/decide/peers/rights.py", "spends its parts of limits"),
+        Mechanism("wingbarrow/peers/post.py", "mail: batches, bounds"),
+    ),
+    (
+        Missing("membership by region: more members than a placer keeps", "members_most / placers"),
+        Missing(
+            "more addresses than mail has boxes for, where all are in one membership", "addresses_most / (placers - 1)"
+        ),
+        Missing("processor within the budget", key=Key("member", "placers", "processor"), budget="control_core * 1000"),
+        Missing("memory within the budget", key=Key("member", "placers", "resident memory"), budget="control_memory"),
+        Missing(
+            "bytes within the budget as teams grow",
+            key=Key("member", "teams", "bytes received"),
+            budget="control_bytes",
+        ),
+    ),
+)
+
+VOTER = Role(
+    "voter",
+    "Voter",
+    "One of those who decide on rules, limits, sessions and turns, in one log.",
+    ("voter",),
+    (
+        State("versions, editions and floors", "1", bound="snapshot_most"),
+        State("blocks of limits", "teams * placers", bound="block_bytes"),
+        State("sessions", "placers"),
+    ),
+    (
+        Row(Key("voter", "placers", "processor"), NOT_TAKEN),
+        Row(Key("voter", "placers", "bytes received"), NOT_TAKEN),
+        Row(Key("voter", "changes", "bytes received"), NOT_TAKEN),
+        Row(Key("voter", "teams", "resident memory"), NOT_TAKEN),
+    ),
+    (
+        Mechanism("wingbarrow/decide/peers/raft.py", "one order of entries"),
+        Mechanism("wingbarrow/decide/peers/agreed.py", "what the entries come to"),
+        Mechanism("wingbarrow/decide/peers/blocks.py", "blocks of limits"),
+        Mechanism("wingbarrow/decide/peers/sessionlog.py", "sessions that end"),
+        Mechanism("wingbarrow/store/votes.py", "term, vote, log and snapshot on disk"),
+    ),
+    (
+        Missing(
+            "blocks for all teams and placers: beyond the bound, who is new gets none", "(blocks_most / blocks) ** 0.5"
+        ),
+        Missing(
+            "a snapshot in parts: blocks of all teams at all placers do not fit what one mail has room for",
+            "(chapters_most / (blocks * block_bytes)) ** 0.5",
+        ),
+        Missing("voters apart from placers: a voter is a placer that also places", "0"),
+    ),
+)
+
+LEADER = Role(
+    "leader",
+    "Leader",
+    "The voter that answers asks for grants, and says each change to those who ask.",
+    ("leader",),
+    (
+        State("holders of grants", "placers", Key("leader", "placers", "resident memory")),
+        State("blocks of limits", "teams * placers", bound="block_bytes"),
+    ),
+    (
+        Row(Key("leader", "placers", "messages sent"), NOT_TAKEN),
+        Row(Key("leader", "placers", "bytes sent"), NOT_TAKEN),
+        Row(Key("leader", "placers", "processor"), NOT_TAKEN, Budget("1000", "one core")),
+        Row(Key("leader", "placers", "resident memory"), NOT_TAKEN),
+        Row(Key("leader", "teams", "processor"), NOT_TAKEN, Budget("1000", "one core")),
+        Row(Key("leader", "changes", "processor"), NOT_TAKEN, Budget("1000", "one core")),
+        Row(Key("leader", "changes", "time in force"), NOT_TAKEN, Budget("force_s")),
+    ),
+    (
+        Mechanism("wingbarrow/decide/peers/leading.py", "answers asks, one round of the voters for all that wait"),
+        Mechanism("wingbarrow/decide/peers/grants.py", "until when an edition may be acted on"),
+        Mechanism("wingbarrow/decide/peers/agreement.py", "steps between editions"),
+        Mechanism("wingbarrow/decide/peers/limits.py", "limits of the whole fleet"),
+    ),
+    (
+        Missing(
+            "rules apart from who shares a limit: the text names all placers in each limit",
+            "(rules_text / (limit_text * teams)) ** 0.5",
+        ),
+        Missing("a limit for each team", "limits_most / teams"),
+        Missing("blocks for all teams and placers", "(blocks_most / blocks) ** 0.5"),
+        Missing(
+            "changes one beside the other: steps of a change that contradicts go one after the other", "1 / step_busy"
+        ),
+        Missing(
+            "a tree, or gossip, from the voters to the placers: the leader answers each one itself",
+            key=Key("leader", "placers", "processor"),
+            budget="1000",
+        ),
+    ),
+)
+
+REPLICA_HOLDER = Role(
+    "replica-holder",
+    "Replica holder (keeper of others' records)",
+    "A placer of another region that keeps the records of leased Jobs. A Job that is not leased has no record elsewhere.",
+    ("replica holder",),
+    (
+        State(
+            "records at one keeper, if all tasks were Jobs of one task, leased", "tasks_placer * 1", bound="record_head"
+        ),
+        State("the same, were only the machines set aside to keep", "running / set_aside", bound="record_head"),
+    ),
+    (
+        Row(Key("replica holder", "tasks", "resident memory"), NOT_TAKEN),
+        Row(Key("replica holder", "tasks", "bytes received"), NOT_TAKEN),
+        Row(Key("replica holder", "tasks", "processor"), NOT_TAKEN),
+    ),
+    (
+        Mechanism("wingbarrow/decide/peers/custody.py", "which record must be where before what leaves"),
+        Mechanism("wingbarrow/decide/peers/keeping.py", "the keeper's side, with its bounds"),
+        Mechanism("wingbarrow/decide/peers/reissue.py", "what becomes of a lost holder's Jobs"),
+        Mechanism("wingbarrow/core/successor.py", "takes them over"),
+    ),
+    (
+        Missing("records that survive their keeper's process: they are in memory", "0"),
+        Missing("records of all Jobs: only leased ones are kept elsewhere", "0"),
+        Missing("a gang in one record", "(record_most - record_head) / record_task / gang"),
+        Missing("more records of one holder at one keeper, were all to go to one", "keeper_records / tasks_placer"),
+    ),
+)
+
+REGION_LINK = Role(
+    "region-link",
+    "A region's link",
+    "What crosses between two regions: membership, grants where the leader is elsewhere, records, Jobs that are handed over.",
+    ("region link",),
+    (State("placers on each side", "region_placers"),),
+    (
+        Row(Key("region link", "placers", "bytes sent"), NOT_TAKEN),
+        Row(Key("region link", "placers", "messages sent"), NOT_TAKEN),
+        Row(Key("region link", "changes", "bytes sent"), NOT_TAKEN),
+    ),
+    (
+        Mechanism("wingbarrow/decide/peers/handing.py", "a Job that goes to another region"),
+        Mechanism("wingbarrow/decide/peers/regionnews.py", "how loaded each region is"),
+        Mechanism("wingbarrow/decide/peers/healing.py", "what is asked after a cut"),
+        Mechanism("wingbarrow/lab/fleet/link.py", "the links of the rig, for trials"),
+    ),
+    (
+        Missing("one mail for a region: each placer asks the leader across the link by itself"),
+        Missing("a leader near the placers: grants lapse with some 200 ms each way (docs/ROADMAP.md)", "0"),
+        Missing(
+            "machines beyond a region's own: what is lost of a region that is full goes to others only by its spec", "0"
+        ),
+    ),
+)
+
+CONTROL: tuple[Role, ...] = (MEMBER, VOTER, LEADER, REPLICA_HOLDER, REGION_LINK)
