--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -7,9 +7,12 @@
 
 from benchmarks.capacity.estimate import Key
 from benchmarks.capacity.roles_control import CONTROL
-from benchmarks.capacity.rows import Budget, Mechanism, Missing, Role, Row, State
+from benchmarks.capacity.rows import Budget, Input, Mechanism, Missing, Role, Row, State
 
-NO_LISTENER = "no measurement of it was made"
+NOT_TAKEN = "no such measure in the results"
+NOT_BUILT = "nothing measures it yet"
+URGENT = Budget("urgent_s * 1000", "urgent work")
+SOFT_LIMIT = Budget("descriptors_soft", "soft limit of a process")
 
 PLACER = Role(
     "placer",
@@ -17,22 +20,26 @@
     "What one placer spends on its own region: the machines that it lists, its links to them, its own tasks and owners.",
     ("placer", "machine link"),
     (
-        State(
-            "machines that it knows, with their links", "region_machines", Key("placer", "machines", "resident memory")
-        ),
+        State("machines that it lists, with their links", "region_machines", Key("placer", "machines", "resident memory")),
         State("tasks that run for it", "tasks_placer", Key("placer", "tasks", "resident memory")),
-        State("members that it knows", "placers", Key("placer", "placers", "resident memory")),
     ),
     (
-        Row(Key("placer", "machines", "resident memory"), NO_LISTENER),
+        Row(Key("placer", "machines", "resident memory"), NOT_TAKEN),
+        Row(Key("placer", "machines", "descriptors"), NOT_TAKEN, SOFT_LIMIT),
+        Row(Key("placer", "machines", "time until all machines are seen"), NOT_TAKEN),
+        Row(Key("placer", "machines", "processor share idle"), NOT_TAKEN),
+        Row(Key("placer", "machines", "bytes received idle"), NOT_TAKEN),
+        Row(Key("placer", "machines", "processor for one placement"), NOT_TAKEN),
         Row(
-            Key("placer", "machines", "descriptors"),
-            NO_LISTENER,
-            Budget("descriptors_soft", "usual soft limit of a process"),
+            Key("placer", "machines", "placements a second, 32 outstanding"),
+            NOT_TAKEN,
+            Budget("starts_placer", "at least: starts at the peak"),
         ),
-        Row(Key("placer", "machines", "time to place p50"), NO_LISTENER, Budget("urgent_s * 1000", "urgent work")),
-        Row(Key("placer", "tasks", "resident memory"), NO_LISTENER),
-        Row(Key("placer", "gang", "time to place p50"), NO_LISTENER, Budget("urgent_s * 1000", "urgent work")),
+        Row(Key("placer", "machines", "time to place p50"), NOT_TAKEN, URGENT),
+        Row(Key("placer", "machines", "time to place p99"), NOT_TAKEN, URGENT),
+        Row(Key("machine link", "machines", "processor for one watch renewed"), NOT_TAKEN),
+        Row(Key("placer", "tasks", "resident memory"), NOT_TAKEN),
+        Row(Key("placer", "gang", "time to place p50"), NOT_TAKEN, URGENT),
     ),
     (
         Mechanism("wingbarrow/logic_choice.py", "chooses among few machines for each task; the cold share"),
@@ -43,38 +50,37 @@
     ),
     (
         Missing("a gang starts whole or not at all: tasks of a Job are placed one by one", "0"),
+        Missing("urgent work goes first where tasks wait: priority is told to the machine and orders nothing here", "0"),
         Missing(
-            "urgent work goes first where tasks wait: priority is told to the machine and orders nothing here", "0"
-        ),
-        Missing(
-            "a part of the cold budget for each placer: agreed shares are whole offers, so that the placers beyond its number "
-            "start nothing on a machine that is cold",
+            "a cold share for each placer: agreed shares are whole offers, so that placers beyond their number start "
+            "nothing on a cold machine",
             "cold_offers / placers",
         ),
         Missing(
-            "links to a subset of the region's machines: each placer watches all of them, and a process has so many descriptors",
+            "descriptors for a link to each machine of the region",
             key=Key("placer", "machines", "descriptors"),
             budget="descriptors_soft",
         ),
         Missing(
-            "time to place at this size within what urgent work is promised",
-            key=Key("placer", "machines", "time to place p50"),
+            "time to place that stays within urgent work's promise",
+            key=Key("placer", "machines", "time to place p99"),
             budget="urgent_s * 1000",
         ),
-        Missing("more machines listed than by default, were one region to hold them all", "machines_default / workers"),
     ),
 )
 
 LIST_CLIENT = Role(
     "list-client",
     "List source's client",
-    "What a placer receives from its list source. The source sends each change to all placers of its region.",
+    "What a placer receives from its list source, which sends each change to all placers of its region.",
     ("list client",),
-    (State("machines of the list", "region_machines", Key("list client", "machines", "resident memory")),),
+    (State("entries of the module", "region_machines", Key("list client", "machines", "module's memory for the list")),),
     (
-        Row(Key("list client", "machines", "bytes received"), NO_LISTENER),
-        Row(Key("list client", "machines", "resident memory"), NO_LISTENER),
-        Row(Key("list client", "machines", "processor"), NO_LISTENER),
+        Row(Key("list client", "machines", "processor for one changed entry"), NOT_TAKEN),
+        Row(Key("list client", "machines", "bytes received for one changed entry"), NOT_TAKEN),
+        Row(Key("list client", "machines", "module's time for one changed entry"), NOT_TAKEN),
+        Row(Key("list client", "machines", "module's memory for the list"), NOT_TAKEN),
+        Row(Key("placer", "machines", "processor to take in the list"), NOT_TAKEN),
     ),
     (
         Mechanism("wingbarrow/core/reflector.py", "list and watch, with pages and versions"),
@@ -83,7 +89,15 @@
     ),
     (
         Missing(
-            "a list of the subset alone: each placer reads every change of its region, also of machines that it sends nothing to"
+            "a list of fewer entries, or told less often: were the source to tell the room of each machine of the region "
+            "once a second, one core is full",
+            "1000 / (region_machines * entry_ms)",
+            (Input("entry_ms", Key("list client", "machines", "processor for one changed entry"), "third"),),
+        ),
+        Missing(
+            "the same, by bytes, were the list a part of control",
+            "control_bytes / (region_machines * entry_bytes)",
+            (Input("entry_bytes", Key("list client", "machines", "bytes received for one changed entry"), "third"),),
         ),
         Missing("more machines listed than by default, were one region to hold them all", "machines_default / workers"),
     ),
@@ -99,13 +113,8 @@
         Row(
             Key("agent", "placers", "descriptors"),
             "the agents of the measurements are stand-ins in processes of many",
-            Budget("descriptors_soft", "usual soft limit of a process"),
-        ),
-        Row(
-            Key("agent", "placers", "messages received"),
-            "the agents of the measurements are stand-ins in processes of many",
+            SOFT_LIMIT,
         ),
-        Row(Key("agent", "placers", "processor"), "the agents of the measurements are stand-ins in processes of many"),
     ),
     (
         Mechanism("wingbarrow/core/link.py", "what a placer opens to one machine"),
@@ -136,9 +145,7 @@
         State("blocks in one answer of the fleet's limits", "teams * placers", bound="block_bytes"),
     ),
     (
-        Row(Key("operator client", "placers", "time to answer"), NO_LISTENER),
-        Row(Key("operator client", "teams", "bytes received"), NO_LISTENER),
-        Row(Key("operator client", "changes", "time in force"), NO_LISTENER, Budget("force_s")),
+        Row(Key("operator client", "placers", "time to answer"), NOT_BUILT),
     ),
     (
         Mechanism("wingbarrow/peers/rulesfront.py", "state, proposals, floors, voters"),
--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -5,31 +5,42 @@
 from benchmarks.capacity.estimate import Key
 from benchmarks.capacity.rows import Budget, Mechanism, Missing, Role, Row, State
 
-NOT_TAKEN = "no measurement of it was made"
-CONTROL_BYTES = Budget("control_bytes", "all control of a placer")
-CONTROL_CORE = Budget("control_core * 1000", "all control of a placer")
-CONTROL_MEMORY = Budget("control_memory", "all control of a placer")
+NOT_TAKEN = "no such measure in the results"
+NOT_BUILT = "nothing measures it yet"
+CONTROL_BYTES = Budget("control_bytes", "all control")
+CONTROL_CORE = Budget("control_core * 1000000", "all control")
+CONTROL_MEMORY = Budget("control_memory", "all control")
+CORE = Budget("1000000", "one core")
+IN_FORCE = Budget("force_s")
 
 MEMBER = Role(
     "member",
     "Member",
-    "What a placer spends to know the others and to act on agreed rules: this is what the target calls control.",
+    "What a placer spends to know the others and to act on agreed rules: what the target calls control.",
     ("member",),
     (
-        State("members", "placers", Key("member", "placers", "resident memory")),
-        State("rights that it holds", "teams", Key("member", "teams", "resident memory")),
+        State("members", "placers", Key("member", "placers", "memory held, membership")),
+        State("rules and rights that it holds, with those of three limits, by placers", "placers",
+              Key("member", "placers", "memory held, agreement")),
     ),
     (
-        Row(Key("member", "placers", "messages sent"), NOT_TAKEN),
-        Row(Key("member", "placers", "bytes sent"), NOT_TAKEN, CONTROL_BYTES),
-        Row(Key("member", "placers", "bytes received"), NOT_TAKEN, CONTROL_BYTES),
-        Row(Key("member", "placers", "processor"), NOT_TAKEN, CONTROL_CORE),
-        Row(Key("member", "placers", "resident memory"), NOT_TAKEN, CONTROL_MEMORY),
-        Row(Key("member", "teams", "bytes received"), NOT_TAKEN, CONTROL_BYTES),
-        Row(Key("member", "changes", "bytes received"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "messages sent, membership"), NOT_TAKEN),
+        Row(Key("member", "placers", "bytes sent, membership"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "bytes received, membership"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "processor, membership"), NOT_TAKEN, CONTROL_CORE),
+        Row(Key("member", "placers", "memory held, membership"), NOT_TAKEN, CONTROL_MEMORY),
+        Row(Key("member", "placers", "time until a death is known, all"), NOT_TAKEN),
+        Row(Key("member", "placers", "bytes sent, agreement"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "bytes received, agreement"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "bytes received, agreement, limits short"), NOT_TAKEN, CONTROL_BYTES),
+        Row(Key("member", "placers", "processor, agreement"), NOT_TAKEN, CONTROL_CORE),
+        Row(Key("member", "placers", "memory held, agreement"), NOT_TAKEN, CONTROL_MEMORY),
+        Row(Key("member", "placers", "rule set"), NOT_TAKEN, Budget("rules_text")),
+        Row(Key("member", "placers", "time until in force, two steps most"), NOT_TAKEN, IN_FORCE),
+        Row(Key("member", "teams", "bytes received, agreement"), NOT_TAKEN, CONTROL_BYTES),
     ),
     (
-        Mechanism("wingbarrow/decide/peers/membership.py", "SWIM with Lifeguard: cost for each member does not grow"),
+        Mechanism("wingbarrow/decide/peers/membership.py", "SWIM with Lifeguard"),
         Mechanism("wingbarrow/decide/peers/news.py", "gossip that rides on other messages"),
         Mechanism("wingbarrow/decide/peers/holding.py", "asks for grants, holds what they bring"),
         Mechanism("wingbarrow/decide/peers/rights.py", "spends its parts of limits"),
@@ -38,15 +49,28 @@
     (
         Missing("membership by region: more members than a placer keeps", "members_most / placers"),
         Missing(
-            "more addresses than mail has boxes for, where all are in one membership", "addresses_most / (placers - 1)"
+            "boxes of mail for all, where all are in one membership and mail each other", "addresses_most / (placers - 1)"
         ),
-        Missing("processor within the budget", key=Key("member", "placers", "processor"), budget="control_core * 1000"),
-        Missing("memory within the budget", key=Key("member", "placers", "resident memory"), budget="control_memory"),
         Missing(
-            "bytes within the budget as teams grow",
-            key=Key("member", "teams", "bytes received"),
+            "rules that do not name each placer: the text with three limits passes its bound",
+            key=Key("member", "placers", "rule set"),
+            budget="rules_text",
+        ),
+        Missing(
+            "mail within the budget: received for agreement",
+            key=Key("member", "placers", "bytes received, agreement"),
             budget="control_bytes",
         ),
+        Missing(
+            "processor within the budget, for agreement",
+            key=Key("member", "placers", "processor, agreement"),
+            budget="control_core * 1000000",
+        ),
+        Missing(
+            "memory within the budget, for agreement",
+            key=Key("member", "placers", "memory held, agreement"),
+            budget="control_memory",
+        ),
     ),
 )
 
@@ -61,10 +85,11 @@
         State("sessions", "placers"),
     ),
     (
-        Row(Key("voter", "placers", "processor"), NOT_TAKEN),
-        Row(Key("voter", "placers", "bytes received"), NOT_TAKEN),
-        Row(Key("voter", "changes", "bytes received"), NOT_TAKEN),
-        Row(Key("voter", "teams", "resident memory"), NOT_TAKEN),
+        Row(Key("voter", "placers", "messages sent, agreement"), NOT_TAKEN),
+        Row(Key("voter", "placers", "bytes received, agreement"), NOT_TAKEN),
+        Row(Key("voter", "placers", "processor, agreement"), NOT_TAKEN, CORE),
+        Row(Key("voter", "placers", "memory held, agreement"), NOT_TAKEN),
+        Row(Key("voter", "teams", "bytes received, agreement"), NOT_TAKEN),
     ),
     (
         Mechanism("wingbarrow/decide/peers/raft.py", "one order of entries"),
@@ -91,17 +116,18 @@
     "The voter that answers asks for grants, and says each change to those who ask.",
     ("leader",),
     (
-        State("holders of grants", "placers", Key("leader", "placers", "resident memory")),
+        State("holders of grants, with the account of three limits", "placers",
+              Key("leader", "placers", "memory held, agreement")),
         State("blocks of limits", "teams * placers", bound="block_bytes"),
     ),
     (
-        Row(Key("leader", "placers", "messages sent"), NOT_TAKEN),
-        Row(Key("leader", "placers", "bytes sent"), NOT_TAKEN),
-        Row(Key("leader", "placers", "processor"), NOT_TAKEN, Budget("1000", "one core")),
-        Row(Key("leader", "placers", "resident memory"), NOT_TAKEN),
-        Row(Key("leader", "teams", "processor"), NOT_TAKEN, Budget("1000", "one core")),
-        Row(Key("leader", "changes", "processor"), NOT_TAKEN, Budget("1000", "one core")),
-        Row(Key("leader", "changes", "time in force"), NOT_TAKEN, Budget("force_s")),
+        Row(Key("leader", "placers", "messages sent, agreement"), NOT_TAKEN),
+        Row(Key("leader", "placers", "bytes sent, agreement"), NOT_TAKEN),
+        Row(Key("leader", "placers", "processor, agreement"), NOT_TAKEN, CORE),
+        Row(Key("leader", "placers", "processor, agreement, limits short"), NOT_TAKEN, CORE),
+        Row(Key("leader", "placers", "memory held, agreement"), NOT_TAKEN),
+        Row(Key("leader", "placers", "descriptors, agreement"), NOT_TAKEN, Budget("descriptors_soft", "soft limit")),
+        Row(Key("leader", "teams", "processor, agreement"), NOT_TAKEN, CORE),
     ),
     (
         Mechanism("wingbarrow/decide/peers/leading.py", "answers asks, one round of the voters for all that wait"),
@@ -121,8 +147,8 @@
         ),
         Missing(
             "a tree, or gossip, from the voters to the placers: the leader answers each one itself",
-            key=Key("leader", "placers", "processor"),
-            budget="1000",
+            key=Key("leader", "placers", "processor, agreement"),
+            budget="1000000",
         ),
     ),
 )
@@ -139,9 +165,7 @@
         State("the same, were only the machines set aside to keep", "running / set_aside", bound="record_head"),
     ),
     (
-        Row(Key("replica holder", "tasks", "resident memory"), NOT_TAKEN),
-        Row(Key("replica holder", "tasks", "bytes received"), NOT_TAKEN),
-        Row(Key("replica holder", "tasks", "processor"), NOT_TAKEN),
+        Row(Key("replica holder", "tasks", "memory held"), NOT_BUILT),
     ),
     (
         Mechanism("wingbarrow/decide/peers/custody.py", "which record must be where before what leaves"),
@@ -164,9 +188,7 @@
     ("region link",),
     (State("placers on each side", "region_placers"),),
     (
-        Row(Key("region link", "placers", "bytes sent"), NOT_TAKEN),
-        Row(Key("region link", "placers", "messages sent"), NOT_TAKEN),
-        Row(Key("region link", "changes", "bytes sent"), NOT_TAKEN),
+        Row(Key("region link", "placers", "bytes sent"), NOT_BUILT),
     ),
     (
         Mechanism("wingbarrow/decide/peers/handing.py", "a Job that goes to another region"),
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -42,15 +42,27 @@
     carries: str
 
 
+@dataclass(frozen=True, slots=True)
+class Input:
+    """A measured figure that an expression names: at a scale of the page, or what each one more adds (`each`)."""
+
+    name: str
+    key: Key
+    scale: str = "all"  # a scale's ident
+    each: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Missing:
     """What is missing: `breaks` is the share of the target at which it breaks, as an expression; 0: at any size.
 
-    With `key` the share is where the measure's line reaches `budget`, over the size of what is varied at the whole.
+    `inputs` are measured figures that the expression names. With `key` the share is where the measure's line reaches
+    `budget`, over the size of what is varied at the whole.
     """
 
     what: str
     breaks: str = ""
+    inputs: tuple[Input, ...] = ()
     key: Key | None = None
     budget: str = ""
 
@@ -69,16 +81,6 @@
     missing: tuple[Missing, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Input:
-    """A measured figure that an expression names: at a scale of the page, or what each one more adds (`each`)."""
-
-    name: str
-    key: Key
-    scale: str = "all"  # a scale's ident
-    each: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Derived:
     """A figure worked out from the target, from bounds and, with inputs, from measured figures."""
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -24,11 +24,27 @@
 )
 from benchmarks.capacity.results import Point, Results, Slope
 from benchmarks.capacity.roles import ROLES
-from benchmarks.capacity.rows import Budget, Derived, Missing, Role, Row, State
+from benchmarks.capacity.rows import Budget, Derived, Input, Missing, Role, Row, State
 
 NOT_MEASURED = "not measured"
 SUBSET = " (subset)"
 SUBSET_SIZES = (1_000, 3_000, 13_000)
+SUBSET_MEASURES = (
+    *(
+        Key("placer", "machines", measure)
+        for measure in (
+            "resident memory",
+            "descriptors",
+            "time until all machines are seen",
+            "processor share idle",
+            "bytes received idle",
+            "placements a second, 32 outstanding",
+            "processor for one placement",
+            "time to place p99",
+        )
+    ),
+    Key("list client", "machines", "processor for one changed entry"),
+)
 BYTES_OF = {"MB": 1e6, "kB": 1e3, "KB": 1e3, "B": 1.0, "bytes": 1.0}
 
 
@@ -65,12 +81,12 @@
 
 
 def target_block(_: Known) -> list[str]:
-    """The target and what it does not say, with the reading taken of each open term."""
-    lines = ["| what | figure | reading taken |", "| --- | --- | --- |"]
-    return lines + [
-        f"| {anchor(each.ident)}{each.what} | {shown(each.value)} {each.unit} | {each.reading or '-'} |"
-        for each in (*target.TARGET, *target.ASSUMED)
-    ]
+    """The target and what it does not say, a line for each topic, with the reading taken of each open term."""
+    topics: dict[str, list[str]] = {}
+    for each in (*target.TARGET, *target.ASSUMED):
+        reading = f" ({each.reading})" if each.reading else ""
+        topics.setdefault(each.topic, []).append(f"{anchor(each.ident)}{each.what} {shown(each.value)} {each.unit}{reading}")
+    return [f"- **{topic}**: {'; '.join(said)}." for topic, said in topics.items()]
 
 
 def worked_block(state: Known) -> list[str]:
@@ -82,10 +98,10 @@
 
 def scales_block(_: Known) -> list[str]:
     """How large what is varied is in each column of the tables."""
-    lines = ["| varied | " + " | ".join(scale.title for scale in target.SCALES) + " |", "| --- " * 5 + "|"]
-    for varies in target.WHOLE:
-        sizes = (f"{target.size_at(varies, scale):,}" for scale in target.SCALES)
-        lines.append(f"| {varies} | " + " | ".join(sizes) + " |")
+    lines = ["| column | " + " | ".join(target.WHOLE) + " |", "| --- " * (len(target.WHOLE) + 1) + "|"]
+    for scale in target.SCALES:
+        sizes = (f"{target.size_at(varies, scale):,}" for varies in target.WHOLE)
+        lines.append(f"| {scale.title} | " + " | ".join(sizes) + " |")
     return lines
 
 
@@ -110,34 +126,48 @@
 
 def derived_line(state: Known, each: Derived, figures: dict[str, float]) -> str:
     """One of them, and its value into `figures`; "not measured" where an input, or what it names, is."""
-    sources = []
-    for given in each.inputs:
-        value = _input(state.results, given.key, given.scale, given.each)
-        if value is None:
-            return f"| {anchor(each.ident)}{each.what} | `{each.expression}` | {NOT_MEASURED}: no slope of {words(given.key)} |"
-        figures[given.name] = value
-        sources.append(f"[{given.key.role}](#{given.key.ident})")
+    head = f"| {anchor(each.ident)}{each.what}"
+    figures |= inputs_of(state.results, each.inputs)
+    lacking = [given.key for given in each.inputs if given.name not in figures]
+    if lacking:
+        return f"{head} | `{each.expression}` | {NOT_MEASURED}: no line of {words(lacking[0])} |"
     if not all(name in figures for name in target.names_of(each.expression)):
-        return f"| {anchor(each.ident)}{each.what} | `{each.expression}` | {NOT_MEASURED}: rests on what is not |"
+        return f"{head} | `{each.expression}` | {NOT_MEASURED}: rests on what is not |"
     figures[each.ident] = target.evaluate(each.expression, figures)
-    what = each.what + (f" (from {', '.join(dict.fromkeys(sources))})" if sources else "")
+    what = each.what + sources_of(each.inputs)
     return _worked_line(each.ident, what, each.expression, each.unit, figures)
 
 
+def inputs_of(results: Results, inputs: tuple[Input, ...]) -> dict[str, float]:
+    """The measured figures that an expression names, by name; what is not measured is left out."""
+    found = {}
+    for given in inputs:
+        size = target.size_at(given.key.varies, next(one for one in target.SCALES if one.ident == given.scale))
+        slope, figure = slope_of(results, given.key), estimate(results, given.key, size)
+        if slope is not None and figure is not None:
+            found[given.name] = growth(slope, size) / size if given.each else figure.value
+    return found
+
+
+def sources_of(inputs: tuple[Input, ...]) -> str:
+    """Links to the measures of an expression, with what of them is taken."""
+    titles = {scale.ident: scale.title for scale in target.SCALES}
+    taken = [
+        f"[{given.key.measure}](#{given.key.ident}), " + ("each more" if given.each else titles[given.scale]) for given in inputs
+    ]
+    return f" (from {'; '.join(taken)})" if taken else ""
+
+
 def role_block(state: Known, role: Role) -> list[str]:
-    """State, figures, mechanisms and what is missing of one role."""
+    """State, figures, mechanisms and what is missing of one role, the smallest size at which it breaks first."""
     lines = [
-        "State at the whole target: " + "; ".join(_state_words(state, each) for each in role.states) + ".",
+        f"{role.about} State at the whole target: {'; '.join(_state_words(state, each) for each in role.states)}.",
         "",
         "| figure | " + " | ".join(scale.title for scale in target.SCALES) + " | budget | source |",
         "| --- " * 7 + "|",
-    ]
-    lines += [_row_line(state, row) for row in role.rows]
-    lines += [
+        *(_row_line(state, row) for row in role.rows),
         "",
-        "Mechanism: " + "; ".join(f"`{each.path}` ({each.carries})" for each in role.mechanisms) + ".",
-        "",
-        "Missing, by the size at which it breaks:",
+        "- **Mechanism**: " + "; ".join(f"`{each.path}` ({each.carries})" for each in role.mechanisms) + ".",
     ]
     return lines + missing_lines(state, role)
 
@@ -148,13 +178,15 @@
         ((breaks_at(state, each), index, each) for index, each in enumerate(role.missing)),
         key=lambda each: (each[0] is None, each[0] or 0.0, each[1]),
     )
-    return [f"- {_breaks_words(state, share, each)}: {each.what}." for share, _, each in found]
+    return [f"- **Missing**, {_breaks_words(state, share, each)}: {each.what}." for share, _, each in found]
 
 
 def breaks_at(state: Known, each: Missing) -> float | None:
     """The share of the target at which it breaks; None where that is not known."""
     if each.key is None:
-        return target.evaluate(each.breaks, state.figures) if each.breaks else None
+        figures = {**state.figures, **inputs_of(state.results, each.inputs)}
+        lacking = [name for name in target.names_of(each.breaks or "0") if name not in figures]
+        return None if lacking or not each.breaks else target.evaluate(each.breaks, figures)
     slope = slope_of(state.results, each.key)
     if slope is None:
         return None
@@ -164,16 +196,17 @@
 
 def subset_block(state: Known) -> list[str]:
     """The mechanism of subsets of machines, before and after, at the sizes that both were measured at."""
-    titles = " | ".join(f"{size:,} machines: all, subset" for size in SUBSET_SIZES)
-    lines = [f"| measure | {titles} | source |", "| --- " * (len(SUBSET_SIZES) + 2) + "|"]
-    for key in sorted({key_of(each) for each in state.results.points if each.measure.endswith(SUBSET)}):
-        plain = Key(key.role, key.varies, key.measure.removesuffix(SUBSET))
-        unit = points_of(state.results, key)[0].unit
-        cells = " | ".join(
-            f"{_measured(state.results, plain, size)}, {_measured(state.results, key, size)}" for size in SUBSET_SIZES
-        )
-        runs = f"{spread_text(points_of(state.results, plain))}; {spread_text(points_of(state.results, key))}"
-        lines.append(f"| {words(plain)}, {unit} | {cells} | [all](#{plain.ident}), [subset](#{key.ident}): {runs} |")
+    titles = " | ".join(f"{size:,}: all, subset" for size in SUBSET_SIZES)
+    lines = [f"| measure, by machines | {titles} | runs: all; subset |", "| --- " * (len(SUBSET_SIZES) + 2) + "|"]
+    for plain in SUBSET_MEASURES:
+        key = Key(plain.role, plain.varies, plain.measure + SUBSET)
+        points, before = points_of(state.results, key), points_of(state.results, plain)
+        if points and before:
+            cells = [
+                f"{_measured(state.results, plain, size)}, {_measured(state.results, key, size)}" for size in SUBSET_SIZES
+            ]
+            runs = f"{spread_text(before)}; {spread_text(points)}"
+            lines.append(f"| {plain.role}: {plain.measure}, {points[0].unit} | {' | '.join(cells)} | {runs} |")
     if len(lines) == 2:
         lines.append(f"| {NOT_MEASURED}: the results have no measure of a subset |" + " - |" * (len(SUBSET_SIZES) + 1))
     return lines
@@ -241,15 +274,6 @@
     return f"| {anchor(ident)}{what} | {written(expression, figures)} | {shown(figures[ident])} {unit} |"
 
 
-def _input(results: Results, key: Key, scale: str, each: bool) -> float | None:
-    size = target.size_at(key.varies, next(one for one in target.SCALES if one.ident == scale))
-    if each:
-        slope = slope_of(results, key)
-        return None if slope is None else growth(slope, size) / size
-    found = estimate(results, key, size)
-    return None if found is None else found.value
-
-
 def _state_words(state: Known, each: State) -> str:
     entries = target.evaluate(each.entries, state.figures)
     count = f"{each.what}, {entries:,.0f}"
@@ -287,11 +311,13 @@
 
 def _breaks_words(state: Known, share: float | None, each: Missing) -> str:
     if share is None:
-        if each.key is not None and slope_of(state.results, each.key) is None:
-            return f"{NOT_MEASURED} at which size"
+        wanted = (*(given.key for given in each.inputs), *([each.key] if each.key else []))
+        if any(slope_of(state.results, key) is None for key in wanted):
+            return f"{NOT_MEASURED} at which size it breaks"
         return "within the budget at any size" if each.key is not None else "no size is known"
     if share == 0:
-        return "at any size"
+        return "breaks at any size"
     machines = f"{share * state.figures['workers']:,.0f} machines"
-    by = f", by the [line](#{each.key.ident})" if each.key else f", {written(each.breaks, state.figures)}"
-    return f"{shown(share)} of the target ({machines}{by})"
+    figures = {**state.figures, **inputs_of(state.results, each.inputs)}
+    by = f"by the [line](#{each.key.ident})" if each.key else written(each.breaks, figures) + sources_of(each.inputs)
+    return f"breaks at {shown(share)} of the target ({machines}, {by})"
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -19,6 +19,7 @@
 class Quantity:
     """A named number with its unit; `reading` says how an open term is taken, "" where nothing is open."""
 
+    topic: str
     ident: str
     what: str
     value: float
@@ -45,73 +46,57 @@
     share: float  # of the target
 
 
+LOAD, PROMISED, CONTROL, TROUBLE, TODAY, ASSUMPTION = "Load", "Promised", "Control", "Trouble", "Today", "Assumed"
+
 TARGET = (
-    Quantity("workers", "machines that run work", 13_000, "machines"),
-    Quantity("jobs_day", "Jobs in a day", 240_000, "Jobs/day"),
-    Quantity("starts_peak", "task starts at the peak", 9_200, "starts/s"),
-    Quantity("running", "tasks that run", 310_000, "tasks"),
-    Quantity(
-        "gang",
-        "tasks of the largest gang",
-        512,
-        "tasks",
-        "a gang starts whole or not at all; nothing says whether its tasks may share a machine",
-    ),
-    Quantity("teams", "teams with quotas", 370, "teams", "a quota is a limit on open tasks of a namespace"),
+    Quantity(LOAD, "workers", "machines that run work", 13_000, "machines"),
+    Quantity(LOAD, "jobs_day", "Jobs in a day", 240_000, "Jobs/day"),
+    Quantity(LOAD, "starts_peak", "task starts at the peak", 9_200, "starts/s"),
+    Quantity(LOAD, "running", "tasks that run", 310_000, "tasks"),
+    Quantity(LOAD, "gang", "largest gang", 512, "tasks", "all start or none does"),
+    Quantity(LOAD, "teams", "teams with quotas", 370, "teams", "a quota limits a namespace's open tasks"),
+    Quantity(LOAD, "regions", "regions", 3, "regions", "of equal size"),
+    Quantity(LOAD, "zones", "zones over all regions", 7, "zones", "of equal size"),
+    Quantity(PROMISED, "urgent_s", "urgent work starts within", 2.3, "s", "from the POST to the start, at the peak too"),
     Quantity(
-        "urgent_s",
-        "urgent work starts within",
-        2.3,
-        "s",
-        "from the POST to the start, at the peak, for all urgent tasks",
-    ),
-    Quantity("regions", "regions", 3, "regions", "of equal size"),
-    Quantity("zones", "zones", 7, "zones", "of equal size, over all regions"),
-    Quantity(
-        "changes_day",
-        "changes of configuration in a day",
-        14_000,
-        "changes/day",
-        "each is a version of the agreed rules",
+        PROMISED, "changes_day", "changes of configuration", 14_000, "changes/day", "each is a version of the agreed rules"
     ),
     Quantity(
+        PROMISED,
         "force_s",
-        "a change is in force everywhere within",
+        "in force everywhere within",
         11,
         "s",
-        "at each placer that is in touch with a majority of the voters; see the questions for one that is cut off",
+        "at each placer that is in touch with a majority of the voters; see the questions",
     ),
     Quantity(
+        CONTROL,
         "control_core",
-        "a placer spends for control at most",
+        "of a placer at most",
         0.02,
         "cores",
-        "for control: mail between placers, agreement, membership and records; not the list, machines' links, or owners",
+        "for control: membership, agreement, records; not the list, links to machines, owners",
     ),
-    Quantity("control_memory", "and", 32, "MB", "what is resident above a placer that agrees with nobody"),
-    Quantity("control_bytes", "and", 15_000, "B/s", "received and sent together, 1 KB = 1,000 B"),
-    Quantity("set_aside", "machines set aside for control", 17, "machines"),
-    Quantity("failed_day", "machines that fail on an ordinary day", 160, "machines/day"),
-    Quantity("replaced_day", "machines restarted or replaced", 3_900, "machines/day", "each is cold when it is back"),
-    Quantity("rack_lost_day", "racks or switches lost", 1 / 7, "a day"),
-    Quantity("zone_lost_day", "zones lost", 1 / 61, "a day"),
-    Quantity("cut_s", "regions lose each other for", 3_600, "s"),
+    Quantity(CONTROL, "control_memory", "memory", 32, "MB", "held by what is for control"),
+    Quantity(CONTROL, "control_bytes", "traffic", 15_000, "B/s", "sent and received together"),
+    Quantity(CONTROL, "set_aside", "machines set aside", 17, "machines"),
+    Quantity(TROUBLE, "failed_day", "machines that fail on an ordinary day", 160, "machines/day"),
+    Quantity(TROUBLE, "replaced_day", "machines restarted or replaced", 3_900, "machines/day", "each comes back cold"),
+    Quantity(TROUBLE, "rack_lost_days", "a rack or switch goes every", 7, "days"),
+    Quantity(TROUBLE, "zone_lost_days", "a zone every", 61, "days"),
+    Quantity(TROUBLE, "cut_s", "regions lose each other for", 3_600, "s"),
 )
 
 ASSUMED = (
-    Quantity("day_s", "a day", DAY_S, "s"),
-    Quantity("today_machines", "machines today: the fleet of the standing test", 400, "machines"),
-    Quantity("today_placers", "placers today", 16, "placers"),
-    Quantity("rack", "machines in a rack", 40, "machines", "assumed: the target does not say"),
-    Quantity("cold_s", "a machine counts as cold for", 18, "s", "as in docs/operating.md"),
-    Quantity(
-        "cold_offers", "offers that it bears meanwhile, from all placers, within its window", 20, "offers", "the same"
-    ),
-    Quantity("cold_window_s", "that window", 2, "s", "the same"),
-    Quantity(
-        "descriptors_soft", "descriptors that a process may open", 1_024, "descriptors", "the usual soft limit of Linux"
-    ),
-    Quantity("switch", "machines behind a switch", 640, "machines", "assumed: so many machines as in 16 racks"),
+    Quantity(TODAY, "today_machines", "the fleet of the standing test", 400, "machines"),
+    Quantity(TODAY, "today_placers", "with", 16, "placers"),
+    Quantity(ASSUMPTION, "day_s", "a day", DAY_S, "s"),
+    Quantity(ASSUMPTION, "rack", "a rack has", 40, "machines", "the target does not say"),
+    Quantity(ASSUMPTION, "switch", "a switch", 640, "machines", "the target does not say"),
+    Quantity(ASSUMPTION, "cold_s", "a machine is cold for", 18, "s", "as in `docs/operating.md`"),
+    Quantity(ASSUMPTION, "cold_offers", "and bears meanwhile, of all placers,", 20, "offers", "the same"),
+    Quantity(ASSUMPTION, "cold_window_s", "within any", 2, "s", "the same"),
+    Quantity(ASSUMPTION, "descriptors_soft", "a process may open", 1_024, "descriptors", "the usual soft limit of Linux"),
 )
 
 WORKED = (
@@ -130,7 +115,6 @@
     Worked("tasks_machine", "tasks that run on a machine", "running / workers", "tasks"),
     Worked("tasks_placer", "tasks that run for each placer", "running / placers", "tasks"),
     Worked("jobs_s", "Jobs a second, mean of the day", "jobs_day / day_s", "Jobs/s"),
-    Worked("jobs_placer_s", "the same, for each placer", "jobs_s / placers", "Jobs/s"),
     Worked(
         "peak_jobs",
         "starts at the peak for one Job of the mean: peak over mean times tasks in a Job",
@@ -150,7 +134,6 @@
         "task-seconds",
     ),
     Worked("run_s", "seconds that a task runs, were each Job a gang of the largest size", "job_task_s / gang", "s"),
-    Worked("jobs_team_day", "Jobs of a team in a day", "jobs_day / teams", "Jobs/day"),
     Worked("tasks_team", "tasks that run of a team, mean", "running / teams", "tasks"),
     Worked("change_s", "seconds from one change to the next, mean of the day", "day_s / changes_day", "s"),
     Worked("changes_s", "changes a second, mean of the day", "changes_day / day_s", "changes/s"),
@@ -162,23 +145,10 @@
     ),
     Worked("failed_hour", "machines that fail in an hour", "failed_day / 24", "machines/h"),
     Worked("replaced_hour", "machines restarted or replaced in an hour", "replaced_day / 24", "machines/h"),
-    Worked(
-        "replaced_share",
-        "share of the fleet that is restarted or replaced in a day",
-        "replaced_day / workers",
-        "of all",
-    ),
-    Worked("rack_share", "share of the fleet in a rack", "rack / workers", "of all"),
-    Worked("switch_share", "share of the fleet behind a switch", "switch / workers", "of all"),
     Worked("zone", "machines of a zone", "workers / zones", "machines"),
     Worked("zone_tasks", "tasks that run in a zone", "running / zones", "tasks"),
     Worked("zone_placers", "placers of a zone", "placers / zones", "placers"),
-    Worked(
-        "control_all", "budget for control of all placers together, bytes", "control_bytes * placers / 1000000", "MB/s"
-    ),
-    Worked("control_cores", "budget for control of all placers together, processor", "control_core * placers", "cores"),
     Worked("placers_control", "placers for each machine that is set aside", "placers / set_aside", "placers"),
-    Worked("share_control", "share of machines that is set aside", "set_aside / workers", "of all"),
 )
 
 SCALES = (
