--- a/benchmarks/capacity/days.py
+++ b/benchmarks/capacity/days.py
@@ -233,6 +233,12 @@
         "of all",
         (STEPS,),
     ),
+    Derived(
+        "measured_peak",
+        "the same at the peak of changes: over 1, a change waits, or is decided in place of one that still waits",
+        "measured_busy * changes_peak",
+        "of all",
+    ),
     Derived("blocks", "blocks: quotas of all teams at all placers", "teams * placers", "blocks"),
 )
 
