--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -67,7 +67,7 @@
             budget="descriptors_soft",
         ),
         Missing(
-            "time to place that stays within urgent work's promise",
+            "time to place within urgent work's promise, with one Job outstanding",
             key=Key("placer", "machines", "time to place p99"),
             budget="urgent_s * 1000",
         ),
@@ -98,13 +98,13 @@
     ),
     (
         Missing(
-            "a list of fewer entries, or told less often: were the source to tell the room of each machine of the "
-            "region once a second, one core is full",
+            "a list of fewer entries, or told less often: were the room of each machine of the region told once a "
+            "second, one core is full, at the cost of an entry in a list of a third of the target",
             "1000 / (region_machines * entry_ms)",
             (Input("entry_ms", Key("list client", "machines", "processor for one changed entry"), "third"),),
         ),
         Missing(
-            "the same, by bytes, were the list a part of control",
+            "a list of fewer bytes, were it a part of control and the room of each machine told once a second",
             "control_bytes / (region_machines * entry_bytes)",
             (Input("entry_bytes", Key("list client", "machines", "bytes received for one changed entry"), "third"),),
         ),
--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -176,6 +176,11 @@
             ),
         ),
         Missing("a limit for each team", "limits_most / teams"),
+        Missing(
+            "an account of limits whose cost does not grow with limits times placers",
+            key=Key("leader", "teams", "processor, agreement, 64 placers, bounds lifted"),
+            budget="1000000",
+        ),
         Missing("blocks for all teams and placers", "(blocks_most / blocks) ** 0.5"),
         Missing(
             "changes one beside the other: steps of a change that contradicts go one after the other", "1 / step_busy"
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -340,7 +340,7 @@
 def _label(state: Known, share: float | None, each: Missing) -> str:
     """What holds at the whole target is told apart from what is missing there."""
     holds = share > 1 if share is not None else each.key is not None and slope_of(state.results, each.key) is not None
-    return "Holds" if holds else "**Missing**"
+    return "Not missing yet" if holds else "**Missing**"
 
 
 def _breaks_words(state: Known, share: float | None, each: Missing) -> str:
@@ -354,4 +354,4 @@
     machines = f"{share * state.figures['workers']:,.0f} machines"
     figures = {**state.figures, **inputs_of(state.results, each.inputs)}
     by = f"by the [line](#{each.key.ident})" if each.key else written(each.breaks, figures) + sources_of(each.inputs)
-    return f"breaks at {shown(share)} of the target ({machines}, {by})"
+    return f"{'breaks at' if share <= 1 else 'up to'} {shown(share)} of the target ({machines}, {by})"
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -99,7 +99,7 @@
     Quantity(ASSUMPTION, "day_s", "a day", DAY_S, "s"),
     Quantity(ASSUMPTION, "rack", "a rack has", 40, "machines", "the target does not say"),
     Quantity(ASSUMPTION, "switch", "a switch", 640, "machines", "the target does not say"),
-    Quantity(ASSUMPTION, "changes_peak", "changes at their peak over the mean", 4, "times", "as measured below"),
+    Quantity(ASSUMPTION, "changes_peak", "changes at their peak over the mean", 4, "times", "as they are measured with"),
     Quantity(ASSUMPTION, "cold_s", "a machine is cold for", 18, "s", "as in `docs/operating.md`"),
     Quantity(ASSUMPTION, "cold_offers", "and bears meanwhile, of all placers,", 20, "offers", "the same"),
     Quantity(ASSUMPTION, "cold_window_s", "within any", 2, "s", "the same"),
--- a/tests/capacity/recompute.py
+++ b/tests/capacity/recompute.py
@@ -27,7 +27,7 @@
 ROW = re.compile(r'^\| <a id="(m-[\w-]+)"></a>(.*)\|$', re.M)
 WORKED = re.compile(r'^\| <a id="([\w-]+)"></a>([^|]*)\| ([^|`]*) \| ([\d.,e-]+) [^|]*\|$', re.M)
 LINKED = re.compile(r"\[[^\]]*\]\(#(m-[\w-]+)\), (each more|today \(400 machines\)|1/10|1/3|all)")
-BREAKS = re.compile(r"breaks at ([\d.,e-]+) of the target \(([\d,]+) machines, (.*)\): ")
+BREAKS = re.compile(r"(?:breaks at|up to) ([\d.,e-]+) of the target \(([\d,]+) machines, (.*)\): ")
 ALONE = re.compile(r"([\d.,+*/() -]+) \(measured: ([\w ]+): ([^;()]+(?:\([\w ]+\)[^;()]*)?), by (\w+), alone\)")
 BY_LINE = re.compile(r"by the \[line\]\(#(m-[\w-]+)\)$")
 
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -144,6 +144,15 @@
     assert 'comes to [not measured](#m-' in page.written_anew(text, page.NOTHING, page.NO_RESULTS)
 
 
+def test_what_is_missing_stands_by_the_size_at_which_it_breaks(made_up: Results, made_up_page: str) -> None:
+    text = made_up_page.partition("generated: role-leader")[2].partition("<!-- end -->")[0]
+    shares = [float(share) for share in re.findall(r"(?:breaks at|up to) ([\d.]+) of the target", text)]
+    assert len(shares) >= 4 and shares == sorted(shares)
+    assert all("**Missing**" in line for line in text.splitlines() if "breaks at" in line)
+    assert all("Not missing yet" in line for line in text.splitlines() if "up to" in line)
+    assert text.index("up to") < text.index("not measured at which size"), "what is not known stands last"
+
+
 def without(results: Results, measure: str) -> Results:
     """The same results without a measure's slope and points."""
     return msgspec.structs.replace(results, points=[each for each in results.points if each.measure != measure],
@@ -186,6 +195,7 @@
     ("640 * 0.25 | 160 ms", "640 * 0.35 | 224 ms"),  # a measured number within arithmetic
     ("0.492 of the target (6,400 machines, 256 / 520)", "0.592 of the target (7,696 machines, 256 / 520)"),
     ("0.0684 of the target (889 machines", "0.168 of the target (2,189 machines"),  # by a line
+    ("9 / 370 (measured", "19 / 370 (measured"),  # a point that has no line
     ("[110 s](#heal_s)", "[90 s](#heal_s)"),
     ("one run;", "often;"),
 ])
