--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -87,7 +87,7 @@
     for each in (*target.TARGET, *target.ASSUMED):
         reading = f" ({each.reading})" if each.reading else ""
         topics.setdefault(each.topic, []).append(
-            f"{anchor(each.ident)}{each.what} {shown(each.value)} {each.unit}{reading}"
+            f"{anchor(each.ident)}{each.what}: {shown(each.value)} {each.unit}{reading}"
         )
     return [f"- **{topic}**: {'; '.join(said)}." for topic, said in topics.items()]
 
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -56,7 +56,7 @@
     Quantity(LOAD, "running", "tasks that run", 310_000, "tasks"),
     Quantity(LOAD, "gang", "largest gang", 512, "tasks", "all start or none does"),
     Quantity(LOAD, "teams", "teams with quotas", 370, "teams", "a quota limits a namespace's open tasks"),
-    Quantity(LOAD, "regions", "regions", 3, "regions", "of equal size"),
+    Quantity(LOAD, "regions", "regions", 3, "regions", "of equal size, though equal zones do not divide so"),
     Quantity(LOAD, "zones", "zones over all regions", 7, "zones", "of equal size"),
     Quantity(PROMISED, "urgent_s", "urgent work starts within", 2.3, "s", "from POST to start, also at the peak"),
     Quantity(
@@ -99,7 +99,7 @@
     Quantity(ASSUMPTION, "day_s", "a day", DAY_S, "s"),
     Quantity(ASSUMPTION, "rack", "a rack has", 40, "machines", "the target does not say"),
     Quantity(ASSUMPTION, "switch", "a switch", 640, "machines", "the target does not say"),
-    Quantity(ASSUMPTION, "changes_peak", "changes at their peak over the mean", 4, "times", "as they are measured with"),
+    Quantity(ASSUMPTION, "changes_peak", "changes at their peak over the mean", 4, "times", "as they are measured"),
     Quantity(ASSUMPTION, "cold_s", "a machine is cold for", 18, "s", "as in `docs/operating.md`"),
     Quantity(ASSUMPTION, "cold_offers", "and bears meanwhile, of all placers,", 20, "offers", "the same"),
     Quantity(ASSUMPTION, "cold_window_s", "within any", 2, "s", "the same"),
