--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -29,8 +29,8 @@
         Row(Key("placer", "machines", "resident memory"), NOT_TAKEN),
         Row(Key("placer", "machines", "descriptors"), NOT_TAKEN, SOFT_LIMIT),
         Row(Key("placer", "machines", "time until all machines are seen"), NOT_TAKEN),
-        Row(Key("placer", "machines", "processor share idle"), NOT_TAKEN),
-        Row(Key("placer", "machines", "bytes received idle"), NOT_TAKEN),
+        Row(Key("placer", "machines", "processor share idle with bookmarks"), NOT_TAKEN),
+        Row(Key("placer", "machines", "bytes received idle with bookmarks"), NOT_TAKEN),
         Row(Key("placer", "machines", "processor for one placement"), NOT_TAKEN),
         Row(
             Key("placer", "machines", "placements a second, 32 outstanding"),
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -70,7 +70,7 @@
     Quantity(
         PROMISED,
         "force_s",
-        "in force everywhere within",
+        "a change is in force everywhere within",
         11,
         "s",
         "at each placer that is in touch with a majority of the voters; see the questions",
@@ -78,7 +78,7 @@
     Quantity(
         CONTROL,
         "control_core",
-        "of a placer at most",
+        "processor of a placer",
         0.02,
         "cores",
         "for control: membership, agreement, records; not the list, links to machines, owners",
@@ -94,15 +94,15 @@
 )
 
 ASSUMED = (
-    Quantity(TODAY, "today_machines", "the fleet of the standing test", 400, "machines"),
-    Quantity(TODAY, "today_placers", "with", 16, "placers"),
+    Quantity(TODAY, "today_machines", "machines of the standing test", 400, "machines"),
+    Quantity(TODAY, "today_placers", "its placers", 16, "placers"),
     Quantity(ASSUMPTION, "day_s", "a day", DAY_S, "s"),
     Quantity(ASSUMPTION, "rack", "a rack has", 40, "machines", "the target does not say"),
     Quantity(ASSUMPTION, "switch", "a switch", 640, "machines", "the target does not say"),
     Quantity(ASSUMPTION, "changes_peak", "changes at their peak over the mean", 4, "times", "as they are measured"),
     Quantity(ASSUMPTION, "cold_s", "a machine is cold for", 18, "s", "as in `docs/operating.md`"),
-    Quantity(ASSUMPTION, "cold_offers", "and bears meanwhile, of all placers,", 20, "offers", "the same"),
-    Quantity(ASSUMPTION, "cold_window_s", "within any", 2, "s", "the same"),
+    Quantity(ASSUMPTION, "cold_offers", "and bears then, of all placers", 20, "offers", "the same"),
+    Quantity(ASSUMPTION, "cold_window_s", "within a window of", 2, "s", "the same"),
     Quantity(ASSUMPTION, "descriptors_soft", "a process may open", 1_024, "descriptors", "a usual soft limit"),
 )
 
