--- a/benchmarks/capacity/days.py
+++ b/benchmarks/capacity/days.py
@@ -9,6 +9,8 @@
 SEEN = Input("seen_s", Key("placer", "machines", "processor until all machines are seen"), "third", each=True)
 RENEWED = Input("renewed_ms", Key("machine link", "machines", "processor for one watch renewed"), "third")
 RATE = Input("placed_s", Key("placer", "machines", "placements a second, 32 outstanding"), "third")
+LINK = Input("links", Key("placer", "machines", "descriptors"), "third", each=True)
+WATCH = Input("watch_bytes", Key("placer", "machines", "bytes received idle with bookmarks"), "third", each=True)
 STEPS = Input("two_steps_s", Key("member", "placers", "time until in force, two steps most"))
 
 
@@ -20,6 +22,14 @@
 
 
 ORDINARY = (
+    Derived(
+        "agent_links",
+        "connections that a machine's agent holds, were all placers of its region idle and linked to it",
+        "region_placers * links",
+        "descriptors",
+        (LINK,),
+    ),
+    Derived("agent_bytes", "what it sends them meanwhile", "region_placers * watch_bytes", "B/s", (WATCH,)),
     Derived(
         "list_changes_s",
         "changes of a region's list a second: each such machine goes and comes",
@@ -120,6 +130,23 @@
 )
 
 CUT = (
+    Derived(
+        "link_membership",
+        "membership that a region's placers send to other regions, whose members are probed like their own",
+        "region_placers * sent_m * (regions - 1) / regions / 1000",
+        "kB/s",
+        (Input("sent_m", Key("member", "placers", "bytes sent, membership")),),
+    ),
+    Derived(
+        "link_agreement",
+        "asks and grants of a region's placers, where the leader is in another",
+        "region_placers * (sent_a + received_a) / 1000",
+        "kB/s",
+        (
+            Input("sent_a", Key("member", "placers", "bytes sent, agreement")),
+            Input("received_a", Key("member", "placers", "bytes received, agreement")),
+        ),
+    ),
     Derived("cut_changes", "changes decided while the cut lasts", "changes_day * cut_s / day_s", "changes"),
     Derived("cut_jobs", "Jobs asked for in the region that is cut off", "jobs_day * cut_s / day_s / regions", "Jobs"),
     Derived(
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -121,7 +121,7 @@
     (
         Row(
             Key("agent", "placers", "descriptors"),
-            "the agents of the measurements are stand-ins in processes of many",
+            "not by itself: worked out under ordinary days",
             SOFT_LIMIT,
         ),
     ),
--- a/benchmarks/capacity/roles_control.py
+++ b/benchmarks/capacity/roles_control.py
@@ -225,7 +225,7 @@
     "What crosses between two regions: membership, grants where the leader is elsewhere, records, Jobs handed over.",
     ("region link",),
     (State("placers on each side", "region_placers"),),
-    (Row(Key("region link", "placers", "bytes sent"), NOT_BUILT),),
+    (Row(Key("region link", "placers", "bytes sent"), "not by itself: worked out under a region cut off"),),
     (
         Mechanism("wingbarrow/decide/peers/handing.py", "a Job that goes to another region"),
         Mechanism("wingbarrow/decide/peers/regionnews.py", "how loaded each region is"),
