--- /dev/null
+++ b/benchmarks/capacity/fleet.py
@@ -0,0 +1,121 @@
+"""A fleet of hollow placers that agree on rules, metered; and the rule sets that capacity is measured with.
+
+`chapters` of sessions, turns and regions are not there: what they say is measured elsewhere. Placers use a steady part
+of each limit; where `short`, each wants more than it can have, and so asks every 200 ms in place of every 667 ms.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+from benchmarks.capacity.gather import MB, Figure, accounted, spread
+from benchmarks.capacity.metered import DECISIONS, LIMITS, READ, WRITTEN, Metered, Meter, held_bytes
+from wingbarrow.decide.peers.agreement import Agreement
+from wingbarrow.decide.peers.limits import FleetLimit
+from wingbarrow.decide.peers.rules import RuleSet, normal
+from wingbarrow.lab.fleet.assembly import Assembly
+from wingbarrow.lab.fleet.schedules import rules, voters_of
+from wingbarrow.lab.fleet.swarm import SECOND
+
+SETTLE_US, FORCE_MOST_US, QUIET_US = 60 * SECOND, 60 * SECOND, 10 * SECOND
+STRANDED_US, WINDOW_US, COLD_WINDOW_US = 40 * SECOND, 5 * SECOND, 2 * SECOND
+USES = 4  # of each standing limit, by each placer
+WANTED = 10_000  # by each placer where limits are short
+PARTS = (DECISIONS, LIMITS, WRITTEN, READ)
+
+
+class NoAgreement(RuntimeError):
+    """The fleet did not come to what was proposed in its time."""
+
+
+def three_limits(names: list[str]) -> tuple[FleetLimit, ...]:
+    """A namespace's tasks at once, a class's new ones a window, and the cold budget."""
+    among = tuple(names)
+    return (FleetLimit("namespace", "default", "standing", 2 * USES * len(names), 0, STRANDED_US, among),
+            FleetLimit("class", "web", "rate", 20 * len(names), WINDOW_US, STRANDED_US, among),
+            FleetLimit("cold", "", "rate", 20, COLD_WINDOW_US, STRANDED_US, among))
+
+
+def rule_set(count: int, limits: tuple[FleetLimit, ...], most: int = 3, offers: int = 20) -> RuleSet:
+    """For placers p000 and on. More of `most` and fewer `offers` contradicts another: it takes two steps."""
+    return normal(replace(rules(count, most, offers), limits=limits))
+
+
+class Agreements(Metered[Agreement], Assembly):
+    """`count` placers that agree on rules; each voter's disk is a copy in memory."""
+
+    def __init__(self, count: int, seed: int, short: bool = False) -> None:
+        self.meter, self.short = Meter(), short
+        super().__init__(count, voters_of(count), seed)
+
+    def make(self, name: str, now_us: int) -> Agreement:
+        """One that uses limits, with the leader's account of them timed by itself."""
+        made = super().make(name, now_us)
+        made.holding.life = self.lives[name]
+        made.purse.uses = lambda key: USES
+        if self.short:
+            made.purse.demand = lambda key: WANTED
+        for method in ("answers", "due"):
+            setattr(made.blocks, method, self.meter.timed(name, LIMITS, getattr(made.blocks, method)))
+        return made
+
+    def _act_all(self) -> None:
+        """Nobody acts: when rules came into force is read from what placers tell."""
+
+    def came_into_force(self, wanted: set[str], since_us: int) -> dict[str, int]:
+        """By placer when it first acted on one of these rule sets' texts, from a time on."""
+        found: dict[str, int] = {}
+        for each in self.told:
+            if each.what == "rules" and each.at_us >= since_us and each.fields["rules"] in wanted:
+                found.setdefault(each.who, each.at_us)
+        return found
+
+    def change(self, rules: RuleSet) -> list[float]:
+        """Propose, and wait until all act on it: the seconds that each placer took. NoAgreement where they do not."""
+        begun, text = self.now_us, rules.text()
+        ident = self.propose(rules)
+        if ident is None or not self.run_until(
+                lambda: len(self.came_into_force({text}, begun)) == len(self.names), FORCE_MOST_US):
+            raise NoAgreement(f"{len(self.names)} placers: {self.outcome(ident or '') or 'nobody leads, or too slow'}")
+        return [(at - begun) / SECOND for at in self.came_into_force({text}, begun).values()]
+
+
+def founded(count: int, seed: int, first: RuleSet, short: bool = False) -> Agreements:
+    """A fleet that acts on its first rules and has come to rest."""
+    fleet = Agreements(count, seed, short)
+    if not fleet.run_until(lambda: fleet.leader() is not None, SETTLE_US):
+        raise NoAgreement(f"{count} placers: nobody leads")
+    fleet.change(first)
+    fleet.run(fleet.now_us + QUIET_US)
+    return fleet
+
+
+def steady(fleet: Agreements, span_s: int, suffix: str = "") -> Iterator[Figure]:
+    """What leader, voters and other members cost at rest, for so long."""
+    with fleet.meter.metering():
+        fleet.run(fleet.now_us + span_s * SECOND)
+    leader = fleet.leader()
+    if leader is None:
+        raise NoAgreement("the leader was lost at rest")
+    roles = {"leader": [leader], "voter": [name for name in fleet.voters if name != leader],
+             "member": [name for name in fleet.names if name not in fleet.voters]}
+    for role, names in roles.items():
+        if names:
+            parts = PARTS if role == "leader" else (DECISIONS, WRITTEN, READ)
+            yield from accounted(role, [fleet.meter.accounts[name] for name in names], span_s, parts,
+                                 f", agreement{suffix}")
+            yield _middle(role, f"memory held, agreement{suffix}", "MB", names,
+                          lambda name: held_bytes(fleet.members[name]) / MB)
+            yield _middle(role, f"descriptors, agreement{suffix}", "descriptors", names,
+                          lambda name: fleet.meter.descriptors(name, fleet.now_us))
+
+
+def _middle(role: str, measure: str, unit: str, names: list[str], value: Callable[[str], float]) -> Figure:
+    return Figure(role, measure, unit, statistics.median(map(value, names[:5])))
+
+
+def in_force(fleet: Agreements, words: str, rules: RuleSet) -> Iterator[Figure]:
+    """How long a change takes until placers act on it."""
+    yield from spread("member", f"time until in force, {words}", "s", fleet.change(rules))
--- a/benchmarks/capacity/metered.py
+++ b/benchmarks/capacity/metered.py
@@ -20,12 +20,17 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from wingbarrow.decide.peers.asking import NotLeader
 from wingbarrow.decide.peers.effects import Send
+from wingbarrow.decide.peers.log import AppendAnswer, VoteAnswer
+from wingbarrow.decide.peers.words import Ack, Nack, Sync
+from wingbarrow.http.server import ServerLimits
 from wingbarrow.lab.fleet.swarm import SECOND, MachineT, Virtual
 from wingbarrow.peers.message import BadMail, read_mail, write_letter, write_mail
-from wingbarrow.peers.post import LETTER_MOST
+from wingbarrow.peers.post import BOXES_MOST, LETTER_MOST
 
 CLUSTER = "main"
+ANSWERS = (Ack, Nack, AppendAnswer, VoteAnswer, NotLeader)  # sent at once to whom the mail came from
 DECISIONS, LIMITS, WRITTEN, READ = "decisions", "limits", "mail written", "mail read"
 STATE_MODULES = ("wingbarrow.", "collections", "random", "enum")  # whose objects count as state
 SHARED_TYPES = (type, type(sys), type(lambda: 0), type(print), type(SECOND.to_bytes))
@@ -40,7 +45,6 @@
     sent_bytes: int = 0
     received_bytes: int = 0
     used_ns: Counter[str] = field(default_factory=Counter)  # processor time by part
-    partners: set[str] = field(default_factory=set)  # whom it sent to
 
 
 class Meter:
@@ -51,6 +55,8 @@
         self.accounts: dict[str, Account] = defaultdict(Account)
         self.largest: Counter[str] = Counter()  # bytes of the largest letter of each kind
         self.refused: Counter[str] = Counter()  # letters that the host would drop, or the receiver not read, by why
+        self.called: dict[str, dict[str, int]] = defaultdict(dict)  # by sender whom it mailed; counted always
+        self.callers: dict[str, dict[str, int]] = defaultdict(dict)  # by receiver who mailed it, and when last
         self._inner_ns: list[int] = []
 
     def timed(self, name: str, part: str, call: Callable[..., Any]) -> Callable[..., Any]:
@@ -89,7 +95,21 @@
         self.largest[kind] = max(self.largest[kind], len(letter))
         out.sent, out.sent_bytes = out.sent + 1, out.sent_bytes + len(mail)
         into.received, into.received_bytes = into.received + 1, into.received_bytes + len(mail)
-        out.partners.add(receiver)
+
+    def connection(self, now_us: int, sender: str, receiver: str, message: Any) -> None:
+        """Remember who calls whom; what answers a mail goes back in its answer."""
+        if not isinstance(message, ANSWERS) and not (isinstance(message, Sync) and not message.ask):
+            self.called[sender][receiver] = now_us
+            self.callers[receiver][sender] = now_us
+
+    def descriptors(self, name: str, now_us: int) -> int:
+        """Of one placer's connections to others, as the host would hold them.
+
+        A call's connection stays in its pool until that is used again, however long the other end has closed it; one
+        that others opened is closed after a while without a request.
+        """
+        since = now_us - ServerLimits().idle_us
+        return min(BOXES_MOST, len(self.called[name])) + sum(at >= since for at in self.callers[name].values())
 
     @contextmanager
     def metering(self) -> Iterator[None]:
@@ -121,8 +141,10 @@
         return made
 
     def _send(self, name: str, send: Send) -> None:
+        receiver = send.ident or send.address.removeprefix("at ")
+        self.meter.connection(self.now_us, name, receiver, send.message)
         if self.meter.on:
-            self.meter.mail(name, send.ident or send.address.removeprefix("at "), send.message)
+            self.meter.mail(name, receiver, send.message)
         super()._send(name, send)
 
 
--- /dev/null
+++ b/benchmarks/capacity/placers.py
@@ -0,0 +1,107 @@
+"""What grows with the number of placers: membership, and agreement on rules with three fleet limits.
+
+`member`: SWIM alone (measures with ", membership"), and a placer that does not vote (", agreement"); `voter`, `leader`:
+agreement. At rest, for `SPAN_S` of the virtual clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from benchmarks.capacity.fleet import founded, in_force, rule_set, steady, three_limits
+from benchmarks.capacity.gather import MB, Figure, accounted, repeated
+from benchmarks.capacity.metered import DECISIONS, READ, WRITTEN, Metered, Meter, held_bytes
+from benchmarks.capacity.results import Point
+from wingbarrow.decide.peers.membership import Membership
+from wingbarrow.decide.peers.rules import too_long
+from wingbarrow.decide.peers.table import MEMBERS_MOST
+from wingbarrow.decide.peers.words import Standing
+from wingbarrow.lab.fleet.swarm import SECOND, Swarm
+
+DEFAULT_SIZES = (5, 16, 64, 170, 256, 300)
+SPAN_S, SHORT_SPAN_S = 20, 10
+JOIN_MOST_US = 300 * SECOND
+BEYOND_S = 60  # how long more placers than a table has room for are given to find each other
+PLACERS_TRIED_MOST = 1 << 13
+
+
+class Members(Metered[Membership], Swarm):
+    """Memberships, metered."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.meter = Meter()
+        super().__init__(count, seed)
+
+    def unknown(self) -> list[int]:
+        """Of each that lives, how many others it does not hold for alive."""
+        lives = len(self.members) - 1
+        return [lives - sum(each.standing is Standing.ALIVE for each in one.table.members.values())
+                for one in self.members.values()]
+
+
+def membership(count: int, seed: int) -> Iterator[Figure]:
+    """One swarm: how it joins, what it costs at rest, how it learns of a death."""
+    swarm = Members(count, seed)
+    fits = count - 1 <= MEMBERS_MOST
+    if fits:
+        if not swarm.run_until(lambda: not any(swarm.unknown()), JOIN_MOST_US):
+            raise RuntimeError(f"{count} placers, seed {seed}: they do not find each other")
+        yield Figure("member", "time until all know each other", "s", swarm.now_us / SECOND)
+    else:
+        swarm.run(BEYOND_S * SECOND)
+    with swarm.meter.metering():
+        swarm.run(swarm.now_us + SPAN_S * SECOND)
+    yield from accounted("member", [swarm.meter.accounts[name] for name in swarm.names], SPAN_S,
+                         (DECISIONS, WRITTEN, READ), ", membership")
+    one = swarm.names[-1]
+    yield Figure("member", "memory held, membership", "MB", held_bytes(swarm.members[one]) / MB)
+    yield Figure("member", "descriptors, membership", "descriptors", swarm.meter.descriptors(one, swarm.now_us))
+    yield Figure("member", "members not known", "members", max(swarm.unknown()))
+    if fits:
+        yield from death(swarm, seed)
+
+
+def death(swarm: Members, seed: int) -> Iterator[Figure]:
+    """One is killed: until the first holds it for dead, and until all do."""
+    gone, begun = swarm.names[seed % len(swarm.names)], swarm.now_us
+    swarm.kill(gone)
+    most = 2 * swarm.rules.detect_us(len(swarm.names))
+    if not swarm.run_until(lambda: swarm.all_think(gone, Standing.DEAD), most):
+        raise RuntimeError(f"{len(swarm.names)} placers, seed {seed}: a death is not found")
+    times = [(each.at_us - begun) / SECOND for each in swarm.deaths(begun) if each.fields["member"] == gone]
+    yield Figure("member", "time until a death is known, first", "s", min(times))
+    yield Figure("member", "time until a death is known, all", "s", max(times))
+
+
+def agreement(count: int, seed: int) -> Iterator[Figure]:
+    """One fleet: what it costs at rest, with limits in plenty and short of them, and how long changes take."""
+    fleet = founded(count, seed, first := rule_set(count, ()))
+    limits = three_limits(fleet.names)
+    yield from in_force(fleet, "three limits added", with_limits := rule_set(count, limits))
+    fleet.run(fleet.now_us + 10 * SECOND)
+    yield from steady(fleet, SPAN_S)
+    yield Figure("member", "rule set", "B", len(with_limits.text().encode()))
+    yield Figure("member", "rule set without limits", "B", len(first.text().encode()))
+    yield from in_force(fleet, "one step", rule_set(count, limits, most=4))
+    yield from in_force(fleet, "two steps", rule_set(count, limits, most=2, offers=40))
+    yield from steady(founded(count, seed, with_limits, short=True), SHORT_SPAN_S, ", limits short")
+
+
+def placers_most() -> int:
+    """The most placers, of names of four letters, whose rule set with three limits is short enough to be accepted."""
+    def accepted(count: int) -> bool:
+        return not too_long(rule_set(count, three_limits([f"p{index:03d}" for index in range(count)])))
+    low, high = 1, PLACERS_TRIED_MOST
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (middle, high) if accepted(middle) else (low, middle)
+    return low
+
+
+def measure(sizes: Sequence[int]) -> Iterator[Point]:
+    """Points of each size."""
+    for size in sizes:
+        yield from repeated("placers", size, lambda seed, size=size: membership(size, seed))  # type: ignore[misc]
+        yield from repeated("placers", size, lambda seed, size=size: agreement(size, seed))  # type: ignore[misc]
+    most = placers_most()
+    yield Point("voter", "placers", most, "placers whose rule set with three limits is accepted", "placers", most)
