--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 
-from benchmarks.capacity.gather import MB, Figure, accounted, spread
+from benchmarks.capacity.gather import MB, Figure, accounted, persisted, spread
 from benchmarks.capacity.metered import DECISIONS, LIMITS, READ, WRITTEN, Metered, Meter, held_bytes
 from wingbarrow.decide.peers.agreement import Agreement
+from wingbarrow.decide.peers.effects import Persist
 from wingbarrow.decide.peers.limits import FleetLimit
 from wingbarrow.decide.peers.rules import RuleSet, normal
 from wingbarrow.lab.fleet.assembly import Assembly
@@ -61,6 +62,11 @@
             setattr(made.blocks, method, self.meter.timed(name, LIMITS, getattr(made.blocks, method)))
         return made
 
+    def persisted(self, name: str, what: Persist) -> None:
+        """Counted, and kept."""
+        self.meter.persist(name, what)
+        super().persisted(name, what)
+
     def _act_all(self) -> None:
         """Nobody acts: when rules came into force is read from what placers tell."""
 
@@ -96,20 +102,28 @@
     """What leader, voters and other members cost at rest, for so long."""
     with fleet.meter.metering():
         fleet.run(fleet.now_us + span_s * SECOND)
+    yield from costs(fleet, span_s, suffix)
+
+
+def costs(fleet: Agreements, span_s: float, suffix: str = "") -> Iterator[Figure]:
+    """What was metered for so long, by role; NoAgreement where nobody leads now."""
     leader = fleet.leader()
     if leader is None:
-        raise NoAgreement("the leader was lost at rest")
+        raise NoAgreement("the leader was lost")
     roles = {"leader": [leader], "voter": [name for name in fleet.voters if name != leader],
              "member": [name for name in fleet.names if name not in fleet.voters]}
     for role, names in roles.items():
-        if names:
-            parts = PARTS if role == "leader" else (DECISIONS, WRITTEN, READ)
-            yield from accounted(role, [fleet.meter.accounts[name] for name in names], span_s, parts,
-                                 f", agreement{suffix}")
-            yield _middle(role, f"memory held, agreement{suffix}", "MB", names,
-                          lambda name: held_bytes(fleet.members[name]) / MB)
-            yield _middle(role, f"descriptors, agreement{suffix}", "descriptors", names,
-                          lambda name: fleet.meter.descriptors(name, fleet.now_us))
+        if not names:
+            continue
+        parts = PARTS if role == "leader" else (DECISIONS, WRITTEN, READ)
+        accounts = [fleet.meter.accounts[name] for name in names]
+        yield from accounted(role, accounts, span_s, parts, f", agreement{suffix}")
+        if role != "member":
+            yield from persisted(role, accounts, span_s, suffix)
+        yield _middle(role, f"memory held, agreement{suffix}", "MB", names,
+                      lambda name: held_bytes(fleet.members[name]) / MB)
+        yield _middle(role, f"descriptors, agreement{suffix}", "descriptors", names,
+                      lambda name: fleet.meter.descriptors(name, fleet.now_us))
 
 
 def _middle(role: str, measure: str, unit: str, names: list[str], value: Callable[[str], float]) -> Figure:
--- a/benchmarks/capacity/gather.py
+++ b/benchmarks/capacity/gather.py
@@ -58,6 +58,14 @@
     yield Figure(role, f"processor{suffix}", "us/s", middle(lambda each: sum(each.used_ns.values()) / 1000))
 
 
+def persisted(role: str, accounts: list[Account], span_s: float, suffix: str = "") -> Iterator[Figure]:
+    """What voters write to disk: the median of these."""
+    yield Figure(role, f"disk writes, agreement{suffix}", "per s",
+                 statistics.median(each.persists for each in accounts) / span_s)
+    yield Figure(role, f"disk bytes, agreement{suffix}", "B/s",
+                 statistics.median(each.persisted_chars for each in accounts) / span_s)
+
+
 def spread(role: str, measure: str, unit: str, values: list[float]) -> Iterator[Figure]:
     """Its median and its largest, where there are any."""
     if values:
--- a/benchmarks/capacity/metered.py
+++ b/benchmarks/capacity/metered.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from wingbarrow.decide.peers.asking import NotLeader
-from wingbarrow.decide.peers.effects import Send
+from wingbarrow.decide.peers.effects import Persist, Send
 from wingbarrow.decide.peers.log import AppendAnswer, VoteAnswer
 from wingbarrow.decide.peers.words import Ack, Nack, Sync
 from wingbarrow.http.server import ServerLimits
@@ -44,6 +44,8 @@
     received: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
+    persists: int = 0  # writes to disk that must be there before what follows
+    persisted_chars: int = 0
     used_ns: Counter[str] = field(default_factory=Counter)  # processor time by part
 
 
@@ -96,6 +98,14 @@
         out.sent, out.sent_bytes = out.sent + 1, out.sent_bytes + len(mail)
         into.received, into.received_bytes = into.received + 1, into.received_bytes + len(mail)
 
+    def persist(self, name: str, what: Persist) -> None:
+        """Count what a voter must have on disk."""
+        if self.on:
+            account = self.accounts[name]
+            account.persists += 1
+            account.persisted_chars += sum(len(each.kind) + len(each.body) for each in what.entries)
+            account.persisted_chars += len(what.snapshot[3]) if what.snapshot is not None else 0
+
     def connection(self, now_us: int, sender: str, receiver: str, message: Any) -> None:
         """Remember who calls whom; what answers a mail goes back in its answer."""
         if not isinstance(message, ANSWERS) and not (isinstance(message, Sync) and not message.ask):
