--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -76,14 +76,12 @@
 def run(name: str, sizes: Sequence[int] | None, points: list[Point]) -> None:
     """One module, one size after another; its points are appended as they come."""
     module = importlib.import_module(f"benchmarks.capacity.{name}")
-    measure = cast(Measure, module.measure)
-    for size in sizes or module.DEFAULT_SIZES:
-        begun = time.monotonic()
-        for point in measure([size]):
-            points.append(point)
-            say(f"  {point.role}, {point.measure}, {point.varies}={point.size}: {point.value:.5g} {point.unit} "
-                f"({point.runs} runs)")
-        say(f"{name} {size}: {time.monotonic() - begun:.1f} s")
+    measure, begun = cast(Measure, module.measure), time.monotonic()
+    for point in measure(sizes or module.DEFAULT_SIZES):
+        points.append(point)
+        say(f"  {time.monotonic() - begun:.0f} s  {point.role}, {point.measure}, {point.varies}={point.size}: "
+            f"{point.value:.5g} {point.unit}" + (f" ({point.runs} runs)" if point.runs > 1 else ""))
+    say(f"{name}: {time.monotonic() - begun:.1f} s")
 
 
 def write(path: Path, results: Results) -> None:
--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -99,11 +99,16 @@
 
 
 def slopes(points: Iterable[Point]) -> list[Slope]:
-    """One for each measure that has enough sizes, in the order in which they first came."""
+    """One for each measure that has enough sizes, in the order in which they first came.
+
+    None for a measure that is 0 at some sizes and not at others, as what is refused over a bound: no one law holds on
+    both sides of it.
+    """
     groups: dict[tuple[str, str, str, str], list[Point]] = {}
     for each in points:
         groups.setdefault((each.role, each.varies, each.measure, each.unit), []).append(each)
-    return [fit(group) for group in groups.values() if len({each.size for each in group}) >= SIZES_LEAST]
+    return [fit(group) for group in groups.values() if len({each.size for each in group}) >= SIZES_LEAST
+            and len({each.value == 0 for each in group}) == 1]
 
 
 def words(slope: Slope) -> str:
--- a/benchmarks/capacity/gangs.py
+++ b/benchmarks/capacity/gangs.py
@@ -201,7 +201,7 @@
         play.answered(*jobs)
         play.hub.sleep(AFTER_US)
         out.append(Figure("placer", "gangs whole, two at once", "gangs", sum(running(job) == tasks for job in jobs)))
-        out.append(Figure("placer", "tasks running, two at once", "tasks", sum(map(running, jobs))))
+        out.append(Figure("placer", "tasks running of the other gang, two at once", "tasks", min(map(running, jobs))))
     play.run(script)
     yield from out
 
--- a/tests/capacity/test_fit.py
+++ b/tests/capacity/test_fit.py
@@ -85,3 +85,8 @@
 def test_slopes_leave_out_what_has_too_few_sizes() -> None:
     found = slopes([*points(lambda size: 1.0), *points(lambda size: 1.0, sizes=(5, 16), measure="other")])
     assert [each.measure for each in found] == ["bytes sent"]
+
+
+def test_slopes_leave_out_what_begins_at_a_bound() -> None:
+    assert slopes(points(lambda size: max(0.0, size - 100.0))) == []
+    assert [each.model for each in slopes(points(lambda size: 0.0))] == ["flat"]
