--- a/benchmarks/capacity/metered.py
+++ b/benchmarks/capacity/metered.py
@@ -5,6 +5,9 @@
 sockets, HTTP heads (some 190 bytes of each request and 80 of each answer), the voters' disk, and what the host packs
 into one mail or into the answer of another. So messages are letters, and bytes are those of mails.
 
+On the virtual clock deciding takes no time: times until something is in force are those of waiting alone, and hold
+only while nobody needs more than its core. A leader whose processor time nears 1,000,000 us/s is at its end.
+
 Processor time is that of this process while a machine decides, or mail is written or read, in microseconds of each
 second of the virtual clock. The garbage collector is off meanwhile: it would look through all placers at once.
 """
