--- a/benchmarks/capacity/teams.py
+++ b/benchmarks/capacity/teams.py
@@ -3,9 +3,9 @@
 At 16 placers, and at 64 with one seed, named in each measure. Today's bounds refuse many teams: `limits.LIMITS_MOST`
 whatever the number of placers, and `rules.TEXT_MOST` (each limit names all placers that share in it) before that where
 there are many placers. "limits in force" is how many of the asked ones were accepted: all or none, as they are one
-rule set. Measures named "bounds lifted" are of a fleet with these bounds, and `blocks.PARTS_MOST`, out of the way, in this
-process alone: what so many limits would cost, not what can be had. Within the bounds both are the same run. More blocks
-than `LIFTED_BLOCKS_MOST` (370 teams at 64 placers) are not tried: one leader's account of them takes many cores.
+rule set. Measures named "bounds lifted" are of a fleet with these bounds, and `blocks.PARTS_MOST`, out of the way, in
+this process alone: what so many limits would cost, not what can be had. Within the bounds both are the same run. More
+blocks than `LIFTED_BLOCKS_MOST` (370 teams at 64 placers) are not tried: one leader's account of them takes many cores.
 
 The points end with the most teams that each bound allows, found by trying ("teams allowed by ..."), for placers with
 names of four letters; longer names take more of a rule set and of a snapshot. Found on 2026-12-02:
