Subsets of a region's machines in one placer: settings, reflector, fleet, cold share at the gate

Each placer connects to, watches and hands its module only the machines of its subset; those that leave linger until nothing of it is there. Not measured yet.

--- a/wingbarrow/config/load.py
+++ b/wingbarrow/config/load.py
@@ -9,7 +9,7 @@
 from netaddr import IPSet
 
 from wingbarrow import interface as api
-from wingbarrow.config import agreeing, federation
+from wingbarrow.config import agreeing, federation, subsetting
 from wingbarrow.config.lines import NodeLines
 from wingbarrow.config.settings import ClassSettings, Limits, PeerAddress, PlacerSettings
 from wingbarrow.config.shapes import (
@@ -49,6 +49,7 @@
     "history": Shape((text,)),
     "bar": Shape((text,), many=True),
     "agree": agreeing.SHAPE,
+    "subset": subsetting.SHAPE,
     "class": Shape((text,), {
         "effect": (word("safe", "keyed", "unsafe"), NEEDED),
         "group": (word("machine", "cell", "zone", "all"), "all"), "window": (read_duration, 0),
@@ -173,6 +174,7 @@
         peers=tuple(PeerAddress(node.args[0], node.props["port"], node.props["name"], node.props["seed"])
                     for node in top.children.get("peer", [])),
         agree=agree, machines=placer.props["machines"],
+        subset=subsetting.read_subset(top, agree, classes, limits, problems),
         federation=federation.read_federation(top, classes, agree, problems),
         barred=tuple(node.args[0] for node in top.children.get("bar", [])),
         history=top.children["history"][0].args[0] if "history" in top.children else None,
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -10,6 +10,8 @@
 from wingbarrow import interface as api
 from wingbarrow.decide.federation.spec import Federation
 from wingbarrow.decide.peers.limits import FleetLimit
+from wingbarrow.decide.subset_view import LEAVE_AFTER_US, SETTLE_US
+from wingbarrow.decide.subsets import SubsetRules
 
 _DURATION = re.compile(r"(?:(\d+(?:\.\d+)?)(us|ms|s|m|h))")
 _UNITS_US = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
@@ -91,6 +93,15 @@
     bare: tuple[str, ...] = ()  # members without machines: they vote, and share in nothing
 
 
+@dataclass(frozen=True, slots=True)
+class SubsetSettings:
+    """That each placer holds some of its region's machines alone, and how it follows who lives."""
+
+    rules: SubsetRules
+    leave_after_us: int = LEAVE_AFTER_US
+    settle_us: int = SETTLE_US
+
+
 @dataclass(frozen=True, slots=True)
 class PlacerSettings:
     """Everything that `serve` needs; `scheduler` is what the decision module is told."""
@@ -116,3 +127,4 @@
     history: str | None = None  # file of what this placer did, for judges
     machines: bool = True  # whether it has any; without, it votes and no more, and asks no list source
     federation: Federation = Federation()
+    subset: SubsetSettings | None = None  # None: every placer holds every machine
--- a/wingbarrow/core/fleet.py
+++ b/wingbarrow/core/fleet.py
@@ -48,8 +48,11 @@
         self.guards: list[Guard] = []
         self.gone: Callable[[str], None] = lambda name: None
         self.listed: Callable[[str], None] = lambda name: None
+        self.spoke: Callable[[str], None] = lambda name: None  # a machine answered a probe
         self.taken_in: Callable[[], None] = lambda: None
         self.drained: Callable[[str], bool] = lambda name: False  # closed by the calendar
+        self.forgotten: Callable[[], None] = lambda: None  # what a former life held cannot be read
+        self.apart: list[Callable[[str], bool]] = []  # which machines are closed to this placer alone
         sightings.told = self._told
 
     @property
@@ -104,9 +107,13 @@
         return listed
 
     def _leaves(self, name: str) -> api.ListedMachine | None:
+        self.gone(name)
+        return self._as_gone(name)
+
+    def _as_gone(self, name: str) -> api.ListedMachine | None:
+        """A machine that is shown no more, and its last entry as the module is to have it; None where it had none."""
         link = self._machines.links.get(name)
         stored = self._board.drop_node(name)
-        self.gone(name)
         if link is None:
             return None
         link.phase = api.Phase.GONE
@@ -115,12 +122,34 @@
         entry = read_node(stored.value, self._base.shift_us).listed
         return replace(entry, phase=api.Phase.GONE, launched_us=link.launched_us)
 
+    def release(self, name: str) -> None:
+        """Let go of a machine that stays on the list: nothing of this placer's is there, and nothing is sent there.
+
+        To the module and to clients it is gone; to peers, and to what follows the list, nothing is said.
+        """
+        self.reflector.drop(name)
+        entry = self._as_gone(name)
+        link = self._machines.links.get(name)
+        if link is not None:
+            link.release()
+            self._machines.remove(link)
+        if entry is not None:
+            self._host.feed(api.MachineList(api.ListForm.CHANGES, (entry,)))
+
     # -- after a start
 
     def closed_by_start(self, entry: NodeEntry) -> bool:
         """Whether only this placer's own start keeps it from a machine."""
         return self._rebirth.closed(entry.listed)
 
+    def closed_here(self, entry: NodeEntry) -> bool:
+        """Whether a machine is closed to this placer for reasons of its own: no drain that others should hear of."""
+        return self.closed_by_start(entry) or any(closed(entry.name) for closed in self.apart)
+
+    def must_tell(self, name: str) -> bool:
+        """Whether a machine that is not held is off the list, and not merely left out."""
+        return self.ready and self.reflector.wanted(name)
+
     @property
     def reopening(self) -> bool:
         """Whether machines that may be sent to by now are still to be shown to the module."""
@@ -155,22 +184,23 @@
 
     def sees(self, machines: int) -> bool:
         """Whether the list names at least so many machines and each of them has told what it runs."""
-        return len(self.held) >= machines and self._rebirth.waiting == 0 and all(
+        return len(self.held) + self.reflector.left_out >= machines and self._rebirth.waiting == 0 and all(
             link.reachable for link in self._machines.links.values())
 
     # -- connections
 
     def _link(self, entry: NodeEntry, fresh: list[MachineLink]) -> MachineLink:
-        link = self._machines.links.get(entry.name)
+        link, offered_us = self._machines.links.get(entry.name), None
         if link is not None and (link.host, link.port) != (entry.host, entry.port):
             # The machine answers at another address: what was there is reached no more.
             link.retired = True
             link.close()
-            link = None
+            offered_us, link = link.offered_us, None
         if link is None:
             settings = self._base.settings
             link = MachineLink(self._base.hub, entry.name, entry.host, entry.port, settings.name,
                                settings.limits.per_machine, random.Random(self._base.random.random()))
+            link.offered_us = offered_us
             self._machines.add(link)
             fresh.append(link)
         return link
@@ -218,6 +248,8 @@
                 report = link.probe(size)
             finally:
                 self._probes_out -= 1
+            if report is not None:
+                self.spoke(link.name)
             outcome = api.Outcome.DONE if report else api.Outcome.TIMED_OUT
             self._host.feed(api.Probed(machine, outcome, report))
         self._base.spawn(probe, "probe")
--- a/wingbarrow/core/link.py
+++ b/wingbarrow/core/link.py
@@ -16,7 +16,7 @@
 from wingbarrow.interface import Phase, Report
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError
-from wingbarrow.transport import Hub
+from wingbarrow.transport import CancelScope, Hub
 
 SECOND = 1_000_000
 PROBE_US = 2 * SECOND
@@ -62,7 +62,9 @@
         self._stop_pool = Pool(hub, host, port, PoolLimits(connections=STOP_CONNECTIONS), f"wingbarrow/{placer}")
         self._lease_pool = Pool(hub, host, port, PoolLimits(connections=1), f"wingbarrow/{placer}")
         self._pause = Backoff(seed, 200_000, 5 * SECOND)
+        self._following: CancelScope | None = None
         self.reachable = False  # the watch on its tasks runs
+        self.offered_us: int | None = None  # when the first byte of an offer last went out
 
     def offer(self, namespace: str, body: Callable[[], bytes], until_us: int,
               may_send: Callable[[], bool]) -> Ended | None:
@@ -149,17 +151,40 @@
 
         `listed` gets the pods and the time at which the list was asked for.
         """
-        selector = quote(f"{names.PLACER}={self._placer}")
+        with CancelScope(self.hub) as scope:
+            self._following = scope
+            self._follow(listed, event, log)
+
+    def release(self) -> None:
+        """Reach the machine no more, though it is there: every connection is closed, that of the watch too."""
+        self.retired, self.reachable = True, False
+        if self._following is not None:
+            self._following.cancel()
+        self.close()
+
+    def holds_any(self) -> bool | None:
+        """Whether tasks of this placer wait or run there; None without a readable answer."""
+        try:
+            pods, _ = list_all(self._pool, "/api/v1/pods", self._selector(), 500, self.hub.now_us() + CALL_US)
+            return any(pod["status"]["phase"] in ("Pending", "Running") for pod in pods)
+        except (CallFailed, ApiError, KeyError, TypeError, ValueError):
+            return None
+
+    def _selector(self) -> str:
+        return f"labelSelector={quote(f'{names.PLACER}={self._placer}')}"
+
+    def _follow(self, listed: Callable[[list[dict[str, Any]], int], None],
+                event: Callable[[str, dict[str, Any]], None], log: Callable[..., None]) -> None:
         version = ""
         while not self.retired:
             try:
                 if not version:
                     asked_us = self.hub.now_us()
-                    pods, version = list_all(self._pool, "/api/v1/pods", f"labelSelector={selector}", 500,
+                    pods, version = list_all(self._pool, "/api/v1/pods", self._selector(), 500,
                                              asked_us + CALL_US)
                     listed(pods, asked_us)
                     self.reachable = True
-                for kind, value in self._events(selector, version):
+                for kind, value in self._events(version):
                     version = str(value.get("metadata", {}).get("resourceVersion") or version)
                     self.reachable = True
                     self._pause.clear()
@@ -172,8 +197,8 @@
                 log("machine-watch-broke", machine=self.name, why=str(error)[:200])
                 self.hub.sleep(self._pause.next_us())
 
-    def _events(self, selector: str, version: str) -> Iterator[tuple[str, dict[str, Any]]]:
-        target = (f"/api/v1/pods?watch=true&labelSelector={selector}&resourceVersion={version}"
+    def _events(self, version: str) -> Iterator[tuple[str, dict[str, Any]]]:
+        target = (f"/api/v1/pods?watch=true&{self._selector()}&resourceVersion={version}"
                   f"&allowWatchBookmarks=true&timeoutSeconds={WATCH_S}")
         return watch(self._pool, target, self.hub.now_us() + CALL_US, SILENCE_US)
 
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -6,6 +6,7 @@
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
 from wingbarrow.core.book import Book, State
+from wingbarrow.core.coldshares import ColdShares
 from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.host import Host
 from wingbarrow.core.machines import Machines
@@ -28,6 +29,7 @@
         self._requests, self._strays = requests, strays
         rules = base.settings.scheduler
         self._gate = SendGate(rules.cold_us, rules.fall_us)
+        self.cold: ColdShares | None = None  # where placers hold subsets of the machines
 
     def bind(self, bind: api.Bind) -> None:
         """The module chose a machine: an attempt begins."""
@@ -57,11 +59,17 @@
             link.phase is api.Phase.RUNNING, link.launched_us,
             self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
                                    attempt.decided_us), task.job.leased is None or self._leaseholder is not None
-            and self._leaseholder.may_send(task.job), chosen_launched_us=attempt.launched_us))
+            and self._leaseholder.may_send(task.job), chosen_launched_us=attempt.launched_us,
+            cold_share_left=self.cold is None or self.cold.left(link.name, link.launched_us)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
+            if held is Held.COLD_SHARE and self.cold is not None:
+                self.cold.close_soon(link)
             return False
         self._attempts.advance(attempt, Stage.SENT)
+        link.offered_us = now
+        if self.cold is not None:
+            self.cold.sent(attempt)
         task.left = True
         return True
 
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -7,11 +7,13 @@
 
 from wingbarrow import interface as api
 from wingbarrow.config import PlacerSettings
+from wingbarrow.config.subsetting import module_settings
 from wingbarrow.core.attempts import Attempts
 from wingbarrow.core.base import Base
 from wingbarrow.core.board import Board
 from wingbarrow.core.book import Book, Step
 from wingbarrow.core.closing import Closing
+from wingbarrow.core.coldshares import ColdShares
 from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.desk import Desk
 from wingbarrow.core.drainer import Drainer
@@ -30,6 +32,7 @@
 from wingbarrow.core.sightings import Sightings
 from wingbarrow.core.stops import Stops
 from wingbarrow.core.strays import Strays
+from wingbarrow.core.subset import Subset
 from wingbarrow.core.successor import Successor
 from wingbarrow.core.turns import TurnsRoom
 from wingbarrow.core.verdicts import Verdicts
@@ -78,7 +81,7 @@
         book = self.book = Book(Admission(limits.tasks_open, limits.tasks_per_namespace), limits.jobs_kept)
         attempts = self.attempts = Attempts()
         machines = self.machines = Machines()
-        host = self.host = Host(base, settings.scheduler)
+        host = self.host = Host(base, module_settings(settings))
         board = self.board = Board(base, book)
         requests = Requests(base, host, book, attempts, board)
         stops = self.stops = Stops(hub, random.Random(base.random.random()), base.spawn, base.counts)
@@ -133,6 +136,11 @@
             requests.came_to = turns.noting(verdicts.note)
             self.peering.zones, self.peering.on_verdicts = verdicts.zones, verdicts.take
             rulebook.purse = lambda: self.peering.agreement.purse if self.peering.agreement is not None else None
+        self.subset: Subset | None = None
+        if settings.subset is not None:
+            subset = self.subset = Subset(base, settings.subset, fleet, machines, attempts, stops, self._members)
+            cold = offers.cold = ColdShares(base, fleet, subset.subsets, rulebook.cold_offers)
+            requests.answered, fleet.spoke = cold.ended, cold.spoke
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
         self.drainer = Drainer(hub, settings.calendars, needed, settings.scheduler.placers, settings.state, closing,
@@ -156,6 +164,8 @@
             if base.settings.calendars or self.drainer.agreed:
                 nursery.spawn(self.drainer.run, "drainer")
             nursery.spawn(self.peering.run, "peers")
+            if self.subset is not None:
+                nursery.spawn(self.subset.run, "subset")
             if self.turns is not None:
                 nursery.spawn(self.turns.run, "turns")
             if self.mover is not None:
@@ -188,6 +198,11 @@
         about, _, rest = key.partition("/")
         return self.book.admission.standing(about, rest.rpartition("/")[0])
 
+    def _members(self) -> tuple[frozenset[str], int]:
+        """The other placers that live by membership, and how many it has heard of."""
+        table = self.peering.membership.table
+        return frozenset(each.word.ident for each in table.living()), len(table.members)
+
     def _acting(self, now_us: int) -> Acting | None:
         agreement = self.peering.agreement
         return agreement.acting(now_us) if agreement is not None else None
--- a/wingbarrow/core/reflector.py
+++ b/wingbarrow/core/reflector.py
@@ -42,6 +42,10 @@
         self._most = machines_most
         self._version = ""
         self._told_failed = False
+        self.wanted: Callable[[str], bool] = lambda name: True  # by name: other entries are passed over, not held
+        self.passed_over = 0  # entries so far that were not wanted
+        self.left_out = 0  # machines on the list that are not held
+        self.refills = 0
         self.bad_entries = self.relists = self.watches = self.failures = 0
         self.held: dict[str, NodeEntry] = {}
         self.heard_us: int | None = None  # when the source last said anything
@@ -82,7 +86,9 @@
             self._log("list-source-began-anew", level="warning", version=version)
             self.on_new_source()
         entries: dict[str, NodeEntry] = {}
-        for value in items[:self._most]:
+        wanted = [value for value in items if self._wants(value)]
+        self.left_out = len(items) - len(wanted)
+        for value in wanted[:self._most]:
             entry = self._read(value)
             if entry is None:
                 name = str(value.get("metadata", {}).get("name", ""))
@@ -92,8 +98,8 @@
                 # An entry of an older version than the one held: the newer news stands.
                 newer = self._judge.judge_entry(entry.name, entry.version)
                 entries[entry.name] = entry if newer else self.held.get(entry.name, entry)
-        if len(items) > self._most:
-            self._log("list-too-long", level="error", machines=len(items), most=self._most)
+        if len(wanted) > self._most:
+            self._log("list-too-long", level="error", machines=len(wanted), most=self._most)
         gone = [name for name in self.held if name not in entries]
         self.held = entries
         self._judge.forget(set(entries))
@@ -101,6 +107,49 @@
         self._went_well()
         self._deliver(ListForm.FULL, list(entries.values()), gone)
 
+    def refill(self) -> None:
+        """Take in machines that are wanted by now and not held, by a list beside the watch, which goes on.
+
+        Raises CallFailed, ApiError or ValueError where the source gives none, or one older than what was read.
+        """
+        items, version = list_all(self._pool, "/api/v1/nodes", "", PAGE, self._hub.now_us() + LIST_US)
+        if not version.isascii() or not version.isdigit():
+            raise ValueError(f"a list without a resourceVersion: {version[:40]!r}")
+        # Danger (rule 3): the watch may have told of a drain that an older list does not have yet.
+        if self._judge.goes_back(int(version)):
+            raise ValueError(f"the list goes back to version {version}")
+        self.refills += 1
+        added: list[NodeEntry] = []
+        wanted = [value for value in items if self._wants(value)]
+        self.left_out = len(items) - len(wanted)
+        for value in wanted:
+            if _name(value) in self.held:
+                continue  # the watch tells of it
+            entry = self._read(value)
+            # An entry that the watch told to be deleted since has a lower version here.
+            if entry is None or not self._judge.judge_entry(entry.name, entry.version):
+                continue
+            if len(self.held) >= self._most:
+                self._log("list-too-long", level="error", machines=len(wanted), most=self._most)
+                break
+            self.held[entry.name] = entry
+            added.append(entry)
+        if added:
+            self._deliver(ListForm.CHANGES, added, [])
+
+    def drop(self, name: str) -> None:
+        """Hold a machine no longer; its further news is passed over unless it is wanted."""
+        if self.held.pop(name, None) is not None:
+            self.left_out += 1
+
+    def _wants(self, value: dict[str, Any]) -> bool:
+        """Whether an entry is to be read; asked before anything of it is decoded but its name."""
+        name = _name(value)
+        if not name or self.wanted(name):
+            return True
+        self.passed_over += 1
+        return False
+
     def _went_well(self) -> None:
         self.heard_us, self.version = self._hub.now_us(), int(self._version or 0)
         self._pause.clear()
@@ -146,6 +195,10 @@
 
     def _event(self, kind: str, value: dict[str, Any], changed: dict[str, NodeEntry],
                gone: dict[str, None]) -> None:
+        if not self._wants(value):
+            self._judge.passed(int(value["metadata"]["resourceVersion"]))
+            self.left_out = max(0, self.left_out + {"ADDED": 1, "DELETED": -1}.get(kind, 0))
+            return
         entry = self._read(value)
         if entry is None or not self._judge.judge_entry(entry.name, entry.version):
             return
@@ -158,3 +211,10 @@
             gone.pop(entry.name, None)
         else:
             self._log("list-too-long", level="error", machines=len(self.held) + 1, most=self._most)
+
+
+def _name(value: dict[str, Any]) -> str:
+    """The name of a listed object; "" where it has none that can be used."""
+    meta = value.get("metadata")
+    name = meta.get("name") if isinstance(meta, dict) else None
+    return name if isinstance(name, str) else ""
--- a/wingbarrow/core/requests.py
+++ b/wingbarrow/core/requests.py
@@ -18,6 +18,7 @@
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, board: Board) -> None:
         self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
         self.came_to: Callable[[str, api.Outcome | None], None] = lambda machine, outcome: None  # None: it runs
+        self.answered: Callable[[Attempt, api.Outcome | None], None] = lambda attempt, outcome: None  # None: it runs
         # Of leased Jobs: whether `placed` may be answered at once, what an attempt came to, whether the failure of a
         # request with an attempt out is answered by who keeps the lease.
         self.confirm: Callable[[Attempt], bool] = lambda attempt: True
@@ -89,6 +90,7 @@
         task = attempt.task
         task.machine = attempt.link.name
         self.came_to(attempt.link.name, None)
+        self.answered(attempt, None)
         self._host.cancel_timer(attempt.request)
         self._book.step(task, Step.PLACE)
         self._base.counts["placed"] += 1
@@ -116,6 +118,7 @@
         self.attempt_ended(attempt, outcome, words)
         if not placed:
             self.came_to(attempt.link.name, outcome)
+            self.answered(attempt, outcome)
         closed = placed or attempt.task.request != attempt.request or attempt.task.state is not State.ASKED
         self._host.feed(api.AttemptEnded(attempt.request, attempt.number, attempt.link.ident, outcome, reason, closed,
                                          waited_us, None))
--- a/wingbarrow/core/rulebook.py
+++ b/wingbarrow/core/rulebook.py
@@ -16,7 +16,7 @@
 from wingbarrow.decide.peers.rights import Purse
 from wingbarrow.decide.peers.rules import RuleSet, read
 from wingbarrow.kube.status import ApiError
-from wingbarrow.peers.ruleset import scheduler_under
+from wingbarrow.peers.ruleset import cold_total, scheduler_under
 from wingbarrow.transport import Signal
 
 RIGHTS_US = 1_000_000  # a Job waits for rights that others may spare for so long, and a third of its patience
@@ -129,6 +129,10 @@
         """The rules that were acted on last; None before there are any."""
         return self._rules
 
+    def cold_offers(self) -> float:
+        """Offers that one cold machine may get within the window, of all placers together."""
+        return self._base.settings.scheduler.fresh_offers if self._rules is None else float(cold_total(self._rules))
+
     def guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
         """A barred machine, or one that is to be drained, gets nothing."""
         if not (entry.name in self._barred or self.drained(entry.name)) or listed.phase is not api.Phase.RUNNING:
--- /dev/null
+++ b/wingbarrow/core/subset.py
@@ -0,0 +1,189 @@
+"""This placer's subset of its region's machines: which it takes in, which it lets go, and when.
+
+A machine that leaves the subset lingers: it is shown to the module as draining, so that nothing new goes there, while
+its entry and its tasks are followed as before. Once nothing of this placer's is there, nor can come to be there, it is
+released, as far as this placer goes. A machine that comes into the subset is read from the list, by one list more,
+each placer at a time of its own, as all hear of a change at about the same time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from wingbarrow import interface as api
+from wingbarrow.config.settings import SubsetSettings
+from wingbarrow.core.attempts import Attempts
+from wingbarrow.core.base import Base
+from wingbarrow.core.fleet import Fleet
+from wingbarrow.core.link import MachineLink
+from wingbarrow.core.machines import Machines
+from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.core.stops import Stops
+from wingbarrow.decide.backoff import Backoff
+from wingbarrow.decide.subset_view import LivingView
+from wingbarrow.decide.subsets import Subsets
+from wingbarrow.http.client import CallFailed
+from wingbarrow.kube.status import ApiError
+
+LOOK_US = 250_000
+ALONE_US = 5_000_000  # after so long without a word of any member, this placer is taken to be alone
+LINGER_US = 10_000_000  # after the last offer to a machine: one that was given up may begin so late
+RELEASE_AGAIN_US = 2_000_000  # a machine that could not be released is looked at again
+LAST_LOOK_US = 1_000_000  # a machine that stood still until just now may take in offers a little after its answer
+RELEASES_OUT = 16  # machines that are asked at a time
+REFILL_EACH_US = 100_000  # lists of all placers are spread over so long for each placer of the roster ...
+REFILL_SPREAD_US = 10_000_000  # ... and at most over this
+
+
+class Subset:
+    """`members` gives the names of the placers that live by membership, and how many it has ever heard of."""
+
+    def __init__(self, base: Base, settings: SubsetSettings, fleet: Fleet, machines: Machines, attempts: Attempts,
+                 stops: Stops, members: Callable[[], tuple[frozenset[str], int]]) -> None:
+        self._base, self._fleet, self._machines = base, fleet, machines
+        self._attempts, self._stops, self._members = attempts, stops, members
+        self._me = base.settings.name
+        self.subsets = Subsets(settings.rules)
+        self._spread_us = min(REFILL_SPREAD_US, REFILL_EACH_US * len(settings.rules.roster))
+        self._view = LivingView(self._me, settings.rules.roster, settings.leave_after_us, settings.settle_us)
+        self._begun_us = base.hub.now_us()
+        self.living = self._view.living(self._begun_us)
+        self._everything = False  # take in every machine of the first list: what a former life held is not known
+        self._refilling = self._refill_again = False
+        self._releasing = 0
+        self._again_us: dict[str, int] = {}  # lingering machines that could not be released: when to look again
+        fleet.reflector.wanted = self.wants
+        fleet.guards.append(self._guard)
+        fleet.apart.append(lambda name: not self.holds(name))
+        fleet.forgotten = self._take_everything
+
+    def holds(self, name: str) -> bool:
+        """Whether a machine is of this placer's subset."""
+        return self.subsets.holds(self._me, name, self.living)
+
+    def wants(self, name: str) -> bool:
+        """Whether a machine's entry is read: it is of the subset, or lingers."""
+        return self._everything or name in self._machines.links or self.holds(name)
+
+    @property
+    def lingering(self) -> list[str]:
+        """Machines that are followed though they are not of the subset."""
+        return [name for name in self._machines.links if not self.holds(name)]
+
+    def _guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
+        """What is not of the subset gets nothing new; the list's own drains stand."""
+        if listed.phase is not api.Phase.RUNNING or self.holds(entry.name):
+            return listed
+        return replace(listed, phase=api.Phase.DRAINING)
+
+    def _take_everything(self) -> None:
+        # Danger (rule 5): tasks of a former life would run on machines that are not of the subset, and not count.
+        self._everything = True
+
+    # -- who lives
+
+    def run(self) -> None:
+        """Follow membership and let go of machines until cancelled."""
+        self._begun_us = self._base.hub.now_us()
+        while True:
+            now = self._base.hub.now_us()
+            self._look(now)
+            self._release_some(now)
+            if self._fleet.reflector.relists:
+                self._everything = False
+            self._base.hub.sleep(LOOK_US)
+
+    def _look(self, now_us: int) -> None:
+        living, known = self._members()
+        if known or now_us - self._begun_us >= ALONE_US:
+            living |= {self._me}
+        self._view.on_members(now_us, living)
+        living = self._view.living(now_us)
+        if living != self.living:
+            self._change(living)
+
+    def _change(self, living: frozenset[str]) -> None:
+        held = self._fleet.held
+        before, self.living = self.living, living
+        moved = [entry for name, entry in held.items()
+                 if self.subsets.holds(self._me, name, before) != self.holds(name)]
+        self._base.counts["subset:changes"] += 1
+        self._base.log("subset", living=len(living), moved=len(moved), joined=sorted(living - before)[:20],
+                       left=sorted(before - living)[:20])
+        if moved:
+            self._fleet.take_again(moved)
+        if before - living:
+            self._refill_soon()
+
+    # -- machines that come in
+
+    def _refill_soon(self) -> None:
+        self._refill_again = True
+        if not self._refilling:
+            self._refilling = True
+            self._base.spawn(self._refill, "takes in machines")
+
+    def _refill(self) -> None:
+        hub, reflector = self._base.hub, self._fleet.reflector
+        pause = Backoff(self._base.random, 200_000, 5_000_000)
+        try:
+            while self._refill_again:
+                self._refill_again, lists = False, reflector.relists
+                hub.sleep(int(self._base.random.random() * self._spread_us))
+                # A list that the reflector took in meanwhile has all that is wanted.
+                while reflector.relists == lists and not self._refilled():
+                    hub.sleep(pause.next_us())
+        finally:
+            self._refilling = False
+
+    def _refilled(self) -> bool:
+        try:
+            self._fleet.reflector.refill()
+        except (CallFailed, ApiError, ValueError) as error:
+            self._base.counts["subset:relists failed"] += 1
+            self._base.log("subset-relist-failed", level="warning", why=str(error)[:200])
+            return False
+        return True
+
+    # -- machines that go
+
+    def _release_some(self, now_us: int) -> None:
+        lingering = self.lingering
+        if self._again_us:
+            self._again_us = {name: self._again_us[name] for name in lingering if name in self._again_us}
+        for name in lingering:
+            link = self._machines.links[name]
+            if self._releasing >= RELEASES_OUT:
+                return
+            if name not in self._fleet.held and self._is_lost(link):
+                self._fleet.release(name)
+            elif self._again_us.get(name, 0) <= now_us and self._may_go(link, now_us):
+                self._again_us[name] = now_us + RELEASE_AGAIN_US
+                self._releasing += 1
+                self._base.spawn(lambda link=link: self._release(link), f"lets go of {name}")  # type: ignore[misc]
+
+    def _is_lost(self, link: MachineLink) -> bool:
+        """Of a machine that the saved list alone has: whether it is off the source's list and out of reach."""
+        return (self._fleet.reflector.relists > 0 and not link.reachable and link.phase is not api.Phase.GONE
+                and not self._attempts.on(link) and not self._stops.owed_on(link))
+
+    def _may_go(self, link: MachineLink, now_us: int) -> bool:
+        """Whether nothing of this placer's is known to be there, or on its way."""
+        return (link.phase is not api.Phase.GONE and link.reachable and not self._attempts.on(link)
+                and not self._stops.owed_on(link)
+                and (link.offered_us is None or now_us - link.offered_us >= LINGER_US))
+
+    def _release(self, link: MachineLink) -> None:
+        try:
+            # Danger: a start that was given up, or a former life's task, would run on with nobody to stop it.
+            holds_any = link.holds_any()
+            if holds_any is False:
+                self._base.hub.sleep(LAST_LOOK_US)
+        finally:
+            self._releasing -= 1
+        name = link.name
+        if (holds_any is False and not self.holds(name) and self._machines.links.get(name) is link
+                and self._may_go(link, self._base.hub.now_us())):
+            self._base.counts["subset:released"] += 1
+            self._fleet.release(name)
--- a/wingbarrow/core/turns.py
+++ b/wingbarrow/core/turns.py
@@ -78,8 +78,8 @@
     # -- what the side asks
 
     def listed(self, machine: str) -> bool:
-        """Whether the list has it; True while there is no list."""
-        return machine in self._fleet.held or not self._fleet.ready
+        """Whether the list has it; True where this placer cannot tell: without a list, and of machines left out."""
+        return machine in self._fleet.held or not self._fleet.must_tell(machine)
 
     def place(self, machine: str) -> tuple[str, str] | None:
         """Where the list has it."""
--- a/wingbarrow/decide/gate.py
+++ b/wingbarrow/decide/gate.py
@@ -24,6 +24,7 @@
     OTHER_RULES = "it was decided under rules that are not acted on any more"
     FORBIDDEN = "the rules in force allow no such offer"
     NO_LEASE = "the lease by which its Job runs has lapsed"
+    COLD_SHARE = "this placer's share of the offers to a cold machine is used up"
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,7 @@
     leased: bool = True  # its Job needs no lease, or this placer's holds, by its own clock
     may_repeat: bool = True  # no earlier attempt may have run, or `decide.repeats` allows one more now
     chosen_launched_us: int | None = None  # the machine's last start as known when it was chosen; None: as now
+    cold_share_left: bool = True  # by `decide.coldshare`, where placers hold subsets of the machines
 
 
 class SendGate:
@@ -80,4 +82,7 @@
             return Held.RESTARTED
         if cold and now_us - offer.decided_us > self._cold_wait_us:
             return Held.STALE_COLD
+        # Danger: placers that disagree on who lives hold a machine in greater number than its offers were dealt to.
+        if cold and not offer.cold_share_left:
+            return Held.COLD_SHARE
         return None
--- a/wingbarrow/decide/listing.py
+++ b/wingbarrow/decide/listing.py
@@ -45,6 +45,14 @@
         self._held = max(self._held, version)
         return True
 
+    def passed(self, version: int) -> None:
+        """News of an entry that is not held was read: lists from before it go back, though nothing held says so."""
+        self._held = max(self._held, version)
+
+    def goes_back(self, version: int) -> bool:
+        """Whether a list of that version is older than what was read; one of the same version is as good."""
+        return version < self._held
+
     def forget(self, keep: set[str]) -> None:
         """Entries that no list names any longer need no memory."""
         if len(self._entries) > 2 * len(keep) + 64:
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -214,10 +214,23 @@
                 ("wingbarrow_lags", "Lags of 50 ms or more so far", placer.base.hub.lag.times),
                 ("wingbarrow_lag_worst_seconds", "The longest lag of this process", placer.base.hub.lag.worst_us / 1e6),
                 ("wingbarrow_machines", "Machines on the list", len(placer.fleet.reflector.held)),
+                *_subset_figures(placer),
                 ("wingbarrow_connections", "Client connections", self.server.connections),
                 ("wingbarrow_watchers", "Open watches", sum(each.watchers for each in self.resources.values()))):
             yield GaugeMetricFamily(name, help_text, value)
 
 
+def _subset_figures(placer: Placer) -> list[tuple[str, str, float]]:
+    """Of a placer that holds some of its region's machines alone; nothing for one that holds all."""
+    if placer.subset is None:
+        return []
+    lingering, reflector = len(placer.subset.lingering), placer.fleet.reflector
+    return [("wingbarrow_subset_machines", "Machines of this placer's subset", len(placer.machines.links) - lingering),
+            ("wingbarrow_subset_lingering", "Machines followed though they have left the subset", lingering),
+            ("wingbarrow_subset_left_out", "Machines on the list that are not held", reflector.left_out),
+            ("wingbarrow_subset_passed_over", "Entries of the list passed over so far", reflector.passed_over),
+            ("wingbarrow_subset_relists", "Lists read for machines that came in, so far", reflector.refills)]
+
+
 def _namespace(name: str) -> dict[str, object]:
     return {"kind": "Namespace", "apiVersion": "v1", "metadata": {"name": name}, "status": {"phase": "Active"}}
--- a/wingbarrow/fronts/serve.py
+++ b/wingbarrow/fronts/serve.py
@@ -36,7 +36,7 @@
         for line, text in error.problems[:20]:
             log("settings-refused", level="error", file=str(path), line=line, why=text)
         return None
-    for name in ("name", "host", "port", "source_host", "source_port", "scheduler", "state"):
+    for name in ("name", "host", "port", "source_host", "source_port", "scheduler", "state", "subset"):
         if getattr(fresh, name) != getattr(running, name):
             log("settings-refused", level="error", file=str(path), why=f"{name} changes only with a restart")
             return None
--- a/wingbarrow/peers/hearsay.py
+++ b/wingbarrow/peers/hearsay.py
@@ -64,8 +64,8 @@
     def reopening(self) -> bool:
         """Whether closed machines are being opened right now."""
 
-    def closed_by_start(self, entry: Any) -> bool:
-        """Whether a machine is closed by this placer's own start."""
+    def closed_here(self, entry: Any) -> bool:
+        """Whether a machine is closed to this placer for reasons of its own, such as its start."""
 
     def size_of(self, entry: Any) -> tuple[float, float]:
         """Cores and memory."""
@@ -143,8 +143,8 @@
             if link is None or each is None:
                 continue
             launched = now - link.launched_us if link.launched_us > 0 else None
-            # What is closed by this placer's own start is no drain that others should hear of.
-            phase = entry.listed.phase if self._fleet.closed_by_start(entry) else link.phase
+            # What is closed for this placer's own reasons is no drain that others should hear of.
+            phase = entry.listed.phase if self._fleet.closed_here(entry) else link.phase
             if self._base.settings.agree is not None:
                 # What placers agree on reaches each of them by its rules; here it would outlive its being taken back.
                 phase = self._guard(entry, entry.listed).phase
@@ -169,6 +169,8 @@
     def take_sights(self, sights: list[Sight], more_age_us: int, clock_good: bool) -> bool:
         """Take in a page of a peer's sights; False, and none is kept, where they are of another cluster."""
         held = self._fleet.held
+        # What is left out here, where placers hold subsets, says nothing of whose cluster it is.
+        sights = [sight for sight in sights if self._fleet.reflector.wanted(sight.machine)]
         if learning.strangers(sights, {name: entry.listed.machine for name, entry in held.items()}):
             return False
         now, changed = self._base.hub.now_us(), []
@@ -208,7 +210,7 @@
         now, held = self._base.hub.now_us(), self._fleet.held
         groups: dict[tuple[int, bool], list[Sight]] = {}
         for name in [name for name in self._heard if name in held and name in self._machines.links
-                     and not self._fleet.closed_by_start(held[name])]:
+                     and not self._fleet.closed_here(held[name])]:
             sight, at_us, good = self._heard.pop(name)
             groups.setdefault((at_us, good), []).append(sight)
         for (at_us, good), sights in groups.items():
--- a/wingbarrow/peers/ruleset.py
+++ b/wingbarrow/peers/ruleset.py
@@ -7,6 +7,7 @@
 from wingbarrow import interface as api
 from wingbarrow.config.calendar import Calendar, load_calendar
 from wingbarrow.config.settings import PlacerSettings
+from wingbarrow.config.subsetting import module_settings
 from wingbarrow.decide.peers.planned import plan_of, series_of, window_of
 from wingbarrow.decide.peers.rules import ClassRules, RuleSet, normal, read, shares
 
@@ -41,13 +42,21 @@
 
     `cold_share`: what this placer holds of the cold budget now, where that is a limit of the whole fleet.
     """
-    rules, scheduler = read(text), settings.scheduler
+    rules, scheduler = read(text), module_settings(settings)
     held = {each.name: each for each in rules.classes}
     classes = tuple(_class(each, held.get(each.name)) for each in scheduler.classes)
+    told = replace(scheduler, classes=classes, attempts_most=rules.attempts_most, cold_us=rules.cold_us,
+                   fall_us=rules.cold_window_us, placers=max(1, scheduler.placers))
+    if settings.subset is not None and cold_share is None:
+        # Each machine's own holders share what all members have together.
+        return module_settings(settings, replace(told, fresh_offers=float(cold_total(rules))))
     share = rules.cold_share(settings.name) if cold_share is None else cold_share
-    return replace(scheduler, classes=classes, attempts_most=rules.attempts_most, cold_us=rules.cold_us,
-                   fall_us=rules.cold_window_us, placers=max(1, scheduler.placers),
-                   fresh_offers=float(share * max(1, scheduler.placers)))
+    return replace(told, fresh_offers=float(share * told.placers))
+
+
+def cold_total(rules: RuleSet) -> int:
+    """Offers to one cold machine within the window, by all members together."""
+    return sum(share for _, share in rules.cold_shares)
 
 
 def _class(mine: api.TaskClass, agreed: ClassRules | None) -> api.TaskClass:
