--- a/wingbarrow/cli/lab.py
+++ b/wingbarrow/cli/lab.py
@@ -198,10 +198,11 @@
 @click.option("--placers", type=click.IntRange(1, 64), help="In place of the day's own.")
 @click.option("--seconds", type=click.FloatRange(1, 3600), help="In place of the day's own.")
 @click.option("--only", help="Of a generated day's troubles only these, as 0,3,5.")
+@click.option("--subsets", type=click.IntRange(1, 64), help="Have each machine held by so many of the placers alone.")
 @click.option("--report", type=click.Path(path_type=Path), help="Write the recording into this folder.")
 @click.option("--logs", is_flag=True, help="The placers' logs on standard error.")
 def day(name: str | None, show: bool, seed: int, scale: float, placers: int | None, seconds: float | None,
-        only: str | None, report: Path | None, logs: bool) -> None:
+        only: str | None, subsets: int | None, report: Path | None, logs: bool) -> None:
     """Play a scripted day on a compressed clock; the last line is the audit of what crossed the sockets."""
     if show or name is None:
         for each, what in DAYS.items():
@@ -213,8 +214,11 @@
         kept = None if only is None else tuple(int(part) for part in only.split(",") if part)
     except ValueError:
         raise click.BadParameter(f"--only: numbers with commas between them are wanted, not {only!r}") from None
+    if subsets is not None and subsets > (placers or DAYS[name].placers):
+        raise click.BadParameter("--subsets: more than there are placers")
     clock = Hub()
-    outcome = play(Play(name, seed, scale, placers, seconds, kept), Log(clock.now_us) if logs else silent, report)
+    outcome = play(Play(name, seed, scale, placers, seconds, kept, subsets), Log(clock.now_us) if logs else silent,
+                   report)
     for index, trouble in enumerate(outcome.troubles):
         click.echo(f"trouble {index if kept is None else kept[index]}: {trouble}", err=True)
     for note in outcome.audit.notes:
--- a/wingbarrow/config/subsetting.py
+++ b/wingbarrow/config/subsetting.py
@@ -53,8 +53,8 @@
         found.append((node.line, f"{node.props['replicas']} replicas, but {len(roster)} placer(s) in the roster"))
     if not placer.props["machines"]:
         found.append((node.line, f"{placer.args[0]!r} has no machines to hold"))
-    if len(roster) > 1 and not (top.children.get("peer") or top.children.get("allow-peer")):
-        found.append((node.line, "nobody tells who lives: `peer` or `allow-peer` is wanted"))
+    if len(roster) > 1 and not top.children.get("allow-peer"):
+        found.append((node.line, "nobody could tell who lives: `allow-peer` for the roster's addresses is wanted"))
     if len(roster) > 1 and "state" not in top.children:
         # Danger (rule 5): tasks of a former life may run on machines that the next life would not hold.
         found.append((node.line, "a state folder is wanted: by it alone a next life knows what this one held"))
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from wingbarrow import interface as api
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
 from wingbarrow.core.book import Book, State
-from wingbarrow.core.coldshares import ColdShares
 from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.host import Host
+from wingbarrow.core.link import MachineLink
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.pods import Ended, pod_text
 from wingbarrow.core.requests import Requests
@@ -19,6 +21,19 @@
 from wingbarrow.transport import CancelScope
 
 
+class ColdOffers(Protocol):
+    """A placer's share of what cold machines may be sent."""
+
+    def left(self, name: str, launched_us: int) -> bool:
+        """Whether one more offer may go to a machine that was last started then."""
+
+    def sent(self, attempt: Attempt) -> None:
+        """The first byte of an offer goes out."""
+
+    def close_soon(self, link: MachineLink) -> None:
+        """An offer was held: have the module go elsewhere."""
+
+
 class Offers:
     """Owns the gate that every offer passes right before its first byte."""
 
@@ -29,7 +44,7 @@
         self._requests, self._strays = requests, strays
         rules = base.settings.scheduler
         self._gate = SendGate(rules.cold_us, rules.fall_us)
-        self.cold: ColdShares | None = None  # where placers hold subsets of the machines
+        self.cold: ColdOffers | None = None  # where placers hold subsets of the machines
 
     def bind(self, bind: api.Bind) -> None:
         """The module chose a machine: an attempt begins."""
--- a/wingbarrow/lab/days.py
+++ b/wingbarrow/lab/days.py
@@ -41,7 +41,8 @@
 class Play:
     """One run of a day: what of it differs from the day as it is written.
 
-    `only` keeps these troubles of a generated day; `seconds` and `placers` stand for the day's own.
+    `only` keeps these troubles of a generated day; `seconds` and `placers` stand for the day's own; `subsets` has each
+    placer hold a part of the machines.
     """
 
     name: str
@@ -50,13 +51,15 @@
     placers: int | None = None
     seconds: float | None = None
     only: tuple[int, ...] | None = None
+    subsets: int | None = None  # each machine is held by so many placers; None: by all
 
     @property
     def command(self) -> str:
         """What plays it again."""
         more = [f" --placers {self.placers}" if self.placers else "",
                 f" --seconds {self.seconds:g}" if self.seconds else "",
-                f" --only {','.join(map(str, self.only))}" if self.only is not None else ""]
+                f" --only {','.join(map(str, self.only))}" if self.only is not None else "",
+                f" --subsets {self.subsets}" if self.subsets else ""]
         return f"wingbarrow lab day {self.name} --seed {self.seed} --scale {self.scale:g}{''.join(more)}"
 
 
@@ -89,6 +92,8 @@
     hub.complain = lambda task, error: log("task-failed", level="error", task=task,
                                            why=f"{type(error).__name__}: {error}")
     cluster = Cluster(hub, max(4, round(day.machines * scale)), placers, seed, log)
+    if what.subsets:
+        cluster.hold_subsets(what.subsets)
     begun = time.perf_counter()
 
     def main() -> Owners:
