--- /dev/null
+++ b/tests/core/test_subset_moves.py
@@ -0,0 +1,203 @@
+"""A machine that leaves a placer's subset, or comes into it, while something of the placer's is there."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from tests.core.subsetstage import SETTLE_S, SubsetStage
+from tests.stage import S
+from wingbarrow.core.link import MachineLink
+from wingbarrow.core.subset import LINGER_US, Subset
+from wingbarrow.decide.subsets import Subsets
+from wingbarrow.interface import ListedMachine, Phase
+from wingbarrow.lab.build import Build
+from wingbarrow.lab.cluster import PlacerSlot
+
+SLOW = Build(start_us=2 * S, setup=1.0)
+
+
+def moving(stage: SubsetStage) -> tuple[PlacerSlot, str, PlacerSlot]:
+    """A placer, a machine that it holds only while another is dead, and that other."""
+    slots = stage.cluster.placers
+    subsets = stage.subset(0).subsets
+    everybody = frozenset(slot.name for slot in slots)
+    for slot in slots:
+        for other in slots:
+            for machine in stage.names():
+                if (other is not slot and subsets.holds(slot.name, machine, everybody - {other.name})
+                        and not subsets.holds(slot.name, machine, everybody)):
+                    return slot, machine, other
+    raise AssertionError("no machine moves")
+
+
+def alone_there(stage: SubsetStage, slot: PlacerSlot, machine: str) -> None:
+    """Have a placer's module see that machine alone."""
+    placer = slot.service.placer if slot.service else None
+    assert placer is not None
+    placer.fleet.guards.append(lambda entry, listed: listed if entry.name == machine else _drained(listed))
+    placer.fleet.take_again(list(placer.fleet.held.values()))
+
+
+def _drained(listed: ListedMachine) -> ListedMachine:
+    return replace(listed, phase=Phase.DRAINING)
+
+
+def members_say(stage: SubsetStage, subset: Subset, living: set[str]) -> None:
+    """Membership tells a placer this from now on; who is back is let in at once, as the last change has settled."""
+    stage.hub.sleep(int(SETTLE_S * S))
+    subset._members = lambda: (frozenset(living), len(living))
+    subset._look(stage.hub.now_us())
+
+
+def brought_in(stage: SubsetStage) -> tuple[PlacerSlot, str, PlacerSlot, MachineLink]:
+    """The other placer is killed, and the machine comes to the first one, whose only one it is."""
+    slot, machine, other = moving(stage)
+    other.kill()
+    assert slot.service is not None
+    placer = slot.service.placer
+    assert stage.wait(lambda: machine in placer.machines.links and placer.machines.links[machine].reachable, 60)
+    alone_there(stage, slot, machine)
+    return slot, machine, other, placer.machines.links[machine]
+
+
+@pytest.mark.parametrize("drains", [False, True])
+def test_a_machine_that_leaves_with_an_attempt_out_is_followed_until_its_task_has_ended(drains: bool) -> None:
+    """With a drain told in the same turn, too."""
+    stage = SubsetStage(machines=6, placers=3, replicas=1, build=SLOW)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        placer = slot.service.placer  # type: ignore[union-attr]
+        stage.submit_to(slot, "out", "settlement", runs_s=20, patience_s=10)
+        assert stage.wait(lambda: bool(stage.seen("offer")), 1)
+        standin = next(each for each in stage.cluster.machines if each.name == machine)
+        subset = placer.subset
+        assert subset is not None
+        members_say(stage, subset, {each.name for each in stage.cluster.placers})
+        if drains:
+            stage.cluster.set_drain(standin, True)
+        assert link.phase is Phase.DRAINING and machine in subset.lingering
+        stage.submit_to(slot, "later", patience_s=2)
+        assert stage.answer_of(slot, "out") == "placed", "what is out goes on"
+        assert stage.answer_of(slot, "later") == "refused", "nothing new goes there"
+        other.start()
+        stage.hub.sleep(LINGER_US + 2 * S)
+        assert placer.machines.links[machine] is link and link.reachable and machine in placer.fleet.held
+        if drains:
+            assert placer.fleet.held[machine].listed.phase is Phase.DRAINING
+            stage.cluster.set_drain(standin, False)
+        assert stage.wait(lambda: stage.settled_subsets(), 60), "it is let go once its task has ended"
+        assert link.retired and not link.reachable and machine not in placer.fleet.held
+        assert placer.board.nodes.objects.get(machine) is None
+        stage.hub.sleep(S)
+        assert not link._pool._open and not link._stop_pool._open, "its connections are closed"
+    stage.play(script, start=False)
+    assert len(stage.seen("offer")) == 1 and len(stage.seen("start")) == 1 and stage.audit().clean
+
+
+def test_a_machine_that_comes_back_in_while_it_lingers_is_sent_to_again_by_the_same_connections() -> None:
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        placer = slot.service.placer  # type: ignore[union-attr]
+        stage.submit_to(slot, "first", runs_s=40)
+        assert stage.answer_of(slot, "first") == "placed"
+        subset = placer.subset
+        assert subset is not None
+        without = set(subset.living)
+        members_say(stage, subset, without | {other.name})
+        assert link.phase is Phase.DRAINING
+        members_say(stage, subset, without)
+        assert stage.wait(lambda: machine not in subset.lingering, 10)
+        assert link.phase is Phase.RUNNING and placer.machines.links[machine] is link
+        stage.submit_to(slot, "second", runs_s=2)
+        assert stage.answer_of(slot, "second") == "placed"
+    stage.play(script, start=False)
+    assert len(stage.seen("offer")) == 2 and stage.audit().clean
+
+
+def test_a_machine_is_not_let_go_while_a_stop_is_owed_to_it_or_a_task_of_this_placers_runs_there() -> None:
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        placer = slot.service.placer  # type: ignore[union-attr]
+        stage.submit_to(slot, "t", runs_s=200)
+        assert stage.answer_of(slot, "t") == "placed"
+        standin = next(each for each in stage.cluster.machines if each.name == machine)
+        subset = placer.subset
+        assert subset is not None
+        attempt = placer.attempts.on(link)[0]
+        other.start()
+        assert stage.wait(lambda: machine in subset.lingering, 60)
+        stage.cluster.hold_machine(standin, 20)
+        stage.hub.sleep(S // 10)
+        placer.desk.delete_job("default/t")
+        stage.hub.sleep(15 * S)
+        assert placer.stops.owed_on(link) == 1 and subset.lingering == [machine], "the others are let go"
+        assert stage.wait(lambda: not subset.lingering, 90)
+        assert attempt.key not in {pod.name for pod in standin.pods.values() if pod.phase == "Running"}
+    stage.play(script, start=False)
+    assert len(stage.seen("end")) == 1
+
+
+def test_what_a_former_life_placed_outside_the_present_subset_is_found_and_counts() -> None:
+    """Rule 5: the next life knows of the machine by its saved list, and lets it go when the task has ended."""
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        stage.submit_to(slot, "t", runs_s=60)
+        assert stage.answer_of(slot, "t") == "placed"
+        stage.hub.sleep(2 * S)  # the list is saved within a second where it names more machines
+        slot.kill()
+        other.start()
+        stage.hub.sleep(S)
+        slot.start()
+        placer = slot.service.placer  # type: ignore[union-attr]
+        assert placer.subset is not None and not placer.subset.holds(machine)
+        assert stage.wait(lambda: "default/t" in placer.book.jobs, 10), "its Job is made anew from what runs"
+        assert machine in placer.subset.lingering
+        assert placer.machines.links[machine].phase is Phase.DRAINING
+        assert stage.wait(stage.settled_subsets, 120)
+    stage.play(script, start=False)
+    assert len(stage.seen("start")) == 1 and len(stage.seen("end")) == 1
+
+
+def test_a_placer_whose_saved_list_cannot_be_read_asks_every_machine_once() -> None:
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, _ = brought_in(stage)
+        stage.submit_to(slot, "t", runs_s=60)
+        assert stage.answer_of(slot, "t") == "placed"
+        slot.kill()
+        (Path(slot.state) / "machines.json").write_text("{")
+        other.start()
+        slot.start()
+        placer = slot.service.placer  # type: ignore[union-attr]
+        assert stage.wait(lambda: "default/t" in placer.book.jobs, 10)
+        assert placer.subset is not None and len(placer.machines.links) == 6
+        assert stage.wait(lambda: placer.subset is not None and placer.subset.lingering == [machine], 20)
+        assert stage.wait(stage.settled_subsets, 120)
+    stage.play(script, start=False)
+
+
+def test_the_pure_function_of_the_stage_is_the_placers() -> None:
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        rules = stage.subset(0).subsets.rules
+        assert all(stage.subset(index).subsets.rules == rules for index in range(3))
+        assert Subsets(rules).order("node-1") == stage.subset(1).subsets.order("node-1")
+    stage.play(script, start=False)
