--- a/tests/core/subsetstage.py
+++ b/tests/core/subsetstage.py
@@ -105,7 +105,7 @@
                                     answer=answer, failed="")
                 return answer
             assert self.hub.now_us() < until, f"no answer: {found}"
-            self.hub.sleep(5_000)
+            self.hub.sleep(20_000)
 
     def cut(self, one: list[PlacerSlot], other: list[PlacerSlot], on: bool) -> None:
         """Nothing passes between two groups of placers, or all does again."""
--- a/tests/core/test_subset.py
+++ b/tests/core/test_subset.py
@@ -76,7 +76,7 @@
                        for index in range(4))
         assert stage.wait(apart, 60), "each side holds all machines"
         for machine in stage.cluster.machines[:2]:
-            stage.hub.spawn(lambda m=machine: stage.cluster.crash(m, 2.0))  # type: ignore[misc]
+            stage.hub.spawn(lambda m=machine: stage.cluster.crash(m, 2.0))
         stage.hub.sleep(4 * S)
         for turn in range(160):
             stage.submit_to(slots[turn % 4], f"c{turn}", runs_s=1, service=f"s{turn % 7}")
--- /dev/null
+++ b/tests/core/test_subset_list.py
@@ -0,0 +1,219 @@
+"""The reflector where only some machines are wanted: what it holds, passes over, and takes in as that changes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.core.subsetstage import SubsetStage
+from tests.stage import S
+from wingbarrow.core.logs import silent
+from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.core.reflector import Reflector
+from wingbarrow.decide.subsets import Subsets, SubsetRules
+from wingbarrow.interface import ListForm, Phase
+from wingbarrow.kube.store import Store
+from wingbarrow.lab.record import Recorder
+from wingbarrow.lab.source import ListSource
+from wingbarrow.transport import Hub, VirtualClock
+
+PLACERS = tuple(f"p{index}" for index in range(10))
+
+
+def node(name: str, drains: bool = False) -> dict[str, Any]:
+    return {"metadata": {"name": name}, "spec": {"unschedulable": True} if drains else {},
+            "status": {"addresses": [{"type": "InternalIP", "address": "127.0.0.1"}],
+                       "daemonEndpoints": {"kubeletEndpoint": {"Port": 10250}}}}
+
+
+class Listing:
+    """A list source and one reflector, without machines."""
+
+    def __init__(self, machines_most: int = 10_000) -> None:
+        self.hub = Hub(VirtualClock())
+        self.source = ListSource(self.hub, 1, Recorder(self.hub.now_us), lambda text: None)
+        self.source.lag_us = 0
+        self.subsets = Subsets(SubsetRules(PLACERS, 3))
+        self.living = frozenset(PLACERS)
+        self.delivered: list[tuple[ListForm, int, int]] = []
+        self.logged: list[str] = []
+        self.reflector = Reflector(self.hub, "127.0.0.1", self.source.port, "wingbarrow/p0", random.Random(1),
+                                   machines_most, 0, self._take, self._log)
+        self.reflector.wanted = self.wanted
+
+    def wanted(self, name: str) -> bool:
+        return self.subsets.holds("p0", name, self.living)
+
+    def _take(self, form: ListForm, entries: list[NodeEntry], gone: list[str]) -> None:
+        self.delivered.append((form, len(entries), len(gone)))
+
+    def _log(self, what: str, **fields: Any) -> None:
+        self.logged.append(what)
+        silent(what, **fields)
+
+    def play(self, script: Callable[[], None]) -> None:
+        def main() -> None:
+            self.source.start()
+            self.hub.spawn(self.reflector.run, "reflector")
+            script()
+            self.source.domain.kill()
+        self.hub.run(main)
+        self.source.hold.close()
+
+    def wait(self, done: Callable[[], bool], seconds: float = 10) -> bool:
+        end = self.hub.now_us() + int(seconds * S)
+        while not done() and self.hub.now_us() < end:
+            self.hub.sleep(S // 50)
+        return done()
+
+
+def test_five_hundred_machines_that_join_within_a_second_are_held_only_where_they_are_wanted() -> None:
+    listing = Listing()
+
+    def script() -> None:
+        assert listing.wait(lambda: listing.reflector.watches == 1)
+        for number in range(500):
+            listing.source.show(f"m{number}", node(f"m{number}"))
+            listing.hub.sleep(S // 500)
+        want = {f"m{number}" for number in range(500) if listing.wanted(f"m{number}")}
+        assert listing.wait(lambda: len(listing.reflector.held) == len(want))
+        reflector = listing.reflector
+        assert set(reflector.held) == want and 100 <= len(want) <= 200
+        assert listing.wait(lambda: reflector.left_out == 500 - len(want)) and reflector.relists == 1
+        assert reflector.passed_over == 500 - len(want)
+        assert sum(entries for _, entries, _ in listing.delivered) == len(want), "each is delivered once"
+        for number in range(500):
+            listing.source.show(f"m{number}", None)
+        assert listing.wait(lambda: not reflector.held and not reflector.left_out)
+    listing.play(script)
+
+
+def test_machines_that_come_in_are_taken_from_a_list_beside_the_watch_and_only_they() -> None:
+    listing = Listing()
+
+    def script() -> None:
+        for number in range(50):
+            listing.source.show(f"m{number}", node(f"m{number}"))
+        assert listing.wait(lambda: listing.reflector.watches == 1)
+        before = set(listing.reflector.held)
+        listing.living -= {"p1", "p2", "p3"}
+        listing.reflector.refill()
+        want = {f"m{number}" for number in range(50) if listing.wanted(f"m{number}")}
+        assert before < want == set(listing.reflector.held)
+        assert listing.delivered[-1] == (ListForm.CHANGES, len(want) - len(before), 0)
+        assert listing.reflector.watches == 1 and listing.reflector.left_out == 50 - len(want)
+        listing.reflector.refill()
+        assert listing.delivered[-1] == (ListForm.CHANGES, len(want) - len(before), 0), "a second one brings nothing"
+        late = sorted(want - before)[0]
+        listing.source.show(late, node(late, drains=True))
+        assert listing.wait(lambda: listing.reflector.held[late].listed.phase is Phase.DRAINING), "the watch goes on"
+    listing.play(script)
+
+
+def test_a_list_from_before_a_drain_that_was_passed_over_is_not_believed() -> None:
+    """Rule 3: the drain was told to this placer while it did not hold the machine."""
+    listing = Listing()
+
+    def script() -> None:
+        for number in range(20):
+            listing.source.show(f"m{number}", node(f"m{number}"))
+        assert listing.wait(lambda: listing.reflector.watches == 1)
+        other = next(f"m{number}" for number in range(20) if not listing.wanted(f"m{number}"))
+        serve_old = listing.source.keep_old()
+        passed = listing.reflector.passed_over
+        listing.source.show(other, node(other, drains=True))
+        assert listing.wait(lambda: listing.reflector.passed_over > passed)
+        listing.living = frozenset({"p0"})
+        serve_old(True)
+        with pytest.raises(ValueError, match="goes back"):
+            listing.reflector.refill()
+        listing.hub.sleep(5 * S)
+        assert other not in listing.reflector.held
+        serve_old(False)
+        watches = listing.reflector.watches
+        assert listing.wait(lambda: listing.reflector.watches > watches, 20)
+        listing.reflector.refill()
+        assert listing.reflector.held[other].listed.phase is Phase.DRAINING
+    listing.play(script)
+
+
+def test_a_machine_deleted_while_the_list_is_read_does_not_come_back() -> None:
+    listing = Listing()
+
+    def script() -> None:
+        for number in range(20):
+            listing.source.show(f"m{number}", node(f"m{number}"))
+        assert listing.wait(lambda: listing.reflector.watches == 1)
+        other = next(f"m{number}" for number in range(20) if not listing.wanted(f"m{number}"))
+        listing.living = frozenset({"p0"})
+        entry = listing.source._nodes.objects[other].value
+        listing.source.show(other, None)
+        assert listing.wait(lambda: (ListForm.CHANGES, 0, 1) in listing.delivered), "its end was read"
+        assert not listing.reflector._judge.judge_entry(other, int(entry["metadata"]["resourceVersion"]))
+        listing.reflector.refill()
+        assert other not in listing.reflector.held and len(listing.reflector.held) == 19
+    listing.play(script)
+
+
+def test_the_bound_on_machines_counts_those_that_are_held() -> None:
+    listing = Listing(machines_most=8)
+
+    def script() -> None:
+        for number in range(20):
+            listing.source.show(f"m{number}", node(f"m{number}"))
+        assert listing.wait(lambda: listing.reflector.watches == 1)
+        assert len(listing.reflector.held) <= 8 and "list-too-long" not in listing.logged
+        listing.living = frozenset({"p0"})
+        listing.reflector.refill()
+        assert len(listing.reflector.held) == 8 and listing.logged.count("list-too-long") == 1
+    listing.play(script)
+
+
+def replaced(source: ListSource) -> None:
+    """Another source in its place, restored from a copy: later versions, and no window to resume a watch from."""
+    values = {name: stored.value for name, stored in source._nodes.objects.items()}
+    source._store = Store(source._store.version + 1000, 4096)
+    source._nodes = source._store.collection("nodes")
+    for name, value in values.items():
+        source._nodes.put(name, {**value, "metadata": dict(value["metadata"])})
+    source._nodes.window.clear()
+    source._nodes.floor = source._store.version
+    source._view = source._make_view(source._store)
+    source.domain.kill()
+    source.start()
+
+
+@pytest.mark.parametrize("restored", [False, True])
+def test_the_source_is_replaced_while_machines_are_taken_in(restored: bool) -> None:
+    """By an older picture for a while, from which nothing is taken in; by one that was restored from a copy."""
+    stage = SubsetStage(machines=8, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        serve_old = stage.cluster.source.keep_old()
+        for machine in stage.cluster.machines[:2]:
+            stage.cluster.set_drain(machine, True)
+        stage.hub.sleep(S)
+        stage.cluster.placers[2].kill()
+        assert stage.wait(lambda: any(each.subset is not None and each.subset._refilling for each in stage.live()), 40)
+        if restored:
+            replaced(stage.cluster.source)
+        else:
+            serve_old(True)
+            stage.hub.sleep(10 * S)
+            taken = {name for each in stage.live() for name in each.fleet.held}
+            assert len(taken) < 8, "nothing is taken in from a list that goes back"
+            assert sum(each.base.counts["subset:relists failed"] for each in stage.live()) > 0
+        for turn in range(6):
+            stage.submit_to(stage.cluster.placers[turn % 2], f"t{turn}", runs_s=2)
+            stage.answer_of(stage.cluster.placers[turn % 2], f"t{turn}")
+        if not restored:
+            serve_old(False)
+        assert stage.wait(stage.settled_subsets, 20)
+        assert all(not each.subset._refilling for each in stage.live() if each.subset)
+    stage.play(script, start=False)
+    audited = stage.audit()
+    assert audited.clean and audited.accepted == 6
--- a/tests/core/test_subset_moves.py
+++ b/tests/core/test_subset_moves.py
@@ -45,6 +45,10 @@
     return replace(listed, phase=Phase.DRAINING)
 
 
+def phase_of(link: MachineLink) -> Phase:
+    return link.phase
+
+
 def members_say(stage: SubsetStage, subset: Subset, living: set[str]) -> None:
     """Membership tells a placer this from now on; who is back is let in at once, as the last change has settled."""
     stage.hub.sleep(int(SETTLE_S * S))
@@ -112,10 +116,10 @@
         assert subset is not None
         without = set(subset.living)
         members_say(stage, subset, without | {other.name})
-        assert link.phase is Phase.DRAINING
+        assert phase_of(link) is Phase.DRAINING
         members_say(stage, subset, without)
         assert stage.wait(lambda: machine not in subset.lingering, 10)
-        assert link.phase is Phase.RUNNING and placer.machines.links[machine] is link
+        assert phase_of(link) is Phase.RUNNING and placer.machines.links[machine] is link
         stage.submit_to(slot, "second", runs_s=2)
         assert stage.answer_of(slot, "second") == "placed"
     stage.play(script, start=False)
--- a/wingbarrow/core/attempts.py
+++ b/wingbarrow/core/attempts.py
@@ -7,6 +7,7 @@
 from wingbarrow.core.book import TaskRecord
 from wingbarrow.core.link import MachineLink
 from wingbarrow.core.stages import Ledger, Stage, Staged
+from wingbarrow.decide.gate import Held
 
 
 @dataclass(slots=True, eq=False)
@@ -18,6 +19,7 @@
     session: str = ""  # by whose lease it runs, where its Job is leased
     found: bool = False  # it was found running, and the module knows nothing of it
     left_us: int | None = None  # of its run, where it was found
+    held: Held | None = None  # why the gate held it
     rules: str = ""  # the label of the agreed rules that it was decided under; empty where none are
 
 
--- a/wingbarrow/core/book.py
+++ b/wingbarrow/core/book.py
@@ -82,6 +82,7 @@
     state: State = State.ASKED
     request: int = 0
     deadline_us: int = 0
+    anew: int = 0  # how often it was asked for anew because an offer of it was held
     binds: int = 0  # attempts of the present request so far
     answered: bool = False  # the first final answer was given
     placed: bool = False  # it was placed at least once
--- a/wingbarrow/core/coldshares.py
+++ b/wingbarrow/core/coldshares.py
@@ -1,7 +1,8 @@
 """What this placer may send to cold machines where placers hold subsets: its share by rank, asked at the gate (rule 4).
 
-A machine whose share is used up is shown to the module as draining until there is some again: the module goes
-elsewhere at once, and spends none of a task's attempts on offers that the gate would hold.
+A machine is shown to the module as draining, and to nobody else, as soon as the offers under way use up its share,
+until there is some again: the module goes elsewhere, and spends few of a task's attempts on offers that the gate would
+hold (those alone that it chose in one and the same turn). What was chosen before goes out.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 from dataclasses import replace
 
 from wingbarrow import interface as api
-from wingbarrow.core.attempts import Attempt
+from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
 from wingbarrow.core.fleet import Fleet
 from wingbarrow.core.link import MachineLink
@@ -26,31 +27,45 @@
 class ColdShares:
     """`offers`: what all placers together may send to one cold machine within the window, by the rules in force."""
 
-    def __init__(self, base: Base, fleet: Fleet, subsets: Subsets, offers: Callable[[], float]) -> None:
-        self._base, self._fleet, self._subsets, self._offers = base, fleet, subsets, offers
+    def __init__(self, base: Base, fleet: Fleet, attempts: Attempts, subsets: Subsets,
+                 offers: Callable[[], float]) -> None:
+        self._base, self._fleet, self._attempts = base, fleet, attempts
+        self._subsets, self._offers = subsets, offers
         rules = base.settings.scheduler
         self._cold_us = rules.cold_us
         self._account = ColdShare(rules.fall_us * 5 // 4)  # a quarter longer, as in the module: offers travel
         self._closed: dict[str, None] = {}  # machines that are shown as draining for want of a share
         self._looking = False
-        fleet.guards.append(self._guard)
-        fleet.apart.append(self._closed.__contains__)
+        fleet.rationed = self._ration
 
-    def left(self, name: str, launched_us: int) -> bool:
-        """Whether one more offer may go to a machine; True for any that is not cold."""
+    def left(self, link: MachineLink) -> bool:
+        """Whether one more offer may go to a machine now; True for any that is not cold."""
         now = self._base.hub.now_us()
-        if not self._cold(launched_us, now):
-            return True
+        return not self._cold(link.launched_us, now) or self._left(now, link.name, link.launched_us) > 0
+
+    def _left(self, now_us: int, name: str, launched_us: int) -> int:
         share = self._subsets.cold_most(self._base.settings.name, name, self._offers())
-        return self._account.left(now, name, launched_us, share) > 0
+        return self._account.left(now_us, name, launched_us, share)
+
+    def chosen(self, link: MachineLink) -> None:
+        """The module has chosen a machine for an offer that is under way from now on."""
+        entry = self._fleet.held.get(link.name)
+        if entry is not None and link.name not in self._closed and self._used_up(link.name, link.launched_us):
+            self._fleet.take_again([entry])
+
+    def _used_up(self, name: str, launched_us: int) -> bool:
+        """Whether what is under way uses up what is left of a cold machine's share."""
+        now = self._base.hub.now_us()
+        if not self._cold(launched_us, now):
+            return False
+        waiting = sum(each.stage is Stage.WAITING for each in self._attempts.on_named(name))
+        return self._left(now, name, launched_us) <= waiting
 
     def sent(self, attempt: Attempt) -> None:
         """The first byte of an offer goes out, which the gate allowed."""
         link, now = attempt.link, self._base.hub.now_us()
         if self._cold(link.launched_us, now):
             self._account.sent(link.name, link.launched_us, link.launched_us + self._cold_us, attempt.key)
-            if not self.left(link.name, link.launched_us):
-                self.close_soon(link)
 
     def ended(self, attempt: Attempt, outcome: api.Outcome | None) -> None:
         """How an offer ended; None: its task runs."""
@@ -61,19 +76,11 @@
         """A machine has answered something else: what it was sent and given up before has come."""
         self._account.ended(self._base.hub.now_us(), name, "", Came.SPOKE)
 
-    def close_soon(self, link: MachineLink) -> None:
-        """Have the module go elsewhere: this machine's share is used up."""
-        def due() -> None:
-            entry = self._fleet.held.get(link.name)
-            if entry is not None and link.phase is api.Phase.RUNNING:
-                self._fleet.take_again([entry])
-        self._base.hub.call_at(self._base.hub.now_us(), due)
-
     def _cold(self, launched_us: int, now_us: int) -> bool:
         return launched_us > 0 and now_us < launched_us + self._cold_us
 
-    def _guard(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
-        if listed.phase is not api.Phase.RUNNING or self.left(entry.name, listed.launched_us):
+    def _ration(self, entry: NodeEntry, listed: api.ListedMachine) -> api.ListedMachine:
+        if listed.phase is not api.Phase.RUNNING or not self._used_up(entry.name, listed.launched_us):
             self._closed.pop(entry.name, None)
             return listed
         self._closed[entry.name] = None
@@ -90,7 +97,7 @@
                 held = self._fleet.held
                 for name in [name for name in self._closed if name not in held]:
                     del self._closed[name]
-                again = [held[name] for name in self._closed if self.left(name, held[name].listed.launched_us)]
+                again = [held[name] for name in self._closed if not self._used_up(name, held[name].listed.launched_us)]
                 if again:
                     self._fleet.take_again(again)
         finally:
--- a/wingbarrow/core/fleet.py
+++ b/wingbarrow/core/fleet.py
@@ -29,8 +29,8 @@
 class Fleet:
     """Owns which machines are reached and how the module may see them.
 
-    `guards` narrow each entry, in order, before the module has it; `gone`, `listed` and `taken_in` hear of machines
-    that left, of those that are on the list (again), and of each delivery that is taken in.
+    `guards` narrow each entry, in order, before the module and the gate have it; `gone`, `listed` and `taken_in` hear
+    of machines that left, of those that are on the list (again), and of each delivery that is taken in.
     """
 
     def __init__(self, base: Base, host: Host, board: Board, machines: Machines, attempts: Attempts, runs: Runs,
@@ -46,6 +46,7 @@
             random.Random(base.random.random()), settings.limits.machines, base.shift_us, self.take, base.log)
         self.ready = False  # a list of machines has come
         self.guards: list[Guard] = []
+        self.rationed: Guard = lambda entry, listed: listed  # narrows what the module alone sees, last of all
         self.gone: Callable[[str], None] = lambda name: None
         self.listed: Callable[[str], None] = lambda name: None
         self.spoke: Callable[[str], None] = lambda name: None  # a machine answered a probe
@@ -74,7 +75,7 @@
             self._rebirth.saw(entry.name, entry.listed, now)
         # Every entry passes here, and so the guards (rules 3 and 5).
         narrowed = {entry.name: self._narrow(entry) for entry in entries}
-        listed = list(narrowed.values())
+        listed = [self.rationed(entry, narrowed[entry.name]) for entry in entries]
         for name in gone:
             entry_gone = self._leaves(name)
             if form is api.ListForm.CHANGES and entry_gone is not None:
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -21,19 +21,21 @@
 from wingbarrow.transport import CancelScope
 
 
+ANEW_MOST = 8  # times that a task is asked for anew
+
+
 class ColdOffers(Protocol):
     """A placer's share of what cold machines may be sent."""
 
-    def left(self, name: str, launched_us: int) -> bool:
-        """Whether one more offer may go to a machine that was last started then."""
+    def chosen(self, link: MachineLink) -> None:
+        """The module has chosen a machine for an offer that is under way from now on."""
+
+    def left(self, link: MachineLink) -> bool:
+        """Whether one more offer may go to a machine now."""
 
     def sent(self, attempt: Attempt) -> None:
         """The first byte of an offer goes out."""
 
-    def close_soon(self, link: MachineLink) -> None:
-        """An offer was held: have the module go elsewhere."""
-
-
 class Offers:
     """Owns the gate that every offer passes right before its first byte."""
 
@@ -63,6 +65,8 @@
         attempt.rules, attempt.launched_us = self._rulebook.label, link.launched_us
         self._attempts.add(attempt)
         self._base.counts["binds"] += 1
+        if self.cold is not None:
+            self.cold.chosen(link)
         self._base.spawn(lambda: self._offer(attempt), "offer")
 
     def _may_send(self, attempt: Attempt) -> bool:
@@ -75,11 +79,10 @@
             self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
                                    attempt.decided_us), task.job.leased is None or self._leaseholder is not None
             and self._leaseholder.may_send(task.job), chosen_launched_us=attempt.launched_us,
-            cold_share_left=self.cold is None or self.cold.left(link.name, link.launched_us)))
+            cold_share_left=self.cold is None or self.cold.left(link)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
-            if held is Held.COLD_SHARE and self.cold is not None:
-                self.cold.close_soon(link)
+            attempt.held = held
             return False
         self._attempts.advance(attempt, Stage.SENT)
         link.offered_us = now
@@ -111,9 +114,22 @@
             ended = Ended(api.Outcome.CANCELLED, ended.reason, "withdrawn by its owner")
         if ended is None:
             self.runs(attempt)
+        elif self._costs_nothing(attempt):
+            self._base.counts["asked_anew"] += 1
+            self._requests.ask_anew(attempt)
         else:
             self._failed(attempt, ended)
 
+    def _costs_nothing(self, attempt: Attempt) -> bool:
+        """Whether an offer was held for want of a share, chosen in one turn with others that used it up.
+
+        Danger: a few of those would use up all attempts of a task for which no machine was ever asked.
+        """
+        task = attempt.task
+        return (attempt.held is Held.COLD_SHARE and attempt.stage is Stage.WAITING and not task.left
+                and task.job.leased is None and task.anew < ANEW_MOST and task.state is State.ASKED
+                and task.request == attempt.request and self._base.hub.now_us() < task.deadline_us)
+
     def runs(self, attempt: Attempt) -> None:
         """The machine says that the task runs."""
         task, now = attempt.task, self._base.hub.now_us()
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -97,7 +97,8 @@
             self.leaseholder = Leaseholder(base, host, book, attempts, requests, runs, stops, leases,
                                        CustodyRoom(hub, settings, base.born_us, self.peering), rulebook.federation)
             strays.leased = self.leaseholder.place_late
-        offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook, self.leaseholder)
+        offers = self.offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook,
+                                      self.leaseholder)
         sightings = Sightings(base, host, attempts, offers, runs, strays)
         fleet = self.fleet = Fleet(base, host, board, machines, attempts, runs, sightings)
         self.hearsay = Hearsay(base, host, fleet, machines, sightings)
@@ -139,7 +140,7 @@
         self.subset: Subset | None = None
         if settings.subset is not None:
             subset = self.subset = Subset(base, settings.subset, fleet, machines, attempts, stops, self._members)
-            cold = offers.cold = ColdShares(base, fleet, subset.subsets, rulebook.cold_offers)
+            cold = offers.cold = ColdShares(base, fleet, attempts, subset.subsets, rulebook.cold_offers)
             requests.answered, fleet.spoke = cold.ended, cold.spoke
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
         needed = tuple(each.task_class.kind for each in settings.classes.values() if each.task_class.kind)
--- a/wingbarrow/core/requests.py
+++ b/wingbarrow/core/requests.py
@@ -37,6 +37,17 @@
         request = self._book.open_request(task, due_us)
         self._host.feed(self.arrival(task, request, asked.expected_us))
 
+    def ask_anew(self, attempt: Attempt) -> None:
+        """An offer was held for a reason that lies with its machine alone: ask for its task as if it had not been made.
+
+        Only of a task of which nothing was ever sent, as the module forgets that it tried. The answer is due as before.
+        """
+        task, due_us = attempt.task, attempt.task.deadline_us
+        task.anew += 1
+        self.close(task)
+        self.attempt_over(attempt, api.Outcome.NOT_SENT, api.Reason.UNTOLD, 0)
+        self.ask(task, due_us)
+
     def arrival(self, task: TaskRecord, request: int, left_us: int | None) -> api.TaskArrived:
         """A task as the module hears of it."""
         asked = task.job.asked
--- a/wingbarrow/core/stages.py
+++ b/wingbarrow/core/stages.py
@@ -101,7 +101,11 @@
 
     def on(self, link: Named) -> list[AttemptT]:
         """Those on one machine."""
-        return list(self._on.get(link.name, {}).values())
+        return self.on_named(link.name)
+
+    def on_named(self, machine: str) -> list[AttemptT]:
+        """Those on the machine of that name."""
+        return list(self._on.get(machine, {}).values())
 
     def __len__(self) -> int:
         return len(self.by_key)
