--- /dev/null
+++ b/tests/lab/test_subset_days.py
@@ -0,0 +1,75 @@
+"""Scripted days where each machine is held by two of five placers, audited at the sockets."""
+
+from __future__ import annotations
+
+import multiprocessing
+from dataclasses import replace
+
+import pytest
+from click.testing import CliRunner
+
+from wingbarrow.cli.main import main
+from wingbarrow.lab.audit import Audit
+from wingbarrow.lab.cluster import Cluster
+from wingbarrow.lab.days import DAYS, Day, Play, play
+from wingbarrow.lab.load import Owners
+
+SEED = 11
+
+
+def _placers_lost(cluster: Cluster, owners: Owners) -> None:
+    """Two of five placers are killed at once, machines of one hall fall meanwhile and come back cold, drains are told.
+
+    The two are back when the others hold their machines.
+    """
+    def lose(index: int) -> None:
+        cluster.restart_placer(cluster.placers[index], 18.0)
+    cluster.at(8, lambda: lose(0))
+    cluster.at(8, lambda: lose(1))
+    fallen = [machine for machine in cluster.machines if machine.build.zone == "hall-a"][::2]
+    for machine in fallen:
+        cluster.at(17, lambda m=machine: cluster.crash(m, 3.0))  # type: ignore[misc]
+    cluster.at(21, lambda: cluster.drain(cluster.machines[-1]))
+    cluster.at(24, lambda: cluster.placers[2].hold(10_000_000))
+
+
+LOST = Day("two of five placers are killed for a while, machines fall and drain", _placers_lost, seconds=45.0)
+PLAYED = ("lost", "bad-day", "discovery_stale", "balancer_roll")
+
+
+def _play(name: str) -> tuple[str, Audit, dict[str, int]]:
+    day = LOST if name == "lost" else DAYS[name]
+    DAYS["subsets"] = replace(day, machines=14)
+    outcome = play(Play("subsets", SEED, placers=5, subsets=2))
+    placers = [slot.service.placer for slot in outcome.cluster.placers if slot.service]
+    assert not any(each.oddities() for each in placers), "steps that the tables lack"
+    told = {"changes": sum(each.base.counts["subset:changes"] for each in placers),
+            "refills": sum(each.fleet.reflector.refills for each in placers),
+            "released": sum(each.base.counts["subset:released"] for each in placers),
+            "most held": max(len(each.machines.links) for each in placers)}
+    return name, outcome.audit, told
+
+
+@pytest.fixture(scope="module")
+def played() -> dict[str, tuple[Audit, dict[str, int]]]:
+    """Each day in a process of its own."""
+    with multiprocessing.get_context("fork").Pool(2) as pool:
+        return {name: (audit, told) for name, audit, told in pool.map(_play, PLAYED, chunksize=1)}
+
+
+@pytest.mark.parametrize("name", PLAYED)
+def test_a_day_with_subsets_keeps_the_rules(name: str, played: dict[str, tuple[Audit, dict[str, int]]]) -> None:
+    found, told = played[name]
+    print("seed", SEED, told)
+    assert found.clean, found.notes
+    ended = found.placed + found.refused + found.failed + found.left_to_owners
+    assert found.accepted >= 300 and found.accepted == ended
+    assert found.placed >= 0.9 * found.accepted
+    if name == "lost":
+        assert told["changes"] and told["refills"] and told["released"], told
+
+
+def test_the_command_plays_a_day_with_subsets_and_refuses_more_than_there_are_placers() -> None:
+    told = CliRunner().invoke(main, ["lab", "day", "quiet", "--subsets", "4", "--placers", "3"])
+    assert told.exit_code == 2 and "more than there are placers" in told.output
+    assert Play("quiet", placers=3, subsets=2).command.endswith("--placers 3 --subsets 2")
