--- a/tests/core/test_subset_moves.py
+++ b/tests/core/test_subset_moves.py
@@ -196,6 +196,47 @@
     stage.play(script, start=False)
 
 
+def test_peers_hear_of_no_drain_where_a_machine_has_left_this_subset_alone() -> None:
+    """Nor do sights of machines that are left out here make their teller one of another cluster."""
+    stage = SubsetStage(machines=12, placers=6, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        placer = slot.service.placer  # type: ignore[union-attr]
+        stage.submit_to(slot, "t", runs_s=30)
+        assert stage.answer_of(slot, "t") == "placed"
+        subset = placer.subset
+        assert subset is not None
+        placer.fleet.guards.pop()  # the other machines are open again
+        placer.fleet.take_again(list(placer.fleet.held.values()))
+        members_say(stage, subset, set(subset.living) | {other.name})
+        assert phase_of(link) is Phase.DRAINING and machine in subset.lingering
+        sights = placer.hearsay.know()[0]
+        assert {sight.phase for sight in sights} == {Phase.RUNNING}
+        for each in stage.live():
+            others = [sight for sight in sights if sight.machine not in each.fleet.held]
+            assert each.hearsay.take_sights(others * 4, 0, True), "taken for a stranger"
+            assert all(each.fleet.reflector.wanted(name) for name in each.hearsay._heard)
+        assert stage.wait(lambda: machine not in placer.machines.links, 60)
+        assert machine not in {sight.machine for sight in placer.hearsay.know()[0]}, "it is not told to be gone"
+    stage.play(script, start=False)
+
+
+def test_a_machine_that_is_left_out_is_not_told_to_be_off_the_list() -> None:
+    """Maintenance slots end where those who agree on them say that a machine is gone."""
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        for each in stage.live():
+            out = [name for name in stage.names() if name not in each.fleet.held]
+            assert out and not any(each.fleet.must_tell(name) for name in out)
+            gone = next(iter(each.fleet.held))
+            assert each.fleet.must_tell(gone)
+    stage.play(script, start=False)
+
+
 def test_the_pure_function_of_the_stage_is_the_placers() -> None:
     stage = SubsetStage(machines=6, placers=3, replicas=1)
 
