--- a/tests/config/test_subsetting.py
+++ b/tests/config/test_subsetting.py
@@ -88,6 +88,12 @@
     assert alone.subset is not None
 
 
+def test_a_calendar_is_refused_beside_subsets_at_its_line() -> None:
+    whole = text(f"subset replicas=2 {{ roster {NAMED} }}", ALLOWED + 'calendar "windows.ics"\n')
+    [(line, told)] = refused(whole)
+    assert whole.splitlines()[line - 1].startswith("calendar") and "by the whole list" in told
+
+
 def test_a_subset_too_small_for_the_largest_job_of_a_class_is_refused() -> None:
     """`web` is spread by cell, 3 in each: 40 machines in 20 cells give one placer of five about 12 cells by two."""
     subset = f"subset replicas=2 machines=40 cells=20 {{ roster {NAMED} }}"
--- /dev/null
+++ b/tests/core/test_subset_agreed.py
@@ -0,0 +1,72 @@
+"""Subsets where placers agree on rules: the roster by `agree`, the cold budget of the rules in force, a cold limit."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.peers.stage import Agreeing
+from tests.stage import S, Stage
+from wingbarrow.core.coldshares import ColdShares
+from wingbarrow.core.ownregion import OwnRegion
+from wingbarrow.lab.build import Build
+
+
+class AgreeingSubsets(Agreeing):
+    """Each machine is held by two of the members; the roster is theirs."""
+
+    def join(self) -> None:
+        super().join()
+        for slot in self.cluster.placers:
+            slot.kill()
+            slot.extra += 'subset replicas=2 { leave-after "3s"; settle "500ms" }\n'
+        for slot in self.cluster.placers:
+            slot.start()
+
+
+def test_what_a_region_is_told_to_have_stands_for_all_its_machines() -> None:
+    """Within what a part of them tells of the others: all are alike here."""
+    stage = Stage(machines=12, placers=1, build=Build())
+
+    def script() -> None:
+        slot = stage.cluster.placers[0]
+        assert slot.service is not None
+        placer = slot.service.placer
+        whole = OwnRegion(placer.base, placer.book, placer.fleet)._sum(0)
+        for name in list(placer.fleet.held)[:9]:
+            placer.fleet.reflector.drop(name)
+        part = OwnRegion(placer.base, placer.book, placer.fleet)._sum(0)
+        assert (placer.fleet.part, part.machines, part.cores, part.memory) == (0.25, 12, whole.cores, whole.memory)
+        for name in list(placer.fleet.held):
+            placer.fleet.reflector.drop(name)
+        assert placer.fleet.part == 0.0 and OwnRegion(placer.base, placer.book, placer.fleet).say(0) is None
+    stage.play(script)
+
+
+@pytest.mark.parametrize("limit", ["", '    limit "cold"\n'])
+def test_members_hold_subsets_and_cold_machines_get_no_more_than_the_rules_in_force_allow(limit: str) -> None:
+    stage = AgreeingSubsets(machines=6, placers=5)
+    stage.limits = limit
+
+    def script() -> None:
+        stage.join()
+        assert stage.wait(lambda: stage.all_on("e1"))
+        live = [slot.service.placer for slot in stage.cluster.placers if slot.service is not None]
+        assert all(each.subset is not None and len(each.subset.subsets.rules.roster) == 5 for each in live)
+        assert stage.wait(lambda: sum(len(each.machines.links) for each in live) == 12, 20)
+        for machine in stage.cluster.machines[:3]:
+            stage.hub.spawn(lambda m=machine: stage.cluster.crash(m, 2.0))
+        stage.hub.sleep(3 * S)
+        for turn in range(60):
+            slot = stage.cluster.placers[turn % 5]
+            stage.post(slot.port, f"t{turn}")
+            stage.hub.sleep(S // 20)
+        stage.hub.sleep(8 * S)
+        placed = sum(each.base.counts["placed"] for each in live)
+        assert placed >= 50
+        fewer = stage.changed(cold_shares=[["placer-0", 5]])
+        status, _ = stage.ask(stage.leader(), "POST", {"ident": "x", "rules": fewer})
+        assert status == 201 and stage.wait(lambda: stage.all_on("e3"), 20), "by way of what both allow"
+        for each in live:
+            assert isinstance(each.offers.cold, ColdShares) and each.offers.cold._offers() == 5.0
+    stage.play(script)
+    assert stage.audit().cold_overruns == 0 and stage.audit().sends_to_draining == 0
--- a/wingbarrow/config/subsetting.py
+++ b/wingbarrow/config/subsetting.py
@@ -58,6 +58,9 @@
     if len(roster) > 1 and "state" not in top.children:
         # Danger (rule 5): tasks of a former life may run on machines that the next life would not hold.
         found.append((node.line, "a state folder is wanted: by it alone a next life knows what this one held"))
+    if "calendar" in top.children:
+        found.append((top.children["calendar"][0].line,
+                      "drains by a calendar are planned by the whole list, and no placer has it"))
     for what, time_us, (least, most) in (("leave-after", leave_us, _LEAVE_US), ("settle", settle_us, _SETTLE_US)):
         if not least <= time_us <= most:
             child = node.one(what)
--- a/wingbarrow/core/fleet.py
+++ b/wingbarrow/core/fleet.py
@@ -61,6 +61,12 @@
         """The list's entries by name."""
         return self.reflector.held
 
+    @property
+    def part(self) -> float:
+        """The part of the machines on the list that this placer holds; 1.0 where none is left out."""
+        held, left_out = len(self.held), self.reflector.left_out
+        return held / (held + left_out) if left_out else 1.0
+
     # -- the list
 
     def take(self, form: api.ListForm, entries: list[NodeEntry], gone: list[str]) -> None:
--- a/wingbarrow/core/ownregion.py
+++ b/wingbarrow/core/ownregion.py
@@ -29,13 +29,14 @@
     def say(self, now_us: int) -> RegionsSaid | None:
         """With an ask; None without a region, machines, or a list of them."""
         settings = self._base.settings
-        if not settings.region or not settings.machines or not self._fleet.ready:
+        if not settings.region or not settings.machines or not self._fleet.ready or not self._fleet.part:
             return None
         if now_us - self._at_us >= EVERY_US:
             self._at_us, self._said = now_us, self._sum(now_us)
         return self._said
 
     def _sum(self, now_us: int) -> RegionsSaid:
+        """Where this placer holds a part of the machines, what that part has stands for the whole."""
         scheduler, sizes = self._base.settings.scheduler, self._base.sizes
         whole, machines = [0.0, 0.0], 0
         free = [0.0, 0.0]
@@ -48,6 +49,9 @@
             free[0] += max(0.0, entry.listed.free_cores)
             free[1] += max(0.0, entry.listed.free_memory)
             machines += 1
+        part = self._fleet.part
+        whole, free = [each / part for each in whole], [each / part for each in free]
+        machines = round(machines / part)
         came, refused = self._lately(now_us)
         return RegionsSaid(self._base.settings.region, round(whole[0], 3), round(whole[1], 3), round(free[0], 3),
                            round(free[1], 3), whole[0] <= 0, came, refused, machines, self.leased())
