--- a/tests/core/test_subset_list.py
+++ b/tests/core/test_subset_list.py
@@ -121,11 +121,15 @@
         for number in range(20):
             listing.source.show(f"m{number}", node(f"m{number}"))
         assert listing.wait(lambda: listing.reflector.watches == 1)
-        other = next(f"m{number}" for number in range(20) if not listing.wanted(f"m{number}"))
+        out = [f"m{number}" for number in range(20) if not listing.wanted(f"m{number}")]
+        other = out[0]
+        for name in out[1:5]:  # the picture is later than the list that was read, by news that was passed over too
+            listing.source.show(name, node(name, drains=True))
         serve_old = listing.source.keep_old()
-        passed = listing.reflector.passed_over
+        passed = listing.reflector.passed_over + len(out[1:5])
         listing.source.show(other, node(other, drains=True))
         assert listing.wait(lambda: listing.reflector.passed_over > passed)
+        assert len(out) >= 5
         listing.living = frozenset({"p0"})
         serve_old(True)
         with pytest.raises(ValueError, match="goes back"):
--- a/tests/core/test_subset_moves.py
+++ b/tests/core/test_subset_moves.py
@@ -196,6 +196,51 @@
     stage.play(script, start=False)
 
 
+def test_nothing_that_is_out_or_owed_lets_a_machine_go_whatever_the_machine_says() -> None:
+    """An offer that waits for its connection is no task of the machine's yet, nor is a stop that it cannot confirm."""
+    stage = SubsetStage(machines=6, placers=3, replicas=1, build=SLOW)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        placer = slot.service.placer  # type: ignore[union-attr]
+        subset = placer.subset
+        assert subset is not None and subset._may_go(link, stage.hub.now_us())
+        stage.submit_to(slot, "out", runs_s=4)
+        assert placer.attempts.on(link) and link.offered_us is None
+        assert not subset._may_go(link, stage.hub.now_us()), "an attempt is out"
+        assert stage.answer_of(slot, "out") == "placed"
+        assert stage.wait(lambda: not placer.attempts.on(link), 30)
+        offered_us = link.offered_us
+        assert offered_us is not None and not subset._may_go(link, offered_us + LINGER_US - 1), "its offer is just over"
+        assert subset._may_go(link, offered_us + LINGER_US)
+        placer.stops.owe(link, "default", "ghost", settled=lambda: False)
+        assert not subset._may_go(link, offered_us + LINGER_US), "a stop is owed"
+        link.reachable = False
+        assert not subset._may_go(link, offered_us + 9 * LINGER_US), "it cannot tell"
+    stage.play(script, start=False)
+
+
+def test_a_machine_is_asked_before_it_is_let_go_and_kept_while_it_holds_a_task_or_gives_no_answer() -> None:
+    """A start that was given up may be on its way there still: as long as it has not begun, no watch tells of it."""
+    stage = SubsetStage(machines=6, placers=3, replicas=1)
+
+    def script() -> None:
+        stage.begin()
+        slot, machine, other, link = brought_in(stage)
+        placer = slot.service.placer  # type: ignore[union-attr]
+        subset = placer.subset
+        assert subset is not None
+        answers: list[bool | None] = [None, True, True, False]
+        link.holds_any = lambda: answers.pop(0) if answers else False  # type: ignore[method-assign]
+        members_say(stage, subset, set(subset.living) | {other.name})
+        while answers:
+            assert placer.machines.links.get(machine) is link, answers
+            stage.hub.sleep(S // 10)
+        assert stage.wait(lambda: machine not in placer.machines.links, 5)
+    stage.play(script, start=False)
+
+
 def test_peers_hear_of_no_drain_where_a_machine_has_left_this_subset_alone() -> None:
     """Nor do sights of machines that are left out here make their teller one of another cluster."""
     stage = SubsetStage(machines=12, placers=6, replicas=1)
