--- a/wingbarrow/decide/subsets.py
+++ b/wingbarrow/decide/subsets.py
@@ -19,7 +19,7 @@
 from math import ceil, floor, isfinite, sqrt
 
 ROSTER_MOST = 256  # as many as membership knows; a rank fits one byte
-ORDERS_MOST = 32_768  # machines whose ranks are kept, at most 256 bytes each and some 150 bytes around them
+ORDERS_MOST = 32_768  # machines whose ranks are kept, at most 256 bytes each and some 70 around them
 PLACER_KEY_BYTES = 16
 SCORE_BYTES = 8
 MARGIN_DEVIATIONS = 5.0  # of `subset_most_expected`: one subset in 3 million is larger, by the normal approximation
