--- a/tests/core/test_subset.py
+++ b/tests/core/test_subset.py
@@ -26,6 +26,12 @@
         for each in stage.live():
             assert len(each.fleet.held) + each.fleet.reflector.left_out == 12 and each.sees(12)
             assert each.fleet.reflector.passed_over > 0 and not each.oddities()
+        told = stage.pool().request("GET", "/metrics").body.decode()
+        placer = stage.placer(0)
+        for name, value in (("machines", len(placer.machines.links)), ("lingering", 0), ("relists", 0),
+                            ("left_out", placer.fleet.reflector.left_out),
+                            ("passed_over", placer.fleet.reflector.passed_over)):
+            assert f"\nwingbarrow_subset_{name} {float(value)}\n" in told, name
     stage.play(script, start=False)
     assert stage.audit().clean and stage.audit().placed == 30
 
--- a/tests/core/test_subset_moves.py
+++ b/tests/core/test_subset_moves.py
@@ -9,12 +9,14 @@
 
 from tests.core.subsetstage import SETTLE_S, SubsetStage
 from tests.stage import S
+from wingbarrow.core import saved
 from wingbarrow.core.link import MachineLink
 from wingbarrow.core.subset import LINGER_US, Subset
 from wingbarrow.decide.subsets import Subsets
 from wingbarrow.interface import ListedMachine, Phase
 from wingbarrow.lab.build import Build
 from wingbarrow.lab.cluster import PlacerSlot
+from wingbarrow.lab.node import node_value
 
 SLOW = Build(start_us=2 * S, setup=1.0)
 
@@ -161,7 +163,7 @@
         slot, machine, other, link = brought_in(stage)
         stage.submit_to(slot, "t", runs_s=60)
         assert stage.answer_of(slot, "t") == "placed"
-        stage.hub.sleep(2 * S)  # the list is saved within a second where it names more machines
+        stage.hub.sleep(S + S // 10)  # the list is saved within a second where it names more machines
         slot.kill()
         other.start()
         stage.hub.sleep(S)
@@ -176,6 +178,23 @@
     assert len(stage.seen("start")) == 1 and len(stage.seen("end")) == 1
 
 
+def test_a_machine_that_came_in_is_on_the_saved_list_within_little_more_than_a_second() -> None:
+    """Whenever it comes: the list is saved every five seconds otherwise, and a life could end before."""
+    stage = SubsetStage(machines=4, placers=2, replicas=2)
+
+    def script() -> None:
+        stage.begin()
+        placer, folder = stage.placer(0), Path(stage.cluster.placers[0].state)
+        for number in range(5):
+            value = node_value(stage.cluster.machines[0])
+            value["metadata"] = {**value["metadata"], "name": f"more-{number}"}
+            stage.cluster.source.show(f"more-{number}", value)
+            assert stage.wait(lambda name=f"more-{number}": name in placer.fleet.held, 5)
+            stage.hub.sleep(S + S // 5)
+            assert f"more-{number}" in {each["metadata"]["name"] for each in saved.load(folder)}
+    stage.play(script, start=False)
+
+
 def test_a_placer_whose_saved_list_cannot_be_read_asks_every_machine_once() -> None:
     stage = SubsetStage(machines=6, placers=3, replicas=1)
 
