--- a/tests/lab/test_subset_days.py
+++ b/tests/lab/test_subset_days.py
@@ -28,7 +28,7 @@
     cluster.at(8, lambda: lose(1))
     fallen = [machine for machine in cluster.machines if machine.build.zone == "hall-a"][::2]
     for machine in fallen:
-        cluster.at(17, lambda m=machine: cluster.crash(m, 3.0))  # type: ignore[misc]
+        cluster.at(17, lambda m=machine: cluster.crash(m, 3.0))
     cluster.at(21, lambda: cluster.drain(cluster.machines[-1]))
     cluster.at(24, lambda: cluster.placers[2].hold(10_000_000))
 
--- a/wingbarrow/core/reflector.py
+++ b/wingbarrow/core/reflector.py
@@ -25,6 +25,7 @@
 SILENCE_US = 30 * SECOND  # the source sends a bookmark at least this often while anything changes
 WATCH_S = 300
 PAGE = 500
+ASKED_AT_ONCE = 100  # names
 
 
 class Reflector:
@@ -42,7 +43,7 @@
         self._most = machines_most
         self._version = ""
         self._told_failed = False
-        self.wanted: Callable[[str], bool] = lambda name: True  # by name: other entries are passed over, not held
+        self.wanted: Callable[[str], bool] = _every  # by name: other entries are passed over, not held
         self.passed_over = 0  # entries so far that were not wanted
         self.left_out = 0  # machines on the list that are not held
         self.refills = 0
@@ -76,6 +77,7 @@
 
     def _list(self) -> None:
         items, version = list_all(self._pool, "/api/v1/nodes", "", PAGE, self._hub.now_us() + LIST_US)
+        self._ask_ahead(items)
         self.relists += 1
         if not version.isascii() or not version.isdigit():
             raise ValueError(f"a list without a resourceVersion: {version[:40]!r}")
@@ -113,6 +115,7 @@
         Raises CallFailed, ApiError or ValueError where the source gives none, or one older than what was read.
         """
         items, version = list_all(self._pool, "/api/v1/nodes", "", PAGE, self._hub.now_us() + LIST_US)
+        self._ask_ahead(items)
         if not version.isascii() or not version.isdigit():
             raise ValueError(f"a list without a resourceVersion: {version[:40]!r}")
         # Danger (rule 3): the watch may have told of a drain that an older list does not have yet.
@@ -142,6 +145,18 @@
         if self.held.pop(name, None) is not None:
             self.left_out += 1
 
+    def _ask_ahead(self, items: list[dict[str, Any]]) -> None:
+        """Have `wanted` answer for every name, while others run in between: the first answer for a name costs most.
+
+        Danger (rule 1): ranking 10,000 machines for 100 placers in one go takes more than a second.
+        """
+        if self.wanted is _every:
+            return
+        for at in range(0, len(items), ASKED_AT_ONCE):
+            for value in items[at:at + ASKED_AT_ONCE]:
+                self.wanted(_name(value))
+            self._hub.checkpoint()
+
     def _wants(self, value: dict[str, Any]) -> bool:
         """Whether an entry is to be read; asked before anything of it is decoded but its name."""
         name = _name(value)
@@ -213,6 +228,10 @@
             self._log("list-too-long", level="error", machines=len(self.held) + 1, most=self._most)
 
 
+def _every(name: str) -> bool:
+    return True
+
+
 def _name(value: dict[str, Any]) -> str:
     """The name of a listed object; "" where it has none that can be used."""
     meta = value.get("metadata")
