Subsets of a region's machines in one placer: list, links, cold share at the gate

Change: the node subset in the settings (off without it), entries of others passed over before they are decoded, machines that leave are followed until nothing of this placer's is there, each rank's share of a cold machine's offers asked at the gate.

--- a/wingbarrow/core/fleet.py
+++ b/wingbarrow/core/fleet.py
@@ -29,8 +29,8 @@
 class Fleet:
     """Owns which machines are reached and how the module may see them.
 
-    `guards` narrow each entry, in order, before the module has it; `gone`, `listed` and `taken_in` hear of machines
-    that left, of those that are on the list (again), and of each delivery that is taken in.
+    `guards` narrow each entry, in order, before the module and the gate have it; `gone`, `listed` and `taken_in` hear
+    of machines that left, of those that are on the list (again), and of each delivery that is taken in.
     """
 
     def __init__(self, base: Base, host: Host, board: Board, machines: Machines, attempts: Attempts, runs: Runs,
@@ -46,10 +46,14 @@
             random.Random(base.random.random()), settings.limits.machines, base.shift_us, self.take, base.log)
         self.ready = False  # a list of machines has come
         self.guards: list[Guard] = []
+        self.rationed: Guard = lambda entry, listed: listed  # narrows what the module alone sees, last of all
         self.gone: Callable[[str], None] = lambda name: None
         self.listed: Callable[[str], None] = lambda name: None
+        self.spoke: Callable[[str], None] = lambda name: None  # a machine answered a probe
         self.taken_in: Callable[[], None] = lambda: None
         self.drained: Callable[[str], bool] = lambda name: False  # closed by the calendar
+        self.forgotten: Callable[[], None] = lambda: None  # what a former life held cannot be read
+        self.apart: list[Callable[[str], bool]] = []  # which machines are closed to this placer alone
         sightings.told = self._told
 
     @property
@@ -57,6 +61,12 @@
         """The list's entries by name."""
         return self.reflector.held
 
+    @property
+    def part(self) -> float:
+        """The part of the machines on the list that this placer holds; 1.0 where none is left out."""
+        held, left_out = len(self.held), self.reflector.left_out
+        return held / (held + left_out) if left_out else 1.0
+
     # -- the list
 
     def take(self, form: api.ListForm, entries: list[NodeEntry], gone: list[str]) -> None:
@@ -71,7 +81,7 @@
             self._rebirth.saw(entry.name, entry.listed, now)
         # Every entry passes here, and so the guards (rules 3 and 5).
         narrowed = {entry.name: self._narrow(entry) for entry in entries}
-        listed = list(narrowed.values())
+        listed = [self.rationed(entry, narrowed[entry.name]) for entry in entries]
         for name in gone:
             entry_gone = self._leaves(name)
             if form is api.ListForm.CHANGES and entry_gone is not None:
@@ -104,9 +114,13 @@
         return listed
 
     def _leaves(self, name: str) -> api.ListedMachine | None:
+        self.gone(name)
+        return self._as_gone(name)
+
+    def _as_gone(self, name: str) -> api.ListedMachine | None:
+        """A machine that is shown no more, and its last entry as the module is to have it; None where it had none."""
         link = self._machines.links.get(name)
         stored = self._board.drop_node(name)
-        self.gone(name)
         if link is None:
             return None
         link.phase = api.Phase.GONE
@@ -115,12 +129,34 @@
         entry = read_node(stored.value, self._base.shift_us).listed
         return replace(entry, phase=api.Phase.GONE, launched_us=link.launched_us)
 
+    def release(self, name: str) -> None:
+        """Let go of a machine that stays on the list: nothing of this placer's is there, and nothing is sent there.
+
+        To the module and to clients it is gone; to peers, and to what follows the list, nothing is said.
+        """
+        self.reflector.drop(name)
+        entry = self._as_gone(name)
+        link = self._machines.links.get(name)
+        if link is not None:
+            link.release()
+            self._machines.remove(link)
+        if entry is not None:
+            self._host.feed(api.MachineList(api.ListForm.CHANGES, (entry,)))
+
     # -- after a start
 
     def closed_by_start(self, entry: NodeEntry) -> bool:
         """Whether only this placer's own start keeps it from a machine."""
         return self._rebirth.closed(entry.listed)
 
+    def closed_here(self, entry: NodeEntry) -> bool:
+        """Whether a machine is closed to this placer for reasons of its own: no drain that others should hear of."""
+        return self.closed_by_start(entry) or any(closed(entry.name) for closed in self.apart)
+
+    def must_tell(self, name: str) -> bool:
+        """Whether a machine that is not held is off the list, and not merely left out."""
+        return self.ready and self.reflector.wanted(name)
+
     @property
     def reopening(self) -> bool:
         """Whether machines that may be sent to by now are still to be shown to the module."""
@@ -155,22 +191,23 @@
 
     def sees(self, machines: int) -> bool:
         """Whether the list names at least so many machines and each of them has told what it runs."""
-        return len(self.held) >= machines and self._rebirth.waiting == 0 and all(
+        return len(self.held) + self.reflector.left_out >= machines and self._rebirth.waiting == 0 and all(
             link.reachable for link in self._machines.links.values())
 
     # -- connections
 
     def _link(self, entry: NodeEntry, fresh: list[MachineLink]) -> MachineLink:
-        link = self._machines.links.get(entry.name)
+        link, offered_us = self._machines.links.get(entry.name), None
         if link is not None and (link.host, link.port) != (entry.host, entry.port):
             # The machine answers at another address: what was there is reached no more.
             link.retired = True
             link.close()
-            link = None
+            offered_us, link = link.offered_us, None
         if link is None:
             settings = self._base.settings
             link = MachineLink(self._base.hub, entry.name, entry.host, entry.port, settings.name,
                                settings.limits.per_machine, random.Random(self._base.random.random()))
+            link.offered_us = offered_us
             self._machines.add(link)
             fresh.append(link)
         return link
@@ -218,6 +255,8 @@
                 report = link.probe(size)
             finally:
                 self._probes_out -= 1
+            if report is not None:
+                self.spoke(link.name)
             outcome = api.Outcome.DONE if report else api.Outcome.TIMED_OUT
             self._host.feed(api.Probed(machine, outcome, report))
         self._base.spawn(probe, "probe")
--- a/wingbarrow/core/offers.py
+++ b/wingbarrow/core/offers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from wingbarrow import interface as api
 from wingbarrow.core.attempts import Attempt, Attempts, Stage
 from wingbarrow.core.base import Base
 from wingbarrow.core.book import Book, State
 from wingbarrow.core.leaseholder import Leaseholder
 from wingbarrow.core.host import Host
+from wingbarrow.core.link import MachineLink
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.pods import Ended, pod_text
 from wingbarrow.core.requests import Requests
@@ -18,6 +21,21 @@
 from wingbarrow.transport import CancelScope
 
 
+ANEW_MOST = 8  # times that a task is asked for anew
+
+
+class ColdOffers(Protocol):
+    """A placer's share of what cold machines may be sent."""
+
+    def chosen(self, link: MachineLink) -> None:
+        """The module has chosen a machine for an offer that is under way from now on."""
+
+    def left(self, link: MachineLink) -> bool:
+        """Whether one more offer may go to a machine now."""
+
+    def sent(self, attempt: Attempt) -> None:
+        """The first byte of an offer goes out."""
+
 class Offers:
     """Owns the gate that every offer passes right before its first byte."""
 
@@ -28,6 +46,7 @@
         self._requests, self._strays = requests, strays
         rules = base.settings.scheduler
         self._gate = SendGate(rules.cold_us, rules.fall_us)
+        self.cold: ColdOffers | None = None  # where placers hold subsets of the machines
 
     def bind(self, bind: api.Bind) -> None:
         """The module chose a machine: an attempt begins."""
@@ -46,6 +65,8 @@
         attempt.rules, attempt.launched_us = self._rulebook.label, link.launched_us
         self._attempts.add(attempt)
         self._base.counts["binds"] += 1
+        if self.cold is not None:
+            self.cold.chosen(link)
         self._base.spawn(lambda: self._offer(attempt), "offer")
 
     def _may_send(self, attempt: Attempt) -> bool:
@@ -57,11 +78,16 @@
             link.phase is api.Phase.RUNNING, link.launched_us,
             self._rulebook.against(now, attempt.rules, task.job.asked.task_class.task_class.name, link.name,
                                    attempt.decided_us), task.job.leased is None or self._leaseholder is not None
-            and self._leaseholder.may_send(task.job), chosen_launched_us=attempt.launched_us))
+            and self._leaseholder.may_send(task.job), chosen_launched_us=attempt.launched_us,
+            cold_share_left=self.cold is None or self.cold.left(link)))
         if held is not None:
             self._base.counts["held:" + held.name.lower()] += 1
+            attempt.held = held
             return False
         self._attempts.advance(attempt, Stage.SENT)
+        link.offered_us = now
+        if self.cold is not None:
+            self.cold.sent(attempt)
         task.left = True
         return True
 
@@ -88,9 +114,22 @@
             ended = Ended(api.Outcome.CANCELLED, ended.reason, "withdrawn by its owner")
         if ended is None:
             self.runs(attempt)
+        elif self._costs_nothing(attempt):
+            self._base.counts["asked_anew"] += 1
+            self._requests.ask_anew(attempt)
         else:
             self._failed(attempt, ended)
 
+    def _costs_nothing(self, attempt: Attempt) -> bool:
+        """Whether an offer was held for want of a share, chosen in one turn with others that used it up.
+
+        Danger: a few of those would use up all attempts of a task for which no machine was ever asked.
+        """
+        task = attempt.task
+        return (attempt.held is Held.COLD_SHARE and attempt.stage is Stage.WAITING and not task.left
+                and task.job.leased is None and task.anew < ANEW_MOST and task.state is State.ASKED
+                and task.request == attempt.request and self._base.hub.now_us() < task.deadline_us)
+
     def runs(self, attempt: Attempt) -> None:
         """The machine says that the task runs."""
         task, now = attempt.task, self._base.hub.now_us()
