Hollow machines and a rig for capacity measurements; the sampler in one place

Thousands of machines in the laboratory's form cost too much to start; hollow ones speak the same HTTP from one epoll. The ITIMER_PROF sampling of benchmarks.placements moves to benchmarks.capacity.profile and is used by both.

--- /dev/null
+++ b/benchmarks/capacity/placer.py
@@ -0,0 +1,128 @@
+"""The placer under test: one `Service` in a process of its own that tells its figures when asked.
+
+    python -m benchmarks.capacity.placer        (settings as KDL on the first line of standard input, JSON-quoted)
+
+Says its port and its memory before the service was made. Each further line, `MACHINES`, is answered with `Figures`.
+Bytes are counted in `Stream.receive`, `send` and `send_now`, wrapped here before the service is made; of all its
+connections, the list's, the machines' and the clients'.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+
+import msgspec
+
+from benchmarks.capacity.processes import InputLines, raise_descriptor_limit, resident_mb, say
+from benchmarks.capacity.profile import Sampler
+from wingbarrow.config import load_text
+from wingbarrow.core.logs import silent
+from wingbarrow.fronts.serve import Service
+from wingbarrow.transport import Hub, Stream
+from wingbarrow.transport.hub import READ
+
+LOOK_US = 5_000  # whether the list is in is looked at so often
+
+
+class Begun(msgspec.Struct, frozen=True):
+    """What a placer says first: its port, its bare memory and the processor time used so far."""
+
+    port: int
+    bare_mb: float
+    processor_s: float
+    descriptor_limit: int
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """Where a placer stands; `samples` since the last answer, all else since its start."""
+
+    at_s: float  # a monotonic clock
+    processor_s: float
+    list_processor_s: float  # used when the list was in; 0 before
+    sees: bool  # it has its list, and every machine has told what it runs
+    received: int  # bytes
+    sent: int
+    placed_by_news: int
+    samples: dict[str, int]
+
+
+class ByteCount:
+    """Bytes that crossed this process's streams."""
+
+    def __init__(self) -> None:
+        self.received = self.sent = 0
+
+    def start(self) -> None:
+        """Count from now on, by wrapping the stream's methods."""
+        receive, send, send_now = Stream.receive, Stream.send, Stream.send_now
+
+        def counted_receive(stream: Stream, most: int = 65536) -> bytes:
+            data = receive(stream, most)
+            self.received += len(data)
+            return data
+
+        def counted_send(stream: Stream, data: bytes) -> None:
+            self.sent += len(data)
+            send(stream, data)
+
+        def counted_send_now(stream: Stream, data: bytes) -> int:
+            count = send_now(stream, data)
+            self.sent += count
+            return count
+        Stream.receive = counted_receive  # type: ignore[method-assign]
+        Stream.send = counted_send  # type: ignore[method-assign]
+        Stream.send_now = counted_send_now  # type: ignore[method-assign]
+
+
+class Reporter:
+    """Answers what the measurement asks of a running service."""
+
+    def __init__(self, hub: Hub, service: Service, count: ByteCount, sampler: Sampler) -> None:
+        self._hub, self._service, self._count, self._sampler = hub, service, count, sampler
+        self._list_processor_s = 0.0
+
+    def note_list(self) -> None:
+        """Note the processor time at which the list was in."""
+        while not self._service.placer.ready:
+            self._hub.sleep(LOOK_US)
+        self._list_processor_s = time.process_time()
+
+    def run(self, lines: InputLines) -> None:
+        """Answer each line; the process ends with its input."""
+        while True:
+            self._hub.wait(0, READ)
+            asked = lines.read()
+            if asked is None:
+                os._exit(0)
+            for line in asked:
+                say(self._figures(int(line)))
+
+    def _figures(self, machines: int) -> Figures:
+        placer = self._service.placer
+        return Figures(time.monotonic(), time.process_time(), self._list_processor_s,
+                       placer.ready and placer.sees(machines), self._count.received, self._count.sent,
+                       placer.base.counts["placed_by_news"], self._sampler.take())
+
+
+def main() -> None:
+    """Serve with the settings of the first line."""
+    limit, lines = raise_descriptor_limit(), InputLines()
+    settings = load_text(msgspec.json.decode(lines.first(), type=str))
+    hub, count, sampler = Hub(), ByteCount(), Sampler()
+    count.start()
+    bare_mb, begun_s = resident_mb(os.getpid()), time.process_time()
+
+    def serve() -> None:
+        service = Service(hub, settings, silent)
+        reporter = Reporter(hub, service, count, sampler)
+        hub.spawn(reporter.note_list, "notes the list")
+        hub.spawn(lambda: reporter.run(lines), "reports")
+        sampler.start()
+        say(Begun(service.rest.port, bare_mb, begun_s, limit))
+        service.run()
+    hub.run(serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity/rig.py
@@ -0,0 +1,121 @@
+"""One placer under test among hollow machines: list source, machines and placer, each in processes of its own."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator, Mapping
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+
+import msgspec
+
+from benchmarks.capacity.placer import Begun, Figures
+from benchmarks.capacity.processes import Child, MeasureFailed, descriptors, raise_descriptor_limit, resident_mb
+from benchmarks.capacity.source import Ports
+from wingbarrow.lab.cluster import settings_text
+
+MACHINES_PER_PROCESS = 3_250  # each takes three descriptors: its listener, its watch and a connection for offers
+SPARE_DESCRIPTORS = 500
+START_S = 120.0  # until the machines are up, and again until the placer sees them
+LOOK_S = 0.2
+_PACKAGE = "benchmarks.capacity"
+
+
+@dataclass(frozen=True)
+class Rig:
+    """The processes of one measurement."""
+
+    machines: int
+    source: Child
+    hollow: list[Child]
+    placer: Child
+    begun: Begun
+    ready_s: float  # from the placer's start until it saw all machines
+
+    def figures(self) -> Figures:
+        """Where the placer stands."""
+        return self.placer.ask(str(self.machines), Figures, 60.0)
+
+    def memory_mb(self) -> float:
+        """The placer's resident memory."""
+        return resident_mb(self.placer.pid)
+
+    def descriptors(self) -> int:
+        """The placer's open descriptors."""
+        return descriptors(self.placer.pid)
+
+    def machines_do(self, command: str, most: int) -> int:
+        """Have the machines end pods or close watches, `most` in all; how many that was."""
+        done = 0
+        for child in self.hollow:
+            if done < most:
+                done += child.ask(f"{command} {most - done}", int)
+        return done
+
+    def held(self) -> int:
+        """Pods that run on the machines."""
+        return sum(child.ask("held", int) for child in self.hollow)
+
+    def wait_seen(self, within_s: float = START_S) -> Figures:
+        """Wait until the placer has its list and every machine has told what it runs; its figures then."""
+        until = time.monotonic() + within_s
+        while not (figures := self.figures()).sees:
+            if time.monotonic() >= until:
+                raise MeasureFailed(f"the placer does not see its {self.machines} machines within {within_s:g} s")
+            time.sleep(LOOK_S)
+        return figures
+
+
+def placer_settings(source_port: int, machines: int, limits: Mapping[str, int] | None = None, extra: str = "") -> str:
+    """The laboratory's settings, with limits by their names in KDL, and more KDL text."""
+    wanted = {"window": 65_536, "machines": machines + 100, **(limits or {})}
+    lines = "; ".join(f"{name} {value}" for name, value in wanted.items())
+    return f'{settings_text(0, 1, 1, source_port)}limits {{ {lines}; }}\nallow-peer "127.0.0.0/8"\n{extra}\n'
+
+
+def check_sizes(sizes: tuple[int, ...]) -> None:
+    """Refuse sizes that cannot be measured: ValueError."""
+    if not sizes or min(sizes) < 1:
+        raise ValueError(f"sizes of at least 1 are wanted, not {sizes}")
+
+
+def _check_descriptors(machines: int) -> None:
+    limit, needed = raise_descriptor_limit(), machines + machines // 10 + SPARE_DESCRIPTORS
+    if needed > limit:
+        raise MeasureFailed(f"{machines} machines need about {needed} descriptors in the placer, whose limit is {limit}")
+
+
+@contextmanager
+def running(machines: int, limits: Mapping[str, int] | None = None, extra: str = "",
+            replace: Mapping[str, str] | None = None) -> Iterator[Rig]:
+    """All processes, the placer with its list and links; they end with the block, whatever happens.
+
+    `replace`: parts of the settings' text to be replaced.
+    """
+    _check_descriptors(machines)
+    with ExitStack() as stack:
+        source = stack.enter_context(Child(f"{_PACKAGE}.source", str(machines)))
+        ports = source.read(Ports, START_S)
+        hollow = [stack.enter_context(Child(f"{_PACKAGE}.hollow", str(first),
+                                            str(min(MACHINES_PER_PROCESS, machines - first)), str(ports.news)))
+                  for first in range(0, machines, MACHINES_PER_PROCESS)]
+        for child in hollow:
+            child.read(int, START_S)
+        _wait_listed(source, machines)
+        text = placer_settings(ports.source, machines, limits, extra)
+        for old, new in (replace or {}).items():
+            text = text.replace(old, new)
+        placer = stack.enter_context(Child(f"{_PACKAGE}.placer"))
+        begun = placer.ask(msgspec.json.encode(text).decode(), Begun)
+        begun_at_s = time.monotonic()
+        rig = Rig(machines, source, hollow, placer, begun, 0.0)
+        rig.wait_seen()
+        yield Rig(machines, source, hollow, placer, begun, time.monotonic() - begun_at_s)
+
+
+def _wait_listed(source: Child, machines: int) -> None:
+    until = time.monotonic() + START_S
+    while (known := source.ask("count", int)) < machines:
+        if time.monotonic() >= until:
+            raise MeasureFailed(f"the list source knows {known} of {machines} machines after {START_S:g} s")
+        time.sleep(LOOK_S)
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -15,16 +15,15 @@
 import os
 import platform
 import random
-import signal
 import sys
 import time
 from collections import Counter
 from multiprocessing.connection import Connection
-from types import FrameType
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
+from benchmarks.capacity.profile import PARTS, Sampler
 from wingbarrow.config import load_text
 from wingbarrow.core.logs import silent
 from wingbarrow.fronts.serve import Service
@@ -73,26 +72,10 @@
     hub.run(main)
 
 
-def booked(frame: FrameType | None) -> str:
-    """Which part of the project a stack stands in."""
-    while frame is not None:
-        name = frame.f_code.co_filename.rpartition("/wingbarrow/")[2]
-        if name.startswith("logic"):
-            return "module"
-        part = name.partition("/")[0]
-        if part in ("transport", "http"):
-            return {"transport": "hub", "http": "http"}[part]
-        if part in ("core", "decide", "kube", "fronts", "config"):
-            return "core"
-        frame = frame.f_back
-    return "other"
-
-
 def placer(pipe: Connection, source: int) -> None:
-    hub, samples = Hub(), Counter[str]()
+    hub, sampler = Hub(), Sampler()
     settings = load_text(settings_text(0, 1, 1, source).replace("drain grace", "limits { window 65536; }\ndrain grace")
                          + '\nallow-peer "127.0.0.0/8"\n')
-    signal.signal(signal.SIGPROF, lambda _, frame: samples.update([booked(frame)]))
 
     def main() -> None:
         service = Service(hub, settings, silent)
@@ -103,11 +86,10 @@
                 hub.wait(pipe.fileno(), 1)
                 pipe.recv()
                 usage = time.process_time()
-                pipe.send({"samples": dict(samples), "cpu_s": usage, "ready": service.placer.ready,
+                pipe.send({"samples": sampler.take(), "cpu_s": usage, "ready": service.placer.ready,
                            "counts": dict(service.placer.base.counts), "module_s": service.placer.host.module_ns / 1e9})
-                samples.clear()
         hub.spawn(report)
-        signal.setitimer(signal.ITIMER_PROF, 0.002, 0.002)
+        sampler.start()
         service.run()
     hub.run(main)
 
@@ -228,8 +210,7 @@
         after = pipe.recv()
         total = sum(after["samples"].values()) or 1
         run["placer_cpu_share"] = round((after["cpu_s"] - before["cpu_s"]) / seconds, 2)
-        run["share"] = {name: round(after["samples"].get(name, 0) / total, 2)
-                        for name in ("module", "core", "http", "hub", "other")}
+        run["share"] = {name: round(after["samples"].get(name, 0) / total, 2) for name in PARTS}
         runs.append(run)
         if askers and outstanding == 32:
             asking, asking_pipe, _ = started(learners, port, askers)
