--- /dev/null
+++ b/benchmarks/capacity/machines.py
@@ -0,0 +1,183 @@
+"""What one placer pays for the machines of its list.
+
+One real placer process (`wingbarrow.fronts.serve.Service`) with the laboratory's settings, the laboratory's list source
+and hollow machines (`benchmarks.capacity.hollow`), over loopback and in real time. For each size, one after the other:
+
+1. Start: memory before the service was made and with list and links, processor time until the list was in and until
+   every machine was seen, open descriptors.
+2. Idle: no load and a quiet list; each machine's watch gets a bookmark each 20 s, spread evenly.
+3. Changes: entries of the list change one by one; the processor time beyond idle, and the bytes, by entry. The module's
+   own part is measured beside it, in a fresh process without sockets.
+4. Watches renewed: some are closed by their machines; the processor time beyond idle, by watch. A watch on which
+   nothing comes for 30 s is renewed by the placer in the same way.
+5. Load: Jobs of one task of 1.5 s, first one outstanding, then 32. Each second the list tells of the room of machines
+   whose pods have changed. Shares by part are samples of processor time; what is no part of the project is left out.
+
+Bytes are counted by a wrapper of the placer's streams (`benchmarks.capacity.placer`), of all its connections together.
+A time to place is that of a machine that starts a task at once. Sizes need about 1.1 descriptors a machine in the
+placer: soft limits are raised to the hard ones, and a size beyond them is refused.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from benchmarks.capacity import rig as rigs
+from benchmarks.capacity.load import Loaded
+from benchmarks.capacity.module_cost import ModuleCost
+from benchmarks.capacity.placer import Figures
+from benchmarks.capacity.processes import Child, MeasureFailed
+from benchmarks.capacity.profile import PARTS
+from benchmarks.capacity.results import Point
+
+DEFAULT_SIZES = (100, 1_000, 3_000, 13_000)
+LOAD_MANY = 32
+WATCHES_CUT_MOST = 500
+MODULE_TASKS = 400
+MODULE_COST_S = 120.0
+MS_PER_S = 1_000
+
+
+@dataclass(frozen=True)
+class Extent:
+    """How long each part takes, and how often something is done."""
+
+    idle_s: float = 5.0
+    changes: int = 40
+    change_every_ms: int = 100
+    renewal_s: float = 3.0  # after the watches were cut
+    warm_s: float = 1.0
+    load_s: float = 6.0
+
+
+def measure(sizes: Sequence[int], *, settings_extra: str = "", label: str = "",
+            extent: Extent = Extent()) -> Iterator[Point]:  # noqa: B008 - frozen
+    """Measure at each size in turn; ValueError for a size below 1, MeasureFailed where a size cannot be measured.
+
+    `settings_extra` is KDL that is added to the placer's settings; `label` is added to the names of the measures.
+    """
+    rigs.check_sizes(tuple(sizes))
+    for size in sizes:
+        taken = _Size(size, label, extent)
+        taken.take(settings_extra)
+        yield from taken.points
+
+
+class _Size:
+    """One size: its points as they are taken."""
+
+    def __init__(self, size: int, label: str, extent: Extent) -> None:
+        self._size, self._extent = size, extent
+        self._suffix = f" ({label})" if label else ""
+        self.points: list[Point] = []
+        self._idle_share = 0.0
+
+    def take(self, settings_extra: str) -> None:
+        with rigs.running(self._size, extra=settings_extra) as rig:
+            self._start(rig)
+            self._idle(rig)
+            self._changes(rig)
+            self._renewals(rig)
+            with Child("benchmarks.capacity.load", str(rig.begun.port)) as owners:
+                self._load(rig, owners)
+            self._add("placer", "resident memory after load", "MB", rig.memory_mb())
+            self._add("placer", "descriptors after load", "descriptors", rig.descriptors())
+        self._module()
+
+    def _add(self, role: str, measure: str, unit: str, value: float) -> None:
+        self.points.append(Point(role, "machines", self._size, measure + self._suffix, unit, value))
+
+    def _start(self, rig: rigs.Rig) -> None:
+        figures, begun = rig.figures(), rig.begun
+        self._add("placer", "resident memory before the list", "MB", begun.bare_mb)
+        self._add("placer", "resident memory", "MB", rig.memory_mb())
+        self._add("placer", "descriptors", "descriptors", rig.descriptors())
+        self._add("placer", "processor to take in the list", "s", figures.list_processor_s - begun.processor_s)
+        self._add("placer", "processor until all machines are seen", "s", figures.processor_s - begun.processor_s)
+        self._add("placer", "time until all machines are seen", "s", rig.ready_s)
+
+    def _idle(self, rig: rigs.Rig) -> None:
+        before = rig.figures()
+        time.sleep(self._extent.idle_s)
+        after = rig.figures()
+        self._idle_share = _share(before, after)
+        self._add("placer", "processor share idle", "share", self._idle_share)
+        self._traffic("idle", before, after)
+
+    def _traffic(self, when: str, before: Figures, after: Figures) -> None:
+        passed_s = after.at_s - before.at_s
+        self._add("placer", f"bytes received {when}", "B/s", (after.received - before.received) / passed_s)
+        self._add("placer", f"bytes sent {when}", "B/s", (after.sent - before.sent) / passed_s)
+
+    def _changes(self, rig: rigs.Rig) -> None:
+        count, every_ms = self._extent.changes, self._extent.change_every_ms
+        before = rig.figures()
+        rig.source.ask(f"change {count} {every_ms}", int, 30.0 + count * every_ms / MS_PER_S)
+        after = rig.figures()
+        self._add("list client", "processor for one changed entry", "ms", self._beyond_idle_ms(before, after) / count)
+        self._add("list client", "processor for one changed entry: module", "ms",
+                  (after.module_s - before.module_s) * MS_PER_S / count)
+        # What bookmarks bring meanwhile is a part of it that is known from the idle time.
+        idle = next(each.value for each in self.points if each.measure.startswith("bytes received idle"))
+        received = after.received - before.received - idle * (after.at_s - before.at_s)
+        self._add("list client", "bytes received for one changed entry", "B", received / count)
+
+    def _beyond_idle_ms(self, before: Figures, after: Figures) -> float:
+        """Processor time of an interval, less what an idle placer would have used; at least a microsecond."""
+        passed_s = after.at_s - before.at_s
+        spent_s = after.processor_s - before.processor_s - self._idle_share * passed_s
+        return max(spent_s * MS_PER_S, 0.001)
+
+    def _renewals(self, rig: rigs.Rig) -> None:
+        before = rig.figures()
+        cut = rig.machines_do("cut", min(self._size, WATCHES_CUT_MOST))
+        if not cut:
+            raise MeasureFailed(f"none of {self._size} machines has a watch")
+        time.sleep(self._extent.renewal_s)
+        after = rig.wait_seen()
+        self._add("machine link", "processor for one watch renewed", "ms", self._beyond_idle_ms(before, after) / cut)
+
+    def _load(self, rig: rigs.Rig, owners: Child) -> None:
+        self._loaded(rig, owners, self._extent.warm_s, 8, "warm")
+        one = self._loaded(rig, owners, self._extent.load_s, 1, "one")[0]
+        self._add("placer", "time to place p50", "ms", one.p50_ms)
+        self._add("placer", "time to place p99", "ms", one.p99_ms)
+        many, before, after = self._loaded(rig, owners, self._extent.load_s, LOAD_MANY, "many")
+        self._add("placer", f"placements a second, {LOAD_MANY} outstanding", "per s", many.placed_per_s)
+        share, samples = _share(before, after), after.samples
+        self._add("placer", "processor share under load", "share", share)
+        placed = many.placed_per_s * (after.at_s - before.at_s)
+        self._add("placer", "processor for one placement", "ms",
+                  (after.processor_s - before.processor_s) / placed * MS_PER_S)
+        for part in PARTS[:-1]:
+            taken = samples.get(part, 0) / max(1, sum(samples.values()))
+            self._add("placer", f"processor share under load: {part}", "share", share * taken)
+        self._traffic("under load", before, after)
+
+    def _loaded(self, rig: rigs.Rig, owners: Child, seconds: float, outstanding: int,
+                prefix: str) -> tuple[Loaded, Figures, Figures]:
+        before = rig.figures()
+        loaded = owners.ask(f"{seconds} {outstanding} {prefix}", Loaded, seconds + 60.0)
+        after = rig.figures()
+        if not loaded.placed_per_s:
+            raise MeasureFailed(f"nothing was placed on {self._size} machines with {outstanding} outstanding")
+        if loaded.not_placed:
+            print(f"{self._size} machines, {outstanding} outstanding: {loaded.not_placed} Jobs were not placed",
+                  file=sys.stderr)
+        return loaded, before, after
+
+    def _module(self) -> None:
+        with Child("benchmarks.capacity.module_cost", str(self._size), str(MODULE_TASKS)) as child:
+            cost = child.read(ModuleCost, MODULE_COST_S)
+        self._add("list client", "module's time for one changed entry", "us", cost.change_us)
+        self._add("list client", "module's time for one arrival", "us", cost.arrival_us)
+        self._add("list client", "module's time for one arrival after a changed entry", "us",
+                  cost.arrival_after_change_us)
+        self._add("list client", "module's memory for the list", "MB", cost.list_mb)
+
+
+def _share(before: Figures, after: Figures) -> float:
+    return (after.processor_s - before.processor_s) / (after.at_s - before.at_s)
--- a/benchmarks/capacity/module_cost.py
+++ b/benchmarks/capacity/module_cost.py
@@ -26,45 +26,77 @@
 
 S = 1_000_000
 CHANGES = 40
+SERVICES = 40  # few, so that most arrivals meet one that is known
 _LONG_US = 3_600 * S
 
 
 class ModuleCost(msgspec.Struct, frozen=True):
-    """The module's memory for the list and for the tasks, and the median time for one changed entry."""
+    """The module's memory for the list and for the tasks, and median times of its events.
+
+    What a changed entry makes stale may be made anew only by the next arrival: that is told beside a plain one.
+    """
 
     list_mb: float
     tasks_mb: float
     change_us: float
+    arrival_us: float
+    arrival_after_change_us: float
     placed: int
 
 
+class _Run:
+    """A new scheduler that is told of machines, tasks and changes."""
+
+    def __init__(self, machines: int) -> None:
+        text = settings_text(0, 1, 1, 1).replace('    spread by="cell" most=3\n', "")
+        self._scheduler, self._random = Scheduler(load_text(text).scheduler, 1), random.Random(1)
+        self._machines, self._now_us, self._requests = machines, 100 * S, 0
+        self.placed = 0
+
+    def tell_list(self) -> None:
+        """The whole list."""
+        entries = tuple(listed(number) for number in range(self._machines))
+        self._scheduler.handle(self._now_us, api.MachineList(api.ListForm.FULL, entries))
+
+    def change(self) -> float:
+        """One changed entry; microseconds."""
+        entry = listed(self._random.randrange(self._machines), self._random.uniform(5, 24))
+        return self._timed(api.MachineList(api.ListForm.CHANGES, (entry,)))[0]
+
+    def arrive(self) -> float:
+        """One task arrives, and is placed; microseconds of its arrival."""
+        self._requests += 1
+        request, service = self._requests, f"s{self._random.randrange(SERVICES)}"
+        spent_us, actions = self._timed(api.TaskArrived(
+            request, "web", service, f"t{request}", 0.1, 0.1, self._now_us + 5 * S, _LONG_US))
+        for action in actions:
+            if isinstance(action, api.Bind):
+                self.placed += 1
+                self._scheduler.handle(self._now_us, api.TaskPlaced(request, 0, action.machine, 1000))
+        return spent_us
+
+    def _timed(self, event: api.Event) -> tuple[float, list[api.Action]]:
+        self._now_us += 2_000
+        begun = time.perf_counter_ns()
+        actions = self._scheduler.handle(self._now_us, event)
+        return (time.perf_counter_ns() - begun) / 1000, actions
+
+
 def measured(machines: int, tasks: int) -> ModuleCost:
-    """Tell a new scheduler of so many machines and tasks."""
-    text = settings_text(0, 1, 1, 1).replace('spread by="cell" most=3', 'spread by="none" most=1')
-    settings = load_text(text).scheduler
-    entries = [listed(number) for number in range(machines)]
-    bare_mb, now, rng = _memory_mb(), 100 * S, random.Random(1)
-    scheduler = Scheduler(settings, 1)
-    scheduler.handle(now, api.MachineList(api.ListForm.FULL, tuple(entries)))
+    """Tell a new scheduler of so many machines and tasks, then of changes."""
+    bare_mb, run = _memory_mb(), _Run(machines)
+    run.tell_list()
     list_mb = _memory_mb()
-    placed = 0
-    for request in range(1, tasks + 1):
-        now += 2_000
-        arrival = api.TaskArrived(request, "web", f"s{rng.randrange(400)}", f"t{request}", 0.1, 0.1, now + 5 * S,
-                                  _LONG_US)
-        for action in scheduler.handle(now, arrival):
-            if isinstance(action, api.Bind):
-                placed += 1
-                scheduler.handle(now, api.TaskPlaced(request, 0, action.machine, 1000))
+    for _ in range(tasks):
+        run.arrive()
     tasks_mb = _memory_mb()
-    spent = []
+    changes, after_changes, plain = [], [], []
     for _ in range(CHANGES):
-        now += 20_000
-        change = api.MachineList(api.ListForm.CHANGES, (listed(rng.randrange(machines), rng.uniform(5, 24)),))
-        begun = time.perf_counter_ns()
-        scheduler.handle(now, change)
-        spent.append((time.perf_counter_ns() - begun) / 1000)
-    return ModuleCost(list_mb - bare_mb, tasks_mb - list_mb, statistics.median(spent), placed)
+        changes.append(run.change())
+        after_changes.append(run.arrive())
+        plain.append(run.arrive())
+    return ModuleCost(list_mb - bare_mb, tasks_mb - list_mb, statistics.median(changes), statistics.median(plain),
+                      statistics.median(after_changes), run.placed)
 
 
 def _memory_mb() -> float:
--- a/benchmarks/capacity/placer.py
+++ b/benchmarks/capacity/placer.py
@@ -39,6 +39,7 @@
 
     at_s: float  # a monotonic clock
     processor_s: float
+    module_s: float  # spent in `Scheduler.handle`
     list_processor_s: float  # used when the list was in; 0 before
     sees: bool  # it has its list, and every machine has told what it runs
     received: int  # bytes
@@ -100,9 +101,9 @@
 
     def _figures(self, machines: int) -> Figures:
         placer = self._service.placer
-        return Figures(time.monotonic(), time.process_time(), self._list_processor_s,
-                       placer.ready and placer.sees(machines), self._count.received, self._count.sent,
-                       placer.base.counts["placed_by_news"], self._sampler.take())
+        return Figures(time.monotonic(), time.process_time(), placer.host.module_ns / 1e9,
+                       self._list_processor_s, placer.ready and placer.sees(machines), self._count.received,
+                       self._count.sent, placer.base.counts["placed_by_news"], self._sampler.take())
 
 
 def main() -> None:
--- a/benchmarks/capacity/rig.py
+++ b/benchmarks/capacity/rig.py
@@ -82,7 +82,7 @@
 def _check_descriptors(machines: int) -> None:
     limit, needed = raise_descriptor_limit(), machines + machines // 10 + SPARE_DESCRIPTORS
     if needed > limit:
-        raise MeasureFailed(f"{machines} machines need about {needed} descriptors in the placer, whose limit is {limit}")
+        raise MeasureFailed(f"{machines} machines need about {needed} descriptors in the placer; the limit is {limit}")
 
 
 @contextmanager
