--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -1,6 +1,6 @@
 """Hollow machines: stand-ins that speak the machine's HTTP over real sockets, some thousands to a process.
 
-    python -m benchmarks.capacity.hollow FIRST COUNT NEWS_PORT
+    python -m benchmarks.capacity.hollow FIRST COUNT
 
 Each has a listener of its own and keeps its pods; there is no admission, no queue and no start: a Pod that is POSTed is
 "Running" in the answer, "Succeeded" after its `wingbarrow.io/runs-for`, and deleted a while later. Lists and watches
@@ -8,7 +8,8 @@
 without news is not taken for dead. What a hollow machine itself costs is not measured.
 
 It tells the list source over a connection of its own: at the start of each machine's address, then once a second of
-those whose asked room has changed. On standard input it takes one command a line: `held`, the number of running pods;
+those whose asked room has changed. The port for that is the first line of standard input, answered with COUNT once the
+machines listen. Then it takes one command a line: `held`, the number of running pods;
 `end N`, end so many now; `cut N`, close so many watches. Each is answered with a number.
 """
 
@@ -91,23 +92,24 @@
 class Hollow:
     """All machines of one process on one `epoll`."""
 
-    def __init__(self, first: int, count: int, news_port: int) -> None:
+    def __init__(self, first: int, count: int) -> None:
         self._poll = select.epoll()
         self._host = f"127.0.1.{1 + first % 250}"
         self._handlers: dict[int, Callable[[int], None]] = {}
         self._due: list[tuple[float, int, Machine, str]] = []
         self._order = 0
         self._dirty: dict[int, Machine] = {}
-        self._news = socket.create_connection(("127.0.0.1", news_port))
         self._listeners: list[socket.socket] = []
         self._machines = [self._listen(first + offset) for offset in range(count)]
         self._marked = 0.0  # position of the next machine that gets its bookmark
         self._input = InputLines()
         self._open = True
-        self._tell(self._machines)
 
     def run(self) -> None:
         """Serve until the standard input ends."""
+        self._news = socket.create_connection(("127.0.0.1", int(self._input.first())))
+        self._tell(self._machines)
+        say(len(self._machines))
         self._poll.register(0, select.EPOLLIN)
         self._handlers[0] = lambda _: self._command()
         next_turn = next_tell = time.monotonic()
@@ -350,11 +352,8 @@
 
 def main() -> None:
     """Run the machines FIRST to FIRST + COUNT - 1."""
-    first, count, news_port = map(int, sys.argv[1:])
     raise_descriptor_limit()
-    hollow = Hollow(first, count, news_port)
-    say(count)
-    hollow.run()
+    Hollow(*map(int, sys.argv[1:])).run()
 
 
 if __name__ == "__main__":
--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -7,7 +7,8 @@
    every machine was seen, open descriptors.
 2. Idle: no load and a quiet list; each machine's watch gets a bookmark each 20 s, spread evenly.
 3. Changes: entries of the list change one by one; the processor time beyond idle, and the bytes, by entry. The module's
-   own part is measured beside it, in a fresh process without sockets.
+   own part is the wall time of its calls, with caches that went cold in between; it is also measured in a fresh
+   process without sockets, where changes come at once.
 4. Watches renewed: some are closed by their machines; the processor time beyond idle, by watch. A watch on which
    nothing comes for 30 s is renewed by the placer in the same way.
 5. Load: Jobs of one task of 1.5 s, first one outstanding, then 32. Each second the list tells of the room of machines
@@ -27,9 +28,8 @@
 
 from benchmarks.capacity import rig as rigs
 from benchmarks.capacity.load import Loaded
-from benchmarks.capacity.module_cost import ModuleCost
 from benchmarks.capacity.placer import Figures
-from benchmarks.capacity.processes import Child, MeasureFailed
+from benchmarks.capacity.processes import MeasureFailed
 from benchmarks.capacity.profile import PARTS
 from benchmarks.capacity.results import Point
 
@@ -37,7 +37,7 @@
 LOAD_MANY = 32
 WATCHES_CUT_MOST = 500
 MODULE_TASKS = 400
-MODULE_COST_S = 120.0
+ANSWER_S = 60.0  # after a run, for what is outstanding
 MS_PER_S = 1_000
 
 
@@ -76,13 +76,13 @@
         self._idle_share = 0.0
 
     def take(self, settings_extra: str) -> None:
-        with rigs.running(self._size, extra=settings_extra) as rig:
+        """All parts, in the order that the module's docstring tells."""
+        with rigs.running(self._size, "load", extra=settings_extra) as rig:
             self._start(rig)
             self._idle(rig)
             self._changes(rig)
             self._renewals(rig)
-            with Child("benchmarks.capacity.load", str(rig.begun.port)) as owners:
-                self._load(rig, owners)
+            self._load(rig)
             self._add("placer", "resident memory after load", "MB", rig.memory_mb())
             self._add("placer", "descriptors after load", "descriptors", rig.descriptors())
         self._module()
@@ -118,7 +118,7 @@
         rig.source.ask(f"change {count} {every_ms}", int, 30.0 + count * every_ms / MS_PER_S)
         after = rig.figures()
         self._add("list client", "processor for one changed entry", "ms", self._beyond_idle_ms(before, after) / count)
-        self._add("list client", "processor for one changed entry: module", "ms",
+        self._add("list client", "time in the module for one changed entry", "ms",
                   (after.module_s - before.module_s) * MS_PER_S / count)
         # What bookmarks bring meanwhile is a part of it that is known from the idle time.
         idle = next(each.value for each in self.points if each.measure.startswith("bytes received idle"))
@@ -140,12 +140,12 @@
         after = rig.wait_seen()
         self._add("machine link", "processor for one watch renewed", "ms", self._beyond_idle_ms(before, after) / cut)
 
-    def _load(self, rig: rigs.Rig, owners: Child) -> None:
-        self._loaded(rig, owners, self._extent.warm_s, 8, "warm")
-        one = self._loaded(rig, owners, self._extent.load_s, 1, "one")[0]
+    def _load(self, rig: rigs.Rig) -> None:
+        self._loaded(rig, self._extent.warm_s, 8, "warm")
+        one = self._loaded(rig, self._extent.load_s, 1, "one")[0]
         self._add("placer", "time to place p50", "ms", one.p50_ms)
         self._add("placer", "time to place p99", "ms", one.p99_ms)
-        many, before, after = self._loaded(rig, owners, self._extent.load_s, LOAD_MANY, "many")
+        many, before, after = self._loaded(rig, self._extent.load_s, LOAD_MANY, "many")
         self._add("placer", f"placements a second, {LOAD_MANY} outstanding", "per s", many.placed_per_s)
         share, samples = _share(before, after), after.samples
         self._add("placer", "processor share under load", "share", share)
@@ -157,21 +157,19 @@
             self._add("placer", f"processor share under load: {part}", "share", share * taken)
         self._traffic("under load", before, after)
 
-    def _loaded(self, rig: rigs.Rig, owners: Child, seconds: float, outstanding: int,
-                prefix: str) -> tuple[Loaded, Figures, Figures]:
+    def _loaded(self, rig: rigs.Rig, seconds: float, outstanding: int, prefix: str) -> tuple[Loaded, Figures, Figures]:
         before = rig.figures()
-        loaded = owners.ask(f"{seconds} {outstanding} {prefix}", Loaded, seconds + 60.0)
+        loaded = rig.owners.ask(f"{rig.begun.port} {seconds} {outstanding} {prefix}", Loaded, seconds + ANSWER_S)
         after = rig.figures()
         if not loaded.placed_per_s:
             raise MeasureFailed(f"nothing was placed on {self._size} machines with {outstanding} outstanding")
-        if loaded.not_placed:
-            print(f"{self._size} machines, {outstanding} outstanding: {loaded.not_placed} Jobs were not placed",
-                  file=sys.stderr)
+        if loaded.not_placed or loaded.turned_away:
+            print(f"{self._size} machines, {outstanding} outstanding: {loaded.not_placed} Jobs were not placed, "
+                  f"{loaded.turned_away} were turned away at the door", file=sys.stderr)
         return loaded, before, after
 
     def _module(self) -> None:
-        with Child("benchmarks.capacity.module_cost", str(self._size), str(MODULE_TASKS)) as child:
-            cost = child.read(ModuleCost, MODULE_COST_S)
+        cost = rigs.module_cost(self._size, MODULE_TASKS)
         self._add("list client", "module's time for one changed entry", "us", cost.change_us)
         self._add("list client", "module's time for one arrival", "us", cost.arrival_us)
         self._add("list client", "module's time for one arrival after a changed entry", "us",
--- a/benchmarks/capacity/module_cost.py
+++ b/benchmarks/capacity/module_cost.py
@@ -2,8 +2,9 @@
 
     python -m benchmarks.capacity.module_cost MACHINES TASKS
 
-As `benchmarks.decisions` does, nothing is sent anywhere: the list is told, TASKS tasks arrive and are placed, then
-entries of the list change one by one. Time is wall time inside `Scheduler.handle`; memory is resident memory.
+The settings are one JSON string of KDL on standard input. As in `benchmarks.decisions`, nothing is sent anywhere: the
+list is told, TASKS tasks arrive and are placed, then entries of the list change one by one. Time is wall time inside
+`Scheduler.handle`; memory is by how much the resident memory has grown.
 """
 
 from __future__ import annotations
@@ -17,11 +18,9 @@
 
 import msgspec
 
-from benchmarks.capacity.processes import resident_mb, say
-from benchmarks.decisions import listed
+from benchmarks.capacity.processes import InputLines, resident_mb, say
 from wingbarrow import interface as api
 from wingbarrow.config import load_text
-from wingbarrow.lab.cluster import settings_text
 from wingbarrow.logic import Scheduler
 
 S = 1_000_000
@@ -44,12 +43,17 @@
     placed: int
 
 
+def listed(number: int, free: float = 20.0) -> api.ListedMachine:
+    """An entry of the list: two halls, racks of three, each fourth large."""
+    return api.ListedMachine(number, "large" if number % 4 == 3 else "small", number // 3, f"hall-{number % 2}",
+                             api.Phase.RUNNING, 0, free, 2 * free)
+
+
 class _Run:
     """A new scheduler that is told of machines, tasks and changes."""
 
-    def __init__(self, machines: int) -> None:
-        text = settings_text(0, 1, 1, 1).replace('    spread by="cell" most=3\n', "")
-        self._scheduler, self._random = Scheduler(load_text(text).scheduler, 1), random.Random(1)
+    def __init__(self, settings: api.Settings, machines: int) -> None:
+        self._scheduler, self._random = Scheduler(settings, 1), random.Random(1)
         self._machines, self._now_us, self._requests = machines, 100 * S, 0
         self.placed = 0
 
@@ -82,9 +86,9 @@
         return (time.perf_counter_ns() - begun) / 1000, actions
 
 
-def measured(machines: int, tasks: int) -> ModuleCost:
+def measured(settings: api.Settings, machines: int, tasks: int) -> ModuleCost:
     """Tell a new scheduler of so many machines and tasks, then of changes."""
-    bare_mb, run = _memory_mb(), _Run(machines)
+    bare_mb, run = _memory_mb(), _Run(settings, machines)
     run.tell_list()
     list_mb = _memory_mb()
     for _ in range(tasks):
@@ -95,8 +99,8 @@
         changes.append(run.change())
         after_changes.append(run.arrive())
         plain.append(run.arrive())
-    return ModuleCost(list_mb - bare_mb, tasks_mb - list_mb, statistics.median(changes), statistics.median(plain),
-                      statistics.median(after_changes), run.placed)
+    return ModuleCost(max(0.0, list_mb - bare_mb), max(0.0, tasks_mb - list_mb), statistics.median(changes),
+                      statistics.median(plain), statistics.median(after_changes), run.placed)
 
 
 def _memory_mb() -> float:
@@ -106,7 +110,8 @@
 
 def main() -> None:
     """Measure once and say it."""
-    say(measured(*map(int, sys.argv[1:])))
+    settings = load_text(msgspec.json.decode(InputLines().first(), type=str)).scheduler
+    say(measured(settings, *map(int, sys.argv[1:])))
 
 
 if __name__ == "__main__":
--- a/benchmarks/capacity/placer.py
+++ b/benchmarks/capacity/placer.py
@@ -1,16 +1,21 @@
 """The placer under test: one `Service` in a process of its own that tells its figures when asked.
 
-    python -m benchmarks.capacity.placer        (settings as KDL on the first line of standard input, JSON-quoted)
+    python -m benchmarks.capacity.placer [traced]
 
-Says its port and its memory before the service was made. Each further line, `MACHINES`, is answered with `Figures`.
+Reads its settings, KDL as one JSON string, from the first line of standard input. Says its port and its memory before
+the service was made. Each further line, `MACHINES`, is answered with `Figures`; `trace` with `Traced`.
 Bytes are counted in `Stream.receive`, `send` and `send_now`, wrapped here before the service is made; of all its
 connections, the list's, the machines' and the clients'.
 """
 
 from __future__ import annotations
 
+import gc
 import os
+import sys
 import time
+import tracemalloc
+from collections import Counter
 
 import msgspec
 
@@ -22,6 +27,9 @@
 from wingbarrow.transport import Hub, Stream
 from wingbarrow.transport.hub import READ
 
+MEMORY_PARTS = ("attempts", "book", "module", "core", "connections", "objects shown")
+_PART_BY_FILE = {"core/attempts": "attempts", "core/stages": "attempts", "core/book": "book"}
+_PART_BY_PACKAGE = {"core": "core", "http": "connections", "transport": "connections", "kube": "objects shown"}
 LOOK_US = 5_000  # whether the list is in is looked at so often
 
 
@@ -44,10 +52,35 @@
     sees: bool  # it has its list, and every machine has told what it runs
     received: int  # bytes
     sent: int
-    placed_by_news: int
+    tasks_open: int
     samples: dict[str, int]
 
 
+class Traced(msgspec.Struct, frozen=True):
+    """Bytes that are allocated now, by the part of the program whose line asked for them."""
+
+    bytes_by_part: dict[str, int]
+
+
+def memory_part(path: str) -> str:
+    """The part of the program that a source file belongs to: one of `MEMORY_PARTS`, or "other"."""
+    name = path.rpartition("/wingbarrow/")[2].removesuffix(".py")
+    if name.startswith("logic"):
+        return "module"
+    return _PART_BY_FILE.get(name) or _PART_BY_PACKAGE.get(name.partition("/")[0], "other")
+
+
+def trace() -> Traced:
+    """Where memory lies; empty unless allocations are traced."""
+    if not tracemalloc.is_tracing():
+        return Traced({})
+    gc.collect()
+    sums: Counter[str] = Counter()
+    for each in tracemalloc.take_snapshot().statistics("filename"):
+        sums[memory_part(each.traceback[0].filename)] += each.size
+    return Traced(dict(sums))
+
+
 class ByteCount:
     """Bytes that crossed this process's streams."""
 
@@ -56,20 +89,20 @@
 
     def start(self) -> None:
         """Count from now on, by wrapping the stream's methods."""
-        receive, send, send_now = Stream.receive, Stream.send, Stream.send_now
+        total, receive, send, send_now = self, Stream.receive, Stream.send, Stream.send_now
 
-        def counted_receive(stream: Stream, most: int = 65536) -> bytes:
-            data = receive(stream, most)
-            self.received += len(data)
+        def counted_receive(self: Stream, most: int = 65536) -> bytes:
+            data = receive(self, most)
+            total.received += len(data)
             return data
 
-        def counted_send(stream: Stream, data: bytes) -> None:
-            self.sent += len(data)
-            send(stream, data)
+        def counted_send(self: Stream, data: bytes) -> None:
+            total.sent += len(data)
+            send(self, data)
 
-        def counted_send_now(stream: Stream, data: bytes) -> int:
-            count = send_now(stream, data)
-            self.sent += count
+        def counted_send_now(self: Stream, data: bytes) -> int:
+            count = send_now(self, data)
+            total.sent += count
             return count
         Stream.receive = counted_receive  # type: ignore[method-assign]
         Stream.send = counted_send  # type: ignore[method-assign]
@@ -97,19 +130,21 @@
             if asked is None:
                 os._exit(0)
             for line in asked:
-                say(self._figures(int(line)))
+                say(trace() if line == "trace" else self._figures(int(line)))
 
     def _figures(self, machines: int) -> Figures:
         placer = self._service.placer
         return Figures(time.monotonic(), time.process_time(), placer.host.module_ns / 1e9,
                        self._list_processor_s, placer.ready and placer.sees(machines), self._count.received,
-                       self._count.sent, placer.base.counts["placed_by_news"], self._sampler.take())
+                       self._count.sent, placer.book.admission.open, self._sampler.take())
 
 
 def main() -> None:
     """Serve with the settings of the first line."""
     limit, lines = raise_descriptor_limit(), InputLines()
     settings = load_text(msgspec.json.decode(lines.first(), type=str))
+    if "traced" in sys.argv[1:]:
+        tracemalloc.start()
     hub, count, sampler = Hub(), ByteCount(), Sampler()
     count.start()
     bare_mb, begun_s = resident_mb(os.getpid()), time.process_time()
--- a/benchmarks/capacity/rig.py
+++ b/benchmarks/capacity/rig.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Iterator, Mapping
 from contextlib import ExitStack, contextmanager
@@ -9,15 +10,19 @@
 
 import msgspec
 
+from benchmarks.capacity.module_cost import ModuleCost
 from benchmarks.capacity.placer import Begun, Figures
 from benchmarks.capacity.processes import Child, MeasureFailed, descriptors, raise_descriptor_limit, resident_mb
 from benchmarks.capacity.source import Ports
+from wingbarrow.config import load_text
 from wingbarrow.lab.cluster import settings_text
 
 MACHINES_PER_PROCESS = 3_250  # each takes three descriptors: its listener, its watch and a connection for offers
 SPARE_DESCRIPTORS = 500
 START_S = 120.0  # until the machines are up, and again until the placer sees them
-LOOK_S = 0.2
+LOOK_S = 0.1
+MODULE_COST_S = 120.0
+NO_SPREAD = {'    spread by="cell" most=3\n': ""}  # for `replace`: tasks of a service may fill a rack
 _PACKAGE = "benchmarks.capacity"
 
 
@@ -29,6 +34,7 @@
     source: Child
     hollow: list[Child]
     placer: Child
+    owners: Child
     begun: Begun
     ready_s: float  # from the placer's start until it saw all machines
 
@@ -68,11 +74,20 @@
 
 def placer_settings(source_port: int, machines: int, limits: Mapping[str, int] | None = None, extra: str = "") -> str:
     """The laboratory's settings, with limits by their names in KDL, and more KDL text."""
-    wanted = {"window": 65_536, "machines": machines + 100, **(limits or {})}
+    wanted = {"machines": machines + 100, **(limits or {})}
     lines = "; ".join(f"{name} {value}" for name, value in wanted.items())
     return f'{settings_text(0, 1, 1, source_port)}limits {{ {lines}; }}\nallow-peer "127.0.0.0/8"\n{extra}\n'
 
 
+def module_cost(machines: int, tasks: int) -> ModuleCost:
+    """What the decision module alone pays for so many machines and running tasks."""
+    text = settings_text(0, 1, 1, 1)
+    for old, new in NO_SPREAD.items():
+        text = text.replace(old, new)
+    with Child(f"{_PACKAGE}.module_cost", str(machines), str(tasks)) as child:
+        return child.ask(msgspec.json.encode(text).decode(), ModuleCost, MODULE_COST_S)
+
+
 def check_sizes(sizes: tuple[int, ...]) -> None:
     """Refuse sizes that cannot be measured: ValueError."""
     if not sizes or min(sizes) < 1:
@@ -86,31 +101,37 @@
 
 
 @contextmanager
-def running(machines: int, limits: Mapping[str, int] | None = None, extra: str = "",
-            replace: Mapping[str, str] | None = None) -> Iterator[Rig]:
+def running(machines: int, owners: str, limits: Mapping[str, int] | None = None, extra: str = "",
+            replace: Mapping[str, str] | None = None, traced: bool = False) -> Iterator[Rig]:
     """All processes, the placer with its list and links; they end with the block, whatever happens.
 
-    `replace`: parts of the settings' text to be replaced.
+    `owners`: the module of this package that submits Jobs; `replace`: parts of the settings' text to be replaced;
+    `traced`: the placer traces its allocations, and is slow.
     """
     _check_descriptors(machines)
+
+    def text(source_port: int) -> str:
+        settings = placer_settings(source_port, machines, limits, extra)
+        for old, new in (replace or {}).items():
+            settings = settings.replace(old, new)
+        return settings
+    load_text(text(1))  # SettingsError before anything is started
     with ExitStack() as stack:
-        source = stack.enter_context(Child(f"{_PACKAGE}.source", str(machines)))
-        ports = source.read(Ports, START_S)
+        source = stack.enter_context(Child(f"{_PACKAGE}.source"))
         hollow = [stack.enter_context(Child(f"{_PACKAGE}.hollow", str(first),
-                                            str(min(MACHINES_PER_PROCESS, machines - first)), str(ports.news)))
+                                            str(min(MACHINES_PER_PROCESS, machines - first))))
                   for first in range(0, machines, MACHINES_PER_PROCESS)]
+        placer = stack.enter_context(Child(f"{_PACKAGE}.placer", *(["traced"] if traced else [])))
+        asking = stack.enter_context(Child(f"{_PACKAGE}.{owners}"))
+        ports = source.read(Ports, START_S)
         for child in hollow:
-            child.read(int, START_S)
+            child.ask(str(ports.news), int, START_S)
         _wait_listed(source, machines)
-        text = placer_settings(ports.source, machines, limits, extra)
-        for old, new in (replace or {}).items():
-            text = text.replace(old, new)
-        placer = stack.enter_context(Child(f"{_PACKAGE}.placer"))
-        begun = placer.ask(msgspec.json.encode(text).decode(), Begun)
+        begun = placer.ask(msgspec.json.encode(text(ports.source)).decode(), Begun, START_S)
         begun_at_s = time.monotonic()
-        rig = Rig(machines, source, hollow, placer, begun, 0.0)
+        rig = Rig(machines, source, hollow, placer, asking, begun, 0.0)
         rig.wait_seen()
-        yield Rig(machines, source, hollow, placer, begun, time.monotonic() - begun_at_s)
+        yield dataclasses.replace(rig, ready_s=time.monotonic() - begun_at_s)
 
 
 def _wait_listed(source: Child, machines: int) -> None:
--- a/benchmarks/capacity/source.py
+++ b/benchmarks/capacity/source.py
@@ -1,6 +1,6 @@
 """The list source of a measurement: `wingbarrow.lab.source.ListSource` over what hollow machines tell of themselves.
 
-    python -m benchmarks.capacity.source MACHINES
+    python -m benchmarks.capacity.source
 
 Says its ports; `count` on standard input is answered with the number of machines known. `change N EVERY_MS` changes
 the free room of N entries, one at a time, and is answered when all are shown. Once a machine tells of room that its
@@ -10,15 +10,13 @@
 from __future__ import annotations
 
 import os
-import sys
+from typing import Any
 
 import msgspec
 
 from benchmarks.capacity.hollow import Told
 from benchmarks.capacity.processes import InputLines, raise_descriptor_limit, say
 from wingbarrow.kube import names
-from wingbarrow.lab.build import Build
-from wingbarrow.lab.cluster import LARGE, SMALL, place
 from wingbarrow.lab.record import Recorder
 from wingbarrow.lab.source import ListSource
 from wingbarrow.transport import Hub, Stream, listen
@@ -26,7 +24,8 @@
 
 MS = 1_000
 _WINDOW = 65_536  # changes kept: more than any measurement makes while its placer is away
-_DECODER = msgspec.json.Decoder(Told)
+_KINDS = (("small", 24.0, 48.0), ("large", 48.0, 96.0))  # of the laboratory's settings: name, cores, GiB
+_DECODER: msgspec.json.Decoder[Told] = msgspec.json.Decoder(Told)
 
 
 class Ports(msgspec.Struct, frozen=True):
@@ -36,21 +35,24 @@
     news: int
 
 
-def node_value(told: Told, machines: int, nudge: float = 0.0) -> dict[str, object]:
-    """The Node of a hollow machine; `nudge`: cores that are shown as free beside those that are."""
-    hall, rack = place(told.index, machines)
-    build: Build = LARGE if told.index % 4 == 3 else SMALL
+def node_value(told: Told, nudge: float = 0.0) -> dict[str, Any]:
+    """The Node of a hollow machine: two halls, racks of three, each fourth large.
+
+    `nudge`: cores that are shown as free beside those that are.
+    """
+    kind, cores, memory = _KINDS[told.index % 4 == 3]
     name = f"node-{told.index}"
     return {
         "kind": "Node", "apiVersion": "v1",
         "metadata": {"name": name, "uid": names.uid("node", name),
-                     "annotations": {names.FREE_CORES: f"{build.cores - told.cores + nudge:.2f}",
-                                     names.FREE_MEMORY: f"{build.memory - told.memory:.2f}"},
-                     "labels": {names.ZONE: hall, names.CELL: rack, names.KIND: build.kind}},
+                     "annotations": {names.FREE_CORES: f"{cores - told.cores + nudge:.2f}",
+                                     names.FREE_MEMORY: f"{memory - told.memory:.2f}"},
+                     "labels": {names.ZONE: f"hall-{told.index % 2}", names.CELL: f"rack-{told.index // 3}",
+                                names.KIND: kind}},
         "spec": {},
         "status": {
-            "capacity": {"cpu": f"{build.cores:g}", "memory": f"{build.memory:g}Gi"},
-            "allocatable": {"cpu": f"{build.cores:g}", "memory": f"{build.memory:g}Gi"},
+            "capacity": {"cpu": f"{cores:g}", "memory": f"{memory:g}Gi"},
+            "allocatable": {"cpu": f"{cores:g}", "memory": f"{memory:g}Gi"},
             "addresses": [{"type": "InternalIP", "address": told.host}],
             "daemonEndpoints": {"kubeletEndpoint": {"Port": told.port}},
             "conditions": [{"type": "Ready", "status": "True"}]}}
@@ -59,8 +61,8 @@
 class Source:
     """The list and its ways in."""
 
-    def __init__(self, hub: Hub, machines: int) -> None:
-        self._hub, self._machines = hub, machines
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
         self._known: dict[int, Told] = {}
         self._list = ListSource(hub, 1, Recorder(hub.now_us, 0), lambda _: None, _WINDOW)
         self._list.lag_us = 0
@@ -88,7 +90,7 @@
             for line in lines:
                 told = _DECODER.decode(line)
                 self._known[told.index] = told
-                self._list.show(f"node-{told.index}", node_value(told, self._machines))
+                self._list.show(f"node-{told.index}", node_value(told))
 
     def _command(self, words: list[str]) -> None:
         if words[0] == "count":
@@ -105,15 +107,15 @@
             told = entries[position * step % len(entries)]
             # A different figure each time: what does not change is not shown.
             nudge = -0.01 * (1 + (self._rounds + position * step // len(entries)) % 50)
-            self._list.show(f"node-{told.index}", node_value(told, self._machines, nudge))
+            self._list.show(f"node-{told.index}", node_value(told, nudge))
             self._hub.sleep(every_ms * MS)
 
 
 def main() -> None:
-    """Serve the list of so many machines."""
+    """Serve the list."""
     raise_descriptor_limit()
-    hub, machines = Hub(), int(sys.argv[1])
-    hub.run(lambda: Source(hub, machines).run())
+    hub = Hub()
+    hub.run(lambda: Source(hub).run())
 
 
 if __name__ == "__main__":
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -14,30 +14,27 @@
 import multiprocessing
 import os
 import platform
-import random
 import sys
 import time
 from collections import Counter
 from multiprocessing.connection import Connection
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
 
+from benchmarks.capacity.load import load
 from benchmarks.capacity.profile import PARTS, Sampler
 from wingbarrow.config import load_text
 from wingbarrow.core.logs import silent
 from wingbarrow.fronts.serve import Service
-from wingbarrow.http.client import Pool, PoolLimits
-from wingbarrow.http.watching import call, watch
+from wingbarrow.http.client import Pool
 from wingbarrow.kube import names
 from wingbarrow.lab.cluster import place, settings_text
-from wingbarrow.lab.wants import Want, job_value
 from wingbarrow.lab.build import Build
 from wingbarrow.lab.machine import Machine
 from wingbarrow.lab.node import node_value
 from wingbarrow.lab.record import Recorder
 from wingbarrow.lab.source import ListSource
-from wingbarrow.transport import Hub, Nursery
+from wingbarrow.transport import Hub
 
 SECOND = 1_000_000
 JOBS = "/apis/batch/v1/namespaces/default/jobs"
@@ -94,56 +91,6 @@
     hub.run(main)
 
 
-def load(port: int, seconds: float, outstanding: int, prefix: str) -> dict[str, Any]:
-    hub, histogram = Hub(), HdrHistogram(1, 60 * SECOND, 3)
-    begun: dict[str, int] = {}
-    rng = random.Random(outstanding)
-    figures = Counter[str]()
-
-    def main() -> None:
-        pool = Pool(hub, "127.0.0.1", port, PoolLimits(connections=outstanding + 4))
-        end = hub.now_us() + int(seconds * SECOND)
-        waiting: dict[str, Any] = {}
-
-        def follow() -> None:
-            for kind, value in watch(pool, f"{JOBS}?watch=true&resourceVersion={version}"):
-                name = value["metadata"]["name"]
-                if kind != "MODIFIED" or name not in begun:
-                    continue
-                if value["status"].get("conditions"):
-                    answer = value["status"]["conditions"][0]
-                    histogram.record_value(max(1, hub.now_us() - begun.pop(name)))
-                    figures[answer["type"]] += 1
-                    if name in waiting:  # else its answer was faster than that to the POST
-                        hub.wake(waiting.pop(name))
-
-        def ask(turn: int) -> None:
-            number = 0
-            while hub.now_us() < end:
-                number += 1
-                name = f"{prefix}-{turn}-{number}"
-                want = Want(0, name, "web", f"s{rng.randrange(400)}", 0.1, 0.1, int(1.5 * SECOND))
-                begun[name] = hub.now_us()
-                call(pool, "POST", JOBS, names.encode(job_value(want, name, 10 * SECOND)))
-                if name in begun:
-                    waiting[name] = hub.current()
-                    hub.block(lambda: None)
-        version = call(pool, "GET", f"{JOBS}?limit=1")["metadata"]["resourceVersion"]
-        with Nursery(hub) as nursery:
-            watching = nursery.spawn(follow)
-            with Nursery(hub) as askers:
-                for turn in range(outstanding):
-                    askers.spawn(lambda turn=turn: ask(turn))
-            watching.cancel()
-    start = time.perf_counter()
-    hub.run(main)
-    took = time.perf_counter() - start
-    return {"outstanding": outstanding, "placed_per_s": round(figures["Placed"] / took),
-            "not_placed": figures.total() - figures["Placed"],
-            "p50_ms": histogram.get_value_at_percentile(50) / 1000,
-            "p99_ms": histogram.get_value_at_percentile(99) / 1000}
-
-
 def learners(pipe: Connection, port: int, count: int) -> None:
     """New instances by the dozen: each takes all pages, follows for some seconds, and begins again."""
     hub, figures = Hub(), Counter[str]()
