Capacity by machines: idle without and with bookmarks, changes waited for

A trial at 13,000 machines took 66 s and showed that the placer had not yet taken in all 40 changes when they were counted: they are further apart now, and the measurement waits for the list's version. Idle is told without bookmarks too: with 650 of them a second the placer used 0.6 of a core.

--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -10,7 +10,8 @@
 It tells the list source over a connection of its own: at the start of each machine's address, then once a second of
 those whose asked room has changed. The port for that is the first line of standard input, answered with COUNT once the
 machines listen. Then it takes one command a line: `held`, the number of running pods;
-`end N`, end so many now; `cut N`, close so many watches. Each is answered with a number.
+`end N`, end so many now; `cut N`, close so many watches; `marks N`, send bookmarks from now on, with 0 none. Each is
+answered with a number.
 """
 
 from __future__ import annotations
@@ -102,6 +103,7 @@
         self._listeners: list[socket.socket] = []
         self._machines = [self._listen(first + offset) for offset in range(count)]
         self._marked = 0.0  # position of the next machine that gets its bookmark
+        self._marks = True
         self._input = InputLines()
         self._open = True
 
@@ -118,7 +120,8 @@
             self._end_due(now)
             if now >= next_turn:
                 next_turn = now + TURN_S
-                self._bookmarks(TURN_S / BOOKMARK_S)
+                if self._marks:
+                    self._bookmarks(TURN_S / BOOKMARK_S)
             if now >= next_tell:
                 next_tell = now + TELL_S
                 self._tell(list(self._dirty.values()))
@@ -333,6 +336,9 @@
                 say(self._end_some(int(count)))
             elif command == "cut":
                 say(self._cut_some(int(count)))
+            elif command == "marks":
+                self._marks = bool(int(count))
+                say(int(count))
 
     def _end_some(self, most: int) -> int:
         """End up to so many pods, the next of each machine in turn."""
--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -5,7 +5,8 @@
 
 1. Start: memory before the service was made and with list and links, processor time until the list was in and until
    every machine was seen, open descriptors.
-2. Idle: no load and a quiet list; each machine's watch gets a bookmark each 20 s, spread evenly.
+2. Idle: no load, a quiet list, and nothing on the machines' watches; then with a bookmark for each watch every 20 s,
+   spread evenly, as goes on through all that follows. Its processor time is what "beyond idle" leaves out.
 3. Changes: entries of the list change one by one; the processor time beyond idle, and the bytes, by entry. The module's
    own part is the wall time of its calls, with caches that went cold in between; it is also measured in a fresh
    process without sockets, where changes come at once.
@@ -37,6 +38,7 @@
 LOAD_MANY = 32
 WATCHES_CUT_MOST = 500
 MODULE_TASKS = 400
+MACHINES_PER_CHANGE_MS = 50  # changes are a millisecond further apart for so many machines
 ANSWER_S = 60.0  # after a run, for what is outstanding
 MS_PER_S = 1_000
 
@@ -73,7 +75,7 @@
         self._size, self._extent = size, extent
         self._suffix = f" ({label})" if label else ""
         self.points: list[Point] = []
-        self._idle_share = 0.0
+        self._idle_share = self._idle_received = 0.0  # with bookmarks: of a core, and bytes by second
 
     def take(self, settings_extra: str) -> None:
         """All parts, in the order that the module's docstring tells."""
@@ -100,29 +102,37 @@
         self._add("placer", "time until all machines are seen", "s", rig.ready_s)
 
     def _idle(self, rig: rigs.Rig) -> None:
+        rig.set_bookmarks(False)
+        self._add("placer", "processor share idle", "share", _share(*self._quiet(rig)))
+        rig.set_bookmarks(True)
+        before, after = self._quiet(rig)
+        self._idle_share = _share(before, after)
+        self._add("placer", "processor share idle with bookmarks", "share", self._idle_share)
+        self._idle_received = self._traffic("idle with bookmarks", before, after)
+
+    def _quiet(self, rig: rigs.Rig) -> tuple[Figures, Figures]:
         before = rig.figures()
         time.sleep(self._extent.idle_s)
-        after = rig.figures()
-        self._idle_share = _share(before, after)
-        self._add("placer", "processor share idle", "share", self._idle_share)
-        self._traffic("idle", before, after)
+        return before, rig.figures()
 
-    def _traffic(self, when: str, before: Figures, after: Figures) -> None:
+    def _traffic(self, when: str, before: Figures, after: Figures) -> float:
+        """Tell of the bytes that crossed; those received, by second."""
         passed_s = after.at_s - before.at_s
-        self._add("placer", f"bytes received {when}", "B/s", (after.received - before.received) / passed_s)
+        received = (after.received - before.received) / passed_s
+        self._add("placer", f"bytes received {when}", "B/s", received)
         self._add("placer", f"bytes sent {when}", "B/s", (after.sent - before.sent) / passed_s)
+        return received
 
     def _changes(self, rig: rigs.Rig) -> None:
-        count, every_ms = self._extent.changes, self._extent.change_every_ms
+        # So far apart that each is taken in before the next comes: those that come together are taken in together.
+        count, every_ms = self._extent.changes, self._extent.change_every_ms + self._size // MACHINES_PER_CHANGE_MS
         before = rig.figures()
-        rig.source.ask(f"change {count} {every_ms}", int, 30.0 + count * every_ms / MS_PER_S)
-        after = rig.figures()
+        after = rig.change_entries(count, every_ms)
         self._add("list client", "processor for one changed entry", "ms", self._beyond_idle_ms(before, after) / count)
         self._add("list client", "time in the module for one changed entry", "ms",
                   (after.module_s - before.module_s) * MS_PER_S / count)
         # What bookmarks bring meanwhile is a part of it that is known from the idle time.
-        idle = next(each.value for each in self.points if each.measure.startswith("bytes received idle"))
-        received = after.received - before.received - idle * (after.at_s - before.at_s)
+        received = after.received - before.received - self._idle_received * (after.at_s - before.at_s)
         self._add("list client", "bytes received for one changed entry", "B", received / count)
 
     def _beyond_idle_ms(self, before: Figures, after: Figures) -> float:
@@ -149,9 +159,8 @@
         self._add("placer", f"placements a second, {LOAD_MANY} outstanding", "per s", many.placed_per_s)
         share, samples = _share(before, after), after.samples
         self._add("placer", "processor share under load", "share", share)
-        placed = many.placed_per_s * (after.at_s - before.at_s)
         self._add("placer", "processor for one placement", "ms",
-                  (after.processor_s - before.processor_s) / placed * MS_PER_S)
+                  (after.processor_s - before.processor_s) / (after.placed - before.placed) * MS_PER_S)
         for part in PARTS[:-1]:
             taken = samples.get(part, 0) / max(1, sum(samples.values()))
             self._add("placer", f"processor share under load: {part}", "share", share * taken)
--- a/benchmarks/capacity/placer.py
+++ b/benchmarks/capacity/placer.py
@@ -52,7 +52,9 @@
     sees: bool  # it has its list, and every machine has told what it runs
     received: int  # bytes
     sent: int
+    list_version: int  # of the list as held
     tasks_open: int
+    placed: int
     samples: dict[str, int]
 
 
@@ -136,7 +138,8 @@
         placer = self._service.placer
         return Figures(time.monotonic(), time.process_time(), placer.host.module_ns / 1e9,
                        self._list_processor_s, placer.ready and placer.sees(machines), self._count.received,
-                       self._count.sent, placer.book.admission.open, self._sampler.take())
+                       self._count.sent, placer.fleet.reflector.version, placer.book.admission.open,
+                       placer.base.counts["placed"], self._sampler.take())
 
 
 def main() -> None:
--- a/benchmarks/capacity/rig.py
+++ b/benchmarks/capacity/rig.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 
@@ -20,7 +20,9 @@
 MACHINES_PER_PROCESS = 3_250  # each takes three descriptors: its listener, its watch and a connection for offers
 SPARE_DESCRIPTORS = 500
 START_S = 240.0  # until the machines are up, and again until the placer sees them
+CHANGE_S = 60.0
 LOOK_S = 0.1
+MS_PER_S = 1_000
 MODULE_COST_S = 120.0
 NO_SPREAD = {'    spread by="cell" most=3\n': ""}  # for `replace`: tasks of a service may fill a rack
 _PACKAGE = "benchmarks.capacity"
@@ -58,16 +60,26 @@
                 done += child.ask(f"{command} {most - done}", int)
         return done
 
-    def held(self) -> int:
-        """Pods that run on the machines."""
-        return sum(child.ask("held", int) for child in self.hollow)
+    def set_bookmarks(self, on: bool) -> None:
+        """Whether machines send bookmarks."""
+        for child in self.hollow:
+            child.ask(f"marks {int(on)}", int)
+
+    def change_entries(self, count: int, every_ms: int) -> Figures:
+        """Change entries of the list, one at a time; the placer's figures once it has them all."""
+        version = self.source.ask(f"change {count} {every_ms}", int, CHANGE_S + count * every_ms / MS_PER_S)
+        return self.wait(lambda figures: figures.list_version >= version, CHANGE_S, "has the list's latest version")
 
-    def wait_seen(self, within_s: float = START_S) -> Figures:
+    def wait_seen(self) -> Figures:
         """Wait until the placer has its list and every machine has told what it runs; its figures then."""
+        return self.wait(lambda figures: figures.sees, START_S, f"sees its {self.machines} machines")
+
+    def wait(self, done: Callable[[Figures], bool], within_s: float, what: str) -> Figures:
+        """Wait for what shows in the placer's figures, and give them; MeasureFailed where it takes too long."""
         until = time.monotonic() + within_s
-        while not (figures := self.figures()).sees:
+        while not done(figures := self.figures()):
             if time.monotonic() >= until:
-                raise MeasureFailed(f"the placer does not see its {self.machines} machines within {within_s:g} s")
+                raise MeasureFailed(f"not within {within_s:g} s: the placer {what}; {figures}")
             time.sleep(LOOK_S)
         return figures
 
--- a/benchmarks/capacity/source.py
+++ b/benchmarks/capacity/source.py
@@ -3,8 +3,8 @@
     python -m benchmarks.capacity.source
 
 Says its ports; `count` on standard input is answered with the number of machines known. `change N EVERY_MS` changes
-the free room of N entries, one at a time, and is answered when all are shown. Once a machine tells of room that its
-pods ask, its entry shows it, as the list does in the laboratory.
+the free room of N entries, one at a time, and is answered with the list's version then. Once a machine tells of room
+that its pods ask, its entry shows it, as the list does in the laboratory.
 """
 
 from __future__ import annotations
@@ -97,7 +97,7 @@
             say(len(self._known))
         elif words[0] == "change":
             self._change(int(words[1]), int(words[2]))
-            say(int(words[1]))
+            say(self._list._store.version)
 
     def _change(self, count: int, every_ms: int) -> None:
         self._rounds += 1
--- a/benchmarks/capacity/tasks.py
+++ b/benchmarks/capacity/tasks.py
@@ -27,7 +27,7 @@
 
 from benchmarks.capacity import rig as rigs
 from benchmarks.capacity.jobs import Filled
-from benchmarks.capacity.placer import MEMORY_PARTS, Figures, Traced
+from benchmarks.capacity.placer import MEMORY_PARTS, Traced
 from benchmarks.capacity.processes import MeasureFailed
 from benchmarks.capacity.results import Point
 
@@ -35,7 +35,6 @@
 WINDOW = 512
 FILL_S = 300.0
 END_S = 60.0
-LOOK_S = 0.05
 MS_PER_S, US_PER_S, BYTES_PER_MB = 1_000, 1_000_000, 1_000_000
 
 
@@ -109,19 +108,11 @@
     def _end(self, rig: rigs.Rig, idle_share: float) -> None:
         before = rig.figures()
         ended = rig.machines_do("end", min(self._size, self._extent.ended_most))
-        after = self._wait_open(rig, before.tasks_open - ended)
+        left = before.tasks_open - ended
+        after = rig.wait(lambda figures: figures.tasks_open <= left, END_S, f"knows that {ended} tasks have ended")
         spent_s = after.processor_s - before.processor_s - idle_share * (after.at_s - before.at_s)
         self._add("processor for one task's end", "us", max(spent_s * US_PER_S / ended, 0.001))
 
-    def _wait_open(self, rig: rigs.Rig, wanted: int) -> Figures:
-        """Wait until the placer knows of all ends."""
-        until = time.monotonic() + END_S
-        while (figures := rig.figures()).tasks_open > wanted:
-            if time.monotonic() >= until:
-                raise MeasureFailed(f"{figures.tasks_open} tasks are open in place of {wanted} after {END_S:g} s")
-            time.sleep(LOOK_S)
-        return figures
-
     def _module(self) -> None:
         cost = rigs.module_cost(self._extent.machines, self._size)
         self._add("module's memory for running tasks", "MB", cost.tasks_mb)
--- a/tests/capacity/test_machines.py
+++ b/tests/capacity/test_machines.py
@@ -21,15 +21,16 @@
 MAY_BE_ZERO = {
     *SHARES,  # samples: one part may have none
     # A placer that idles sends nothing, and may get no bookmark in so short a time.
-    "bytes received idle", "bytes sent idle",
+    "bytes received idle with bookmarks", "bytes sent idle with bookmarks",
     # Pages of so few machines or tasks may have been there before.
     "module's memory for the list", "module's memory for running tasks", "resident memory by task",
 }
 OF_PLACERS = {
     "resident memory before the list": "MB", "resident memory": "MB", "descriptors": "descriptors",
     "processor to take in the list": "s", "processor until all machines are seen": "s",
-    "time until all machines are seen": "s", "processor share idle": "share", "bytes received idle": "B/s",
-    "bytes sent idle": "B/s", "time to place p50": "ms", "time to place p99": "ms",
+    "time until all machines are seen": "s", "processor share idle": "share",
+    "processor share idle with bookmarks": "share", "bytes received idle with bookmarks": "B/s",
+    "bytes sent idle with bookmarks": "B/s", "time to place p50": "ms", "time to place p99": "ms",
     "placements a second, 32 outstanding": "per s", "processor share under load": "share",
     "processor for one placement": "ms", "processor share under load: module": "share",
     "processor share under load: core": "share", "processor share under load: http": "share",
