--- a/benchmarks/capacity/module_cost.py
+++ b/benchmarks/capacity/module_cost.py
@@ -25,6 +25,7 @@
 
 S = 1_000_000
 CHANGES = 40
+NEW_SERVICES = 10
 SERVICES = 40  # few, so that most arrivals meet one that is known
 _LONG_US = 3_600 * S
 
@@ -40,6 +41,7 @@
     change_us: float
     arrival_us: float
     arrival_after_change_us: float
+    first_arrival_us: float  # of a service that the module has not met
     placed: int
 
 
@@ -67,10 +69,10 @@
         entry = listed(self._random.randrange(self._machines), self._random.uniform(5, 24))
         return self._timed(api.MachineList(api.ListForm.CHANGES, (entry,)))[0]
 
-    def arrive(self) -> float:
-        """One task arrives, and is placed; microseconds of its arrival."""
+    def arrive(self, service: str = "") -> float:
+        """One task arrives, of any service unless told, and is placed; microseconds of its arrival."""
         self._requests += 1
-        request, service = self._requests, f"s{self._random.randrange(SERVICES)}"
+        request, service = self._requests, service or f"s{self._random.randrange(SERVICES)}"
         spent_us, actions = self._timed(api.TaskArrived(
             request, "web", service, f"t{request}", 0.1, 0.1, self._now_us + 5 * S, _LONG_US))
         for action in actions:
@@ -94,13 +96,14 @@
     for _ in range(tasks):
         run.arrive()
     tasks_mb = _memory_mb()
+    first = [run.arrive(f"new-{number}") for number in range(NEW_SERVICES)]
     changes, after_changes, plain = [], [], []
     for _ in range(CHANGES):
         changes.append(run.change())
         after_changes.append(run.arrive())
         plain.append(run.arrive())
     return ModuleCost(max(0.0, list_mb - bare_mb), max(0.0, tasks_mb - list_mb), statistics.median(changes),
-                      statistics.median(plain), statistics.median(after_changes), run.placed)
+                      statistics.median(plain), statistics.median(after_changes), statistics.median(first), run.placed)
 
 
 def _memory_mb() -> float:
