--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -6,12 +6,13 @@
 1. Start: memory before the service was made and with list and links, processor time until the list was in and until
    every machine was seen, open descriptors.
 2. Idle: no load, a quiet list, and nothing on the machines' watches; then with a bookmark for each watch every 20 s,
-   spread evenly, as goes on through all that follows. Its processor time is what "beyond idle" leaves out.
-3. Changes: entries of the list change one by one; the processor time beyond idle, and the bytes, by entry. The module's
-   own part is the wall time of its calls, with caches that went cold in between; it is also measured in a fresh
-   process without sockets, where changes come at once.
-4. Watches renewed: some are closed by their machines; the processor time beyond idle, by watch. A watch on which
-   nothing comes for 30 s is renewed by the placer in the same way.
+   spread evenly, as goes on through what follows.
+3. Changes: entries of the list change one by one; the processor time to take one in (`benchmarks.capacity.placer`), and
+   the bytes. The module's own part is the wall time of its calls, with caches that went cold in between; it is also
+   measured in a fresh process without sockets, where changes come at once.
+4. Watches renewed: some are closed by their machines, and no bookmarks come; the processor time beyond idle, by watch.
+   A watch on which nothing comes for 30 s is renewed by the placer in the same way. At the largest sizes idling takes
+   more than that, and the figure is rough.
 5. Load: Jobs of one task of 1.5 s of 40 services that the placer has met, first one outstanding, then 32 (the first
    Job of a service costs the module an order of all machines, which is told apart). Each second the list tells of the
    room of machines whose pods have changed. Shares by part are samples of processor time; what is no part of the
@@ -38,7 +39,7 @@
 
 DEFAULT_SIZES = (100, 1_000, 3_000, 13_000)
 LOAD_MANY = 32
-WATCHES_CUT_MOST = 500
+WATCHES_CUT_MOST = 2_000
 MODULE_TASKS = 400
 MACHINES_PER_CHANGE_MS = 50  # changes are a millisecond further apart for so many machines
 INTRODUCE_S = 120.0
@@ -79,7 +80,7 @@
         self._size, self._extent = size, extent
         self._suffix = f" ({label})" if label else ""
         self.points: list[Point] = []
-        self._idle_share = self._idle_received = 0.0  # with bookmarks: of a core, and bytes by second
+        self._idle_share = self._idle_received = 0.0  # of a core without bookmarks; bytes by second with them
 
     def take(self, settings_extra: str) -> None:
         """All parts, in the order that the module's docstring tells."""
@@ -107,11 +108,11 @@
 
     def _idle(self, rig: rigs.Rig) -> None:
         rig.set_bookmarks(False)
-        self._add("placer", "processor share idle", "share", _share(*self._quiet(rig)))
+        self._idle_share = _share(*self._quiet(rig))
+        self._add("placer", "processor share idle", "share", self._idle_share)
         rig.set_bookmarks(True)
         before, after = self._quiet(rig)
-        self._idle_share = _share(before, after)
-        self._add("placer", "processor share idle with bookmarks", "share", self._idle_share)
+        self._add("placer", "processor share idle with bookmarks", "share", _share(before, after))
         self._idle_received = self._traffic("idle with bookmarks", before, after)
 
     def _quiet(self, rig: rigs.Rig) -> tuple[Figures, Figures]:
@@ -132,7 +133,9 @@
         count, every_ms = self._extent.changes, self._extent.change_every_ms + self._size // MACHINES_PER_CHANGE_MS
         before = rig.figures()
         after = rig.change_entries(count, every_ms)
-        self._add("list client", "processor for one changed entry", "ms", self._beyond_idle_ms(before, after) / count)
+        taken = after.list_news - before.list_news
+        self._add("list client", "processor for one changed entry", "ms",
+                  (after.list_news_s - before.list_news_s) * MS_PER_S / taken)
         self._add("list client", "time in the module for one changed entry", "ms",
                   (after.module_s - before.module_s) * MS_PER_S / count)
         # What bookmarks bring meanwhile is a part of it that is known from the idle time.
@@ -146,12 +149,14 @@
         return max(spent_s * MS_PER_S, 0.001)
 
     def _renewals(self, rig: rigs.Rig) -> None:
+        rig.set_bookmarks(False)
         before = rig.figures()
         cut = rig.machines_do("cut", min(self._size, WATCHES_CUT_MOST))
         if not cut:
             raise MeasureFailed(f"none of {self._size} machines has a watch")
         time.sleep(self._extent.renewal_s)
         after = rig.wait_seen()
+        rig.set_bookmarks(True)
         self._add("machine link", "processor for one watch renewed", "ms", self._beyond_idle_ms(before, after) / cut)
 
     def _load(self, rig: rigs.Rig) -> None:
--- a/benchmarks/capacity/placer.py
+++ b/benchmarks/capacity/placer.py
@@ -4,6 +4,10 @@
 
 Reads its settings, KDL as one JSON string, from the first line of standard input. Says its port and its memory before
 the service was made. Each further line, `MACHINES`, is answered with `Figures`; `trace` with `Traced`.
+
+What the placer pays for news of its list is the processor time inside `Reflector._batch`, wrapped here: entries read
+and guarded, the module's part, Nodes shown; not the reading and decoding of the bytes.
+
 Bytes are counted in `Stream.receive`, `send` and `send_now`, wrapped here before the service is made; of all its
 connections, the list's, the machines' and the clients'.
 """
@@ -16,6 +20,7 @@
 import time
 import tracemalloc
 from collections import Counter
+from typing import Any
 
 import msgspec
 
@@ -23,6 +28,7 @@
 from benchmarks.capacity.profile import Sampler
 from wingbarrow.config import load_text
 from wingbarrow.core.logs import silent
+from wingbarrow.core.reflector import Reflector
 from wingbarrow.fronts.serve import Service
 from wingbarrow.transport import Hub, Stream
 from wingbarrow.transport.hub import READ
@@ -53,6 +59,8 @@
     received: int  # bytes
     sent: int
     list_version: int  # of the list as held
+    list_news: int  # entries of the list that came as news
+    list_news_s: float  # processor time to take them in
     tasks_open: int
     placed: int
     samples: dict[str, int]
@@ -111,11 +119,30 @@
         Stream.send_now = counted_send_now  # type: ignore[method-assign]
 
 
+class NewsCount:
+    """News of the list that were taken in, and the processor time for it."""
+
+    def __init__(self) -> None:
+        self.entries = 0
+        self.processor_s = 0.0
+
+    def start(self) -> None:
+        """Count from now on, by wrapping the reflector's method, which does not wait for anything."""
+        total, take_in = self, Reflector._batch
+
+        def counted_batch(self: Reflector, batch: list[tuple[str, dict[str, Any]]]) -> None:
+            begun_s = time.process_time()
+            take_in(self, batch)
+            total.processor_s += time.process_time() - begun_s
+            total.entries += sum(kind != "BOOKMARK" for kind, _ in batch)
+        Reflector._batch = counted_batch  # type: ignore[method-assign]
+
+
 class Reporter:
     """Answers what the measurement asks of a running service."""
 
-    def __init__(self, hub: Hub, service: Service, count: ByteCount, sampler: Sampler) -> None:
-        self._hub, self._service, self._count, self._sampler = hub, service, count, sampler
+    def __init__(self, hub: Hub, service: Service, count: ByteCount, news: NewsCount, sampler: Sampler) -> None:
+        self._hub, self._service, self._count, self._news, self._sampler = hub, service, count, news, sampler
         self._list_processor_s = 0.0
 
     def note_list(self) -> None:
@@ -138,7 +165,8 @@
         placer = self._service.placer
         return Figures(time.monotonic(), time.process_time(), placer.host.module_ns / 1e9,
                        self._list_processor_s, placer.ready and placer.sees(machines), self._count.received,
-                       self._count.sent, placer.fleet.reflector.version, placer.book.admission.open,
+                       self._count.sent, placer.fleet.reflector.version, self._news.entries,
+                       self._news.processor_s, placer.book.admission.open,
                        placer.base.counts["placed"], self._sampler.take())
 
 
@@ -148,13 +176,14 @@
     settings = load_text(msgspec.json.decode(lines.first(), type=str))
     if "traced" in sys.argv[1:]:
         tracemalloc.start()
-    hub, count, sampler = Hub(), ByteCount(), Sampler()
+    hub, count, news, sampler = Hub(), ByteCount(), NewsCount(), Sampler()
     count.start()
+    news.start()
     bare_mb, begun_s = resident_mb(os.getpid()), time.process_time()
 
     def serve() -> None:
         service = Service(hub, settings, silent)
-        reporter = Reporter(hub, service, count, sampler)
+        reporter = Reporter(hub, service, count, news, sampler)
         hub.spawn(reporter.note_list, "notes the list")
         hub.spawn(lambda: reporter.run(lines), "reports")
         sampler.start()
