Capacity: the sampler runs under load alone, as it makes the processor's clock coarse

With ITIMER_PROF on, time.process_time() went in steps of 4 ms and 49 of 50 calls of 0.1 ms cost nothing; without it in microseconds.

--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -7,8 +7,8 @@
    every machine was seen, open descriptors.
 2. Idle: no load, a quiet list, and nothing on the machines' watches; then with a bookmark for each watch every 20 s,
    spread evenly, as goes on through what follows.
-3. Changes: entries of the list change one by one; the wall time to take one in (`benchmarks.capacity.placer`), and the
-   bytes. The module's own part is the wall time of its calls, with caches that went cold in between; it is also
+3. Changes: entries of the list change one by one; the processor time to take one in (`benchmarks.capacity.placer`),
+   and the bytes. The module's own part is the wall time of its calls, with caches that went cold in between; it is also
    measured in a fresh process without sockets, where changes come at once.
 4. Watches renewed: some are closed by their machines, and no bookmarks come; the processor time beyond idle, by watch.
    A watch on which nothing comes for 30 s is renewed by the placer in the same way. At the largest sizes idling takes
@@ -134,7 +134,7 @@
         before = rig.figures()
         after = rig.change_entries(count, every_ms)
         taken = after.list_news - before.list_news
-        self._add("list client", "time to take in one changed entry", "ms",
+        self._add("list client", "processor for one changed entry", "ms",
                   (after.list_news_s - before.list_news_s) * MS_PER_S / taken)
         self._add("list client", "time in the module for one changed entry", "ms",
                   (after.module_s - before.module_s) * MS_PER_S / count)
@@ -165,7 +165,9 @@
         one = self._loaded(rig, self._extent.load_s, 1, "one")[0]
         self._add("placer", "time to place p50", "ms", one.p50_ms)
         self._add("placer", "time to place p99", "ms", one.p99_ms)
+        rig.placer.ask("sample 1", int)
         many, before, after = self._loaded(rig, self._extent.load_s, LOAD_MANY, "many")
+        rig.placer.ask("sample 0", int)
         self._add("placer", f"placements a second, {LOAD_MANY} outstanding", "per s", many.placed_per_s)
         share, samples = _share(before, after), after.samples
         self._add("placer", "processor share under load", "share", share)
--- a/benchmarks/capacity/placer.py
+++ b/benchmarks/capacity/placer.py
@@ -3,11 +3,11 @@
     python -m benchmarks.capacity.placer [traced]
 
 Reads its settings, KDL as one JSON string, from the first line of standard input. Says its port and its memory before
-the service was made. Each further line, `MACHINES`, is answered with `Figures`; `trace` with `Traced`.
+the service was made. Each further line, `MACHINES`, is answered with `Figures`; `trace` with `Traced`; `sample N`
+starts the sampler, or with 0 stops it.
 
-What the placer pays for news of its list is the wall time inside `Reflector._batch`, wrapped here: entries read and
-guarded, the module's part, Nodes shown; not the reading and decoding of the bytes. Some kernels count processor time in
-steps that are longer than that.
+What the placer pays for news of its list is the processor time inside `Reflector._batch`, wrapped here: entries read
+and guarded, the module's part, Nodes shown; not the reading and decoding of the bytes.
 
 Bytes are counted in `Stream.receive`, `send` and `send_now`, wrapped here before the service is made; of all its
 connections, the list's, the machines' and the clients'.
@@ -61,7 +61,7 @@
     sent: int
     list_version: int  # of the list as held
     list_news: int  # entries of the list that came as news
-    list_news_s: float  # wall time to take them in
+    list_news_s: float  # processor time to take them in
     tasks_open: int
     placed: int
     samples: dict[str, int]
@@ -121,7 +121,7 @@
 
 
 class NewsCount:
-    """News of the list that were taken in, and the wall time for it."""
+    """News of the list that were taken in, and the processor time for it."""
 
     def __init__(self) -> None:
         self.entries = 0
@@ -132,9 +132,9 @@
         total, take_in = self, Reflector._batch
 
         def counted_batch(self: Reflector, batch: list[tuple[str, dict[str, Any]]]) -> None:
-            begun_s = time.perf_counter()
+            begun_s = time.process_time()
             take_in(self, batch)
-            total.seconds += time.perf_counter() - begun_s
+            total.seconds += time.process_time() - begun_s
             total.entries += sum(kind != "BOOKMARK" for kind, _ in batch)
         Reflector._batch = counted_batch  # type: ignore[method-assign]
 
@@ -160,7 +160,17 @@
             if asked is None:
                 os._exit(0)
             for line in asked:
-                say(trace() if line == "trace" else self._figures(int(line)))
+                self._answer(line)
+
+    def _answer(self, line: str) -> None:
+        command, _, number = line.partition(" ")
+        if command == "trace":
+            say(trace())
+        elif command == "sample":
+            (self._sampler.start if int(number) else self._sampler.stop)()
+            say(int(number))
+        else:
+            say(self._figures(int(command)))
 
     def _figures(self, machines: int) -> Figures:
         placer = self._service.placer
@@ -187,7 +197,6 @@
         reporter = Reporter(hub, service, count, news, sampler)
         hub.spawn(reporter.note_list, "notes the list")
         hub.spawn(lambda: reporter.run(lines), "reports")
-        sampler.start()
         say(Begun(service.rest.port, bare_mb, begun_s, limit))
         service.run()
     hub.run(serve)
--- a/benchmarks/capacity/profile.py
+++ b/benchmarks/capacity/profile.py
@@ -26,7 +26,11 @@
 
 
 class Sampler:
-    """Counts samples by part from `start` on; one for a process, as the signal belongs to the whole of it."""
+    """Counts samples by part from `start` on; one for a process, as the signal belongs to the whole of it.
+
+    While it runs, Linux counts the process's own clock in ticks of some milliseconds: what takes less than that is to
+    be measured without it.
+    """
 
     def __init__(self) -> None:
         self.samples: Counter[str] = Counter()
@@ -36,6 +40,10 @@
         signal.signal(signal.SIGPROF, lambda _, frame: self.samples.update([booked(frame)]))
         signal.setitimer(signal.ITIMER_PROF, SAMPLE_S, SAMPLE_S)
 
+    def stop(self) -> None:
+        """Take no more."""
+        signal.setitimer(signal.ITIMER_PROF, 0)
+
     def take(self) -> dict[str, int]:
         """The samples since the last call, by part."""
         taken = dict(self.samples)
--- a/tests/capacity/test_machines.py
+++ b/tests/capacity/test_machines.py
@@ -38,7 +38,7 @@
     "resident memory after load": "MB", "descriptors after load": "descriptors",
 }
 OF_LIST_CLIENTS = {
-    "time to take in one changed entry": "ms", "time in the module for one changed entry": "ms",
+    "processor for one changed entry": "ms", "time in the module for one changed entry": "ms",
     "bytes received for one changed entry": "B", "module's time for one changed entry": "us",
     "module's time for one arrival": "us", "module's time for one arrival after a changed entry": "us",
     "module's time for the first arrival of a service": "us", "module's memory for the list": "MB",
