--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -26,7 +26,7 @@
 from benchmarks.capacity import fit
 from benchmarks.capacity.results import Point, Results
 
-MODULES = ("machines", "tasks", "placers", "teams", "changes", "gangs")
+MODULES = ("machines", "subsets", "tasks", "placers", "teams", "changes", "gangs")
 VARIED = {"gang": "gangs"}  # what is varied, where a module is not called so
 
 Measure = Callable[[Sequence[int]], Iterator[Point]]
--- a/benchmarks/capacity/machines.py
+++ b/benchmarks/capacity/machines.py
@@ -61,14 +61,16 @@
 
 
 def measure(sizes: Sequence[int], *, settings_extra: str = "", label: str = "",
-            extent: Extent = Extent()) -> Iterator[Point]:  # noqa: B008 - frozen
+            extent: Extent = Extent(),  # noqa: B008 - frozen
+            module_size: int | None = None) -> Iterator[Point]:
     """Measure at each size in turn; ValueError for a size below 1, MeasureFailed where a size cannot be measured.
 
-    `settings_extra` is KDL that is added to the placer's settings; `label` is added to the names of the measures.
+    `settings_extra` is KDL that is added to the placer's settings; `label` is added to the names of the measures;
+    `module_size`: machines that the module alone is measured with, as many as are listed unless told.
     """
     rigs.check_sizes(tuple(sizes))
     for size in sizes:
-        taken = _Size(size, label, extent)
+        taken = _Size(size, label, extent, module_size or size)
         taken.take(settings_extra)
         yield from taken.points
 
@@ -76,8 +78,8 @@
 class _Size:
     """One size: its points as they are taken."""
 
-    def __init__(self, size: int, label: str, extent: Extent) -> None:
-        self._size, self._extent = size, extent
+    def __init__(self, size: int, label: str, extent: Extent, module_size: int) -> None:
+        self._size, self._extent, self._module_size = size, extent, module_size
         self._suffix = f" ({label})" if label else ""
         self.points: list[Point] = []
         self._idle_share = self._idle_received = 0.0  # of a core without bookmarks; bytes by second with them
@@ -191,7 +193,7 @@
         return loaded, before, after
 
     def _module(self) -> None:
-        cost = rigs.module_cost(self._size, MODULE_TASKS)
+        cost = rigs.module_cost(self._module_size, MODULE_TASKS)
         self._add("list client", "module's time for one changed entry", "us", cost.change_us)
         self._add("list client", "module's time for one arrival", "us", cost.arrival_us)
         self._add("list client", "module's time for one arrival after a changed entry", "us",
--- a/tests/capacity/test_command.py
+++ b/tests/capacity/test_command.py
@@ -69,7 +69,7 @@
     told = capsys.readouterr().err
     assert not out.exists() and told.startswith("capacity: ")
     if "clouds" in "".join(arguments):
-        assert "machines, tasks, placers, teams, changes, gangs" in told
+        assert "machines, subsets, tasks, placers, teams, changes, gangs" in told
 
 
 def test_arguments_are_read() -> None:
