--- a/wingbarrow/cli/labfleet.py
+++ b/wingbarrow/cli/labfleet.py
@@ -30,6 +30,8 @@
 @click.option("--lease", type=click.FloatRange(1, 300), default=10.0, show_default=True, help="Seconds.")
 @click.option("--after", type=click.FloatRange(1, 3600), default=12.0, show_default=True,
               help="Seconds until a lost region's work is issued again.")
+@click.option("--subsets", type=click.IntRange(1, 64), help="Have each machine held by so many of its region's "
+              "placers alone.")
 @click.option("--script", type=click.Path(path_type=Path, exists=True), help="Faults in KDL; from the seed without it.")
 @click.option("--seed", type=click.IntRange(0, 1 << 31), default=1, show_default=True)
 @click.option("--seconds", type=click.FloatRange(5, 3600), default=30.0, show_default=True)
@@ -39,7 +41,8 @@
 @click.option("--judge", "again", type=click.Path(path_type=Path, exists=True),
               help="Judge what a run left; play none.")
 def fleet(placers: int, machines: int, regions: int | None, leases: bool, lease: float, after: float,
-          script: Path | None, seed: int, seconds: float, rate: float, out: Path | None, again: Path | None) -> None:
+          subsets: int | None, script: Path | None, seed: int, seconds: float, rate: float, out: Path | None,
+          again: Path | None) -> None:
     """Real placers as processes, with faults between them; the last line is the judge's verdict, exit 1 if broken."""
     if again is not None:
         verdict = judge(again)
@@ -48,7 +51,9 @@
             raise click.BadParameter(f"--out: {out} holds a run already; --judge judges it")
         if min(placers, machines) < (regions or 0):
             raise click.BadParameter("--regions: each needs a placer and a machine of its own")
-        size = Size(placers, machines, seconds, seed, rate, regions or 0, leases, lease, after)
+        if (subsets or 0) > placers // (regions or 1):
+            raise click.BadParameter("--subsets: more than there are placers in a region")
+        size = Size(placers, machines, seconds, seed, rate, regions or 0, leases, lease, after, subsets or 0)
         try:
             verdict = _play(size, _faults(size, script), out)
         except (BadScript, TimeoutError, NotStarted) as error:
--- a/wingbarrow/lab/fleet/layout.py
+++ b/wingbarrow/lab/fleet/layout.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wingbarrow.decide.subsets import SubsetRules, Subsets
+
 SECOND = 1_000_000
 REGIONS = ("north", "south", "west", "east", "middle", "coast", "hill", "lake")
 THIRD, WITNESS = "third", "voter-0"  # the place without machines, and who votes there
@@ -28,6 +30,7 @@
     leases: bool = True
     lease_s: float = 10.0
     after_s: float = 12.0  # of leased classes' specs; longer by a quarter where nothing may start twice
+    subsets: int = 0  # each machine is held by so many placers of its region; 0: by all of them
 
     @property
     def voters(self) -> int:
@@ -121,6 +124,22 @@
                     f'    over lower=60 upper=90\n}}\n')
         return out
 
+    def subset(self, name: str) -> str:
+        """The node by which a placer holds a subset of its region's machines; "" where it holds all."""
+        if not self.size.subsets or name == WITNESS:
+            return ""
+        roster = " ".join(f'"{each}"' for each in self.mates(name))
+        return (f'subset replicas={self.size.subsets} {{\n    roster {roster}\n    leave-after "2s"\n'
+                '    settle "500ms"\n}\n')
+
+    def held(self, name: str, machines: list[str]) -> int:
+        """How many of its region's machines a placer holds while all placers live."""
+        mates = frozenset(self.mates(name))
+        if not self.size.subsets:
+            return len(machines)
+        subsets = Subsets(SubsetRules(tuple(mates), self.size.subsets))
+        return sum(subsets.holds(name, machine, mates) for machine in machines)
+
     def agree(self) -> str:
         """The terms of agreement."""
         size = self.size
--- a/wingbarrow/lab/fleet/places.py
+++ b/wingbarrow/lab/fleet/places.py
@@ -157,7 +157,7 @@
         text = settings_text(mates.index(slot.name) if slot.name in mates else 0, len(mates),
                              self.size.seed + slot.index, cluster.source.port if cluster else 1, 0, str(state))
         return (self.layout.text(slot.name, text) + f'allow-peer "127.0.0.0/8"\nhistory "{self.folder}/{slot.name}'
-                f'.history.jsonl"\n{peers}{self.layout.agree()}')
+                f'.history.jsonl"\n{peers}{self.layout.subset(slot.name)}{self.layout.agree()}')
 
     def watch(self) -> None:
         """Write down, for good, when a process was ready to run and the machine gave it no processor."""
