A placer's subset is widened for a while where its tasks wait long

A Job that fits nowhere in its placer's subset was refused though other machines of the region had room. Where a task without an attempt out has waited a quarter of its patience, one more rank is held, up to widen=; it is let go after calm. Off without the property. No tests of it in this commit yet.

--- a/tests/core/subsetstage.py
+++ b/tests/core/subsetstage.py
@@ -22,9 +22,9 @@
     """`cuts`: what placers say to each other goes through proxies, by (from, to)."""
 
     def __init__(self, machines: int, placers: int, replicas: int, seed: int = 3, build: Build | None = None,
-                 cuts: bool = False, extra: str = "") -> None:
+                 cuts: bool = False, extra: str = "", widen: int = 0) -> None:
         super().__init__(machines, placers, seed, build)
-        self.replicas = replicas
+        self.replicas, self.widen = replicas, widen
         self.proxies: dict[tuple[str, str], Proxy] = {}
         self._cuts = cuts
         for slot in self.cluster.placers:
@@ -37,7 +37,8 @@
                             for other in self.cluster.placers if other is not slot}
         self.cluster.hold_subsets(
             self.replicas, f"{LEAVE_S:g}s", f"{int(SETTLE_S * 1000)}ms",
-            lambda slot, other: self.proxies[slot.name, other.name].port if self._cuts else other.port)
+            lambda slot, other: self.proxies[slot.name, other.name].port if self._cuts else other.port,
+            self.widen)
         self.cluster.start()
         assert self.wait(lambda: all(len(each.peering.membership.table.living()) == len(self.live()) - 1
                                      for each in self.live())), "they do not know each other"
--- a/tests/core/test_subset_list.py
+++ b/tests/core/test_subset_list.py
@@ -202,7 +202,8 @@
             stage.cluster.set_drain(machine, True)
         stage.hub.sleep(S)
         stage.cluster.placers[2].kill()
-        assert stage.wait(lambda: any(each.subset is not None and each.subset._refilling for each in stage.live()), 40)
+        assert stage.wait(lambda: any(each.subset is not None and each.subset._refills.going
+                                      for each in stage.live()), 40)
         if restored:
             replaced(stage.cluster.source)
         else:
@@ -217,7 +218,7 @@
         if not restored:
             serve_old(False)
         assert stage.wait(stage.settled_subsets, 20)
-        assert all(not each.subset._refilling for each in stage.live() if each.subset)
+        assert all(not each.subset._refills.going for each in stage.live() if each.subset)
     stage.play(script, start=False)
     audited = stage.audit()
     assert audited.clean and audited.accepted == 6
--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -100,6 +100,7 @@
     rules: SubsetRules
     leave_after_us: int = LEAVE_AFTER_US
     settle_us: int = SETTLE_US
+    widen: int = 0  # further ranks whose machines a placer may hold for a while; 0: none
 
 
 @dataclass(frozen=True, slots=True)
--- a/wingbarrow/config/subsetting.py
+++ b/wingbarrow/config/subsetting.py
@@ -1,13 +1,14 @@
 """The `subset` node: that each placer of a region holds only some of its machines.
 
-    subset replicas=3 machines=1200 cells=60 {
+    subset replicas=3 widen=2 machines=1200 cells=60 {
         roster "placer-0" "placer-1" "placer-2" "placer-3" "placer-4"
         leave-after "10s"
         settle "1s"
     }
 
 `replicas`: placers that hold each machine while all live. `spare`: the part of a cold machine's offers kept for others
-than those (0 to 1). `machines` and `cells`: the region's size; where they are told, subsets too small are refused.
+than those (0 to 1). `widen`: further ranks (0 to 8) whose machines a placer holds for a while where tasks of its own
+wait long. `machines` and `cells`: the region's size; where they are told, subsets too small are refused.
 `roster`: every placer that may ever hold machines of this region, the same in the files of all; without it, the members
 by `agree` that stand in this placer's region and have machines. `leave-after` and `settle`: see `decide.subset_view`.
 """
@@ -22,10 +23,12 @@
 from wingbarrow.decide.subset_view import LEAVE_AFTER_US, SETTLE_US
 from wingbarrow.decide.subsets import ROSTER_MOST, SubsetRules, Subsets, subset_size
 
+WIDEN_MOST = 8
 MACHINES_LEAST = 8  # of an expected subset: with fewer, one in which most are full or rest is no rarity
 _LEAVE_US, _SETTLE_US = (1_000_000, 600_000_000), (100_000, 60_000_000)
 SHAPE = Shape((), {
     "replicas": (number(1, ROSTER_MOST, True), NEEDED), "spare": (number(0, 1), 0.25),
+    "widen": (number(0, WIDEN_MOST, True), 0),
     "machines": (number(1, 10_000_000, True), None), "cells": (number(1, 10_000_000, True), None),
 }, {"roster": Shape(rest=text), "leave-after": Shape((read_duration,)), "settle": Shape((read_duration,))})
 
@@ -51,6 +54,9 @@
         found.append((line, f"{placer.args[0]!r} is not in the roster"))
     if roster and node.props["replicas"] > len(roster):
         found.append((node.line, f"{node.props['replicas']} replicas, but {len(roster)} placer(s) in the roster"))
+    elif roster and node.props["replicas"] + node.props["widen"] > len(roster):
+        found.append((node.line, f"{node.props['replicas']} replicas and {node.props['widen']} to widen by, but "
+                                 f"{len(roster)} placer(s) in the roster"))
     if not placer.props["machines"]:
         found.append((node.line, f"{placer.args[0]!r} has no machines to hold"))
     if len(roster) > 1 and not top.children.get("allow-peer"):
@@ -71,7 +77,8 @@
     problems += [(at, f"subset: {words}") for at, words in found]
     if found:
         return None
-    return SubsetSettings(SubsetRules(roster, node.props["replicas"], float(node.props["spare"])), leave_us, settle_us)
+    return SubsetSettings(SubsetRules(roster, node.props["replicas"], float(node.props["spare"])), leave_us, settle_us,
+                          node.props["widen"])
 
 
 def module_settings(settings: PlacerSettings, scheduler: api.Settings | None = None) -> api.Settings:
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -139,7 +139,8 @@
             rulebook.purse = lambda: self.peering.agreement.purse if self.peering.agreement is not None else None
         self.subset: Subset | None = None
         if settings.subset is not None:
-            subset = self.subset = Subset(base, settings.subset, fleet, machines, attempts, stops, self._members)
+            subset = self.subset = Subset(base, settings.subset, fleet, machines, attempts, stops, self._members,
+                                          requests.waits.any_long)
             cold = offers.cold = ColdShares(base, fleet, attempts, subset.subsets, rulebook.cold_offers)
             requests.answered, fleet.spoke = cold.ended, cold.spoke
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
--- a/wingbarrow/core/requests.py
+++ b/wingbarrow/core/requests.py
@@ -10,6 +10,7 @@
 from wingbarrow.core.board import Board
 from wingbarrow.core.book import Book, State, Step, TaskRecord
 from wingbarrow.core.host import Host
+from wingbarrow.core.waits import Waits
 
 
 class Requests:
@@ -17,6 +18,7 @@
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, board: Board) -> None:
         self._base, self._host, self._book, self._attempts, self._board = base, host, book, attempts, board
+        self.waits = Waits(lambda request: attempts.of(request) is not None)
         self.came_to: Callable[[str, api.Outcome | None], None] = lambda machine, outcome: None  # None: it runs
         self.answered: Callable[[Attempt, api.Outcome | None], None] = lambda attempt, outcome: None  # None: it runs
         # Of leased Jobs: whether `placed` may be answered at once, what an attempt came to, whether the failure of a
@@ -35,6 +37,7 @@
         if due_us is None:
             due_us = self._base.hub.now_us() + asked.patience_us
         request = self._book.open_request(task, due_us)
+        self.waits.add(task)
         self._host.feed(self.arrival(task, request, asked.expected_us))
 
     def ask_anew(self, attempt: Attempt) -> None:
@@ -57,6 +60,7 @@
     def close(self, task: TaskRecord) -> None:
         """Its request has ended."""
         self._host.cancel_timer(task.request)
+        self.waits.remove(task, task.request)
         self._book.close_request(task)
 
     def withdraw(self, task: TaskRecord) -> None:
@@ -103,6 +107,7 @@
         self.came_to(attempt.link.name, None)
         self.answered(attempt, None)
         self._host.cancel_timer(attempt.request)
+        self.waits.remove(task, attempt.request)
         self._book.step(task, Step.PLACE)
         self._base.counts["placed"] += 1
         self._board.mark(task.job)
--- a/wingbarrow/core/subset.py
+++ b/wingbarrow/core/subset.py
@@ -4,6 +4,9 @@
 its entry and its tasks are followed as before. Once nothing of this placer's is there, nor can come to be there, it is
 released, as far as this placer goes. A machine that comes into the subset is read from the list, by one list more,
 each placer at a time of its own, as all hear of a change at about the same time.
+
+Where tasks wait long, the subset is widened for a while by `decide.widening`: the machines of one more rank are read at
+once, by a list of this placer alone, and leave the subset later as others do.
 """
 
 from __future__ import annotations
@@ -19,12 +22,11 @@
 from wingbarrow.core.link import MachineLink
 from wingbarrow.core.machines import Machines
 from wingbarrow.core.nodes import NodeEntry
+from wingbarrow.core.refills import Refills
 from wingbarrow.core.stops import Stops
-from wingbarrow.decide.backoff import Backoff
 from wingbarrow.decide.subset_view import LivingView
 from wingbarrow.decide.subsets import Subsets
-from wingbarrow.http.client import CallFailed
-from wingbarrow.kube.status import ApiError
+from wingbarrow.decide.widening import Widening
 
 LOOK_US = 250_000
 ALONE_US = 5_000_000  # after so long without a word of any member, this placer is taken to be alone
@@ -34,23 +36,33 @@
 RELEASES_OUT = 16  # machines that are asked at a time
 REFILL_EACH_US = 100_000  # lists of all placers are spread over so long for each placer of the roster ...
 REFILL_SPREAD_US = 10_000_000  # ... and at most over this
+WIDEN_SPREAD_US = 200_000  # of a list that this placer reads for itself: others may be short of room at the same time
 
 
 class Subset:
-    """`members` gives the names of the placers that live by membership, and how many it has ever heard of."""
+    """`members` gives the names of the placers that live by membership, and how many it has ever heard of.
+
+    `waits_long(now_us)` says whether a task waits long for a machine.
+    """
 
     def __init__(self, base: Base, settings: SubsetSettings, fleet: Fleet, machines: Machines, attempts: Attempts,
-                 stops: Stops, members: Callable[[], tuple[frozenset[str], int]]) -> None:
+                 stops: Stops, members: Callable[[], tuple[frozenset[str], int]],
+                 waits_long: Callable[[int], bool]) -> None:
         self._base, self._fleet, self._machines = base, fleet, machines
         self._attempts, self._stops, self._members = attempts, stops, members
+        self._waits_long = waits_long
         self._me = base.settings.name
         self.subsets = Subsets(settings.rules)
         self._spread_us = min(REFILL_SPREAD_US, REFILL_EACH_US * len(settings.rules.roster))
         self._view = LivingView(self._me, settings.rules.roster, settings.leave_after_us, settings.settle_us)
+        self._widen_most, self._widening = settings.widen, Widening(settings.widen)
+        self.extra = 0  # further ranks that this placer holds machines of, as tasks of its own wait long
         self._begun_us = base.hub.now_us()
         self.living = self._view.living(self._begun_us)
         self._everything = False  # take in every machine of the first list: what a former life held is not known
-        self._refilling = self._refill_again = False
+        self._refills = Refills(base, fleet.reflector, self._spread_us)
+        # Apart from those: what waits for its time among all placers must not hold this up.
+        self._widens = Refills(base, fleet.reflector, WIDEN_SPREAD_US)
         self._releasing = 0
         self._again_us: dict[str, int] = {}  # lingering machines that could not be released: when to look again
         fleet.reflector.wanted = self.wants
@@ -60,7 +72,7 @@
 
     def holds(self, name: str) -> bool:
         """Whether a machine is of this placer's subset."""
-        return self.subsets.holds(self._me, name, self.living)
+        return self.subsets.holds(self._me, name, self.living, self.extra)
 
     def wants(self, name: str) -> bool:
         """Whether a machine's entry is read: it is of the subset, or lingers."""
@@ -89,6 +101,8 @@
         while True:
             now = self._base.hub.now_us()
             self._look(now)
+            if self._widen_most:
+                self._look_at_waits(now)
             self._release_some(now)
             if self._fleet.reflector.relists:
                 self._everything = False
@@ -101,50 +115,36 @@
         self._view.on_members(now_us, living)
         living = self._view.living(now_us)
         if living != self.living:
-            self._change(living)
+            self._follow(living)
 
-    def _change(self, living: frozenset[str]) -> None:
-        held = self._fleet.held
-        before, self.living = self.living, living
-        moved = [entry for name, entry in held.items()
-                 if self.subsets.holds(self._me, name, before) != self.holds(name)]
+    def _follow(self, living: frozenset[str]) -> None:
+        before = self.living
+        moved = self._change(living, self.extra)
         self._base.counts["subset:changes"] += 1
-        self._base.log("subset", living=len(living), moved=len(moved), joined=sorted(living - before)[:20],
+        self._base.log("subset", living=len(living), moved=moved, joined=sorted(living - before)[:20],
                        left=sorted(before - living)[:20])
-        if moved:
-            self._fleet.take_again(moved)
         if before - living:
-            self._refill_soon()
-
-    # -- machines that come in
-
-    def _refill_soon(self) -> None:
-        self._refill_again = True
-        if not self._refilling:
-            self._refilling = True
-            self._base.spawn(self._refill, "takes in machines")
-
-    def _refill(self) -> None:
-        hub, reflector = self._base.hub, self._fleet.reflector
-        pause = Backoff(self._base.random, 200_000, 5_000_000)
-        try:
-            while self._refill_again:
-                self._refill_again, lists = False, reflector.relists
-                hub.sleep(int(self._base.random.random() * self._spread_us))
-                # A list that the reflector took in meanwhile has all that is wanted.
-                while reflector.relists == lists and not self._refilled():
-                    hub.sleep(pause.next_us())
-        finally:
-            self._refilling = False
-
-    def _refilled(self) -> bool:
-        try:
-            self._fleet.reflector.refill()
-        except (CallFailed, ApiError, ValueError) as error:
-            self._base.counts["subset:relists failed"] += 1
-            self._base.log("subset-relist-failed", level="warning", why=str(error)[:200])
-            return False
-        return True
+            self._refills.ask()
+
+    def _look_at_waits(self, now_us: int) -> None:
+        before, useful = self.extra, len(self.living) - self.subsets.rules.replicas
+        extra = self._widening.look(now_us, self._waits_long(now_us), useful)
+        if extra == before:
+            return
+        moved = self._change(self.living, extra)
+        self._base.counts["subset:widened" if extra > before else "subset:narrowed"] += 1
+        self._base.log("subset-width", extra=extra, moved=moved)
+        if extra > before:
+            self._widens.ask()
+
+    def _change(self, living: frozenset[str], extra: int) -> int:
+        """Hold by these from now on; how many of the machines that are followed come in or leave."""
+        held, before = self._fleet.held, [name for name in self._fleet.held if self.holds(name)]
+        self.living, self.extra = living, extra
+        changed = set(before) ^ {name for name in held if self.holds(name)}
+        if changed:
+            self._fleet.take_again([held[name] for name in held if name in changed])
+        return len(changed)
 
     # -- machines that go
 
--- a/wingbarrow/decide/subsets.py
+++ b/wingbarrow/decide/subsets.py
@@ -71,11 +71,14 @@
                     break
         return tuple(found)
 
-    def holds(self, placer: str, machine: str, living: frozenset[str]) -> bool:
-        """Whether `placer` is among the holders. Looks at few ranks: at some `replicas`, and as many as are dead."""
+    def holds(self, placer: str, machine: str, living: frozenset[str], extra: int = 0) -> bool:
+        """Whether `placer` is among the holders, or the `extra` (from 0) living ranks after them.
+
+        Looks at few ranks: at some `replicas + extra`, and as many as are dead.
+        """
         if placer not in living or placer not in self._known:
             return False
-        left = self.rules.replicas
+        left = self.rules.replicas + extra
         names = self._names
         for index in self._ranked(machine):
             name = names[index]
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -227,6 +227,7 @@
     lingering, reflector = len(placer.subset.lingering), placer.fleet.reflector
     return [("wingbarrow_subset_machines", "Machines of this placer's subset", len(placer.machines.links) - lingering),
             ("wingbarrow_subset_lingering", "Machines followed though they have left the subset", lingering),
+            ("wingbarrow_subset_extra_ranks", "Ranks held beyond the replicas by now", placer.subset.extra),
             ("wingbarrow_subset_left_out", "Machines on the list that are not held", reflector.left_out),
             ("wingbarrow_subset_passed_over", "Entries of the list passed over so far", reflector.passed_over),
             ("wingbarrow_subset_relists", "Lists read for machines that came in, so far", reflector.refills)]
--- a/wingbarrow/lab/cluster.py
+++ b/wingbarrow/lab/cluster.py
@@ -173,14 +173,15 @@
         return [PlacerAddress(slot.name, slot.port) for slot in self.placers]
 
     def hold_subsets(self, replicas: int, leave_after: str = "2s", settle: str = "500ms",
-                     port: Callable[[PlacerSlot, PlacerSlot], int] = lambda slot, other: other.port) -> None:
+                     port: Callable[[PlacerSlot, PlacerSlot], int] = lambda slot, other: other.port,
+                     widen: int = 0) -> None:
         """Have each placer hold a subset of the machines from its next start on; `port`: where one finds another."""
         roster = " ".join(f'"{slot.name}"' for slot in self.placers)
         for slot in self.placers:
             peers = "".join(f'peer "127.0.0.1" port={port(slot, other)} name="{other.name}"\n'
                             for other in self.placers if other is not slot)
-            slot.extra += (f'\nallow-peer "127.0.0.0/8"\n{peers}subset replicas={replicas} {{\n    roster {roster}\n'
-                           f'    leave-after "{leave_after}"\n    settle "{settle}"\n}}\n')
+            slot.extra += (f'\nallow-peer "127.0.0.0/8"\n{peers}subset replicas={replicas} widen={widen} {{\n'
+                           f'    roster {roster}\n    leave-after "{leave_after}"\n    settle "{settle}"\n}}\n')
 
     # -- troubles
 
