--- a/tests/config/test_subsetting.py
+++ b/tests/config/test_subsetting.py
@@ -45,6 +45,14 @@
     assert (settings.subset.leave_after_us, settings.subset.settle_us) == (7 * S, 300_000)
     plain = load_text(text(f"subset replicas=3 {{ roster {NAMED} }}")).subset
     assert plain is not None and (plain.leave_after_us, plain.settle_us) == (LEAVE_AFTER_US, SETTLE_US)
+    assert plain.widen == 0
+
+
+def test_a_subset_may_be_widened_to_the_whole_roster_and_no_further() -> None:
+    wide = load_text(text(f"subset replicas=3 widen=2 {{ roster {NAMED} }}"))
+    assert wide.subset is not None and wide.subset.widen == 2
+    told = module_settings(wide)
+    assert (told.placers, told.fresh_offers) == (3, 15.0), "cold offers are dealt as without"
 
 
 @pytest.mark.parametrize(("subset", "words"), [
@@ -53,6 +61,10 @@
     (f'subset replicas=2 {{ roster {NAMED} "placer-3" }}', "'placer-3' is named twice in the roster"),
     ("subset replicas=2 { roster " + " ".join(f'"placer-{n}"' for n in range(257)) + " }", "more than 256 placers"),
     ("subset replicas=1", "a roster is wanted"),
+    (f"subset replicas=3 widen=3 {{ roster {NAMED} }}", "3 replicas and 3 to widen by, but 5 placer(s) in the roster"),
+    (f"subset replicas=1 widen=9 {{ roster {NAMED} }}", "widen: between 0 and 8 is wanted, not 9"),
+    (f"subset replicas=1 widen=-1 {{ roster {NAMED} }}", "widen: between 0 and 8 is wanted, not -1"),
+    (f"subset replicas=1 widen=1.5 {{ roster {NAMED} }}", "widen: a whole number is wanted"),
     (f"subset replicas=0 {{ roster {NAMED} }}", "replicas: between 1 and 256 is wanted, not 0"),
     (f"subset {{ roster {NAMED} }}", "replicas= is missing"),
     (f"subset replicas=2 spare=1.5 {{ roster {NAMED} }}", "spare: between 0 and 1 is wanted"),
--- /dev/null
+++ b/tests/core/test_subset_widening.py
@@ -0,0 +1,160 @@
+"""Where a placer's subset is full: it is widened while tasks wait, within its bounds, and shrinks again after calm."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.core.subsetstage import SubsetStage
+from tests.core.test_subset_cold import OFFERS, burst, most_within
+from tests.stage import S
+from wingbarrow.core.placer import Placer
+from wingbarrow.core.subset import LINGER_US, LOOK_US, WIDEN_SPREAD_US
+from wingbarrow.decide.widening import CALM_US, STEP_US
+from wingbarrow.interface import Phase
+from wingbarrow.lab.build import Build
+from wingbarrow.lab.cluster import PlacerSlot
+
+TWO_TASKS = Build(booking_cores=2 / 24)  # a machine that takes in two tasks of a core
+INDEX = 1  # a placer that holds one machine of eight
+
+
+def begun(stage: SubsetStage, index: int = INDEX) -> tuple[PlacerSlot, Placer, set[str]]:
+    """A placer, its slot, and what it holds."""
+    stage.begin()
+    slot, placer = stage.cluster.placers[index], stage.placer(index)
+    held = set(placer.fleet.held)
+    assert 0 < len(held) < 8
+    return slot, placer, held
+
+
+def fill(stage: SubsetStage, slot: PlacerSlot, machines: int, runs_s: float = 200) -> None:
+    """Two tasks for each machine of the placer's subset."""
+    for number in range(2 * machines):
+        stage.submit_to(slot, f"fills-{slot.name}-{number}", runs_s=runs_s)
+        assert stage.answer_of(slot, f"fills-{slot.name}-{number}") == "placed"
+
+
+def machine_of(placer: Placer, job: str) -> str:
+    return placer.book.jobs[f"default/{job}"].tasks[0].machine
+
+
+def test_a_job_that_fits_nowhere_in_the_subset_is_placed_outside_it_well_within_its_patience() -> None:
+    stage = SubsetStage(machines=8, placers=4, replicas=1, build=TWO_TASKS, widen=2)
+
+    def script() -> None:
+        slot, placer, held = begun(stage)
+        subset = stage.subset(INDEX)
+        subset._refills._spread_us = 10 * S  # as with a hundred placers: a list for itself must not wait so long
+        subset._refills.ask()
+        fill(stage, slot, len(held))
+        assert subset.extra == 0, "nothing waited so long"
+        asked_us, refills = stage.hub.now_us(), placer.fleet.reflector.refills
+        stage.submit_to(slot, "more")
+        assert stage.answer_of(slot, "more") == "placed"
+        taken_us = stage.hub.now_us() - asked_us
+        print("placed after", taken_us / S, "s")
+        assert taken_us <= 5 * S // 4 + LOOK_US + WIDEN_SPREAD_US + S // 2
+        machine = machine_of(placer, "more")
+        assert machine not in held and subset.holds(machine) and subset.extra == 1
+        assert subset.subsets.order(machine)[1] == slot.name, "one rank more"
+        assert placer.fleet.reflector.refills == refills + 1
+        told = stage.pool(slot.port).request("GET", "/metrics").body.decode()
+        assert "\nwingbarrow_subset_extra_ranks 1.0\n" in told and 'subset:widened"} 1.0' in told
+    stage.play(script, start=False)
+    assert stage.audit().clean
+
+
+def test_without_the_setting_the_same_job_is_refused_and_nothing_more_is_held() -> None:
+    stage = SubsetStage(machines=8, placers=4, replicas=1, build=TWO_TASKS)
+
+    def script() -> None:
+        slot, placer, held = begun(stage)
+        fill(stage, slot, len(held))
+        stage.submit_to(slot, "more")
+        assert stage.answer_of(slot, "more") == "refused"
+        assert set(placer.fleet.held) == held and placer.fleet.reflector.refills == 0
+        assert not placer.base.counts["subset:widened"]
+    stage.play(script, start=False)
+    assert stage.audit().clean
+
+
+def test_where_the_whole_region_is_full_a_job_is_refused_in_time_after_so_many_steps() -> None:
+    stage = SubsetStage(machines=8, placers=4, replicas=1, build=TWO_TASKS, widen=2)
+
+    def script() -> None:
+        slot, placer, held = begun(stage)
+        for index, each in enumerate(stage.cluster.placers):
+            fill(stage, each, len(stage.placer(index).fleet.held))
+        subset, steps_us = stage.subset(INDEX), [0]
+        asked_us, refills = stage.hub.now_us(), placer.fleet.reflector.refills
+        for name in ("a", "b", "c"):
+            stage.submit_to(slot, name, patience_s=8)
+        while placer.book.owed:
+            if subset.extra > len(steps_us) - 1:
+                steps_us.append(stage.hub.now_us())
+            stage.hub.sleep(10_000)
+        assert [stage.answer_of(slot, name) for name in ("a", "b", "c")] == ["refused"] * 3
+        assert stage.hub.now_us() - asked_us <= 8 * S + S // 2
+        assert subset.extra == 2 == placer.base.counts["subset:widened"]
+        assert steps_us[2] - steps_us[1] >= STEP_US - 10_000 and steps_us[1] - asked_us >= 2 * S
+        assert placer.fleet.reflector.refills - refills == 2, "a list for each step"
+        out = [name for name in stage.names() if slot.name not in subset.subsets.order(name)[:3]]
+        assert out and not set(out) & set(placer.fleet.held), "machines of later ranks stay out"
+    stage.play(script, start=False)
+    assert stage.audit().clean
+
+
+def test_after_calm_the_machines_are_let_go_and_a_task_there_is_followed_until_it_ends() -> None:
+    stage = SubsetStage(machines=8, placers=4, replicas=1, build=TWO_TASKS, widen=2)
+
+    def script() -> None:
+        slot, placer, held = begun(stage, 2)
+        subset = stage.subset(2)
+        fill(stage, slot, len(held), runs_s=200)
+        stage.submit_to(slot, "more", runs_s=90)
+        assert stage.answer_of(slot, "more") == "placed"
+        placed_us, machine = stage.hub.now_us(), machine_of(placer, "more")
+        others = set(placer.fleet.held) - held - {machine}
+        assert others, "the further rank brought more than one machine"
+        assert stage.wait(lambda: subset.extra == 0, 40)
+        assert CALM_US - S <= stage.hub.now_us() - placed_us <= CALM_US + S
+        link = placer.machines.links[machine]
+        assert link.phase is Phase.DRAINING and set(subset.lingering) == others | {machine}
+        assert stage.wait(lambda: subset.lingering == [machine], (LINGER_US + 5 * S) / S)
+        assert placer.base.counts["subset:narrowed"] == 1
+        # It waits long again: the machine that is followed still is open at once.
+        stage.submit_to(slot, "again", runs_s=1)
+        assert stage.answer_of(slot, "again") == "placed" and machine_of(placer, "again") not in held
+        assert placer.machines.links[machine] is link
+        job = placer.book.jobs["default/more"]
+        assert stage.wait(lambda: not job.open, 90) and job.tasks[0].state.value == "done", "it was followed"
+        assert stage.wait(stage.settled_subsets, 60), "all are let go in the end"
+        assert placer.base.counts["subset:narrowed"] == 2
+    stage.play(script, start=False)
+    assert stage.audit().clean
+
+
+def test_a_cold_machine_outside_the_subset_gets_at_most_this_placers_share_by_rank() -> None:
+    stage = SubsetStage(machines=8, placers=4, replicas=1, widen=2)
+
+    def script() -> None:
+        slot, placer, held = begun(stage)
+        subset = stage.subset(INDEX)
+        for machine in stage.cluster.machines:
+            if machine.name in held:
+                machine.build = replace(machine.build, booking_cores=2 / 24)
+        fill(stage, slot, len(held))
+        others = [machine for machine in stage.cluster.machines if machine.name not in held]
+        for machine in others:
+            stage.hub.spawn(lambda machine=machine: stage.cluster.crash(machine, 1.0))  # type: ignore[misc]
+        stage.hub.sleep(S + S // 5)
+        answers = burst(stage, [INDEX], 30, pace_s=0.05)
+        assert subset.extra >= 1 and answers["placed"] > 0, answers
+        shares = {machine.name: subset.subsets.cold_most(slot.name, machine.name, OFFERS) for machine in others}
+        assert max(shares.values()) <= 2, "the ranks after the first share a quarter"
+        found = most_within(stage, others)
+        print("shares", shares, "found", found, "answers", dict(answers))
+        assert found and all(most <= shares[machine] for (_, machine), most in found.items()), found
+        assert any(most == shares[machine] for (_, machine), most in found.items()), "no share was used up"
+    stage.play(script, start=False)
+    assert stage.audit().clean, stage.audit().notes
--- a/tests/decide/test_subsets.py
+++ b/tests/decide/test_subsets.py
@@ -248,3 +248,17 @@
         subset_most_expected(machines, placers, replicas)
     with pytest.raises(ValueError):
         placers_wanted(machines, placers, replicas)
+
+
+# -- further ranks
+
+@given(names, st.data())
+def test_with_further_ranks_the_first_living_of_so_many_hold_a_machine(roster: list[str], data: st.DataObject) -> None:
+    replicas = data.draw(st.integers(1, len(roster)))
+    extra = data.draw(st.integers(0, 8))
+    living = frozenset(data.draw(st.sets(st.sampled_from(roster))))
+    subsets = Subsets(SubsetRules(tuple(roster), replicas))
+    for machine in MACHINES[:5]:
+        wanted = [name for name in subsets.order(machine) if name in living][:replicas + extra]
+        assert {name for name in roster if subsets.holds(name, machine, living, extra)} == set(wanted)
+        assert tuple(wanted[:replicas]) == subsets.holders(machine, living)
