A placer's subset is widened for a while where its tasks wait long

Need: a Job that fitted nowhere in its placer's subset was refused though other machines had room. Change: the setting widen (0, off, by default): machines of up to so many further ranks are held for a while, a step a second at most; shares of cold machines go by the static rank as before.

--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -84,6 +84,7 @@
         host = self.host = Host(base, module_settings(settings))
         board = self.board = Board(base, book)
         requests = Requests(base, host, book, attempts, board)
+        self.waits = requests.waits
         stops = self.stops = Stops(hub, random.Random(base.random.random()), base.spawn, base.counts)
         runs = Runs(base, book, attempts, board, requests, stops)
         strays = Strays(base, host, book, attempts, board, requests, runs, stops)
@@ -139,7 +140,8 @@
             rulebook.purse = lambda: self.peering.agreement.purse if self.peering.agreement is not None else None
         self.subset: Subset | None = None
         if settings.subset is not None:
-            subset = self.subset = Subset(base, settings.subset, fleet, machines, attempts, stops, self._members)
+            subset = self.subset = Subset(base, settings.subset, fleet, machines, attempts, stops, self._members,
+                                          self.waits.any_long)
             cold = offers.cold = ColdShares(base, fleet, attempts, subset.subsets, rulebook.cold_offers)
             requests.answered, fleet.spoke = cold.ended, cold.spoke
         self.learner = Learner(hub, settings, self.hearsay, base.born_us, log)
