--- a/wingbarrow/core/base.py
+++ b/wingbarrow/core/base.py
@@ -1,4 +1,4 @@
-"""What the rooms behind the REST front share beside a placer's life: its settings in force and its name."""
+"""What the components behind the REST front share beside a placer's life: its settings in force and its name."""
 
 from __future__ import annotations
 
--- a/wingbarrow/core/host.py
+++ b/wingbarrow/core/host.py
@@ -1,6 +1,6 @@
-"""The host of the decision module: events in, in order; actions out, each to the room that carries it out.
+"""The host of the decision module: events in, in order; actions out, each to the component that carries it out.
 
-It is the only caller of `Scheduler.handle`. A room that has something to tell feeds an event; what the module then
+It is the only caller of `Scheduler.handle`. A component that has something to tell feeds an event; what the module then
 decides is carried out before the next event is taken, and what that brings about waits in the queue.
 """
 
@@ -57,7 +57,7 @@
         if self._pumping:
             return
         hands = self.hands
-        assert hands is not None, "the placer puts the rooms together before anything happens"
+        assert hands is not None, "the placer puts the components together before anything happens"
         self._pumping = True
         try:
             while self._queue:
--- a/wingbarrow/core/leaseholder.py
+++ b/wingbarrow/core/leaseholder.py
@@ -28,7 +28,7 @@
 from wingbarrow.decide.peers.regionnews import LEASED_MOST
 from wingbarrow.kube import names
 from wingbarrow.kube.status import ApiError, Cause, invalid
-from wingbarrow.peers.custody import CustodyRoom
+from wingbarrow.peers.custody import RecordReplication
 
 KEEPER_US = 2_500_000  # a new Job waits so long for its keeper, and no longer than half of its patience
 COMING_MOST = 1024  # Jobs that wait for their keeper
@@ -39,10 +39,11 @@
     """`federation` tells the specs in force."""
 
     def __init__(self, base: Base, host: Host, book: Book, attempts: Attempts, requests: Requests, runs: Runs,
-                 stops: Stops, leases: Leases, room: CustodyRoom, federation: Callable[[], Federation]) -> None:
+                 stops: Stops, leases: Leases, records: RecordReplication,
+                 federation: Callable[[], Federation]) -> None:
         self._base, self._host, self._book, self._attempts = base, host, book, attempts
         self._requests, self._runs, self._stops, self._leases = requests, runs, stops, leases
-        self.room, self.federation = room, federation
+        self.records, self.federation = records, federation
         self.coming: set[str] = set()  # keys of Jobs that wait for their keeper
         self.jobs: dict[str, JobRecord] = {}  # by uid: leased Jobs under this placer's present session, not over
         self.goes_on: Callable[[TaskRecord], bool] = lambda task: False  # a run that was taken over goes on
@@ -95,13 +96,13 @@
         self._book.admission.add(asked.namespace, asked.count, asked.task_class.task_class.name)
         good = False
         try:
-            why = self.room.wait(lambda then: self.room.hold(record, where, copies, until, then), until)
+            why = self.records.wait(lambda then: self.records.hold(record, where, copies, until, then), until)
             good = not why and self._leases.may_send(session.text())
         finally:
             self.coming.discard(key)
             self._book.admission.remove(asked.namespace, asked.count, asked.task_class.task_class.name)
             if not good:
-                self.room.drop(uid)
+                self.records.drop(uid)
         if not good:
             raise self._away("no keeper", why or "this placer's lease does not hold any more")
         return Leased(spec.name, session.text())
@@ -110,13 +111,13 @@
         """A Job that a keeper has is accepted."""
         job.leased = leased
         self.jobs[job.uid] = job
-        self.room.answered(job.uid, "")  # it is accepted from now on
+        self.records.answered(job.uid, "")  # it is accepted from now on
 
     def release(self, job: JobRecord) -> None:
         """Another placer holds it by a lease of its own."""
         job.leased = None
         self.jobs.pop(job.uid, None)
-        self.room.drop(job.uid)
+        self.records.drop(job.uid)
 
     def ended(self, session: str) -> bool:
         """Whether the voters ended a session, as far as was heard here."""
@@ -156,7 +157,7 @@
             return None
         known, until = Known(attempt.task.index, "about", link.name, attempt.key), attempt.deadline_us
         self._told.add(attempt.key)
-        why = self.room.wait(lambda then: self.room.about(job.uid, known, until, then), until)
+        why = self.records.wait(lambda then: self.records.about(job.uid, known, until, then), until)
         return self._unsent(f"its keeper does not know of it: {why}") if why else None
 
     def _unsent(self, words: str) -> Ended:
@@ -184,7 +185,7 @@
         if outcome in (api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT):
             attempt.task.left = False
             if told:
-                self.room.back(job.uid, attempt.task.index)
+                self.records.back(job.uid, attempt.task.index)
 
     # -- before an answer is given
 
@@ -198,7 +199,7 @@
         known = Known(task.index, "placed", attempt.link.name, attempt.key)
         if task.answered:
             # A run, of which nobody is owed an answer: it is not stopped for want of a keeper's word.
-            self.room.placed(task.job.uid, known, task.deadline_us, lambda why: None)
+            self.records.placed(task.job.uid, known, task.deadline_us, lambda why: None)
             return True
         attempt.confirming = True
         until = max(self._base.hub.now_us(), task.deadline_us - ANSWER_US)
@@ -206,7 +207,7 @@
         def then(why: str) -> None:
             # Called by the host of what placers say: its own task, which must not be held up by what follows.
             self._base.spawn(lambda: self._confirmed(attempt, why), "answers a leased Job")
-        self.room.placed(task.job.uid, known, until, then)
+        self.records.placed(task.job.uid, known, until, then)
         return False
 
     def _confirmed(self, attempt: Attempt, why: str) -> None:
@@ -284,7 +285,7 @@
     def _deleted(self, job: JobRecord) -> None:
         if not job.open and (job.leased is not None or job.notes):
             self.jobs.pop(job.uid, None)
-            self.room.drop(job.uid)
+            self.records.drop(job.uid)
 
     def _stepped(self, task: TaskRecord, before: State) -> None:
         job = task.job
@@ -295,14 +296,14 @@
         if task.state not in OPEN:
             if not job.open:
                 self.jobs.pop(job.uid, None)
-                self.room.drop(job.uid)
+                self.records.drop(job.uid)
             elif before in OPEN:
-                self.room.over(job.uid, task.index)
+                self.records.over(job.uid, task.index)
         elif task.state is State.AGAIN:
-            self.room.back(job.uid, task.index)
+            self.records.back(job.uid, task.index)
         if before is State.ASKED and not job.unanswered and job.open:
             failed = job.counts[State.FAILED] or job.counts[State.REFUSED]
-            self.room.answered(job.uid, "failed" if failed else "placed")
+            self.records.answered(job.uid, "failed" if failed else "placed")
 
 
 def _unfit(asked: JobRequest, words: str) -> ApiError:
--- a/wingbarrow/core/life.py
+++ b/wingbarrow/core/life.py
@@ -11,7 +11,7 @@
 
 
 class Life:
-    """What every room of a placer shares; it ends when something in it fails."""
+    """What every component of a placer shares; it ends when something in it fails."""
 
     def __init__(self, hub: Hub, log: Callable[..., None], seed: int) -> None:
         self.hub = hub
--- a/wingbarrow/core/placer.py
+++ b/wingbarrow/core/placer.py
@@ -1,4 +1,4 @@
-"""One placer: the rooms of the core put together. `docs/architecture.md` draws a task's way through them."""
+"""One placer: the components of the core put together. `docs/architecture.md` draws a task's way through them."""
 
 from __future__ import annotations
 
@@ -34,11 +34,11 @@
 from wingbarrow.core.strays import Strays
 from wingbarrow.core.subset import Subset
 from wingbarrow.core.successor import Successor
-from wingbarrow.core.turns import TurnsRoom
+from wingbarrow.core.turns import MaintenanceSlots
 from wingbarrow.core.verdicts import Verdicts
 from wingbarrow.decide.admission import Admission
 from wingbarrow.decide.peers.grants import Acting
-from wingbarrow.peers.custody import CustodyRoom
+from wingbarrow.peers.custody import RecordReplication
 from wingbarrow.peers.bounds import HANDING
 from wingbarrow.peers.hearsay import Hearsay
 from wingbarrow.peers.host import Peering
@@ -91,12 +91,13 @@
         rulebook = self.rulebook = Rulebook(base, host)
         self.peering = Peering(hub, settings, base.born_us, log)
         self.leases: Leases | None = None
-        self.turns: TurnsRoom | None = None
+        self.turns: MaintenanceSlots | None = None
         self.leaseholder: Leaseholder | None = None
         if settings.agree is not None and settings.region:
             leases = self.leases = Leases(base, machines, self.peering.lease, settings.agree.lease_us)
-            self.leaseholder = Leaseholder(base, host, book, attempts, requests, runs, stops, leases,
-                                       CustodyRoom(hub, settings, base.born_us, self.peering), rulebook.federation)
+            records = RecordReplication(hub, settings, base.born_us, self.peering)
+            self.leaseholder = Leaseholder(base, host, book, attempts, requests, runs, stops, leases, records,
+                                           rulebook.federation)
             strays.leased = self.leaseholder.place_late
         offers = self.offers = Offers(base, host, book, attempts, machines, requests, strays, rulebook,
                                       self.leaseholder)
@@ -132,8 +133,9 @@
             # Of the cold budget a placer wants as much as waits; how much of that is for cold machines nobody knows.
             self.peering.demand = lambda key: book.owed if key == "cold" else 0
             verdicts = Verdicts(base, fleet, lambda: self.peering.agreement)
-            turns = self.turns = TurnsRoom(base, fleet, machines, attempts, stops, closing, self.peering.turn_side,
-                                           lambda: self.peering.agreement, rulebook.in_force)
+            turns = self.turns = MaintenanceSlots(base, fleet, machines, attempts, stops, closing,
+                                                  self.peering.turn_side, lambda: self.peering.agreement,
+                                                  rulebook.in_force)
             self.peering.on_turns = turns.changed
             requests.came_to = turns.noting(verdicts.note)
             self.peering.zones, self.peering.on_verdicts = verdicts.zones, verdicts.take
@@ -175,7 +177,7 @@
                 nursery.spawn(self.mover.run, "mover")
             if self.leases is not None and self.leaseholder is not None:
                 nursery.spawn(self.leases.run, "leases")
-                nursery.spawn(self.leaseholder.room.run, "custody")
+                nursery.spawn(self.leaseholder.records.run, "custody")
             if base.settings.state:
                 nursery.spawn(self._keeper.run, "saving")
         if self.host.failed is not None:
--- a/wingbarrow/core/successor.py
+++ b/wingbarrow/core/successor.py
@@ -44,23 +44,23 @@
 
 
 class Successor:
-    """Hears what the room of custody tells, and carries it out in the book, at machines and with the module."""
+    """Hears what the replication of records tells, and carries it out in the book, at machines and with the module."""
 
     def __init__(self, base: Base, book: Book, attempts: Attempts, board: Board, machines: Machines, fleet: Fleet,
                  requests: Requests, runs: Runs, stops: Stops, holder: Leaseholder) -> None:
         self._base, self._book, self._attempts, self._board = base, book, attempts, board
         self._machines, self._fleet, self._requests, self._runs, self._stops = machines, fleet, requests, runs, stops
-        self._holder, self._room = holder, holder.room
+        self._holder, self._records = holder, holder.records
         self._asking = 0
         self._showing = False
         self._given_up: dict[str, dict[str, tuple[Own, JobRecord]]] = {}  # by session: what it had when that ended
         self._pending: dict[str, TaskRecord] = {}  # runs that were taken over and do not stand yet
         self._told: set[tuple[str, str]] = set()  # strays that were told of
         holder.goes_on = self.goes_on
-        room = self._room
-        room.on = {"startable": self._startable, "reissue": self._decided, "ask-machine": self._ask_machine,
+        records = self._records
+        records.on = {"startable": self._startable, "reissue": self._decided, "ask-machine": self._ask_machine,
                    "stop": self._lost, "settled": self._settled, "session-over": self._over}
-        room.own, room.custodian.terms = self._own, self._terms
+        records.own, records.custodian.terms = self._own, self._terms
         book.on_step.append(self._stepped)
 
     # -- others' Jobs
@@ -111,7 +111,7 @@
             cores, memory = cores - task.job.asked.cores, memory - task.job.asked.memory
         if len(self._pending) >= PENDING_MOST:
             cores = memory = 0.0  # what is ready is told of again
-        for start in self._room.next(cores, memory, lambda record: self._may(record, free)):
+        for start in self._records.next(cores, memory, lambda record: self._may(record, free)):
             self._start(start)
         self._board.flush()
 
@@ -123,7 +123,7 @@
                 self._pending.pop(task.name, None)
 
     def _start(self, start: Start) -> None:
-        record, session = start.record, self._room.custodian.custody.session
+        record, session = start.record, self._records.custodian.custody.session
         job = self._shown(record)
         if job is None:
             return
@@ -189,15 +189,15 @@
         self._base.log("reissue", job=told["key"], uid=uid, verdict=verdict, epoch=told["epoch"], why=told["why"])
         self._base.counts["reissue:" + verdict] += 1
         if verdict == "unknown":
-            record = self._room.custodian.record(uid)
+            record = self._records.custodian.record(uid)
             job = self._shown(record) if record is not None else None
             if job is not None and record is not None:
                 job.notes[UNKNOWN] = "Unknown", (f"{told['why']}; {record.session.text()} held it; neither started nor "
                                                  "given up until an operator says that it never ran, or did")
                 self._board.mark(job)
                 self._board.flush()
-        elif verdict == "nothing" and self._room.custodian.fate(uid) == verdict:
-            self._base.spawn(lambda: self._room.drop(uid), "lets a Job go that is over")
+        elif verdict == "nothing" and self._records.custodian.fate(uid) == verdict:
+            self._base.spawn(lambda: self._records.drop(uid), "lets a Job go that is over")
 
     # -- the operator's list
 
@@ -206,18 +206,18 @@
         return [{"job": each.key, "uid": each.uid, "heldBy": each.session.text(), "region": each.region,
                  "class": each.effect, "acceptedSecondsAgo": each.born_age_us // 1_000_000,
                  "tasks": [{"index": task.index, "phase": task.phase, "machine": task.machine, "pod": task.attempt}
-                           for task in each.tasks]} for each in self._room.custodian.unknown()]
+                           for task in each.tasks]} for each in self._records.custodian.unknown()]
 
     def release(self, key: str, ran: bool) -> None:
         """An operator's word: it never ran, and is started; or it did, and is kept no longer. ApiError 404."""
-        record = next((each for each in self._room.custodian.unknown() if each.key == key), None)
+        record = next((each for each in self._records.custodian.unknown() if each.key == key), None)
         if record is None:
             raise not_found("unknown", key)
         self._base.log("unknown-released", level="warning", job=key, uid=record.uid, ran=ran)
         if not ran:
-            self._room.operator(record.uid)
+            self._records.operator(record.uid)
             return
-        self._room.drop(record.uid)
+        self._records.drop(record.uid)
         for job in [each for each in self._book.jobs.values() if each.uid == record.uid]:
             job.notes[TAKEN] = "Ran", "an operator said that it ran"
             self._board.mark(job)
@@ -239,7 +239,7 @@
                 self._asking -= 1
             # Danger: a machine that does not remember all of its time says nothing about what it does not hold.
             up_us = fenced.up_us if fenced is not None and fenced.sure else 0
-            self._room.say(str(told["to"]), MachineSays(
+            self._records.say(str(told["to"]), MachineSays(
                 int(told["number"]), str(told["machine"]), str(told["uid"]), fenced is not None,
                 bool(fenced.holds) if fenced is not None else False, up_us))
         self._base.spawn(ask, "asks a machine")
@@ -251,7 +251,7 @@
             return {}
         text = session.text()
         had = self._given_up.setdefault(text, {})
-        custody = self._room.custodian.custody
+        custody = self._records.custodian.custody
         for job in self._holder.jobs.values():
             held = custody.jobs.get(job.uid) or custody.former.get(job.uid)
             if job.leased is not None and job.leased.session == text and held is not None:
@@ -340,9 +340,9 @@
         leased = sight.session
         if not leased:
             return False
-        session = self._room.custodian.custody.session.text()
+        session = self._records.custodian.custody.session.text()
         job = self._holder.jobs.get(sight.job_uid)
-        if leased == session and job is not None and not self._room.custodian.custody.over:
+        if leased == session and job is not None and not self._records.custodian.custody.over:
             return False
         labels = sight.value["metadata"].get("labels") or {}
         settings = self._base.settings.classes.get(str(labels.get(names.CLASS, "")))
--- a/wingbarrow/core/turns.py
+++ b/wingbarrow/core/turns.py
@@ -57,7 +57,7 @@
     deaf_us: int | None = field(default=None)
 
 
-class TurnsRoom:
+class MaintenanceSlots:
     """`rules`: those in force; `agreement` gives the state machine that placers agree by, once there is one."""
 
     def __init__(self, base: Base, fleet: Fleet, machines: Machines, attempts: Attempts, stops: Stops,
--- a/wingbarrow/decide/peers/effects.py
+++ b/wingbarrow/decide/peers/effects.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tell:
-    """Something that the placer's other rooms, its log and its history are to hear; `what` names it."""
+    """Something that the placer's other components, its log and its history are to hear; `what` names it."""
 
     what: str
     fields: dict[str, Any]
--- a/wingbarrow/decide/peers/table.py
+++ b/wingbarrow/decide/peers/table.py
@@ -32,7 +32,7 @@
 
 
 class Change:
-    """How the standing of a member changed: for logs, histories and rooms that act on it."""
+    """How the standing of a member changed: for logs, histories and components that act on it."""
 
     __slots__ = ("what", "word", "before")
 
--- a/wingbarrow/peers/custody.py
+++ b/wingbarrow/peers/custody.py
@@ -1,4 +1,4 @@
-"""The room of custody: this placer as holder of leased Jobs, keeper of other regions' records, and successor.
+"""Replication of job records: this placer as holder of leased Jobs, keeper of other regions' records, and successor.
 
 What is decided stands in `decide.peers.custodian`; this carries it out: letters by the host of what placers say to each
 other, tokens as waits that end by themselves, who lives by membership, ends by the voters' log.
@@ -29,7 +29,7 @@
 Fields = Mapping[str, Any]
 
 
-class CustodyRoom:
+class RecordReplication:
     """A token's word is "" where a record is where it must be, else why it is not. `on` is what the core hears.
 
     Of `on`: `session-over`, `startable`, `stop`, `ask-machine`, `settled`, `reissue`, as `decide.peers.custodian` says.
@@ -153,7 +153,7 @@
         self.give(self.custodian.carry(self._hub.now_us(), effects))
 
     def _sift(self, effects: Iterable[Effect]) -> list[Effect]:
-        """What is left for the host once what concerns this placer's own rooms is done."""
+        """What is left for the host once what concerns this placer's own components is done."""
         out: list[Effect] = []
         for each in effects:
             if isinstance(each, Tell) and each.what == "kept":
