The trace's fields are worked out only where an event would be written

Need: each answer and release of a machine paid for them with the trace off. Change: Trace.on is asked first.

--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -176,7 +176,7 @@
     def message(self, link: Link, line: Line, message: Message) -> None:
         """A machine's message; what is not expected changes nothing."""
         kind, ident = message.kind, message.task
-        if kind in (Kind.ANSWER, Kind.RELEASE):
+        if self._trace.on and kind in (Kind.ANSWER, Kind.RELEASE):
             self._trace(ident, "machine said", kind=int(kind), machine=link.name, line=line.number,
                         cause=int.from_bytes(message.values.get(Code.CAUSE, b""), "big"),
                         codes=sorted(message.values))
--- a/wingbarrow/relay/trace.py
+++ b/wingbarrow/relay/trace.py
@@ -20,9 +20,14 @@
         self._left = min(lines, LINES_MOST) if write is not None else 0
         self._write = write
 
+    @property
+    def on(self) -> bool:
+        """Whether one more event would be written: asked before fields are worked out that cost something."""
+        return self._left > 0
+
     def __call__(self, ident: int, what: str, **fields: Any) -> None:
         """One event of the task with this id on the wire."""
-        if self._left <= 0 or self._write is None:
+        if not self.on or self._write is None:
             return
         self._left -= 1
         self._write("task", "info", {"id": f"{ident:016x}", "what": what, **fields})
