--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -206,7 +206,9 @@
         self.rig = rig
         self.events: list[dict[str, Any]] = []
         self.late_s = 0.0
+        self.network_s = 0.0  # there and back
         self.port = 0
+        self.calls: list[float] = []  # when calls came
         self._news = asyncio.Event()
 
     async def start(self) -> None:
@@ -234,6 +236,7 @@
                 target = head.split(" ")[1]
                 query = dict(pair.split("=") for pair in target.partition("?")[2].split("&"))
                 tail, late_s = int(query["tail"]), self.late_s
+                self.calls.append(self.rig.record.now())
                 until = time.time() + min(5000, int(query["max_wait"])) / 1000
                 if late_s:
                     await asyncio.sleep(late_s)
@@ -242,6 +245,8 @@
                         await asyncio.wait_for(self._news.wait(), max(0.001, until - time.time()))
                     except TimeoutError:
                         pass
+                if self.network_s:
+                    await asyncio.sleep(self.network_s)
                 body = json.dumps(self.known(tail)).encode()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
