A machine's link and the registry of links are modules of their own

Change: moved only. Link, Connection, LinkEvents and the attempts stand in wingbarrow/relay/link.py, Links and the idle margin stay in links.py; what a link needs of the registry is a protocol, so that neither imports the other.

--- a/tests/relay/test_machine_races.py
+++ b/tests/relay/test_machine_races.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.relay.stage import MS, S, Stage, release_message
-from wingbarrow.relay import links
+from wingbarrow.relay import link
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.transport import Stream, connect
 from wingbarrow.transport.hub import WRITE
@@ -44,7 +44,7 @@
             hub.sleep(60 * S)
         return connect(hub, host, port)
 
-    patch.setattr(links, "connect", connect_or_time_out)
+    patch.setattr(link, "connect", connect_or_time_out)
 
 
 @pytest.mark.parametrize("cls", ["web", "settlement"])
@@ -182,7 +182,7 @@
             if not crossed:
                 crossed.append(stream)
                 stream.send(release_message(1))
-                stage.hub.clock.jump(stage.hub.now_us() + links.CLOSE_TIMEOUT_US + 100 * MS)
+                stage.hub.clock.jump(stage.hub.now_us() + link.CLOSE_TIMEOUT_US + 100 * MS)
 
         machine.on_end = crossing
         for task in (1, 2, 3):
--- a/tests/relay/test_machines.py
+++ b/tests/relay/test_machines.py
@@ -6,7 +6,7 @@
 
 from tests.relay.stage import Machine, S, Stage, release_message
 from wingbarrow.decide.descriptor_budget import DescriptorBudget
-from wingbarrow.relay import links
+from wingbarrow.relay import link
 from wingbarrow.relay.message import Cause, Kind, Message, with_cause
 from wingbarrow.transport import PeerGone, Stream
 
@@ -258,7 +258,7 @@
             raise PeerGone("EMFILE")
 
         with monkeypatch.context() as patched:
-            patched.setattr(links, "connect", full)
+            patched.setattr(link, "connect", full)
             for stream in machine.streams:
                 stream.abort()
             stage.sleep(1500)
--- a/tests/relay/test_page.py
+++ b/tests/relay/test_page.py
@@ -21,7 +21,7 @@
     Stage,
     release_message,
 )
-from wingbarrow.relay import links
+from wingbarrow.relay import link
 from wingbarrow.relay.configuration import Address
 from wingbarrow.relay.message import Code, Kind, Message, encode
 from wingbarrow.relay.placer import Placer
@@ -159,7 +159,7 @@
             hub.sleep(S)
         return connect(hub, host, port)
 
-    patched.setattr(links, "connect", late)
+    patched.setattr(link, "connect", late)
 
 
 def test_a_request_whose_connection_times_out_is_retried(
--- a/tests/relay/test_races.py
+++ b/tests/relay/test_races.py
@@ -12,7 +12,7 @@
 from tests.relay.stage import DESCRIPTION, MS, SETTINGS, Machine, S, Stage
 from wingbarrow.decide.connection_limits import FIRST_MESSAGE_TIMEOUT_US, IDLE_TIMEOUT_US
 from wingbarrow.http.message import Request
-from wingbarrow.relay import links
+from wingbarrow.relay import link
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.transport import PeerGone, Stream, connect
 
@@ -34,7 +34,7 @@
             hub.sleep(by_ms * MS)
         return connect(hub, host, port)
 
-    monkeypatch.setattr(links, "connect", late)
+    monkeypatch.setattr(link, "connect", late)
 
 
 # -- between a decision and the offer's first byte
--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -10,7 +10,8 @@
 from wingbarrow.decide.overload import OverloadControl, Rejected
 from wingbarrow.decide.retries import RunEnd
 from wingbarrow.relay import setup
-from wingbarrow.relay.links import Attempt, Attempts, Links
+from wingbarrow.relay.link import Attempt, Attempts
+from wingbarrow.relay.links import Links
 from wingbarrow.relay.message import Cause, Code, Kind, Message, with_cause
 from wingbarrow.relay.offers import Offers
 from wingbarrow.relay.owners import Owner, Owners, refusal
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -13,7 +13,8 @@
 from wingbarrow.decide.gate import HoldReason, Offer, SendGate
 from wingbarrow.decide.idempotency import EarlierAttempt, may_repeat
 from wingbarrow.decide.retries import RunEnd
-from wingbarrow.relay.links import Attempt, Attempts, Connection, Link, Links
+from wingbarrow.relay.link import Attempt, Attempts, Connection, Link
+from wingbarrow.relay.links import Links
 from wingbarrow.relay.message import BadMessage, Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.relay.outcomes import (
     AFTER_ANSWER,
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -12,7 +12,8 @@
 from wingbarrow.relay import journal
 from wingbarrow.relay.admission import Admission
 from wingbarrow.relay.configuration import BadConfiguration, Configuration, load_journal
-from wingbarrow.relay.links import SWEEP_US, Attempts, Link, Links
+from wingbarrow.relay.link import SWEEP_US, Attempts, Link
+from wingbarrow.relay.links import Links
 from wingbarrow.relay.message import Message
 from wingbarrow.relay.offers import Offers
 from wingbarrow.relay.owners import Owner, Owners
--- a/wingbarrow/relay/probes.py
+++ b/wingbarrow/relay/probes.py
@@ -5,7 +5,8 @@
 from wingbarrow import interface as api
 from wingbarrow.core.host import Host
 from wingbarrow.core.placer_runtime import PlacerRuntime
-from wingbarrow.relay.links import Link, Links
+from wingbarrow.relay.link import Link
+from wingbarrow.relay.links import Links
 from wingbarrow.relay.message import Code, Kind, Message, with_cause
 from wingbarrow.settings_parser import parse_report
 
