Connections to a machine are read until it closes its side, so a hang loses no release

Cause: Link._close_later closed a half-closed connection for good after 1 s, though a process that hangs has not read the half-close. Every 2 s a probe opens a connection and retires the oldest idle one, so after 10 s all but the last were dead at this end. The machine reports on the connection of the set-up, else on any open one, and again on the next one that opens: both dead. Ruled out: the choice of the connection to retire (_dial_to_verify), as any choice leaves one that the machine has yet to read or accept; the tasks' handling after the release, as none of the six messages reached the placer (its counters show no release). Change: while tasks run there, a connection half-closed here is read until the machine closes its side; at most eight are kept for a machine, and a probe's connection beyond them is closed outright. Where the descriptor table is full they go last (CloseCost.UNREAD). Counters closes_unanswered, closed_unaccepted, given_up:unread. Tests: tests/relay/test_hanging_machines.py.

--- /dev/null
+++ b/tests/relay/test_hanging_machines.py
@@ -0,0 +1,198 @@
+"""Machines whose process hangs: their system accepts connections, and the process reads and sends nothing meanwhile."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import Any
+
+import pytest
+
+from tests.relay.stage import MS, Machine, S, Stage, release_message
+from tests.relay.test_descriptors import MANY, CrowdedStage
+from wingbarrow.decide.descriptor_budget import DescriptorBudget
+from wingbarrow.relay.link import MAX_CONNECTIONS, MAX_RETIRING_CONNECTIONS
+from wingbarrow.relay.message import Framer, Kind
+from wingbarrow.transport import PeerGone, Signal, Stream
+
+# "What has stood and is over must be released towards its client within 1 s", and each time limit grows by 50 ms.
+RELEASE_DEADLINE_US = S + 50 * MS
+# What a process does first when it goes on depends on how it is written.
+RESUME_ORDERS = ["report read accept", "read report accept", "read accept report"]
+
+
+class HangingMachine(Machine):
+    """Reports ends of tasks as the protocol says, and can hang and go on.
+
+    A release is sent on the connection of its set-up, else on any open one, and on the next one that opens. Nothing is
+    sent on a connection whose end was read. After a hang it reports tasks that have ended, reads its connections, and
+    accepts new ones, in the order that `resume_order` gives.
+    """
+
+    def __init__(self, *args: Any, resume_order: str) -> None:
+        super().__init__(*args)
+        self.hung = False
+        self.released: dict[int, int] = {}  # when each task's release was sent, by task
+        self._resume_order = resume_order
+        self._may_read, self._may_accept = Signal(self.hub), Signal(self.hub)
+        self._set_up_streams: dict[int, Stream] = {}
+        self._open: list[Stream] = []
+        self._ended_in_hang: list[int] = []
+        self._repeats: list[bytes] = []
+
+    def _serve(self, stream: Stream) -> None:
+        self.streams.append(stream)
+        if self.hung:
+            self._may_accept.wait()
+        self._open.append(stream)
+        repeats, self._repeats = self._repeats, []
+        try:
+            for data in repeats:
+                stream.send_now(data)
+            self._read(stream, Framer())
+        except PeerGone:
+            pass
+        finally:
+            self._open.remove(stream)
+
+    def _read(self, stream: Stream, framer: Framer) -> None:
+        while True:
+            data = stream.receive()
+            if self.hung:
+                self._may_read.wait()
+            if not data:
+                return
+            framer.feed(data)
+            while (message := framer.next()) is not None:
+                if message.kind == Kind.SET_UP:
+                    self._set_up_streams[message.task] = stream
+                    self.on_set_up(stream, message)
+
+    def end(self, task: int) -> None:
+        """End a task; while the machine hangs, its release waits until it goes on."""
+        if self.hung:
+            self._ended_in_hang.append(task)
+        else:
+            self._release(task)
+
+    def _release(self, task: int) -> None:
+        stream = self._set_up_streams[task]
+        if stream not in self._open and self._open:
+            stream = self._open[0]
+        if stream in self._open:
+            with suppress(PeerGone):
+                stream.send_now(release_message(task))
+        self._repeats.append(release_message(task))
+        self.released[task] = self.hub.now_us()
+
+    def go_on(self) -> None:
+        """End the hang."""
+        self.hung = False
+        for step in self._resume_order.split():
+            if step == "report":
+                for task in self._ended_in_hang:
+                    self._release(task)
+                self._ended_in_hang.clear()
+            else:
+                (self._may_read if step == "read" else self._may_accept).notify()
+                self.hub.sleep(MS)
+
+
+def replace_machine(stage: Stage, resume_order: str = RESUME_ORDERS[0]) -> HangingMachine:
+    """Make a machine that can hang the only one in the list."""
+    machine = HangingMachine(stage.hub, "h-00000000", resume_order=resume_order)
+    stage.journal.add(machine.entry(), reset=True)
+    stage.sleep(200)
+    return machine
+
+
+def place(stage: Stage, *tasks: int) -> None:
+    """Have tasks placed and accepted."""
+    for task in tasks:
+        stage.owner.ask(task, name=f"{task:016x}")
+    stage.sleep(50)
+    assert all(stage.owner.kinds(task) == [Kind.ANSWER] for task in tasks)
+
+
+def stay_connected(stage: Stage, seconds: int) -> None:
+    """Let time pass while the owner talks on its connection, which is then not idle."""
+    for _ in range(seconds):
+        assert stage.owner.test() == 1
+        stage.sleep(990)
+
+
+def release_times(stage: Stage) -> dict[int, int]:
+    """When the owner got the release of each task."""
+    return {
+        received.message.task: received.at_us
+        for received in stage.owner.received
+        if received.message.kind == Kind.RELEASE
+    }
+
+
+# review/1: a machine that hung for 4 s or longer released its ended tasks on connections that the placer had closed.
+@pytest.mark.parametrize("resume_order", RESUME_ORDERS)
+@pytest.mark.parametrize("hang_s", [2, 4, 10, 18, 45])
+def test_tasks_that_end_while_their_machine_hangs_are_released_once_it_goes_on(
+    hang_s: int, resume_order: str
+) -> None:
+    def play(stage: Stage) -> None:
+        machine = replace_machine(stage, resume_order)
+        place(stage, 1, 2, 3, 4)
+        stay_connected(stage, 4)  # spare connections have been closed
+        machine.hung = True
+        stay_connected(stage, hang_s // 2)
+        machine.end(1)
+        machine.end(2)
+        stay_connected(stage, hang_s - hang_s // 2)
+        machine.go_on()
+        stage.sleep(1500)
+        machine.end(3)
+        stage.sleep(1500)
+        told = release_times(stage)
+        assert sorted(told) == [1, 2, 3], "an owner is never told that its task is over"
+        assert all(
+            told[task] - at_us <= RELEASE_DEADLINE_US for task, at_us in machine.released.items()
+        )
+        assert stage.owner.kinds(4) == [Kind.ANSWER], "what still runs is not released"
+
+    Stage(0).run(play)
+
+
+# review/1, beside it: connections kept for a machine that hangs must not fill the descriptor table.
+def test_connections_to_a_machine_that_hangs_for_long_are_bounded() -> None:
+    def play(stage: Stage) -> None:
+        machine = replace_machine(stage)
+        place(stage, 1)
+        machine.hung = True
+        most = 0
+        for _ in range(60):
+            stay_connected(stage, 1)
+            most = max(most, stage.placer._links.held)
+        assert most <= MAX_CONNECTIONS + MAX_RETIRING_CONNECTIONS
+        machine.go_on()
+        stay_connected(stage, 4)
+        assert stage.placer._links.held <= 2, "the machine has closed the others"
+
+    Stage(0).run(play)
+
+
+# review/1, beside it: a full descriptor table must not cost the connections on which a hanging machine will report.
+def test_a_full_descriptor_table_spares_the_connections_of_a_machine_that_hangs() -> None:
+    def play(stage: Stage) -> None:
+        assert isinstance(stage, CrowdedStage)
+        machine = replace_machine(stage)
+        place(stage, 1001)
+        machine.hung = True
+        stay_connected(stage, 5)
+        stage.fill(80)
+        stay_connected(stage, 3)
+        assert stage.placer.runtime.counts["given_up:news"], "the table was full"
+        machine.end(1001)
+        machine.go_on()
+        stage.sleep(1500)
+        told = release_times(stage)
+        assert 1001 in told, "an owner is never told that its task is over"
+        assert told[1001] - machine.released[1001] <= RELEASE_DEADLINE_US
+        assert stage.max_held <= DescriptorBudget(96).total
+
+    CrowdedStage(0, settings=MANY, sockets=96).run(play)
--- a/wingbarrow/decide/descriptor_budget.py
+++ b/wingbarrow/decide/descriptor_budget.py
@@ -27,12 +27,14 @@
 class CloseCost(IntEnum):
     """What closing a connection to a machine costs, cheapest first; lower-case names are counted as `given_up:NAME`."""
 
-    RETIRING = 0  # closed here already and read to its end: the machine repeats what it was sending on the next one
+    RETIRING = 0  # half-closed here, and the machine runs no task: nothing is expected on it
     SPARE = 1  # not the only one: costs a handshake when many offers come at once
     IDLE = 2  # the only one, and no task runs: costs a handshake before the next offer
     # The only one, and tasks run: their reports wait until the machine is connected to again.
     NEWS = 3
-    BUSY = 4  # has an open set-up, which would be lost; never closed
+    # Half-closed here, not by the machine, and tasks run: if its process hangs, what it reports here later is lost.
+    UNREAD = 4
+    BUSY = 5  # has an open set-up, which would be lost; never closed
 
 
 class Connection(Protocol):
--- a/wingbarrow/relay/link.py
+++ b/wingbarrow/relay/link.py
@@ -27,10 +27,13 @@
 REDIAL_BACKOFF_US = 100_000
 # The backoff doubles up to this while dials are refused and older connections are still open.
 MAX_REDIAL_BACKOFF_US = 500_000
-CLOSE_TIMEOUT_US = 1_000_000  # for the machine to close its side of a connection closed here
+# For the machine to close its side of a connection that is half-closed here; longer while it runs tasks.
+CLOSE_TIMEOUT_US = 1_000_000
 # The reconnect fetches what the machine may have sent on the evicted connection.
 EVICTION_RECONNECT_DELAY_US = 3_000_000
 MAX_CONNECTIONS = 6  # to one machine
+# To one machine, half-closed here and open at the machine: the ones it had, and those of the first probes of a hang.
+MAX_RETIRING_CONNECTIONS = MAX_CONNECTIONS + 2
 MAX_DIALS = 3  # concurrent, to one machine
 MAX_ORPHANS = 512  # abandoned offers that may still run, remembered per machine
 MAX_QUEUED_RELEASES = 1024  # per machine, waiting for a connection
@@ -62,7 +65,7 @@
         """What closing this connection now would cost."""
         connections = self.link.connections
         if self not in connections:
-            return CloseCost.RETIRING
+            return CloseCost.UNREAD if self.link.expects_reports else CloseCost.RETIRING
         if self.open_attempts:
             return CloseCost.BUSY
         if len(connections) > 1:
@@ -126,6 +129,8 @@
         self.listed = listed  # zone and cell stay the same while the machine is listed
         self.phase, self.launched_us = listed.phase, listed.launched_us
         self.connections: list[Connection] = []
+        # Half-closed here and read until the machine closes its side.
+        self._retiring: dict[Connection, None] = {}
         self.running: dict[int, Attempt] = {}
         # Task ids of abandoned offers that may still run.
         self.orphans: OrderedDict[int, None] = OrderedDict()
@@ -189,6 +194,15 @@
         """Number of connections, including those being dialed."""
         return len(self.connections) + self._dialing
 
+    @property
+    def expects_reports(self) -> bool:
+        """Whether the machine runs tasks, whose ends it has yet to report."""
+        return bool(self.running) and not self.closed
+
+    @property
+    def _may_retire(self) -> bool:
+        return len(self._retiring) < MAX_RETIRING_CONNECTIONS
+
     def connection_for_offer(self) -> Connection | None:
         """A new connection, else the least loaded one; None if none is established in time or it is suspect."""
         if self.liveness.failed_recently(self._runtime.hub.now_us()) or (
@@ -286,6 +300,7 @@
 
     def _close(self, connection: Connection) -> None:
         connection.stream.close()
+        self._retiring.pop(connection, None)
         self._registry.connections.pop(connection, None)
 
     def drop(self, connection: Connection, why: str) -> None:
@@ -303,16 +318,24 @@
             self._runtime.spawn(self._reconnect, f"reconnect to {self.name}")
 
     def retire(self, connection: Connection) -> None:
-        """Close an unused connection gracefully: data that the machine has already sent is still read."""
+        """Half-close an unused connection, and read it until the machine closes its side."""
         self.connections.remove(connection)
+        self._retiring[connection] = None
         connection.stream.end_writing()
         self._close_later(connection)
 
-    def _close_later(self, connection: Connection) -> None:
+    def _close_later(self, connection: Connection, is_overdue: bool = False) -> None:
         def close() -> None:
-            if connection.stream.open and not connection.stream.is_quiet():
+            if not connection.stream.open:
+                return
+            if self.expects_reports:
+                # Danger: a process that hangs has not read the half-close. Once it goes on, it reports ends of tasks on
+                # the connections that it knows, and repeats them on the first one that waits to be accepted.
+                self._runtime.counts["closes_unanswered"] += not is_overdue
+                self._close_later(connection, is_overdue=True)
+            elif not connection.stream.is_quiet():
                 # Danger: after a stall of this process, data that arrived in time is still unread and would be lost.
-                self._close_later(connection)
+                self._close_later(connection, is_overdue)
             else:
                 self._close(connection)
 
@@ -329,9 +352,9 @@
             self._reconnect_after_us = self._runtime.hub.now_us() + EVICTION_RECONNECT_DELAY_US
 
     def _dial_to_verify(self) -> None:
-        """Dial to verify that the machine is reachable and to fetch missed messages; retire the oldest idle connection.
+        """Dial to verify that the machine is reachable, and to fetch missed messages; replace an idle connection.
 
-        Danger: without retiring one, repeated checks of silent machines would fill the descriptor table.
+        Danger: without replacing one, repeated checks of silent machines would fill the descriptor table.
         """
         if self.dial() is not None:
             idle = [
@@ -340,7 +363,19 @@
                 if connection.stream.open and not connection.open_attempts
             ]
             if len(idle) > 1:
-                self.retire(min(idle, key=lambda connection: connection.used_us))
+                self._replace(min(idle, key=lambda connection: connection.used_us))
+
+    def _replace(self, connection: Connection) -> None:
+        """Retire a connection, or close it at once where the machine has left too many half-closed.
+
+        The machine has then not accepted the one closed here, or reports on the ones that it accepted before.
+        """
+        if self._may_retire:
+            self.retire(connection)
+            return
+        self._runtime.counts["closed_unaccepted"] += 1
+        self.connections.remove(connection)
+        self._close(connection)
 
     def _reconnect(self) -> None:
         """Dial if messages may have been missed or no connection is open, subject to the redial backoff."""
@@ -403,12 +438,14 @@
             self._events.on_lost(self, may_return=True)
         if (self.running or self._queued_releases) and self._needs_reconnect(now_us):
             self._runtime.spawn(self._reconnect, f"reconnect to {self.name}")
+        self._retire_idle(now_us)
+
+    def _retire_idle(self, now_us: int) -> None:
         idle = [connection for connection in self.connections if not connection.open_attempts]
         for connection in idle:
             last = len(self.connections) == 1
-            if last and (self.running or self._queued_releases):
-                break
-            if now_us - connection.used_us >= (
-                LAST_IDLE_TIMEOUT_US if last else SPARE_IDLE_TIMEOUT_US
-            ):
+            if (last and (self.running or self._queued_releases)) or not self._may_retire:
+                return
+            timeout_us = LAST_IDLE_TIMEOUT_US if last else SPARE_IDLE_TIMEOUT_US
+            if now_us - connection.used_us >= timeout_us:
                 self.retire(connection)
--- a/wingbarrow/relay/links.py
+++ b/wingbarrow/relay/links.py
@@ -44,7 +44,7 @@
     def make_room(self, wanted: int = 1) -> bool:
         """Evict the cheapest connections until `wanted` more descriptors fit; False if the rest are in use."""
         while self._budget.excess(self._owners(), self.held + wanted):
-            connection = self._budget.connection_to_close(self.connections, CloseCost.NEWS)
+            connection = self._budget.connection_to_close(self.connections, CloseCost.UNREAD)
             if connection is None:
                 return False
             connection.link.evict(connection)
