Delivery of releases to owners is a module of its own

Change: moved only. ReleaseDelivery in wingbarrow/relay/release_delivery.py holds what waits and what is not acknowledged; Owners keeps the connections and hands them over.

--- a/tests/relay/test_owner_races.py
+++ b/tests/relay/test_owner_races.py
@@ -99,7 +99,7 @@
         prove(second, 2)
         prove(stage.owner, 1)
         stage.sleep(50)
-        stage.placer.owners.release(1, Cause.OVER)
+        stage.placer.owners.delivery.release(1, Cause.OVER)
         stage.owner.stream.abort()
         run_turns_until(stage, lambda: stage.placer.runtime.counts["releases_again"] == 1)
         second.stream.abort()
--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -145,7 +145,7 @@
         if cause is not None:
             self._trace(set_up.ident, "found ended", owner=owner.number, machine=machine_name)
             self.owners.mark_proven(owner)
-            self.owners.release(set_up.ident, cause)
+            self.owners.delivery.release(set_up.ident, cause)
             return
         task = Task(
             request,
@@ -232,5 +232,5 @@
             self._runtime.counts["moves_dropped"] += 1
             return
         self._runtime.counts["moves"] += 1
-        self.owners.send_move(task.ident)
+        self.owners.delivery.move(task.ident)
         self._offers.stop(attempt, RunEnd.MOVED)
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -340,7 +340,7 @@
             if task.state is State.PENDING:
                 self._forward_answer(attempt, message.values[Code.DESCRIPTION])
                 self._requests.step(task, Step.END)
-                self._owners.release(task.ident, cause)
+                self._owners.delivery.release(task.ident, cause)
             self._end_attempt(attempt, api.Outcome.DONE, reason, report)
             return
         if meaning is EarlyRelease.STOPPED:
@@ -378,7 +378,7 @@
         if attempt.stopping is not None:
             outcome = api.Outcome.CANCELLED
         elif self._requests.step(task, Step.END):
-            self._owners.release(task.ident, cause)
+            self._owners.delivery.release(task.ident, cause)
         self._end_attempt(attempt, outcome, reason, report)
 
     def _on_note(self, attempt: Attempt, message: Message) -> None:
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -1,4 +1,4 @@
-"""Owners' connections: accepting, reading, closing, and delivery of releases until they are acknowledged."""
+"""Owners' connections: accepting, reading, and closing."""
 
 from __future__ import annotations
 
@@ -7,7 +7,8 @@
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.decide.connection_limits import ConnectionActivity, ConnectionLimits
-from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, encode, with_cause
+from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
+from wingbarrow.relay.release_delivery import ReleaseDelivery
 from wingbarrow.relay.tasks import OwnerConnection, Task
 from wingbarrow.relay.trace import Trace
 from wingbarrow.transport import Listener, Outbox, PeerGone, Stream
@@ -17,10 +18,6 @@
 MAX_ACCEPTS_PER_TURN = 8  # new connections are only counted once their task has run
 MAX_FOREIGN_IDS = 64  # per connection
 MAX_MESSAGES_PER_TURN = 32  # of one connection, before it yields to the others
-# A release is resent if its connection ends within this time after sending without an acknowledgement.
-ACK_TIMEOUT_US = 2_000_000
-RELEASE_TTL_US = 8_500_000  # a release that waits for a connection is dropped after this time
-MAX_PENDING_RELEASES = 8192  # waiting for a connection; unacknowledged ones are bounded alike
 # Danger: a client that closed its connection or gave up is gone, even while its message is still unread here after a
 # stall or behind other work. The platform tolerates sends for it up to 100 ms later; input is rechecked after half.
 MAX_UNREAD_US = 50_000
@@ -97,15 +94,12 @@
         free_descriptor: Callable[[], bool],
         trace: Trace,
     ) -> None:
-        self._runtime, self._limits, self._trace = runtime, limits, trace
+        self._runtime, self._limits = runtime, limits
         self._on_message, self._on_disconnect = on_message, on_disconnect
         self._accepted = 0  # connections so far
         self._free_descriptor = free_descriptor
         self._owners: OrderedDict[Owner, None] = OrderedDict()  # least recently active first
-        # Releases that wait for a connection: (expiry time, message).
-        self._pending: deque[tuple[int, bytes]] = deque()
-        # Releases sent and not yet acknowledged, by task id: (expiry time, connection, message).
-        self._unacknowledged: OrderedDict[int, tuple[int, Owner, bytes]] = OrderedDict()
+        self.delivery = ReleaseDelivery(runtime, lambda: reversed(self._owners), trace)
 
     def __len__(self) -> int:
         return len(self._owners)
@@ -141,8 +135,7 @@
                     owner.activity.last_message_us = now
                     self._owners.move_to_end(owner)
                     if message.kind == Kind.RELEASE_HEARD:
-                        self._unacknowledged.pop(message.task, None)
-                        self._trace(message.task, "release heard", owner=owner.number)
+                        self.delivery.on_acknowledged(owner, message.task)
                     self._on_message(owner, message, min(now, stream.last_empty_us))
                     messages_read += 1
                     if messages_read % MAX_MESSAGES_PER_TURN == 0:
@@ -156,7 +149,7 @@
             self._owners.pop(owner, None)
             stream.close()
             self._on_disconnect(owner)
-            self._resend_unacknowledged(owner)
+            self.delivery.on_disconnected(owner)
 
     def close(self, owner: Owner, why: str) -> None:
         """Close a connection at once; `why` goes to the log and to the counter `owners:<why>`."""
@@ -219,84 +212,13 @@
                     and not owner.framer.ready
                 ):
                     self.retire(owner, "idle" if owner.activity.proven else "silent")
-            self._send_pending()
-
-    def release(self, ident: int, cause: int) -> None:
-        """Send a RELEASE for a task that ran, on any owner's connection, now or when one is available."""
-        self._send_or_defer(with_cause(Kind.RELEASE, ident, cause))
-
-    def _send_or_defer(self, data: bytes) -> None:
-        if not self.send_to_any(data):
-            self._defer(data)
-
-    def _resend_unacknowledged(self, closed: Owner) -> None:
-        """Resend releases that `closed` did not acknowledge on another connection; owners ignore duplicates."""
-        now = self._runtime.hub.now_us()
-        while self._unacknowledged and next(iter(self._unacknowledged.values()))[0] <= now:
-            self._unacknowledged.popitem(last=False)
-        if closed.activity.proven:
-            for ident in [
-                ident for ident, (_, owner, _) in self._unacknowledged.items() if owner is closed
-            ]:
-                until_us, _, data = self._unacknowledged.pop(ident)
-                self._runtime.counts["releases_again"] += 1
-                self._trace(ident, "release again", gone=closed.number)
-                if not self.send_to_any(data, until_us):
-                    self._defer(data)
-
-    def send_move(self, ident: int) -> None:
-        """Send a MOVE: the task was stopped and its owner is to submit it again."""
-        self._send_or_defer(encode(Kind.MOVE, ident, {}))
-
-    def _defer(self, data: bytes) -> None:
-        if len(self._pending) >= MAX_PENDING_RELEASES:
-            _, lost = self._pending.popleft()
-            self._trace(int.from_bytes(lost[3:11], "big"), "release dropped")
-            self._runtime.counts["releases_dropped"] += 1
-        self._pending.append((self._runtime.hub.now_us() + RELEASE_TTL_US, data))
-        self._runtime.counts["releases_waited"] += 1
-        self._trace(int.from_bytes(data[3:11], "big"), "release pending")
-
-    def send_to_any(self, data: bytes, until_us: int | None = None) -> bool:
-        """Send a RELEASE or MOVE on any proven owner's connection; False if there is none.
-
-        It is resent if that connection ends before an acknowledgement, until `until_us` or for ACK_TIMEOUT_US.
-        """
-        # Connections with open set-ups first, as their owners keep them open; then the most recently active.
-        candidates = [
-            each
-            for each in reversed(self._owners)
-            if each.activity.proven and each.stream.open and not each.retired
-        ]
-        candidates.sort(key=lambda each: not each.tasks)
-        owner = next((each for each in candidates if each.write(data)), None)
-        if owner is None:
-            return False
-        ident = int.from_bytes(data[3:11], "big")
-        self._trace(ident, "release told", owner=owner.number)
-        self._unacknowledged[ident] = (
-            until_us or self._runtime.hub.now_us() + ACK_TIMEOUT_US,
-            owner,
-            data,
-        )
-        if len(self._unacknowledged) > MAX_PENDING_RELEASES:
-            self._unacknowledged.popitem(last=False)
-        return True
+            self.delivery.send_pending()
 
     def mark_proven(self, owner: OwnerConnection) -> None:
         """Mark a connection as an owner's, as a task of it was answered; pending releases may go there."""
         if not owner.activity.proven:
             owner.activity.proven = True
-            self._send_pending()
-
-    def _send_pending(self) -> None:
-        now = self._runtime.hub.now_us()
-        for _ in range(len(self._pending)):
-            until_us, data = self._pending.popleft()
-            if now >= until_us:
-                self._trace(int.from_bytes(data[3:11], "big"), "release expired")
-            elif not self.send_to_any(data):
-                self._pending.append((until_us, data))
+            self.delivery.send_pending()
 
 
 def refusal(ident: int, cause: int = Cause.BUSY, more: dict[int, bytes] | None = None) -> bytes:
