An owner is told of a task's end on a connection that has no placed task yet

Change: release_route (decide/connection_limits.py) ranks connections: proven, then those of clients that sent a valid set-up. An acknowledgement counts from a connection that it was sent on. Counters releases_unproven and releases_expired, log event release-expired.

--- a/tests/decide/test_connection_limits.py
+++ b/tests/decide/test_connection_limits.py
@@ -7,6 +7,8 @@
     IDLE_TIMEOUT_US,
     ConnectionActivity,
     ConnectionLimits,
+    ReleaseRoute,
+    release_route,
 )
 
 
@@ -34,3 +36,16 @@
         assert limits.connection_to_close(connections) is closed
         connections = [each for each in connections if each[0] is not closed]
     assert limits.connection_to_close([]) is None
+
+
+def test_any_client_that_has_asked_can_carry_a_release_and_proven_ones_come_first() -> None:
+    proven, asked = ConnectionActivity(0, proven=True), ConnectionActivity(0, asked=True)
+    routes = [
+        release_route(proven, 1),
+        release_route(proven, 0),
+        release_route(asked, 1),
+        release_route(asked, 0),
+    ]
+    assert routes == sorted(ReleaseRoute)
+    assert [route.is_proven for route in ReleaseRoute] == [True, True, False, False]
+    assert release_route(ConnectionActivity(0, last_message_us=1, was_written_to=True), 0) is None
--- a/tests/relay/stage.py
+++ b/tests/relay/stage.py
@@ -191,6 +191,7 @@
 
     def __init__(self, hub: Hub, port: int) -> None:
         self.hub = hub
+        self.acknowledges = False  # whether it says that it has heard a release
         self.stream = connect(hub, "127.0.0.1", port)
         self.received: list[ReceivedMessage] = []
         self.ended_us: int | None = None
@@ -203,6 +204,8 @@
                 framer.feed(data)
                 while (message := framer.next()) is not None:
                     self.received.append(ReceivedMessage(self.hub.now_us(), message))
+                    if self.acknowledges and message.kind == Kind.RELEASE:
+                        self.stream.send(encode(Kind.RELEASE_HEARD, message.task, {}))
         except PeerGone:
             pass
         self.ended_us = self.hub.now_us()
--- a/wingbarrow/decide/connection_limits.py
+++ b/wingbarrow/decide/connection_limits.py
@@ -2,12 +2,13 @@
 
 A connection is proven once a task of it was placed or found running; proven connections are kept in preference to
 others. A connection with open set-ups is closed only when no other is left, because its owner would have to send them
-again.
+again. The same marks tell which connections can carry the release of a task, which belongs to no connection.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import IntEnum
 from math import inf
 
 # From connecting to the first message that was answered.
@@ -28,11 +29,40 @@
 
     connected_us: int
     last_message_us: int | None = None  # when the latest complete message was read
+    asked: bool = False  # it sent a valid set-up
     proven: bool = False  # one of its tasks was placed, or found running
     was_written_to: bool = False  # at least one message was sent to it
     errors: int = 0  # set-ups of it that machines could not use
 
 
+class ReleaseRoute(IntEnum):
+    """What a connection is worth for telling owners that a task is over, best first.
+
+    A proven connection is an owner's. One that is not proven may be a bad client's, so that only its acknowledgement
+    shows that an owner was told. Danger: an owner's new connection is not proven until its first set-up is answered,
+    which takes as long as the owner's patience if its machine hangs, and it may be the only one that the owner has.
+    """
+
+    PROVEN_IN_USE = 0  # with open set-ups, so that its owner keeps it open
+    PROVEN = 1
+    UNPROVEN_IN_USE = 2
+    UNPROVEN = 3
+
+    @property
+    def is_proven(self) -> bool:
+        """Whether an owner reads what is sent there."""
+        return self <= ReleaseRoute.PROVEN
+
+
+def release_route(connection: ConnectionActivity, open_set_ups: int) -> ReleaseRoute | None:
+    """The worth of a connection with `open_set_ups` for releases; None for a client that has asked for nothing."""
+    if connection.proven:
+        return ReleaseRoute.PROVEN_IN_USE if open_set_ups else ReleaseRoute.PROVEN
+    if connection.asked:
+        return ReleaseRoute.UNPROVEN_IN_USE if open_set_ups else ReleaseRoute.UNPROVEN
+    return None
+
+
 class ConnectionLimits:
     """`max_connections`: connections from owners that this process may hold."""
 
--- a/wingbarrow/relay/release_delivery.py
+++ b/wingbarrow/relay/release_delivery.py
@@ -1,23 +1,45 @@
-"""Delivery of releases and moves to owners: on any of their connections, until they are acknowledged or too old."""
+"""Delivery of releases and moves to owners: on any of their connections, until they are acknowledged or too old.
+
+A message goes out on one proven connection. While there is none, it is sent on unproven ones, one after the other, and
+remains pending until it is acknowledged or a proven connection takes it. Owners ignore duplicates.
+"""
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
+from wingbarrow.decide.connection_limits import ReleaseRoute, release_route
 from wingbarrow.relay.message import Kind, encode, with_cause
 from wingbarrow.relay.tasks import OwnerConnection
 from wingbarrow.relay.trace import Trace
 
 # A message is resent if its connection ends within this time after sending without an acknowledgement.
 ACK_TIMEOUT_US = 2_000_000
-RELEASE_TTL_US = 8_500_000  # a message that waits for a connection is dropped after this time
+RELEASE_TTL_US = (
+    8_500_000  # a message that waits for a proven connection is dropped after this time
+)
 MAX_PENDING_RELEASES = 8192  # waiting for a connection; unacknowledged ones are bounded alike
+MAX_UNPROVEN_SENDS = 16  # of one message, each on another connection
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A message that no proven connection has taken, and the unproven connections that it was sent on."""
 
+    data: bytes
+    until_us: int
+    sent_on: list[int] = field(default_factory=list)  # numbers of connections
 
-def _task_of(data: bytes) -> int:
-    return int.from_bytes(data[3:11], "big")
+
+@dataclass(slots=True)
+class _Routes:
+    """The connections that can carry releases, the best first."""
+
+    proven: list[OwnerConnection]
+    unproven: list[OwnerConnection]
 
 
 class ReleaseDelivery:
@@ -30,26 +52,29 @@
         trace: Trace,
     ) -> None:
         self._runtime, self._connections, self._trace = runtime, connections, trace
-        # Messages that wait for a connection: (expiry time, message).
-        self._pending: deque[tuple[int, bytes]] = deque()
-        # Messages sent and not yet acknowledged, by task id: (expiry time, connection, message).
+        self._pending: OrderedDict[int, _Pending] = OrderedDict()  # by task id
+        # Messages sent on proven connections and not yet acknowledged, by task id: (expiry time, connection, message).
         self._unacknowledged: OrderedDict[int, tuple[int, OwnerConnection, bytes]] = OrderedDict()
 
     def release(self, ident: int, cause: int) -> None:
         """Send a RELEASE for a task that ran, on any owner's connection, now or when one is available."""
-        self._send_or_defer(with_cause(Kind.RELEASE, ident, cause))
+        self._send_or_defer(ident, with_cause(Kind.RELEASE, ident, cause))
 
     def move(self, ident: int) -> None:
         """Send a MOVE: the task was stopped and its owner is to submit it again."""
-        self._send_or_defer(encode(Kind.MOVE, ident, {}))
+        self._send_or_defer(ident, encode(Kind.MOVE, ident, {}))
 
     def on_acknowledged(self, connection: OwnerConnection, ident: int) -> None:
         """An owner has received the release of a task."""
         self._unacknowledged.pop(ident, None)
+        pending = self._pending.get(ident)
+        # Danger: a client may acknowledge what it was not sent, and the owner would not be told.
+        if pending is not None and connection.number in pending.sent_on:
+            del self._pending[ident]
         self._trace(ident, "release heard", owner=connection.number)
 
     def on_disconnected(self, closed: OwnerConnection) -> None:
-        """Resend what `closed` did not acknowledge on another connection; owners ignore duplicates."""
+        """Resend what `closed` did not acknowledge on another connection."""
         now = self._runtime.hub.now_us()
         while self._unacknowledged and next(iter(self._unacknowledged.values()))[0] <= now:
             self._unacknowledged.popitem(last=False)
@@ -60,50 +85,91 @@
                 until_us, _, data = self._unacknowledged.pop(ident)
                 self._runtime.counts["releases_again"] += 1
                 self._trace(ident, "release again", gone=closed.number)
-                if not self._send(data, until_us):
-                    self._defer(data)
+                self._send_or_defer(ident, data, until_us)
 
     def send_pending(self) -> None:
         """Send what waits for a connection, and drop what has waited for too long."""
-        now = self._runtime.hub.now_us()
-        for _ in range(len(self._pending)):
-            until_us, data = self._pending.popleft()
-            if now >= until_us:
-                self._trace(_task_of(data), "release expired")
-            elif not self._send(data):
-                self._pending.append((until_us, data))
-
-    def _send_or_defer(self, data: bytes) -> None:
-        if not self._send(data):
-            self._defer(data)
-
-    def _defer(self, data: bytes) -> None:
+        if not self._pending:
+            return
+        now, routes = self._runtime.hub.now_us(), self._routes()
+        for ident, pending in list(self._pending.items()):
+            if now >= pending.until_us:
+                del self._pending[ident]
+                self._runtime.counts["releases_expired"] += 1
+                self._runtime.log(
+                    "release-expired",
+                    level="warning",
+                    task=f"{ident:016x}",
+                    sent=len(pending.sent_on),
+                )
+                self._trace(ident, "release expired")
+            elif self._send_on_proven(ident, pending.data, routes, sent_on=pending.sent_on):
+                del self._pending[ident]
+            else:
+                self._send_on_unproven(ident, pending, routes)
+
+    def _routes(self) -> _Routes:
+        ranked: list[tuple[ReleaseRoute, OwnerConnection]] = []
+        for connection in self._connections():
+            route = release_route(connection.activity, len(connection.tasks))
+            if route is not None:
+                ranked.append((route, connection))
+        ranked.sort(key=lambda each: each[0])
+        return _Routes(
+            [connection for route, connection in ranked if route.is_proven],
+            [connection for route, connection in ranked if not route.is_proven],
+        )
+
+    def _send_or_defer(self, ident: int, data: bytes, until_us: int | None = None) -> None:
+        routes = self._routes()
+        if not self._send_on_proven(ident, data, routes, until_us):
+            self._send_on_unproven(ident, self._defer(ident, data), routes)
+
+    def _defer(self, ident: int, data: bytes) -> _Pending:
         if len(self._pending) >= MAX_PENDING_RELEASES:
-            _, lost = self._pending.popleft()
-            self._trace(_task_of(lost), "release dropped")
+            lost, _ = self._pending.popitem(last=False)
+            self._trace(lost, "release dropped")
             self._runtime.counts["releases_dropped"] += 1
-        self._pending.append((self._runtime.hub.now_us() + RELEASE_TTL_US, data))
+        pending = _Pending(data, self._runtime.hub.now_us() + RELEASE_TTL_US)
+        self._pending[ident] = pending
         self._runtime.counts["releases_waited"] += 1
-        self._trace(_task_of(data), "release pending")
+        self._trace(ident, "release pending")
+        return pending
 
-    def _send(self, data: bytes, until_us: int | None = None) -> bool:
-        """Send a message on any proven owner's connection; False if there is none.
+    def _send_on_proven(
+        self,
+        ident: int,
+        data: bytes,
+        routes: _Routes,
+        until_us: int | None = None,
+        sent_on: Iterable[int] = (),
+    ) -> bool:
+        """Send a message on a proven connection, unless it was `sent_on` there; False if there is none.
 
         It is resent if that connection ends before an acknowledgement, until `until_us` or for ACK_TIMEOUT_US.
         """
-        # Connections with open set-ups first, as their owners keep them open; then the most recently active.
-        candidates = [each for each in self._connections() if each.activity.proven]
-        candidates.sort(key=lambda each: not each.tasks)
-        owner = next((each for each in candidates if each.write(data)), None)
-        if owner is None:
+        taker = next(
+            (each for each in routes.proven if each.number in sent_on or each.write(data)), None
+        )
+        if taker is None:
             return False
-        ident = _task_of(data)
-        self._trace(ident, "release told", owner=owner.number)
+        self._trace(ident, "release told", owner=taker.number)
         self._unacknowledged[ident] = (
             until_us or self._runtime.hub.now_us() + ACK_TIMEOUT_US,
-            owner,
+            taker,
             data,
         )
         if len(self._unacknowledged) > MAX_PENDING_RELEASES:
             self._unacknowledged.popitem(last=False)
         return True
+
+    def _send_on_unproven(self, ident: int, pending: _Pending, routes: _Routes) -> None:
+        """Send a message on the best unproven connection that it was not sent on, if any."""
+        if len(pending.sent_on) >= MAX_UNPROVEN_SENDS:
+            return
+        for connection in routes.unproven:
+            if connection.number not in pending.sent_on and connection.write(pending.data):
+                pending.sent_on.append(connection.number)
+                self._runtime.counts["releases_unproven"] += 1
+                self._trace(ident, "release told unproven", owner=connection.number)
+                return
