Dialing a machine is five short methods

Change: _connect, _on_budget_exhausted, _on_dial_failed and _on_connected; a dial that times out raises PeerGone with the reason that was counted before.

--- a/wingbarrow/relay/link.py
+++ b/wingbarrow/relay/link.py
@@ -219,50 +219,65 @@
 
     def dial(self) -> Connection | None:
         """A new connection; None if it is refused, fails or times out, or if the descriptor budget is used up."""
-        hub = self._runtime.hub
         if not self._registry.make_room():
-            self._runtime.counts["dials_without_room"] += 1
-            self._runtime.log("descriptor-budget-exhausted", level="warning", machine=self.name)
-            self._redial_after_us = hub.now_us() + REDIAL_BACKOFF_US
+            self._on_budget_exhausted()
             return None
-        began, stream, why = hub.now_us(), None, "silent"
+        began_us = self._runtime.hub.now_us()
+        try:
+            stream = self._connect()
+        except PeerGone as error:
+            if not self.closed:
+                self._on_dial_failed(str(error), began_us)
+            return None
+        if self.closed:
+            stream.close()
+            return None
+        return self._on_connected(stream)
+
+    def _connect(self) -> Stream:
+        """Connect within the dial timeout. Raises PeerGone, with the reason "silent" at the timeout."""
         self._dialing += 1
         self._registry.dialing += 1
         try:
-            with hub.limit(self._dial_us):
-                stream = connect(hub, self.address.host, self.address.port)
-        except PeerGone as error:
-            why = str(error)
+            with self._runtime.hub.limit(self._dial_us):
+                return connect(self._runtime.hub, self.address.host, self.address.port)
+            raise PeerGone("silent")
         finally:
             self._dialing -= 1
             self._registry.dialing -= 1
             self._dial_ended.notify()
-        if self.closed:
-            if stream is not None:
-                stream.close()
-            return None
-        if stream is None:
-            self._runtime.counts["dials_failed:" + why] += 1
-            if why in LOCAL_DIAL_ERRORS:
-                # Danger: if local errors counted against machines, a full descriptor table here would make all of them
-                # look dead.
-                self._runtime.log("local-dial-error", level="error", machine=self.name, why=why)
-            elif why != "ECONNREFUSED":
-                self.liveness.on_connect_timeout(hub.now_us(), began)
-            elif not any(connection.stream.open for connection in self.connections):
-                # The dial was refused and no connection is open: the process has exited, and its tasks with it.
-                self._queued_releases.clear()
-                self.orphans.clear()
-                self._events.on_lost(self)
-            else:
-                # Danger: a draining machine refuses new connections and keeps open ones. Dials from every placer in
-                # every sweep would take up all the time of both sides, hence the backoff.
-                self.liveness.on_refused(hub.now_us())
-                self._refusals += 1
-            self._redial_after_us = hub.now_us() + min(
-                MAX_REDIAL_BACKOFF_US, REDIAL_BACKOFF_US << min(self._refusals, 10)
-            )
-            return None
+
+    def _on_budget_exhausted(self) -> None:
+        self._runtime.counts["dials_without_room"] += 1
+        self._runtime.log("descriptor-budget-exhausted", level="warning", machine=self.name)
+        self._redial_after_us = self._runtime.hub.now_us() + REDIAL_BACKOFF_US
+
+    def _on_dial_failed(self, why: str, began_us: int) -> None:
+        """Draw conclusions from a failed dial about the machine, and back off."""
+        now = self._runtime.hub.now_us()
+        self._runtime.counts["dials_failed:" + why] += 1
+        if why in LOCAL_DIAL_ERRORS:
+            # Danger: if local errors counted against machines, a full descriptor table here would make all of them look
+            # dead.
+            self._runtime.log("local-dial-error", level="error", machine=self.name, why=why)
+        elif why != "ECONNREFUSED":
+            self.liveness.on_connect_timeout(now, began_us)
+        elif not any(connection.stream.open for connection in self.connections):
+            # The dial was refused and no connection is open: the process has exited, and its tasks with it.
+            self._queued_releases.clear()
+            self.orphans.clear()
+            self._events.on_lost(self)
+        else:
+            # Danger: a draining machine refuses new connections and keeps open ones. Dials from every placer in every
+            # sweep would take up all the time of both sides, hence the backoff.
+            self.liveness.on_refused(now)
+            self._refusals += 1
+        backoff_us = REDIAL_BACKOFF_US << min(self._refusals, 10)
+        self._redial_after_us = now + min(MAX_REDIAL_BACKOFF_US, backoff_us)
+
+    def _on_connected(self, stream: Stream) -> Connection:
+        """Read from a new connection, and send on it what could not be sent before."""
+        hub = self._runtime.hub
         self.liveness.on_connected(hub.now_us())
         self._refusals = 0
         self._may_have_missed, self._reconnect_after_us = False, None
