--- a/tests/relay/test_hanging_machines.py
+++ b/tests/relay/test_hanging_machines.py
@@ -2,99 +2,17 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
-from typing import Any
-
 import pytest
 
-from tests.relay.stage import MS, Machine, S, Stage, release_message
+from tests.relay.hanging_machine import RESUME_ORDERS, HangingMachine
+from tests.relay.stage import MS, S, Stage
 from tests.relay.test_descriptors import MANY, CrowdedStage
 from wingbarrow.decide.descriptor_budget import DescriptorBudget
 from wingbarrow.relay.link import MAX_CONNECTIONS, MAX_RETIRING_CONNECTIONS
-from wingbarrow.relay.message import Framer, Kind
-from wingbarrow.transport import PeerGone, Signal, Stream
+from wingbarrow.relay.message import Kind
 
 # "What has stood and is over must be released towards its client within 1 s", and each time limit grows by 50 ms.
 RELEASE_DEADLINE_US = S + 50 * MS
-# What a process does first when it goes on depends on how it is written.
-RESUME_ORDERS = ["report read accept", "read report accept", "read accept report"]
-
-
-class HangingMachine(Machine):
-    """Reports ends of tasks as the protocol says, and can hang and go on.
-
-    A release is sent on the connection of its set-up, else on any open one, and on the next one that opens. Nothing is
-    sent on a connection whose end was read. After a hang it reports tasks that have ended, reads its connections, and
-    accepts new ones, in the order that `resume_order` gives.
-    """
-
-    def __init__(self, *args: Any, resume_order: str) -> None:
-        super().__init__(*args)
-        self.hung = False
-        self.released: dict[int, int] = {}  # when each task's release was sent, by task
-        self._resume_order = resume_order
-        self._may_read, self._may_accept = Signal(self.hub), Signal(self.hub)
-        self._set_up_streams: dict[int, Stream] = {}
-        self._open: list[Stream] = []
-        self._ended_in_hang: list[int] = []
-        self._repeats: list[bytes] = []
-
-    def _serve(self, stream: Stream) -> None:
-        self.streams.append(stream)
-        if self.hung:
-            self._may_accept.wait()
-        self._open.append(stream)
-        repeats, self._repeats = self._repeats, []
-        try:
-            for data in repeats:
-                stream.send_now(data)
-            self._read(stream, Framer())
-        except PeerGone:
-            pass
-        finally:
-            self._open.remove(stream)
-
-    def _read(self, stream: Stream, framer: Framer) -> None:
-        while True:
-            data = stream.receive()
-            if self.hung:
-                self._may_read.wait()
-            if not data:
-                return
-            framer.feed(data)
-            while (message := framer.next()) is not None:
-                if message.kind == Kind.SET_UP:
-                    self._set_up_streams[message.task] = stream
-                    self.on_set_up(stream, message)
-
-    def end(self, task: int) -> None:
-        """End a task; while the machine hangs, its release waits until it goes on."""
-        if self.hung:
-            self._ended_in_hang.append(task)
-        else:
-            self._release(task)
-
-    def _release(self, task: int) -> None:
-        stream = self._set_up_streams[task]
-        if stream not in self._open and self._open:
-            stream = self._open[0]
-        if stream in self._open:
-            with suppress(PeerGone):
-                stream.send_now(release_message(task))
-        self._repeats.append(release_message(task))
-        self.released[task] = self.hub.now_us()
-
-    def go_on(self) -> None:
-        """End the hang."""
-        self.hung = False
-        for step in self._resume_order.split():
-            if step == "report":
-                for task in self._ended_in_hang:
-                    self._release(task)
-                self._ended_in_hang.clear()
-            else:
-                (self._may_read if step == "read" else self._may_accept).notify()
-                self.hub.sleep(MS)
 
 
 def replace_machine(stage: Stage, resume_order: str = RESUME_ORDERS[0]) -> HangingMachine:
