--- a/wingbarrow/relay/release_delivery.py
+++ b/wingbarrow/relay/release_delivery.py
@@ -34,6 +34,15 @@
     sent_on: list[int] = field(default_factory=list)  # numbers of connections
 
 
+@dataclass(slots=True)
+class _Unacknowledged:
+    """A message sent on a proven connection; it is resent if that ends before `until_us`."""
+
+    data: bytes
+    connection: OwnerConnection
+    until_us: int
+
+
 @dataclass(slots=True)
 class _Routes:
     """The connections that can carry releases, the best first."""
@@ -53,8 +62,7 @@
     ) -> None:
         self._runtime, self._connections, self._trace = runtime, connections, trace
         self._pending: OrderedDict[int, _Pending] = OrderedDict()  # by task id
-        # Messages sent on proven connections and not yet acknowledged, by task id: (expiry time, connection, message).
-        self._unacknowledged: OrderedDict[int, tuple[int, OwnerConnection, bytes]] = OrderedDict()
+        self._unacknowledged: OrderedDict[int, _Unacknowledged] = OrderedDict()  # by task id
 
     def release(self, ident: int, cause: int) -> None:
         """Send a RELEASE for a task that ran, on any owner's connection, now or when one is available."""
@@ -75,17 +83,20 @@
 
     def on_disconnected(self, closed: OwnerConnection) -> None:
         """Resend what `closed` did not acknowledge on another connection."""
+        self._forget_expired()
+        if not closed.activity.proven:
+            return
+        lost = [ident for ident, sent in self._unacknowledged.items() if sent.connection is closed]
+        for ident in lost:
+            sent = self._unacknowledged.pop(ident)
+            self._runtime.counts["releases_again"] += 1
+            self._trace(ident, "release again", gone=closed.number)
+            self._send_or_defer(ident, sent.data, sent.until_us)
+
+    def _forget_expired(self) -> None:
         now = self._runtime.hub.now_us()
-        while self._unacknowledged and next(iter(self._unacknowledged.values()))[0] <= now:
+        while self._unacknowledged and next(iter(self._unacknowledged.values())).until_us <= now:
             self._unacknowledged.popitem(last=False)
-        if closed.activity.proven:
-            for ident in [
-                ident for ident, (_, owner, _) in self._unacknowledged.items() if owner is closed
-            ]:
-                until_us, _, data = self._unacknowledged.pop(ident)
-                self._runtime.counts["releases_again"] += 1
-                self._trace(ident, "release again", gone=closed.number)
-                self._send_or_defer(ident, data, until_us)
 
     def send_pending(self) -> None:
         """Send what waits for a connection, and drop what has waited for too long."""
@@ -94,20 +105,20 @@
         now, routes = self._runtime.hub.now_us(), self._routes()
         for ident, pending in list(self._pending.items()):
             if now >= pending.until_us:
-                del self._pending[ident]
-                self._runtime.counts["releases_expired"] += 1
-                self._runtime.log(
-                    "release-expired",
-                    level="warning",
-                    task=f"{ident:016x}",
-                    sent=len(pending.sent_on),
-                )
-                self._trace(ident, "release expired")
+                self._expire(ident)
             elif self._send_on_proven(ident, pending.data, routes, sent_on=pending.sent_on):
                 del self._pending[ident]
             else:
                 self._send_on_unproven(ident, pending, routes)
 
+    def _expire(self, ident: int) -> None:
+        sent_on = self._pending.pop(ident).sent_on
+        self._runtime.counts["releases_expired"] += 1
+        self._runtime.log(
+            "release-expired", level="warning", task=f"{ident:016x}", sent=len(sent_on)
+        )
+        self._trace(ident, "release expired")
+
     def _routes(self) -> _Routes:
         ranked: list[tuple[ReleaseRoute, OwnerConnection]] = []
         for connection in self._connections():
@@ -154,11 +165,8 @@
         if taker is None:
             return False
         self._trace(ident, "release told", owner=taker.number)
-        self._unacknowledged[ident] = (
-            until_us or self._runtime.hub.now_us() + ACK_TIMEOUT_US,
-            taker,
-            data,
-        )
+        until_us = until_us or self._runtime.hub.now_us() + ACK_TIMEOUT_US
+        self._unacknowledged[ident] = _Unacknowledged(data, taker, until_us)
         if len(self._unacknowledged) > MAX_PENDING_RELEASES:
             self._unacknowledged.popitem(last=False)
         return True
