A connection's mark for releases says what it stands for: a valid set-up was sent

Cause: ConnectionActivity.asked says neither who asked nor for what; the field's word on this wire is set-up. Change: renamed to sent_set_up, in the decision, the admission and the test; nothing else.

--- a/tests/decide/test_connection_limits.py
+++ b/tests/decide/test_connection_limits.py
@@ -39,7 +39,7 @@
 
 
 def test_any_client_that_has_asked_can_carry_a_release_and_proven_ones_come_first() -> None:
-    proven, asked = ConnectionActivity(0, proven=True), ConnectionActivity(0, asked=True)
+    proven, asked = ConnectionActivity(0, proven=True), ConnectionActivity(0, sent_set_up=True)
     routes = [
         release_route(proven, 1),
         release_route(proven, 0),
--- a/wingbarrow/decide/connection_limits.py
+++ b/wingbarrow/decide/connection_limits.py
@@ -29,7 +29,7 @@
 
     connected_us: int
     last_message_us: int | None = None  # when the latest complete message was read
-    asked: bool = False  # it sent a valid set-up
+    sent_set_up: bool = False  # a valid one
     proven: bool = False  # one of its tasks was placed, or found running
     was_written_to: bool = False  # at least one message was sent to it
     errors: int = 0  # set-ups of it that machines could not use
@@ -58,7 +58,7 @@
     """The worth of a connection with `open_set_ups` for releases; None for a client that has asked for nothing."""
     if connection.proven:
         return ReleaseRoute.PROVEN_IN_USE if open_set_ups else ReleaseRoute.PROVEN
-    if connection.asked:
+    if connection.sent_set_up:
         return ReleaseRoute.UNPROVEN_IN_USE if open_set_ups else ReleaseRoute.UNPROVEN
     return None
 
--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -74,7 +74,7 @@
         except setup.BadSetUp as error:
             self._reject(owner, message.task, Cause.ERROR, f"bad: {error}", existing)
             return
-        owner.activity.asked = True
+        owner.activity.sent_set_up = True
         if set_up.running_on is not None:
             if existing is None:
                 self._adopt(owner, set_up, set_up.running_on)
