Of too many connections to a machine that hangs, the one opened last is closed

What callers would see: the end of a task on a machine that hung is never told (rule lost), where offers went to it meanwhile. Cause: beyond eight half-closed connections Link._replace closed the one that had been idle longest. Connection 22, the first that the machine had yet to accept, had carried offers while 23 to 31 were half-closed before it; when it came to rest it was the oldest, and was closed 0.3 s before the machine went on. The machine read the end of its known connection, accepted 22 and repeated its releases there. Ruled out, by a trace of that link: eviction (none), the loss of a connection that the machine had accepted (21 was open to its end).

--- a/tests/relay/test_hanging_machines.py
+++ b/tests/relay/test_hanging_machines.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import copy
+
 import pytest
 
 from tests.relay.hanging_machine import RESUME_ORDERS, HangingMachine
-from tests.relay.stage import MS, S, Stage
+from tests.relay.stage import MS, SETTINGS, S, Stage
 from tests.relay.test_descriptors import MANY, CrowdedStage
 from wingbarrow.decide.descriptor_budget import DescriptorBudget
-from wingbarrow.relay.link import MAX_CONNECTIONS, MAX_RETIRING_CONNECTIONS
+from wingbarrow.relay.link import MAX_CONNECTIONS, MAX_HALF_CLOSED_CONNECTIONS
 from wingbarrow.relay.message import Kind
 
 # "What has stood and is over must be released towards its client within 1 s", and each time limit grows by 50 ms.
@@ -76,6 +78,31 @@
     Stage(0).run(play)
 
 
+# review/1, beside it: the first connection that a hanging machine accepts was closed to bound their number, as an offer
+# had kept it in use until later ones were half-closed (seed 69 of test_release_plays).
+@pytest.mark.parametrize("resume_order", RESUME_ORDERS)
+def test_the_connection_that_is_accepted_first_is_kept_though_it_carried_an_offer(
+    resume_order: str,
+) -> None:
+    def play(stage: Stage) -> None:
+        machine = replace_machine(stage, resume_order)
+        place(stage, 1, 2)
+        stay_connected(stage, 4)
+        machine.hung = True
+        for task in (11, 12):  # on the connection that is there, and on a new one
+            stage.owner.ask(task, "settlement", name=f"{task:016x}", patience_ms=18_000)
+        stay_connected(stage, 30)
+        assert stage.placer.runtime.counts["closed_unaccepted"], "more were opened than are kept"
+        machine.end(1)
+        machine.go_on()
+        stage.sleep(1500)
+        assert 1 in release_times(stage), "an owner is never told that its task is over"
+
+    patient = copy.deepcopy(SETTINGS)
+    patient["lanes"][1]["deadline_us"] = 20 * S
+    Stage(0, settings=patient, deadline_ms=20_000).run(play)
+
+
 # review/1, beside it: connections kept for a machine that hangs must not fill the descriptor table.
 def test_connections_to_a_machine_that_hangs_for_long_are_bounded() -> None:
     def play(stage: Stage) -> None:
@@ -86,7 +113,7 @@
         for _ in range(60):
             stay_connected(stage, 1)
             most = max(most, stage.placer._links.held)
-        assert most <= MAX_CONNECTIONS + MAX_RETIRING_CONNECTIONS
+        assert most <= MAX_CONNECTIONS + MAX_HALF_CLOSED_CONNECTIONS
         machine.go_on()
         stay_connected(stage, 4)
         assert stage.placer._links.held <= 2, "the machine has closed the others"
--- a/tests/relay/test_machine_races.py
+++ b/tests/relay/test_machine_races.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.relay.stage import MS, S, Stage, release_message
-from wingbarrow.relay import link
+from wingbarrow.relay import half_closed, link
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.transport import Stream, connect
 from wingbarrow.transport.hub import WRITE
@@ -182,7 +182,7 @@
             if not crossed:
                 crossed.append(stream)
                 stream.send(release_message(1))
-                stage.hub.clock.jump(stage.hub.now_us() + link.CLOSE_TIMEOUT_US + 100 * MS)
+                stage.hub.clock.jump(stage.hub.now_us() + half_closed.CLOSE_TIMEOUT_US + 100 * MS)
 
         machine.on_end = crossing
         for task in (1, 2, 3):
--- a/wingbarrow/relay/link.py
+++ b/wingbarrow/relay/link.py
@@ -15,6 +15,7 @@
 from wingbarrow.decide.liveness import HealthAction, Liveness
 from wingbarrow.interface import ListedMachine
 from wingbarrow.relay.configuration import Address
+from wingbarrow.relay.half_closed import HalfClosedConnections
 from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
 from wingbarrow.relay.tasks import Task
 from wingbarrow.transport import Outbox, PeerGone, Signal, Stream, connect
@@ -27,13 +28,11 @@
 REDIAL_BACKOFF_US = 100_000
 # The backoff doubles up to this while dials are refused and older connections are still open.
 MAX_REDIAL_BACKOFF_US = 500_000
-# For the machine to close its side of a connection that is half-closed here; longer while it runs tasks.
-CLOSE_TIMEOUT_US = 1_000_000
 # The reconnect fetches what the machine may have sent on the evicted connection.
 EVICTION_RECONNECT_DELAY_US = 3_000_000
 MAX_CONNECTIONS = 6  # to one machine
-# To one machine, half-closed here and open at the machine: the ones it had, and those of the first probes of a hang.
-MAX_RETIRING_CONNECTIONS = MAX_CONNECTIONS + 2
+# To one machine: the ones that it had before it hung, and those of the first two probes.
+MAX_HALF_CLOSED_CONNECTIONS = MAX_CONNECTIONS + 2
 MAX_DIALS = 3  # concurrent, to one machine
 MAX_ORPHANS = 512  # abandoned offers that may still run, remembered per machine
 MAX_QUEUED_RELEASES = 1024  # per machine, waiting for a connection
@@ -129,8 +128,9 @@
         self.listed = listed  # zone and cell stay the same while the machine is listed
         self.phase, self.launched_us = listed.phase, listed.launched_us
         self.connections: list[Connection] = []
-        # Half-closed here and read until the machine closes its side.
-        self._retiring: dict[Connection, None] = {}
+        self._half_closed: HalfClosedConnections[Connection] = HalfClosedConnections(
+            runtime, MAX_HALF_CLOSED_CONNECTIONS, lambda: self.expects_reports, self._close
+        )
         self.running: dict[int, Attempt] = {}
         # Task ids of abandoned offers that may still run.
         self.orphans: OrderedDict[int, None] = OrderedDict()
@@ -199,10 +199,6 @@
         """Whether the machine runs tasks, whose ends it has yet to report."""
         return bool(self.running) and not self.closed
 
-    @property
-    def _may_retire(self) -> bool:
-        return len(self._retiring) < MAX_RETIRING_CONNECTIONS
-
     def connection_for_offer(self) -> Connection | None:
         """A new connection, else the least loaded one; None if none is established in time or it is suspect."""
         if self.liveness.failed_recently(self._runtime.hub.now_us()) or (
@@ -315,7 +311,7 @@
 
     def _close(self, connection: Connection) -> None:
         connection.stream.close()
-        self._retiring.pop(connection, None)
+        self._half_closed.discard(connection)
         self._registry.connections.pop(connection, None)
 
     def drop(self, connection: Connection, why: str) -> None:
@@ -335,26 +331,7 @@
     def retire(self, connection: Connection) -> None:
         """Half-close an unused connection, and read it until the machine closes its side."""
         self.connections.remove(connection)
-        self._retiring[connection] = None
-        connection.stream.end_writing()
-        self._close_later(connection)
-
-    def _close_later(self, connection: Connection, is_overdue: bool = False) -> None:
-        def close() -> None:
-            if not connection.stream.open:
-                return
-            if self.expects_reports:
-                # Danger: a process that hangs has not read the half-close. Once it goes on, it reports ends of tasks on
-                # the connections that it knows, and repeats them on the first one that waits to be accepted.
-                self._runtime.counts["closes_unanswered"] += not is_overdue
-                self._close_later(connection, is_overdue=True)
-            elif not connection.stream.is_quiet():
-                # Danger: after a stall of this process, data that arrived in time is still unread and would be lost.
-                self._close_later(connection, is_overdue)
-            else:
-                self._close(connection)
-
-        self._runtime.hub.call_at(self._runtime.hub.now_us() + CLOSE_TIMEOUT_US, close)
+        self._half_closed.add(connection)
 
     def evict(self, connection: Connection) -> None:
         """Close a connection without open set-ups to free its descriptor; if tasks run, schedule a reconnect."""
@@ -367,30 +344,36 @@
             self._reconnect_after_us = self._runtime.hub.now_us() + EVICTION_RECONNECT_DELAY_US
 
     def _dial_to_verify(self) -> None:
-        """Dial to verify that the machine is reachable, and to fetch missed messages; replace an idle connection.
+        """Dial to verify that the machine is reachable, and to fetch missed messages; replace an older connection.
 
         Danger: without replacing one, repeated checks of silent machines would fill the descriptor table.
         """
-        if self.dial() is not None:
-            idle = [
-                connection
-                for connection in self.connections
-                if connection.stream.open and not connection.open_attempts
-            ]
-            if len(idle) > 1:
-                self._replace(min(idle, key=lambda connection: connection.used_us))
+        new = self.dial()
+        if new is None:
+            return
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.stream.open and not connection.open_attempts and connection is not new
+        ]
+        if not idle:
+            return
+        if self._half_closed.is_full:
+            self._close_latest([*self._half_closed, *idle])
+        else:
+            self.retire(min(idle, key=lambda connection: connection.used_us))
 
-    def _replace(self, connection: Connection) -> None:
-        """Retire a connection, or close it at once where the machine has left too many half-closed.
+    def _close_latest(self, connections: list[Connection]) -> None:
+        """Close the connection that was opened last, as the machine has left too many half-closed.
 
-        The machine has then not accepted the one closed here, or reports on the ones that it accepted before.
+        Danger: a process that hangs accepts connections in the order of their opening once it goes on, and repeats
+        releases on the first of them. Which one was in use last says nothing about that.
         """
-        if self._may_retire:
-            self.retire(connection)
-            return
+        latest = max(connections, key=lambda connection: connection.number)
         self._runtime.counts["closed_unaccepted"] += 1
-        self.connections.remove(connection)
-        self._close(connection)
+        if latest in self.connections:
+            self.connections.remove(latest)
+        self._close(latest)
 
     def _reconnect(self) -> None:
         """Dial if messages may have been missed or no connection is open, subject to the redial backoff."""
@@ -459,7 +442,7 @@
         idle = [connection for connection in self.connections if not connection.open_attempts]
         for connection in idle:
             last = len(self.connections) == 1
-            if (last and (self.running or self._queued_releases)) or not self._may_retire:
+            if (last and (self.running or self._queued_releases)) or self._half_closed.is_full:
                 return
             timeout_us = LAST_IDLE_TIMEOUT_US if last else SPARE_IDLE_TIMEOUT_US
             if now_us - connection.used_us >= timeout_us:
