--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -22,9 +22,8 @@
 # stall or behind other work. The platform tolerates sends for it up to 100 ms later; input is rechecked after half.
 MAX_UNREAD_US = 50_000
 RETIRE_US = 500_000  # for a client to close its side of a connection that is half-closed here
-MAX_RETIRE_EXTENSIONS = (
-    3  # by RETIRE_US each, while input is unread; a client that never stops sending is cut off then
-)
+# By RETIRE_US each, while input is unread. A client that never stops sending is cut off then.
+MAX_RETIRE_EXTENSIONS = 3
 MAX_CLOSE_CANDIDATES = 8  # connections checked for unread input before one is closed regardless
 
 
