--- a/tests/relay/test_descriptors.py
+++ b/tests/relay/test_descriptors.py
@@ -1,13 +1,20 @@
-"""More machines than descriptors: the budget holds, and every machine's releases still arrive in time."""
+"""More machines than descriptors: the budget holds, and every machine's releases still arrive in time; a full table."""
 
 from __future__ import annotations
 
+import errno
+import os
+import resource
+import socket
 from typing import Any
 
 import pytest
 
-from tests.relay.stage import SETTINGS, Client, Machine, S, Stage, release_message
+from tests.relay.stage import MS, SETTINGS, Client, Journal, Machine, S, Stage, release_message
+from tests.relay.test_list import follower, phase, wait_until
+from wingbarrow import interface as api
 from wingbarrow.decide.descriptor_budget import DescriptorBudget
+from wingbarrow.relay.configuration import Address
 from wingbarrow.relay.message import Kind
 from wingbarrow.transport import Stream
 
@@ -171,3 +178,63 @@
         assert stage.owner.kinds(2) == [Kind.ANSWER, Kind.RELEASE]
 
     Stage(1).run(play)
+
+
+def duplicate() -> int | None:
+    """A copy of a descriptor; None if the table is full."""
+    try:
+        return os.dup(0)
+    except OSError as error:
+        if error.errno != errno.EMFILE:
+            raise
+        return None
+
+
+def test_a_full_descriptor_table_delays_polls_by_half_a_second_at_most() -> None:
+    def play(stage: Stage) -> None:
+        counts = stage.placer.runtime.counts
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        held: list[int] = []
+
+        def fill() -> bool:
+            while (descriptor := duplicate()) is not None:
+                held.append(descriptor)
+            return counts["journal_failures"] >= 8
+
+        reasons: list[str] = []
+
+        def log(what: str, **fields: object) -> None:
+            if what == "journal-poll-failed":
+                reasons.append(str(fields["why"]))
+
+        stage.placer.runtime.log = log
+        # Nobody listens there: a call that got a descriptor after all does not wait for a stand-in without one.
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            port = unused.getsockname()[1]
+        calls = len(stage.journal.calls)
+        try:
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 3, hard)
+            )
+            follower(stage).change_address(Address("127.0.0.1", port))
+            wait_until(stage, fill)
+            reasons.clear()
+            for _ in range(4000):
+                stage.sleep(1)
+                fill()  # takes the descriptors of connections that end meanwhile
+            assert 14 <= counts["journal_failures"] <= 30
+            assert reasons == ["connection refused: EMFILE"] * len(reasons)
+            assert len(stage.journal.calls) == calls
+        finally:
+            for each in held:
+                os.close(each)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        fresh = Journal(stage.hub, port)
+        fresh.events = list(stage.journal.events)
+        fresh.add(stage.machines[0].entry("Terminating"))
+        assert (
+            wait_until(stage, lambda: phase(stage, stage.machines[0]) is api.Phase.DRAINING)
+            <= 510 * MS
+        )
+
+    Stage().run(play)
--- a/tests/relay/test_journal.py
+++ b/tests/relay/test_journal.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import errno
-import os
-import resource
 from collections.abc import Callable
 
 import pytest
@@ -259,10 +256,10 @@
 
 
 def before_follower_resumes(stage: Stage, answer: Fault, call: Callable[[], None]) -> Fault:
-    """A fault that sends this answer, and calls `call` after it woke the follower and before the follower runs."""
+    """A fault that sends this answer, and calls `call` after it woke the follower's call and before that runs."""
 
     def fault(request: Request) -> None:
-        (task,) = (each for each in stage.hub._tasks.values() if each.name == "journal")
+        (task,) = (each for each in stage.hub._tasks.values() if each.name == "journal-call")
         with pytest.raises(PeerGone):
             answer(request)
         for _ in range(1000):
@@ -270,7 +267,7 @@
                 call()
                 raise PeerGone("answered")
             stage.hub.checkpoint()
-        pytest.fail("the follower was not woken within 1000 turns")
+        pytest.fail("the follower's call was not woken within 1000 turns")
 
     return fault
 
@@ -349,6 +346,24 @@
     Stage().run(play)
 
 
+def test_an_early_answer_of_the_old_service_at_an_address_change_delays_no_call() -> None:
+    def play(stage: Stage) -> None:
+        moved: list[int] = []
+        fresh = Journal(stage.hub)
+        fresh.events = list(stage.journal.events)
+
+        def now() -> None:
+            moved.append(stage.hub.now_us())
+            change_address(stage, fresh)
+
+        stage.journal.troubles.append(before_follower_resumes(stage, answer_with(1), now))
+        wait_until(stage, lambda: bool(fresh.calls))
+        assert fresh.calls[0][0] - moved[0] <= 2 * MS
+        assert not stage.placer.runtime.counts["journal_early"]
+
+    Stage().run(play)
+
+
 def test_of_two_address_changes_the_last_wins_and_an_unchanged_address_keeps_the_poll() -> None:
     def play(stage: Stage) -> None:
         between, last = Journal(stage.hub), Journal(stage.hub)
@@ -393,46 +408,7 @@
     Stage().run(play)
 
 
-# -- descriptors, and invalid bodies
-
-
-def test_a_full_descriptor_table_delays_polls_by_half_a_second_at_most() -> None:
-    def play(stage: Stage) -> None:
-        counts = stage.placer.runtime.counts
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        held: list[int] = []
-
-        def fill() -> bool:
-            try:
-                while True:
-                    held.append(os.dup(0))
-            except OSError as error:
-                assert error.errno == errno.EMFILE
-            return counts["journal_failures"] >= 8
-
-        # The failed poll frees its descriptors, and `fill` takes them at once.
-        stage.journal.troubles.append(respond(b"", b"500 Broken"))
-        stage.journal.add(stage.machines[1].entry())
-        try:
-            resource.setrlimit(
-                resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 3, hard)
-            )
-            wait_until(stage, fill)
-            calls = len(stage.journal.calls)
-            stage.sleep(4000)
-            assert 14 <= counts["journal_failures"] <= 30
-            assert len(stage.journal.calls) == calls
-            stage.journal.add(stage.machines[0].entry("Terminating"))
-        finally:
-            for each in held:
-                os.close(each)
-            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-        assert (
-            wait_until(stage, lambda: phase(stage, stage.machines[0]) is api.Phase.DRAINING)
-            <= 510 * MS
-        )
-
-    Stage().run(play)
+# -- invalid bodies
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/test_list.py
+++ b/tests/relay/test_list.py
@@ -352,25 +352,6 @@
 # -- silence, trickles, repeats, lower event numbers
 
 
-def test_a_trickling_answer_is_cut_off_at_the_deadline_of_the_whole_poll() -> None:
-    def play(stage: Stage) -> None:
-        def trickle(request: Request) -> None:
-            for each in b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + b" " * 900:
-                request.connection.stream.send(bytes([each]))
-                stage.sleep(100)
-
-        stage.journal.troubles.append(trickle)
-        stage.journal.add(stage.machines[1].entry())
-        stage.sleep(10)
-        begun = stage.journal.calls[-1][0]
-        stage.journal.add(stage.machines[0].entry("Terminating"))
-        wait_until(stage, lambda: phase(stage, stage.machines[0]) is api.Phase.DRAINING)
-        assert 1400 * MS <= stage.hub.now_us() - begun <= 1450 * MS
-        assert stage.placer.runtime.counts["journal_failures"] == 1
-
-    Stage().run(play)
-
-
 @pytest.mark.parametrize("late_ms", [0, 500, 990])
 def test_a_drain_at_a_silent_service_is_known_soon_after_the_requested_wait(
     late_ms: int,
--- a/wingbarrow/decide/descriptor_budget.py
+++ b/wingbarrow/decide/descriptor_budget.py
@@ -2,8 +2,8 @@
 
 The platform counts every descriptor, and a placer that exceeds its limit has failed, so the descriptor table is never
 filled. `RESERVED_DESCRIPTORS` stay free for those that are not requested from this budget: the log, the listener,
-signals, the journal's connection and its successor, and a burst of accepted connections that are not counted yet. The
-rest is shared: owners get up to a half, machines all that owners do not hold. When the budget is exhausted,
+signals, the overlapping calls to the journal, and a burst of accepted connections that are not counted yet. The rest
+is shared: owners get up to a half, machines all that owners do not hold. When the budget is exhausted,
 connections to machines are closed in ascending order of what closing them costs.
 """
 
--- /dev/null
+++ b/wingbarrow/decide/long_poll.py
@@ -0,0 +1,178 @@
+"""Overlapping calls of a long poll: when a call begins, when one is abandoned, and when the service counts as silent.
+
+A client that breaks off a late call and repeats it never hears a service that needs longer than the time limit. Here a
+late call stays open while further calls begin beside it, at most MAX_CALLS at a time. So a service that is slow is
+heard, and one that has died, lost a call, or was replaced behind its address is called again as soon as with a time
+limit. The answer to a call ends all earlier ones: they were lost, or have nothing more to tell.
+
+While MAX_CALLS are in flight, one is abandoned for each new one. The oldest is kept for a patience that is doubled when
+it is over, as the retransmission time of RFC 6298, so that any service is heard in the end; the next oldest goes
+meanwhile, so that calls that were lost in an outage do not crowd out those after it. `docs/relay.md` derives the
+longest time from an event to its delivery.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from wingbarrow.decide.backoff import Backoff
+
+WAIT_US = 1_000_000  # how long the service is asked to wait for news
+# From one call to the next while the first is not answered. Above WAIT_US, so that there are no more calls a second
+# than when the service answers in time.
+CALL_INTERVAL_US = 1_200_000
+SILENCE_US = 1_400_000  # without an answer for so long, the service counts as silent
+MAX_CALLS = 4  # in flight; each holds a descriptor, and a place in the service's queue
+MIN_BACKOFF_US = 20_000
+MAX_BACKOFF_US = 500_000
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """Begin a call now, and report it by `on_started`."""
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonCall:
+    """Break off a call; nothing is reported for it any more."""
+
+    call: int
+    overtaken: bool  # whether a later call was answered first
+
+
+@dataclass(frozen=True, slots=True)
+class ReportSilence:
+    """The service has not answered for SILENCE_US though a call is in flight."""
+
+
+@dataclass(frozen=True, slots=True)
+class WaitUntil:
+    """Nothing to do before this time, unless a call ends."""
+
+    at_us: int
+
+
+Step = StartCall | AbandonCall | ReportSilence | WaitUntil
+
+
+@dataclass(slots=True)
+class _Call:
+    number: int
+    started_us: int
+    overtaken: bool = False
+
+
+class LongPoll:
+    """The calls to one service; all times in microseconds of one clock.
+
+    The caller carries out `next_step` until it is a WaitUntil, and again at that time and whenever a call has ended.
+    `patience_us`: for how long the oldest call is kept at first, though no further one can begin.
+    """
+
+    def __init__(self, rng: random.Random, patience_us: int) -> None:
+        self._initial_patience_us = self._patience_us = patience_us
+        self._backoff = Backoff(rng, MIN_BACKOFF_US, MAX_BACKOFF_US)
+        self._calls: list[_Call] = []  # in flight, in the order of their start
+        self._calls_started = 0
+        self._retry_us = 0  # no call begins before this time
+        self._quiet_since_us = 0  # the last answer or failure, or the start of the only call
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that have begun and not ended."""
+        return len(self._calls)
+
+    def next_step(self, now_us: int) -> Step:
+        """What to do now."""
+        for call in self._calls:
+            if call.overtaken:
+                self._calls.remove(call)
+                return AbandonCall(call.number, overtaken=True)
+        if self._calls and now_us >= self._quiet_since_us + SILENCE_US:
+            self._quiet_since_us = now_us
+            return ReportSilence()
+        if len(self._calls) < MAX_CALLS:
+            if now_us >= self._start_us():
+                return StartCall()
+        elif now_us >= self._calls[-1].started_us + SILENCE_US:
+            self._delay_next_call(now_us)
+            return AbandonCall(self._remove_stale_call(now_us).number, overtaken=False)
+        return WaitUntil(self._next_us())
+
+    def _remove_stale_call(self, now_us: int) -> _Call:
+        """Make room for another call."""
+        if now_us - self._calls[0].started_us < self._patience_us:
+            return self._calls.pop(1)
+        self._patience_us *= 2
+        return self._calls.pop(0)
+
+    def _start_us(self) -> int:
+        """When the next call may begin."""
+        if not self._calls:
+            return self._retry_us
+        return max(self._retry_us, self._calls[-1].started_us + CALL_INTERVAL_US)
+
+    def _next_us(self) -> int:
+        """When there is something to do, if no call ends before."""
+        if not self._calls:
+            return self._retry_us
+        full = len(self._calls) == MAX_CALLS
+        next_us = self._calls[-1].started_us + SILENCE_US if full else self._start_us()
+        return min(next_us, self._quiet_since_us + SILENCE_US)
+
+    def _delay_next_call(self, now_us: int) -> None:
+        # Calls that fail together delay the next one once.
+        if now_us >= self._retry_us:
+            self._retry_us = now_us + self._backoff.next_delay_us()
+
+    def on_started(self, now_us: int) -> int:
+        """A call begins; its number."""
+        if not self._calls:
+            self._quiet_since_us = now_us
+        self._calls_started += 1
+        self._calls.append(_Call(self._calls_started, now_us))
+        return self._calls_started
+
+    def on_answered(self, now_us: int, number: int, is_early: bool) -> None:
+        """A call was answered; `is_early`: without news, and long before the requested wait was over."""
+        for call in self._calls:
+            call.overtaken = call.overtaken or call.number < number
+            if call.number == number:
+                took_us = now_us - call.started_us
+                self._patience_us = max(self._initial_patience_us, 2 * took_us)
+        self._on_ended(now_us, number)
+        if is_early:
+            self._delay_next_call(now_us)
+        else:
+            self._backoff.reset()
+
+    def on_failed(self, now_us: int, number: int) -> None:
+        """A call has failed: it was refused, broken off, or its answer is unreadable."""
+        self._on_ended(now_us, number)
+        self._delay_next_call(now_us)
+
+    def _on_ended(self, now_us: int, number: int) -> None:
+        self._calls = [call for call in self._calls if call.number != number]
+        self._quiet_since_us = now_us
+
+    def on_service_changed(self) -> None:
+        """The service has another address now, and the caller has broken off all calls."""
+        self._calls.clear()
+        self._backoff.reset()
+        self._retry_us = 0
+        self._patience_us = self._initial_patience_us
+
+
+__all__ = [
+    "CALL_INTERVAL_US",
+    "MAX_CALLS",
+    "SILENCE_US",
+    "WAIT_US",
+    "AbandonCall",
+    "LongPoll",
+    "ReportSilence",
+    "StartCall",
+    "Step",
+    "WaitUntil",
+]
--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -50,12 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLimits:
-    """Bounds of a pool; times in microseconds."""
+    """Bounds of a pool; times in microseconds. If `first_byte_us` is None, only `until_us` limits a request."""
 
     connections: int = 16
     waiting: int = 256
     connect_us: int = SECOND
-    first_byte_us: int = 10 * SECOND
+    first_byte_us: int | None = 10 * SECOND
+    max_idle: int | None = None  # connections kept open between requests; None: all
     idle_us: int = 30 * SECOND
     message: Limits = Limits(body=64 << 20)
 
@@ -181,6 +182,12 @@
     def _deadline_scope(self, until_us: int | None) -> CancelScope:
         return CancelScope(self.hub, until_us)
 
+    def _first_byte_deadline_us(self, until_us: int | None) -> int | None:
+        if self.limits.first_byte_us is None:
+            return until_us
+        limit_us = self.hub.now_us() + self.limits.first_byte_us
+        return limit_us if until_us is None else min(limit_us, until_us)
+
     def _discard(self, connection: _Connection) -> None:
         connection.stream.close()
         self._open -= 1
@@ -190,6 +197,8 @@
         if keep and connection.stream.open and connection.parser.idle:
             connection.idle_since_us = self.hub.now_us()
             self._idle.append(connection)
+            if self.limits.max_idle is not None and len(self._idle) > self.limits.max_idle:
+                self._discard(self._idle.popleft())
             self._freed.notify()
         else:
             self._discard(connection)
@@ -260,8 +269,7 @@
         )
         answer: Response | None = None
         received_any = False
-        limit = self.hub.now_us() + self.limits.first_byte_us
-        with self._deadline_scope(limit if until_us is None else min(limit, until_us)) as scope:
+        with self._deadline_scope(self._first_byte_deadline_us(until_us)) as scope:
             try:
                 connection.stream.send(data)
             except PeerGone as error:
--- a/wingbarrow/relay/event_sequence.py
+++ b/wingbarrow/relay/event_sequence.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.relay.entries import Event, ListState, ListUpdate, merge
@@ -17,10 +18,21 @@
 MAX_MARKS = 1024  # event hashes kept, to distinguish a lagging service from a renumbered one
 
 
+@dataclass(frozen=True, slots=True)
+class EventQuery:
+    """What a call asks for, and what was known when it began."""
+
+    tail: int  # events after this number are asked for; 0: all events
+    position: int
+    numbering: int
+    answers: int  # answers applied before
+
+
 class EventSequence:
     """Turns the answers of the journal service into updates of the machine list.
 
-    `known` holds the events from the configuration, up to `position`.
+    `known` holds the events from the configuration, up to `position`. Calls may overlap, and their answers may be
+    applied in any order: an answer is judged by what was known when its call began.
     """
 
     def __init__(
@@ -32,27 +44,38 @@
         self._applied_ahead: dict[int, tuple[str, ...]] = {}
         self._gap_polls = 0  # consecutive polls after which events were still missing
         self._refetch_all = False  # the position regressed: the next poll asks for all events
+        self._numbering = 0  # how often the service has renumbered its events
+        self._answers = 0  # answers applied
+        self._gap_counted_at = 0  # of these, when the latest one was counted in `_gap_polls`
         self._lagging_position: int | None = None  # highest number of a service known to lag
         self._list_state = ListState(known)
         self._marks = OrderedDict((each.position, each.digest) for each in known)
         self._once_log = OnceLog(runtime)
 
-    def next_tail(self) -> int:
-        """The number after which the next poll asks for events; 0 for all events."""
-        if self._refetch_all or self._gap_polls == MAX_GAP_POLLS - 1:
-            return 0
-        return self.position
-
-    def apply(self, tail: int, last: int, events: list[Event]) -> list[ListUpdate]:
-        """The updates that follow from an answer to a poll after `tail`, in order."""
-        self._refetch_all = False
+    def next_query(self) -> EventQuery:
+        """What a call that begins now asks for."""
+        wants_all = self._refetch_all or self._gap_polls == MAX_GAP_POLLS - 1
+        tail = 0 if wants_all else self.position
+        return EventQuery(tail, self.position, self._numbering, self._answers)
+
+    def is_outdated(self, query: EventQuery) -> bool:
+        """Whether events were applied since a call with this query began."""
+        return query.numbering != self._numbering or query.position != self.position
+
+    def apply(self, query: EventQuery, last: int, events: list[Event]) -> list[ListUpdate]:
+        """The updates that follow from the answer to a query, in order."""
+        self._answers += 1
+        if query.numbering != self._numbering:
+            return []  # asked for by a number that means another event now
+        if query.tail == 0:
+            self._refetch_all = False
         highest = max([last, *(event.position for event in events)])
-        if highest < self.position:
-            return self._on_position_regressed(tail, highest, events)
+        if highest < query.position:
+            return self._on_position_regressed(query, highest, events)
         self._lagging_position = None
-        return self._new_events(events)
+        return self._new_events(query, events)
 
-    def _new_events(self, events: list[Event]) -> list[ListUpdate]:
+    def _new_events(self, query: EventQuery, events: list[Event]) -> list[ListUpdate]:
         news: list[ListUpdate] = []
         top = 0
         for event in events:
@@ -73,7 +96,7 @@
                     self._advance_to(number)
                 while self.position + 1 in self._applied_ahead:
                     self._advance_to(self.position + 1)
-        self._check_for_gap(max([top, *self._applied_ahead]))
+        self._check_for_gap(query, max([top, *self._applied_ahead]))
         return news
 
     def _merge_event(self, event: Event, newer: set[str]) -> ListUpdate:
@@ -89,14 +112,18 @@
             ahead: names for ahead, names in self._applied_ahead.items() if ahead > number
         }
 
-    def _check_for_gap(self, top: int) -> None:
+    def _check_for_gap(self, query: EventQuery, top: int) -> None:
         """Count consecutive polls that leave an event up to number `top` missing, and skip the gap after the last.
 
-        The last of these polls asks for all events, not only those after the position.
+        The last of these polls asks for all events, not only those after the position. Calls that were in flight
+        together count as one poll.
         """
         if top <= self.position:
             self._gap_polls = 0
             return
+        if self._gap_polls and query.answers < self._gap_counted_at:
+            return
+        self._gap_counted_at = self._answers
         self._gap_polls += 1
         if self._gap_polls == 1:
             self._runtime.counts["journal_gaps"] += 1
@@ -108,12 +135,12 @@
             self._advance_to(top)
 
     def _on_position_regressed(
-        self, tail: int, highest: int, events: list[Event]
+        self, query: EventQuery, highest: int, events: list[Event]
     ) -> list[ListUpdate]:
         """Handle an answer that ends before our position: the service lags, or it has renumbered its events."""
         if highest == self._lagging_position:
             return []
-        if tail > 0:
+        if query.tail > 0:
             self._runtime.counts["journal_went_back"] += 1
             self._once_log.warn("journal-went-back", f"highest event number is {highest}")
             self._refetch_all = True
@@ -127,6 +154,7 @@
             self._lagging_position = highest
             return []
         self._runtime.log("journal-renumbered", level="warning", ours=self.position, theirs=highest)
+        self._numbering += 1
         self._marks.clear()
         self._gap_polls = 0
         # Merged into one delivery: a machine that only a later event lists must not count as gone in between.
@@ -140,4 +168,4 @@
         self._once_log.warn("bad-list-entry", why)
 
 
-__all__ = ["EventSequence"]
+__all__ = ["EventQuery", "EventSequence"]
--- a/wingbarrow/relay/journal.py
+++ b/wingbarrow/relay/journal.py
@@ -1,37 +1,65 @@
-"""Follows the machine list of the journal service by long polling."""
+"""Follows the machine list of the journal service by long polling, with overlapping calls while answers are late."""
 
 from __future__ import annotations
 
 import json
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
-from wingbarrow.decide.backoff import Backoff
+from wingbarrow.decide.long_poll import (
+    CALL_INTERVAL_US,
+    MAX_CALLS,
+    SILENCE_US,
+    WAIT_US,
+    AbandonCall,
+    LongPoll,
+    ReportSilence,
+    StartCall,
+    WaitUntil,
+)
 from wingbarrow.http.client import CallFailed, Pool, PoolLimits
 from wingbarrow.http.message import Limits
 from wingbarrow.relay.configuration import Address
 from wingbarrow.relay.entries import Entry, Event, ListUpdate, machine_id, parse, read
-from wingbarrow.relay.event_sequence import EventSequence
+from wingbarrow.relay.event_sequence import EventQuery, EventSequence
 from wingbarrow.relay.once_log import OnceLog
-from wingbarrow.transport import CancelScope
+from wingbarrow.transport import CancelScope, Hub, Signal
 
-# Danger (rule 3): an event that a silent service withholds counts as delivered soon after the requested wait. A short
-# wait detects a silent service early, at the cost of more frequent polls.
-POLL_WAIT_MS = 1_000
-POLL_GRACE_US = 400_000  # a poll times out this long after the requested wait
 CONNECT_US = 500_000
 MAX_BODY_BYTES = 4 << 20
-MIN_POLL_US = POLL_WAIT_MS * 500  # half the wait; an empty answer before it counts as early
+MIN_POLL_US = WAIT_US // 2  # an empty answer before it counts as early
 # Danger (rule 3): a drain that is unread after a stall counts as delivered. The grace is 250 ms; a fifth is used here.
 MAX_UNREAD_US = 50_000
+UNREAD_CHECK_US = 1_000  # between checks whether an answer that has arrived was read
+MAX_REASON_CHARS = 200
+HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """A call in flight."""
+
+    number: int
+    query: EventQuery
+    started_us: int
+    scope: CancelScope
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The content of an answer: the service's last event number, and the events that were asked for."""
+
+    last: int
+    events: list[Event]
 
 
 class Follower:
-    """Passes each event once to `deliver(news)`, and calls `on_failure()` when a poll fails or times out.
+    """Passes each event once to `deliver(news)`, and calls `on_failure()` when a call fails or the service is silent.
 
     `known` holds the events from the configuration, up to `position`. `shift_us` converts the list's wall-clock times
-    to the hub's clock.
+    to the hub's clock. `patience_us`: for how long a single call is kept at first while the service is silent.
     """
 
     def __init__(
@@ -42,6 +70,7 @@
         shift_us: int,
         deliver: Callable[[ListUpdate], None],
         on_failure: Callable[[], None],
+        patience_us: int,
         known: Sequence[ListUpdate] = (),
     ) -> None:
         # Fixed for the life of the process, so that a machine's start time never changes.
@@ -50,83 +79,146 @@
         self._deliver, self._on_failure = deliver, on_failure
         self._sequence = EventSequence(runtime, position, known)
         self._once_log = OnceLog(runtime)
-        self._scope: CancelScope | None = None
-        self._pool: Pool | None = None
-        self._backoff = Backoff(random.Random(runtime.random.random()), 20_000, 500_000)
+        self._long_poll = LongPoll(random.Random(runtime.random.random()), patience_us)
+        self._calls: dict[int, _Call] = {}
+        self._was_late = False  # the latest answer
+        self._changed = Signal(runtime.hub)  # a call has ended, or the address has changed
+        self._pool = self._new_pool()
+
+    def _new_pool(self) -> Pool:
+        limits = PoolLimits(
+            connections=MAX_CALLS,
+            connect_us=CONNECT_US,
+            first_byte_us=None,  # the long poll decides how long an answer is waited for
+            max_idle=1,
+            message=Limits(body=MAX_BODY_BYTES),
+        )
+        return Pool(self._runtime.hub, self._address.host, self._address.port, limits)
 
     def change_address(self, address: Address) -> None:
-        """Poll another address from now on; a poll of the old one is cancelled."""
-        if address != self._address:
-            self._address = address
-            self._backoff.reset()
-            if self._scope is not None:
-                self._scope.cancel()
+        """Call another address from now on; calls to the old one are broken off."""
+        if address == self._address:
+            return
+        self._break_off_all()
+        self._pool.close()
+        self._address = address
+        self._pool = self._new_pool()
+        self._long_poll.on_service_changed()
+        self._changed.notify()
 
     def has_stale_input(self, now_us: int) -> bool:
         """Whether input of the service older than MAX_UNREAD_US may still be unread."""
-        return self._pool is not None and self._pool.has_unread(now_us, MAX_UNREAD_US)
+        return self._pool.has_unread(now_us, MAX_UNREAD_US)
 
     def run(self) -> None:
-        """Poll until cancelled."""
+        """Follow the list until cancelled."""
         hub = self._runtime.hub
-        # Danger (rule 3): offers that are ready must not be sent before drains are read.
         hub.current().urgent = True
-        while True:
-            address = self._address
-            limits = PoolLimits(
-                connections=1, connect_us=CONNECT_US, message=Limits(body=MAX_BODY_BYTES)
-            )
-            pool = self._pool = Pool(hub, address.host, address.port, limits)
-            try:
-                while address == self._address:
-                    if not self._poll(pool, address) and address == self._address:
-                        with CancelScope(hub) as self._scope:  # an address change ends the backoff
-                            hub.sleep(self._backoff.next_delay_us())
-            finally:
-                pool.close()
-
-    def _poll(self, pool: Pool, address: Address) -> bool:
-        """Poll once and apply the answer; whether the next poll may follow without backoff."""
-        runtime, started_us = self._runtime, self._runtime.hub.now_us()
-        tail = self._sequence.next_tail()
-        answer: tuple[int, list[Event]] | None = None
+        try:
+            while True:
+                # After a stall, an answer that has arrived meanwhile is read before its call is judged.
+                if self._pool.has_unread(hub.now_us(), 0):
+                    hub.sleep(UNREAD_CHECK_US)
+                else:
+                    self._take_step(hub)
+        finally:
+            self._break_off_all()
+            self._pool.close()
+
+    def _take_step(self, hub: Hub) -> None:
+        match self._long_poll.next_step(hub.now_us()):
+            case StartCall():
+                self._start_call()
+            case AbandonCall(number, overtaken):
+                self._abandon(number, overtaken)
+            case ReportSilence():
+                self._report_failure(f"no answer for {SILENCE_US // 1000} ms")
+            case WaitUntil(at_us):
+                with CancelScope(hub, at_us):
+                    self._changed.wait()
+
+    # -- calls
+
+    def _start_call(self) -> None:
+        hub = self._runtime.hub
+        number = self._long_poll.on_started(hub.now_us())
+        call = _Call(number, self._sequence.next_query(), hub.now_us(), CancelScope(hub))
+        self._calls[number] = call
+        self._runtime.spawn(lambda: self._carry_out(call, self._pool), "journal-call")
+
+    def _abandon(self, number: int, overtaken: bool) -> None:
+        self._runtime.counts["journal_overtaken" if overtaken else "journal_abandoned"] += 1
+        self._calls.pop(number).scope.cancel()
+
+    def _break_off_all(self) -> None:
+        for call in self._calls.values():
+            call.scope.cancel()
+        self._calls.clear()
+
+    def _carry_out(self, call: _Call, pool: Pool) -> None:
+        """Make a call and apply its answer."""
+        # Danger (rule 3): offers that are ready must not be sent before drains are read.
+        self._runtime.hub.current().urgent = True
+        answer: _Answer | None = None
         why = ""
-        # The scope ends before delivery, so that an address change never interrupts one.
-        with CancelScope(runtime.hub) as scope:
-            self._scope = scope
+        # The scope ends before delivery, so that a delivery is never interrupted.
+        with call.scope:
             try:
-                answer = self._request(pool, tail)
+                answer = self._request(pool, call.query.tail)
             except (CallFailed, ValueError, RecursionError) as error:
-                why = str(error)[:200]
-        if answer is None and scope.cancelled:
-            return True  # cancelled by an address change: not a failure of the new service
-        if answer is None:
-            runtime.counts["journal_failures"] += 1
-            runtime.log("journal-poll-failed", level="warning", address=str(address), why=why)
-            self._on_failure()
-            return False
-        if self._apply(tail, *answer) or runtime.hub.now_us() - started_us >= MIN_POLL_US:
-            self._backoff.reset()
-            return True
-        runtime.counts["journal_early"] += 1
-        self._once_log.warn("journal-early", "empty answer before half of the requested wait")
-        return False
-
-    def _request(self, pool: Pool, tail: int) -> tuple[int, list[Event]]:
-        until_us = self._runtime.hub.now_us() + POLL_WAIT_MS * 1000 + POLL_GRACE_US
-        response = pool.request(
-            "GET", f"/journal?tail={tail}&max_wait={POLL_WAIT_MS}", until_us=until_us
+                why = str(error)[:MAX_REASON_CHARS]
+        self._calls.pop(call.number, None)
+        if answer is not None:
+            self._on_answer(call, answer)
+        elif not call.scope.cancelled:
+            self._long_poll.on_failed(self._runtime.hub.now_us(), call.number)
+            self._report_failure(why)
+        self._changed.notify()
+
+    def _request(self, pool: Pool, tail: int) -> _Answer:
+        response = pool.request("GET", f"/journal?tail={tail}&max_wait={WAIT_US // 1000}")
+        if response.status != HTTP_OK:
+            raise ValueError(
+                f"journal service answered status {response.status}, expected {HTTP_OK}"
+            )
+        return _Answer(*parse(json.loads(response.body), self._shift_us))
+
+    def _report_failure(self, why: str) -> None:
+        self._runtime.counts["journal_failures"] += 1
+        self._runtime.log(
+            "journal-poll-failed",
+            level="warning",
+            address=str(self._address),
+            why=why,
+            in_flight=self._long_poll.in_flight,
         )
-        if response.status != 200:
-            raise ValueError(f"journal service answered status {response.status}, expected 200")
-        return parse(json.loads(response.body), self._shift_us)
-
-    def _apply(self, tail: int, last: int, events: list[Event]) -> bool:
-        """Deliver the new events of an answer; whether there were any."""
-        news = self._sequence.apply(tail, last, events)
+        self._on_failure()
+
+    def _on_answer(self, call: _Call, answer: _Answer) -> None:
+        took_us = self._runtime.hub.now_us() - call.started_us
+        self._count_answer(took_us)
+        was_outdated = self._sequence.is_outdated(call.query)
+        news = self._sequence.apply(call.query, answer.last, answer.events)
+        is_early = not news and not was_outdated and took_us < MIN_POLL_US
+        if not call.scope.cancelled:
+            self._long_poll.on_answered(self._runtime.hub.now_us(), call.number, is_early)
+            if is_early:
+                self._runtime.counts["journal_early"] += 1
+                self._once_log.warn(
+                    "journal-early", "empty answer before half of the requested wait"
+                )
         for each in news:
             self._deliver(each)
-        return bool(news)
+
+    def _count_answer(self, took_us: int) -> None:
+        """Tell a slow service apart from one that does not answer; the first of several late answers is logged."""
+        is_late = took_us >= CALL_INTERVAL_US
+        self._runtime.counts["journal_answers"] += 1
+        self._runtime.counts["journal_late_answers"] += is_late
+        if is_late and not self._was_late:
+            in_flight = self._long_poll.in_flight
+            self._runtime.log("journal-answer-late", took_ms=took_us // 1000, in_flight=in_flight)
+        self._was_late = is_late
 
 
 __all__ = ["Entry", "Follower", "ListUpdate", "machine_id", "read"]
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -100,6 +100,8 @@
             self._shift_us,
             self._on_list_update,
             self._on_list_failure,
+            # The platform bears that a placer does not ask for so long.
+            settings.ask_every_us,
             known,
         )
         self._offers.list_has_stale_input = self._follower.has_stale_input
