--- a/tests/decide/test_long_poll.py
+++ b/tests/decide/test_long_poll.py
@@ -45,8 +45,10 @@
 
     number: int
     started_us: int
-    snapshot_us: int
-    answer_us: int | None
+    connected_us: int | None
+    snapshot_us: int = 0
+    answer_us: int | None = None
+    is_connected: bool = False
     ended: bool = False
 
 
@@ -55,6 +57,7 @@
     """One client and one service, whose events are only their times."""
 
     lateness: Lateness
+    handshake: Lateness = lambda now: 0  # how long a call is connected to the service
     order: Order = Order.WAIT_THEN_LATE
     seed: int = 1
     events: list[int] = field(default_factory=list)
@@ -69,30 +72,44 @@
         """Play up to a time."""
         poll, now = LongPoll(random.Random(self.seed), PATIENCE_US), 0
         while now < until_us:
-            for call in self._in_flight():
-                if call.answer_us is not None and call.answer_us <= now and not call.ended:
-                    self._answer(poll, call, now)
+            self._serve(poll, now)
             wait_us = self._act(poll, now)
             self.most_in_flight = max(self.most_in_flight, poll.in_flight)
-            answers = [call.answer_us for call in self._in_flight() if call.answer_us is not None]
-            now = min([wait_us, *answers])
+            now = min([wait_us, *self._service_events(now)])
         return self
 
+    def _service_events(self, now: int) -> list[int]:
+        calls = self._in_flight()
+        times = [call.answer_us for call in calls]
+        times += [call.connected_us for call in calls if not call.is_connected]
+        return [max(at, now) for at in times if at is not None]
+
+    def _serve(self, poll: LongPoll, now: int) -> None:
+        for call in self._in_flight():
+            if not call.is_connected and call.connected_us is not None and call.connected_us <= now:
+                call.is_connected = True
+                poll.on_connected(now, call.number)
+            if call.answer_us is not None and call.answer_us <= now and not call.ended:
+                self._answer(poll, call, now)
+
     def _in_flight(self) -> list[Call]:
         return [call for call in self.calls if not call.ended]
 
     def _new_call(self, number: int, now: int) -> Call:
-        late_us = self.lateness(now)
+        handshake_us, late_us = self.handshake(now), self.lateness(now)
+        if handshake_us is None:
+            return Call(number, now, None)
+        came_us = now + handshake_us
         if late_us is None:
-            return Call(number, now, 0, None)
-        looks_us = now if self.order is Order.WAIT_THEN_LATE else now + late_us
-        waits_from_us = looks_us if self.order is Order.QUEUE_THEN_WAIT else now
+            return Call(number, now, came_us)
+        looks_us = came_us if self.order is Order.WAIT_THEN_LATE else came_us + late_us
+        waits_from_us = looks_us if self.order is Order.QUEUE_THEN_WAIT else came_us
         until_us = max(looks_us, waits_from_us + WAIT_US)
         unknown = (at for at in self.events if at <= until_us and self.learned.get(at, now) >= now)
         first_us = next(unknown, until_us)
         snapshot_us = max(looks_us, first_us)
         answer_us = snapshot_us + (late_us if self.order is Order.WAIT_THEN_LATE else 0)
-        return Call(number, now, snapshot_us, max(answer_us, now + 1))
+        return Call(number, now, came_us, snapshot_us, max(answer_us, now + 1))
 
     def _answer(self, poll: LongPoll, call: Call, now: int) -> None:
         call.ended = True
@@ -108,6 +125,7 @@
             match poll.next_step(now):
                 case StartCall():
                     self.calls.append(self._new_call(poll.on_started(now), now))
+                    self._serve(poll, now)
                 case AbandonCall(number, overtaken):
                     call = next(each for each in self.calls if each.number == number)
                     call.ended = True
@@ -170,7 +188,7 @@
     bound_us = longest_learning_us(late_us) + MS
     for seed in range(1, 9):
         events = random_events(seed, end_us, 4 * S)
-        played = Simulation(always(late_us), order, seed, events).run(end_us)
+        played = Simulation(always(late_us), order=order, seed=seed, events=events).run(end_us)
         assert max(played.learning_times(end_us - bound_us)) <= bound_us, f"seed {seed}"
 
 
@@ -190,7 +208,9 @@
     drawn, end_us, most_us = random.Random(seed), 120 * S, 3800 * MS
     events = random_events(seed, end_us, 3 * S)
     order = drawn.choice(list(Order))
-    played = Simulation(lambda now: drawn.randrange(most_us), order, seed, events).run(end_us)
+    played = Simulation(
+        lambda now: drawn.randrange(most_us), order=order, seed=seed, events=events
+    ).run(end_us)
     bound_us = longest_learning_us(most_us) + MS
     assert max(played.learning_times(end_us - bound_us)) <= bound_us
 
@@ -198,7 +218,8 @@
 @pytest.mark.parametrize("order", Order)
 @pytest.mark.parametrize("late_ms", [0, 100, 350, 450, 900, 1800, 3000, 5000, 15_000, None])
 def test_there_are_no_more_calls_a_second_than_when_calm(late_ms: int | None, order: Order) -> None:
-    played = Simulation(always(None if late_ms is None else late_ms * MS), order).run(100 * S)
+    late_us = None if late_ms is None else late_ms * MS
+    played = Simulation(always(late_us), order=order).run(100 * S)
     assert played.calls_between(0, 100 * S) <= 100
     assert played.most_in_flight <= MAX_CALLS
 
@@ -218,6 +239,40 @@
     assert max(later - earlier for earlier, later in pairwise(starts)) <= RETRY_US
 
 
+# Beside review/3: a connection that took longer than 0.5 s was broken off, and begun anew.
+@pytest.mark.parametrize("handshake_ms", [10, 490, 510, 700, 1500])
+def test_a_service_with_slow_handshakes_is_heard_in_the_stated_time(handshake_ms: int) -> None:
+    late_us, end_us = 300 * MS, 300 * S
+    bound_us = longest_learning_us(late_us + handshake_ms * MS) + MS
+    for seed in range(1, 9):
+        events = random_events(seed, end_us, 4 * S)
+        handshake = always(handshake_ms * MS)
+        played = Simulation(always(late_us), handshake, seed=seed, events=events).run(end_us)
+        assert max(played.learning_times(end_us - bound_us)) <= bound_us, f"seed {seed}"
+        news = sum(10 * S <= at < 110 * S for at in events)
+        assert played.calls_between(10 * S, 110 * S) <= 100 + news
+
+
+def test_a_service_that_cannot_be_connected_to_is_noticed_and_tried_again_as_with_a_time_limit() -> (
+    None
+):
+    """A limit of 0.5 s for a connection, and a backoff of 0.5 s at most."""
+    played = Simulation(always(0), phases((10 * S, 0), (60 * S, None))).run(60 * S)
+    last_us = played.answers[-1]
+    assert min(at for at in played.silences if at >= last_us) <= last_us + 500 * MS
+    starts = [call.started_us for call in played.calls if call.started_us >= last_us]
+    assert max(later - earlier for earlier, later in pairwise(starts)) <= 1000 * MS
+
+
+@pytest.mark.parametrize("handshake_ms", [10, 700, 1400])
+def test_slow_handshakes_after_an_outage_succeed(handshake_ms: int) -> None:
+    back_us, end_us = 60 * S, 120 * S
+    for seed in range(1, 9):
+        handshake = phases((20 * S, 10 * MS), (back_us, None), (end_us, handshake_ms * MS))
+        played = Simulation(always(0), handshake, seed=seed, events=[30 * S]).run(end_us)
+        assert played.learned[30 * S] <= back_us + 1000 * MS + handshake_ms * MS + MS
+
+
 @pytest.mark.parametrize("dead_s", [2, 10, 60, 600])
 @pytest.mark.parametrize("late_ms", [10, 400, 1800, 2800])
 def test_a_service_that_is_slow_then_dead_then_slow_again_is_heard_again(
--- a/tests/relay/test_slow_discovery.py
+++ b/tests/relay/test_slow_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -23,8 +24,9 @@
 )
 from wingbarrow import interface as api
 from wingbarrow.decide.long_poll import CALL_INTERVAL_US, MAX_CALLS, SILENCE_US, WAIT_US
+from wingbarrow.http import client
 from wingbarrow.http.message import Request
-from wingbarrow.transport import PeerGone
+from wingbarrow.transport import Hub, PeerGone, Stream, connect
 
 RETRY_US = 1900 * MS  # from call to call at a silent service, as docs/relay.md states
 ROUNDING_US = LOOK_US + 10 * MS
@@ -102,6 +104,60 @@
     Stage().run(play)
 
 
+# Beside review/3: a connection that took longer than 0.5 s was broken off, and begun anew.
+@pytest.mark.parametrize("handshake_ms", [300, 700, 1500])
+def test_a_service_with_a_slow_handshake_is_heard(
+    handshake_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def play(stage: Stage) -> None:
+        journal = SlowJournal(stage.hub)
+        journal.events = list(stage.journal.events)
+
+        def connect_slowly(hub: Hub, host: str, port: int) -> Stream:
+            if port == journal.server.port:
+                hub.sleep(handshake_ms * MS)
+            return connect(hub, host, port)
+
+        monkeypatch.setattr(client, "connect", connect_slowly)
+        change_address(stage, journal)
+        learned_us = time_to_learn_drain(stage, journal)
+        assert learned_us <= CALL_INTERVAL_US + handshake_ms * MS + ROUNDING_US
+        counts = stage.placer.runtime.counts
+        stage.sleep(3000)  # calls that began before the first was connected come meanwhile
+        failures, calls = counts["journal_failures"], len(journal.calls)
+        stage.sleep(20_000)
+        assert counts["journal_failures"] == failures
+        assert len(journal.calls) - calls <= 20
+
+    Stage().run(play)
+
+
+def test_a_service_that_cannot_be_connected_to_is_noticed_in_half_a_second(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def play(stage: Stage) -> None:
+        dials_us: list[int] = []
+
+        def connect_never(hub: Hub, host: str, port: int) -> Stream:
+            dials_us.append(hub.now_us())
+            hub.sleep(3600 * S)
+            raise PeerGone("unreachable")
+
+        monkeypatch.setattr(client, "connect", connect_never)
+        stage.journal.troubles.append(respond(b"", b"500 Broken"))  # ends its connection
+        counts = stage.placer.runtime.counts
+        wait_until(stage, lambda: counts["journal_failures"] == 1)
+        noticed_us = wait_until(stage, lambda: counts["journal_failures"] == 2)
+        assert noticed_us <= 500 * MS + 25 * MS
+        stage.sleep(30_000)
+        assert max(later - earlier for earlier, later in pairwise(dials_us)) <= 1002 * MS
+        monkeypatch.setattr(client, "connect", connect)
+        drain(stage, stage.journal)
+        assert wait_until(stage, lambda: is_draining(stage)) <= 1010 * MS
+
+    Stage().run(play)
+
+
 def test_a_service_that_is_slow_then_dead_then_slow_is_noticed_and_heard_again() -> None:
     def play(stage: Stage) -> None:
         journal = slow_journal(stage, 1800)
--- a/wingbarrow/decide/long_poll.py
+++ b/wingbarrow/decide/long_poll.py
@@ -15,6 +15,7 @@
 
 import random
 from dataclasses import dataclass
+from math import inf
 
 from wingbarrow.decide.backoff import Backoff
 
@@ -23,6 +24,7 @@
 # than when the service answers in time.
 CALL_INTERVAL_US = 1_200_000
 SILENCE_US = 1_400_000  # without an answer for so long, the service counts as silent
+CONNECT_US = 500_000  # without a connection for so long, it counts as unreachable
 MAX_CALLS = 4  # in flight; each holds a descriptor, and a place in the service's queue
 MIN_BACKOFF_US = 20_000
 MAX_BACKOFF_US = 500_000
@@ -43,7 +45,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportSilence:
-    """The service has not answered for SILENCE_US though a call is in flight."""
+    """The service has not answered for SILENCE_US though a call is in flight, or cannot be connected to."""
+
+    connecting: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,13 +64,15 @@
 class _Call:
     number: int
     started_us: int
+    is_connected: bool = False
+    is_connecting_late: bool = False
     overtaken: bool = False
 
 
 class LongPoll:
     """The calls to one service; all times in microseconds of one clock.
 
-    The caller carries out `next_step` until it is a WaitUntil, and again at that time and whenever a call has ended.
+    The caller carries out `next_step` until it is a WaitUntil, and again at that time and after each call of `on_...`.
     `patience_us`: for how long the oldest call is kept at first, though no further one can begin.
     """
 
@@ -77,6 +83,7 @@
         self._calls_started = 0
         self._retry_us = 0  # no call begins before this time
         self._quiet_since_us = 0  # the last answer or failure, or the start of the only call
+        self._handshakes_are_slow = False  # the latest handshake took CONNECT_US or more
 
     @property
     def in_flight(self) -> int:
@@ -92,13 +99,18 @@
         if self._calls and now_us >= self._quiet_since_us + SILENCE_US:
             self._quiet_since_us = now_us
             return ReportSilence()
-        if len(self._calls) < MAX_CALLS:
-            if now_us >= self._start_us():
-                return StartCall()
-        elif now_us >= self._calls[-1].started_us + SILENCE_US:
+        if now_us >= self._connect_deadline_us():
+            self._calls[-1].is_connecting_late = True
             self._delay_next_call(now_us)
-            return AbandonCall(self._remove_stale_call(now_us).number, overtaken=False)
-        return WaitUntil(self._next_us())
+            return ReportSilence(connecting=True)
+        if now_us >= self._next_call_us():
+            if len(self._calls) < MAX_CALLS:
+                return StartCall()
+            call = self._remove_stale_call(now_us)
+            if not call.is_connecting_late:
+                self._delay_next_call(now_us)
+            return AbandonCall(call.number, overtaken=False)
+        return WaitUntil(self._next_step_us())
 
     def _remove_stale_call(self, now_us: int) -> _Call:
         """Make room for another call."""
@@ -107,19 +119,30 @@
         self._patience_us *= 2
         return self._calls.pop(0)
 
-    def _start_us(self) -> int:
-        """When the next call may begin."""
+    def _next_call_us(self) -> int:
+        """When the next call may begin, or one is abandoned for it."""
         if not self._calls:
             return self._retry_us
-        return max(self._retry_us, self._calls[-1].started_us + CALL_INTERVAL_US)
-
-    def _next_us(self) -> int:
-        """When there is something to do, if no call ends before."""
+        latest = self._calls[-1]
+        if latest.is_connecting_late and not self._handshakes_are_slow:
+            return self._retry_us
+        is_full = len(self._calls) == MAX_CALLS
+        interval_us = SILENCE_US if is_full else CALL_INTERVAL_US
+        return max(self._retry_us, latest.started_us + interval_us)
+
+    def _connect_deadline_us(self) -> float:
+        """When the service counts as unreachable, unless the latest call is connected."""
+        latest = self._calls[-1] if self._calls else None
+        if latest is None or latest.is_connected or latest.is_connecting_late:
+            return inf
+        return inf if self._handshakes_are_slow else latest.started_us + CONNECT_US
+
+    def _next_step_us(self) -> int:
+        """When there is something to do, if no call ends or is connected before."""
         if not self._calls:
             return self._retry_us
-        full = len(self._calls) == MAX_CALLS
-        next_us = self._calls[-1].started_us + SILENCE_US if full else self._start_us()
-        return min(next_us, self._quiet_since_us + SILENCE_US)
+        silent_us = self._quiet_since_us + SILENCE_US
+        return int(min(self._next_call_us(), silent_us, self._connect_deadline_us()))
 
     def _delay_next_call(self, now_us: int) -> None:
         # Calls that fail together delay the next one once.
@@ -134,6 +157,14 @@
         self._calls.append(_Call(self._calls_started, now_us))
         return self._calls_started
 
+    def on_connected(self, now_us: int, number: int) -> None:
+        """A call has a connection, and is about to be sent."""
+        for call in self._calls:
+            if call.number == number:
+                call.is_connected = True
+                if now_us > call.started_us:  # not a connection that was kept from an earlier call
+                    self._handshakes_are_slow = now_us - call.started_us >= CONNECT_US
+
     def on_answered(self, now_us: int, number: int, is_early: bool) -> None:
         """A call was answered; `is_early`: without news, and long before the requested wait was over."""
         for call in self._calls:
@@ -162,10 +193,12 @@
         self._backoff.reset()
         self._retry_us = 0
         self._patience_us = self._initial_patience_us
+        self._handshakes_are_slow = False
 
 
 __all__ = [
     "CALL_INTERVAL_US",
+    "CONNECT_US",
     "MAX_CALLS",
     "SILENCE_US",
     "WAIT_US",
--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -50,11 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLimits:
-    """Bounds of a pool; times in microseconds. If `first_byte_us` is None, only `until_us` limits a request."""
+    """Bounds of a pool; times in microseconds. Where one is None, only `until_us` limits a request."""
 
     connections: int = 16
     waiting: int = 256
-    connect_us: int = SECOND
+    connect_us: int | None = SECOND
     first_byte_us: int | None = 10 * SECOND
     max_idle: int | None = None  # connections kept open between requests; None: all
     idle_us: int = 30 * SECOND
@@ -182,11 +182,14 @@
     def _deadline_scope(self, until_us: int | None) -> CancelScope:
         return CancelScope(self.hub, until_us)
 
+    def _after(self, limit_us: int | None) -> int | None:
+        return None if limit_us is None else self.hub.now_us() + limit_us
+
     def _first_byte_deadline_us(self, until_us: int | None) -> int | None:
-        if self.limits.first_byte_us is None:
-            return until_us
-        limit_us = self.hub.now_us() + self.limits.first_byte_us
-        return limit_us if until_us is None else min(limit_us, until_us)
+        limit_us = self._after(self.limits.first_byte_us)
+        if limit_us is None or until_us is None:
+            return until_us if limit_us is None else limit_us
+        return min(limit_us, until_us)
 
     def _discard(self, connection: _Connection) -> None:
         connection.stream.close()
@@ -239,7 +242,7 @@
         self._open += 1
         stream: Stream | None = None
         try:
-            with self.hub.limit(self.limits.connect_us) as scope:
+            with self._deadline_scope(self._after(self.limits.connect_us)) as scope:
                 stream = connect(self.hub, self.host, self.port)
             if stream is None or scope.caught:
                 raise NotSent(FailureReason.NO_CONNECT)
--- a/wingbarrow/relay/journal.py
+++ b/wingbarrow/relay/journal.py
@@ -10,6 +10,7 @@
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.decide.long_poll import (
     CALL_INTERVAL_US,
+    CONNECT_US,
     MAX_CALLS,
     SILENCE_US,
     WAIT_US,
@@ -27,7 +28,6 @@
 from wingbarrow.relay.once_log import OnceLog
 from wingbarrow.transport import CancelScope, Hub, Signal
 
-CONNECT_US = 500_000
 MAX_BODY_BYTES = 4 << 20
 MIN_POLL_US = WAIT_US // 2  # an empty answer before it counts as early
 # Danger (rule 3): a drain that is unread after a stall counts as delivered. The grace is 250 ms; a fifth is used here.
@@ -88,8 +88,8 @@
     def _new_pool(self) -> Pool:
         limits = PoolLimits(
             connections=MAX_CALLS,
-            connect_us=CONNECT_US,
-            first_byte_us=None,  # the long poll decides how long an answer is waited for
+            connect_us=None,  # the long poll decides how long connections and answers are waited for
+            first_byte_us=None,
             max_idle=1,
             message=Limits(body=MAX_BODY_BYTES),
         )
@@ -131,6 +131,8 @@
                 self._start_call()
             case AbandonCall(number, overtaken):
                 self._abandon(number, overtaken)
+            case ReportSilence(connecting=True):
+                self._report_failure(f"no connection in {CONNECT_US // 1000} ms")
             case ReportSilence():
                 self._report_failure(f"no answer for {SILENCE_US // 1000} ms")
             case WaitUntil(at_us):
@@ -164,7 +166,7 @@
         # The scope ends before delivery, so that a delivery is never interrupted.
         with call.scope:
             try:
-                answer = self._request(pool, call.query.tail)
+                answer = self._request(pool, call)
             except (CallFailed, ValueError, RecursionError) as error:
                 why = str(error)[:MAX_REASON_CHARS]
         self._calls.pop(call.number, None)
@@ -175,8 +177,14 @@
             self._report_failure(why)
         self._changed.notify()
 
-    def _request(self, pool: Pool, tail: int) -> _Answer:
-        response = pool.request("GET", f"/journal?tail={tail}&max_wait={WAIT_US // 1000}")
+    def _request(self, pool: Pool, call: _Call) -> _Answer:
+        def on_connected() -> bool:
+            self._long_poll.on_connected(self._runtime.hub.now_us(), call.number)
+            self._changed.notify()
+            return True
+
+        target = f"/journal?tail={call.query.tail}&max_wait={WAIT_US // 1000}"
+        response = pool.request("GET", target, may_send=on_connected)
         if response.status != HTTP_OK:
             raise ValueError(
                 f"journal service answered status {response.status}, expected {HTTP_OK}"
