--- a/tests/relay/test_journal.py
+++ b/tests/relay/test_journal.py
@@ -356,9 +356,11 @@
             moved.append(stage.hub.now_us())
             change_address(stage, fresh)
 
+        old_pool = stage.placer._follower._pool
         stage.journal.troubles.append(before_follower_resumes(stage, answer_with(1), now))
         wait_until(stage, lambda: bool(fresh.calls))
         assert fresh.calls[0][0] - moved[0] <= 2 * MS
+        assert old_pool._open == 0, "a connection to the old service was kept"
         assert not stage.placer.runtime.counts["journal_early"]
 
     Stage().run(play)
--- a/wingbarrow/relay/journal.py
+++ b/wingbarrow/relay/journal.py
@@ -142,11 +142,11 @@
     # -- calls
 
     def _start_call(self) -> None:
-        hub = self._runtime.hub
+        hub, pool = self._runtime.hub, self._pool
         number = self._long_poll.on_started(hub.now_us())
         call = _Call(number, self._sequence.next_query(), hub.now_us(), CancelScope(hub))
         self._calls[number] = call
-        self._runtime.spawn(lambda: self._carry_out(call, self._pool), "journal-call")
+        self._runtime.spawn(lambda: self._carry_out(call, pool), "journal-call")
 
     def _abandon(self, number: int, overtaken: bool) -> None:
         self._runtime.counts["journal_overtaken" if overtaken else "journal_abandoned"] += 1
@@ -169,6 +169,8 @@
                 answer = self._request(pool, call)
             except (CallFailed, ValueError, RecursionError) as error:
                 why = str(error)[:MAX_REASON_CHARS]
+        if pool is not self._pool:
+            pool.close()  # the address has changed: its connection is not used again
         self._calls.pop(call.number, None)
         if answer is not None:
             self._on_answer(call, answer)
