--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -446,13 +446,13 @@
                 return
         raise Unable("the placer was not ready: " + self.log()[-500:])
 
-    def memory_used_mb(self) -> float:
-        """What the placer's process holds for itself alone: memory that is shared with files is not counted."""
+    def waits(self) -> int:
+        """How often the placer's process has waited for anything since its start, by the system's count."""
         assert self.process is not None
         for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("RssAnon:"):
-                return int(line.split()[1]) / 1024
-        raise Unable("the system does not tell the memory of a process")
+            if line.startswith("voluntary_ctxt_switches:"):
+                return int(line.split()[1])
+        raise Unable("the system does not tell how often a process has waited")
 
     def log(self) -> str:
         path = self._temporary / "log"
