Who may hear of an end and who may cause one: one rule, in place of two bounds

Cause: ReleaseDelivery told unproven connections one after the other, the latest first, 16 at most (MAX_UNPROVEN_SENDS), so that others used up what was the owner's; Admission._on_release obeyed any connection but for the last 64 ids that it had been refused under (MAX_FOREIGN_IDS). Ruled out by the cases' records: the machine's side, a full buffer (the release was read at once, the owner's connection was empty).

Change: only the answer for a placed task makes a connection an owner's; an end goes to every possible owner's, at once and once, until an owner's has taken it; who is not known for an owner may end a running task only so that owners are told; who asked under an id in use ends nothing but its own. decide/release_notices (states, no I/O) and decide/task_ownership decide. With it: a stranger's acknowledgement or `at` counts for nothing, and a release written to an owner is kept for 8.5 s until it is acknowledged, not 2 s (61, item 3). Two tests asserted the faults (16 at most; a connection that asked for nothing ends a task and nobody is told): the commit replaces them by one message to each of 40 clients exactly, and by a test that owners are told.

--- a/tests/decide/test_connection_limits.py
+++ b/tests/decide/test_connection_limits.py
@@ -38,14 +38,11 @@
     assert limits.connection_to_close([]) is None
 
 
-def test_any_client_that_has_asked_can_carry_a_release_and_proven_ones_come_first() -> None:
-    proven, asked = ConnectionActivity(0, proven=True), ConnectionActivity(0, sent_set_up=True)
-    routes = [
-        release_route(proven, 1),
-        release_route(proven, 0),
-        release_route(asked, 1),
-        release_route(asked, 0),
-    ]
+def test_any_client_that_has_asked_can_carry_a_release_and_owners_come_first() -> None:
+    owner = ConnectionActivity(0, received_answer=True)
+    asked = ConnectionActivity(0, sent_set_up=True, proven=True)
+    routes = [release_route(owner, 1), release_route(owner, 0), release_route(asked, 1)]
     assert routes == sorted(ReleaseRoute)
-    assert [route.is_proven for route in ReleaseRoute] == [True, True, False, False]
+    assert release_route(asked, 0) is release_route(asked, 1)
+    assert [route.is_owner for route in ReleaseRoute] == [True, True, False]
     assert release_route(ConnectionActivity(0, last_message_us=1, was_written_to=True), 0) is None
--- a/tests/relay/stage.py
+++ b/tests/relay/stage.py
@@ -56,6 +56,11 @@
     ],
     "rules": {"ask_every_us": 10_000_000, "cold_us": 18_000_000, "fall_us": 2_000_000},
 }
+# Machines that have just started take many tasks.
+ROOMY_SETTINGS: dict[str, Any] = {
+    **SETTINGS,
+    "family_info": {**SETTINGS["family_info"], "fresh_offers": 200.0},
+}
 DESCRIPTION = b"from the owner"
 MACHINE_DESCRIPTION = b"made by a machine"
 
@@ -326,6 +331,7 @@
     "DESCRIPTION",
     "MACHINE_DESCRIPTION",
     "MS",
+    "ROOMY_SETTINGS",
     "SETTINGS",
     "Client",
     "Journal",
--- a/tests/relay/test_owners.py
+++ b/tests/relay/test_owners.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from tests.relay.stage import MACHINE_DESCRIPTION, S, Stage, release_message
+import pytest
+
+from tests.relay.stage import MACHINE_DESCRIPTION, ROOMY_SETTINGS, S, Stage, release_message
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
 from wingbarrow.transport import Stream
 
@@ -32,13 +34,18 @@
     Stage(1).run(play)
 
 
-def test_a_task_that_its_owner_releases_is_stopped_and_its_owner_gets_no_release() -> None:
+@pytest.mark.parametrize("is_on_the_same_connection", [True, False])
+def test_a_task_that_its_owner_releases_is_stopped_and_its_owner_gets_no_release(
+    is_on_the_same_connection: bool,
+) -> None:
     def play(stage: Stage) -> None:
         (machine,) = stage.machines
         stage.owner.ask(1)
+        other = stage.client()
+        other.ask(2, name="2" * 16)
         stage.sleep(50)
-        # A release is accepted on any connection.
-        stage.client().stream.send(with_cause(Kind.RELEASE, 1, Cause.CANCELLED))
+        ending = stage.owner if is_on_the_same_connection else other
+        ending.stream.send(with_cause(Kind.RELEASE, 1, Cause.CANCELLED))
         stage.sleep(50)
         assert [e.message.task for e in machine.received if e.message.kind == Kind.RELEASE] == [1]
         machine.tell(release_message(1, Cause.CANCELLED))
@@ -48,6 +55,66 @@
     Stage(1).run(play)
 
 
+# Replaces the part of the test above in which a connection that had asked for nothing ended a task: it was trusted like
+# an owner's. A new connection of an owner is obeyed as before, and as it may be a stranger's, owners are told.
+def test_a_release_on_a_connection_that_may_be_an_owners_stops_the_task_and_owners_are_told() -> (
+    None
+):
+    def play(stage: Stage) -> None:
+        (machine,) = stage.machines
+        stage.owner.ask(1)
+        stage.sleep(50)
+        stage.client().stream.send(with_cause(Kind.RELEASE, 1, Cause.CANCELLED))
+        stage.sleep(50)
+        assert [e.message.task for e in machine.received if e.message.kind == Kind.RELEASE] == [1]
+        machine.tell(release_message(1, Cause.CANCELLED))
+        stage.sleep(50)
+        assert stage.owner.kinds(1) == [Kind.ANSWER, Kind.RELEASE]
+
+    Stage(1).run(play)
+
+
+STANDING = 100  # more ids than were once remembered of one connection
+
+
+# review/9: a client that asked under the ids of running tasks, was refused, and took all back ended the oldest ones.
+def test_a_client_that_asked_under_the_ids_of_running_tasks_ends_none_of_them() -> None:
+    def play(stage: Stage) -> None:
+        tasks = range(1, STANDING + 1)
+        for task in tasks:
+            stage.owner.ask(
+                task,
+                name=f"{task:016x}",
+                figures="cores:0.1;memory:0.1;service:s1",
+                patience_ms=4900,
+            )
+            stage.sleep(30)
+        stage.sleep(1000)
+        assert all(stage.owner.kinds(task) == [Kind.ANSWER] for task in tasks)
+        stranger = stage.client()
+        for task in tasks:
+            stranger.ask(task, name="f" * 16)
+        for task in tasks:
+            stranger.stream.send(with_cause(Kind.RELEASE, task, Cause.GIVEN_UP))
+        stage.sleep(200)
+        assert [stranger.of(task)[0].cause for task in tasks] == [Cause.ERROR] * STANDING
+        stopped = [
+            each.message.task
+            for machine in stage.machines
+            for each in machine.received
+            if each.message.kind == Kind.RELEASE
+        ]
+        assert stopped == []
+        # It still ends what it asked for itself.
+        stranger.ask(STANDING + 1, name="e" * 16)
+        stage.sleep(100)
+        stranger.stream.send(with_cause(Kind.RELEASE, STANDING + 1, Cause.CANCELLED))
+        stage.sleep(100)
+        assert stage.placer.runtime.counts["withdrawn"] == 1
+
+    Stage(2, settings=ROOMY_SETTINGS).run(play)
+
+
 def test_an_adopted_task_gets_no_answer_and_is_released_when_it_ends() -> None:
     def play(stage: Stage) -> None:
         figures = "cores:1;memory:1;service:s1;at:s-00000000"
--- a/tests/relay/test_release_delivery.py
+++ b/tests/relay/test_release_delivery.py
@@ -8,7 +8,7 @@
 
 from tests.relay.stage import MS, Client, S, Stage, release_message
 from wingbarrow.relay.message import Cause, Kind, Message, encode, with_cause
-from wingbarrow.relay.release_delivery import MAX_UNPROVEN_SENDS, RELEASE_TTL_US
+from wingbarrow.relay.release_delivery import RELEASE_TTL_US
 from wingbarrow.transport import Stream
 
 # "What has stood and is over must be released towards its client within 1 s", and each time limit grows by 50 ms.
@@ -144,25 +144,97 @@
     Stage(1).run(play)
 
 
-def test_a_release_that_nobody_acknowledges_goes_to_a_bounded_number_and_is_counted() -> None:
+STRANGERS = 40  # more than twice as many as were once told of one release
+
+
+def ask_by_strangers(stage: Stage) -> list[Client]:
+    """Connections of clients whose set-ups no machine answers."""
+    stage.machines[0].on_set_up = keep_open
+    clients = [stage.client() for _ in range(STRANGERS)]
+    for task, client in enumerate(clients, start=100):
+        client.ask(task, name=f"{task:016x}", patience_ms=4900)
+    stage.sleep(50)
+    return clients
+
+
+# Replaces a test that a release is told 16 clients at most: it asserted the fault of review/10. The bound that stands
+# in its place is one message to each connection, and the connections are bounded.
+def test_a_release_that_nobody_acknowledges_goes_once_to_each_connection_and_is_counted() -> None:
     def play(stage: Stage) -> None:
         place_and_leave(stage)
-        stage.machines[0].on_set_up = keep_open
-        clients = [stage.client() for _ in range(2 * MAX_UNPROVEN_SENDS)]
-        for task, client in enumerate(clients, start=100):
-            client.ask(task, name=f"{task:016x}", patience_ms=4900)
-        stage.sleep(50)
+        clients = ask_by_strangers(stage)
         stage.machines[0].tell(release_message(1))
         stage.sleep((RELEASE_TTL_US + S) // MS)
-        sent = [kind for client in clients for kind in client.kinds(1)]
-        assert 2 <= len(sent) <= MAX_UNPROVEN_SENDS
+        assert [client.kinds(1) for client in clients] == [[Kind.RELEASE]] * STRANGERS
         counts = stage.placer.runtime.counts
-        assert counts["releases_unproven"] == len(sent)
+        assert counts["releases_unproven"] == STRANGERS
         assert counts["releases_expired"] == 1
 
     Stage(1).run(play)
 
 
+# review/10: bad clients that asked after the owner were told of the end in its place, and used up all sends.
+@pytest.mark.parametrize("strangers_acknowledge", [False, True])
+def test_an_owner_that_waits_for_its_answer_is_told_however_many_strangers_have_asked(
+    strangers_acknowledge: bool,
+) -> None:
+    def play(stage: Stage) -> None:
+        place_and_leave(stage)
+        owner = ask_in_vain(stage, 2)
+        for client in ask_by_strangers(stage):
+            client.acknowledges = strangers_acknowledge
+        stage.machines[0].tell(release_message(1))
+        stage.sleep(RELEASE_DEADLINE_MS)
+        assert owner.kinds(1) == [Kind.RELEASE]
+
+    Stage(1).run(play)
+
+
+# Beside review/10 (issue 65): a stranger's acknowledgement ended the delivery.
+def test_an_acknowledgement_of_a_stranger_does_not_keep_a_release_from_an_owner() -> None:
+    def play(stage: Stage) -> None:
+        place_and_leave(stage)
+        stranger = ask_in_vain(stage, 2)
+        stranger.acknowledges = True
+        stage.machines[0].tell(release_message(1))
+        stage.sleep(500)
+        assert stranger.kinds(1) == [Kind.RELEASE]
+        assert ask_in_vain(stage, 3, stage.machines[0].take).kinds(1) == [Kind.RELEASE]
+
+    Stage(1).run(play)
+
+
+# Beside review/10: a client that hands over a task, whether it runs or not, was taken for the owner of all.
+def test_a_client_that_hands_over_a_task_does_not_keep_releases_from_owners() -> None:
+    def play(stage: Stage) -> None:
+        place_and_leave(stage)
+        owner = ask_in_vain(stage, 2)
+        stranger = stage.client()
+        stranger.ask(7, figures=f"cores:1;memory:1;service:s1;at:{stage.machines[0].name}")
+        stage.sleep(100)
+        stage.machines[0].tell(release_message(1))
+        stage.sleep(RELEASE_DEADLINE_MS)
+        assert owner.kinds(1) == [Kind.RELEASE]
+
+    Stage(1).run(play)
+
+
+# Issue 61: a release that was written and not heard was forgotten after 2 s, though its connection ended later.
+def test_a_release_is_kept_until_its_time_is_over_while_its_owner_cannot_be_reached() -> None:
+    def play(stage: Stage) -> None:
+        stage.owner.ask(1)
+        stage.sleep(50)
+        stage.machines[0].tell(release_message(1))
+        stage.sleep(6000)  # nothing is acknowledged, as in a partition
+        other = ask_in_vain(stage, 2, stage.machines[0].take)
+        assert other.of(1) == []
+        stage.owner.stream.abort()
+        stage.sleep(100)
+        assert other.kinds(1) == [Kind.RELEASE]
+
+    Stage(1).run(play)
+
+
 # A connection that is proven after it was sent a release is not sent it again.
 def test_a_connection_that_is_proven_later_is_not_told_twice() -> None:
     def play(stage: Stage) -> None:
--- a/tests/relay/test_release_plays.py
+++ b/tests/relay/test_release_plays.py
@@ -7,12 +7,11 @@
 
 import os
 from random import Random
-from typing import Any
 
 import pytest
 
 from tests.relay.hanging_machine import RESUME_ORDERS, HangingMachine
-from tests.relay.stage import MS, SETTINGS, Client, S, Stage
+from tests.relay.stage import MS, ROOMY_SETTINGS, Client, S, Stage
 from wingbarrow.relay.message import Kind
 
 MACHINES = 6
@@ -23,10 +22,6 @@
 RELEASE_DEADLINE_US = 8 * S + 50 * MS
 # An owner who is connected for less than this within the deadline may not be reached: the placer looks each 250 ms.
 MIN_CONNECTED_US = S
-ROOMY: dict[str, Any] = {
-    **SETTINGS,
-    "family_info": {**SETTINGS["family_info"], "fresh_offers": 200.0},
-}
 
 
 def seeds() -> list[int]:
@@ -204,4 +199,4 @@
         assert current.sent_twice() == []
         assert current.unanswered() == []
 
-    Stage(0, settings=ROOMY).run(play)
+    Stage(0, settings=ROOMY_SETTINGS).run(play)
--- a/tests/relay/test_tasks.py
+++ b/tests/relay/test_tasks.py
@@ -16,7 +16,7 @@
 def task(requests: RequestTable, ident: int = 7, state: State = State.PENDING) -> Task:
     request = requests.next_request()
     arrival = api.TaskArrived(request, "web", "s", "t", 1, 1, 0, None)
-    made = Task(request, ident, WEB, arrival, None, {3: b"web"}, state)
+    made = Task(request, ident, WEB, arrival, None, 0, {3: b"web"}, state)
     requests.add(made)
     return made
 
--- a/wingbarrow/decide/connection_limits.py
+++ b/wingbarrow/decide/connection_limits.py
@@ -30,7 +30,9 @@
     connected_us: int
     last_message_us: int | None = None  # when the latest complete message was read
     sent_set_up: bool = False  # a valid one
-    proven: bool = False  # one of its tasks was placed, or found running
+    proven: bool = False  # one of its tasks was placed, or is said to run
+    received_answer: bool = False  # for a task of its own that was placed: only an owner gets one
+    asked_under_used_id: bool = False  # while another client's task had it: an owner uses new ids
     was_written_to: bool = False  # at least one message was sent to it
     errors: int = 0  # set-ups of it that machines could not use
 
@@ -38,29 +40,26 @@
 class ReleaseRoute(IntEnum):
     """What a connection is worth for telling owners that a task is over, best first.
 
-    A proven connection is an owner's. One that is not proven may be a bad client's, so that only its acknowledgement
-    shows that an owner was told. Danger: an owner's new connection is not proven until its first set-up is answered,
+    A connection that received the answer for a placed task is an owner's. Any other that has asked for something may be
+    an owner's or a bad client's. Danger: an owner's new connection has no answer until its first set-up is placed,
     which takes as long as the owner's patience if its machine hangs, and it may be the only one that the owner has.
     """
 
-    PROVEN_IN_USE = 0  # with open set-ups, so that its owner keeps it open
-    PROVEN = 1
-    UNPROVEN_IN_USE = 2
-    UNPROVEN = 3
+    OWNER_IN_USE = 0  # with open set-ups, so that its owner keeps it open
+    OWNER = 1
+    POSSIBLE_OWNER = 2
 
     @property
-    def is_proven(self) -> bool:
+    def is_owner(self) -> bool:
         """Whether an owner reads what is sent there."""
-        return self <= ReleaseRoute.PROVEN
+        return self <= ReleaseRoute.OWNER
 
 
 def release_route(connection: ConnectionActivity, open_set_ups: int) -> ReleaseRoute | None:
     """The worth of a connection with `open_set_ups` for releases; None for a client that has asked for nothing."""
-    if connection.proven:
-        return ReleaseRoute.PROVEN_IN_USE if open_set_ups else ReleaseRoute.PROVEN
-    if connection.sent_set_up:
-        return ReleaseRoute.UNPROVEN_IN_USE if open_set_ups else ReleaseRoute.UNPROVEN
-    return None
+    if connection.received_answer:
+        return ReleaseRoute.OWNER_IN_USE if open_set_ups else ReleaseRoute.OWNER
+    return ReleaseRoute.POSSIBLE_OWNER if connection.sent_set_up else None
 
 
 class ConnectionLimits:
--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -9,6 +9,7 @@
 from wingbarrow.decide.connection_limits import ConnectionLimits
 from wingbarrow.decide.overload import OverloadControl, Rejected
 from wingbarrow.decide.retries import RunEnd
+from wingbarrow.decide.task_ownership import EndAuthority, authority_to_end
 from wingbarrow.relay import setup
 from wingbarrow.relay.link import Attempt, Attempts
 from wingbarrow.relay.links import Links
@@ -105,6 +106,7 @@
                 set_up.cls,
                 set_up.arrival(request, due_us),
                 owner,
+                owner.number,
                 set_up.passed_on,
             )
             self._requests.add(task)
@@ -123,8 +125,8 @@
             # Danger: the owner would take an answer with this id for the answer to its open set-up.
             self.owners.close(owner, "id twice")
             return
-        if existing is not None:
-            owner.foreign_ids.append(ident)
+        if existing is not None and existing.asked_on != owner.number:
+            owner.activity.asked_under_used_id = True
         parameters = {int(Code.STAY_AWAY): self._retry_after_ms} if cause == Cause.BUSY else None
         owner.write(refusal(ident, cause, parameters))
 
@@ -145,7 +147,7 @@
         cause = self._offers.take_early_release(link, set_up.ident)
         if cause is not None:
             self._trace(set_up.ident, "found ended", owner=owner.number, machine=machine_name)
-            self.owners.mark_proven(owner)
+            owner.activity.proven = True
             self.owners.delivery.release(set_up.ident, cause)
             return
         task = Task(
@@ -154,6 +156,7 @@
             set_up.cls,
             set_up.arrival(request, now),
             None,
+            owner.number,
             {},
             State.RUNNING,
             1,
@@ -165,23 +168,27 @@
         self._attempts.add(attempt)
         link.orphans.pop(task.ident, None)
         link.running[task.ident] = attempt
-        self.owners.mark_proven(owner)
+        owner.activity.proven = True
         self._trace(task.ident, "found", owner=owner.number, machine=machine_name)
         self._host.feed(api.TaskFound(task.arrival, link.ident))
 
     def _on_release(self, owner: Owner, message: Message) -> None:
         task = self._requests.by_ident.get(message.task)
-        # Danger: a client rejected because another owner holds the id may withdraw it, which must not end that task.
-        if (
-            task is None
-            or (task.state is State.PENDING and task.owner is not owner)
-            or task.ident in owner.foreign_ids
-        ):
+        authority = EndAuthority.NONE
+        if task is not None:
+            authority = authority_to_end(
+                owner.activity, task.asked_on == owner.number, task.state is State.PENDING
+            )
+        if task is None or authority is EndAuthority.NONE:
             self._runtime.counts["releases_unknown"] += 1
             self._trace(message.task, "release unknown", owner=owner.number, cause=message.cause)
             return
         self._trace(message.task, "released by its owner", owner=owner.number, cause=message.cause)
         self._withdraw(task, message.cause)
+        if authority is EndAuthority.POSSIBLE_OWNER:
+            # Danger: the client may be a stranger, and the owner would believe for good that its task runs.
+            self._runtime.counts["releases_by_possible_owners"] += 1
+            self.owners.delivery.release(task.ident, Cause.CANCELLED)
 
     def _withdraw(self, task: Task, cause: int) -> None:
         attempt, was_running = self._attempts.of(task.request), task.state is State.RUNNING
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -321,7 +321,7 @@
             self._trace(task.ident, "answer passed on", owner=owner.number)
             if not owner.write(encode(Kind.ANSWER, task.ident, {Code.DESCRIPTION: description})):
                 return False
-            self._owners.mark_proven(owner)
+            self._owners.on_answered(owner)
         return True
 
     def _on_release(self, attempt: Attempt, message: Message) -> None:
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
@@ -16,7 +16,6 @@
 MAX_UNSENT_BYTES = 256 * 1024  # write buffer of one connection
 SWEEP_INTERVAL_US = 250_000
 MAX_ACCEPTS_PER_TURN = 8  # new connections are only counted once their task has run
-MAX_FOREIGN_IDS = 64  # per connection
 MAX_MESSAGES_PER_TURN = 32  # of one connection, before it yields to the others
 # Danger: a client that closed its connection or gave up is gone, even while its message is still unread here after a
 # stall or behind other work. The platform tolerates sends for it up to 100 ms later; input is rechecked after half.
@@ -33,7 +32,6 @@
     __slots__ = (
         "_read_callbacks",
         "activity",
-        "foreign_ids",
         "framer",
         "number",
         "outbox",
@@ -48,8 +46,6 @@
         self.stream, self.outbox, self.activity, self.number = stream, outbox, activity, number
         self.framer = Framer()
         self.tasks: dict[int, Task] = {}  # open set-ups, by id
-        # Ids this client sent a set-up for while another owner had them open.
-        self.foreign_ids: deque[int] = deque(maxlen=MAX_FOREIGN_IDS)
         # Half-closed by the placer: input is still read, set-ups are no longer accepted.
         self.retired = False
         self._read_callbacks: list[Callable[[], None]] = []  # one for each deferred attempt
@@ -226,11 +222,12 @@
                     self.retire(owner, "idle" if owner.activity.proven else "silent")
             self.delivery.send_pending()
 
-    def mark_proven(self, owner: OwnerConnection) -> None:
-        """Mark a connection as an owner's, as a task of it was answered; pending releases may go there."""
-        if not owner.activity.proven:
-            owner.activity.proven = True
-            self.delivery.send_pending()
+    def on_answered(self, owner: OwnerConnection) -> None:
+        """A task of this connection was placed, and the answer written: it is an owner's."""
+        owner.activity.proven = True
+        if not owner.activity.received_answer:
+            owner.activity.received_answer = True
+            self.delivery.on_proven(owner)
 
 
 def refusal(ident: int, cause: int = Cause.BUSY, more: dict[int, bytes] | None = None) -> bytes:
--- a/wingbarrow/relay/release_delivery.py
+++ b/wingbarrow/relay/release_delivery.py
@@ -1,54 +1,19 @@
-"""Delivery of releases and moves to owners: on any of their connections, until they are acknowledged or too old.
-
-A message goes out on one proven connection. While there is none, it is sent on unproven ones, one after the other, and
-remains pending until it is acknowledged or a proven connection takes it. Owners ignore duplicates.
-"""
+"""Delivery of releases and moves to owners, as `decide.release_notices` decides; this module only writes them."""
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.decide.connection_limits import ReleaseRoute, release_route
+from wingbarrow.decide.release_notices import EndedNotice, NoticeEnd, ReleaseNotices
 from wingbarrow.relay.message import Kind, encode, with_cause
 from wingbarrow.relay.tasks import OwnerConnection
 from wingbarrow.relay.trace import Trace
 
-# A message is resent if its connection ends within this time after sending without an acknowledgement.
-ACK_TIMEOUT_US = 2_000_000
-RELEASE_TTL_US = (
-    8_500_000  # a message that waits for a proven connection is dropped after this time
-)
-MAX_PENDING_RELEASES = 8192  # waiting for a connection; unacknowledged ones are bounded alike
-MAX_UNPROVEN_SENDS = 16  # of one message, each on another connection
-
-
-@dataclass(slots=True)
-class _Pending:
-    """A message that no proven connection has taken, and the unproven connections that it was sent on."""
-
-    data: bytes
-    until_us: int
-    sent_on: list[int] = field(default_factory=list)  # numbers of connections
-
-
-@dataclass(slots=True)
-class _Unacknowledged:
-    """A message sent on a proven connection; it is resent if that ends before `until_us`."""
-
-    data: bytes
-    connection: OwnerConnection
-    until_us: int
-
-
-@dataclass(slots=True)
-class _Routes:
-    """The connections that can carry releases, the best first."""
-
-    proven: list[OwnerConnection]
-    unproven: list[OwnerConnection]
+# The platform gives 8 s after a task's end where no release could be sent; the rest is for the last sweep.
+RELEASE_TTL_US = 8_500_000
+MAX_PENDING_RELEASES = 8192
 
 
 class ReleaseDelivery:
@@ -61,8 +26,7 @@
         trace: Trace,
     ) -> None:
         self._runtime, self._connections, self._trace = runtime, connections, trace
-        self._pending: OrderedDict[int, _Pending] = OrderedDict()  # by task id
-        self._unacknowledged: OrderedDict[int, _Unacknowledged] = OrderedDict()  # by task id
+        self._notices = ReleaseNotices(RELEASE_TTL_US, MAX_PENDING_RELEASES)
 
     def release(self, ident: int, cause: int) -> None:
         """Send a RELEASE for a task that ran, on any owner's connection, now or when one is available."""
@@ -72,112 +36,81 @@
         """Send a MOVE: the task was stopped and its owner is to submit it again."""
         self._send_or_defer(ident, encode(Kind.MOVE, ident, {}))
 
+    def _send_or_defer(self, ident: int, data: bytes) -> None:
+        now = self._runtime.hub.now_us()
+        self._count_ended(self._notices.add(now, ident, data))
+        self._write_waiting()
+        if self._notices.is_waiting(ident):
+            self._runtime.counts["releases_waited"] += 1
+            self._trace(ident, "release pending")
+
     def on_acknowledged(self, connection: OwnerConnection, ident: int) -> None:
-        """An owner has received the release of a task."""
-        self._unacknowledged.pop(ident, None)
-        pending = self._pending.get(ident)
-        # Danger: a client may acknowledge what it was not sent, and the owner would not be told.
-        if pending is not None and connection.number in pending.sent_on:
-            del self._pending[ident]
-        self._trace(ident, "release heard", owner=connection.number)
+        """A client says that it has heard of the end of a task."""
+        was_told = self._notices.on_acknowledged(connection.number, ident)
+        self._trace(ident, "release heard", owner=connection.number, counts=was_told)
+
+    def on_proven(self, connection: OwnerConnection) -> None:
+        """A connection has been answered for a placed task, and so is an owner's."""
+        self._notices.on_proven(connection.number)
+        self._write_waiting()
 
     def on_disconnected(self, closed: OwnerConnection) -> None:
-        """Resend what `closed` did not acknowledge on another connection."""
-        self._forget_expired()
-        if not closed.activity.proven:
-            return
-        lost = [ident for ident, sent in self._unacknowledged.items() if sent.connection is closed]
-        for ident in lost:
-            sent = self._unacknowledged.pop(ident)
+        """Write what `closed` did not acknowledge to other connections."""
+        for notice in self._notices.on_closed(closed.number):
             self._runtime.counts["releases_again"] += 1
-            self._trace(ident, "release again", gone=closed.number)
-            self._send_or_defer(ident, sent.data, sent.until_us)
-
-    def _forget_expired(self) -> None:
-        now = self._runtime.hub.now_us()
-        while self._unacknowledged and next(iter(self._unacknowledged.values())).until_us <= now:
-            self._unacknowledged.popitem(last=False)
+            self._trace(notice.ident, "release again", gone=closed.number)
+        self._write_waiting()
 
     def send_pending(self) -> None:
-        """Send what waits for a connection, and drop what has waited for too long."""
-        if not self._pending:
+        """Forget what is too old, and write what waits to connections that it was not written to."""
+        self._count_ended(self._notices.expire(self._runtime.hub.now_us()))
+        self._write_waiting()
+
+    def _write_waiting(self) -> None:
+        if not self._notices.are_waiting:
             return
-        now, routes = self._runtime.hub.now_us(), self._routes()
-        for ident, pending in list(self._pending.items()):
-            if now >= pending.until_us:
-                self._expire(ident)
-            elif self._send_on_proven(ident, pending.data, routes, sent_on=pending.sent_on):
-                del self._pending[ident]
-            else:
-                self._send_on_unproven(ident, pending, routes)
-
-    def _expire(self, ident: int) -> None:
-        sent_on = self._pending.pop(ident).sent_on
-        self._runtime.counts["releases_expired"] += 1
-        self._runtime.log(
-            "release-expired", level="warning", task=f"{ident:016x}", sent=len(sent_on)
-        )
-        self._trace(ident, "release expired")
-
-    def _routes(self) -> _Routes:
-        ranked: list[tuple[ReleaseRoute, OwnerConnection]] = []
+        routes = self._routes()
+        for route, connection in routes:
+            if route.is_owner:
+                self._tell(connection)
+        for route, connection in routes:
+            if not self._notices.are_waiting:
+                return
+            if not route.is_owner:
+                self._write_unproven(connection)
+
+    def _routes(self) -> list[tuple[ReleaseRoute, OwnerConnection]]:
+        """The connections that can carry a release, the best first."""
+        found = []
         for connection in self._connections():
             route = release_route(connection.activity, len(connection.tasks))
             if route is not None:
-                ranked.append((route, connection))
-        ranked.sort(key=lambda each: each[0])
-        return _Routes(
-            [connection for route, connection in ranked if route.is_proven],
-            [connection for route, connection in ranked if not route.is_proven],
-        )
-
-    def _send_or_defer(self, ident: int, data: bytes, until_us: int | None = None) -> None:
-        routes = self._routes()
-        if not self._send_on_proven(ident, data, routes, until_us):
-            self._send_on_unproven(ident, self._defer(ident, data), routes)
-
-    def _defer(self, ident: int, data: bytes) -> _Pending:
-        if len(self._pending) >= MAX_PENDING_RELEASES:
-            lost, _ = self._pending.popitem(last=False)
-            self._trace(lost, "release dropped")
-            self._runtime.counts["releases_dropped"] += 1
-        pending = _Pending(data, self._runtime.hub.now_us() + RELEASE_TTL_US)
-        self._pending[ident] = pending
-        self._runtime.counts["releases_waited"] += 1
-        self._trace(ident, "release pending")
-        return pending
-
-    def _send_on_proven(
-        self,
-        ident: int,
-        data: bytes,
-        routes: _Routes,
-        until_us: int | None = None,
-        sent_on: Iterable[int] = (),
-    ) -> bool:
-        """Send a message on a proven connection, unless it was `sent_on` there; False if there is none.
-
-        It is resent if that connection ends before an acknowledgement, until `until_us` or for ACK_TIMEOUT_US.
-        """
-        taker = next(
-            (each for each in routes.proven if each.number in sent_on or each.write(data)), None
-        )
-        if taker is None:
-            return False
-        self._trace(ident, "release told", owner=taker.number)
-        until_us = until_us or self._runtime.hub.now_us() + ACK_TIMEOUT_US
-        self._unacknowledged[ident] = _Unacknowledged(data, taker, until_us)
-        if len(self._unacknowledged) > MAX_PENDING_RELEASES:
-            self._unacknowledged.popitem(last=False)
-        return True
-
-    def _send_on_unproven(self, ident: int, pending: _Pending, routes: _Routes) -> None:
-        """Send a message on the best unproven connection that it was not sent on, if any."""
-        if len(pending.sent_on) >= MAX_UNPROVEN_SENDS:
-            return
-        for connection in routes.unproven:
-            if connection.number not in pending.sent_on and connection.write(pending.data):
-                pending.sent_on.append(connection.number)
-                self._runtime.counts["releases_unproven"] += 1
-                self._trace(ident, "release told unproven", owner=connection.number)
+                found.append((route, connection))
+        return sorted(found, key=lambda each: each[0])
+
+    def _tell(self, connection: OwnerConnection) -> None:
+        for notice in self._notices.unwritten(connection.number):
+            if not connection.write(notice.data):
+                return
+            self._notices.on_told(connection.number, notice)
+            self._trace(notice.ident, "release told", owner=connection.number)
+
+    def _write_unproven(self, connection: OwnerConnection) -> None:
+        for notice in self._notices.unwritten(connection.number):
+            if not connection.write(notice.data):
                 return
+            self._notices.on_written(connection.number, notice)
+            self._runtime.counts["releases_unproven"] += 1
+            self._trace(notice.ident, "release told unproven", owner=connection.number)
+
+    def _count_ended(self, ended: list[EndedNotice]) -> None:
+        for notice in ended:
+            self._runtime.counts["releases_" + notice.reason.value] += 1
+            self._trace(notice.ident, "release " + notice.reason.value)
+            if notice.reason is not NoticeEnd.UNACKNOWLEDGED:
+                self._runtime.log(
+                    "release-" + notice.reason.value,
+                    level="warning",
+                    task=f"{notice.ident:016x}",
+                    sent=notice.written_to,
+                )
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -73,6 +73,7 @@
     cls: api.TaskClass
     arrival: api.TaskArrived
     owner: OwnerConnection | None  # the connection it arrived on, until the final answer
+    asked_on: int  # the number of that connection
     # Parameters that are forwarded unchanged to machines; emptied by the final answer.
     passed_on: dict[int, bytes]
     state: State = State.PENDING
