--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -233,8 +233,8 @@
             placed=placed,
         )
         attempt.link.running.pop(attempt.task.ident, None)
-        if not placed and outcome not in NEVER_RAN and attempt.task.earlier_attempt is None:
-            attempt.task.earlier_attempt = EarlierAttempt(attempt.decided_us, attempt.link.listed)
+        if not placed and outcome not in NEVER_RAN:
+            self._record_possible_run(attempt)
         if outcome is api.Outcome.ERROR and attempt.task.owner is not None:
             attempt.task.owner.activity.errors += 1
         self._runtime.counts[("run:" if placed else "offer:") + outcome.value] += 1
@@ -253,6 +253,13 @@
             )
         )
 
+    def _record_possible_run(self, attempt: Attempt) -> None:
+        """Remember that a task may have run, and where."""
+        task, machine = attempt.task, attempt.link.listed
+        task.may_have_run_on.add(machine.machine)
+        if task.earlier_attempt is None:
+            task.earlier_attempt = EarlierAttempt(attempt.decided_us, machine)
+
     # -- messages from machines
 
     def on_message(self, link: Link, connection: Connection, message: Message) -> None:
@@ -329,12 +336,22 @@
         reason = reason_of(message)
         report = parse_report(message.text(Code.REPORT) or "-", ";")
         self._runtime.counts[f"release:{attempt.stage.name.lower()}:{cause}"] += 1
+        task = attempt.task
+        may_have_run_before = attempt.link.ident in task.may_have_run_on
         if attempt.stage is Stage.PLACED:
             self._end_run(
                 attempt, AFTER_ANSWER.get(cause, api.Outcome.BROKEN), reason, cause, report
             )
+            if may_have_run_before:
+                # Danger: it may be the earlier run's release, and the later run would go on with nobody to end it.
+                attempt.link.release(task.ident, Cause.CANCELLED)
+            return
+        meaning = classify_early_release(message, may_have_run_before)
+        if meaning is EarlyRelease.AMBIGUOUS:
+            # Danger (rule 2): the machine may still hold this attempt, and the next one would be out beside it.
+            self._runtime.counts["releases_ambiguous"] += 1
+            self.abandon(attempt, api.Outcome.BROKEN)
             return
-        task, meaning = attempt.task, classify_early_release(message)
         if meaning is EarlyRelease.ENDED_WITH_ANSWER:
             # Corresponds to the simulator's outcome "the task has ended", which closes the request.
             if task.state is State.PENDING:
--- a/wingbarrow/relay/outcomes.py
+++ b/wingbarrow/relay/outcomes.py
@@ -47,6 +47,7 @@
     ENDED_WITH_ANSWER = "the task has ended; the release carries the answer's description"
     ENDED = "the task has ended; its answer is delayed or lost"
     STOPPED = "the task was placed and then stopped by the machine; its answer is delayed or lost"
+    AMBIGUOUS = "this attempt's end, or that of an earlier run under the same id on this machine"
 
 
 def reason_of(message: Message) -> api.Reason:
@@ -54,8 +55,14 @@
     return REASONS.get(message.text(Code.REMARK) or "", api.Reason.UNTOLD)
 
 
-def classify_early_release(message: Message) -> EarlyRelease:
-    """Classify a release that arrived before its task's answer. Raises BadMessage if it has no cause."""
+def classify_early_release(message: Message, may_have_run_before: bool = False) -> EarlyRelease:
+    """Classify a release that arrived before its task's answer. Raises BadMessage if it has no cause.
+
+    `may_have_run_before`: an earlier attempt of the task may have run on this machine. A machine repeats the release of
+    a run on the next connection that opens, and that may be the one of the new attempt.
+    """
+    if may_have_run_before and message.cause not in BEFORE_ANSWER:
+        return EarlyRelease.AMBIGUOUS
     if message.cause == Cause.OVER:
         return (
             EarlyRelease.ENDED_WITH_ANSWER
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
@@ -79,6 +79,8 @@
     state: State = State.PENDING
     binds: int = 0  # number of Binds, including dropped ones
     earlier_attempt: EarlierAttempt | None = None  # the first attempt that may have run
+    # The machines of all attempts that may have run. What one of them says of such a run bears this task's id, too.
+    may_have_run_on: set[int] = field(default_factory=set)
 
 
 class RequestTable:
