--- a/tests/relay/test_races.py
+++ b/tests/relay/test_races.py
@@ -14,6 +14,7 @@
 from wingbarrow.http.message import Request
 from wingbarrow.relay import link
 from wingbarrow.relay.message import Cause, Code, Kind, Message, encode, with_cause
+from wingbarrow.relay.owners import Owner
 from wingbarrow.transport import PeerGone, Stream, connect
 
 
@@ -294,14 +295,14 @@
         stage.sleep(20)
         assert len(owners) == owners._limits.max_connections
         assert stage.placer.runtime.counts["owners:crowded"] == 0
-        make_room = owners._make_room
+        make_room = owners._make_room_for
 
-        def ask_first() -> None:
+        def ask_first(newest: Owner) -> None:
             # The longest silent connection would be closed next, but now has unread data.
             stage.owner.ask(1)
-            make_room()
+            make_room(newest)
 
-        owners._make_room = ask_first  # type: ignore[method-assign]
+        owners._make_room_for = ask_first  # type: ignore[method-assign]
         one_more = stage.client()
         stage.sleep(50)
         assert stage.owner.kinds(1) == [Kind.ANSWER]
--- a/wingbarrow/decide/connection_limits.py
+++ b/wingbarrow/decide/connection_limits.py
@@ -1,15 +1,14 @@
 """Limits on connections from owners: open set-ups per connection, idle timeouts, and which connection to close first.
 
 A connection is proven once a task of it was placed or found running; proven connections are kept in preference to
-others. A connection with open set-ups is closed only when no other is left, because its owner would have to send them
-again. The same marks tell which connections can carry the release of a task, which belongs to no connection.
+others. A connection with open set-ups is never closed before they are answered: what was read and never answered is
+lost. The same marks tell which connections can carry the release of a task, which belongs to no connection.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import IntEnum
-from math import inf
 
 # From connecting to the first message that was answered.
 FIRST_MESSAGE_TIMEOUT_US = 1_800_000
@@ -96,19 +95,38 @@
     ) -> ConnectionActivity | None:
         """The connection to close when there are too many, from pairs of connection and number of open set-ups.
 
-        In this order: one that sent no message, an unproven one, a proven one, one with open set-ups; among equals the
-        one whose latest message is oldest. None for an empty list.
+        In this order: one that sent no message, an unproven one, a proven one; among equals the one whose latest
+        message is oldest. None if all have open set-ups.
         """
 
-        def order(each: tuple[ConnectionActivity, int]) -> tuple[bool, bool, bool, float]:
-            connection, open_set_ups = each
+        def order(connection: ConnectionActivity) -> tuple[bool, bool, int]:
             return (
-                open_set_ups > 0,
                 connection.proven,
                 connection.last_message_us is not None,
-                connection.connected_us
-                if connection.last_message_us is None
-                else connection.last_message_us,
+                _last_used_us(connection),
             )
 
-        return min(connections, key=order, default=(None, inf))[0]
+        unused = [connection for connection, open_set_ups in connections if not open_set_ups]
+        return min(unused, key=order, default=None)
+
+    def connections_to_refuse(
+        self, connections: list[tuple[ConnectionActivity, int]]
+    ) -> list[ConnectionActivity]:
+        """The connections whose open set-ups may be refused to make room, the first one first.
+
+        Danger: clients that ask for what no machine can give would hold all connections for as long as their patience
+        lasts, and keep owners out.
+        """
+        waiting = [
+            connection
+            for connection, open_set_ups in connections
+            if open_set_ups and not connection.proven
+        ]
+        return sorted(waiting, key=_last_used_us)
+
+
+def _last_used_us(connection: ConnectionActivity) -> int:
+    """When the latest message was read, or else the connection was opened."""
+    if connection.last_message_us is None:
+        return connection.connected_us
+    return connection.last_message_us
--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -213,6 +213,21 @@
             self._trace(task.ident, "its connection ended", owner=owner.number)
             self._withdraw(task, Cause.GIVEN_UP)
 
+    def refuse_open(self, owner: Owner) -> bool:
+        """Refuse all open set-ups of a connection; False, and none is refused, if one may have reached a machine."""
+        tasks = list(owner.tasks.values())
+        if any(self._may_have_reached_a_machine(task) for task in tasks):
+            return False
+        for task in tasks:
+            self._offers.answer(task, Step.REFUSE, Cause.BUSY)
+            self._host.feed(api.TaskWithdrawn(task.request))
+        return True
+
+    def _may_have_reached_a_machine(self, task: Task) -> bool:
+        attempt = self._attempts.of(task.request)
+        is_out = attempt is not None and attempt.stage is not Stage.WAITING
+        return is_out or bool(task.may_have_run_on)
+
     def refuse(self, request: int) -> None:
         """Answer a request as refused: it had no effect, so a retry is safe."""
         self._answer(request, Step.REFUSE, Cause.BUSY)
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -63,6 +63,11 @@
             self.framer.ready and now_us - self.stream.last_empty_us > MAX_UNREAD_US
         )
 
+    @property
+    def has_read_all(self) -> bool:
+        """Whether the connection is open and all that has arrived was read."""
+        return self.stream.is_quiet() and not self.framer.ready
+
     def when_read(self, call: Callable[[], None]) -> None:
         """Call `call` once, when all input received so far has been read."""
         self._read_callbacks.append(call)
@@ -97,6 +102,8 @@
         self._accepted = 0  # connections so far
         self._free_descriptor = free_descriptor
         self._owners: OrderedDict[Owner, None] = OrderedDict()  # least recently active first
+        # Refuses all open set-ups of a connection, and returns True; False if one of them may have reached a machine.
+        self.refuse_open: Callable[[Owner], bool] = lambda owner: False
         self.delivery = ReleaseDelivery(runtime, lambda: reversed(self._owners), trace)
 
     def __len__(self) -> int:
@@ -116,7 +123,7 @@
             self._accepted,
         )
         self._owners[owner] = None
-        self._make_room()
+        self._make_room_for(owner)
         try:
             messages_read = 0
             while True:
@@ -185,25 +192,45 @@
             if owner.stream.open and not owner.retired and not owner.outbox.waiting:
                 self.retire(owner, "farewell")
 
-    def _make_room(self) -> None:
+    def _make_room_for(self, newest: Owner) -> None:
+        """Close one connection if there are too many: an unused one, one whose set-ups can be refused, or the newest.
+
+        Danger (rule 1): what was read and whose connection is closed without an answer is lost. Of the newest nothing
+        has been read.
+        """
         if len(self._owners) <= self._limits.max_connections and self._free_descriptor():
             return
-        connections = {owner.activity: owner for owner in self._owners if owner.stream.open}
-        fallback: Owner | None = None
+        others = {
+            owner.activity: owner
+            for owner in self._owners
+            if owner.stream.open and owner is not newest
+        }
+        if not (self._close_unused(others) or self._close_refused(others)):
+            self.close(newest, "turned_away")
+
+    def _close_unused(self, owners: dict[ConnectionActivity, Owner]) -> bool:
+        """Close a connection without open set-ups and unread input; False if none is among the first candidates."""
+        candidates = dict(owners)
         for _ in range(MAX_CLOSE_CANDIDATES):
-            chosen = self._limits.connection_to_close(
-                [(each.activity, len(each.tasks)) for each in connections.values()]
-            )
+            chosen = self._limits.connection_to_close(_with_open_set_ups(candidates))
             if chosen is None:
-                break
-            owner = connections.pop(chosen)
-            if owner.stream.is_quiet() and not owner.framer.ready:
+                return False
+            owner = candidates.pop(chosen)
+            if owner.has_read_all:
                 self.close(owner, "crowded")
-                return
-            fallback = fallback or owner
-        if fallback is not None:
-            # All candidates have unread input, so closing one resets its connection.
-            self.close(fallback, "crowded")
+                return True
+        return False
+
+    def _close_refused(self, owners: dict[ConnectionActivity, Owner]) -> bool:
+        """Refuse the open set-ups of a connection and close it; False if none of the first candidates allows it."""
+        candidates = self._limits.connections_to_refuse(_with_open_set_ups(owners))
+        for activity in candidates[:MAX_CLOSE_CANDIDATES]:
+            owner = owners[activity]
+            # Danger: with unread input or unsent output, the close would discard the refusal on its way.
+            if owner.has_read_all and not owner.outbox.waiting and self.refuse_open(owner):
+                self.close(owner, "refused")
+                return True
+        return False
 
     def sweep(self) -> None:
         """Retire idle connections and send pending releases, periodically until cancelled."""
@@ -216,8 +243,7 @@
                     owner.stream.open
                     and not owner.retired
                     and self._limits.is_idle(now, owner.activity, len(owner.tasks))
-                    and owner.stream.is_quiet()
-                    and not owner.framer.ready
+                    and owner.has_read_all
                 ):
                     self.retire(owner, "idle" if owner.activity.proven else "silent")
             self.delivery.send_pending()
@@ -230,6 +256,12 @@
             self.delivery.on_proven(owner)
 
 
+def _with_open_set_ups(
+    owners: dict[ConnectionActivity, Owner],
+) -> list[tuple[ConnectionActivity, int]]:
+    return [(activity, len(owner.tasks)) for activity, owner in owners.items()]
+
+
 def refusal(ident: int, cause: int = Cause.BUSY, more: dict[int, bytes] | None = None) -> bytes:
     """Encode the RELEASE that answers a set-up which was refused or failed; `more` holds further parameters."""
     return with_cause(Kind.RELEASE, ident, cause, more)
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -83,6 +83,7 @@
             trace,
         )
         self.admission.owners = self.owners
+        self.owners.refuse_open = self.admission.refuse_open
         self._host.action_handler = self
         self._shift_us = hub.clock.now_us() - hub.clock.wall_us()
         self._gone_since_us: dict[str, int] = {}
--- a/wingbarrow/relay/setup.py
+++ b/wingbarrow/relay/setup.py
@@ -10,10 +10,13 @@
 from wingbarrow.relay.message import BadMessage, Code, Message
 
 MAX_DURATION_MS = 1e12  # about thirty years: limits patience and the expected duration
-BOUND_FACTOR = 100  # bounds are this multiple of the largest value in the settings
+PATIENCE_BOUND_FACTOR = 100  # the upper bound of patience is this multiple of the longest deadline
 MIN_PATIENCE_BOUND_MS = 3_600_000  # the upper bound of patience is at least one hour
 MAX_SIZE = 1e18  # of cores and memory, in the site's own unit, which may be bytes
 MIN_SIZE = 1e-12  # of cores
+# As in the decision module: the size of a machine whose kind the settings do not list, and the tolerance of a fit.
+UNLISTED_KIND_SIZE = 1.0
+SIZE_TOLERANCE = 1e-6
 MAX_TOKEN_BYTES = 64
 _NAME = re.compile(r"[0-9a-fA-F]{16}")
 # Parameters addressed to the placer. All others are forwarded to the machine unchanged, including unknown codes:
@@ -31,18 +34,20 @@
 
     @classmethod
     def of(cls, settings: api.Settings, deadline_us: int) -> Bounds:
-        """Bounds well above the site's largest machine and its longest deadline (`deadline_us`).
+        """What the site's largest machine can book, and a patience well above the longest deadline (`deadline_us`).
 
         A set-up above them could never be placed and would only wait until its patience ends.
         """
 
         def maximum(sizes: list[float], booking: float) -> float:
-            return BOUND_FACTOR * max(1.0, booking) * max(sizes) if sizes else MAX_SIZE
+            if not sizes:
+                return MAX_SIZE
+            return booking * max(*sizes, UNLISTED_KIND_SIZE) + SIZE_TOLERANCE
 
         return cls(
             maximum([kind.cores for kind in settings.kinds], settings.booking_cores),
             maximum([kind.memory for kind in settings.kinds], settings.booking_memory),
-            max(MIN_PATIENCE_BOUND_MS, BOUND_FACTOR * deadline_us / 1000),
+            max(MIN_PATIENCE_BOUND_MS, PATIENCE_BOUND_FACTOR * deadline_us / 1000),
         )
 
 
