--- a/wingbarrow/relay/half_closed.py
+++ b/wingbarrow/relay/half_closed.py
@@ -21,6 +21,10 @@
 
     stream: Stream
 
+    @property
+    def has_read_all(self) -> bool:
+        """Whether it is open and all that has arrived was read."""
+
 
 ConnectionT = TypeVar("ConnectionT", bound=HalfClosable)
 
@@ -69,7 +73,7 @@
             if self._expects_reports():
                 self._runtime.counts["closes_unanswered"] += not is_overdue
                 self._close_later(connection, is_overdue=True)
-            elif not connection.stream.is_quiet():
+            elif not connection.has_read_all:
                 # Danger: after a stall of this process, data that arrived in time is still unread and would be lost.
                 self._close_later(connection, is_overdue)
             else:
--- a/wingbarrow/relay/link.py
+++ b/wingbarrow/relay/link.py
@@ -18,7 +18,7 @@
 from wingbarrow.relay.half_closed import HalfClosedConnections
 from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
 from wingbarrow.relay.tasks import Task
-from wingbarrow.transport import Outbox, PeerGone, Signal, Stream, connect
+from wingbarrow.transport import MessageTurns, Outbox, PeerGone, Signal, Stream, connect
 
 MAX_UNSENT_BYTES = 1 << 20  # per connection
 # Idle timeout since the last set-up, for connections beyond a machine's last one.
@@ -36,6 +36,9 @@
 MAX_DIALS = 3  # concurrent, to one machine
 MAX_ORPHANS = 512  # abandoned offers that may still run, remembered per machine
 MAX_QUEUED_RELEASES = 1024  # per machine, waiting for a connection
+# Of a connection, in a row: second answers, or releases of tasks that are unknown here. A machine may repeat that many
+# of the latter after this placer has restarted.
+MAX_UNEXPECTED_MESSAGES = 1024
 # Dial errors caused by this host; they are no evidence about the machine.
 LOCAL_DIAL_ERRORS = ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EADDRNOTAVAIL")
 
@@ -51,13 +54,34 @@
 class Connection:
     """One connection to a machine and the set-ups open on it."""
 
-    __slots__ = ("framer", "link", "number", "open_attempts", "outbox", "stream", "used_us")
+    __slots__ = (
+        "_unexpected_messages",
+        "framer",
+        "link",
+        "number",
+        "open_attempts",
+        "outbox",
+        "stream",
+        "used_us",
+    )
 
     def __init__(self, link: Link, stream: Stream, outbox: Outbox, now_us: int) -> None:
         self.link, self.stream, self.outbox, self.used_us = link, stream, outbox, now_us
         self.number = link.next_connection_number()
         self.framer = Framer()
         self.open_attempts: dict[int, Attempt] = {}
+        self._unexpected_messages = 0  # in a row
+
+    @property
+    def has_read_all(self) -> bool:
+        """Whether the connection is open and all that has arrived was read."""
+        return self.stream.is_quiet() and not self.framer.ready
+
+    def count_message(self, was_expected: bool) -> None:
+        """Count a message. Raises BadMessage after MAX_UNEXPECTED_MESSAGES in a row that no sound machine sends."""
+        self._unexpected_messages = 0 if was_expected else self._unexpected_messages + 1
+        if self._unexpected_messages > MAX_UNEXPECTED_MESSAGES:
+            raise BadMessage(f"{self._unexpected_messages} unexpected messages in a row")
 
     @property
     def close_cost(self) -> CloseCost:
@@ -79,8 +103,8 @@
 class LinkEvents(Protocol):
     """Receiver of a machine's messages and failures."""
 
-    def on_message(self, link: Link, connection: Connection, message: Message) -> None:
-        """The machine sent a message."""
+    def on_message(self, link: Link, connection: Connection, message: Message) -> bool:
+        """The machine sent a message; False if no sound machine sends it now."""
 
     def on_unanswered(self, attempt: Attempt, why: str) -> None:
         """The offer's connection ended before its answer, so the task may have run."""
@@ -293,11 +317,13 @@
     def _read_messages(self, connection: Connection) -> None:
         why = "end of stream"  # the part before a colon becomes a counter's name
         try:
+            turns = MessageTurns(self._runtime.hub)
             while data := connection.stream.receive():
                 self.liveness.on_data_received(self._runtime.hub.now_us())
                 connection.framer.feed(data)
                 while connection.stream.open and (message := connection.framer.next()) is not None:
-                    self._events.on_message(self, connection, message)
+                    connection.count_message(self._events.on_message(self, connection, message))
+                    turns.on_handled()
         except BadMessage as error:
             why = f"unreadable: {error}"
             self._runtime.counts["machines:unreadable"] += 1
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -262,8 +262,8 @@
 
     # -- messages from machines
 
-    def on_message(self, link: Link, connection: Connection, message: Message) -> None:
-        """Handle a machine's message; an unexpected one changes nothing. Raises BadMessage if it is malformed."""
+    def on_message(self, link: Link, connection: Connection, message: Message) -> bool:
+        """Handle a machine's message; False for an unexpected one. Raises BadMessage if it is malformed."""
         kind, ident = message.kind, message.task
         if self._trace.enabled and kind in (Kind.ANSWER, Kind.RELEASE):
             self._trace(
@@ -277,20 +277,22 @@
             )
         attempt = connection.open_attempts.get(ident) or link.running.get(ident)
         if kind == Kind.TESTED:
-            self.probes.on_answer(link, message)
-        elif attempt is None:
+            return self.probes.on_answer(link, message)
+        if attempt is None:
             self._on_unknown_task(link, message)
-        elif kind == Kind.ANSWER:
+            return False
+        if kind == Kind.ANSWER and attempt.stage is not Stage.SENT:
+            self._runtime.counts["answers_doubled"] += 1
+            return False
+        if kind == Kind.ANSWER:
             self._on_answer(attempt, connection, message)
         elif kind == Kind.RELEASE:
             self._on_release(attempt, message)
         elif kind == Kind.NOTE:
             self._on_note(attempt, message)
+        return True
 
     def _on_answer(self, attempt: Attempt, connection: Connection, message: Message) -> None:
-        if attempt.stage is not Stage.SENT:
-            self._runtime.counts["answers_doubled"] += 1
-            return
         description, task = message.values.get(Code.DESCRIPTION), attempt.task
         if description is None:
             raise BadMessage("the answer has no description parameter")
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -11,12 +11,11 @@
 from wingbarrow.relay.release_delivery import ReleaseDelivery
 from wingbarrow.relay.tasks import OwnerConnection, Task
 from wingbarrow.relay.trace import Trace
-from wingbarrow.transport import Listener, Outbox, PeerGone, Stream
+from wingbarrow.transport import Listener, MessageTurns, Outbox, PeerGone, Stream
 
 MAX_UNSENT_BYTES = 256 * 1024  # write buffer of one connection
 SWEEP_INTERVAL_US = 250_000
 MAX_ACCEPTS_PER_TURN = 8  # new connections are only counted once their task has run
-MAX_MESSAGES_PER_TURN = 32  # of one connection, before it yields to the others
 # Danger: a client that closed its connection or gave up is gone, even while its message is still unread here after a
 # stall or behind other work. The platform tolerates sends for it up to 100 ms later; input is rechecked after half.
 MAX_UNREAD_US = 50_000
@@ -125,7 +124,7 @@
         self._owners[owner] = None
         self._make_room_for(owner)
         try:
-            messages_read = 0
+            turns = MessageTurns(hub)
             while True:
                 owner.run_read_callbacks(hub.now_us())
                 data = stream.receive()
@@ -142,9 +141,7 @@
                     if message.kind == Kind.RELEASE_HEARD:
                         self.delivery.on_acknowledged(owner, message.task)
                     self._on_message(owner, message, min(now, stream.last_empty_us))
-                    messages_read += 1
-                    if messages_read % MAX_MESSAGES_PER_TURN == 0:
-                        hub.checkpoint()
+                    turns.on_handled()
         except BadMessage as error:
             self._runtime.counts["owners:unreadable"] += 1
             self._runtime.log("owner-protocol-error", level="warning", why=str(error))
--- a/wingbarrow/relay/probes.py
+++ b/wingbarrow/relay/probes.py
@@ -45,12 +45,12 @@
         if self._pending.pop(ident, None) is not None:
             self._host.feed(api.Probed(link.ident, api.Outcome.TIMED_OUT, None))
 
-    def on_answer(self, link: Link, message: Message) -> None:
-        """Handle a machine's answer to a test; an unexpected one changes nothing."""
+    def on_answer(self, link: Link, message: Message) -> bool:
+        """Handle a machine's answer to a test; False if it was not asked for one, which changes nothing."""
         if self._pending.get(message.task) is not link:
-            self._pending.pop(message.task, None)
-            return
+            return False
         del self._pending[message.task]
         report = parse_report(message.text(Code.REPORT) or "-", ";")
         outcome = api.Outcome.DONE if message.values.get(Code.CAUSE) != b"\0" else api.Outcome.ERROR
         self._host.feed(api.Probed(link.ident, outcome, report))
+        return True
--- a/wingbarrow/transport/__init__.py
+++ b/wingbarrow/transport/__init__.py
@@ -11,6 +11,7 @@
 from wingbarrow.transport.nursery import Nursery
 from wingbarrow.transport.outbox import Outbox
 from wingbarrow.transport.scopes import Cancelled, CancelScope, Task
+from wingbarrow.transport.turns import MessageTurns
 
 __all__ = [
     "CancelScope",
@@ -22,6 +23,7 @@
     "Full",
     "Hub",
     "Listener",
+    "MessageTurns",
     "Nursery",
     "Outbox",
     "PeerGone",
--- a/wingbarrow/transport/hub.py
+++ b/wingbarrow/transport/hub.py
@@ -173,17 +173,20 @@
 
     def checkpoint(self) -> None:
         """Let other ready tasks run; raises Cancelled when a scope is cancelled."""
-        task = self.current()
-        entry: tuple[Task, BaseException | None] = (task, None)
-        task.undo_wait = _no_undo
-        self._ready.append(entry)
-        for scope in task.scopes:
+        for scope in self.current().scopes:
             if scope.cancelled:
-                self._ready.pop()
-                task.undo_wait = None
                 raise Cancelled(scope)
-        task.undo_wait = None
-        self._loop.switch()
+        self.yield_turn()
+
+    def yield_turn(self) -> None:
+        """Let other ready tasks run; a cancelled scope raises at the next call that blocks, not here.
+
+        For calls that go on with what has come already, and are cancelled only while they wait for more.
+        """
+        task = self.current()
+        if not any(scope.cancelled for scope in task.scopes):
+            self._ready.append((task, None))
+            self._loop.switch()
 
     # -- time
 
@@ -418,9 +421,5 @@
         return reading, writing
 
 
-def _no_undo() -> None:
-    """Undo nothing: no wait is registered."""
-
-
 def _raise(name: str, error: BaseException) -> None:
     raise error
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -10,6 +10,7 @@
 
 from wingbarrow.transport.hub import READ, WRITE, Hub
 from wingbarrow.transport.scopes import Cancelled
+from wingbarrow.transport.turns import MAX_READS_PER_TURN
 
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 _DESCRIPTOR_TABLE_FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -53,18 +54,26 @@
 class Stream(_Endpoint):
     """A connected TCP socket."""
 
-    __slots__ = ("bytes_in", "bytes_out", "last_empty_us")
+    __slots__ = ("_reads_since_wait", "bytes_in", "bytes_out", "last_empty_us")
 
     def __init__(self, hub: Hub, sock: socket.socket, last_empty_us: int | None = None) -> None:
         super().__init__(hub, sock)
         self.bytes_in = self.bytes_out = 0
+        self._reads_since_wait = 0
         # The latest time at which the bytes read next had certainly not arrived; see docs/promptness.md.
         self.last_empty_us = hub.now_us() if last_empty_us is None else last_empty_us
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def receive(self, max_bytes: int = 65536) -> bytes:
-        """Read up to `max_bytes`, blocking until some arrive; b"" at end of stream; raises PeerGone when reset."""
+        """Read up to `max_bytes`, blocking until some arrive; b"" at end of stream; raises PeerGone when reset.
+
+        Lets other tasks run where the peer's bytes keep coming.
+        """
+        if self._reads_since_wait >= MAX_READS_PER_TURN:
+            # Danger: a peer that sends without end would hold up all others.
+            self._reads_since_wait = 0
+            self.hub.yield_turn()
         while self.open:
             tried_us = self.hub.now_us()
             try:
@@ -73,9 +82,11 @@
                 if error.errno not in _WOULD_BLOCK:
                     raise PeerGone(errno.errorcode.get(error.errno or 0, "?")) from None
                 self.last_empty_us = tried_us
+                self._reads_since_wait = 0
                 self.last_empty_us = max(tried_us, self.hub.wait(self._fd, READ))
             else:
                 self.hub.socket_activity = True
+                self._reads_since_wait += 1
                 self.bytes_in += len(data)
                 return data
         raise PeerGone("closed here")
