--- a/wingbarrow/http/server.py
+++ b/wingbarrow/http/server.py
@@ -136,6 +136,9 @@
                 return
             if request is None or not self.answer(request):
                 return
+            if self.parser.buffered:
+                # Danger: a client that sends the next requests unasked would hold up all others.
+                self.server.hub.checkpoint()
 
     def _linger(self) -> None:
         """Read and discard input for at most a second: closing with unread input would reset the answer in flight."""
