--- a/wingbarrow/config/settings.py
+++ b/wingbarrow/config/settings.py
@@ -75,6 +75,9 @@
     watchers: int = 2_048
     connections: int = 4_096
     body: int = 1 << 20
+    buffered: int = (
+        32 << 20
+    )  # bytes of unfinished requests and of answers not yet taken, of all clients
     machines: int = 10_000
     per_machine: int = 24
     patience_us: int = 3_600_000_000
--- a/wingbarrow/fronts/rest.py
+++ b/wingbarrow/fronts/rest.py
@@ -9,6 +9,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from wingbarrow.core.placer import Placer
+from wingbarrow.decide.buffer_budget import BufferBudget
 from wingbarrow.fronts.discovery import DOCUMENTS
 from wingbarrow.fronts.drains import DrainsFront
 from wingbarrow.fronts.unknown import UnknownFront
@@ -55,6 +56,7 @@
             self._log_warning,
             ServerLimits(connections=limits.connections, message=Limits(body=limits.body)),
             self._rejection,
+            BufferBudget(limits.buffered),
         )
         self.port = self.server.port
         self.instances = InstancesApi(
@@ -254,6 +256,8 @@
             events.add_metric([what], count)
         for what, count in placer.peering.counts.items():
             events.add_metric([what], count)
+        if self.server.over_budget:
+            events.add_metric(["front:over buffer budget"], self.server.over_budget)
         for what, count in [
             *placer.job_store.unexpected_transitions.items(),
             *placer.attempts.unexpected_transitions.items(),
--- a/wingbarrow/http/server.py
+++ b/wingbarrow/http/server.py
@@ -5,11 +5,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from wingbarrow.http.message import BadMessage, Data, Limits, Request
 from wingbarrow.http.parse import Parser
 from wingbarrow.http.write import LAST_CHUNK, write_chunk, write_response
-from wingbarrow.transport import Hub, Listener, PeerGone, Signal, Stream, listen
+from wingbarrow.transport import CancelScope, Hub, Listener, PeerGone, Signal, Stream, listen
 
 SECOND = 1_000_000
 
@@ -36,10 +37,36 @@
     write_us: int = 10 * SECOND  # for one write; a client that reads too slowly is disconnected
 
 
+class Buffers(Protocol):
+    """Bounds the bytes that are held for all connections together; `decide.buffer_budget` decides."""
+
+    def on_read(self, holder: Connection, held_bytes: int) -> list[Connection]:
+        """A connection's unfinished request holds `held_bytes`, 0 once it is whole; returns those to refuse."""
+
+    def on_answer(self, holder: Connection, held_bytes: int) -> list[Connection]:
+        """A connection's answer waits for its client, 0 once it is taken; returns those whose answers to break off."""
+
+    def on_closed(self, holder: Connection) -> None:
+        """A connection has ended."""
+
+
+class _Unbounded:
+    """No bound on all connections together."""
+
+    def on_read(self, holder: Connection, held_bytes: int) -> list[Connection]:
+        return []
+
+    def on_answer(self, holder: Connection, held_bytes: int) -> list[Connection]:
+        return []
+
+    def on_closed(self, holder: Connection) -> None:
+        pass
+
+
 class ChunkWriter:
     """Writes the body of a streamed answer in chunks."""
 
-    def __init__(self, connection: _Connection) -> None:
+    def __init__(self, connection: Connection) -> None:
         self._connection = connection
 
     def write(self, data: bytes) -> None:
@@ -52,22 +79,34 @@
         return self._connection.reader_gone()
 
 
-class _Connection:
+class Connection:
     """One client's connection."""
 
     def __init__(self, server: Server, stream: Stream) -> None:
         self.server = server
         self.stream = stream
         self.parser = Parser(True, server.limits.message)
+        self._body = bytearray()  # of the request that is being read
+        self._reading: CancelScope | None = None
+        self._writing: CancelScope | None = None
+        self._is_over_budget = False
         # Lower bounds of the arrival times of the latest bytes fed, and of the current request's first byte.
         self._last_empty_us = 0
         self._request_arrival_us = 0
 
     def send(self, data: bytes) -> None:
         """Write all; resets the connection and raises PeerGone when that takes longer than `write_us`."""
-        with self.server.hub.limit(self.server.limits.write_us) as scope:
-            self.stream.send(data)
-        if scope.caught:
+        unsent = memoryview(data)[self.stream.send_now(data) :]
+        if not unsent:
+            return
+        for connection in self.server.buffers.on_answer(self, len(data)):
+            connection.break_off_answer()
+        try:
+            with self.server.hub.limit(self.server.limits.write_us) as self._writing:
+                self.stream.send(unsent)
+        finally:
+            self.server.buffers.on_answer(self, 0)
+        if self._writing.caught:
             self.server.slow_readers += 1
             self.stream.abort()
             raise PeerGone("the reader takes nothing")
@@ -87,10 +126,29 @@
                 return None
         # Bytes already in the parser came with the latest read, which also held the end of the previous request.
         self._request_arrival_us = self._last_empty_us
-        with hub.limit(limits.head_us) as scope:
+        with hub.limit(limits.head_us) as self._reading:
             return self._read_request()
+        self._check_budget()
         raise BadMessage(408, "the request took too long")
 
+    def refuse_unfinished(self) -> None:
+        """Refuse the request that is being read, to free the bytes that it holds."""
+        if self._reading is not None and not self._is_over_budget:
+            self._is_over_budget = True
+            self.server.count_over_budget("an unfinished request")
+            self._reading.cancel()
+
+    def break_off_answer(self) -> None:
+        """Reset the connection, whose client does not take its answer, to free the bytes that it holds."""
+        if self._writing is not None:
+            self.server.count_over_budget("an answer")
+            self._writing.cancel()
+
+    def _check_budget(self) -> None:
+        if self._is_over_budget:
+            self._body = bytearray()
+            raise BadMessage(429, "too many unfinished requests, and this one holds the most bytes")
+
     def _receive(self) -> bool:
         data = self.stream.receive()
         if data:
@@ -100,31 +158,42 @@
             self.parser.feed_end()
         return bool(data)
 
+    def _count_unfinished(self) -> None:
+        """Count the bytes of the request so far, and refuse those requests that hold too many."""
+        held_bytes = self.parser.buffered + len(self._body)
+        for connection in self.server.buffers.on_read(self, held_bytes):
+            connection.refuse_unfinished()
+        self._check_budget()
+
     def _read_request(self) -> Request | None:
         request: Request | None = None
-        parts: list[bytes] = []
+        self._body.clear()
         while True:
             event = self.parser.next()
             if event is None:
                 if (
                     request is not None
                     and request.expects_continue
-                    and not parts
+                    and not self._body
                     and not self.parser.buffered
                 ):
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                     request.expects_continue = False
+                self._count_unfinished()
                 if not self._receive() and self.parser.idle:
                     return None
             elif isinstance(event, Request):
                 request = event
             elif isinstance(event, Data):
-                parts.append(event.data)
+                self._body += event.data
             elif request is not None:
-                request.body = b"".join(parts)
+                request.body = bytes(self._body)
+                self._body = bytearray()
+                self.server.buffers.on_read(self, 0)
                 return request
 
     def run(self) -> None:
+        """Answer requests until the connection ends."""
         while True:
             try:
                 request = self.read()
@@ -149,6 +218,7 @@
                     return
 
     def answer(self, request: Request) -> bool:
+        """Answer a request; returns whether the connection is kept."""
         request.connection = self
         request.earliest_arrival_us = self._request_arrival_us
         answer = self.server.handle(request)
@@ -186,9 +256,14 @@
         log: Callable[[str], None],
         limits: ServerLimits = ServerLimits(),
         refuse: Callable[[int, str], Answer] | None = None,
+        buffers: Buffers | None = None,
     ) -> None:
         self.hub = hub
         self.limits = limits
+        self.buffers: Buffers = buffers or _Unbounded()
+        self.over_budget = (
+            0  # requests refused, and answers broken off, for the bytes that they held
+        )
         self._handler = handler
         self._log = log
         self.refuse = refuse or _plain_text_answer
@@ -207,12 +282,20 @@
         except PeerGone:
             raise
         except Exception as error:
-            text = f"{request.method} {request.target.partition('?')[0]}: {type(error).__name__}: {error}"
-            if text not in self._logged:
-                self._logged.append(text)
-                self._log(f"a request handler failed: {text}")
+            where = f"{request.method} {request.target.partition('?')[0]}"
+            self._log_once(f"a request handler failed: {where}: {type(error).__name__}: {error}")
             return self.refuse(500, "internal error")
 
+    def count_over_budget(self, what: str) -> None:
+        """Count, and log once, that `what` was given up, as the bytes held for clients exceed the budget."""
+        self.over_budget += 1
+        self._log_once(f"{what} was given up, as too many bytes are held for clients")
+
+    def _log_once(self, text: str) -> None:
+        if text not in self._logged:
+            self._logged.append(text)
+            self._log(text)
+
     def serve(self) -> None:
         """Accept until cancelled or closed."""
         self.listener.serve(self._connection)
@@ -226,10 +309,12 @@
                 stream.send(write_response(503, fields, answer.body, False))
             return
         self.connections += 1
+        connection = Connection(self, stream)
         try:
-            _Connection(self, stream).run()
+            connection.run()
         finally:
             self.connections -= 1
+            self.buffers.on_closed(connection)
 
     def close(self) -> None:
         """Stop accepting; open connections close after their current answer."""
--- a/wingbarrow/transport/net.py
+++ b/wingbarrow/transport/net.py
@@ -91,7 +91,7 @@
                 return data
         raise PeerGone("closed here")
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes | memoryview[int]) -> None:
         """Write all of `data`, blocking as needed; raises PeerGone with the count of bytes sent."""
         view, sent = memoryview(data), 0
         while sent < len(view):
