--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -7,6 +7,7 @@
 from wingbarrow.core.host import Host
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.decide.connection_limits import ConnectionLimits
+from wingbarrow.decide.memory_budget import MemoryBudget
 from wingbarrow.decide.overload import OverloadControl, Rejected
 from wingbarrow.decide.retries import RunEnd
 from wingbarrow.decide.task_ownership import EndAuthority, authority_to_end
@@ -35,6 +36,7 @@
         links: Links,
         offers: Offers,
         limits: ConnectionLimits,
+        memory: MemoryBudget,
         settings: api.Settings,
         max_retry_after_us: int,
         deadline_us: int,
@@ -47,6 +49,7 @@
             attempts,
         )
         self._links, self._offers, self._limits = links, offers, limits
+        self._memory = memory
         self._trace = trace
         self._classes = {each.name: each for each in settings.classes}
         self._bounds = setup.Bounds.of(settings, deadline_us)
@@ -98,6 +101,10 @@
             owner.activity, len(owner.tasks)
         ):
             self._reject(owner, message.task, Cause.BUSY, "too many open", existing)
+        elif not self._memory.may_open(
+            self._requests.open_bytes, set_up.held_bytes, owner.activity.proven
+        ):
+            self._reject(owner, message.task, Cause.BUSY, "too many bytes open", existing)
         else:
             request = self._requests.next_request()
             task = Task(
--- a/wingbarrow/relay/configuration.py
+++ b/wingbarrow/relay/configuration.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +19,9 @@
 DEFAULT_DIAL_TIMEOUT_US = 250_000
 DEFAULT_MAX_RETRY_AFTER_US = 1_000_000
 DEFAULT_CONN_IDLE_US = 30_000_000
+DEFAULT_MEMORY_MB = (
+    32  # the least that the platform gives; used if `limits.memory_mb` is absent or unusable
+)
 MIN_INTERVAL_US = 1_000  # lower bound of configured intervals; nothing finishes within less
 MIN_TICKS_PER_DEADLINE = 20  # the tick, reserved before deadlines, is at most 1/20 of the shortest
 MAX_INT_DIGITS = 300  # longer integers overflow a float and are read as infinite
@@ -55,6 +59,7 @@
     conn_idle_us: int = (
         DEFAULT_CONN_IDLE_US  # connections are closed after being idle for this interval
     )
+    memory_bytes: int = DEFAULT_MEMORY_MB << 20  # the process's limit
 
 
 def read_address(text: object, what: str) -> Address:
@@ -121,6 +126,14 @@
     return max(MIN_INTERVAL_US, value_us) if value_us else default_us
 
 
+def _memory_bytes(part: JsonValue | None) -> int:
+    """The memory limit; the default for a value that is no positive number, as it bounds clients alone."""
+    value = None if part is None else part.value
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 1 <= value < inf:
+        return DEFAULT_MEMORY_MB << 20
+    return int(value) << 20
+
+
 def _deadlines(settings: JsonValue) -> list[int]:
     return [lane.at("deadline_us").microseconds() for lane in settings.at("lanes").items()]
 
@@ -164,6 +177,7 @@
             ),
             patience_us=max(_deadlines(settings)),
             conn_idle_us=_interval_us(settings, "conn_idle_us", DEFAULT_CONN_IDLE_US),
+            memory_bytes=_memory_bytes(root.find("limits.memory_mb")),
         )
     except (BadConfiguration, ValueError) as error:
         raise BadConfiguration(f"{path}: {error}") from None
--- a/wingbarrow/relay/owners.py
+++ b/wingbarrow/relay/owners.py
@@ -7,6 +7,7 @@
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.decide.connection_limits import ConnectionActivity, ConnectionLimits
+from wingbarrow.decide.memory_budget import MemoryBudget
 from wingbarrow.relay.message import BadMessage, Cause, Framer, Kind, Message, with_cause
 from wingbarrow.relay.release_delivery import ReleaseDelivery
 from wingbarrow.relay.tasks import OwnerConnection, Task
@@ -91,12 +92,14 @@
         self,
         runtime: PlacerRuntime,
         limits: ConnectionLimits,
+        memory: MemoryBudget,
         on_message: Callable[[Owner, Message, int], None],
         on_disconnect: Callable[[Owner], None],
         free_descriptor: Callable[[], bool],
         trace: Trace,
     ) -> None:
-        self._runtime, self._limits = runtime, limits
+        self._runtime, self._limits, self._memory = runtime, limits, memory
+        self._read_bytes = memory.read_bytes(limits.max_connections)
         self._on_message, self._on_disconnect = on_message, on_disconnect
         self._accepted = 0  # connections so far
         self._free_descriptor = free_descriptor
@@ -127,7 +130,7 @@
             turns = MessageTurns(hub)
             while True:
                 owner.run_read_callbacks(hub.now_us())
-                data = stream.receive()
+                data = stream.receive(self._read_bytes)
                 if not data:
                     return
                 owner.framer.feed(data)
@@ -235,6 +238,7 @@
         while True:
             hub.sleep(SWEEP_INTERVAL_US)
             now = hub.now_us()
+            self._close_slow_readers()
             for owner in list(self._owners):
                 if (
                     owner.stream.open
@@ -245,6 +249,12 @@
                     self.retire(owner, "idle" if owner.activity.proven else "silent")
             self.delivery.send_pending()
 
+    def _close_slow_readers(self) -> None:
+        """Close the connections that hold the most unsent bytes, if all hold more than their share of the memory."""
+        unsent = [(owner, owner.outbox.waiting) for owner in self._owners if owner.outbox.waiting]
+        for owner in self._memory.connections_to_close(unsent):
+            self.close(owner, "slow_reader")
+
     def on_answered(self, owner: OwnerConnection) -> None:
         """A task of this connection was placed, and the answer written: it is an owner's."""
         owner.activity.proven = True
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -9,6 +9,7 @@
 from wingbarrow.core.placer_runtime import PlacerRuntime
 from wingbarrow.decide.connection_limits import ConnectionLimits
 from wingbarrow.decide.descriptor_budget import DescriptorBudget
+from wingbarrow.decide.memory_budget import MemoryBudget
 from wingbarrow.relay import journal
 from wingbarrow.relay.admission import Admission
 from wingbarrow.relay.configuration import BadConfiguration, Configuration, load_journal
@@ -51,9 +52,11 @@
         self._attempts = Attempts()
         self._links = Links(budget, lambda: len(self.owners), configuration.conn_idle_us)
         limits = ConnectionLimits(budget.max_owners)
+        memory = MemoryBudget(configuration.memory_bytes)
         self.owners = Owners(
             runtime,
             limits,
+            memory,
             self._on_owner_message,
             self._on_owner_disconnect,
             lambda: self._links.make_room(0),
@@ -77,6 +80,7 @@
             self._links,
             self._offers,
             limits,
+            memory,
             settings,
             configuration.max_retry_after_us,
             configuration.patience_us,
--- a/wingbarrow/relay/setup.py
+++ b/wingbarrow/relay/setup.py
@@ -71,6 +71,11 @@
     running_on: str | None
     passed_on: dict[int, bytes]
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of the parameters that have to be held for machines."""
+        return sum(map(len, self.passed_on.values()))
+
     def arrival(self, request: int, deadline_us: int) -> api.TaskArrived:
         """The arrival event for the scheduler; `deadline_us` is an absolute time."""
         return api.TaskArrived(
--- a/wingbarrow/relay/tasks.py
+++ b/wingbarrow/relay/tasks.py
@@ -82,6 +82,11 @@
     # The machines of all attempts that may have run. What one of them says of such a run bears this task's id, too.
     may_have_run_on: set[int] = field(default_factory=set)
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of the parameters that are held for machines."""
+        return sum(map(len, self.passed_on.values()))
+
 
 class RequestTable:
     """All unfinished tasks of one placer, by id and by request number."""
@@ -91,6 +96,7 @@
         self.by_request: dict[int, Task] = {}
         self._next = 1
         self.pending = 0  # tasks that await a final answer
+        self.open_bytes = 0  # of the parameters that they hold
         self.answered = 0  # final answers sent so far
         self.unexpected_transitions: Counter[str] = Counter()
 
@@ -102,7 +108,9 @@
     def add(self, task: Task) -> None:
         """Add a task; the caller has checked that its id is not in use."""
         self.by_ident[task.ident] = self.by_request[task.request] = task
-        self.pending += task.state is State.PENDING
+        if task.state is State.PENDING:
+            self.pending += 1
+            self.open_bytes += task.held_bytes
 
     def step(self, task: Task, step: Step) -> bool:
         """Apply a step to a task; False, and counted, if its state has no such transition."""
@@ -112,6 +120,7 @@
             return False
         if task.state is State.PENDING:
             self.pending -= 1
+            self.open_bytes -= task.held_bytes
             self.answered += step is not Step.WITHDRAW
             task.passed_on, task.owner = {}, None
         task.state = after
