--- a/tests/relay/test_gone_owners.py
+++ b/tests/relay/test_gone_owners.py
@@ -219,3 +219,46 @@
 
 def test_the_unread_limit_is_at_most_half_of_the_platforms_tolerance() -> None:
     assert MAX_UNREAD_US * 2 <= TOLERANCE_MS * MS
+
+
+# Picture (c) of issue 71, not shown: an id that comes again after its client has left is out once at a time.
+@pytest.mark.parametrize("task_class", ["web", "settlement"])
+def test_an_id_that_comes_again_after_its_client_has_left_is_given_up_first(
+    task_class: str,
+) -> None:
+    def play(stage: Stage) -> None:
+        for machine in stage.machines:
+            machine.on_set_up = lambda stream, message: None  # a slow start
+        stage.owner.ask(1, task_class, patience_ms=4900)
+        stage.sleep(50)
+        ((first, _),) = stage.set_ups(1)
+        stage.owner.stream.close()
+        again = stage.client()
+        again.ask(1, task_class, patience_ms=4900)
+        stage.sleep(200)
+        given_up = [each.at_us for each in first.received if each.message.kind == Kind.RELEASE]
+        (_, _), (_, second) = stage.set_ups(1)
+        assert len(given_up) == 1
+        assert given_up[0] <= second.at_us
+
+    Stage(2).run(play)
+
+
+# The other half of picture (c), not shown: nothing that a client leaves unread is sent once it is known to have left.
+def test_set_ups_that_their_client_leaves_unread_are_not_sent_afterwards() -> None:
+    def play(stage: Stage) -> None:
+        leaver = stage.client()
+        for task in range(1, 200):
+            leaver.ask(task, name=f"{task:016x}", figures="cores:0.01;memory:0.01;service:s1")
+        leaver.stream.close()
+        left_us = stage.hub.now_us()
+        stage.sleep(3000)
+        sent = [
+            each.at_us
+            for machine in stage.machines
+            for each in machine.received
+            if each.message.kind == Kind.SET_UP
+        ]
+        assert all(at_us - left_us <= 100 * MS for at_us in sent)
+
+    Stage(2).run(play)
--- a/wingbarrow/core/machine_link.py
+++ b/wingbarrow/core/machine_link.py
@@ -91,7 +91,7 @@
             )
         except (NotSent, MaybeDone) as error:
             return read_call_failure(error)
-        return read_offer_response(response)
+        return read_offer_response(response, self.name)
 
     def delete(self, namespace: str, pod: str) -> DeleteOutcome | None:
         """Request once that a task be stopped; None without an answer that confirms that it is gone."""
--- a/wingbarrow/core/pod_observer.py
+++ b/wingbarrow/core/pod_observer.py
@@ -12,7 +12,7 @@
 from wingbarrow.core.machine_link import MachineLink
 from wingbarrow.core.offers import Offers
 from wingbarrow.core.orphans import Orphans
-from wingbarrow.core.pods import PodPhase, PodStatus, read_pod
+from wingbarrow.core.pods import PodPhase, PodStatus, node_name, read_pod
 from wingbarrow.core.runs import Runs
 from wingbarrow.decide import retries
 
@@ -80,6 +80,15 @@
         )
 
     def _read_pod(self, link: MachineLink, value: dict[str, Any]) -> PodStatus | None:
+        """The pod as this machine reports it; None if it cannot be read, or runs on another machine."""
+        actual = node_name(value)
+        if actual not in ("", link.name):
+            # Danger: another machine has taken this one's address, and its tasks would count as run here.
+            self._context.counts["pods_of_other_machines"] += 1
+            self._context.log(
+                "pod-of-another-machine", level="warning", machine=link.name, actual=actual[:80]
+            )
+            return None
         try:
             return read_pod(value)
         except ValueError as error:
--- a/wingbarrow/core/pods.py
+++ b/wingbarrow/core/pods.py
@@ -115,10 +115,10 @@
     )
 
 
-def read_offer_response(response: Response) -> OfferFailure | None:
-    """Decode the response to an offer; None where the task is running."""
+def read_offer_response(response: Response, machine: str) -> OfferFailure | None:
+    """Decode the response to an offer; None where the task is running on `machine`."""
     if response.status in (200, 201):
-        return None
+        return _read_acceptance(response, machine)
     reason, words = "", f"status {response.status}"
     try:
         status = names.decode(response.body)
@@ -134,6 +134,24 @@
     return OfferFailure(api.Outcome.ERROR, api.Reason.UNTOLD, words)
 
 
+def _read_acceptance(response: Response, machine: str) -> OfferFailure | None:
+    """A failure if the accepted pod says that it runs on another machine; a response without a name is trusted."""
+    try:
+        actual = node_name(names.decode(response.body))
+    except ValueError:
+        return None
+    if actual in ("", machine):
+        return None
+    # Danger: another machine has taken this one's address before the list says so, and runs the task.
+    return OfferFailure(api.Outcome.ERROR, api.Reason.UNTOLD, f"answered by machine {actual[:80]}")
+
+
+def node_name(pod: dict[str, Any]) -> str:
+    """The machine that a Pod is bound to; "" if it does not say."""
+    spec = pod.get("spec")
+    return str(spec.get("nodeName") or "") if isinstance(spec, dict) else ""
+
+
 def read_call_failure(error: NotSent | MaybeDone) -> OfferFailure:
     """Classify a call without a response for rule 2: the task certainly did not start only where no byte was sent."""
     if isinstance(error, NotSent):
--- a/wingbarrow/lab/machine.py
+++ b/wingbarrow/lab/machine.py
@@ -66,6 +66,9 @@
         self.changed: Callable[[Machine], None] = lambda _: None
         self.offers_seen = 0
         self.faulty = False  # refuses every offer with 500
+        self.checks_node_name = (
+            True  # refuses a pod that is bound to another node, as the kubelet does
+        )
         self.clock_drift_ppm = 0  # parts in a million by which its clock runs fast
         self.boots = 0
         self.guard_factories: list[Callable[[Machine], Guard]] = []  # called at each launch
@@ -284,6 +287,10 @@
     def _decide(self, pod: Pod, value: dict[str, Any]) -> ApiError | None:
         notes = value["metadata"].get("annotations", {})
         until = self.hub.now_us() + parse_duration(notes.get(names.START_WITHIN, "1h"))
+        bound_to = value["spec"].get("nodeName", self.name)
+        if self.checks_node_name and bound_to != self.name:
+            return ApiError(409, f"the pod is bound to node {bound_to}", "NodeAffinity")
+        value["spec"]["nodeName"] = self.name
         if pod.name in self.pods:
             return ApiError(409, f'pods "{pod.name}" already exists', "AlreadyExists")
         done = Signal(self.hub)
