--- a/wingbarrow/http/client.py
+++ b/wingbarrow/http/client.py
@@ -296,6 +296,7 @@
                         connection.parser.feed(part)
                     elif isinstance(event, Response) and event.status >= 200:
                         answer = event
+                        answer.earliest_arrival_us = connection.stream.last_empty_us
             except PeerGone as error:
                 raise MaybeDone(
                     FailureReason.RESET_AFTER if received_any else FailureReason.RESET_BEFORE,
--- a/wingbarrow/http/message.py
+++ b/wingbarrow/http/message.py
@@ -53,6 +53,8 @@
     minor: int = 1
     keep_alive: bool = True
     body: bytes = b""
+    # Lower bound of the time at which the end of its head arrived, on the hub's clock; 0 if unknown.
+    earliest_arrival_us: int = 0
 
     def get(self, name: str) -> str | None:
         """The first value of a field, by lower-case name."""
--- a/wingbarrow/relay/journal.py
+++ b/wingbarrow/relay/journal.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from wingbarrow.core.placer_runtime import PlacerRuntime
+from wingbarrow.decide.list_freshness import MAX_UNREAD_US, ListFreshness
 from wingbarrow.decide.long_poll import (
     CALL_INTERVAL_US,
     CONNECT_US,
@@ -30,11 +31,10 @@
 
 MAX_BODY_BYTES = 4 << 20
 MIN_POLL_US = WAIT_US // 2  # an empty answer before it counts as early
-# Danger (rule 3): a drain that is unread after a stall counts as delivered. The grace is 250 ms; a fifth is used here.
-MAX_UNREAD_US = 50_000
 UNREAD_CHECK_US = 1_000  # between checks whether an answer that has arrived was read
 MAX_REASON_CHARS = 200
 HTTP_OK = 200
+NO_WAIT_US = 1_000  # asked for where the answer is wanted at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +44,7 @@
     number: int
     query: EventQuery
     started_us: int
+    wait_us: int
     scope: CancelScope
 
 
@@ -53,6 +54,7 @@
 
     last: int
     events: list[Event]
+    earliest_arrival_us: int
 
 
 class Follower:
@@ -80,6 +82,7 @@
         self._sequence = EventSequence(runtime, position, known)
         self._once_log = OnceLog(runtime)
         self._long_poll = LongPoll(random.Random(runtime.random.random()), patience_us)
+        self._freshness = ListFreshness()
         self._calls: dict[int, _Call] = {}
         self._was_late = False  # the latest answer
         self._changed = Signal(runtime.hub)  # a call has ended, or the address has changed
@@ -104,12 +107,17 @@
         self._address = address
         self._pool = self._new_pool()
         self._long_poll.on_service_changed()
+        self._freshness.on_service_changed()
         self._changed.notify()
 
     def has_stale_input(self, now_us: int) -> bool:
         """Whether input of the service older than MAX_UNREAD_US may still be unread."""
         return self._pool.has_unread(now_us, MAX_UNREAD_US)
 
+    def holds_sends(self, now_us: int) -> bool:
+        """Whether a drain may have been told while this process stood still, and nothing was heard since."""
+        return self._freshness.holds_sends(now_us)
+
     def run(self) -> None:
         """Follow the list until cancelled."""
         hub = self._runtime.hub
@@ -144,7 +152,8 @@
     def _start_call(self) -> None:
         hub, pool = self._runtime.hub, self._pool
         number = self._long_poll.on_started(hub.now_us())
-        call = _Call(number, self._sequence.next_query(), hub.now_us(), CancelScope(hub))
+        wait_us = NO_WAIT_US if self._freshness.is_outdated else WAIT_US
+        call = _Call(number, self._sequence.next_query(), hub.now_us(), wait_us, CancelScope(hub))
         self._calls[number] = call
         self._runtime.spawn(lambda: self._carry_out(call, pool), "journal-call")
 
@@ -185,13 +194,14 @@
             self._changed.notify()
             return True
 
-        target = f"/journal?tail={call.query.tail}&max_wait={WAIT_US // 1000}"
+        target = f"/journal?tail={call.query.tail}&max_wait={call.wait_us // 1000}"
         response = pool.request("GET", target, may_send=on_connected)
         if response.status != HTTP_OK:
             raise ValueError(
                 f"journal service answered status {response.status}, expected {HTTP_OK}"
             )
-        return _Answer(*parse(json.loads(response.body), self._shift_us))
+        last, events = parse(json.loads(response.body), self._shift_us)
+        return _Answer(last, events, response.earliest_arrival_us)
 
     def _report_failure(self, why: str) -> None:
         self._runtime.counts["journal_failures"] += 1
@@ -205,11 +215,13 @@
         self._on_failure()
 
     def _on_answer(self, call: _Call, answer: _Answer) -> None:
-        took_us = self._runtime.hub.now_us() - call.started_us
+        now = self._runtime.hub.now_us()
+        took_us = now - call.started_us
         self._count_answer(took_us)
+        self._freshness.on_answer(now, call.started_us, answer.earliest_arrival_us)
         was_outdated = self._sequence.is_outdated(call.query)
         news = self._sequence.apply(call.query, answer.last, answer.events)
-        is_early = not news and not was_outdated and took_us < MIN_POLL_US
+        is_early = not news and not was_outdated and took_us < min(MIN_POLL_US, call.wait_us // 2)
         if not call.scope.cancelled:
             self._long_poll.on_answered(self._runtime.hub.now_us(), call.number, is_early)
             if is_early:
--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -33,6 +33,7 @@
 # After a restart of the placer, a machine may release a task before its owner has reported it here.
 EARLY_RELEASE_TTL_US = 8_500_000
 MAX_EARLY_RELEASES = 1024
+LIST_RECHECK_US = 2_000  # between checks whether an offer that waits for the list may be sent
 # The owner of an ended task must be notified within 1 s of the machine's release ("The rules on sockets").
 END_NOTICE_DELAY_US = 800_000
 # Outcomes of attempts whose task certainly did not run.
@@ -65,6 +66,8 @@
         self.probes = Probes(runtime, host, links)
         # Whether updates of the machine list may have arrived and not been read.
         self.list_has_stale_input: Callable[[int], bool] = lambda now_us: False
+        # Whether updates may have been told that no answer of the service has brought yet.
+        self.list_holds_sends: Callable[[int], bool] = lambda now_us: False
         # Cause and expiry time of releases of unknown tasks, by machine and task id.
         self._early_releases: OrderedDict[tuple[int, int], tuple[int, int]] = OrderedDict()
 
@@ -156,6 +159,12 @@
             self._runtime.counts["sends_behind_list"] += 1
             self._runtime.spawn(lambda: self._begin(attempt), "offer")
             return
+        if self.list_holds_sends(self._runtime.hub.now_us()):
+            # Danger (rule 3): a drain may have been told while this process stood still.
+            self._runtime.counts["sends_held_for_list"] += 1
+            retry_us = self._runtime.hub.now_us() + LIST_RECHECK_US
+            self._runtime.hub.call_at(retry_us, lambda: self._begin(attempt))
+            return
         if task.owner is not None and task.owner.has_stale_input(self._runtime.hub.now_us()):
             # Danger: the owner's close or release may have arrived unread. The attempt starts once that data is read.
             self._runtime.counts["sends_behind"] += 1
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -110,6 +110,7 @@
             known,
         )
         self._offers.list_has_stale_input = self._follower.has_stale_input
+        self._offers.list_holds_sends = self._follower.holds_sends
         self._load_known(known)
 
     # -- actions of the scheduler
