--- a/wingbarrow/relay/offers.py
+++ b/wingbarrow/relay/offers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
 
 from wingbarrow import interface as api
@@ -13,6 +12,7 @@
 from wingbarrow.decide.gate import HoldReason, Offer, SendGate
 from wingbarrow.decide.idempotency import EarlierAttempt, may_repeat
 from wingbarrow.decide.retries import RunEnd
+from wingbarrow.relay.early_releases import EarlyReleases
 from wingbarrow.relay.link import Attempt, Attempts, Connection, Link
 from wingbarrow.relay.links import Links
 from wingbarrow.relay.message import BadMessage, Cause, Code, Kind, Message, encode, with_cause
@@ -30,9 +30,6 @@
 from wingbarrow.relay.trace import Trace
 from wingbarrow.settings_parser import parse_report
 
-# After a restart of the placer, a machine may release a task before its owner has reported it here.
-EARLY_RELEASE_TTL_US = 8_500_000
-MAX_EARLY_RELEASES = 1024
 LIST_RECHECK_US = 2_000  # between checks whether an offer that waits for the list may be sent
 # The owner of an ended task must be notified within 1 s of the machine's release ("The rules on sockets").
 END_NOTICE_DELAY_US = 800_000
@@ -68,8 +65,7 @@
         self.list_has_stale_input: Callable[[int], bool] = lambda now_us: False
         # Whether updates may have been told that no answer of the service has brought yet.
         self.list_holds_sends: Callable[[int], bool] = lambda now_us: False
-        # Cause and expiry time of releases of unknown tasks, by machine and task id.
-        self._early_releases: OrderedDict[tuple[int, int], tuple[int, int]] = OrderedDict()
+        self._early_releases = EarlyReleases()
 
     # -- the decision module's actions
 
@@ -425,22 +421,15 @@
         ident = message.task
         if message.kind == Kind.RELEASE:
             link.orphans.pop(ident, None)
-            now = self._runtime.hub.now_us()
             cause = (message.values.get(Code.CAUSE) or bytes((Cause.RESET,)))[0]
-            self._early_releases[link.ident, ident] = cause, now + EARLY_RELEASE_TTL_US
-            while (
-                len(self._early_releases) > MAX_EARLY_RELEASES
-                or next(iter(self._early_releases.values()))[1] <= now
-            ):
-                self._early_releases.popitem(last=False)
+            self._early_releases.add(self._runtime.hub.now_us(), link.ident, ident, cause)
         elif message.kind in (Kind.ANSWER, Kind.NOTE) and link.orphans.pop(ident, False) is None:
             self._runtime.counts["strays_stopped"] += 1
             link.release(ident, Cause.CANCELLED)
 
     def take_early_release(self, link: Link, ident: int) -> int | None:
         """Remove and return the cause of a release that came before the task was known here; None if there is none."""
-        cause, until_us = self._early_releases.pop((link.ident, ident), (0, 0))
-        return cause if self._runtime.hub.now_us() < until_us else None
+        return self._early_releases.take(self._runtime.hub.now_us(), link.ident, ident)
 
     # -- connection failures
 
