--- a/wingbarrow/relay/admission.py
+++ b/wingbarrow/relay/admission.py
@@ -12,6 +12,7 @@
 from wingbarrow.decide.retries import RunEnd
 from wingbarrow.decide.task_ownership import EndAuthority, authority_to_end
 from wingbarrow.relay import setup
+from wingbarrow.relay.hand_overs import MAX_WAIT_US, HandOvers
 from wingbarrow.relay.link import Attempt, Attempts
 from wingbarrow.relay.links import Links
 from wingbarrow.relay.message import Cause, Code, Kind, Message, with_cause
@@ -55,6 +56,7 @@
         self._bounds = setup.Bounds.of(settings, deadline_us)
         self._overload = OverloadControl(settings.tick_us)
         self._retry_after_ms = b"%d" % max(1, min(max_retry_after_us, 1_000_000) // 1000)
+        self._hand_overs: HandOvers[tuple[Owner, setup.SetUp]] = HandOvers()
         self.ready = False
         self.owners: Owners
 
@@ -141,11 +143,14 @@
         """Adopt a task that already runs on a machine: track it and release it when it ends."""
         request, now = self._requests.next_request(), self._runtime.hub.now_us()
         link = self._links.by_name.get(machine_name)
+        if link is None and self._hand_overs.add(now, set_up.ident, machine_name, (owner, set_up)):
+            self._runtime.counts["found_unlisted"] += 1
+            self._runtime.hub.call_at(now + MAX_WAIT_US, self._reject_unlisted)
+            return
         self._runtime.counts["found" if link else "found_nowhere"] += 1
         if link is None or link.closed or set_up.ident in link.running:
-            self._runtime.log("adoption-rejected", level="warning", machine=machine_name)
             if link is None or link.closed:
-                owner.write(refusal(set_up.ident, Cause.RESET))
+                self._reject_adoption(owner, set_up.ident, machine_name)
             return
         if len(self._attempts) >= MAX_ATTEMPTS:
             # Danger: nothing else bounds adopted tasks, and only the machine knows whether such a task exists.
@@ -179,7 +184,27 @@
         self._trace(task.ident, "found", owner=owner.number, machine=machine_name)
         self._host.feed(api.TaskFound(task.arrival, link.ident))
 
+    def _reject_adoption(self, owner: Owner, ident: int, machine_name: str) -> None:
+        """Say that a task runs nowhere, to who handed it over, or else to any owner."""
+        self._runtime.log("adoption-rejected", level="warning", machine=machine_name)
+        if not owner.write(refusal(ident, Cause.RESET)):
+            self.owners.delivery.release(ident, Cause.RESET)
+
+    def _reject_unlisted(self) -> None:
+        for each in self._hand_overs.take_expired(self._runtime.hub.now_us()):
+            self._runtime.counts["found_nowhere"] += 1
+            owner, _ = each.content
+            self._reject_adoption(owner, each.ident, each.machine)
+
+    def on_listed(self, machines: set[str]) -> None:
+        """The list names these machines: adopt what was handed over there and waits."""
+        for each in self._hand_overs.take_listed(machines):
+            owner, set_up = each.content
+            if each.ident not in self._requests.by_ident:
+                self._adopt(owner, set_up, each.machine)
+
     def _on_release(self, owner: Owner, message: Message) -> None:
+        self._hand_overs.take(message.task)  # its owner has ended it before it was adopted
         task = self._requests.by_ident.get(message.task)
         authority = EndAuthority.NONE
         if task is not None:
--- a/wingbarrow/relay/placer.py
+++ b/wingbarrow/relay/placer.py
@@ -185,6 +185,7 @@
             self._on_entry(entry)
         # Links are updated first, because the scheduler's actions on this event use them.
         self._host.feed(api.MachineList(form, tuple(each.listed for each in news.entries)))
+        self.admission.on_listed({each.name for each in news.entries})
 
     def _on_entry(self, entry: journal.Entry) -> None:
         link, listed = self._links.by_name.get(entry.name), entry.listed
