--- a/tests/decide/test_liveness.py
+++ b/tests/decide/test_liveness.py
@@ -81,3 +81,28 @@
     assert not live.failed_recently(1_000_000 + FAILED_PROBE_INTERVAL_US)
     live.on_connected(1_100_000)
     assert not live.failed_recently(1_100_000)
+
+
+# Issue 61, item 4: failures of a machine that was not probed since counted for a task that was handed over later.
+def test_failures_from_before_a_task_is_handed_over_do_not_write_it_off() -> None:
+    live = Liveness(0)
+    for started_us in range(0, 4 * FAILED_PROBE_INTERVAL_US, FAILED_PROBE_INTERVAL_US):
+        live.on_connect_timeout(started_us + 250_000, started_us)
+    now = 60_000_000  # nothing was out there meanwhile, and the machine has come back
+    live.next_action(now, False, False)
+    assert live.next_action(now, False, True) is HealthAction.PROBE
+    live.on_connected(now + 1_000)
+    assert live.next_action(now + 10_000, False, True) is HealthAction.NONE
+
+
+def test_a_handed_over_task_on_a_machine_that_is_lost_is_written_off_in_time() -> None:
+    live, now, lost_us = Liveness(0), 60_000_000, None
+    live.on_connect_timeout(now - 300_000, now - 550_000)
+    began = now
+    while lost_us is None:
+        action = live.next_action(now, False, True)
+        if action is HealthAction.PROBE:
+            live.on_connect_timeout(now + 250_000, now)
+        lost_us = now if action is HealthAction.FAIL_TASKS else None
+        now += 100_000
+    assert LOST_AFTER_US <= lost_us - began <= PROBE_INTERVAL_US + LOST_AFTER_US + 500_000
--- a/tests/relay/test_hand_overs.py
+++ b/tests/relay/test_hand_overs.py
@@ -76,3 +76,24 @@
     assert not waiting.add(0, MAX_HAND_OVERS, "m", None)
     assert waiting.add(0, 0, "m", None), "the same one again"
     assert len(waiting.take_expired(MAX_WAIT_US)) == MAX_HAND_OVERS
+
+
+# Issue 61, item 4: a machine did not answer for a while, came back, and its task was said to be over when handed over.
+def test_a_task_handed_over_on_a_machine_that_has_come_back_is_not_said_to_be_over() -> None:
+    def play(stage: Stage) -> None:
+        machine, other = stage.machines
+        link = stage.placer._links.by_name[machine.name]
+        now = stage.hub.now_us()
+        for started_us in range(now, now + 1_200 * MS, 300 * MS):
+            link.liveness.on_connect_timeout(started_us + 250 * MS, started_us)
+        owner = stage.owner
+        owner.ask(1, name="1" * 16)
+        stage.sleep(10_000)
+        assert [each.kind for each in owner.of(1)] == [Kind.ANSWER]
+        assert len(other.set_ups(1)) == 1
+        hand_over(owner, machine.name)
+        stage.sleep(1_000)
+        assert owner.of(TASK) == []
+        assert link.running
+
+    Stage(2).run(play)
--- a/wingbarrow/decide/liveness.py
+++ b/wingbarrow/decide/liveness.py
@@ -39,6 +39,7 @@
         "_failed_probe_us",
         "_failed_since_us",
         "_failures",
+        "_had_running",
         "_probed_us",
         "last_received_us",
     )
@@ -49,6 +50,7 @@
         self._failed_since_us: int | None = None
         self._failed_probe_us = now_us  # when the latest failed probe began
         self._failures = 0  # consecutive failed probes
+        self._had_running = False  # at the latest check
 
     def on_data_received(self, now_us: int) -> None:
         """The machine sent data."""
@@ -89,6 +91,11 @@
 
         `offers`: the machine has offers in flight; `running`: it has running tasks.
         """
+        if running and not self._had_running:
+            # Danger: the machine may have come back since, as it is not probed while nothing is out there. A task that
+            # is handed over would be written off by failures from before.
+            self._failed_since_us, self._failures = None, 0
+        self._had_running = running
         if self._failures:
             since_us = self._failed_since_us
             if (
