The capacity bench's wrapper of Stream.send has its type

Cause: Stream.send takes a memoryview since the budget of buffers; the wrapper in benchmarks/capacity did not, and mypy over benchmarks, which only the whole script runs, failed. Change: the same type there.

--- a/benchmarks/capacity/placer.py
+++ b/benchmarks/capacity/placer.py
@@ -116,7 +116,7 @@
             total.received += len(data)
             return data
 
-        def counted_send(self: Stream, data: bytes) -> None:
+        def counted_send(self: Stream, data: bytes | memoryview[int]) -> None:
             total.sent += len(data)
             send(self, data)
 
